--- /dev/null
+++ b/hollowusher/__main__.py
@@ -0,0 +1,26 @@
+"""Starts one scheduler: `python -m hollowusher`."""
+
+from __future__ import annotations
+
+import sys
+
+import uvloop
+
+from hollowusher.app import serve
+from hollowusher.config import ConfigError, load
+from hollowusher.log import Log
+
+
+def main() -> int:
+    """The exit code."""
+    try:
+        config = load()
+    except ConfigError as wrong:
+        Log("-").error("config", str(wrong))
+        return 2
+    uvloop.run(serve(config, Log(config.name, forward=config.syslog)))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/hollowusher/core/desk.py
@@ -0,0 +1,109 @@
+"""The dispatch desk: turns events into calls of the decision module and its actions into orders.
+
+It decides nothing.  It keeps two books, of open jobs and of open attempts, so that a job gets exactly one
+final answer and the late news of a closed attempt goes nowhere.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from hazelweir.balance import Balancer
+from hazelweir.interface import (
+    Action, Arrival, Cancel, ClientGone, Ended, Event, Fail, Log, Outcome, Probe, Probed, Progress, Refuse,
+    Send, Settings, Started, Wake, Watch, WorkerList, Woken,
+)
+from hollowusher.core.model import (
+    Answer, Attempt, AttemptEnded, AttemptProgress, AttemptStarted, DeskEvent, Dispatch, Job, JobTaken,
+    NodeListTold, NodeProbed, Order, ProbeNode, Remark, Reply, TerminalGone, TimeCame, Verdict, WakeDesk,
+    WatchNodeList, Withdraw,
+)
+
+
+class DispatchDesk:
+    """One module, its open jobs and its open attempts."""
+
+    def __init__(self, settings: Settings, seed: int, now: int) -> None:
+        self._module = Balancer(settings, seed, now)
+        self._max_wait = settings.limits.max_retry_after_ns if settings.limits.retry_after else 0
+        self._jobs: dict[str, Job] = {}
+        self._sends: dict[str, int] = {}
+        self._open: dict[tuple[str, int], Attempt] = {}
+        self._count = 0
+        self._orders: list[Order] = []
+
+    @property
+    def open_jobs(self) -> int:
+        """Jobs that are owed an answer."""
+        return len(self._jobs)
+
+    def work(self, now: int, events: Iterable[DeskEvent]) -> list[Order]:
+        """Take a batch of events in one step of the module; the orders that follow."""
+        self._orders = []
+        told = [event for each in events if (event := self._tell(now, each)) is not None]
+        for action in self._module.step(now, told):
+            self._order(action)
+        return self._orders
+
+    def _tell(self, now: int, event: DeskEvent) -> Event | None:
+        """The module's event for one of ours; None where it concerns nothing that is open."""
+        match event:
+            case JobTaken(job):
+                self._count += 1
+                job.ticket = f"job-{self._count}"
+                self._jobs[job.ticket] = job
+                self._sends[job.ticket] = 0
+                return Arrival(
+                    job.ticket, job.job_class, max(0, job.deadline_ns - now), slots=job.slots,
+                    memory=job.memory, key=job.about, retry=job.retry,
+                )
+            case TerminalGone(job):
+                return ClientGone(job.ticket) if self._close(job.ticket) else None
+            case AttemptStarted(a) if (a.ticket, a.number) in self._open:
+                return Started(a.ticket, a.number, a.node)
+            case AttemptProgress(a, share) if (a.ticket, a.number) in self._open:
+                return Progress(a.ticket, a.number, a.node, share)
+            case AttemptEnded(a) if self._open.pop((a.ticket, a.number), None) is not None:
+                if event.outcome is Outcome.OK:
+                    self._answer(a.ticket, Answer(Verdict.SERVED, event.result))
+                final = a.ticket not in self._jobs
+                return Ended(a.ticket, a.number, a.node, event.outcome, final, event.reading)
+            case NodeListTold(kind, entries):
+                return WorkerList(kind, entries)
+            case NodeProbed(node, ok, reading):
+                return Probed(node, ok, reading)
+            case TimeCame():
+                return Woken()
+        return None
+
+    def _order(self, action: Action) -> None:
+        match action:
+            case Send(ticket, node, timeout):
+                attempt = Attempt(ticket, self._sends[ticket], node)
+                self._sends[ticket] += 1
+                self._open[ticket, attempt.number] = attempt
+                self._orders.append(Dispatch(attempt, self._jobs[ticket], timeout))
+            case Cancel(ticket, number) if (ticket, number) in self._open:
+                self._orders.append(Withdraw(self._open[ticket, number]))
+            case Refuse(ticket, wait):
+                self._answer(ticket, Answer(Verdict.REFUSED, wait_ns=min(wait, self._max_wait)))
+            case Fail(ticket):
+                self._answer(ticket, Answer(Verdict.FAILED))
+            case Probe(node):
+                self._orders.append(ProbeNode(node))
+            case Watch():
+                self._orders.append(WatchNodeList())
+            case Wake(in_ns):
+                self._orders.append(WakeDesk(in_ns))
+            case Log(text):
+                self._orders.append(Remark(text))
+
+    def _answer(self, ticket: str, answer: Answer) -> None:
+        """Only the first answer of a job goes out: a second copy may be served as well."""
+        job = self._close(ticket)
+        if job is not None:
+            self._orders.append(Reply(job, answer))
+
+    def _close(self, ticket: str) -> Job | None:
+        self._sends.pop(ticket, None)
+        return self._jobs.pop(ticket, None)
--- /dev/null
+++ b/hollowusher/core/model.py
@@ -0,0 +1,183 @@
+"""What the fronts tell the desk, and what the desk orders.
+
+A job is what a depot terminal asks for; each time it is sent to a route node is an attempt.  Times are
+nanoseconds of the caller's one monotonic clock.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from hazelweir.interface import Listed, ListKind, Outcome, Reading
+
+
+class Verdict(Enum):
+    """The three final answers."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """The one final answer of a job; `wait_ns` is advice that goes with a refusal."""
+
+    verdict: Verdict
+    result: bytes = b""
+    wait_ns: int = 0
+
+
+@dataclass(eq=False, slots=True)
+class Job:
+    """A taken job.  `subject`, `body` and `repeat_key` pass to the route node as they came."""
+
+    job_id: str
+    job_class: str
+    subject: str
+    body: bytes
+    taken_ns: int
+    left_ns: int
+    answer_to: Callable[[Answer], None]
+    repeat_key: str = ""
+    about: str = ""
+    slots: float = 1.0
+    memory: float = 0.0
+    retry: bool = False
+    ticket: str = field(default="", init=False)  # the desk's own name for it: terminals may reuse theirs
+
+    @property
+    def deadline_ns(self) -> int:
+        """When the terminal stops waiting."""
+        return self.taken_ns + self.left_ns
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Which send of which job to which node."""
+
+    ticket: str
+    number: int
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class JobTaken:
+    """Event: a job is ours now and is owed one answer."""
+
+    job: Job
+
+
+@dataclass(frozen=True, slots=True)
+class TerminalGone:
+    """Event: nobody waits for this job any more."""
+
+    job: Job
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptStarted:
+    """Event: the node has begun the job."""
+
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptProgress:
+    """Event: the node has done this share of the job."""
+
+    attempt: Attempt
+    share: float
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """Event: the attempt is over; `result` is the node's where the outcome is OK."""
+
+    attempt: Attempt
+    outcome: Outcome
+    reading: Reading | None = None
+    result: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class NodeListTold:
+    """Event: the node list, or what changed in it, or that asking for it failed."""
+
+    kind: ListKind
+    entries: tuple[Listed, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class NodeProbed:
+    """Event: a probe's result."""
+
+    node: int
+    ok: bool
+    reading: Reading | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TimeCame:
+    """Event: a time that the desk asked for has come."""
+
+
+DeskEvent = (
+    JobTaken | TerminalGone | AttemptStarted | AttemptProgress | AttemptEnded | NodeListTold | NodeProbed
+    | TimeCame
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Order: send the job to the node; `timeout_ns` 0 is until the terminal gives up."""
+
+    attempt: Attempt
+    job: Job
+    timeout_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class Withdraw:
+    """Order: stop waiting for an attempt."""
+
+    attempt: Attempt
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Order: give the job its final answer."""
+
+    job: Job
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeNode:
+    """Order: ask a node for its load."""
+
+    node: int
+
+
+@dataclass(frozen=True, slots=True)
+class WatchNodeList:
+    """Order: ask for the node list and its changes."""
+
+
+@dataclass(frozen=True, slots=True)
+class WakeDesk:
+    """Order: tell the desk `TimeCame` after this span."""
+
+    in_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class Remark:
+    """Order: a line for the people on call."""
+
+    text: str
+
+
+Order = Dispatch | Withdraw | Reply | ProbeNode | WatchNodeList | WakeDesk | Remark
--- /dev/null
+++ b/hollowusher/core/roster.py
@@ -0,0 +1,73 @@
+"""The roster: what the node list has told of each route node, and the numbers the module knows them by."""
+
+from __future__ import annotations
+
+import re
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+
+from hazelweir.interface import Listed, ListKind, State
+from hollowusher.core.model import NodeListTold
+
+_HEX_NAME = re.compile(r"[a-z]+-([0-9a-f]{1,8})")
+
+
+@dataclass(frozen=True, slots=True)
+class RouteNode:
+    """A route node: its name, where it is reached, and its entry in the list."""
+
+    name: str
+    address: tuple[str, int]
+    entry: Listed
+    front: str = "platform"
+
+
+class Roster:
+    """All route nodes of both fronts.  It is told of a change before the desk is, so that a send that the
+    desk ordered a moment ago can be stopped at its first byte."""
+
+    def __init__(self, fixed: Iterable[RouteNode] = ()) -> None:
+        self._numbers: dict[str, int] = {}
+        self._nodes: dict[int, RouteNode] = {}
+        self._fixed: set[int] = set()
+        for node in fixed:
+            self._nodes[node.entry.worker] = node
+            self._fixed.add(node.entry.worker)
+            self._numbers[node.name] = node.entry.worker
+
+    def number(self, name: str) -> int:
+        """The same number in every scheduler: their turns at a cold node are dealt out by it."""
+        if name not in self._numbers:
+            match = _HEX_NAME.fullmatch(name)
+            number = int(match[1], 16) if match else zlib.crc32(name.encode())
+            taken = set(self._numbers.values())
+            while number in taken:
+                number = (number + 1) % 2**32
+            self._numbers[name] = number
+        return self._numbers[name]
+
+    def node(self, number: int) -> RouteNode | None:
+        """The node with this number, gone ones too."""
+        return self._nodes.get(number)
+
+    def serving(self, number: int) -> bool:
+        """Whether new work may go to it as far as is known at this moment."""
+        node = self._nodes.get(number)
+        return node is not None and node.entry.state is State.READY
+
+    def told(self, kind: ListKind, nodes: Iterable[RouteNode]) -> NodeListTold:
+        """Take what a list tells; the event for the desk, with the fixed nodes in every whole list."""
+        nodes = list(nodes)
+        if kind in (ListKind.FULL, ListKind.CACHED):
+            named = {n.entry.worker for n in nodes} | self._fixed
+            for number, old in list(self._nodes.items()):
+                if number not in named:
+                    self._nodes[number] = replace(old, entry=replace(old.entry, state=State.GONE))
+            nodes += [self._nodes[n] for n in sorted(self._fixed)]
+        for node in nodes:
+            self._nodes[node.entry.worker] = node
+        if len(self._nodes) > 4096:  # ids of machines long gone must not pile up
+            for number in [n for n, node in self._nodes.items() if node.entry.state is State.GONE]:
+                self._numbers.pop(self._nodes.pop(number).name, None)
+        return NodeListTold(kind, tuple(n.entry for n in nodes))
--- /dev/null
+++ b/hollowusher/floor.py
@@ -0,0 +1,91 @@
+"""The floor: carries out the desk's orders with the fronts, and keeps the attempts that are under way."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Protocol
+
+from hazelweir.interface import Outcome, State
+from hollowusher.core.model import (
+    Attempt, AttemptEnded, DeskEvent, Dispatch, NodeProbed, Order, ProbeNode, Remark, Reply, WatchNodeList,
+    Withdraw,
+)
+from hollowusher.core.roster import Roster, RouteNode
+from hollowusher.log import Log
+from hollowusher.net.pool import Pool
+
+SWEEP_S = 2.0
+
+
+class Nodes(Protocol):
+    """What a front does with its route nodes."""
+
+    async def attempt(self, order: Dispatch, node: RouteNode) -> None:
+        """One attempt, of which the desk is told the ending."""
+
+    async def probe(self, node: RouteNode) -> None:
+        """One probe, of which the desk is told the result."""
+
+
+class Floor:
+    """Either front's jobs go to either kind of node: the roster says by which front a node is reached."""
+
+    def __init__(self, roster: Roster, pool: Pool, log: Log) -> None:
+        self._roster, self._pool, self._log = roster, pool, log
+        self.nodes: dict[str, Nodes] = {}
+        self.post: Callable[[DeskEvent], None] = lambda event: None
+        self.watch: Callable[[], None] = lambda: None
+        self._attempts: dict[Attempt, asyncio.Task[None]] = {}
+        self._others: set[asyncio.Task[None]] = set()
+
+    def carry_out(self, order: Order) -> None:
+        """Carry out one order; returns at once."""
+        match order:
+            case Dispatch(attempt):
+                node = self._roster.node(attempt.node)
+                # The list may have told of a drain since the desk was last stepped.
+                if node is None or not self._roster.serving(attempt.node):
+                    self.post(AttemptEnded(attempt, Outcome.NOT_SENT))
+                    return
+                task = self._spawn(self.nodes[node.front].attempt(order, node))
+                self._attempts[attempt] = task
+                task.add_done_callback(lambda _: self._attempts.pop(attempt, None))
+            case Withdraw(attempt):
+                if (under_way := self._attempts.get(attempt)) is not None:
+                    under_way.cancel()
+            case Reply(job, answer):
+                job.answer_to(answer)
+            case ProbeNode(number):
+                node = self._roster.node(number)
+                if node is None or node.entry.state is State.GONE:
+                    self.post(NodeProbed(number, False))
+                    return
+                self._spawn(self.nodes[node.front].probe(node))
+            case WatchNodeList():
+                self.watch()
+            case Remark(text):
+                self._log.notice("desk-remark", text)
+
+    def changed(self, node: RouteNode) -> None:
+        """A node's entry is about to change: connections to a process that ends or ended lead nowhere."""
+        old = self._roster.node(node.entry.worker)
+        if node.entry.state is not State.READY or (old is not None and old.address != node.address):
+            self._pool.forget(node.entry.worker)
+
+    async def sweep(self) -> None:
+        """Close connections that have been idle for too long, until cancelled."""
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self._pool.sweep()
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> asyncio.Task[None]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._others.add(task)  # the loop itself holds tasks only weakly
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._others.discard(task)
+        if not task.cancelled() and (fault := task.exception()) is not None:
+            self._log.error("task-fault", "a task of this program failed", fault=repr(fault))
--- /dev/null
+++ b/hollowusher/fronts/__init__.py
@@ -0,0 +1,1 @@
+"""The wires that depot terminals and route nodes speak."""
--- /dev/null
+++ b/hollowusher/fronts/platform/http.py
@@ -0,0 +1,171 @@
+"""HTTP/1.1 messages, parsed by httptools under limits of our own."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass, field
+
+import httptools
+
+MOST_BODY = 64 * 1024
+MOST_HEAD = 16 * 1024
+MOST_PIPELINED = 16
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+    413: "Content Too Large", 431: "Request Header Fields Too Large", 502: "Bad Gateway",
+    503: "Service Unavailable",
+}
+
+
+class BadInput(Exception):
+    """What came cannot be a request; the status says how it is answered."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status, self.why = status, why
+
+
+@dataclass(slots=True)
+class Request:
+    """One request that has come whole."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    keep_alive: bool
+
+
+@dataclass(slots=True)
+class _Parts:
+    """What has come of a message."""
+
+    target: bytearray = field(default_factory=bytearray)
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+    head_bytes: int = 0
+    head_done: bool = False
+
+
+class RequestReader:
+    """Feeds bytes to the parser, however they are cut; whole requests stand in `ready`.
+
+    httptools wraps what its callbacks raise, so they note the fault and `feed` raises it.
+    """
+
+    def __init__(self) -> None:
+        self.ready: deque[Request] = deque()
+        self.begun = False  # whether a request has come in part
+        self._parts = _Parts()
+        self._bad: BadInput | None = None
+        self._parser = httptools.HttpRequestParser(self)
+
+    def feed(self, data: memoryview) -> None:
+        """Take bytes; BadInput where they break HTTP or a limit."""
+        if not self._parts.head_done:
+            self.begun = True
+            self._parts.head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise BadInput(400, "upgrades are not supported") from None
+        except httptools.HttpParserError:
+            raise self._bad or BadInput(400, "not an HTTP/1.1 request") from None
+        if not self._parts.head_done and self._parts.head_bytes > MOST_HEAD:
+            raise BadInput(431, "the request's head is too large")
+        if self._bad is not None:
+            raise self._bad
+        if len(self.ready) > MOST_PIPELINED:
+            raise BadInput(400, "too many requests at a time")
+
+    def on_message_begin(self) -> None:
+        """A request begins."""
+        self.begun, self._parts = True, _Parts()
+
+    def on_url(self, url: bytes) -> None:
+        """A piece of the target."""
+        self._parts.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A whole header."""
+        self._parts.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """The head has come: a length that is over the limit is refused before the body."""
+        self._parts.head_done = True
+        length = self._parts.headers.get("content-length", "0")
+        if length.isdigit() and int(length) > MOST_BODY:
+            self._bad = BadInput(413, "a body holds no more than 64 KiB")
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body, which may come in chunks of no stated length."""
+        if len(self._parts.body) + len(data) > MOST_BODY:
+            self._bad = BadInput(413, "a body holds no more than 64 KiB")
+        else:
+            self._parts.body += data
+
+    def on_message_complete(self) -> None:
+        """A request is whole."""
+        parts, self._parts, self.begun = self._parts, _Parts(), False
+        self.ready.append(Request(
+            self._parser.get_method().decode("latin-1"), parts.target.decode("latin-1"), parts.headers,
+            bytes(parts.body), self._parser.should_keep_alive(),
+        ))
+
+
+class AnswerReader:
+    """The answer of a route node or of the node list's service, line by line as it comes."""
+
+    def __init__(self, most_line: int) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.head_done = self.whole = False
+        self.keep_alive = True
+        self.lines: deque[bytes] = deque()
+        self.rest = bytearray()
+        self._most_line = most_line
+        self._parser = httptools.HttpResponseParser(self)
+        self._too_long = False
+
+    def feed(self, data: memoryview) -> None:
+        """Take bytes; ConnectionError where they cannot be an answer."""
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as wrong:
+            raise ConnectionError(f"not an HTTP answer: {wrong}") from None
+        if self._too_long:
+            raise ConnectionError("a line of the answer is too long")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A whole header."""
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        self._too_long = len(self.headers) > 200
+
+    def on_headers_complete(self) -> None:
+        """The head has come."""
+        self.status, self.head_done = self._parser.get_status_code(), True
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body; whole lines are set apart."""
+        *lines, rest = data.split(b"\n")
+        if lines:
+            self.lines.append(bytes(self.rest) + lines[0])
+            self.lines.extend(lines[1:])
+            self.rest.clear()
+        self.rest += rest
+        self._too_long = len(self.rest) > self._most_line
+
+    def on_message_complete(self) -> None:
+        """The answer is whole; a last line may lack its end."""
+        self.whole, self.keep_alive = True, self._parser.should_keep_alive()
+        if self.rest:
+            self.lines.append(bytes(self.rest))
+            self.rest.clear()
+
+
+def answer_head(status: int, length: int, close: bool, extra: str = "") -> bytes:
+    """The head of an answer of ours."""
+    connection = "Connection: close\r\n" if close else ""
+    return (
+        f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Length: {length}\r\n{extra}{connection}\r\n"
+    ).encode("latin-1")
--- /dev/null
+++ b/hollowusher/fronts/platform/nodes.py
@@ -0,0 +1,243 @@
+"""Attempts and probes at route nodes that speak the platform's HTTP, and the outcome each ends with."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from hazelweir.interface import Outcome, Reading
+from hollowusher.core.model import (
+    AttemptEnded, AttemptProgress, AttemptStarted, DeskEvent, Dispatch, NodeProbed,
+)
+from hollowusher.core.roster import Roster, RouteNode
+from hollowusher.fronts.platform.http import AnswerReader
+from hollowusher.log import Log
+from hollowusher.net.link import Link
+from hollowusher.net.pool import NoRoom, Pool
+
+MOST_LINE = 512 * 1024  # a result of 64 KiB in JSON, each byte escaped
+PROBE_TIMEOUT_S = 0.5
+TAIL_TIMEOUT_S = 1.0  # how long the end of an answer may take before its connection is given up
+_MEANINGS = {
+    "inflight": "running", "concurrent": "running", "queue": "waiting", "depth": "waiting", "util": "busy",
+    "load_share": "busy", "qps": "served_per_s", "tps": "served_per_s", "eps": "errors_per_s",
+    "err_ps": "errors_per_s",
+}
+
+
+@dataclass(slots=True)
+class Ending:
+    """How an attempt ended."""
+
+    outcome: Outcome
+    reading: Reading | None = None
+    result: bytes = b""
+
+
+def read_load(value: object, meanings: Mapping[str, str]) -> Reading | None:
+    """A load report; fields without a meaning here are skipped, a broken report is none."""
+    if isinstance(value, str):
+        try:
+            value = json.loads(value)
+        except ValueError:
+            return None
+    if not isinstance(value, dict):
+        return None
+    values: dict[str, float] = {}
+    for name, number in value.items():
+        meaning = meanings.get(name) or _MEANINGS.get(name)
+        if meaning and isinstance(number, int | float) and not isinstance(number, bool):
+            values[meaning] = float(number)
+    return Reading(**values) if values else None  # type: ignore[arg-type]
+
+
+def request_head(job_id: str, subject: str, host: str, length: int, left_s: float, key: str) -> bytes:
+    """The head of a job's request to a node."""
+    again = f"Idempotency-Key: {key}\r\n" if key else ""
+    return (
+        f"POST {subject} HTTP/1.1\r\nHost: {host}\r\nX-Call-Id: {job_id}\r\nX-Budget: {left_s:.3f}\r\n"
+        f"{again}Content-Length: {length}\r\n\r\n"
+    ).encode("latin-1")
+
+
+def settled(status: int, headers: Mapping[str, str], meanings: Mapping[str, str]) -> Ending | None:
+    """The ending that an answer's head alone tells; None where the lines will tell."""
+    if status == 200:
+        return None
+    reading = read_load(headers.get("x-load-report"), meanings)
+    turned_away = status in (503, 504) and headers.get("x-rejected") == "1"
+    return Ending(Outcome.FULL if turned_away else Outcome.ERROR, reading)
+
+
+class PlatformNodes:
+    """Carries attempts and probes to nodes over pooled connections."""
+
+    def __init__(
+        self, roster: Roster, pool: Pool, meanings: Mapping[str, str], post: Callable[[DeskEvent], None],
+        log: Log,
+    ) -> None:
+        self._roster, self._pool, self._meanings, self._post, self._log = roster, pool, meanings, post, log
+
+    async def attempt(self, order: Dispatch, node: RouteNode) -> None:
+        """One attempt from its connection to its ending, which the desk is told in every case."""
+        attempt, begun = order.attempt, False
+        link: Link | None = None
+        ending = Ending(Outcome.RESET)
+        reader = AnswerReader(MOST_LINE)
+        left_ns = order.job.deadline_ns - time.monotonic_ns()
+        if order.timeout_ns > 0:
+            left_ns = min(left_ns, order.timeout_ns)
+        try:
+            async with asyncio.timeout(max(0.0, left_ns / 1e9)):
+                try:
+                    link = await self._pool.take(attempt.node, node.address)
+                except NoRoom:
+                    ending = Ending(Outcome.NOT_SENT)  # for want of a socket here: the node is not to blame
+                    self._log.warning("no-socket", "no connection to a node to spare", held=self._pool.held)
+                    return
+                except OSError as wrong:
+                    self._pool.forget(attempt.node)  # its idle connections lead nowhere either
+                    self._log.info("node-unreachable", str(wrong), node=node.name)
+                    ending = Ending(Outcome.UNREACHABLE)
+                    return
+                # The list may have told of a drain while the connection came up: nothing new goes there then.
+                if not self._roster.serving(attempt.node):
+                    ending = Ending(Outcome.NOT_SENT)
+                    self._keep(attempt.node, link)
+                    link = None
+                    return
+                begun = True
+                if not await self._write(link, order, node):
+                    ending = Ending(Outcome.UNREACHABLE)
+                    return
+                ending = await self._read(link, reader, order)
+        except TimeoutError:
+            ending = Ending(Outcome.TIMEOUT if begun else Outcome.UNREACHABLE)
+        except asyncio.CancelledError:
+            # A write that is cut short may have written its last byte all the same.
+            ending = Ending(Outcome.NOT_SENT if link is None else Outcome.CANCELLED)
+        finally:
+            self._post(AttemptEnded(attempt, ending.outcome, ending.reading, ending.result))
+            if link is not None:
+                if ending.outcome in (Outcome.CANCELLED, Outcome.TIMEOUT):
+                    self._pool.drop(link)  # the close is what tells the node to stop
+                else:
+                    await self._finish(attempt.node, link, reader)
+
+    async def probe(self, node: RouteNode) -> None:
+        """Ask a node for its load."""
+        number, ok, reading = node.entry.worker, False, None
+        link: Link | None = None
+        reader = AnswerReader(MOST_LINE)
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                link = await self._pool.take(number, node.address)
+                await link.send(f"GET /-/load HTTP/1.1\r\nHost: {node.address[0]}\r\n\r\n".encode())
+                while not reader.whole:
+                    await self._more(link, reader)
+            ok = reader.status == 200
+            reading = read_load(b"".join(reader.lines).decode("utf-8", "replace"), self._meanings)
+            reading = reading or read_load(reader.headers.get("x-load-report"), self._meanings)
+        except OSError:
+            pass  # a probe without an answer is a result too
+        finally:
+            self._post(NodeProbed(number, ok, reading))
+            if link is not None:
+                if reader.whole and reader.keep_alive:
+                    self._keep(number, link)
+                else:
+                    self._pool.drop(link)
+
+    async def _write(self, link: Link, order: Dispatch, node: RouteNode) -> bool:
+        """Write the request; False where it broke before the last byte, so that it never ran."""
+        job = order.job
+        left_s = max(0.001, (job.deadline_ns - time.monotonic_ns()) / 1e9)
+        if order.timeout_ns > 0:
+            left_s = min(left_s, order.timeout_ns / 1e9)
+        host = f"{node.address[0]}:{node.address[1]}"
+        head = request_head(job.job_id, job.subject, host, len(job.body), left_s, job.repeat_key)
+        try:
+            await link.send(head, job.body)
+        except OSError:
+            return False
+        return True
+
+    async def _read(self, link: Link, reader: AnswerReader, order: Dispatch) -> Ending:
+        """Read the answer up to the line that ends the attempt; a break before it is a reset."""
+        try:
+            while True:
+                await self._more(link, reader)
+                if reader.head_done:
+                    ending = settled(reader.status, reader.headers, self._meanings)
+                    if ending is not None:
+                        return ending
+                while reader.lines:
+                    ending = self._line(reader.lines.popleft(), order)
+                    if ending is not None:
+                        return ending
+                if reader.whole:
+                    return Ending(Outcome.RESET)
+        except ConnectionError:
+            return Ending(Outcome.RESET)
+
+    def _line(self, line: bytes, order: Dispatch) -> Ending | None:
+        """One line of the answer; ConnectionError where it is not about this job."""
+        if not line.strip():
+            return None
+        try:
+            told: Any = json.loads(line)
+            state = told["state"]
+        except (ValueError, KeyError, TypeError):
+            raise ConnectionError("a line that cannot be read") from None
+        if told.get("id") != order.job.job_id:
+            raise ConnectionError("a line about another job")  # its result must not reach this terminal
+        reading = read_load(told.get("load"), self._meanings)
+        match state:
+            case "started":
+                self._post(AttemptStarted(order.attempt))
+            case "running":
+                share = told.get("share")
+                self._post(AttemptProgress(order.attempt, share if isinstance(share, float) else 0.0))
+            case "done":
+                result = told.get("result", "")
+                text = result if isinstance(result, str) else json.dumps(result, separators=(",", ":"))
+                return Ending(Outcome.OK, reading, text.encode("utf-8", "replace"))
+            case "failed":
+                return Ending(Outcome.ERROR, reading)
+            case "returned":
+                return Ending(Outcome.FULL, reading)
+            case "lost":
+                return Ending(Outcome.RESET, reading)
+        return None
+
+    async def _more(self, link: Link, reader: AnswerReader) -> None:
+        if await link.fill() == 0:
+            raise ConnectionResetError("the node ended the connection")
+        while link.inbound.size:
+            piece = link.inbound.pending()
+            reader.feed(piece)
+            link.inbound.taken(len(piece))
+
+    async def _finish(self, node: int, link: Link, reader: AnswerReader) -> None:
+        """Read the end of an answer whose attempt is over, so that its connection can be used again."""
+        try:
+            async with asyncio.timeout(TAIL_TIMEOUT_S):
+                while reader.head_done and not reader.whole:
+                    await self._more(link, reader)
+        except (OSError, asyncio.CancelledError):
+            pass  # the connection is dropped below
+        if reader.whole and reader.keep_alive:
+            self._keep(node, link)
+        else:
+            self._pool.drop(link)
+
+    def _keep(self, node: int, link: Link) -> None:
+        """Back to the pool, unless the node is on its way out."""
+        if self._roster.serving(node):
+            self._pool.give_back(node, link)
+        else:
+            self._pool.drop(link)
--- /dev/null
+++ b/hollowusher/net/link.py
@@ -0,0 +1,90 @@
+"""A connection: one non-blocking socket with a ring buffer for each direction."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+from hollowusher.net.ring import RingBuffer
+
+RING_BYTES = 16 * 1024
+
+
+class Link:
+    """Bytes in and out.  One task may receive while another sends; sends are kept in order by a lock."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+        self._loop = asyncio.get_running_loop()
+        self.inbound = RingBuffer(RING_BYTES)
+        self._outbound = RingBuffer(RING_BYTES)
+        self._sending = asyncio.Lock()
+        self.closed = False
+        self.used_at = self._loop.time()
+
+    async def fill(self) -> int:
+        """Receive once into the inbound ring; 0 when the other side has ended."""
+        count = await self._loop.sock_recv_into(self._sock, self.inbound.room())
+        self.inbound.filled(count)
+        return count
+
+    async def send(self, *parts: bytes) -> None:
+        """Write all of it.  An OSError means that the last byte has not been written."""
+        async with self._sending:
+            ring = self._outbound
+            for index, part in enumerate(parts):
+                rest = memoryview(part)
+                while True:
+                    rest = rest[ring.put(rest) :]
+                    if not rest and index < len(parts) - 1:
+                        break
+                    while ring.size:
+                        piece = ring.pending()
+                        await self._loop.sock_sendall(self._sock, piece)
+                        ring.taken(len(piece))
+                    if not rest:
+                        break
+
+    def fresh(self) -> bool:
+        """Whether an idle connection is still open and silent, as it has to be before it is used again."""
+        if self.closed or self.inbound.size:
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False  # ended, or spoke out of turn
+
+    def close(self) -> None:
+        """Close; again does nothing."""
+        if not self.closed:
+            self.closed = True
+            with contextlib.suppress(OSError):
+                self._sock.close()
+
+
+async def connect(address: tuple[str, int], timeout_s: float) -> Link:
+    """Open a connection; OSError, of which TimeoutError is one, where it does not come up in time."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        async with asyncio.timeout(timeout_s):
+            await asyncio.get_running_loop().sock_connect(sock, address)
+        return Link(sock)
+    except BaseException:
+        sock.close()
+        raise
+
+
+def listen(address: tuple[str, int]) -> socket.socket:
+    """A listening socket on this address and no other."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(address)
+    sock.listen(512)
+    sock.setblocking(False)
+    return sock
--- /dev/null
+++ b/hollowusher/net/owner.py
@@ -0,0 +1,50 @@
+"""The one task that owns the dispatch desk, and the one queue that leads to it."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import time
+from collections.abc import Callable
+
+from hollowusher.core.desk import DispatchDesk
+from hollowusher.core.model import DeskEvent, Order, TimeCame, WakeDesk
+from hollowusher.log import Log
+
+_NS_PER_MS = 1_000_000
+
+
+class DeskOwner:
+    """Drains the queue in batches, steps the desk once for each, and has its orders carried out."""
+
+    def __init__(self, desk: DispatchDesk, carry_out: Callable[[Order], None], log: Log) -> None:
+        self._desk, self._carry_out, self._log = desk, carry_out, log
+        self._queue: asyncio.Queue[DeskEvent] = asyncio.Queue()
+
+    def post(self, event: DeskEvent) -> None:
+        """Hand the desk an event."""
+        self._queue.put_nowait(event)
+
+    @property
+    def busy(self) -> bool:
+        """Whether jobs are open or events wait."""
+        return self._desk.open_jobs > 0 or not self._queue.empty()
+
+    async def run(self) -> None:
+        """Own the desk until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            batch = [await self._queue.get()]
+            while not self._queue.empty():
+                batch.append(self._queue.get_nowait())
+            try:
+                orders = self._desk.work(time.monotonic_ns(), batch)
+            except Exception as fault:  # one bad step must not end the jobs that others still wait for
+                self._log.error("desk-fault", "the decision module failed in a step", fault=repr(fault))
+                continue
+            for order in orders:
+                if isinstance(order, WakeDesk):  # rounded up: the loop's timers count whole milliseconds
+                    delay = math.ceil(order.in_ns / _NS_PER_MS) / 1000
+                    loop.call_later(delay, self.post, TimeCame())
+                else:
+                    self._carry_out(order)
--- /dev/null
+++ b/hollowusher/net/pool.py
@@ -0,0 +1,79 @@
+"""Pools of idle connections to route nodes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hollowusher.net.link import Link, connect
+
+IDLE_SHARE = 0.7  # of the node's idle time: a request written once the node has closed ends as a reset
+
+
+class NoRoom(OSError):
+    """All the connections that this scheduler may hold to nodes are in use."""
+
+
+class Pool:
+    """Connections to all nodes, by node; the newest idle one is used first so that others can age out."""
+
+    def __init__(self, connect_timeout_s: float, idle_close_s: float, most: int) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._idle_s = idle_close_s * IDLE_SHARE
+        self._most = most
+        self._idle: dict[int, list[Link]] = {}
+        self._held = 0
+
+    @property
+    def held(self) -> int:
+        """Connections open, coming up and idle."""
+        return self._held
+
+    async def take(self, node: int, address: tuple[str, int]) -> Link:
+        """An idle connection that is still good, or a new one; OSError where none comes up."""
+        idle = self._idle.get(node, [])
+        while idle:
+            link = idle.pop()
+            if self._young(link) and link.fresh():
+                return link
+            self.drop(link)
+        if self._held >= self._most:
+            self.sweep(everything=True)
+        if self._held >= self._most:
+            raise NoRoom("no connection to spare")
+        self._held += 1
+        try:
+            return await connect(address, self._connect_timeout_s)
+        except BaseException:
+            self._held -= 1
+            raise
+
+    def give_back(self, node: int, link: Link) -> None:
+        """The connection may be used again."""
+        link.used_at = asyncio.get_running_loop().time()
+        self._idle.setdefault(node, []).append(link)
+
+    def drop(self, link: Link) -> None:
+        """The connection is of no more use."""
+        if not link.closed:
+            link.close()
+            self._held -= 1
+
+    def forget(self, node: int) -> None:
+        """Close what is idle towards a node: it is gone, or came back as a new process."""
+        for link in self._idle.pop(node, []):
+            self.drop(link)
+
+    def sweep(self, everything: bool = False) -> None:
+        """Close what has been idle for too long, well before the node would."""
+        for node, links in list(self._idle.items()):
+            keep = [] if everything else [k for k in links if self._young(k) and k.fresh()]
+            for link in links:
+                if link not in keep:
+                    self.drop(link)
+            if keep:
+                self._idle[node] = keep
+            else:
+                del self._idle[node]
+
+    def _young(self, link: Link) -> bool:
+        return asyncio.get_running_loop().time() - link.used_at < self._idle_s
