--- a/hollowusher/fronts/stomp/__init__.py
+++ b/hollowusher/fronts/stomp/__init__.py
@@ -33,7 +33,9 @@
         )
         floor.nodes["stomp"] = self.nodes
         classes = {c.name: c for c in config.settings.classes}
-        self.terminals = StompTerminals(listen(stomp.listen), classes, stomp, post, log)
+        limits = config.settings.limits
+        max_wait_ns = limits.max_retry_after_ns if limits.retry_after else 0
+        self.terminals = StompTerminals(listen(stomp.listen), classes, stomp, max_wait_ns, post, log)
 
     def start(self) -> asyncio.Task[None]:
         """Connect to the nodes and accept terminals; the task that accepts."""
--- a/hollowusher/fronts/stomp/terminals.py
+++ b/hollowusher/fronts/stomp/terminals.py
@@ -246,9 +246,10 @@
 
     def __init__(
         self, listener: socket.socket, classes: Mapping[str, JobClass], config: StompConfig,
-        post: Callable[[DeskEvent], None], log: Log,
+        max_wait_ns: int, post: Callable[[DeskEvent], None], log: Log,
     ) -> None:
         self._listener, self.classes, self.config = listener, classes, config
+        self._full_wait_ns = min(FULL_WAIT_NS, max_wait_ns)
         self._post, self.log = post, log
         self.ledger = Ledger(
             config.ledger_jobs, config.ledger_bytes, round(config.settle_window_s * 1e9),
@@ -297,7 +298,7 @@
             taken()
         if entry is None:
             self.log.warning("ledger-full", "a job was refused", jobs=len(self.ledger))
-            waiter.session.answer(waiter, Answer(Verdict.REFUSED, wait_ns=FULL_WAIT_NS))
+            waiter.session.answer(waiter, Answer(Verdict.REFUSED, wait_ns=self._full_wait_ns))
             return
         if finding is Finding.KEPT and entry.answer is not None:
             waiter.session.answer(waiter, entry.answer)
--- /dev/null
+++ b/tests/test_desk.py
@@ -0,0 +1,229 @@
+"""The desk, the ledger and the configuration, without any socket."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from hazelweir import Effect, Listed, ListKind, Outcome
+from hollowusher.config import ConfigError, flatten, load, load_stomp
+from hollowusher.core.desk import DispatchDesk
+from hollowusher.core.model import (
+    Answer,
+    AttemptEnded,
+    AttemptStarted,
+    DeskEvent,
+    Dispatch,
+    Job,
+    JobTaken,
+    NodeListTold,
+    Order,
+    Reply,
+    TerminalGone,
+    TimeCame,
+    Verdict,
+    WakeDesk,
+    WatchNodeList,
+    Withdraw,
+)
+from hollowusher.fronts.stomp.ledger import Finding, Ledger, fingerprint
+from tests.standins import SETTINGS
+from tests.support import MS, S
+
+
+class Desk(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now = 10 * S
+        self.desk = DispatchDesk(SETTINGS, 1, self.now)
+        self.orders: list[Order] = []
+        self.step(NodeListTold(ListKind.FULL, (Listed(1), Listed(2))))
+
+    def step(self, *events: DeskEvent) -> list[Order]:
+        orders = self.desk.work(self.now, events)
+        self.orders += orders
+        return orders
+
+    def take(self, job_class: str = "eta-quote", left: int = 3 * S) -> tuple[Job, Dispatch]:
+        job = Job("same", job_class, "/x", b"", self.now, left, lambda a: None)
+        self.step(JobTaken(job))
+        return job, self.wait(Dispatch)
+
+    def wait(self, kind: type[Any]) -> Any:
+        for _ in range(5000):
+            for order in self.orders:
+                if isinstance(order, kind):
+                    self.orders.remove(order)
+                    return order
+            self.now += 2 * MS
+            self.step(TimeCame())
+        raise AssertionError(f"no {kind.__name__}")
+
+    def replies(self) -> list[Verdict]:
+        return [o.answer.verdict for o in self.orders if isinstance(o, Reply)]
+
+    def test_two_endings_in_one_batch_give_one_answer(self) -> None:
+        _, sent = self.take()
+        self.step(AttemptEnded(sent.attempt, Outcome.OK, None, b"r"), AttemptEnded(sent.attempt, Outcome.OK))
+        self.step(AttemptEnded(sent.attempt, Outcome.RESET), AttemptStarted(sent.attempt))
+        self.assertEqual(self.replies(), [Verdict.SERVED])
+        self.assertEqual(self.desk.open_jobs, 0)
+
+    def test_jobs_with_one_id_are_two_jobs(self) -> None:
+        first, sent = self.take()
+        second, again = self.take()
+        self.step(AttemptEnded(again.attempt, Outcome.OK), AttemptEnded(sent.attempt, Outcome.OK))
+        self.assertEqual([o.job for o in self.orders if isinstance(o, Reply)], [second, first])
+
+    def test_terminal_gone_withdraws_and_gets_no_answer(self) -> None:
+        job, sent = self.take()
+        self.assertIn(Withdraw(sent.attempt), self.step(TerminalGone(job), TerminalGone(job)))
+        self.step(AttemptEnded(sent.attempt, Outcome.OK))
+        self.assertEqual(self.replies(), [])
+
+    def test_served_as_the_terminal_goes_is_closed_once(self) -> None:
+        job, sent = self.take()
+        self.step(AttemptEnded(sent.attempt, Outcome.OK), TerminalGone(job))
+        self.assertEqual(self.replies(), [Verdict.SERVED])
+
+    def test_unsafe_job_that_may_have_run_fails_before_its_deadline(self) -> None:
+        job, sent = self.take("settle-shift", left=400 * MS)
+        reply = self.wait(Reply)
+        self.assertEqual(reply.answer, Answer(Verdict.FAILED))
+        self.assertLess(self.now, job.deadline_ns)
+        self.assertIn(Withdraw(sent.attempt), self.orders)
+
+    def test_it_asks_for_the_list_and_for_its_time(self) -> None:
+        self.step(JobTaken(Job("j", "eta-quote", "/x", b"", self.now, 3 * S, lambda a: None)))
+        self.assertTrue(any(isinstance(o, WakeDesk) for o in self.orders))
+        desk = DispatchDesk(SETTINGS, 1, 0)
+        self.assertIn(WatchNodeList(), desk.work(0, [NodeListTold(ListKind.CACHED)]))
+
+
+class JobLedger(unittest.TestCase):
+    def setUp(self) -> None:
+        self.ledger = Ledger(3, 1 << 20, 100, 10)
+
+    def find(
+        self, name: str, effect: Effect = Effect.UNSAFE, resend: bool = False, now: int = 0, body: bytes = b""
+    ) -> Finding:
+        found, self.entry = self.ledger.find(
+            ("d", name), fingerprint("c", "/", "", body), effect, resend, now
+        )
+        return found
+
+    def end(self, verdict: Verdict = Verdict.SERVED, now: int = 0, result: bytes = b"") -> None:
+        assert self.entry is not None
+        self.ledger.answered(self.entry, Answer(verdict, result), now)
+
+    def test_findings(self) -> None:
+        self.assertEqual(self.find("a"), Finding.NEW)
+        self.assertEqual(self.find("a"), Finding.JOINED)
+        self.assertEqual(self.find("a", body=b"other"), Finding.CONFLICT)
+        self.end()
+        self.assertEqual(self.find("a"), Finding.KEPT)
+        self.assertEqual(self.find("b", resend=True), Finding.UNKNOWN)
+        self.assertEqual(self.find("c", Effect.KEYED, resend=True), Finding.NEW)
+
+    def test_refused_job_runs_when_asked_anew_but_not_when_resent(self) -> None:
+        self.find("a")
+        self.end(Verdict.REFUSED)
+        self.assertEqual(self.find("a", resend=True), Finding.KEPT)
+        self.assertEqual(self.find("a"), Finding.NEW)
+
+    def test_full_ledger_gives_up_safe_answers_only_and_windows_end(self) -> None:
+        for name, effect in (("s", Effect.SAFE), ("k", Effect.KEYED), ("u", Effect.UNSAFE)):
+            self.find(name, effect)
+            self.end()
+        self.assertEqual(self.find("new"), Finding.NEW)  # in the place of s
+        self.assertEqual(self.find("s", Effect.SAFE), Finding.FULL)
+        self.assertEqual(self.find("u", now=9), Finding.KEPT)
+        self.assertEqual(self.find("s", Effect.SAFE, now=10), Finding.NEW)  # k's window is over
+        self.assertEqual(self.find("u", now=99), Finding.KEPT)
+        self.assertEqual(self.find("u", now=100), Finding.NEW)
+
+    def test_bytes_are_bounded_and_counted_back(self) -> None:
+        self.find("a")
+        self.end(result=b"x" * (1 << 20))
+        self.assertEqual(self.find("b"), Finding.FULL)
+        self.assertEqual(self.find("b", now=100), Finding.NEW)
+        assert self.entry is not None
+        self.ledger.remove(self.entry)
+        self.end()  # an answer that comes after it was forgotten
+        self.assertEqual((len(self.ledger), self.ledger.bytes), (0, 0))
+
+
+GOOD: dict[str, Any] = {
+    "listen": "127.0.0.1:1",
+    "discovery": "127.0.0.1:2",
+    "seed": "ff",
+    "limits": {"sockets": 2048},
+    "settings": {"grades": [{"name": "q", "goal_time_ns": 10}], "kinds": ["a", "b"], "caps": {}},
+}
+
+
+class Configuration(unittest.TestCase):
+    def load(self, **environ: str) -> Any:
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "c.json"
+            path.write_text(json.dumps(self.table))
+            return load({"PROXY_CONFIG": str(path), **environ}, Path(folder) / "stomp.toml")
+
+    def test_values_and_defaults(self) -> None:
+        self.table = GOOD
+        config = self.load(PROXY_NAME="n7", PROXY_LISTEN="127.0.0.1:9")
+        self.assertEqual((config.name, config.listen, config.seed), ("n7", ("127.0.0.1", 9), 255))
+        self.assertEqual(
+            (config.sockets, config.connect_timeout_s, config.stomp.enabled), (1024, 0.25, False)
+        )
+        self.assertEqual((config.settings.classes[0].aim_ns, config.settings.kinds), (10, ("a", "b")))
+        self.assertEqual(flatten({"a": {"b": [True, None]}, "c": "x, y"}), {"a.b": "true,", "c": "x__y"})
+
+    def test_faulty_keys_are_named(self) -> None:
+        cases: tuple[tuple[dict[str, Any], str], ...] = (
+            ({"listen": "here"}, "PROXY_LISTEN"),
+            ({"discovery": "127.0.0.1:0"}, "PROXY_DISCOVERY"),
+            ({"seed": "xyz"}, "seed"),
+            ({"limits": {"sockets": "many"}}, "limits.sockets"),
+            ({"limits": {"sockets": 3}}, "limits.sockets"),
+            ({"known": []}, "known"),
+            ({"settings": 1}, "settings"),
+            ({"settings": {"grades": [{"goal_time_ns": "x"}]}}, "settings.grades.0.goal_time_ns"),
+            ({"settings": {"grades": []}}, "settings.classes"),
+            ({"settings": {**GOOD["settings"], "caps": {"idle_close_ns": 0}}}, "settings.caps.idle_close_ns"),
+        )
+        for change, key in cases:
+            self.table = {**GOOD, **change}
+            with self.assertRaises(ConfigError, msg=change) as caught:
+                self.load()
+            self.assertRegex(str(caught.exception), f"^{key}:", change)
+        self.table = GOOD
+        for name, value in (("HOLLOWUSHER_SYSLOG", "10.0.0.1:514"), ("HOLLOWUSHER_SYSLOG", "x")):
+            with self.assertRaisesRegex(ConfigError, f"^{name}:"):
+                self.load(**{name: value})
+        with self.assertRaisesRegex(ConfigError, "^PROXY_CONFIG:"):
+            load({})
+
+    def test_stomp_file(self) -> None:
+        path = Path(__file__).parent.parent / "deploy" / "stomp.toml"
+        self.assertFalse(load_stomp(path).enabled)
+        cases = {
+            "enabled = 1": "enabled",
+            "listen = 'x'": "listen",
+            "heart_beat_ms = -1": "heart_beat_ms",
+            "ledger_jobs = 0": "ledger_jobs",
+            "nodes = [1]": r"nodes\[0\]",
+            "colour = 'red'": "colour",
+            "[[nodes]]\naddress = '127.0.0.1:1'": r"nodes\[0\]\.name",
+            "most_terminals = 1.5": "most_terminals",
+            "[[nodes]]\nname = 'a'\naddress = '1'": r"nodes\[0\]\.address",
+            "enabled =": "",
+        }
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder) / "stomp.toml"
+            for text, key in cases.items():
+                file.write_text(text)
+                with self.assertRaisesRegex(ConfigError, f"^stomp.toml: {key}", msg=text):
+                    load_stomp(file)
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,257 @@
+"""Tables of cases for what is read and written: frames, HTTP, lists, load reports, rings, log lines."""
+
+from __future__ import annotations
+
+import unittest
+import unittest.mock
+from datetime import UTC, datetime
+from typing import Any
+
+from hazelweir import ListKind, Outcome, Reading, State
+from hollowusher.core.roster import MOST_NODES, Roster
+from hollowusher.fronts.platform.discovery import read_list
+from hollowusher.fronts.platform.http import AnswerReader, BadInput, RequestReader
+from hollowusher.fronts.platform.nodes import read_load, settled
+from hollowusher.fronts.stomp.frames import FROM_CLIENT, FROM_SERVER, Frame, FrameError, FrameReader, encode
+from hollowusher.fronts.stomp.wire import read_beat
+from hollowusher.log import Log, escape, message
+from hollowusher.net.ring import RingBuffer
+from tests.standins import MEANINGS, post
+from tests.support import S
+
+SEND = b"SEND\ndestination:/queue/jobs\nx:1\nx:2\ncontent-length:3\n\na\0b\0"
+
+
+class Frames(unittest.TestCase):
+    def read(self, *pieces: bytes) -> list[Frame]:
+        reader = FrameReader(FROM_CLIENT | FROM_SERVER)
+        for piece in pieces:
+            reader.feed(piece)
+        return list(reader.ready)
+
+    def test_good_frames_however_they_are_cut(self) -> None:
+        cases: dict[bytes, list[tuple[str, dict[str, str], bytes]]] = {
+            SEND: [("SEND", {"destination": "/queue/jobs", "x": "1", "content-length": "3"}, b"a\0b")],
+            b"\n\r\n\nACK\r\nid:7\r\n\r\n\0\n\n": [("ACK", {"id": "7"}, b"")],
+            b"SEND\na\\cb:\\\\ \\r\\n\n\nbody\0": [("SEND", {"a:b": "\\ \r\n"}, b"body")],
+            b"CONNECT\npath:C\\temp:x\n\n\0": [("CONNECT", {"path": "C\\temp:x"}, b"")],
+            b"SEND\na:\xc3\xa9\n\n\0BEGIN\nt:1\n\n\0": [
+                ("SEND", {"a": "\u00e9"}, b""),
+                ("BEGIN", {"t": "1"}, b""),
+            ],
+            b"SEND\na: b \n\n\n\n\0": [("SEND", {"a": " b "}, b"\n\n")],
+            b"\n\n": [],
+        }
+        for data, expected in cases.items():
+            frames = [Frame(c, h, b) for c, h, b in expected]
+            self.assertEqual(self.read(data), frames, data)
+            for cut in range(len(data)):
+                self.assertEqual(self.read(data[:cut], data[cut:]), frames, (data, cut))
+
+    def test_bad_frames_are_refused(self) -> None:
+        for data in (
+            b"HELLO\n\n\0",
+            b"send\n\n\0",
+            b"SEND\n:v\n\n\0",
+            b"SEND\nno colon\n\n\0",
+            b"SEND\na:\\t\n\n\0",
+            b"SEND\na:\\\n\n\0",
+            b"SEND\na:b\0",
+            b"SEND\na:\xff\n\n\0",
+            b"SEND\na:b\rc\n\n\0",
+            b"SEND\ncontent-length:x\n\n\0",
+            b"SEND\ncontent-length:-1\n\n\0",
+            b"SEND\ncontent-length:1\n\nab\0",
+            b"SEND\ncontent-length:65537\n\n",
+            b"SEND\n\n" + b"x" * 65537,
+            b"SEND\n" + b"a:b\n" * 65 + b"\n\0",
+            b"S" * 8193,
+            b"SUBSCRIBE\nid:1\n\nbody\0",
+        ):
+            with self.assertRaises(FrameError, msg=data[:40]):
+                self.read(data)
+
+    def test_what_is_written_is_read_back(self) -> None:
+        headers = {"a:b": "1\r\n2\\3:4", "c": ""}
+        (frame,) = self.read(encode(Frame("SEND", headers, b"\0\n")) + b"\0\n\0")
+        self.assertEqual((dict(frame.headers), frame.body), ({**headers, "content-length": "2"}, b"\0\n"))
+        self.assertEqual(encode(Frame("CONNECTED", {"session": "a:b"})), b"CONNECTED\nsession:a:b\n\n")
+
+    def test_heart_beat_header(self) -> None:
+        self.assertEqual(read_beat(Frame("CONNECT", {"heart-beat": "10,0"})), (10, 0))
+        self.assertEqual(read_beat(Frame("CONNECT")), (0, 0))
+        for bad in ("1", "1,2,3", "a,b", "-1,2", "1.5,2", ""):
+            with self.assertRaises(FrameError, msg=bad):
+                read_beat(Frame("CONNECT", {"heart-beat": bad}))
+
+
+class Http(unittest.TestCase):
+    def test_requests_however_they_are_cut(self) -> None:
+        data = post("a") + post("b", body=b"")
+        for cut in range(len(data)):
+            reader = RequestReader()
+            for piece in (data[:cut], data[cut:]):
+                reader.feed(memoryview(piece))
+            self.assertEqual(
+                [(r.headers["x-call-id"], r.body) for r in reader.ready], [("a", b"parcel"), ("b", b"")], cut
+            )
+
+    def test_bad_requests(self) -> None:
+        cases = {
+            b"\0\0\0\0": 400,
+            b"GET / HTTP/9.9\r\n\r\n": 400,
+            b"GET / HTTP/1.1\r\nA B\r\n\r\n": 400,
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n": 400,
+            b"POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n": 400,
+            b"POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n": 413,
+            b"GET / HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n": 400,
+            b"GET / HTTP/1.1\r\n\r\n" * 17: 400,
+        }
+        for data, status in cases.items():
+            with self.assertRaises(BadInput, msg=data) as caught:
+                RequestReader().feed(memoryview(data))
+            self.assertEqual(caught.exception.status, status, data)
+
+    def test_answers_come_line_by_line(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        data = head + b"5\r\n{1}\n{\r\n3\r\n2}\n\r\n3\r\n{3}\r\n0\r\n\r\n"
+        for cut in range(len(data)):
+            reader = AnswerReader(100)
+            for piece in (data[:cut], data[cut:]):
+                reader.feed(memoryview(piece))
+            self.assertEqual(list(reader.lines), [b"{1}", b"{2}", b"{3}"], cut)
+            self.assertTrue(reader.whole and reader.keep_alive)
+        for bad in (b"SMTP ready\r\n", head + b"zz\r\n", head + b"c8\r\n" + b"x" * 200):
+            with self.assertRaises(ConnectionError, msg=bad):
+                AnswerReader(100).feed(memoryview(bad))
+
+    def test_heads_that_settle_an_attempt(self) -> None:
+        load = {"x-load-report": '{"x0":1}'}
+        cases: tuple[tuple[int, dict[str, str], Outcome | None], ...] = (
+            (200, {}, None),
+            (500, load, Outcome.ERROR),
+            (503, {"x-rejected": "1"}, Outcome.FULL),
+            (504, {"x-rejected": "1", **load}, Outcome.FULL),
+            (503, {}, Outcome.ERROR),
+            (404, {}, Outcome.ERROR),
+            (500, {"x-rejected": "1"}, Outcome.ERROR),
+        )
+        for status, headers, expected in cases:
+            ending = settled(status, headers, MEANINGS)
+            self.assertEqual(ending and ending.outcome, expected, (status, headers))
+            if ending and "x-load-report" in headers:
+                self.assertEqual(ending.reading, Reading(free_slots=1.0))
+
+    def test_load_reports(self) -> None:
+        cases: tuple[tuple[object, Reading | None], ...] = (
+            ('{"queue":2,"util":0.6,"x0":1}', Reading(waiting=2.0, busy=0.6, free_slots=1.0)),
+            ({"depth": 2, "load_share": 0.6}, Reading(waiting=2.0, busy=0.6)),
+            ('{"new":1}', None),
+            ("{", None),
+            ("[1]", None),
+            (None, None),
+            ('{"x0":"2"}', None),
+            ({"x0": True}, None),
+        )
+        for value, expected in cases:
+            self.assertEqual(read_load(value, MEANINGS), expected, value)
+
+
+ROW: dict[str, Any] = {
+    "id": "s-5be2a07c",
+    "addr": "127.0.0.1:8000",
+    "zone": "a",
+    "kind": "m",
+    "cell": 3,
+    "state": "SERVING",
+    "weight": 1.5,
+    "started_ms": 0,
+}
+
+
+class Lists(unittest.TestCase):
+    def test_entries(self) -> None:
+        told = {"version": 4, "full": True, "servers": [ROW, {**ROW, "id": "x", "started_ms": 99_000}]}
+        version, full, (old, young) = read_list(told, Roster(), 50 * S, 100_000.0)
+        self.assertEqual(
+            (version, full, old.entry.worker, old.address), (4, True, 0x5BE2A07C, ("127.0.0.1", 8000))
+        )
+        self.assertEqual((old.entry.cell, old.entry.size, old.entry.started_ns), (3, 1.5, 0))
+        self.assertEqual(young.entry.started_ns, 49 * S)  # the wall clock's second ago, on the other clock
+
+    def test_bad_lists(self) -> None:
+        for row in (
+            {},
+            {**ROW, "state": "ASLEEP"},
+            {**ROW, "addr": "nowhere"},
+            {**ROW, "cell": "x"},
+            "row",
+            None,
+        ):
+            with self.assertRaises(ValueError, msg=row):
+                read_list({"servers": [row]}, Roster(), 0, 0.0)
+        others: tuple[object, ...] = (None, [], {}, {"servers": {}})
+        for other in others:
+            with self.assertRaises(ValueError, msg=other):
+                read_list(other, Roster(), 0, 0.0)
+
+    def test_roster_keeps_fixed_nodes_and_bounds_the_rest(self) -> None:
+        roster = Roster()
+        _, _, (fixed, other) = read_list({"servers": [ROW, {**ROW, "id": "x"}]}, roster, 0, 0.0)
+        roster.fix(fixed)
+        told = roster.told(ListKind.FULL, [other])
+        self.assertEqual({e.worker for e in told.entries}, {fixed.entry.worker, other.entry.worker})
+        roster.told(ListKind.FULL, [])
+        self.assertTrue(roster.serving(fixed.entry.worker))
+        self.assertFalse(roster.serving(other.entry.worker))
+        amended = roster.amend(fixed.entry.worker, state=State.DRAINING)
+        assert amended is not None  # not as changes, which would count as a watch that stands
+        self.assertEqual((amended.kind, len(amended.entries)), (ListKind.CACHED, 2))
+        for batch in range(3):
+            rows = [{**ROW, "id": f"n-{batch * MOST_NODES + i:x}"} for i in range(MOST_NODES)]
+            roster.told(ListKind.FULL, read_list({"servers": rows}, roster, 0, 0.0)[2])
+        self.assertLessEqual(len(roster._nodes), MOST_NODES + 1)
+        self.assertLessEqual(len(roster._numbers), 2 * MOST_NODES)
+
+    def test_names_that_meet_get_different_numbers(self) -> None:
+        roster = Roster()
+        self.assertEqual((roster.number("a-1f"), roster.number("b-1f"), roster.number("a-1f")), (31, 32, 31))
+
+
+class Rings(unittest.TestCase):
+    def test_bytes_keep_their_order_round_the_end(self) -> None:
+        ring, sent, got = RingBuffer(7), bytes(range(200)), b""
+        at = 0
+        while len(got) < len(sent):
+            at += ring.put(sent[at : at + 5])
+            piece = ring.pending()[:3]
+            got += bytes(piece)
+            ring.taken(len(piece))
+            self.assertLessEqual(ring.size, 7)
+        self.assertEqual(got, sent)
+        ring.put(b"x" * 9)
+        self.assertEqual((ring.size, len(ring.room())), (7, 0))
+
+
+class LogLines(unittest.TestCase):
+    def test_rfc_5424_message(self) -> None:
+        when = datetime(2026, 12, 1, 8, 30, 0, 5, tzinfo=UTC)
+        line = message(4, when, "n 0", "list-broken", "it\nbroke", {"wh]y=": 'a"b]c\\d\n', "n": "1"})
+        head, _, rest = line.partition(" hollowusher ")
+        self.assertEqual(head, "<132>1 2026-12-01T08:30:00.000005Z n0")
+        self.assertRegex(rest, r'^\d+ list-broken \[job@32473 why="a\\"b\\\]c\\\\d " n="1"\] it broke$')
+        self.assertIn(" - nothing", message(6, when, "", "x", "nothing", {}))
+        self.assertEqual(escape("\x00\x1f\x7f"), "   ")
+
+    def test_lines_are_limited_and_counted(self) -> None:
+        now = [0.0]
+        log = Log("h", per_s=1.0, burst=2.0, clock=lambda: now[0])
+        with unittest.mock.patch("builtins.print") as printed:
+            for _ in range(5):
+                log.info("a", "text")
+            log.info("b", "another id has a measure of its own")
+            now[0] = 1.0
+            log.info("a", "text")
+        lines = [call.args[0] for call in printed.call_args_list]
+        self.assertEqual(len(lines), 4)
+        self.assertIn('left-out="3"', lines[-1])
