Never close a connection as idle over a request that has come; count waiting requests' time

Found by reading, each now shown by a test that failed or would have: TerminalSession.retire could cancel a session whose request had come but was not read; a request pipelined behind another counted its budget from its turn; the ledger did not count the bodies of jobs in flight; /-/ready said 200 while stopping. Ruled out: retiring by the idle flag alone, since bytes may lie unread in the kernel.

--- a/hollowusher/fronts/platform/terminals.py
+++ b/hollowusher/fronts/platform/terminals.py
@@ -85,7 +85,7 @@
         self._front, self._link = front, link
         self._reader = RequestReader()
         self._filling: asyncio.Task[int] | None = None
-        self._first_ns = 0
+        self._first_ns = self._came_ns = 0
         self.idle = True
         self.task: asyncio.Task[None] | None = None
 
@@ -107,10 +107,15 @@
             self._link.close()
             self._front.ended(self)
 
-    def retire(self) -> None:
-        """Close an idle connection: what its terminal writes across that, it sends again elsewhere."""
-        if self.task is not None:
-            self.task.cancel()
+    def retire(self) -> bool:
+        """Close an idle connection: what its terminal writes across that, it sends again elsewhere.
+
+        Not where a request has come already, read or not: to close then would lose it."""
+        read = self._filling is not None and self._filling.done()
+        if not self.idle or read or not self._link.fresh() or self.task is None:
+            return False
+        self.task.cancel()
+        return True
 
     async def _next(self) -> Request | None:
         """The next whole request; None when the terminal has ended or stays idle for too long."""
@@ -122,7 +127,7 @@
                 if not await self._fill(max(0.0, patience)):
                     return None
             if not self._reader.begun:
-                self._first_ns = time.monotonic_ns()
+                self._first_ns = self._came_ns
             self.idle = False
             piece = self._link.inbound.pending()
             self._reader.feed(piece)
@@ -145,14 +150,16 @@
         return self._filling
 
     def _received(self) -> int:
-        filling, self._filling = self._filling, None
+        # A request may come while the one before it is served: its time counts from now, not from its turn.
+        filling, self._filling, self._came_ns = self._filling, None, time.monotonic_ns()
         return filling.result() if filling is not None else 0
 
     async def _serve(self, request: Request) -> bool:
         """Answer one request; whether the connection goes on."""
         keep = request.keep_alive
         if request.target == "/-/ready" and request.method == "GET":
-            await self._send(answer_head(200, 0, close=not keep))
+            status = 503 if self._front.closing else 200
+            await self._send(answer_head(status, 0, close=not keep))
             return keep
         answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
 
@@ -172,6 +179,7 @@
         if answer is None:
             self._front.post(TerminalGone(job))
             return False
+        self._front.used(self)
         close = self._front.closing or not keep
         await self._send(*write_answer(answer, close))
         return not close
@@ -230,17 +238,21 @@
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if len(self._sessions) >= self._most:
-            idle = next((s for s in self._sessions if s.idle), None)
+            idle = next((s for s in self._sessions if s.retire()), None)
             if idle is None:
                 self.log.warning("terminals-full", "no connection to spare for a terminal", most=self._most)
                 sock.close()
                 return
             self.ended(idle)
-            idle.retire()
         session = TerminalSession(self, Link(sock))
         self._sessions[session] = None
         session.task = asyncio.create_task(session.run())
 
+    def used(self, session: TerminalSession) -> None:
+        """A session did some work, so it is the last to make room."""
+        if self._sessions.pop(session, 0) is None:
+            self._sessions[session] = None
+
     def ended(self, session: TerminalSession) -> None:
         """A session is over."""
         self._sessions.pop(session, None)
@@ -256,7 +268,6 @@
         self._listener.close()
         await asyncio.sleep(DRAIN_LAST_S)  # what is written on the last of them is read first
         for session in list(self._sessions):
-            if session.idle:
-                session.retire()
+            session.retire()
         while tasks := [s.task for s in self._sessions if s.task is not None]:
             await asyncio.wait(tasks)
--- a/hollowusher/fronts/stomp/ledger.py
+++ b/hollowusher/fronts/stomp/ledger.py
@@ -36,6 +36,7 @@
     key: tuple[str, str]
     fingerprint: bytes
     effect: Effect
+    body_bytes: int  # what the job itself takes while it is open
     job: Job | None = None
     answer: Answer | None = None
     ended_ns: int = 0
@@ -45,7 +46,7 @@
     def weight(self) -> int:
         """Bytes that it counts for."""
         size = ENTRY_BYTES + len(self.key[0]) + len(self.key[1])
-        return size + (len(self.answer.result) if self.answer else 0)
+        return size + (len(self.answer.result) if self.answer else self.body_bytes)
 
 
 def fingerprint(job_class: str, subject: str, repeat_key: str, body: bytes) -> bytes:
@@ -70,7 +71,7 @@
         return len(self._entries)
 
     def find(
-        self, key: tuple[str, str], mark: bytes, effect: Effect, resend: bool, now: int
+        self, key: tuple[str, str], mark: bytes, effect: Effect, body_bytes: int, resend: bool, now: int
     ) -> tuple[Finding, Entry | None]:
         """Look a job up, and enter it where it is new."""
         self._expire(now)
@@ -86,7 +87,7 @@
             self.remove(entry)
         if not self._make_room():
             return Finding.FULL, None
-        entry = self._entries[key] = Entry(key, mark, effect)
+        entry = self._entries[key] = Entry(key, mark, effect, body_bytes)
         self.bytes += entry.weight
         return (Finding.UNKNOWN if resend and effect is Effect.UNSAFE else Finding.NEW), entry
 
--- a/hollowusher/fronts/stomp/terminals.py
+++ b/hollowusher/fronts/stomp/terminals.py
@@ -291,7 +291,7 @@
         effect = self.classes[job.job_class].effect
         mark = fingerprint(job.job_class, job.subject, job.repeat_key, job.body)
         key = (waiter.session.identity, job.job_id)
-        finding, entry = self.ledger.find(key, mark, effect, resend, job.taken_ns)
+        finding, entry = self.ledger.find(key, mark, effect, len(job.body), resend, job.taken_ns)
         if finding is Finding.CONFLICT:
             raise FrameError("this job-id belongs to another job", waiter.receipt)
         if taken is not None:
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -136,7 +136,7 @@
         self, name: str, effect: Effect = Effect.UNSAFE, resend: bool = False, now: int = 0, body: bytes = b""
     ) -> Finding:
         found, self.entry = self.ledger.find(
-            ("d", name), fingerprint("c", "/", "", body), effect, resend, now
+            ("d", name), fingerprint("c", "/", "", body), effect, len(body), resend, now
         )
         return found
 
@@ -175,8 +175,13 @@
         self.end(result=b"x" * (1 << 20))
         self.assertEqual(self.find("b"), Finding.FULL)
         self.assertEqual(self.find("b", now=100), Finding.NEW)
-        assert self.entry is not None
-        self.ledger.remove(self.entry)
+        large = b"x" * (1 << 20)
+        self.assertEqual(self.find("c", now=100, body=large), Finding.NEW)
+        self.assertEqual(self.find("d", now=100), Finding.FULL)  # jobs in flight count as well
+        for name, body in (("b", b""), ("c", large)):
+            self.assertEqual(self.find(name, now=100, body=body), Finding.JOINED)
+            assert self.entry is not None
+            self.ledger.remove(self.entry)
         self.end()  # an answer that comes after it was forgotten
         self.assertEqual((len(self.ledger), self.ledger.bytes), (0, 0))
 
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -14,12 +14,14 @@
 from unittest import mock
 
 from hazelweir import Listed, ListKind, Outcome, State
-from hollowusher.core.model import Attempt, AttemptEnded, AttemptProgress, AttemptStarted, Dispatch, Job
+from hollowusher.core.model import (
+    Attempt, AttemptEnded, AttemptProgress, AttemptStarted, Dispatch, Job, JobTaken, TerminalGone,
+)
 from hollowusher.core.roster import Roster, RouteNode
 from hollowusher.fronts.platform import discovery, terminals
 from hollowusher.fronts.platform.nodes import PlatformNodes
 from hollowusher.log import Log
-from hollowusher.net.link import Link
+from hollowusher.net.link import Link, listen
 from hollowusher.net.pool import Pool
 from tests.standins import MEANINGS, HttpNode, SocketCase, StandIn, free_port, post, read_http
 from tests.support import S
@@ -223,6 +225,36 @@
         self.assertLess(time.monotonic() - start, 5.0)
         self.assertEqual(node.runs, ["j"] * 3)
 
+    async def test_connection_with_a_request_unread_is_not_closed_as_idle(self) -> None:
+        told: asyncio.Queue[object] = asyncio.Queue()
+        listener = listen(("127.0.0.1", free_port()))
+        self.addCleanup(listener.close)
+        front = terminals.PlatformTerminals(listener, {"eta-quote"}, 4, told.put_nowait, QUIET)
+        with socket.create_connection(listener.getsockname()) as client:
+            sock, _ = listener.accept()
+            front._admit(sock)
+            (session,) = front._sessions
+            client.sendall(post("j"))
+            self.assertFalse(session.retire())  # it has come, though nobody has read it yet
+            self.assertIsInstance(await self.within(told.get()), JobTaken)
+            self.assertFalse(session.retire())
+        self.assertIsInstance(await self.within(told.get()), TerminalGone)
+
+    async def test_time_of_a_request_that_waits_its_turn_counts_from_its_coming(self) -> None:
+        node = HttpNode("hold")
+        await self.run_program(node)
+        reader, writer = await self.terminal()
+        writer.write(post("a", "settle-shift", "9"))
+        await self.within(node.got.get())
+        sent = time.monotonic()
+        writer.write(post("b", "settle-shift", "0.5"))
+        await asyncio.sleep(0.3)
+        node.go.set()
+        await self.within(read_http(reader))
+        node.go.clear()
+        await self.within(read_http(reader))
+        self.assertLess(time.monotonic() - sent, 0.5 + SLACK_S)
+
     async def test_longest_idle_connection_makes_room(self) -> None:
         with mock.patch("hollowusher.app.SPARE_SOCKETS", 512 - 202):
             await self.run_program(HttpNode())
@@ -299,6 +331,8 @@
             process.send_signal(signal.SIGTERM)
             self.assertIn(b"asked to stop", await self.within(process.stderr.readline()))
             late = asyncio.create_task(self.ask(post("late", "settle-shift", "8")))  # connections still come
+            ready = await self.ask(b"GET /-/ready HTTP/1.1\r\n\r\n")
+            self.assertEqual(ready[0], "HTTP/1.1 503 Service Unavailable")
             self.assertEqual(await self.within(idle.read()), b"")
             node.go.set()
             self.assertEqual((await self.within(read_http(reader)))[1]["connection"], "close")
