--- a/tests/test_stomp_sockets.py
+++ b/tests/test_stomp_sockets.py
@@ -3,11 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
-from tests.standins import HttpNode, SocketCase, StompNodeStandIn, post, stomp
+from hazelweir import Listed, Outcome
+from hollowusher.core.model import Attempt, AttemptEnded, Dispatch, Job
+from hollowusher.core.roster import Roster, RouteNode
+from hollowusher.fronts.stomp.nodes import StompNodes
+from tests.standins import MEANINGS, HttpNode, SocketCase, Stomp, StompNodeStandIn, post, stomp
+from tests.support import S
 
 
 class OneAnswerEach(SocketCase):
+    async def ran(self, session: Stomp, node: StompNodeStandIn) -> list[str]:
+        """What the node has run.  One more job goes through first: the queue is served in order, so a second
+        run that waits there would come before it."""
+        node.mode = "done"
+        session.job("last")
+        self.assertEqual(await session.answer(), ("last", "served", b"r:last"))
+        self.assertEqual(node.runs[-1], "last")
+        return node.runs[:-1]
+
     async def test_a_job_is_taken_run_and_answered_once(self) -> None:
         node = StompNodeStandIn()
         await self.run_program(stomp_nodes=(node,))
@@ -44,7 +59,7 @@
         again = await self.stomp_terminal()
         again.job("pay-1", resend="true")
         self.assertEqual(await again.answer(), ("pay-1", "served", b"r:pay-1"))
-        self.assertEqual(node.runs, ["pay-1"])
+        self.assertEqual(await self.ran(again, node), ["pay-1"])
 
     async def test_resend_joins_the_job_in_flight(self) -> None:
         # A lost receipt: the terminal asks again on a new connection before the job is done.
@@ -60,7 +75,7 @@
             self.assertEqual(await session.answer(), ("pay-1", "served", b"r:pay-1"))
         again.job("pay-1")
         self.assertEqual(await again.answer(), ("pay-1", "served", b"r:pay-1"))
-        self.assertEqual(node.runs, ["pay-1"])
+        self.assertEqual(await self.ran(again, node), ["pay-1"])
 
     async def test_resend_after_a_restart_is_failed_not_run(self) -> None:
         node = StompNodeStandIn()
@@ -70,7 +85,7 @@
         self.assertEqual(await session.answer(), ("pay-1", "failed", b""))
         session.job("q-1", "eta-quote", resend="true")  # harmless, so it runs
         self.assertEqual(await session.answer(), ("q-1", "served", b"r:q-1"))
-        self.assertEqual(node.runs, ["q-1"])
+        self.assertEqual(await self.ran(session, node), ["q-1"])
 
     async def test_reused_id_with_another_body_is_an_error(self) -> None:
         node = StompNodeStandIn()
@@ -83,7 +98,7 @@
         session.job("pay-1", "settle-shift", b"more")
         command, headers, _ = await session.next()
         self.assertEqual((command, headers["receipt-id"]), ("ERROR", "taken-pay-1"))
-        self.assertEqual(node.runs, ["pay-1", "pay-1"])
+        self.assertEqual(await self.ran(other, node), ["pay-1", "pay-1"])  # one of each terminal
 
     async def test_deadline_is_kept(self) -> None:
         node = StompNodeStandIn("silent")
@@ -114,6 +129,48 @@
         self.assertEqual(await session.answer(), ("pay-1", "served", b"r:pay-1"))
 
 
+class Early(StompNodeStandIn):
+    """Dies while a job is being written to it."""
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\0")
+        writer.write(stomp("CONNECTED", b"", version="1.2"))
+        await reader.readuntil(b"\0")
+        await reader.read(1000)
+        writer.transport.abort()
+
+
+class Attempts(SocketCase):
+    """Outcomes, one attempt at a time."""
+
+    async def outcome(self, node: StompNodeStandIn, body: bytes = b"") -> Outcome:
+        await self.started(node)
+        told: list[object] = []
+        roster = Roster()
+        listed = RouteNode("n", ("127.0.0.1", node.port), Listed(1), "stomp")
+        roster.fix(listed)
+        nodes = StompNodes(roster, MEANINGS, told.append, self.log, "s", 0, 0.25)
+        job = Job("j", "settle-shift", "/x", body, time.monotonic_ns(), 5 * S, lambda a: None)
+        await self.within(nodes.attempt(Dispatch(Attempt("j", 0, 1), job, 0), listed))
+        await nodes.close()
+        (ended,) = [e for e in told if isinstance(e, AttemptEnded)]
+        return ended.outcome
+
+    async def test_drain_told_while_the_connection_comes_up(self) -> None:
+        node = StompNodeStandIn()
+        node.hello = {"state": "draining"}
+        self.assertEqual((await self.outcome(node), node.runs), (Outcome.NOT_SENT, []))
+
+    async def test_break_before_the_last_byte_never_ran(self) -> None:
+        self.assertEqual(await self.outcome(Early(), b"x" * (32 << 20)), Outcome.UNREACHABLE)
+
+    async def test_each_ending_has_its_outcome(self) -> None:
+        cases = {"done": Outcome.OK, "failed": Outcome.ERROR, "returned": Outcome.FULL,
+                 "lost": Outcome.RESET, "cut": Outcome.RESET}
+        for mode, expected in cases.items():
+            self.assertEqual(await self.outcome(StompNodeStandIn(mode)), expected, mode)
+
+
 class NodesThatFail(SocketCase):
     async def test_lost_before_the_last_byte_never_ran(self) -> None:
         node = StompNodeStandIn()
@@ -187,7 +244,7 @@
         self.assertEqual(await session.answer(), ("pay-2", "refused", b""))
         session.job("pay-1")
         self.assertEqual((await session.answer())[1], "served")
-        self.assertEqual(node.runs, ["pay-1"])
+        self.assertEqual(node.runs, ["pay-1"])  # a second run would have had no room in the ledger
 
     async def test_malformed_frames_get_an_error_and_harm_no_one(self) -> None:
         await self.run_program(stomp_nodes=(StompNodeStandIn(),))
