--- a/hollowusher/fronts/platform/http.py
+++ b/hollowusher/fronts/platform/http.py
@@ -56,6 +56,7 @@
     def __init__(self) -> None:
         self.ready: deque[Request] = deque()
         self.begun = False  # whether a request has come in part
+        self.expects = False  # whether its sender waits for leave to send the body
         self._parts = _Parts()
         self._bad: BadInput | None = None
         self._parser = httptools.HttpRequestParser(self)
@@ -94,6 +95,7 @@
     def on_headers_complete(self) -> None:
         """The head has come: a length that is over the limit is refused before the body."""
         self._parts.head_done = True
+        self.expects = self._parts.headers.get("expect", "").lower() == "100-continue"
         length = self._parts.headers.get("content-length", "0")
         if length.isdigit() and int(length) > MOST_BODY:
             self._bad = BadInput(413, "a body holds no more than 64 KiB")
@@ -107,7 +109,7 @@
 
     def on_message_complete(self) -> None:
         """A request is whole."""
-        parts, self._parts, self.begun = self._parts, _Parts(), False
+        parts, self._parts, self.begun, self.expects = self._parts, _Parts(), False, False
         self.ready.append(Request(
             self._parser.get_method().decode("latin-1"), parts.target.decode("latin-1"), parts.headers,
             bytes(parts.body), self._parser.should_keep_alive(),
--- a/hollowusher/fronts/platform/terminals.py
+++ b/hollowusher/fronts/platform/terminals.py
@@ -132,6 +132,9 @@
             piece = self._link.inbound.pending()
             self._reader.feed(piece)
             self._link.inbound.taken(len(piece))
+            if self._reader.expects:  # such a sender would hold the body back, and its time would run out
+                self._reader.expects = False
+                await self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
         return ready.popleft()
 
     async def _fill(self, patience: float) -> bool:
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -167,6 +167,15 @@
                 "HTTP/1.1 200 OK", {"content-length": "3"}, f"r:{name}".encode()))
         self.assertEqual(node.bodies, [bytes(range(256)), b"parcel"])
 
+    async def test_sender_that_waits_for_leave_gets_it(self) -> None:
+        await self.run_program(HttpNode())
+        reader, writer = await self.terminal()
+        head, _, body = post("j").partition(b"\r\n\r\n")
+        writer.write(head + b"\r\nExpect: 100-continue\r\n\r\n")
+        self.assertEqual((await self.within(read_http(reader)))[0], "HTTP/1.1 100 Continue")
+        writer.write(body)
+        self.assertEqual((await self.within(read_http(reader)))[0], "HTTP/1.1 200 OK")
+
     async def test_what_is_no_job_gets_a_clear_status(self) -> None:
         await self.run_program(HttpNode())
         cases = {
