Move what both fronts share into one module

Seen by reading: the STOMP front took its endings and load reports from the platform front's nodes, and both had the same span for a terminal's travel. They are in fronts/common.py now; nothing else changes.

--- a/hollowusher/fronts/platform/nodes.py
+++ b/hollowusher/fronts/platform/nodes.py
@@ -6,53 +6,21 @@
 import json
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 from typing import Any
 
-from hazelweir.interface import Outcome, Reading
+from hazelweir.interface import Outcome
 from hollowusher.core.model import (
     AttemptEnded, AttemptProgress, AttemptStarted, DeskEvent, Dispatch, NodeProbed,
 )
 from hollowusher.core.roster import Roster, RouteNode
+from hollowusher.fronts.common import PROBE_TIMEOUT_S, Ending, read_load
 from hollowusher.fronts.platform.http import AnswerReader
 from hollowusher.log import Log
 from hollowusher.net.link import Link
 from hollowusher.net.pool import NoRoom, Pool
 
 MOST_LINE = 512 * 1024  # a result of 64 KiB in JSON, each byte escaped
-PROBE_TIMEOUT_S = 0.5
 TAIL_TIMEOUT_S = 1.0  # how long the end of an answer may take before its connection is given up
-_MEANINGS = {
-    "inflight": "running", "concurrent": "running", "queue": "waiting", "depth": "waiting", "util": "busy",
-    "load_share": "busy", "qps": "served_per_s", "tps": "served_per_s", "eps": "errors_per_s",
-    "err_ps": "errors_per_s",
-}
-
-
-@dataclass(slots=True)
-class Ending:
-    """How an attempt ended."""
-
-    outcome: Outcome
-    reading: Reading | None = None
-    result: bytes = b""
-
-
-def read_load(value: object, meanings: Mapping[str, str]) -> Reading | None:
-    """A load report; fields without a meaning here are skipped, a broken report is none."""
-    if isinstance(value, str):
-        try:
-            value = json.loads(value)
-        except ValueError:
-            return None
-    if not isinstance(value, dict):
-        return None
-    values: dict[str, float] = {}
-    for name, number in value.items():
-        meaning = meanings.get(name) or _MEANINGS.get(name)
-        if meaning and isinstance(number, int | float) and not isinstance(number, bool):
-            values[meaning] = float(number)
-    return Reading(**values) if values else None  # type: ignore[arg-type]
 
 
 def request_head(job_id: str, subject: str, host: str, length: int, left_s: float, key: str) -> bytes:
--- a/hollowusher/fronts/platform/terminals.py
+++ b/hollowusher/fronts/platform/terminals.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Collection, Mapping
 
 from hollowusher.core.model import Answer, DeskEvent, Job, JobTaken, TerminalGone, Verdict
+from hollowusher.fronts.common import TRAVEL_NS
 from hollowusher.fronts.platform.http import BadInput, Request, RequestReader, answer_head
 from hollowusher.log import Log
 from hollowusher.net.link import Link
@@ -17,7 +18,6 @@
 IDLE_S = 300.0  # an idle connection is kept, since opening one costs the terminal time
 SLOW_S = 10.0  # how long one request may take to come in
 SEND_S = 10.0  # how long one answer may take to be read
-TRAVEL_NS = 2_000_000  # a terminal counts its time from its sending, which is this much earlier
 DRAIN_LAST_S = 0.1
 DRAIN_ACCEPT_S = 0.45  # new connections go on coming for a moment after a stop is asked for
 
--- a/hollowusher/fronts/stomp/nodes.py
+++ b/hollowusher/fronts/stomp/nodes.py
@@ -19,7 +19,7 @@
     AttemptEnded, AttemptProgress, AttemptStarted, DeskEvent, Dispatch, NodeProbed,
 )
 from hollowusher.core.roster import Roster, RouteNode
-from hollowusher.fronts.platform.nodes import PROBE_TIMEOUT_S, Ending, read_load
+from hollowusher.fronts.common import PROBE_TIMEOUT_S, Ending, read_load
 from hollowusher.fronts.stomp.frames import FROM_SERVER, Frame, FrameError
 from hollowusher.fronts.stomp.wire import Fate, Outgoing, StompLink, read_beat
 from hollowusher.log import Log
--- a/hollowusher/fronts/stomp/terminals.py
+++ b/hollowusher/fronts/stomp/terminals.py
@@ -20,6 +20,7 @@
 from hazelweir.interface import Effect, JobClass
 from hollowusher.config import StompConfig
 from hollowusher.core.model import Answer, DeskEvent, Job, JobTaken, TerminalGone, Verdict
+from hollowusher.fronts.common import TRAVEL_NS
 from hollowusher.fronts.stomp.frames import FROM_CLIENT, Frame, FrameError
 from hollowusher.fronts.stomp.ledger import Entry, Finding, Ledger, fingerprint
 from hollowusher.fronts.stomp.wire import StompLink, read_beat
@@ -32,7 +33,6 @@
 MOST_OPEN = 64  # jobs in flight a session: beyond it, its frames wait unread
 MOST_UNSENT = 64  # answers that wait for a subscription
 MOST_SUBSCRIPTIONS = 16
-TRAVEL_NS = 2_000_000  # a terminal counts its time from its sending, which is this much earlier
 FULL_WAIT_NS = 1_000_000_000  # advice that goes with a refusal for want of room in the ledger
 DRAIN_ACCEPT_S = 0.55
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -10,9 +10,10 @@
 
 from hazelweir import ListKind, Outcome, Reading, State
 from hollowusher.core.roster import MOST_NODES, Roster
+from hollowusher.fronts.common import read_load
 from hollowusher.fronts.platform.discovery import read_list
 from hollowusher.fronts.platform.http import AnswerReader, BadInput, RequestReader
-from hollowusher.fronts.platform.nodes import read_load, settled
+from hollowusher.fronts.platform.nodes import settled
 from hollowusher.fronts.stomp.frames import FROM_CLIENT, FROM_SERVER, Frame, FrameError, FrameReader, encode
 from hollowusher.fronts.stomp.wire import read_beat
 from hollowusher.log import Log, escape, message
