--- a/hollowusher/__main__.py
+++ b/hollowusher/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 import uvloop
@@ -13,6 +14,8 @@
 
 def main() -> int:
     """The exit code."""
+    # A SIGHUP that comes before the program can act on it, or as it ends, must wait and not end it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
         config = load()
     except ConfigError as wrong:
--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -5,8 +5,10 @@
 import asyncio
 import signal
 import time
+from collections.abc import Callable
+from functools import partial
 
-from hollowusher.config import Config
+from hollowusher.config import Config, load
 from hollowusher.core.desk import DispatchDesk
 from hollowusher.core.roster import Roster
 from hollowusher.floor import Floor
@@ -18,13 +20,21 @@
 from hollowusher.net.link import listen
 from hollowusher.net.owner import DeskOwner
 from hollowusher.net.pool import Pool
+from hollowusher.reload import Reloads
 
 SPARE_SOCKETS = 48  # for the log, the list, the listeners and the loop itself
 NODE_SHARE = 0.45  # of the other sockets, for connections to nodes
+_READ = partial(load, again=True)
 
 
-async def serve(config: Config, log: Log, stop: asyncio.Event | None = None) -> None:
-    """Run one scheduler until it is asked to stop, and end in good order."""
+async def serve(
+    config: Config, log: Log, stop: asyncio.Event | None = None, again: asyncio.Event | None = None,
+    read: Callable[[], Config] = _READ,
+) -> None:
+    """Run one scheduler until it is asked to stop, and end in good order.
+
+    The events are set by SIGTERM and SIGHUP, unless the caller brings its own.
+    """
     sockets = config.sockets - SPARE_SOCKETS
     if config.stomp.enabled:
         sockets = max(16, sockets - config.stomp.most_terminals - 2 * len(config.stomp.nodes))
@@ -42,12 +52,16 @@
 
     stomp = StompFront(config, roster, floor, owner.post, log) if config.stomp.enabled else None
 
+    again = again or asyncio.Event()
     if stop is None:
         stop = asyncio.Event()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            asyncio.get_running_loop().add_signal_handler(number, stop.set)
+        for number, event in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, again)):
+            asyncio.get_running_loop().add_signal_handler(number, event.set)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came meanwhile counts now
     watch.start_list(config.known)
-    tasks = [asyncio.create_task(work) for work in (owner.run(), terminals.accept(), floor.sweep())]
+    reloads = Reloads(config, read, watch.move, log)
+    tasks = [asyncio.create_task(work) for work in (
+        owner.run(), terminals.accept(), floor.sweep(), reloads.follow(again))]
     if stomp is not None:
         accepting = stomp.start()
     log.notice("ready", "taking jobs", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}")
@@ -62,4 +76,5 @@
         task.cancel()
     if stomp is not None:
         await stomp.nodes.close()
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # the loop's end takes the handler away
     log.notice("stopped", "all that was taken is answered")
--- a/hollowusher/config.py
+++ b/hollowusher/config.py
@@ -1,6 +1,7 @@
 """The one place where configuration is read, checked and given defaults.
 
-A wrong value stops the program at its start with a ConfigError that names the key.
+A wrong value stops the program at its start with a ConfigError that names the key; when the file is read
+again, it leaves the program as it is.
 """
 
 from __future__ import annotations
@@ -127,8 +128,14 @@
     return value
 
 
-def load(environ: Mapping[str, str] = os.environ, stomp_file: Path = STOMP_FILE) -> Config:
-    """The configuration from the platform's file, the environment over it, and the STOMP file."""
+def load(
+    environ: Mapping[str, str] = os.environ, stomp_file: Path = STOMP_FILE, again: bool = False
+) -> Config:
+    """The configuration from the platform's file, the environment over it, and the STOMP file.
+
+    Read `again`, the file comes first for the node list's address: the environment still has the one from
+    the start.
+    """
     path = environ.get("PROXY_CONFIG", "")
     if not path:
         raise ConfigError("PROXY_CONFIG: must name the configuration file")
@@ -158,10 +165,12 @@
     forward = address("HOLLOWUSHER_SYSLOG", syslog) if syslog else None
     if forward and not forward[0].startswith("127."):
         raise ConfigError(f"HOLLOWUSHER_SYSLOG: must be a loopback address, is {syslog!r}")
+    told, named = environ.get("PROXY_DISCOVERY"), table.get("discovery", "")
+    key, service = ("discovery", named or told) if again else ("PROXY_DISCOVERY", told or named)
     return Config(
         name=environ.get("PROXY_NAME") or _get(table, "name", str, "scheduler"),
         listen=address("PROXY_LISTEN", environ.get("PROXY_LISTEN") or table.get("listen", "")),
-        discovery=address("PROXY_DISCOVERY", environ.get("PROXY_DISCOVERY") or table.get("discovery", "")),
+        discovery=address(key, service),
         seed=seed,
         sockets=min(sockets, 1024),
         settings=settings,
--- a/hollowusher/fronts/platform/discovery.py
+++ b/hollowusher/fronts/platform/discovery.py
@@ -1,4 +1,6 @@
-"""The node list: one watch on its changes, opened when the desk asks, given up when it falls silent."""
+"""The node list: a watch on its changes, opened when the desk asks, given up when it falls silent.
+
+A second watch is open for a moment only while the service moves to another address."""
 
 from __future__ import annotations
 
@@ -55,7 +57,8 @@
         self._address, self._roster, self._post, self._log = address, roster, post, log
         self._changed = changed
         self._version = 0
-        self._task: asyncio.Task[None] | None = None
+        self._opening: asyncio.Task[None] | None = None
+        self._standing: asyncio.Task[None] | None = None
 
     def start_list(self, known: Mapping[str, Any]) -> None:
         """The list as it was last held; it may be old."""
@@ -69,23 +72,32 @@
         self._post(self._roster.told(ListKind.CACHED, nodes))
 
     def ask(self) -> None:
-        """Watch from the version held; a watch that is under way is given up."""
-        self.stop()
-        self._task = asyncio.create_task(self._watch())
+        """Watch from the version held.  A watch that stands goes on until the new one has told something."""
+        if self._opening is not None:
+            self._opening.cancel()
+        self._opening = asyncio.create_task(self._watch(self._address, self._version))
+
+    def move(self, address: tuple[str, int]) -> None:
+        """The service has another address from now on.  Its versions may count otherwise, so the whole list
+        is asked for; until it comes, what the old address tells still counts."""
+        if address != self._address:
+            self._address, self._version = address, 0
+            self.ask()
 
     def stop(self) -> None:
-        """End the watch."""
-        if self._task is not None:
-            self._task.cancel()
+        """End all watching."""
+        for task in (self._opening, self._standing):
+            if task is not None:
+                task.cancel()
 
-    async def _watch(self) -> None:
+    async def _watch(self, address: tuple[str, int], version: int) -> None:
         link: Link | None = None
         why = "the watch ended"
         try:
-            link = await connect(self._address, CONNECT_TIMEOUT_S)
+            link = await connect(address, CONNECT_TIMEOUT_S)
             reader = AnswerReader(MOST_LINE)
-            path = f"/api/targets?watch=1&from={self._version}"
-            host = f"{self._address[0]}:{self._address[1]}"
+            path = f"/api/targets?watch=1&from={version}"
+            host = f"{address[0]}:{address[1]}"
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 await link.send(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
                 while not reader.head_done:
@@ -94,7 +106,8 @@
                 self._post(NodeListTold(ListKind.CHANGES))  # the watch stands; changes follow, if any
                 while True:
                     while reader.lines:
-                        self._line(reader.lines.popleft())
+                        self._line(reader.lines.popleft(), address)
+                        self._stands()
                     if reader.whole:
                         break
                     async with asyncio.timeout(SILENT_S):
@@ -108,16 +121,38 @@
         finally:
             if link is not None:
                 link.close()
-        self._log.warning("list-broken", "the watch on the node list broke", why=why)
+        self._ended(address, why)
+
+    def _stands(self) -> None:
+        """The watch under way has told something: the one before it is no longer needed."""
+        task = asyncio.current_task()
+        if task is self._opening:
+            self._opening = None
+            if self._standing is not None:
+                self._standing.cancel()
+            self._standing = task
+
+    def _ended(self, address: tuple[str, int], why: str) -> None:
+        """A watch broke.  An old one that ends while its successor comes up is no news: to tell the desk that
+        nothing is watched would have it ask anew and cut the successor off."""
+        if asyncio.current_task() is self._opening:
+            self._opening = None
+        else:
+            self._standing = None
+            if self._opening is not None:
+                return
+        where = f"{address[0]}:{address[1]}"
+        self._log.warning("list-broken", "the watch on the node list broke", why=why, service=where)
         self._post(NodeListTold(ListKind.FAILED))
 
-    def _line(self, line: bytes) -> None:
+    def _line(self, line: bytes, address: tuple[str, int]) -> None:
         if not line.strip():
             return
         version, full, nodes = read_list(
             json.loads(line), self._roster, time.monotonic_ns(), time.time() * 1000
         )
-        self._version = version
+        if address == self._address:
+            self._version = version
         for node in nodes:
             self._changed(node)
         self._post(self._roster.told(ListKind.FULL if full else ListKind.CHANGES, nodes))
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,147 @@
+"""SIGHUP: the new configuration is followed without a gap, and no job or connection is lost by it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from hazelweir import ListKind
+from hollowusher.core.model import NodeListTold
+from hollowusher.core.roster import Roster
+from hollowusher.fronts.platform.discovery import NodeListWatch
+from tests.standins import HttpNode, NodeList, SocketCase, free_port, post, read_http
+from tests.support import S
+
+
+class Process(SocketCase):
+    """The program as the platform starts it."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "config.json"
+        self.node = HttpNode("hold")
+        await self.started(self.node)
+        self.list.add("s-1", self.node.port)
+        self.port = free_port()
+
+    def write(self, **changes: Any) -> None:
+        """Replace the configuration file, as the platform does."""
+        config = {
+            "name": "n0", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.list.port}",
+            "seed": "ff", "limits": {"sockets": 256}, "known": {"version": 0, "full": True, "servers": []},
+            "settings": {"grades": [{"name": "settle-shift", "effect": "fragile", "goal_time_ns": 4 * S,
+                                     "late_share": 0.5, "deadline_ns": 10 * S}],
+                         "discovery": "ask", "caps": {"max_attempts": 3}, "granularity_ns": 2_000_000},
+            **changes,
+        }
+        new = self.path.with_suffix(".new")
+        new.write_text(json.dumps(config))
+        new.replace(self.path)
+
+    async def start(self) -> asyncio.subprocess.Process:
+        """Start it, and wait until it takes jobs."""
+        self.write()
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "hollowusher", stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "PROXY_CONFIG": str(self.path),
+                 "PROXY_DISCOVERY": f"127.0.0.1:{self.list.port}"})
+        self.addAsyncCleanup(self.end, process)
+        self.process = process
+        await self.logged("taking jobs")
+        return process
+
+    async def end(self, process: asyncio.subprocess.Process) -> None:
+        if process.returncode is None:
+            process.kill()
+        await process.wait()
+
+    async def logged(self, text: str) -> str:
+        """The next log line that has this text."""
+        assert self.process.stderr is not None
+        while text not in (line := (await self.within(self.process.stderr.readline())).decode()):
+            self.assertTrue(line, f"the program ended without a line with {text!r}")
+        return line
+
+
+class Reload(Process):
+    async def test_new_discovery_is_watched_and_nothing_open_is_lost(self) -> None:
+        process = await self.start()
+        await self.within(self.list.asked.get())
+        reader, writer = await self.terminal()
+        writer.write(post("j", "settle-shift", "8"))
+        await self.within(self.node.got.get())
+        other, spare = NodeList(), HttpNode("done")
+        await self.started(other, spare)
+        other.add("s-2", spare.port)
+        self.write(discovery=f"127.0.0.1:{other.port}")
+        process.send_signal(signal.SIGHUP)
+        # The new service's versions may count otherwise: the whole list is asked for.
+        self.assertIn("from=0", await self.within(other.asked.get()))
+        await self.logged("read again")
+        process.send_signal(signal.SIGHUP)  # a second one during the first loses nothing either
+        await self.list.close()
+        second, second_writer = await self.terminal()
+        second_writer.write(post("k", "settle-shift", "8"))  # only the new list names a node for it
+        self.assertEqual((await self.within(read_http(second)))[2], b"r:k")
+        process.send_signal(signal.SIGTERM)
+        await self.logged("asked to stop")
+        process.send_signal(signal.SIGHUP)  # nor does one while it stops end it before its time
+        self.node.go.set()
+        self.assertEqual((await self.within(read_http(reader)))[2], b"r:j")
+        self.assertEqual(await self.within(process.wait()), 0)
+
+    async def test_bad_file_changes_nothing_and_its_key_is_logged(self) -> None:
+        process = await self.start()
+        for changes, key in (({"discovery": "nowhere"}, "discovery"), ({"limits": {"sockets": 1}}, "sockets"),
+                             ({"settings": {"grades": "x"}}, "settings")):
+            self.write(**changes)
+            process.send_signal(signal.SIGHUP)
+            self.assertIn(key, await self.logged("reload-refused"))
+        self.path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        self.assertIn("PROXY_CONFIG", await self.logged("reload-refused"))
+        self.write(name="another")
+        process.send_signal(signal.SIGHUP)
+        self.assertIn("name", await self.logged("need a restart"))
+        self.node.go.set()
+        self.assertEqual((await self.ask(post("j", "settle-shift", "8")))[2], b"r:j")
+
+
+class Moving(SocketCase):
+    async def test_old_watch_counts_until_the_new_one_tells(self) -> None:
+        told: list[object] = []
+        watch = NodeListWatch(("127.0.0.1", self.list.port), Roster(), told.append, lambda n: None, self.log)
+        self.addCleanup(watch.stop)
+        watch.ask()
+        await self.within(self.list.asked.get())
+        slow = NodeList()
+        slow.status = 503
+        await self.started(slow)
+        watch.move(("127.0.0.1", slow.port))
+        await self.within(slow.asked.get())
+
+        async def until(kind: ListKind) -> None:
+            while not any(isinstance(e, NodeListTold) and e.kind is kind for e in told):
+                await asyncio.sleep(0.005)
+
+        await self.within(until(ListKind.FAILED))  # the old one still tells
+        told.clear()
+        self.list.tell([], full=True)
+        await self.within(until(ListKind.FULL))
+        slow.status = 200
+        watch.ask()
+        await self.within(slow.asked.get())
+        await self.within(until(ListKind.FULL))
+        told.clear()
+        await self.list.close()  # it was closed by us already: its end is no news
+        slow.tell([], full=True)
+        await self.within(until(ListKind.FULL))
+        self.assertNotIn(NodeListTold(ListKind.FAILED), told)
