--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -12,6 +12,7 @@
 from hollowusher.core.desk import DispatchDesk
 from hollowusher.core.roster import Roster
 from hollowusher.floor import Floor
+from hollowusher.fronts.common import JobIds
 from hollowusher.fronts.platform.discovery import NodeListWatch
 from hollowusher.fronts.platform.nodes import PlatformNodes
 from hollowusher.fronts.platform.terminals import PlatformTerminals
@@ -47,10 +48,9 @@
     watch = NodeListWatch(config.discovery, roster, owner.post, floor.changed, log)
     floor.post, floor.watch = owner.post, watch.ask
     floor.nodes["platform"] = PlatformNodes(roster, pool, config.meanings, owner.post, log)
-    classes = {c.name for c in config.settings.classes}
-    terminals = PlatformTerminals(listen(config.listen), classes, sockets - to_nodes, owner.post, log)
-
-    stomp = StompFront(config, roster, floor, owner.post, log) if config.stomp.enabled else None
+    classes, ids = {c.name: c for c in config.settings.classes}, JobIds()
+    terminals = PlatformTerminals(listen(config.listen), classes, sockets - to_nodes, ids, owner.post, log)
+    stomp = StompFront(config, roster, floor, ids, owner.post, log) if config.stomp.enabled else None
 
     again = again or asyncio.Event()
     if stop is None:
--- a/hollowusher/fronts/common.py
+++ b/hollowusher/fronts/common.py
@@ -1,20 +1,70 @@
-"""What both fronts share: how an attempt ended, how a load report is read, and two spans of time."""
+"""What both fronts share: limits on what terminals send, how an attempt ended, how a load report is read."""
 
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 
 from hazelweir.interface import Outcome, Reading
 
 PROBE_TIMEOUT_S = 0.5
+FIRST_S = 2.0  # how long a connection may say nothing from its accept on: a terminal opens one to use it
+REQUEST_S = 2.0  # how long one request or frame may take to come in
+MOST_BUDGET_S = 86_400.0
+MOST_CLOSED = 4_096  # closed job ids that are remembered: some minutes' worth, in a megabyte at most
+MOST_NAME = 128  # characters of an id or a key
 TRAVEL_NS = 2_000_000  # a terminal counts its time from its sending, which is this much before its coming
 _MEANINGS = {
     "inflight": "running", "concurrent": "running", "queue": "waiting", "depth": "waiting", "util": "busy",
     "load_share": "busy", "qps": "served_per_s", "tps": "served_per_s", "eps": "errors_per_s",
     "err_ps": "errors_per_s",
 }
+_BUDGET = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+
+
+class JobIds:
+    """The job ids that are open at this scheduler, whichever front took them, and those that were lately.
+
+    A node knows a job by its id: a second one under the same id is turned away there, counts against the
+    node, and could have its answer taken for the first one's.  An id is new for every request, so that one
+    seen before is a mistake or worse; a copy of an open request often comes when that was just answered.
+    """
+
+    def __init__(self, most_closed: int = MOST_CLOSED) -> None:
+        self._open: set[str] = set()
+        self._closed: dict[str, None] = {}  # the latest last
+        self._most_closed = most_closed
+
+    def claim(self, job_id: str, again: bool = False) -> bool:
+        """Take an id; False where another job has it open, or had it and ids do not come `again`: those of
+        a named terminal do, when it was refused and when two terminals number alike."""
+        if job_id in self._open or (job_id in self._closed and not again):
+            return False
+        self._open.add(job_id)
+        return True
+
+    def free(self, job_id: str) -> None:
+        """The job has its answer, or nobody waits for it."""
+        self._open.discard(job_id)
+        self._closed[job_id] = None
+        if len(self._closed) > self._most_closed:
+            del self._closed[next(iter(self._closed))]
+
+
+def read_budget_ns(text: str) -> int | None:
+    """How long a terminal waits; None where the text is no plain number of seconds.
+
+    Python's own float() takes far more: nan, 1_0, 1e9, and digits of other scripts."""
+    if not _BUDGET.fullmatch(text) or float(text) > MOST_BUDGET_S:
+        return None
+    return round(float(text) * 1e9)
+
+
+def printable(text: str, most: int = MOST_NAME) -> bool:
+    """Whether a text may go into other wires' heads: visible ASCII, so that none breaks out of its line."""
+    return len(text) <= most and all("!" <= c <= "~" for c in text)
 
 
 @dataclass(slots=True)
--- a/hollowusher/fronts/platform/terminals.py
+++ b/hollowusher/fronts/platform/terminals.py
@@ -7,61 +7,65 @@
 import math
 import socket
 import time
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Mapping
+from enum import IntEnum
 
+from hazelweir.interface import Effect, JobClass
 from hollowusher.core.model import Answer, DeskEvent, Job, JobTaken, TerminalGone, Verdict
-from hollowusher.fronts.common import TRAVEL_NS
+from hollowusher.fronts.common import (
+    FIRST_S, REQUEST_S, TRAVEL_NS, JobIds, printable, read_budget_ns,
+)
 from hollowusher.fronts.platform.http import BadInput, Request, RequestReader, answer_head
 from hollowusher.log import Log
 from hollowusher.net.link import Link
 
 IDLE_S = 300.0  # an idle connection is kept, since opening one costs the terminal time
-SLOW_S = 10.0  # how long one request may take to come in
 SEND_S = 10.0  # how long one answer may take to be read
+LINGER_S = 1.0  # how long a terminal that sent something bad may take to read what is wrong with it
+YOUNG_S = 0.25  # a connection that has said nothing for longer is the first to make room
+MOST_FIGURE = 1e6  # for one of X-Call-Info: larger ones would swamp what the module knows of a node
 DRAIN_LAST_S = 0.1
 DRAIN_ACCEPT_S = 0.45  # new connections go on coming for a moment after a stop is asked for
 
 
 def read_job(
-    request: Request, classes: Collection[str], first_ns: int, now: int, answer_to: Callable[[Answer], None]
+    request: Request, classes: Mapping[str, JobClass], now: int, answer_to: Callable[[Answer], None]
 ) -> Job:
-    """The job that a request asks for; BadInput says what is wrong with it."""
+    """The job that a request asks for; BadInput says what is wrong with it.
+
+    Nothing that fails here reaches a node: one would turn it away, or close on it and on what else waits."""
     headers = request.headers
     if request.target.startswith("/-/"):
         raise BadInput(404, "no such page")
     if request.method != "POST":  # the path is the job's own: any that is not ours passes on
         raise BadInput(405, "jobs come by POST")
     job_id, job_class = headers.get("x-call-id", ""), headers.get("x-call-class", "")
-    if not job_id:
-        raise BadInput(400, "X-Call-Id is missing")
+    if not job_id or not printable(job_id):
+        raise BadInput(400, "X-Call-Id is missing or cannot be one")
     if job_class not in classes:
         raise BadInput(400, "X-Call-Class is missing or unknown")
-    left_s = _number(headers.get("x-budget", ""), "X-Budget")
+    left_ns = read_budget_ns(headers.get("x-budget", ""))
+    if left_ns is None:
+        raise BadInput(400, "X-Budget is missing or no number of seconds")
+    repeat_key = headers.get("idempotency-key", "")
+    if not printable(repeat_key) or (not repeat_key and classes[job_class].effect is Effect.KEYED):
+        raise BadInput(400, "Idempotency-Key is missing or cannot be one")
     info = _figures(headers.get("x-call-info", ""))
     return Job(
-        job_id, job_class, request.target, request.body, now,
-        round(left_s * 1e9) - (now - first_ns) - TRAVEL_NS, answer_to,
-        repeat_key=headers.get("idempotency-key", ""),
-        slots=info.get("slots", 1.0), memory=info.get("memory", 0.0), retry=headers.get("x-again") == "1",
+        job_id, job_class, request.target, request.body, now, left_ns - (now - request.came_ns) - TRAVEL_NS,
+        answer_to, repeat_key=repeat_key, slots=info.get("slots", 1.0), memory=info.get("memory", 0.0),
+        retry=headers.get("x-again") == "1",
     )
 
 
-def _number(text: str, what: str) -> float:
-    try:
-        value = float(text)
-    except ValueError:
-        value = -1.0
-    if not (math.isfinite(value) and 0 <= value <= 86_400):
-        raise BadInput(400, f"{what} is missing or no number of seconds")
-    return value
-
-
 def _figures(text: str) -> dict[str, float]:
     figures: dict[str, float] = {}
     for pair in text.split(",") if text else ():
         name, _, value = pair.partition("=")
         with contextlib.suppress(ValueError):
             if math.isfinite(number := float(value)) and number >= 0:
+                if number > MOST_FIGURE:
+                    raise BadInput(400, "a figure of X-Call-Info is too large")
                 figures[name.strip()] = number
     return figures
 
@@ -78,6 +82,17 @@
             return answer_head(502, 0, close), b""
 
 
+class Stage(IntEnum):
+    """Where a connection stands.  The lower, the sooner it makes room for another."""
+
+    LEAVING = 0  # it has been told what was wrong with what it sent
+    SILENT = 1  # nothing has come since its accept, for longer than a terminal takes
+    IDLE = 2  # between two requests: what crosses our close, its terminal sends again elsewhere
+    YOUNG = 3  # nothing has come yet
+    SLOW = 4  # a request has come in part
+    BUSY = 5  # it is owed an answer
+
+
 class TerminalSession:
     """One connection of a depot terminal."""
 
@@ -85,8 +100,9 @@
         self._front, self._link = front, link
         self._reader = RequestReader()
         self._filling: asyncio.Task[int] | None = None
-        self._first_ns = self._came_ns = 0
-        self.idle = True
+        self._accepted_ns = self._came_ns = time.monotonic_ns()
+        self._known = False  # whether a whole request has come on it
+        self._stage = Stage.YOUNG
         self.task: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
@@ -98,7 +114,7 @@
         except BadInput as bad:
             self._front.log.info("bad-input", bad.why, status=bad.status)
             with contextlib.suppress(OSError):
-                await self._send(*_complaint(bad, close=True))
+                await self._complain(bad)
         except OSError:
             pass  # the terminal is gone, or reads nothing
         finally:
@@ -107,12 +123,21 @@
             self._link.close()
             self._front.ended(self)
 
-    def retire(self) -> bool:
-        """Close an idle connection: what its terminal writes across that, it sends again elsewhere.
-
-        Not where a request has come already, read or not: to close then would lose it."""
-        read = self._filling is not None and self._filling.done()
-        if not self.idle or read or not self._link.fresh() or self.task is None:
+    def stage(self) -> Stage:
+        """Where it stands; one on which something waits to be read is busy, whatever is known of it."""
+        if self._stage in (Stage.YOUNG, Stage.IDLE):
+            come = self._filling is not None and self._filling.done()
+            if come or not self._link.fresh():
+                return Stage.BUSY
+            if self._stage is Stage.YOUNG and time.monotonic_ns() - self._accepted_ns > YOUNG_S * 1e9:
+                return Stage.SILENT
+        return self._stage
+
+    def retire(self, most: Stage = Stage.IDLE) -> bool:
+        """Close, if it stands no higher than this.
+
+        A connection on which a request has come, read or not, stands higher: to close it would lose that."""
+        if self.task is None or self.task.done() or self.stage() > most:
             return False
         self.task.cancel()
         return True
@@ -121,28 +146,39 @@
         """The next whole request; None when the terminal has ended or stays idle for too long."""
         ready = self._reader.ready
         while not ready:
-            if self._link.inbound.size == 0:
-                self.idle = not self._reader.begun
-                patience = IDLE_S if self.idle else SLOW_S - (time.monotonic_ns() - self._first_ns) / 1e9
-                if not await self._fill(max(0.0, patience)):
-                    return None
-            if not self._reader.begun:
-                self._first_ns = self._came_ns
-            self.idle = False
-            piece = self._link.inbound.pending()
-            self._reader.feed(piece)
-            self._link.inbound.taken(len(piece))
+            if self._link.inbound.size == 0 and not await self._fill():
+                return None
+            self._feed()
             if self._reader.expects:  # such a sender would hold the body back, and its time would run out
                 self._reader.expects = False
                 await self._send(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._known, self._stage = True, Stage.BUSY
         return ready.popleft()
 
-    async def _fill(self, patience: float) -> bool:
-        """Whether more has come; BadInput where a request was begun and does not go on."""
-        done, _ = await asyncio.wait({self._receiving()}, timeout=patience)
+    def _feed(self) -> None:
+        piece = self._link.inbound.pending()
+        self._reader.feed(piece, self._came_ns)
+        self._link.inbound.taken(len(piece))
+
+    async def _fill(self) -> bool:
+        """Whether more has come; BadInput where a request was begun and does not go on.
+
+        One that has begun nothing is closed without a word, unless something comes at the last moment."""
+        reader = self._reader
+        if reader.begun:
+            self._stage, since_ns, most_s = Stage.SLOW, reader.begun_ns, REQUEST_S
+        elif self._known:
+            self._stage, since_ns, most_s = Stage.IDLE, time.monotonic_ns(), IDLE_S
+        else:
+            self._stage, since_ns, most_s = Stage.YOUNG, self._accepted_ns, FIRST_S
+        patience = max(0.0, most_s - (time.monotonic_ns() - since_ns) / 1e9)
+        receiving = self._receiving()
+        done, _ = await asyncio.wait({receiving}, timeout=patience)
+        if not done and not reader.begun and not self._link.fresh():
+            done, _ = await asyncio.wait({receiving}, timeout=REQUEST_S)
         if done:
             return self._received() > 0
-        if self._reader.begun:
+        if reader.begun:
             raise BadInput(408, "the request did not come in time")
         return False
 
@@ -170,17 +206,17 @@
             if not answered.done():
                 answered.set_result(answer)
 
+        job = read_job(request, self._front.classes, time.monotonic_ns(), answer_to)
+        if not self._front.ids.claim(job.job_id):
+            raise BadInput(409, "another request has or had this X-Call-Id")
         try:
-            now = time.monotonic_ns()
-            job = read_job(request, self._front.classes, self._first_ns, now, answer_to)
-        except BadInput as bad:
-            self._front.log.info("bad-input", bad.why, status=bad.status)
-            await self._send(*_complaint(bad, close=not keep))
-            return keep
-        self._front.post(JobTaken(job))
-        answer = await self._wait(answered)
+            self._front.post(JobTaken(job))
+            answer = await self._wait(answered)
+        finally:
+            self._front.ids.free(job.job_id)
+            if not answered.done():  # its terminal has gone, or its next bytes show that it was no job
+                self._front.post(TerminalGone(job))
         if answer is None:
-            self._front.post(TerminalGone(job))
             return False
         self._front.used(self)
         close = self._front.closing or not keep
@@ -188,10 +224,13 @@
         return not close
 
     async def _wait(self, answered: asyncio.Future[Answer]) -> Answer | None:
-        """The job's answer, or None when its terminal goes first."""
+        """The job's answer, or None when its terminal goes first.
+
+        What comes meanwhile is read at once: bytes that are no request show that the length of the one before
+        was wrong, so that it is no job either."""
         while not answered.done():
             waiting: set[asyncio.Future[Answer] | asyncio.Task[int]] = {answered}
-            if self._link.inbound.room():
+            if not self._reader.ready and self._link.inbound.room():
                 waiting.add(self._receiving())
             done, _ = await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
             if answered not in done and self._filling in done:
@@ -200,27 +239,35 @@
                         return None
                 except OSError:
                     return None
+                while self._link.inbound.size and not self._reader.ready:
+                    self._feed()
         return answered.result()
 
+    async def _complain(self, bad: BadInput) -> None:
+        """Say what is wrong and end the connection so that it is read: its next bytes cannot be trusted."""
+        self._stage = Stage.LEAVING
+        if self._filling is not None:
+            self._filling.cancel()
+            await asyncio.wait({self._filling})
+        text = f"{bad.why}\n".encode()
+        allow = "Allow: POST\r\n" if bad.status == 405 else ""
+        await self._send(
+            answer_head(bad.status, len(text), True, f"Content-Type: text/plain\r\n{allow}"), text)
+        await self._link.linger(LINGER_S)
+
     async def _send(self, *parts: bytes) -> None:
         async with asyncio.timeout(SEND_S):  # one that does not read holds up nobody but itself
             await self._link.send(*parts)
 
 
-def _complaint(bad: BadInput, close: bool) -> tuple[bytes, bytes]:
-    text = f"{bad.why}\n".encode()
-    allow = "Allow: POST\r\n" if bad.status == 405 else ""
-    return answer_head(bad.status, len(text), close, f"Content-Type: text/plain\r\n{allow}"), text
-
-
 class PlatformTerminals:
     """Accepts depot terminals' connections and keeps their sessions."""
 
     def __init__(
-        self, listener: socket.socket, classes: Mapping[str, object] | Collection[str], most: int,
+        self, listener: socket.socket, classes: Mapping[str, JobClass], most: int, ids: JobIds,
         post: Callable[[DeskEvent], None], log: Log,
     ) -> None:
-        self._listener, self._most = listener, most
+        self._listener, self._most, self.ids = listener, most, ids
         self.classes, self.post, self.log = classes, post, log
         self.closing = False
         self._sessions: dict[TerminalSession, None] = {}  # the longest idle first
@@ -240,17 +287,30 @@
     def _admit(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if len(self._sessions) >= self._most:
-            idle = next((s for s in self._sessions if s.retire()), None)
-            if idle is None:
-                self.log.warning("terminals-full", "no connection to spare for a terminal", most=self._most)
-                sock.close()
-                return
-            self.ended(idle)
+        if len(self._sessions) >= self._most and not self._make_room():
+            self.log.warning("terminals-full", "no connection to spare for a terminal", most=self._most)
+            sock.close()
+            return
         session = TerminalSession(self, Link(sock))
         self._sessions[session] = None
         session.task = asyncio.create_task(session.run())
 
+    def _make_room(self) -> bool:
+        """Close the connection that can best be spared, of several the longest idle; whether there was one.
+
+        Hundreds that say nothing must not shut out those who have a job: a young one gives way only when
+        nothing else does, since its first request may be on its way."""
+        least, spared = Stage.BUSY, None
+        for session in self._sessions:
+            if (stage := session.stage()) < least:
+                least, spared = stage, session
+                if stage <= Stage.SILENT:
+                    break
+        if spared is None or not spared.retire(least):
+            return False
+        self.ended(spared)
+        return True
+
     def used(self, session: TerminalSession) -> None:
         """A session did some work, so it is the last to make room."""
         if self._sessions.pop(session, 0) is None:
--- a/hollowusher/fronts/stomp/__init__.py
+++ b/hollowusher/fronts/stomp/__init__.py
@@ -10,6 +10,7 @@
 from hollowusher.core.model import DeskEvent
 from hollowusher.core.roster import Roster, RouteNode
 from hollowusher.floor import Floor
+from hollowusher.fronts.common import JobIds
 from hollowusher.fronts.stomp.nodes import StompNodes
 from hollowusher.fronts.stomp.terminals import StompTerminals
 from hollowusher.log import Log
@@ -20,7 +21,8 @@
     """Both halves of the front, where `deploy/stomp.toml` enables it."""
 
     def __init__(
-        self, config: Config, roster: Roster, floor: Floor, post: Callable[[DeskEvent], None], log: Log
+        self, config: Config, roster: Roster, floor: Floor, ids: JobIds, post: Callable[[DeskEvent], None],
+        log: Log,
     ) -> None:
         stomp = config.stomp
         self._listed = []
@@ -35,7 +37,7 @@
         classes = {c.name: c for c in config.settings.classes}
         limits = config.settings.limits
         max_wait_ns = limits.max_retry_after_ns if limits.retry_after else 0
-        self.terminals = StompTerminals(listen(stomp.listen), classes, stomp, max_wait_ns, post, log)
+        self.terminals = StompTerminals(listen(stomp.listen), classes, stomp, max_wait_ns, ids, post, log)
 
     def start(self) -> asyncio.Task[None]:
         """Connect to the nodes and accept terminals; the task that accepts."""
--- a/hollowusher/fronts/stomp/ledger.py
+++ b/hollowusher/fronts/stomp/ledger.py
@@ -106,6 +106,10 @@
             del self._entries[entry.key]
             self.bytes -= entry.weight
 
+    def forget(self, key: tuple[str, str]) -> None:
+        """The job that was just entered is not taken after all."""
+        self.remove(self._entries[key])
+
     def _expire(self, now: int) -> None:
         for effect, ended in self._ended.items():
             while ended and now - ended[0].ended_ns >= self._windows[effect]:
--- a/hollowusher/fronts/stomp/terminals.py
+++ b/hollowusher/fronts/stomp/terminals.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import itertools
-import math
 import socket
 import time
 from collections import deque
@@ -20,7 +19,9 @@
 from hazelweir.interface import Effect, JobClass
 from hollowusher.config import StompConfig
 from hollowusher.core.model import Answer, DeskEvent, Job, JobTaken, TerminalGone, Verdict
-from hollowusher.fronts.common import TRAVEL_NS
+from hollowusher.fronts.common import (
+    FIRST_S, REQUEST_S, TRAVEL_NS, JobIds, printable, read_budget_ns,
+)
 from hollowusher.fronts.stomp.frames import FROM_CLIENT, Frame, FrameError
 from hollowusher.fronts.stomp.ledger import Entry, Finding, Ledger, fingerprint
 from hollowusher.fronts.stomp.wire import StompLink, read_beat
@@ -28,11 +29,13 @@
 from hollowusher.net.link import Link
 
 JOBS, ANSWERS = "/queue/jobs", "/queue/answers"
-CONNECT_S = 10.0  # how long a terminal may take to introduce itself
 FLUSH_S = 2.0  # how long the last frames to a terminal may take
 MOST_OPEN = 64  # jobs in flight a session: beyond it, its frames wait unread
 MOST_UNSENT = 64  # answers that wait for a subscription
 MOST_SUBSCRIPTIONS = 16
+MOST_SUBJECT = 1024
+LINGER_S = 1.0  # how long a terminal may take to read the ERROR that ends its session
+YOUNG_S = 0.25  # one that has not introduced itself for longer makes room for others
 FULL_WAIT_NS = 1_000_000_000  # advice that goes with a refusal for want of room in the ledger
 DRAIN_ACCEPT_S = 0.55
 
@@ -48,7 +51,7 @@
 
 def _printable(frame: Frame, name: str, value: str) -> str:
     """Texts that go on in other wires' heads: printable ASCII, so that none can break out of its line."""
-    if len(value) > 1024 or not all("!" <= c <= "~" for c in value):
+    if not printable(value, MOST_SUBJECT):
         raise FrameError(f"{name} must be printable ASCII without spaces", frame.headers.get("receipt", ""))
     return value
 
@@ -60,7 +63,8 @@
         self._front, self._wire = front, wire
         self.identity = ""
         self.open_jobs = 0
-        self._held = False
+        self._held = self._connected = False
+        self._accepted_ns = time.monotonic_ns()
         self.waiting: dict[Waiter, Entry] = {}
         self._room = asyncio.Event()
         self._room.set()
@@ -71,10 +75,10 @@
 
     async def run(self) -> None:
         """Serve the connection until either side ends it."""
-        writer = asyncio.create_task(self._wire.write())
+        writer, told = asyncio.create_task(self._wire.write()), False
         writer.add_done_callback(self._writer_broke)
         try:
-            async with asyncio.timeout(CONNECT_S):
+            async with asyncio.timeout(FIRST_S):
                 await self._connect()
             going = True
             while going:
@@ -85,6 +89,7 @@
                 going = self._take(frame)
         except FrameError as bad:
             self._complain(bad)
+            told = True
         except OSError:
             pass  # the terminal is gone, or fell silent
         except asyncio.CancelledError:
@@ -97,12 +102,21 @@
             writer.cancel()
             with contextlib.suppress(asyncio.CancelledError, OSError):
                 await writer
+            if told:
+                await self._wire.linger(LINGER_S)
             self._wire.close()
 
     def _writer_broke(self, _: asyncio.Task[None]) -> None:
         if self.task is not None:
             self.task.cancel()
 
+    def retire(self) -> bool:
+        """Make room for another, where the terminal has had time to introduce itself and has not."""
+        if self._connected or self.task is None or time.monotonic_ns() - self._accepted_ns < YOUNG_S * 1e9:
+            return False
+        self.task.cancel()
+        return True
+
     def hold(self) -> None:
         """Take no more frames; what is taken is answered still."""
         self._held = True
@@ -170,6 +184,7 @@
             "session": f"{self._front.next_number()}",
         }))
         self._wire.agree(ours, theirs)
+        self._connected = True
 
     def _take(self, frame: Frame) -> bool:
         """Act on one frame; whether the session goes on."""
@@ -222,6 +237,8 @@
         if not subject.startswith("/"):
             raise FrameError("subject must begin with /", receipt)
         repeat_key = _printable(frame, "repeat-key", frame.headers.get("repeat-key", ""))
+        if not repeat_key and self._front.classes[name].effect is Effect.KEYED:
+            raise FrameError("this job-class needs a repeat-key", receipt)
         now = time.monotonic_ns()
         job = Job(
             job_id, name, subject, frame.body, now, self._budget_ns(frame) - TRAVEL_NS,
@@ -232,13 +249,10 @@
         self._front.take(waiter, job, frame.headers.get("resend") == "true", taken)
 
     def _budget_ns(self, frame: Frame) -> int:
-        try:
-            budget = float(frame.need("budget"))
-        except ValueError:
-            budget = -1.0
-        if not (math.isfinite(budget) and 0 <= budget <= 86_400):
+        budget_ns = read_budget_ns(frame.need("budget"))
+        if budget_ns is None:
             raise FrameError("budget must be a number of seconds", frame.headers.get("receipt", ""))
-        return round(budget * 1e9)
+        return budget_ns
 
 
 class StompTerminals:
@@ -246,16 +260,16 @@
 
     def __init__(
         self, listener: socket.socket, classes: Mapping[str, JobClass], config: StompConfig,
-        max_wait_ns: int, post: Callable[[DeskEvent], None], log: Log,
+        max_wait_ns: int, ids: JobIds, post: Callable[[DeskEvent], None], log: Log,
     ) -> None:
         self._listener, self.classes, self.config = listener, classes, config
         self._full_wait_ns = min(FULL_WAIT_NS, max_wait_ns)
-        self._post, self.log = post, log
+        self._ids, self._post, self.log = ids, post, log
         self.ledger = Ledger(
             config.ledger_jobs, config.ledger_bytes, round(config.settle_window_s * 1e9),
             round(config.keep_s * 1e9),
         )
-        self._sessions: set[TerminalSession] = set()
+        self._sessions: dict[TerminalSession, None] = {}  # the oldest first
         self._numbers = itertools.count(1)
         self._open: set[Entry] = set()
         self._none_open = asyncio.Event()
@@ -276,15 +290,25 @@
                 await asyncio.sleep(0.05)
                 continue
             sock.setblocking(False)
-            if len(self._sessions) >= self.config.most_terminals:
+            if len(self._sessions) >= self.config.most_terminals and not self._make_room():
                 self.log.warning("terminals-full", "no connection to spare for a terminal")
                 sock.close()
                 continue
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            session = TerminalSession(self, StompLink(Link(sock), FROM_CLIENT))
-            self._sessions.add(session)
+            session = TerminalSession(self, StompLink(Link(sock), FROM_CLIENT, REQUEST_S))
+            self._sessions[session] = None
             session.task = asyncio.create_task(session.run())
-            session.task.add_done_callback(lambda _, s=session: self._sessions.discard(s))  # type: ignore[misc]
+            session.task.add_done_callback(partial(self._over, session))
+
+    def _make_room(self) -> bool:
+        """Those that connect and say nothing must not shut out the terminals that have jobs."""
+        silent = next((s for s in self._sessions if s.retire()), None)
+        if silent is not None:
+            self._over(silent)
+        return silent is not None
+
+    def _over(self, session: TerminalSession, _: asyncio.Task[None] | None = None) -> None:
+        self._sessions.pop(session, None)
 
     def take(self, waiter: Waiter, job: Job, resend: bool, taken: Callable[[], None] | None) -> None:
         """Look a sent job up in the ledger and see that its frame gets one answer."""
@@ -294,6 +318,9 @@
         finding, entry = self.ledger.find(key, mark, effect, len(job.body), resend, job.taken_ns)
         if finding is Finding.CONFLICT:
             raise FrameError("this job-id belongs to another job", waiter.receipt)
+        if finding is Finding.NEW and not self._ids.claim(job.job_id, again=True):
+            self.ledger.forget(key)
+            raise FrameError("another terminal has this job-id open", waiter.receipt)
         if taken is not None:
             taken()
         if entry is None:
@@ -337,6 +364,8 @@
         self._closed(entry)
 
     def _closed(self, entry: Entry) -> None:
+        if entry in self._open:
+            self._ids.free(entry.key[1])
         self._open.discard(entry)
         if not self._open:
             self._none_open.set()
--- a/hollowusher/fronts/stomp/wire.py
+++ b/hollowusher/fronts/stomp/wire.py
@@ -49,11 +49,12 @@
 class StompLink:
     """Frames over one connection.  The writer is a task of its own, so a slow reader blocks nobody else."""
 
-    def __init__(self, link: Link, commands: Collection[str]) -> None:
-        self._link = link
+    def __init__(self, link: Link, commands: Collection[str], frame_s: float | None = None) -> None:
+        self._link, self._frame_s = link, frame_s
         self._reader = FrameReader(commands)
         self._queue: asyncio.Queue[Outgoing | None] = asyncio.Queue()
         self._beat_s: float | None = None  # we promise to write something this often
+        self._begun_at = asyncio.get_running_loop().time()
         self._silence_s: float | None = None  # and close when nothing comes for this long
         self.ended = False
 
@@ -64,11 +65,29 @@
         self._silence_s = BEAT_GRACE * max(can, ours_ms) / 1000 if can and ours_ms else None
 
     async def receive(self) -> Frame:
-        """The next frame; an OSError where the other side ended or fell silent."""
-        while not self._reader.ready:
-            async with asyncio.timeout(self._silence_s):
-                await self._link.pass_on(self._reader.feed)
-        return self._reader.ready.popleft()
+        """The next frame; an OSError where the other side ended or fell silent, FrameError where one that was
+        begun does not come whole in time: half a frame must not hold a connection."""
+        reader, loop = self._reader, asyncio.get_running_loop()
+        while not reader.ready:
+            patience, left, begun = self._silence_s, None, reader.begun
+            if begun and self._frame_s is not None:
+                left = self._begun_at + self._frame_s - loop.time()
+                patience = left if patience is None else min(left, patience)
+            try:
+                async with asyncio.timeout(patience):
+                    await self._link.pass_on(reader.feed)
+            except TimeoutError:
+                if left is not None and patience == left:
+                    raise FrameError("the frame did not come in time") from None
+                raise
+            if not begun:
+                self._begun_at = loop.time()
+        self._begun_at = loop.time()  # what has come of the next one may have come just now
+        return reader.ready.popleft()
+
+    async def linger(self, most_s: float) -> None:
+        """End our sending, and give the other side time to read it."""
+        await self._link.linger(most_s)
 
     def put(self, frame: Frame) -> None:
         """Write a frame after those before it."""
--- a/hollowusher/net/link.py
+++ b/hollowusher/net/link.py
@@ -10,6 +10,7 @@
 from hollowusher.net.ring import RingBuffer
 
 RING_BYTES = 16 * 1024
+LINGER_PACE_S = 0.002  # between two receives of bytes that nobody wants
 
 
 class Link:
@@ -68,6 +69,17 @@
             return False
         return False  # ended, or spoke out of turn
 
+    async def linger(self, most_s: float) -> None:
+        """End our sending and read for a moment what still comes: to close on unread bytes resets the
+        connection, which destroys an answer that the other side has not read yet.  Slowly, since whoever
+        sends on after its answer is owed no share of the processor."""
+        with contextlib.suppress(OSError, TimeoutError):
+            self._sock.shutdown(socket.SHUT_WR)
+            async with asyncio.timeout(most_s):
+                while await self.fill():
+                    self.inbound.clear()
+                    await asyncio.sleep(LINGER_PACE_S)
+
     def close(self) -> None:
         """Close; again does nothing."""
         if not self.closed:
--- a/hollowusher/net/ring.py
+++ b/hollowusher/net/ring.py
@@ -40,6 +40,10 @@
         self._head = (self._head + count) % self.capacity
         self.size -= count
 
+    def clear(self) -> None:
+        """Drop all that is held."""
+        self._head = self.size = 0
+
     def put(self, data: bytes | memoryview) -> int:
         """Copy in as much as fits; how much that was."""
         done = 0
--- /dev/null
+++ b/tests/test_bad_clients.py
@@ -0,0 +1,226 @@
+"""Bad clients: each gets an error or a close in time, and spoils nothing for the others."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+import unittest
+from unittest import mock
+
+from hollowusher.fronts.common import JobIds, printable, read_budget_ns
+from hollowusher.fronts.platform import terminals
+from hollowusher.fronts.platform.http import BadInput, RequestReader
+from hollowusher.fronts.platform.terminals import read_job
+from hollowusher.fronts.stomp import terminals as stomp_terminals
+from tests.standins import CLASSES, HttpNode, SocketCase, StompNodeStandIn, post, read_http, stomp
+
+HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\n"
+JOB = HEAD + b"X-Call-Id: j\r\nX-Call-Class: eta-quote\r\nX-Budget: 3\r\n"
+
+
+class Checks(unittest.TestCase):
+    def test_what_two_readers_could_read_differently_is_no_request(self) -> None:
+        cases = {
+            JOB + b"X-Call-Id: k\r\n\r\n": 400,
+            JOB + b"X-Budget: 4\r\n\r\n": 400,
+            JOB + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": 400,
+            JOB + b"Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n": 400,
+            JOB + b"Transfer-Encoding: identity\r\nContent-Length: 4\r\n\r\nabcd": 400,
+            JOB + b"Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n": 400,
+            JOB + b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n": 400,
+            JOB + b"X: a\r\n Transfer-Encoding: chunked\r\n\r\n": 400,
+            JOB + b"Transfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\nzz\r\n": 400,
+            JOB + b"Content-Length: -4\r\n\r\nabcd": 400,
+            JOB + b"Content-Length: +4\r\n\r\nabcd": 400,
+            JOB + b"Content-Length: ten\r\n\r\nabcd": 400,
+            JOB + b"Content-Length: 4\r\nContent-Length: 9\r\n\r\nabcd": 400,
+            JOB + b"Content-Length: 60000000\r\n\r\n": 413,
+            JOB + b"Content-Length: 2\r\n\r\nabcdefgh": 400,
+            JOB + b"a line with no colon\r\n\r\n": 400,
+            JOB.replace(b"HTTP/1.1", b"HTTP/2.0") + b"\r\n": 505,
+            JOB.replace(b"HTTP/1.1", b"HTTP/0.9") + b"\r\n": 505,
+            JOB.replace(b" /x ", b" http://other/x ") + b"\r\n": 400,
+            JOB.replace(b" /x ", b" /x#y ") + b"\r\n": 400,
+            JOB.replace(b" /x ", b" * ") + b"\r\n": 400,
+            b"\x16\x03\x01\x02\x00": 400,
+        }
+        for data, status in cases.items():
+            with self.assertRaises(BadInput, msg=data) as caught:
+                RequestReader().feed(memoryview(data))
+            self.assertEqual(caught.exception.status, status, data)
+
+    def test_header_after_the_body_changes_nothing(self) -> None:
+        reader = RequestReader()
+        reader.feed(memoryview(JOB + b"Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX-Extra: z\r\n\r\n"))
+        self.assertNotIn("x-extra", reader.ready[0].headers)
+
+    def test_jobs_that_a_node_would_turn_away(self) -> None:
+        classes = {c.name: c for c in CLASSES}
+        good = JOB + b"\r\n"
+        keyed = good.replace(b"eta-quote", b"assign-rider")
+        for data in (
+            good.replace(b"X-Call-Id: j\r\n", b""), good.replace(b": j\r", b": a b\r"),
+            good.replace(b": j\r", b": \xe9\r"), good.replace(b": j\r", b": " + b"j" * 129 + b"\r"),
+            good.replace(b"eta-quote", b"eta-quote-old"), good.replace(b": 3\r", b": \r"),
+            good.replace(b": 3\r", b": 3s\r"), good.replace(b": 3\r", b": nan\r"), keyed,
+            keyed.replace(b"X-Budget", b"Idempotency-Key: a b\r\nX-Budget"),
+            good.replace(b"X-Budget", b"X-Call-Info: slots=1e300\r\nX-Budget"),
+        ):
+            reader = RequestReader()
+            reader.feed(memoryview(data))
+            with self.assertRaises(BadInput, msg=data):
+                read_job(reader.ready[0], classes, 0, lambda a: None)
+
+    def test_budgets(self) -> None:
+        cases = {"3": 3_000_000_000, "0.480": 480_000_000, ".5": 500_000_000, "4.": 4_000_000_000, "0": 0}
+        for text, expected in cases.items():
+            self.assertEqual(read_budget_ns(text), expected, text)
+        for text in ("", "-1", "+1", "nan", "inf", "1e3", "1_0", "0x1", "١", "1 ", "1,5", "99999999", "."):
+            self.assertIsNone(read_budget_ns(text), text)
+
+    def test_names(self) -> None:
+        self.assertTrue(printable("9b1f03aa5c7e2d41"))
+        for text in ("a b", "a\r\nb", "\x7f", "é", "x" * 129):
+            self.assertFalse(printable(text), text)
+
+    def test_ids_are_open_once_and_the_closed_are_remembered_to_a_limit(self) -> None:
+        ids = JobIds(most_closed=2)
+        self.assertTrue(ids.claim("a"))
+        self.assertFalse(ids.claim("a") or ids.claim("a", again=True))
+        ids.free("a")
+        self.assertFalse(ids.claim("a"))
+        self.assertTrue(ids.claim("a", again=True))
+        ids.free("a")
+        for name in ("b", "c"):
+            ids.claim(name)
+            ids.free(name)
+        self.assertTrue(ids.claim("a"))
+
+
+class BadHttp(SocketCase):
+    async def status(self, data: bytes) -> str:
+        return (await self.ask(data))[0].split()[1]
+
+    async def test_id_of_anothers_request_never_reaches_a_node(self) -> None:
+        node = HttpNode("hold")
+        await self.run_program(node)
+        reader, writer = await self.terminal()
+        writer.write(post("j"))
+        await self.within(node.got.get())
+        self.assertEqual(await self.status(post("j")), "409")
+        node.go.set()
+        self.assertEqual((await self.within(read_http(reader)))[2], b"r:j")
+        self.assertEqual(await self.status(post("j")), "409")  # and it is known when it was just answered
+        self.assertEqual(await self.status(post("k")), "200")
+        self.assertEqual(node.runs, ["j", "k"])
+
+    async def test_bytes_that_are_no_request_show_that_the_job_before_was_none(self) -> None:
+        node = HttpNode("hold")
+        await self.run_program(node)
+        reader, writer = await self.terminal()
+        writer.write(post("j"))
+        await self.within(node.got.get())
+        writer.write(b"the rest of a longer body")
+        self.assertIn("400", (await self.within(read_http(reader)))[0])
+        self.assertEqual(await self.within(node.ended.get()), "j")
+
+    async def test_large_body_is_refused_early_and_the_answer_survives(self) -> None:
+        await self.run_program(HttpNode())
+        reader, writer = await self.terminal()
+        writer.write(post("j", body=b"").replace(b"Length: 0", b"Length: 60000000"))
+        answer = asyncio.create_task(read_http(reader))
+        sent = 0
+        with contextlib.suppress(ConnectionError):
+            while not answer.done() and sent < 60_000_000:  # at full speed, until it has been told
+                writer.write(b"x" * 65_536)
+                sent += 65_536
+                await writer.drain()
+                await asyncio.sleep(0)
+        self.assertIn("413", (await self.within(answer))[0])
+        self.assertLess(sent, 60_000_000)
+        writer.write(b"x" * 65_536)  # what crosses the answer does not reset the connection at once
+        self.assertEqual(await self.within(reader.read()), b"")
+
+    async def test_half_a_request_and_silence_end_in_time_from_the_accept_on(self) -> None:
+        await self.run_program(HttpNode())
+        with mock.patch.object(terminals, "FIRST_S", 0.2), mock.patch.object(terminals, "REQUEST_S", 0.2):
+            half, half_writer = await self.terminal()
+            half_writer.write(JOB + b"Content-Length: 9\r\n\r\nhalf")
+            slow, slow_writer = await self.terminal()
+            silent, _ = await self.terminal()
+            start = time.monotonic()
+            for letter in JOB[:8]:  # a head that goes on for ever, a byte at a time, gains no time by it
+                slow_writer.write(bytes([letter]))
+                await asyncio.sleep(0.05)
+            for reader, expected in ((half, "408"), (slow, "408")):
+                self.assertIn(expected, (await self.within(read_http(reader)))[0])
+            self.assertEqual(await self.within(silent.read()), b"")
+            self.assertLess(time.monotonic() - start, 2.0)
+
+    async def test_connection_that_served_a_job_is_kept_though_idle(self) -> None:
+        await self.run_program(HttpNode())
+        with mock.patch.object(terminals, "FIRST_S", 0.05), mock.patch.object(terminals, "REQUEST_S", 0.05):
+            reader, writer = await self.terminal()
+            writer.write(post("j"))
+            await self.within(read_http(reader))
+            await asyncio.sleep(0.2)
+            writer.write(post("k"))
+            self.assertEqual((await self.within(read_http(reader)))[2], b"r:k")
+
+    async def test_silent_crowd_shuts_nobody_out_and_takes_no_nodes_descriptors(self) -> None:
+        with mock.patch("hollowusher.app.SPARE_SOCKETS", 310), mock.patch.object(terminals, "YOUNG_S", 0.0):
+            await self.run_program(HttpNode())
+            kept, kept_writer = await self.terminal()
+            kept_writer.write(post("first"))
+            await self.within(read_http(kept))
+            crowd = [await self.terminal() for _ in range(60)]
+            for number in range(5):
+                self.assertEqual(await self.status(post(f"j{number}")), "200")
+            self.assertEqual(await self.within(crowd[0][0].read()), b"")  # the oldest silent one made room
+            kept_writer.write(post("last"))  # and not the terminal that has shown what it is
+            self.assertEqual((await self.within(read_http(kept)))[2], b"r:last")
+
+
+class BadStomp(SocketCase):
+    async def test_id_that_another_terminal_has_open_is_an_error(self) -> None:
+        node = StompNodeStandIn("hold")
+        await self.run_program(stomp_nodes=(node,))
+        session, other = await self.stomp_terminal(), await self.stomp_terminal("depot-2")
+        session.job("pay-1")
+        held = await self.within(node.got.get())
+        other.job("pay-1")
+        self.assertEqual((await other.next())[0], "ERROR")
+        self.assertIn("409", (await self.ask(post("pay-1", "settle-shift")))[0])  # either front's ids are one
+        node.finish(held)
+        self.assertEqual(await session.answer(), ("pay-1", "served", b"r:pay-1"))
+        self.assertEqual(node.runs, ["pay-1"])
+
+    async def test_bad_frames_end_in_an_error_that_can_be_read(self) -> None:
+        await self.run_program(stomp_nodes=(StompNodeStandIn(),))
+        fields = {"destination": "/queue/jobs", "job_id": "j", "job_class": "eta-quote", "budget": "5"}
+        for changes in ({"budget": "nan"}, {"budget": "-1"}, {"job_class": "other"}, {"job_id": "a b"},
+                        {"job_class": "assign-rider"}, {"content_length": "60000000"}):
+            session = await self.stomp_terminal()
+            session.writer.write(stomp("SEND", b"x", **{**fields, **changes}) + b"x" * 300_000)
+            self.assertEqual((await session.next())[0], "ERROR", changes)
+
+    async def test_half_a_frame_and_silence_end_in_time(self) -> None:
+        with mock.patch.object(stomp_terminals, "FIRST_S", 0.2), mock.patch.object(
+                stomp_terminals, "REQUEST_S", 0.2):
+            await self.run_program(stomp_nodes=(StompNodeStandIn(),))
+            session = await self.stomp_terminal()
+            session.writer.write(b"SEND\ndestination:/queue/jobs\n")
+            self.assertEqual((await session.next())[0], "ERROR")
+            silent, _ = await asyncio.open_connection("127.0.0.1", self.stomp_port)
+            self.assertEqual(await self.within(silent.read()), b"")
+
+    async def test_silent_crowd_makes_room(self) -> None:
+        with mock.patch.object(stomp_terminals, "YOUNG_S", 0.0):
+            await self.run_program(stomp_nodes=(StompNodeStandIn(),), most_terminals=4)
+            crowd = [await asyncio.open_connection("127.0.0.1", self.stomp_port) for _ in range(6)]
+            session = await self.stomp_terminal()
+            session.job("pay-1")
+            self.assertEqual(await session.answer(), ("pay-1", "served", b"r:pay-1"))
+            for _, writer in crowd:
+                writer.close()
