--- a/hollowusher/fronts/platform/terminals.py
+++ b/hollowusher/fronts/platform/terminals.py
@@ -25,11 +25,13 @@
 YOUNG_S = 0.25  # a connection that has said nothing for longer is the first to make room
 MOST_FIGURE = 1e6  # for one of X-Call-Info: larger ones would swamp what the module knows of a node
 DRAIN_LAST_S = 0.1
-DRAIN_ACCEPT_S = 0.45  # new connections go on coming for a moment after a stop is asked for
+DRAIN_SERVE_S = 1.8  # after a stop is asked for, terminals are served on: the others may be away as well
+DRAIN_ANSWER_S = 3.4  # and what is taken meanwhile has its answer by then: the platform kills after 3.7 s
 
 
 def read_job(
-    request: Request, classes: Mapping[str, JobClass], now: int, answer_to: Callable[[Answer], None]
+    request: Request, classes: Mapping[str, JobClass], now: int, answer_to: Callable[[Answer], None],
+    last_ns: int | None = None,
 ) -> Job:
     """The job that a request asks for; BadInput says what is wrong with it.
 
@@ -51,10 +53,12 @@
     if not printable(repeat_key) or (not repeat_key and classes[job_class].effect is Effect.KEYED):
         raise BadInput(400, "Idempotency-Key is missing or cannot be one")
     info = _figures(headers.get("x-call-info", ""))
+    left_ns -= now - request.came_ns + TRAVEL_NS
+    if last_ns is not None:
+        left_ns = min(left_ns, last_ns - now)
     return Job(
-        job_id, job_class, request.target, request.body, now, left_ns - (now - request.came_ns) - TRAVEL_NS,
-        answer_to, repeat_key=repeat_key, slots=info.get("slots", 1.0), memory=info.get("memory", 0.0),
-        retry=headers.get("x-again") == "1",
+        job_id, job_class, request.target, request.body, now, left_ns, answer_to, repeat_key=repeat_key,
+        slots=info.get("slots", 1.0), memory=info.get("memory", 0.0), retry=headers.get("x-again") == "1",
     )
 
 
@@ -197,7 +201,7 @@
         """Answer one request; whether the connection goes on."""
         keep = request.keep_alive
         if request.target == "/-/ready" and request.method == "GET":
-            status = 503 if self._front.closing else 200
+            status = 503 if self._front.last_answer_ns else 200
             await self._send(answer_head(status, 0, close=not keep))
             return keep
         answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
@@ -206,7 +210,8 @@
             if not answered.done():
                 answered.set_result(answer)
 
-        job = read_job(request, self._front.classes, time.monotonic_ns(), answer_to)
+        job = read_job(
+            request, self._front.classes, time.monotonic_ns(), answer_to, self._front.last_answer_ns)
         if not self._front.ids.claim(job.job_id):
             raise BadInput(409, "another request has or had this X-Call-Id")
         try:
@@ -269,7 +274,8 @@
     ) -> None:
         self._listener, self._most, self.ids = listener, most, ids
         self.classes, self.post, self.log = classes, post, log
-        self.closing = False
+        self.closing = False  # whether connections end after the answer that is due on them
+        self.last_answer_ns: int | None = None  # once a stop is asked for: by when what is taken is answered
         self._sessions: dict[TerminalSession, None] = {}  # the longest idle first
 
     async def accept(self) -> None:
@@ -321,9 +327,13 @@
         self._sessions.pop(session, None)
 
     async def drain(self, accepting: asyncio.Task[None]) -> None:
-        """Take what still comes for a moment, then no more; return when all that was taken is answered."""
+        """Serve on for a moment, then take no more; return when all that was taken is answered.
+
+        Terminals go on using their connections for as long as these stay open.  Closed at once, they would
+        have nowhere to go while the scheduler that was restarted before this one is not yet back."""
+        self.last_answer_ns = time.monotonic_ns() + round(DRAIN_ANSWER_S * 1e9)
+        await asyncio.sleep(DRAIN_SERVE_S)
         self.closing = True
-        await asyncio.sleep(DRAIN_ACCEPT_S)
         accepting.cancel()
         with contextlib.suppress(BlockingIOError):
             while True:  # those that the kernel has accepted for us are ours
@@ -331,6 +341,6 @@
         self._listener.close()
         await asyncio.sleep(DRAIN_LAST_S)  # what is written on the last of them is read first
         for session in list(self._sessions):
-            session.retire()
+            session.retire(Stage.YOUNG)
         while tasks := [s.task for s in self._sessions if s.task is not None]:
             await asyncio.wait(tasks)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -1,4 +1,4 @@
-"""SIGHUP: the new configuration is followed without a gap, and no job or connection is lost by it."""
+"""SIGHUP and SIGTERM: no job or connection is lost by a new configuration or by an orderly end."""
 
 from __future__ import annotations
 
@@ -145,3 +145,24 @@
         slow.tell([], full=True)
         await self.within(until(ListKind.FULL))
         self.assertNotIn(NodeListTold(ListKind.FAILED), told)
+
+
+class Stopping(Process):
+    async def test_open_connections_serve_on_for_a_moment_and_in_time(self) -> None:
+        process = await self.start()
+        reader, writer = await self.terminal()
+        writer.write(post("a", "settle-shift", "8"))
+        await self.within(self.node.got.get())
+        self.node.go.set()
+        await self.within(read_http(reader))
+        process.send_signal(signal.SIGTERM)
+        await self.logged("asked to stop")
+        asked = asyncio.get_running_loop().time()
+        writer.write(post("b", "settle-shift", "8"))  # another scheduler may not be there to take it
+        first, headers, result = await self.within(read_http(reader))
+        self.assertEqual((first, headers.get("connection"), result), ("HTTP/1.1 200 OK", None, b"r:b"))
+        self.node.go.clear()
+        writer.write(post("c", "settle-shift", "8"))  # this one outlasts what the platform allows
+        self.assertIn("502", (await self.within(read_http(reader)))[0])
+        self.assertLess(asyncio.get_running_loop().time() - asked, 3.65)
+        self.assertEqual(await self.within(process.wait()), 0)
