--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -27,7 +27,9 @@
 PROBE_BURST = 12.0  # requests whose probes a node may save up
 PROBE_LOST_NS = 2_500 * NS_PER_MS  # a probe without a result is asked again after this
 WINDOW_NS = 500 * NS_PER_MS  # t_w: the span in which a controller closes the gap to the set-point
-AIM_PARTS = 4  # t_d is the shortest aim over this, so that waiting for a timer costs little of any aim
+AIM_PARTS = 16  # t_d is the shortest aim over this, so that waiting for a timer costs little of any aim
+OVERLAP = 12  # t_d at most that a job may have to wait in the worker it is sent to
+STRETCH_SHARE = 0.6  # of what the stretch gives beyond a mean running time, so much may be spent waiting
 LEARN = 0.1  # weight of a new value in a mean
 READING_LAG_NS = 700 * NS_PER_MS  # how old a reading's content is taken to be when own jobs are counted out
 UNTOLD = 0.6  # jobs taken to wait in a full worker whose readings do not tell
@@ -41,10 +43,10 @@
 WAIT_SHARE = 0.5  # share of the shortest aim that a job may lie unstarted before its worker counts as full
 MOST_RATE = 2.0  # N at most, in jobs that the worker can do in t_d: above it, one full reading takes all away
 CARRIED = 3.0  # jobs of credit a worker keeps while it is full: without them, it gets less than N on average
-HOPE_SHARE = 0.65  # a job that has waited this share of its aim is taken after those that have not
+HOPE_SHARE = 0.65  # a job that has waited this share of what it may is taken after those that have not
 PACE_PRIOR = 3.0  # jobs of ordinary pace that a worker is taken to have done before it has shown any
 PACE_MOST = 4.0  # expected times that one job counts at most: a heavy job is no slow worker
-CROWDED_PARTS = 2  # a queue whose head has waited this many t_d is crowded, and waits for no reading
+CROWDED_PARTS = 2  # a queue whose head has waited this many t_d is crowded
 FAIR_MEMORY = 0.02  # weight of one job in its class's share of jobs that start in time
 FIRES_MOST = 16  # timers a step serves: in a large fleet one is always due, and a node's CPU is small
 LOOK_AHEAD = 20  # queued jobs a worker looks at for one that it can take
@@ -128,8 +130,7 @@
     def __init__(self, entry: Listed, settings: Settings, t_d: int, due: int) -> None:
         self.id, self.entry, self.settings = entry.worker, entry, settings
         self.bearable = round(WAIT_SHARE * min(c.aim_ns for c in settings.classes))
-        self.control = Controller(t_d, settings.balancers)
-        self.due = due
+        self.control, self.due = Controller(t_d, settings.balancers), due
         self.out: dict[tuple[str, int], Attempt] = {}
         self.used_slots = self.used_memory = 0.0  # own jobs out
         self.running = 0.0  # own slots of jobs started
@@ -147,8 +148,7 @@
         self.news_at = due  # the latest sign of a job's life
         self.sends: list[tuple[int, float]] = []  # when, and what they cost, while it is cold
         self.suspect = self.dead = False  # dead: it cannot be reached
-        self.strikes = self.good = self.missed_probes = 0
-        self.trial_at = 0  # when the next trial may go
+        self.strikes = self.good = self.missed_probes = self.trial_at = 0  # the last: when a trial may go
 
     def count_own(self, now: int, slots: float = 0.0, memory: float = 0.0) -> None:
         """Count own jobs out, and keep the average that a reading, late as it is, has in it."""
@@ -249,8 +249,7 @@
         if not self.suspect:
             self.strikes = 0
             return False
-        self.good, self.trial_at = self.good + 1, 0
-        self.suspect = self.good < GOOD_TRIALS
+        self.good, self.trial_at, self.suspect = self.good + 1, 0, self.good + 1 < GOOD_TRIALS
         if not self.suspect:
             self.pace_time = self.pace_jobs = 0.0
         return not self.suspect
@@ -391,7 +390,8 @@
         if request.hint:
             mean = self.hints.get(cls.name, float(request.hint))
             self.hints[cls.name] = mean + LEARN * (request.hint - mean)
-        late = now + max(2 * self.t_d, round(HOPE_SHARE * cls.aim_ns))  # a round of timers first
+        may_wait = cls.aim_ns + STRETCH_SHARE * max(0.0, cls.stretch - 1.0) * self.expected(request)
+        late = now + max(2 * self.t_d, round(HOPE_SHARE * may_wait))  # a round of timers first
         self.probe_credit = min(PROBE_BURST, self.probe_credit + 1.0)
         self.enqueue(request)
         self.at(late, lambda then: self.turn_late(then, request), request)
@@ -604,9 +604,9 @@
         """One step of the worker's controller."""
         elapsed, worker.read_at = now - worker.read_at, now
         worker.move_on(now)
-        slots, t_p = self.slots(worker), self.time_per_job(worker)
-        trusted = not worker.suspect and not worker.unheard(now)
-        worker.control.resize(busy, elapsed, t_p, min(slots, MOST_RATE * self.t_d / t_p), trusted)
+        t_p, trusted = self.time_per_job(worker), not worker.suspect and not worker.unheard(now)
+        most = min(self.slots(worker), MOST_RATE * self.t_d / t_p)
+        worker.control.resize(busy, elapsed, t_p, most, trusted)
 
     def time_per_job(self, worker: Worker) -> float:
         """t_p: a worker's running time over its slots; the pooled mean until it has shown its own."""
@@ -638,7 +638,7 @@
             if self.asks:
                 self.ask(now, worker, near)
                 hope = worker.id in self.asked or self.probe_credit >= self.probe_cost
-                if hope and waited < CROWDED_PARTS * self.t_d:
+                if hope and waited < self.t_d:  # a probe answers sooner; any longer, idle workers stand by
                     return
             elif self.settings.readings is Via.NONE:
                 self.resize(now, worker, min(1.0, worker.used_slots * self.settings.balancers / slots))
@@ -663,7 +663,7 @@
                 continue
             waited = now - request.arrived
             over = worker.others + worker.used_slots + request.slots - slots - (0.5 if request.late else 0.0)
-            if over > 0 and over * t_p > min(waited, request.cls.aim_ns - waited, AIM_PARTS * self.t_d):
+            if over > 0 and over * t_p > min(waited, request.cls.aim_ns - waited, OVERLAP * self.t_d):
                 return  # nor for those behind it: else the patient class takes the room the head was denied
             taken = worker.others_memory + worker.used_memory + request.memory
             if request.memory and worker.out and taken > worker.most_memory > 0:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -67,9 +67,34 @@
     assert {s.request for s in sends(node.run(2 * S))} == {"q", "p3"}
 
 
+def test_a_job_that_its_stretch_lets_wait_keeps_its_place() -> None:
+    """At 130 ms, the larger part of its aim alone, it would go behind all others, though it may still wait
+    for 440 ms: on a busy fleet every second job would end late for want of a place in the queue."""
+    node = Node(only(SAFE), workers(1), free={1: 1.0})  # one slot; a job takes 400 ms, the stretch gives 800
+    node.arrive("w", "safe")
+    node.serve(sends(node.run(60 * MS))[0], run=400 * MS)
+    node.arrive("busy", "safe")
+    node.started(sends(node.run(60 * MS))[0])
+    node.arrive("first", "safe")
+    node.run(250 * MS)
+    node.arrive("second", "safe")
+    node.run(10 * MS)
+    node.ended(Send("busy", 1, 0), Outcome.OK, reading=Reading(free_slots=1.0))
+    assert [s.request for s in sends(node.run(30 * MS))] == ["first"]
+
+
 # --- readings ---------------------------------------------------------------------------------------
 
 
+def test_a_job_does_not_stand_by_idle_workers_for_a_reading() -> None:
+    """A probe answers in a few ms or not soon: to wait for 100 ms cost half of the shortest aim."""
+    node = Node(SITE, workers(1, 2))
+    node.answers_probes = False
+    node.run(2 * S)
+    node.arrive("r", "safe")
+    assert [s.request for s in sends(node.run(30 * MS))] == ["r"]
+
+
 def test_a_probe_whose_result_is_lost_is_asked_again() -> None:
     """Else one lost result would leave its worker unread for good; 2.5 s lie between the two questions."""
     node = Node(SITE, workers(1))
