--- a/tests/standins.py
+++ b/tests/standins.py
@@ -8,14 +8,14 @@
 import socket
 import struct
 import unittest
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
 import uvloop
 
 from hazelweir import Discovery, Effect, Group, JobClass, Limits, Settings, Via
 from hollowusher.app import serve
-from hollowusher.config import Config, StompConfig, StompNode
+from hollowusher.config import Config, StompConfig, StompNode, load
 from hollowusher.log import Log
 from tests.support import MS, S
 
@@ -291,6 +291,7 @@
             self.addAsyncCleanup(server.close)
 
     async def run_program(self, *nodes: HttpNode, stomp_nodes: tuple[StompNodeStandIn, ...] = (),
+                          again: asyncio.Event | None = None, read: Callable[[], Config] = load,
                           **stomp_config: Any) -> None:
         await self.started(*nodes, *stomp_nodes)
         for index, node in enumerate(nodes):
@@ -299,12 +300,12 @@
         listed = tuple(StompNode(f"stomp-{i}", ("127.0.0.1", n.port), "a", "k", 0, 1.0)
                        for i, n in enumerate(stomp_nodes))
         fields: dict[str, Any] = {"heart_beat_ms": 1000, **stomp_config}
-        config = Config(
+        self.config = Config(
             "n0", ("127.0.0.1", self.port), ("127.0.0.1", self.list.port), 1, 512, SETTINGS, MEANINGS, 0.25,
             30.0, {}, None, StompConfig(True, ("127.0.0.1", self.stomp_port), nodes=listed, **fields),
         )
         self.stop = asyncio.Event()
-        self.program = asyncio.create_task(serve(config, self.log, self.stop))
+        self.program = asyncio.create_task(serve(self.config, self.log, self.stop, again, read))
         self.addAsyncCleanup(self.end_program)
         await self.within(self.list.asked.get())
         for stomp_node in stomp_nodes:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import tempfile
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
@@ -15,7 +16,7 @@
 from hollowusher.core.model import NodeListTold
 from hollowusher.core.roster import Roster
 from hollowusher.fronts.platform.discovery import NodeListWatch
-from tests.standins import HttpNode, NodeList, SocketCase, free_port, post, read_http
+from tests.standins import HttpNode, NodeList, SocketCase, StompNodeStandIn, free_port, post, read_http
 from tests.support import S
 
 
@@ -166,3 +167,24 @@
         self.assertIn("502", (await self.within(read_http(reader)))[0])
         self.assertLess(asyncio.get_running_loop().time() - asked, 3.65)
         self.assertEqual(await self.within(process.wait()), 0)
+
+
+class StompReload(SocketCase):
+    async def test_session_its_job_and_the_ledger_outlast_a_new_configuration(self) -> None:
+        node = StompNodeStandIn("hold")
+        again, lists = asyncio.Event(), NodeList()
+        await self.started(lists)
+        await self.run_program(stomp_nodes=(node,), again=again, read=lambda: replace(
+            self.config, discovery=("127.0.0.1", lists.port)))
+        session = await self.stomp_terminal()
+        session.job("pay-1")
+        held = await self.within(node.got.get())
+        for _ in range(2):
+            again.set()
+            await asyncio.sleep(0)
+        await self.within(lists.asked.get())
+        node.finish(held)
+        self.assertEqual(await session.answer(), ("pay-1", "served", b"r:pay-1"))
+        session.job("pay-1", resend="true")  # the ledger is the same one
+        self.assertEqual(await session.answer(), ("pay-1", "served", b"r:pay-1"))
+        self.assertEqual((node.runs, len(node.sessions)), (["pay-1"], 1))
