--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -39,7 +39,7 @@
 TRIAL_FIRST_NS = 500 * NS_PER_MS  # wait for a suspect worker's first trial; four strikes double it at most
 GOOD_TRIALS = 3  # trials in a row that must succeed before a suspect worker gets bundles again
 SILENT_NOTES = 2.5  # progress notes that may be missing before a worker with running jobs is silent
-SILENT_RUNS = 6.0  # mean running times a job may sit unstarted, without any news, before its worker is silent
+SILENT_RUNS = 6.0  # mean running times, or a third of the above, that a job may sit unstarted without news
 WAIT_SHARE = 0.5  # share of the shortest aim that a job may lie unstarted before its worker counts as full
 MOST_RATE = 2.0  # N at most, in jobs that the worker can do in t_d: above it, one full reading takes all away
 CARRIED = 3.0  # jobs of credit a worker keeps while it is full: without them, it gets less than N on average
@@ -198,11 +198,11 @@
 
     def silent(self, now: int, run: float) -> bool:
         """Whether its jobs give no sign of life for longer than they should."""
-        quiet = now - self.news_at
-        if self.running > 0 and self.settings.progress_ns:
-            return quiet > SILENT_NOTES * self.settings.progress_ns
+        quiet, notes = now - self.news_at, SILENT_NOTES * (self.settings.progress_ns or math.inf)
+        if self.running > 0 and notes < math.inf:
+            return quiet > notes
         first = next((a for a in self.out.values() if a.started is None), None)
-        return first is not None and min(quiet, now - first.sent) > SILENT_RUNS * run
+        return first is not None and min(quiet, now - first.sent) > min(SILENT_RUNS * run, notes / 3)
 
     def pace(self, now: int) -> float:
         """How many times the expected time its jobs take: time run, also by those not finished, over jobs."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -369,6 +369,17 @@
     assert [s.worker for s in sends(node.run(2 * S))] == ([3 - first.worker] if again else [])
 
 
+def test_a_job_that_a_silent_worker_never_started_is_repeated_within_a_note_or_so() -> None:
+    """Six mean running times let a job of half a second sit for three, past all use, where the worker or the
+    way to it says nothing at all; notes come each second, so that a third of 2.5 of them tells enough."""
+    node = Node(only(SAFE), workers(1, 2), free={1: 2.0, 2: 2.0})
+    node.arrive("w", "safe")
+    node.serve(sends(node.run(100 * MS))[0], run=500 * MS)
+    node.arrive("a", "safe")
+    first = sends(node.run(100 * MS))[0]
+    assert [s.worker for s in sends(node.run(1500 * MS))] == [3 - first.worker]
+
+
 def test_nothing_more_goes_to_a_worker_that_does_not_start_what_it_has() -> None:
     """It reports ten free slots, but a job has lain there unstarted for longer than half the shortest aim."""
     node = Node(only(SAFE), workers(1), free={1: 10.0})
