--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -21,6 +21,7 @@
 from hollowusher.net.link import listen
 from hollowusher.net.owner import DeskOwner
 from hollowusher.net.pool import Pool
+from hollowusher.net.ring import ring_bytes
 from hollowusher.reload import Reloads
 
 SPARE_SOCKETS = 48  # for the log, the list, the listeners and the loop itself
@@ -40,7 +41,8 @@
     if config.stomp.enabled:
         sockets = max(16, sockets - config.stomp.most_terminals - 2 * len(config.stomp.nodes))
     to_nodes = int(sockets * NODE_SHARE)
-    pool = Pool(config.connect_timeout_s, config.idle_close_s, to_nodes)
+    ring = ring_bytes(config.memory_mb, config.sockets)
+    pool = Pool(config.connect_timeout_s, config.idle_close_s, to_nodes, ring)
     roster = Roster()
     floor = Floor(roster, pool, log)
     desk = DispatchDesk(config.settings, config.seed, time.monotonic_ns())
@@ -49,7 +51,8 @@
     floor.post, floor.watch = owner.post, watch.ask
     floor.nodes["platform"] = PlatformNodes(roster, pool, config.meanings, owner.post, log)
     classes, ids = {c.name: c for c in config.settings.classes}, JobIds()
-    terminals = PlatformTerminals(listen(config.listen), classes, sockets - to_nodes, ids, owner.post, log)
+    terminals = PlatformTerminals(
+        listen(config.listen), classes, sockets - to_nodes, ids, owner.post, log, ring)
     stomp = StompFront(config, roster, floor, ids, owner.post, log) if config.stomp.enabled else None
 
     again = again or asyncio.Event()
--- a/hollowusher/config.py
+++ b/hollowusher/config.py
@@ -68,6 +68,7 @@
     known: Mapping[str, Any]
     syslog: tuple[str, int] | None = None
     stomp: StompConfig = field(default_factory=StompConfig)
+    memory_mb: float = 192.0
 
 
 def address(key: str, text: object) -> tuple[str, int]:
@@ -159,7 +160,10 @@
         seed = int(str(seed), 16)
     except ValueError:
         raise ConfigError(f"seed: must be a hexadecimal number, is {seed!r}") from None
-    sockets = _get(_get(table, "limits", dict, {}), "sockets", int, 1024, "limits.")
+    limits = _get(table, "limits", dict, {})
+    sockets = _get(limits, "sockets", int, 1024, "limits.")
+    memory_mb = _get(limits, "memory_mb", float, 192.0, "limits.")
+    _within("limits.memory_mb", memory_mb, 16, 10_000_000)
     _within("limits.sockets", sockets, 64, 1_000_000)
     syslog = environ.get("HOLLOWUSHER_SYSLOG", "")
     forward = address("HOLLOWUSHER_SYSLOG", syslog) if syslog else None
@@ -180,6 +184,7 @@
         known=_get(table, "known", dict, {}),
         syslog=forward,
         stomp=load_stomp(stomp_file),
+        memory_mb=memory_mb,
     )
 
 
--- a/hollowusher/fronts/platform/terminals.py
+++ b/hollowusher/fronts/platform/terminals.py
@@ -18,6 +18,7 @@
 from hollowusher.fronts.platform.http import BadInput, Request, RequestReader, answer_head
 from hollowusher.log import Log
 from hollowusher.net.link import Link
+from hollowusher.net.ring import MOST_BYTES
 
 IDLE_S = 300.0  # an idle connection is kept, since opening one costs the terminal time
 SEND_S = 10.0  # how long one answer may take to be read
@@ -270,9 +271,9 @@
 
     def __init__(
         self, listener: socket.socket, classes: Mapping[str, JobClass], most: int, ids: JobIds,
-        post: Callable[[DeskEvent], None], log: Log,
+        post: Callable[[DeskEvent], None], log: Log, ring: int = MOST_BYTES,
     ) -> None:
-        self._listener, self._most, self.ids = listener, most, ids
+        self._listener, self._most, self.ids, self._ring = listener, most, ids, ring
         self.classes, self.post, self.log = classes, post, log
         self.closing = False  # whether connections end after the answer that is due on them
         self.last_answer_ns: int | None = None  # once a stop is asked for: by when what is taken is answered
@@ -297,7 +298,7 @@
             self.log.warning("terminals-full", "no connection to spare for a terminal", most=self._most)
             sock.close()
             return
-        session = TerminalSession(self, Link(sock))
+        session = TerminalSession(self, Link(sock, self._ring))
         self._sessions[session] = None
         session.task = asyncio.create_task(session.run())
 
--- a/hollowusher/net/link.py
+++ b/hollowusher/net/link.py
@@ -7,20 +7,19 @@
 import socket
 from collections.abc import Callable
 
-from hollowusher.net.ring import RingBuffer
+from hollowusher.net.ring import MOST_BYTES, RingBuffer
 
-RING_BYTES = 16 * 1024
 LINGER_PACE_S = 0.002  # between two receives of bytes that nobody wants
 
 
 class Link:
     """Bytes in and out.  One task may receive while another sends; sends are kept in order by a lock."""
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, ring: int = MOST_BYTES) -> None:
         self._sock = sock
         self._loop = asyncio.get_running_loop()
-        self.inbound = RingBuffer(RING_BYTES)
-        self._outbound = RingBuffer(RING_BYTES)
+        self.inbound = RingBuffer(ring)
+        self._outbound = RingBuffer(ring)
         self._sending = asyncio.Lock()
         self.closed = False
         self.used_at = self._loop.time()
@@ -86,9 +85,11 @@
             self.closed = True
             with contextlib.suppress(OSError):
                 self._sock.close()
+            self.inbound.release()
+            self._outbound.release()
 
 
-async def connect(address: tuple[str, int], timeout_s: float) -> Link:
+async def connect(address: tuple[str, int], timeout_s: float, ring: int = MOST_BYTES) -> Link:
     """Open a connection; OSError, of which TimeoutError is one, where it does not come up in time."""
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -96,7 +97,7 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         async with asyncio.timeout(timeout_s):
             await asyncio.get_running_loop().sock_connect(sock, address)
-        return Link(sock)
+        return Link(sock, ring)
     except BaseException:
         sock.close()
         raise
--- a/hollowusher/net/pool.py
+++ b/hollowusher/net/pool.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from hollowusher.net.link import Link, connect
+from hollowusher.net.ring import MOST_BYTES
 
 IDLE_SHARE = 0.7  # of the node's idle time: a request written once the node has closed ends as a reset
 
@@ -16,10 +17,12 @@
 class Pool:
     """Connections to all nodes, by node; the newest idle one is used first so that others can age out."""
 
-    def __init__(self, connect_timeout_s: float, idle_close_s: float, most: int) -> None:
+    def __init__(
+        self, connect_timeout_s: float, idle_close_s: float, most: int, ring: int = MOST_BYTES
+    ) -> None:
         self._connect_timeout_s = connect_timeout_s
         self._idle_s = idle_close_s * IDLE_SHARE
-        self._most = most
+        self._most, self._ring = most, ring
         self._idle: dict[int, list[Link]] = {}
         self._held = 0
 
@@ -42,7 +45,7 @@
             raise NoRoom("no connection to spare")
         self._held += 1
         try:
-            return await connect(address, self._connect_timeout_s)
+            return await connect(address, self._connect_timeout_s, self._ring)
         except BaseException:
             self._held -= 1
             raise
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import socket
 import unittest
 import unittest.mock
@@ -17,7 +18,8 @@
 from hollowusher.fronts.stomp.frames import FROM_CLIENT, FROM_SERVER, Frame, FrameError, FrameReader, encode
 from hollowusher.fronts.stomp.wire import read_beat
 from hollowusher.log import Log, escape, message
-from hollowusher.net.ring import RingBuffer
+from hollowusher.net.link import Link
+from hollowusher.net.ring import RingBuffer, ring_bytes
 from tests.standins import MEANINGS, post
 from tests.support import S
 
@@ -221,6 +223,31 @@
 
 
 class Rings(unittest.TestCase):
+    def test_size_follows_the_limits(self) -> None:
+        cases = {(192, 256): 16_384, (80, 384): 8_192, (64, 1024): 4_096, (16, 4096): 2_048}
+        for (memory_mb, sockets), expected in cases.items():
+            self.assertEqual(ring_bytes(memory_mb, sockets), expected)
+
+    def test_memory_is_taken_at_first_use_and_given_back(self) -> None:
+        ring = RingBuffer(8)
+        ring.put(b"abc")
+        ring.release()
+        self.assertEqual((ring.size, ring.pending().obj), (0, b""))
+        self.assertEqual(ring.put(b"123456789"), 8)
+
+    def test_closed_connection_holds_no_memory(self) -> None:
+        async def closed() -> int:
+            ours, theirs = socket.socketpair()
+            with theirs:
+                ours.setblocking(False)
+                link = Link(ours)
+                theirs.sendall(b"x")
+                await link.fill()
+                link.close()
+            return link.inbound.size
+
+        self.assertEqual(asyncio.run(closed()), 0)
+
     def test_bytes_keep_their_order_round_the_end(self) -> None:
         ring, sent, got = RingBuffer(7), bytes(range(200)), b""
         at = 0
