--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -5,9 +5,13 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
+import subprocess
 import sys
 import tempfile
+import tomllib
+import unittest
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -72,6 +76,20 @@
         return line
 
 
+class Build(unittest.TestCase):
+    def test_build_leaves_the_code_compiled_for_a_quick_return(self) -> None:
+        """After a restart others wait for `ready`, and the platform's file system keeps no cache."""
+        root = Path(__file__).parent.parent
+        deploy = tomllib.loads((root / "deploy" / "balancer.toml").read_text())
+        step = deploy["build"].rpartition("&&")[2].split()[1:]
+        with tempfile.TemporaryDirectory() as copy:
+            for name in ("hazelweir", "hollowusher"):
+                shutil.copytree(root / name, Path(copy) / name, ignore=shutil.ignore_patterns("__pycache__"))
+            subprocess.run([sys.executable, *step], cwd=copy, check=True)
+            sources = {f.stem for f in Path(copy).rglob("*.py")}
+            self.assertEqual({f.name.partition(".")[0] for f in Path(copy).rglob("*.pyc")}, sources)
+
+
 class Reload(Process):
     async def test_new_discovery_is_watched_and_nothing_open_is_lost(self) -> None:
         process = await self.start()
