Let log lines leave by a bounded queue, so that a stalled reader holds up nobody

Need: with standard error on a full pipe the program hung in print after some 30 lines and answered nobody, neither /-/ready nor jobs, and SIGTERM did not end it.

What finds no room is counted and said in its place by `log-dropped`. The end of the program gives the reader half a second. Faults that asyncio would print itself go the same way (`loop-fault`).

--- a/hollowusher/__main__.py
+++ b/hollowusher/__main__.py
@@ -19,7 +19,9 @@
     try:
         config = load()
     except ConfigError as wrong:
-        Log("-").error("config", str(wrong))
+        log = Log("-")
+        log.error("config", str(wrong))
+        log.close()
         return 2
     log = Log(config.name, forward=config.syslog)
     uvloop.run(serve(config, log))
--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -37,6 +37,9 @@
 
     The events are set by SIGTERM and SIGHUP, unless the caller brings its own.
     """
+    # Unheard faults would be printed by the library on this thread, where a stalled reader stops everything.
+    asyncio.get_running_loop().set_exception_handler(lambda _, told: log.error(
+        "loop-fault", str(told.get("message", "")), fault=repr(told.get("exception"))))
     sockets = config.sockets - SPARE_SOCKETS
     if config.stomp.enabled:
         sockets = max(16, sockets - config.stomp.most_terminals - 2 * len(config.stomp.nodes))
--- a/hollowusher/log.py
+++ b/hollowusher/log.py
@@ -8,15 +8,18 @@
 import contextlib
 import os
 import socket
-import sys
 import time
 from collections.abc import Callable
 from datetime import UTC, datetime
 
+from hollowusher.logs.outlet import Outlet
+
 _FACILITY = 16  # local0
 _ERROR, _WARNING, _NOTICE, _INFO = 3, 4, 5, 6
 _SD_ID = "job@32473"  # the number that RFC 5612 sets aside for documentation
 _MOST_TEXT = 1024
+STANDARD_ERROR = 2
+LAST_LINES_S = 0.5  # how long a stalled reader of the last lines may hold up the end of the program
 
 
 def escape(value: str) -> str:
@@ -46,13 +49,17 @@
 
 
 class Log:
-    """Prints lines, each message id at most so often; says how many were left out."""
+    """Prints lines, each message id at most so often; says how many were left out.
+
+    Lines leave by a queue off the caller's thread: no reader, however slow, holds up a job."""
 
     def __init__(
         self, host: str, per_s: float = 5.0, burst: float = 20.0,
         forward: tuple[str, int] | None = None, clock: Callable[[], float] = time.monotonic,
+        outlet: Outlet | None = None,
     ) -> None:
         self._host, self._per_s, self._burst, self._clock = host, per_s, burst, clock
+        self._outlet = outlet or Outlet(STANDARD_ERROR, self._dropped)
         self._spare: dict[str, tuple[float, float, int]] = {}  # id: tokens, when counted, left out
         self._forward: socket.socket | None = None
         if forward is not None:
@@ -77,7 +84,8 @@
         self._write(_INFO, msg_id, text, fields)
 
     def close(self) -> None:
-        """End the forwarding."""
+        """End the forwarding, and give the reader of the last lines a moment."""
+        self._outlet.close(LAST_LINES_S)
         if self._forward is not None:
             self._forward.close()
             self._forward = None
@@ -94,8 +102,11 @@
         if left_out:
             shown["left-out"] = str(left_out)
         line = message(severity, datetime.now(UTC), self._host, msg_id, text, shown)
-        with contextlib.suppress(OSError):  # a full or closed log must not stop the jobs
-            print(line, file=sys.stderr, flush=True)
+        self._outlet.put(line)
         if self._forward is not None:
             with contextlib.suppress(OSError):  # the receiver is away; the line stands on standard error
                 self._forward.send(line.encode())
+
+    def _dropped(self, count: int) -> str:
+        return message(_WARNING, datetime.now(UTC), self._host, "log-dropped",
+                       "the reader of this log stalled; lines were dropped", {"lines": str(count)})
--- /dev/null
+++ b/hollowusher/logs/__init__.py
@@ -0,0 +1,1 @@
+"""Where log lines go: outlets that never hold up the jobs."""
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -17,6 +17,7 @@
 from hollowusher.fronts.platform.nodes import settled
 from hollowusher.fronts.stomp.frames import FROM_CLIENT, FROM_SERVER, Frame, FrameError, FrameReader, encode
 from hollowusher.fronts.stomp.wire import read_beat
+from hollowusher.logs.outlet import Outlet
 from hollowusher.log import Log, escape, message
 from hollowusher.net.link import Link
 from hollowusher.net.ring import RingBuffer, ring_bytes
@@ -277,20 +278,20 @@
             receiver.bind(("127.0.0.1", 0))
             receiver.settimeout(5)
             log = Log("h", forward=receiver.getsockname())
-            with unittest.mock.patch("builtins.print") as printed:
+            with unittest.mock.patch.object(Outlet, "put") as put:
                 log.warning("list-broken", "gone", why="x")
-            self.assertEqual(receiver.recv(4096).decode(), printed.call_args.args[0])
+            self.assertEqual(receiver.recv(4096).decode(), put.call_args.args[0])
             log.close()
 
     def test_lines_are_limited_and_counted(self) -> None:
         now = [0.0]
         log = Log("h", per_s=1.0, burst=2.0, clock=lambda: now[0])
-        with unittest.mock.patch("builtins.print") as printed:
+        with unittest.mock.patch.object(Outlet, "put") as put:
             for _ in range(5):
                 log.info("a", "text")
             log.info("b", "another id has a measure of its own")
             now[0] = 1.0
             log.info("a", "text")
-        lines = [call.args[0] for call in printed.call_args_list]
+        lines = [call.args[0] for call in put.call_args_list]
         self.assertEqual(len(lines), 4)
         self.assertIn('left-out="3"', lines[-1])
