Read deploy/hollowusher.conf: line-based settings with faults by file and line

Need: several subsystems will be switched on and set by operators; a TOML file for STOMP alone named its faults by key only, and each new part would have brought a reader of its own.

--- a/hollowusher/__main__.py
+++ b/hollowusher/__main__.py
@@ -8,8 +8,9 @@
 import uvloop
 
 from hollowusher.app import serve
-from hollowusher.config import ConfigError, load
+from hollowusher.config import load
 from hollowusher.log import Log
+from hollowusher.settings.model import ConfigError
 
 
 def main() -> int:
--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -16,7 +16,6 @@
 from hollowusher.fronts.platform.discovery import NodeListWatch
 from hollowusher.fronts.platform.nodes import PlatformNodes
 from hollowusher.fronts.platform.terminals import PlatformTerminals
-from hollowusher.fronts.stomp import StompFront
 from hollowusher.log import Log
 from hollowusher.net.link import listen
 from hollowusher.net.owner import DeskOwner
@@ -56,7 +55,11 @@
     classes, ids = {c.name: c for c in config.settings.classes}, JobIds()
     terminals = PlatformTerminals(
         listen(config.listen), classes, sockets - to_nodes, ids, owner.post, log, ring)
-    stomp = StompFront(config, roster, floor, ids, owner.post, log) if config.stomp.enabled else None
+    stomp = None
+    if config.stomp.enabled:  # what is off is not imported either
+        from hollowusher.fronts.stomp.front import StompFront
+
+        stomp = StompFront(config, roster, floor, ids, owner.post, log)
 
     again = again or asyncio.Event()
     if stop is None:
--- a/hollowusher/config.py
+++ b/hollowusher/config.py
@@ -8,7 +8,6 @@
 
 import json
 import os
-import tomllib
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -16,40 +15,14 @@
 
 from hazelweir.adapter import WireError, read_settings
 from hazelweir.interface import NS_PER_S, Settings
+from hollowusher.fronts.stomp.settings import STOMP, STOMP_NODE, StompConfig, read_stomp
+from hollowusher.net.http2.settings import HTTP2, Http2Config, read_http2
+from hollowusher.settings.model import ConfigError, parse_address
+from hollowusher.settings.reader import read_file
 
 T = TypeVar("T")
-STOMP_FILE = Path(__file__).parent.parent / "deploy" / "stomp.toml"
-
-
-class ConfigError(Exception):
-    """A value that cannot be used; the text begins with its key."""
-
-
-@dataclass(frozen=True, slots=True)
-class StompNode:
-    """A route node that speaks STOMP, as the file lists it."""
-
-    name: str
-    address: tuple[str, int]
-    zone: str
-    kind: str
-    cell: int
-    size: float
-
-
-@dataclass(frozen=True, slots=True)
-class StompConfig:
-    """The STOMP front: where it listens, its limits, its route nodes."""
-
-    enabled: bool = False
-    listen: tuple[str, int] = ("127.0.0.1", 61613)
-    heart_beat_ms: int = 10_000
-    most_terminals: int = 200
-    ledger_jobs: int = 4_096
-    ledger_bytes: int = 16 * 1024 * 1024
-    settle_window_s: float = 3_600.0
-    keep_s: float = 120.0
-    nodes: tuple[StompNode, ...] = ()
+SETTINGS_FILE = Path(__file__).parent.parent / "deploy" / "hollowusher.conf"
+SECTIONS = (STOMP, STOMP_NODE, HTTP2)  # of the settings file, in the order of docs/settings.md
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,14 +42,15 @@
     syslog: tuple[str, int] | None = None
     stomp: StompConfig = field(default_factory=StompConfig)
     memory_mb: float = 192.0
+    http2: Http2Config = field(default_factory=Http2Config)
 
 
 def address(key: str, text: object) -> tuple[str, int]:
     """host:port."""
-    host, sep, port = str(text).rpartition(":")
-    if not sep or not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ConfigError(f"{key}: must be host:port, is {text!r}")
-    return host.strip("[]"), int(port)
+    try:
+        return parse_address(str(text))
+    except ValueError:
+        raise ConfigError(f"{key}: must be host:port, is {text!r}") from None
 
 
 def _get(table: Mapping[str, Any], key: str, kind: type[T], default: T, where: str = "") -> T:
@@ -130,13 +104,14 @@
 
 
 def load(
-    environ: Mapping[str, str] = os.environ, stomp_file: Path = STOMP_FILE, again: bool = False
+    environ: Mapping[str, str] = os.environ, settings_file: Path | None = None, again: bool = False
 ) -> Config:
-    """The configuration from the platform's file, the environment over it, and the STOMP file.
+    """The configuration from the platform's file, the environment over it, and the settings file.
 
     Read `again`, the file comes first for the node list's address: the environment still has the one from
     the start.
     """
+    sheet = read_file(settings_file or Path(environ.get("HOLLOWUSHER_CONF") or SETTINGS_FILE), SECTIONS)
     path = environ.get("PROXY_CONFIG", "")
     if not path:
         raise ConfigError("PROXY_CONFIG: must name the configuration file")
@@ -183,58 +158,7 @@
         idle_close_s=_span_s(pairs, "caps.idle_close_ns", 30.0),
         known=_get(table, "known", dict, {}),
         syslog=forward,
-        stomp=load_stomp(stomp_file),
+        stomp=read_stomp(sheet),
         memory_mb=memory_mb,
+        http2=read_http2(sheet),
     )
-
-
-def load_stomp(path: Path) -> StompConfig:
-    """The STOMP front's file; an absent one leaves the front off."""
-    try:
-        table = tomllib.loads(path.read_text())
-    except FileNotFoundError:
-        return StompConfig()
-    except (OSError, ValueError) as wrong:
-        raise ConfigError(f"{path.name}: {wrong}") from None
-    known = {"enabled", "listen", "heart_beat_ms", "most_terminals", "ledger_jobs", "ledger_bytes",
-             "settle_window_s", "keep_s", "nodes"}
-    for key in table:
-        if key not in known:
-            raise ConfigError(f"{path.name}: {key}: is not a key of this file")
-    base, where = StompConfig(), f"{path.name}: "
-    config = StompConfig(
-        enabled=_get(table, "enabled", bool, base.enabled, where),
-        listen=address(f"{where}listen", table.get("listen", "127.0.0.1:61613")),
-        heart_beat_ms=_get(table, "heart_beat_ms", int, base.heart_beat_ms, where),
-        most_terminals=_get(table, "most_terminals", int, base.most_terminals, where),
-        ledger_jobs=_get(table, "ledger_jobs", int, base.ledger_jobs, where),
-        ledger_bytes=_get(table, "ledger_bytes", int, base.ledger_bytes, where),
-        settle_window_s=_get(table, "settle_window_s", float, base.settle_window_s, where),
-        keep_s=_get(table, "keep_s", float, base.keep_s, where),
-        nodes=tuple(_stomp_node(f"{where}nodes[{i}].", n)
-                    for i, n in enumerate(_get(table, "nodes", list, [], where))),
-    )
-    _within(f"{where}heart_beat_ms", config.heart_beat_ms, 0, 600_000)
-    _within(f"{where}most_terminals", config.most_terminals, 1, 400)
-    _within(f"{where}ledger_jobs", config.ledger_jobs, 1, 100_000)
-    _within(f"{where}ledger_bytes", config.ledger_bytes, 1 << 17, 64 << 20)
-    _within(f"{where}settle_window_s", config.settle_window_s, 1, 86_400)
-    _within(f"{where}keep_s", config.keep_s, 1, 86_400)
-    if len({n.name for n in config.nodes}) != len(config.nodes):
-        raise ConfigError(f"{where}nodes: names must differ")
-    return config
-
-
-def _stomp_node(where: str, table: object) -> StompNode:
-    if not isinstance(table, dict):
-        raise ConfigError(f"{where}: must be a table")
-    name = _get(table, "name", str, "", where)
-    if not name:
-        raise ConfigError(f"{where}name: must not be empty")
-    node = StompNode(
-        name, address(f"{where}address", table.get("address", "")), _get(table, "zone", str, "", where),
-        _get(table, "kind", str, "", where), _get(table, "cell", int, 0, where),
-        _get(table, "size", float, 1.0, where),
-    )
-    _within(f"{where}size", node.size, 0.001, 1_000_000)
-    return node
--- /dev/null
+++ b/hollowusher/fronts/stomp/front.py
@@ -0,0 +1,45 @@
+"""Both halves of the STOMP front, put together; imported only where the settings enable it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from hazelweir.interface import Listed
+from hollowusher.config import Config
+from hollowusher.core.model import DeskEvent
+from hollowusher.core.roster import Roster, RouteNode
+from hollowusher.floor import Floor
+from hollowusher.fronts.common import JobIds
+from hollowusher.fronts.stomp.nodes import StompNodes
+from hollowusher.fronts.stomp.terminals import StompTerminals
+from hollowusher.log import Log
+from hollowusher.net.link import listen
+
+
+class StompFront:
+    """Both halves of the front, where the settings file enables it."""
+
+    def __init__(
+        self, config: Config, roster: Roster, floor: Floor, ids: JobIds, post: Callable[[DeskEvent], None],
+        log: Log,
+    ) -> None:
+        stomp = config.stomp
+        self._listed = []
+        for n in stomp.nodes:
+            entry = Listed(roster.number(n.name), n.zone, n.kind, n.cell, size=n.size)
+            self._listed.append(RouteNode(n.name, n.address, entry, front="stomp"))
+            roster.fix(self._listed[-1])
+        self.nodes = StompNodes(
+            roster, config.meanings, post, log, config.name, stomp.heart_beat_ms, config.connect_timeout_s
+        )
+        floor.nodes["stomp"] = self.nodes
+        classes = {c.name: c for c in config.settings.classes}
+        limits = config.settings.limits
+        max_wait_ns = limits.max_retry_after_ns if limits.retry_after else 0
+        self.terminals = StompTerminals(listen(stomp.listen), classes, stomp, max_wait_ns, ids, post, log)
+
+    def start(self) -> asyncio.Task[None]:
+        """Connect to the nodes and accept terminals; the task that accepts."""
+        self.nodes.start(self._listed)
+        return asyncio.create_task(self.terminals.accept())
--- a/hollowusher/fronts/stomp/terminals.py
+++ b/hollowusher/fronts/stomp/terminals.py
@@ -17,7 +17,7 @@
 from functools import partial
 
 from hazelweir.interface import Effect, JobClass
-from hollowusher.config import StompConfig
+from hollowusher.fronts.stomp.settings import StompConfig
 from hollowusher.core.model import Answer, DeskEvent, Job, JobTaken, TerminalGone, Verdict
 from hollowusher.fronts.common import (
     FIRST_S, REQUEST_S, TRAVEL_NS, JobIds, printable, read_budget_ns,
--- a/hollowusher/reload.py
+++ b/hollowusher/reload.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 from dataclasses import fields
 
-from hollowusher.config import Config, ConfigError
+from hollowusher.config import Config
+from hollowusher.settings.model import ConfigError
 from hollowusher.log import Log
 
 FOLLOWED = ("discovery",)
--- /dev/null
+++ b/hollowusher/settings/model.py
@@ -0,0 +1,192 @@
+"""What a subsystem declares of its settings: sections, directives, and the kinds of value they take.
+
+A kind turns the words that follow a directive into a value, and says in one phrase what it wants, so that a
+fault can name what was read and what would be right.
+"""
+
+from __future__ import annotations
+
+import math
+import re
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from typing import Any
+
+_SPANS = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0}
+_SIZES = {"B": 1, "KiB": 1024, "MiB": 1024 * 1024}
+_WITH_UNIT = re.compile(r"([0-9]+(?:\.[0-9]+)?)([A-Za-z]*)")
+_SWITCH = {"yes": True, "on": True, "no": False, "off": False}
+
+
+class ConfigError(Exception):
+    """A value that cannot be used; the text names the key, and file and line where there are any."""
+
+
+class SettingsError(ConfigError):
+    """A fault of the settings file: where it stands, and what is wanted there."""
+
+    def __init__(self, file: str, line: int, why: str) -> None:
+        super().__init__(f"{file}:{line}: {why}")
+        self.file, self.line, self.why = file, line, why
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """How a value is written.  `read` raises ValueError where the words are none of this kind."""
+
+    wants: str
+    read: Callable[[Sequence[str]], Any]
+    show: Callable[[Any], str] = str
+    gathers: bool = False  # whether further lines of the directive add to the value
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """host:port, the host in brackets where it holds colons; ValueError where it is none."""
+    host, sep, port = text.rpartition(":")
+    if not sep or not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(text)
+    return host.strip("[]"), int(port)
+
+
+def show_span(seconds: float) -> str:
+    """A span in the largest unit that shows it whole."""
+    for unit in ("h", "m", "s"):
+        if seconds >= _SPANS[unit] and math.isclose(seconds % _SPANS[unit], 0.0):
+            return f"{seconds / _SPANS[unit]:.12g}{unit}"
+    return f"{seconds * 1000:.12g}ms"
+
+
+def show_size(size: float) -> str:
+    """A size in the largest unit that shows it whole."""
+    for unit in ("MiB", "KiB"):
+        if size >= _SIZES[unit] and size % _SIZES[unit] == 0:
+            return f"{int(size) // _SIZES[unit]}{unit}"
+    return f"{size:.0f}B"
+
+
+def _one(words: Sequence[str]) -> str:
+    if len(words) != 1:
+        raise ValueError("one word is wanted")
+    return words[0]
+
+
+def _ranged(
+    wants: str, parse: Callable[[str], float], show: Callable[[float], str], least: float, most: float
+) -> Kind:
+    def read(words: Sequence[str]) -> float:
+        value = parse(_one(words))
+        if not least <= value <= most:
+            raise ValueError("out of range")
+        return value
+
+    return Kind(f"{wants} between {show(least)} and {show(most)}", read, show)
+
+
+def _with_unit(units: dict[str, float] | dict[str, int]) -> Callable[[str], float]:
+    def parse(text: str) -> float:
+        match = _WITH_UNIT.fullmatch(text)
+        if match is None or (match[2] not in units and float(match[1]) != 0):
+            raise ValueError(text)
+        return float(match[1]) * units.get(match[2], 0)
+
+    return parse
+
+
+def _whole(text: str) -> int:
+    if not re.fullmatch(r"-?[0-9]{1,18}", text):
+        raise ValueError(text)
+    return int(text)
+
+
+def _number(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise ValueError(text)
+    return value
+
+
+def switch() -> Kind:
+    """yes or no, also on or off."""
+
+    def read(words: Sequence[str]) -> bool:
+        if (word := _one(words)) not in _SWITCH:
+            raise ValueError(word)
+        return _SWITCH[word]
+
+    return Kind("yes or no", read, lambda value: "yes" if value else "no")
+
+
+def count(least: int, most: int) -> Kind:
+    """A whole number."""
+    return _ranged("a whole number", _whole, lambda value: f"{value:.0f}", least, most)
+
+
+def number(least: float, most: float) -> Kind:
+    """A number, with decimals or without."""
+    return _ranged("a number", _number, lambda value: f"{value:.12g}", least, most)
+
+
+def span(least_s: float, most_s: float) -> Kind:
+    """A span of time, kept in seconds: 250ms, 10s, 2m, 1h."""
+    return _ranged("a span such as 250ms, 10s or 2m", _with_unit(_SPANS), show_span, least_s, most_s)
+
+
+def size(least: int, most: int) -> Kind:
+    """An amount of memory, kept in bytes: 512B, 64KiB, 16MiB."""
+    kind = _ranged("a size such as 64KiB or 16MiB", _with_unit(_SIZES), show_size, least, most)
+    return Kind(kind.wants, lambda words: int(kind.read(words)), show_size)
+
+
+def address() -> Kind:
+    """host:port."""
+    return Kind("host:port", lambda words: parse_address(_one(words)),
+                lambda value: f"{value[0]}:{value[1]}" if value else "")
+
+
+def word(most: int = 128) -> Kind:
+    """One word of visible characters."""
+
+    def read(words: Sequence[str]) -> str:
+        text = _one(words)
+        if not text or len(text) > most or not text.isprintable():
+            raise ValueError(text)
+        return text
+
+    return Kind(f"one word of at most {most} characters", read)
+
+
+def words(most: int = 64) -> Kind:
+    """Some words; further lines of the directive add to them."""
+
+    def read(given: Sequence[str]) -> tuple[str, ...]:
+        if not 1 <= len(given) <= most:
+            raise ValueError("too few or too many")
+        return tuple(given)
+
+    return Kind(f"one to {most} words", read, " ".join, gathers=True)
+
+
+@dataclass(frozen=True, slots=True)
+class Directive:
+    """One directive: its name, what it takes, what holds without it, and one line of help."""
+
+    name: str
+    kind: Kind
+    default: Any
+    help: str
+    needed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Section:
+    """A section of the file.  A `titled` one comes as [name TITLE], any number of times; others once."""
+
+    name: str
+    help: str
+    directives: tuple[Directive, ...]
+    titled: bool = False
+    by_name: dict[str, Directive] = field(default_factory=dict, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        """Index the directives."""
+        self.by_name.update({d.name: d for d in self.directives})
--- /dev/null
+++ b/hollowusher/settings/page.py
@@ -0,0 +1,26 @@
+"""The operators' tables of directives, made of the same data that the reader uses."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from hollowusher.settings.model import Directive, Section
+
+
+def tables(sections: Iterable[Section]) -> str:
+    """One Markdown table a section."""
+    return "\n".join(_table(section) for section in sections)
+
+
+def _table(section: Section) -> str:
+    head = f"[{section.name} TITLE]" if section.titled else f"[{section.name}]"
+    rows = [f"### `{head}`", "", section.help, ""]
+    rows += ["| directive | takes | default | |", "| --- | --- | --- | --- |"]
+    rows += [_row(directive) for directive in section.directives]
+    return "\n".join([*rows, ""])
+
+
+def _row(directive: Directive) -> str:
+    shown = directive.kind.show(directive.default) if directive.default not in (None, "", ()) else ""
+    default = "needed" if directive.needed else f"`{shown}`" if shown else "none"
+    return f"| `{directive.name}` | {directive.kind.wants} | {default} | {directive.help} |"
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -15,7 +15,8 @@
 
 from hazelweir import Discovery, Effect, Group, JobClass, Limits, Settings, Via
 from hollowusher.app import serve
-from hollowusher.config import Config, StompConfig, StompNode, load
+from hollowusher.config import Config, load
+from hollowusher.fronts.stomp.settings import StompConfig, StompNode
 from hollowusher.log import Log
 from tests.support import MS, S
 
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -12,7 +12,7 @@
 from unittest import mock
 
 from hazelweir import Effect, Limits, Listed, ListKind, Outcome
-from hollowusher.config import ConfigError, flatten, load, load_stomp
+from hollowusher.config import flatten, load
 from hollowusher.core.desk import DispatchDesk
 from hollowusher.core.model import (
     Answer,
@@ -35,6 +35,7 @@
 )
 from hollowusher.fronts.stomp.ledger import Finding, Ledger, fingerprint
 from hollowusher.log import Log
+from hollowusher.settings.model import ConfigError
 from hollowusher.net.owner import DeskOwner
 from tests.standins import SETTINGS
 from tests.support import MS, S
@@ -213,7 +214,7 @@
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "c.json"
             path.write_text(json.dumps(self.table))
-            return load({"PROXY_CONFIG": str(path), **environ}, Path(folder) / "stomp.toml")
+            return load({"PROXY_CONFIG": str(path), **environ}, Path(folder) / "hollowusher.conf")
 
     def test_values_and_defaults(self) -> None:
         self.table = GOOD
@@ -249,25 +250,3 @@
                 self.load(**{name: value})
         with self.assertRaisesRegex(ConfigError, "^PROXY_CONFIG:"):
             load({})
-
-    def test_stomp_file(self) -> None:
-        path = Path(__file__).parent.parent / "deploy" / "stomp.toml"
-        self.assertFalse(load_stomp(path).enabled)
-        cases = {
-            "enabled = 1": "enabled",
-            "listen = 'x'": "listen",
-            "heart_beat_ms = -1": "heart_beat_ms",
-            "ledger_jobs = 0": "ledger_jobs",
-            "nodes = [1]": r"nodes\[0\]",
-            "colour = 'red'": "colour",
-            "[[nodes]]\naddress = '127.0.0.1:1'": r"nodes\[0\]\.name",
-            "most_terminals = 1.5": "most_terminals",
-            "[[nodes]]\nname = 'a'\naddress = '1'": r"nodes\[0\]\.address",
-            "enabled =": "",
-        }
-        with tempfile.TemporaryDirectory() as folder:
-            file = Path(folder) / "stomp.toml"
-            for text, key in cases.items():
-                file.write_text(text)
-                with self.assertRaisesRegex(ConfigError, f"^stomp.toml: {key}", msg=text):
-                    load_stomp(file)
