Carry jobs to route nodes over HTTP/2: pure stream book, h2 on our links, scripted node

Need: each job in flight holds a connection of its own, each new one costs the node a handshake, and a scheduler may hold only so many descriptors. Nodes that offer HTTP/2 shall take many jobs on few connections.

Change: rules/streams.py decides which connection, when another is opened, how long a job waits and when a connection retires; rules/stream_ends.py what certainly never ran; rules/pulse.py liveness and floods; all free of I/O and clock. net/http2 carries it out with h2 on our links; fronts/platform/http2.py turns streams into desk events and shares the line reader with HTTP/1.1 (fronts/platform/answers.py). hollowusher/emulator/http2node.py is the scripted node. Nodes that vanish from a whole list now lose their idle connections too. Off on the platform, where h2 is not imported.

--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -49,14 +49,23 @@
     floor = Floor(roster, pool, log)
     desk = DispatchDesk(config.settings, config.seed, time.monotonic_ns())
     owner = DeskOwner(desk, floor.carry_out, log)
-    watch = NodeListWatch(config.discovery, roster, owner.post, floor.changed, log)
+    watch = NodeListWatch(
+        config.discovery, roster, owner.post, floor.changed, log,
+        lambda name, kind: "http2" if config.http2.speaks(name, kind) else "platform")
     floor.post, floor.watch = owner.post, watch.ask
-    floor.nodes["platform"] = PlatformNodes(roster, pool, config.meanings, owner.post, log)
+    http1 = floor.nodes["platform"] = PlatformNodes(roster, pool, config.meanings, owner.post, log)
+    carrier = None
+    if config.http2.enabled:  # what is off is not imported either
+        from hollowusher.fronts.platform.http2 import Http2Nodes
+        from hollowusher.net.http2.streams import Carrier
+
+        carrier = Carrier(config.http2, pool, log)
+        floor.nodes["http2"] = Http2Nodes(roster, carrier, http1, config.meanings, owner.post, log)
     classes, ids = {c.name: c for c in config.settings.classes}, JobIds()
     terminals = PlatformTerminals(
         listen(config.listen), classes, sockets - to_nodes, ids, owner.post, log, ring)
     stomp = None
-    if config.stomp.enabled:  # what is off is not imported either
+    if config.stomp.enabled:
         from hollowusher.fronts.stomp.front import StompFront
 
         stomp = StompFront(config, roster, floor, ids, owner.post, log)
@@ -73,6 +82,8 @@
         owner.run(), terminals.accept(), floor.sweep(), reloads.follow(again))]
     if stomp is not None:
         accepting = stomp.start()
+    if carrier is not None:
+        tasks.append(asyncio.create_task(carrier.report()))
     log.notice("ready", "taking jobs", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}")
     await stop.wait()
     log.notice("stopping", "asked to stop; answering what is taken")
@@ -85,5 +96,8 @@
         task.cancel()
     if stomp is not None:
         await stomp.nodes.close()
+    if carrier is not None:
+        carrier.tell()
+        await carrier.close()
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # the loop's end takes the handler away
     log.notice("stopped", "all that was taken is answered")
--- a/hollowusher/core/roster.py
+++ b/hollowusher/core/roster.py
@@ -58,14 +58,18 @@
         node = self._nodes.get(number)
         return node is not None and node.entry.state is State.READY
 
+    def missing(self, nodes: Iterable[RouteNode]) -> list[RouteNode]:
+        """The nodes that a whole list no longer names, as gone."""
+        named = {n.entry.worker for n in nodes} | self._fixed
+        return [replace(old, entry=replace(old.entry, state=State.GONE))
+                for number, old in self._nodes.items() if number not in named]
+
     def told(self, kind: ListKind, nodes: Iterable[RouteNode]) -> NodeListTold:
         """Take what a list tells; the event for the desk, with the fixed nodes in every whole list."""
         nodes = list(nodes)
         if kind in (ListKind.FULL, ListKind.CACHED):
-            named = {n.entry.worker for n in nodes} | self._fixed
-            for number, old in list(self._nodes.items()):
-                if number not in named:
-                    self._nodes[number] = replace(old, entry=replace(old.entry, state=State.GONE))
+            for gone in self.missing(nodes):
+                self._nodes[gone.entry.worker] = gone
             nodes += [self._nodes[n] for n in sorted(self._fixed)]
         for node in nodes:
             self._nodes[node.entry.worker] = node
--- a/hollowusher/floor.py
+++ b/hollowusher/floor.py
@@ -27,6 +27,9 @@
     async def probe(self, node: RouteNode) -> None:
         """One probe, of which the desk is told the result."""
 
+    def leaving(self, number: int) -> None:
+        """A node drains, is gone, or comes back as another process: nothing new goes on what leads there."""
+
 
 class Floor:
     """Either front's jobs go to either kind of node: the roster says by which front a node is reached."""
@@ -71,7 +74,7 @@
         """A node's entry is about to change: connections to a process that ends or ended lead nowhere."""
         old = self._roster.node(node.entry.worker)
         if node.entry.state is not State.READY or (old is not None and old.address != node.address):
-            self._pool.forget(node.entry.worker)
+            self.nodes[node.front].leaving(node.entry.worker)
 
     async def sweep(self) -> None:
         """Close connections that have been idle for too long, until cancelled."""
--- a/hollowusher/fronts/platform/discovery.py
+++ b/hollowusher/fronts/platform/discovery.py
@@ -24,8 +24,15 @@
 _STATES = {"SERVING": State.READY, "DRAINING": State.DRAINING, "DELETED": State.GONE}
 
 
-def read_list(told: object, roster: Roster, now_ns: int, wall_ms: float) -> tuple[int, bool, list[RouteNode]]:
-    """Version, wholeness and nodes of one list object; ValueError where it cannot be read.
+def _one_front(name: str, kind: str) -> str:
+    return "platform"
+
+
+def read_list(
+    told: object, roster: Roster, now_ns: int, wall_ms: float, front: Callable[[str, str], str] = _one_front
+) -> tuple[int, bool, list[RouteNode]]:
+    """Version, wholeness and nodes of one list object; ValueError where it cannot be read.  `front` tells by
+    name and machine kind how a node is reached.
 
     A node's start is told by the wall clock and kept by the module's monotonic one; 0, long ago, stays 0.
     """
@@ -41,7 +48,8 @@
                 roster.number(str(row["id"])), str(row.get("zone") or ""), str(row.get("kind") or ""),
                 int(row.get("cell") or 0), _STATES[row["state"]], float(row.get("weight") or 1.0), started_ns,
             )
-            nodes.append(RouteNode(str(row["id"]), (host, int(port)), entry))
+            name = str(row["id"])
+            nodes.append(RouteNode(name, (host, int(port)), entry, front(name, entry.kind)))
         except (KeyError, TypeError, ValueError, AttributeError) as wrong:
             raise ValueError(f"a node list entry: {wrong!r}") from None
     return int(told.get("version") or 0), bool(told.get("full")), nodes
@@ -52,10 +60,10 @@
 
     def __init__(
         self, address: tuple[str, int], roster: Roster, post: Callable[[DeskEvent], None],
-        changed: Callable[[RouteNode], None], log: Log,
+        changed: Callable[[RouteNode], None], log: Log, front: Callable[[str, str], str] = _one_front,
     ) -> None:
         self._address, self._roster, self._post, self._log = address, roster, post, log
-        self._changed = changed
+        self._changed, self._front = changed, front
         self._version = 0
         self._opening: asyncio.Task[None] | None = None
         self._standing: asyncio.Task[None] | None = None
@@ -64,7 +72,8 @@
         """The list as it was last held; it may be old."""
         try:
             self._version, _, nodes = read_list(
-                dict(known) or {"servers": []}, self._roster, time.monotonic_ns(), time.time() * 1000
+                dict(known) or {"servers": []}, self._roster, time.monotonic_ns(), time.time() * 1000,
+                self._front,
             )
         except ValueError as wrong:
             self._log.warning("list-unreadable", str(wrong))
@@ -149,10 +158,10 @@
         if not line.strip():
             return
         version, full, nodes = read_list(
-            json.loads(line), self._roster, time.monotonic_ns(), time.time() * 1000
+            json.loads(line), self._roster, time.monotonic_ns(), time.time() * 1000, self._front
         )
         if address == self._address:
             self._version = version
-        for node in nodes:
+        for node in [*nodes, *(self._roster.missing(nodes) if full else ())]:
             self._changed(node)
         self._post(self._roster.told(ListKind.FULL if full else ListKind.CHANGES, nodes))
--- a/hollowusher/fronts/platform/http.py
+++ b/hollowusher/fronts/platform/http.py
@@ -7,6 +7,8 @@
 
 import httptools
 
+from hollowusher.fronts.platform.answers import LineSplitter
+
 MOST_BODY = 64 * 1024
 MOST_HEAD = 16 * 1024
 MOST_PIPELINED = 16
@@ -152,8 +154,8 @@
         self.headers: dict[str, str] = {}
         self.head_done = self.whole = False
         self.keep_alive = True
-        self.lines: deque[bytes] = deque()
-        self.rest = bytearray()
+        self._body = LineSplitter()
+        self.lines = self._body.lines
         self._most_line = most_line
         self._parser = httptools.HttpResponseParser(self)
         self._too_long = False
@@ -178,20 +180,13 @@
 
     def on_body(self, data: bytes) -> None:
         """A piece of the body; whole lines are set apart."""
-        *lines, rest = data.split(b"\n")
-        if lines:
-            self.lines.append(bytes(self.rest) + lines[0])
-            self.lines.extend(lines[1:])
-            self.rest.clear()
-        self.rest += rest
-        self._too_long = len(self.rest) > self._most_line
+        self._body.feed(data)
+        self._too_long = len(self._body.rest) > self._most_line
 
     def on_message_complete(self) -> None:
         """The answer is whole; a last line may lack its end."""
         self.whole, self.keep_alive = True, self._parser.should_keep_alive()
-        if self.rest:
-            self.lines.append(bytes(self.rest))
-            self.rest.clear()
+        self._body.finish()
 
 
 def answer_head(status: int, length: int, close: bool, extra: str = "") -> bytes:
--- /dev/null
+++ b/hollowusher/fronts/platform/http2.py
@@ -0,0 +1,223 @@
+"""Attempts and probes at route nodes that offer HTTP/2: one stream each, many on a connection.
+
+Requests, answers' lines and outcomes are the same as over HTTP/1.1; docs/http2.md has what differs.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Mapping
+
+from hpack import NeverIndexedHeaderTuple
+
+from hazelweir.interface import Outcome, Reading
+from hollowusher.core.model import AttemptEnded, DeskEvent, Dispatch, NodeProbed
+from hollowusher.core.roster import Roster, RouteNode
+from hollowusher.fronts.common import PROBE_TIMEOUT_S, Ending, read_load
+from hollowusher.fronts.platform.answers import MOST_LINE, LineSplitter, read_line, settled
+from hollowusher.fronts.platform.nodes import PlatformNodes
+from hollowusher.log import Log
+from hollowusher.net.http2.exchange import Exchange, Headers
+from hollowusher.net.http2.streams import Carrier
+from hollowusher.rules.stream_ends import Cause
+from hollowusher.rules.streams import Why
+
+TRAILER_S = 0.02  # how long a result may be held for the load report that the head says will follow it
+MOST_REPORT = 64 * 1024
+_KEPT = (b":status", b"x-load-report", b"x-rejected", b"trailer")
+
+
+def _heads(headers: Headers) -> dict[str, str]:
+    return {k.decode("latin-1"): v.decode("latin-1") for k, v in headers if k in _KEPT}
+
+
+def request_headers(
+    job_id: str, subject: str, host: str, length: int, left_s: float, key: str
+) -> list[tuple[bytes, bytes]]:
+    """The headers of a job's request.
+
+    What differs from job to job stays out of the compression's table: it would push out what does not."""
+    own = NeverIndexedHeaderTuple
+    headers = [
+        (b":method", b"POST"), (b":scheme", b"http"), (b":authority", host.encode("latin-1")),
+        own(b":path", subject.encode("latin-1")), own(b"x-call-id", job_id.encode("latin-1")),
+        own(b"x-budget", b"%.3f" % left_s), own(b"content-length", b"%d" % length),
+    ]
+    if key:
+        headers.append(own(b"idempotency-key", key.encode("latin-1")))
+    return headers
+
+
+class JobAnswer:
+    """A job's answer from its stream."""
+
+    def __init__(
+        self, order: Dispatch, meanings: Mapping[str, str], post: Callable[[DeskEvent], None]
+    ) -> None:
+        self._order, self._meanings, self._post = order, meanings, post
+        self._lines = LineSplitter()
+        self._report_follows = False
+        self._ending: Ending | None = None  # that waits for its report
+        self.settle: Callable[[Ending], None] = lambda ending: None
+
+    @property
+    def held(self) -> int:
+        """See `Answer`."""
+        return len(self._lines.rest)
+
+    def head(self, headers: Headers) -> Ending | None:
+        """See `Answer`."""
+        heads = _heads(headers)
+        self._report_follows = "x-load-report" in heads.get("trailer", "").lower()
+        status = heads.get(":status", "")
+        return settled(int(status) if status.isdigit() else 0, heads, self._meanings)
+
+    def piece(self, data: bytes) -> Ending | None:
+        """See `Answer`."""
+        if self._ending is not None:
+            return None
+        self._lines.feed(data)
+        if len(self._lines.rest) > MOST_LINE:
+            raise ConnectionError("a line of the answer is too long")
+        return self._read()
+
+    def end(self, trailers: Headers) -> Ending | None:
+        """See `Answer`."""
+        self._lines.finish()
+        try:
+            ending = self._ending or self._read()
+        except ConnectionError:
+            return None
+        ending = ending or self._ending
+        if ending is not None and ending.reading is None:
+            ending.reading = read_load(_heads(trailers).get("x-load-report"), self._meanings)
+        return ending
+
+    def _read(self) -> Ending | None:
+        while self._lines.lines:
+            line = self._lines.lines.popleft()
+            ending = read_line(line, self._order, self._meanings, self._post)
+            if ending is not None and ending.reading is None and self._report_follows:
+                self._ending = ending
+                asyncio.get_running_loop().call_later(TRAILER_S, self.settle, ending)
+                return None
+            if ending is not None:
+                return ending
+        return None
+
+
+class ProbeAnswer:
+    """A probe's answer: whether the node is well, and its load."""
+
+    def __init__(self, meanings: Mapping[str, str]) -> None:
+        self._meanings, self._body, self._heads = meanings, bytearray(), dict[str, str]()
+
+    @property
+    def held(self) -> int:
+        """See `Answer`."""
+        return len(self._body)
+
+    def head(self, headers: Headers) -> tuple[bool, Reading | None] | None:
+        """See `Answer`."""
+        self._heads = _heads(headers)
+        return None
+
+    def piece(self, data: bytes) -> tuple[bool, Reading | None] | None:
+        """See `Answer`."""
+        self._body += data
+        if len(self._body) > MOST_REPORT:
+            raise ConnectionError("a load report is too long")
+        return None
+
+    def end(self, trailers: Headers) -> tuple[bool, Reading | None] | None:
+        """See `Answer`."""
+        reading = read_load(self._body.decode("utf-8", "replace"), self._meanings)
+        heads = {**self._heads, **_heads(trailers)}
+        reading = reading or read_load(heads.get("x-load-report"), self._meanings)
+        return self._heads.get(":status") == "200", reading
+
+
+class Http2Nodes:
+    """Carries attempts and probes to nodes over shared connections."""
+
+    def __init__(
+        self, roster: Roster, carrier: Carrier, http1: PlatformNodes, meanings: Mapping[str, str],
+        post: Callable[[DeskEvent], None], log: Log,
+    ) -> None:
+        self._roster, self._carrier, self._http1 = roster, carrier, http1
+        self._meanings, self._post, self._log = meanings, post, log
+
+    async def attempt(self, order: Dispatch, node: RouteNode) -> None:
+        """One attempt from its wait for a stream to its ending, which the desk is told in every case."""
+        attempt = order.attempt
+        if attempt.number > 0:
+            repeats = self._carrier.repeats
+            repeats[order.job.job_class] = repeats.get(order.job.job_class, 0) + 1
+        ending = None
+        if not self._carrier.falls_back(attempt.node):
+            ending = await self._stream(order, node)
+            fallen = ending.outcome is Outcome.UNREACHABLE and self._carrier.falls_back(attempt.node)
+        if ending is None or (fallen and self._roster.serving(attempt.node)):
+            await self._http1.attempt(order, node)
+        else:
+            self._post(AttemptEnded(attempt, ending.outcome, ending.reading, ending.result))
+
+    async def _stream(self, order: Dispatch, node: RouteNode) -> Ending:
+        job, number = order.job, order.attempt.node
+        until_ns = job.deadline_ns
+        if order.timeout_ns > 0:
+            until_ns = min(until_ns, time.monotonic_ns() + order.timeout_ns)
+
+        def headers() -> list[tuple[bytes, bytes]]:
+            left_s = max(0.001, (until_ns - time.monotonic_ns()) / 1e9)
+            host = f"{node.address[0]}:{node.address[1]}"
+            return request_headers(job.job_id, job.subject, host, len(job.body), left_s, job.repeat_key)
+
+        answer = JobAnswer(order, self._meanings, self._post)
+        exchange = Exchange[Ending](
+            headers, job.body, answer, until_ns, lambda: self._roster.serving(number))
+        answer.settle = exchange.settle
+        streams = self._carrier.to(number, node.name, node.address)
+        try:
+            async with asyncio.timeout(max(0.0, (until_ns - time.monotonic_ns()) / 1e9)):
+                how = await streams.run(exchange)
+        except TimeoutError:
+            how = streams.withdraw(exchange, Cause.TIMED_OUT)
+        except asyncio.CancelledError:
+            how = streams.withdraw(exchange, Cause.WITHDRAWN)
+        if isinstance(how, Ending):
+            return how
+        if isinstance(how, Outcome):
+            return Ending(how)
+        if how in (Why.FULL, Why.WAITED):
+            self._log.warning("h2-turned-back", "a job went back unsent for want of a stream", node=node.name,
+                              why=how.value, waiting=streams.book.waiting, open=streams.book.open_streams)
+        return Ending(Outcome.UNREACHABLE if how is Why.UNREACHABLE else Outcome.NOT_SENT)
+
+    async def probe(self, node: RouteNode) -> None:
+        """Ask a node for its load."""
+        number = node.entry.worker
+        if self._carrier.falls_back(number):
+            await self._http1.probe(node)
+            return
+        host = f"{node.address[0]}:{node.address[1]}".encode("latin-1")
+        headers = [(b":method", b"GET"), (b":scheme", b"http"), (b":authority", host), (b":path", b"/-/load")]
+        exchange = Exchange[tuple[bool, Reading | None]](
+            lambda: headers, b"", ProbeAnswer(self._meanings),
+            time.monotonic_ns() + round(PROBE_TIMEOUT_S * 1e9), lambda: True, urgent=True)
+        streams, ok, reading = self._carrier.to(number, node.name, node.address), False, None
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                how = await streams.run(exchange)
+            if isinstance(how, tuple):
+                ok, reading = how
+        except (TimeoutError, asyncio.CancelledError):
+            streams.withdraw(exchange, Cause.TIMED_OUT)  # a probe without an answer is a result too
+        finally:
+            self._post(NodeProbed(number, ok, reading))
+
+    def leaving(self, number: int) -> None:
+        """Nothing new may go to a node on the connections that lead there now."""
+        self._carrier.leaving(number)
+        self._http1.leaving(number)
--- a/hollowusher/fronts/platform/nodes.py
+++ b/hollowusher/fronts/platform/nodes.py
@@ -3,23 +3,19 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
 from collections.abc import Callable, Mapping
-from typing import Any
 
 from hazelweir.interface import Outcome
-from hollowusher.core.model import (
-    AttemptEnded, AttemptProgress, AttemptStarted, DeskEvent, Dispatch, NodeProbed,
-)
+from hollowusher.core.model import AttemptEnded, DeskEvent, Dispatch, NodeProbed
 from hollowusher.core.roster import Roster, RouteNode
 from hollowusher.fronts.common import PROBE_TIMEOUT_S, Ending, read_load
+from hollowusher.fronts.platform.answers import MOST_LINE, read_line, settled
 from hollowusher.fronts.platform.http import AnswerReader
 from hollowusher.log import Log
 from hollowusher.net.link import Link
 from hollowusher.net.pool import NoRoom, Pool
 
-MOST_LINE = 512 * 1024  # a result of 64 KiB in JSON, each byte escaped
 TAIL_TIMEOUT_S = 1.0  # how long the end of an answer may take before its connection is given up
 
 
@@ -32,15 +28,6 @@
     ).encode("latin-1")
 
 
-def settled(status: int, headers: Mapping[str, str], meanings: Mapping[str, str]) -> Ending | None:
-    """The ending that an answer's head alone tells; None where the lines will tell."""
-    if status == 200:
-        return None
-    reading = read_load(headers.get("x-load-report"), meanings)
-    turned_away = status in (503, 504) and headers.get("x-rejected") == "1"
-    return Ending(Outcome.FULL if turned_away else Outcome.ERROR, reading)
-
-
 class PlatformNodes:
     """Carries attempts and probes to nodes over pooled connections."""
 
@@ -120,6 +107,10 @@
                 else:
                     self._pool.drop(link)
 
+    def leaving(self, number: int) -> None:
+        """Close what is idle towards a node: it is on its way out, gone, or another process now."""
+        self._pool.forget(number)
+
     async def _write(self, link: Link, order: Dispatch, node: RouteNode) -> bool:
         """Write the request; False where it broke before the last byte, so that it never ran."""
         job = order.job
@@ -144,7 +135,7 @@
                     if ending is not None:
                         return ending
                 while reader.lines:
-                    ending = self._line(reader.lines.popleft(), order)
+                    ending = read_line(reader.lines.popleft(), order, self._meanings, self._post)
                     if ending is not None:
                         return ending
                 if reader.whole:
@@ -152,36 +143,6 @@
         except ConnectionError:
             return Ending(Outcome.RESET)
 
-    def _line(self, line: bytes, order: Dispatch) -> Ending | None:
-        """One line of the answer; ConnectionError where it is not about this job."""
-        if not line.strip():
-            return None
-        try:
-            told: Any = json.loads(line)
-            state = told["state"]
-        except (ValueError, KeyError, TypeError):
-            raise ConnectionError("a line that cannot be read") from None
-        if told.get("id") != order.job.job_id:
-            raise ConnectionError("a line about another job")  # its result must not reach this terminal
-        reading = read_load(told.get("load"), self._meanings)
-        match state:
-            case "started":
-                self._post(AttemptStarted(order.attempt))
-            case "running":
-                share = told.get("share")
-                self._post(AttemptProgress(order.attempt, share if isinstance(share, float) else 0.0))
-            case "done":
-                result = told.get("result", "")
-                text = result if isinstance(result, str) else json.dumps(result, separators=(",", ":"))
-                return Ending(Outcome.OK, reading, text.encode("utf-8", "replace"))
-            case "failed":
-                return Ending(Outcome.ERROR, reading)
-            case "returned":
-                return Ending(Outcome.FULL, reading)
-            case "lost":
-                return Ending(Outcome.RESET, reading)
-        return None
-
     async def _finish(self, node: int, link: Link, reader: AnswerReader) -> None:
         """Read the end of an answer whose attempt is over, so that its connection can be used again."""
         try:
--- a/hollowusher/fronts/stomp/nodes.py
+++ b/hollowusher/fronts/stomp/nodes.py
@@ -143,6 +143,9 @@
         reading = read_load(answer.headers.get("load"), self._meanings) if answer else None
         self._post(NodeProbed(number, answer is not None, reading))
 
+    def leaving(self, number: int) -> None:
+        """Its one connection stays: on it the node tells of its drain and its return."""
+
     async def close(self) -> None:
         """End all connections."""
         tasks: list[asyncio.Task[Any]] = [*self._keepers, *self._opening.values()]
--- /dev/null
+++ b/hollowusher/net/http2/streams.py
@@ -0,0 +1,270 @@
+"""The connections to one node, and to all: carries out what the stream book decides."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from hazelweir.interface import Outcome
+from hollowusher.log import Log
+from hollowusher.net.http2.exchange import Exchange
+from hollowusher.net.http2.settings import Http2Config
+from hollowusher.net.http2.wire import Wire
+from hollowusher.net.pool import NoRoom, Pool
+from hollowusher.rules.stream_ends import Cause, outcome
+from hollowusher.rules.streams import Act, Close, Give, Open, StreamBook, StreamLimits, TurnBack, Why
+
+T = TypeVar("T")
+BEAT_S = 0.1  # between two looks at what is open or waits
+REST_S = 5.0  # and at connections that stand idle
+
+
+@dataclass(slots=True)
+class Counts:
+    """What happened on a node's connections since the last report."""
+
+    goaways: int = 0
+    refused: int = 0
+    turned_back: int = 0
+    unspoken: int = 0
+
+
+class NodeStreams:
+    """One node's connections."""
+
+    def __init__(
+        self, name: str, address: tuple[str, int], config: Http2Config, pool: Pool, log: Log
+    ) -> None:
+        self.name, self.address = name, address
+        self._config, self._pool, self._log = config, pool, log
+        self.book = StreamBook(StreamLimits(
+            config.connections, config.streams, config.waiting, round(config.stream_wait_s * 1e9),
+            round(pool.idle_s * 1e9), config.used_most,
+        ))
+        self.counts = Counts()
+        self._wires: dict[int, Wire] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._resting = False
+        self.unspoken_until_ns = 0  # until when the node counts as one that does not speak HTTP/2
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is held, open or waiting here."""
+        return not self._wires and not self._tasks and self.book.waiting == 0
+
+    async def run(self, exchange: Exchange[T]) -> T | Outcome | Why:
+        """Have a request answered: its result, or how its stream ended, or why it never went out.  Whoever
+        cancels this calls `withdraw` next."""
+        self._do(self.book.ask(time.monotonic_ns(), exchange, exchange.until_ns, exchange.urgent))
+        self._arm()
+        return await exchange.over
+
+    def withdraw(self, exchange: Exchange[T], cause: Cause) -> T | Outcome | Why:
+        """Give a request up, wherever it stands; how it ended."""
+        if exchange.over.done() and not exchange.over.cancelled():
+            return exchange.over.result()  # it ended in the same moment
+        if self.book.leave(time.monotonic_ns(), exchange):
+            # Behind streams that are in use the node is not to blame; without a connection it may be.
+            return outcome(cause, False, False) if self.book.open_streams == 0 else Outcome.NOT_SENT
+        wire = self._wires.get(exchange.connection)
+        return wire.withdraw(exchange, cause) if wire is not None else outcome(cause, False, False)
+
+    def leaving(self) -> None:
+        """The node drains, is gone, or is another process from now on."""
+        self._do(self.book.leaving(time.monotonic_ns()))
+
+    async def close(self) -> None:
+        """End all connections, with a GOAWAY on each."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._do(self.book.leaving(time.monotonic_ns()))
+        wires, self._wires = list(self._wires.values()), {}
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*(wire.part() for wire in wires), *self._tasks, return_exceptions=True)
+
+    # --- what the book orders
+
+    def _do(self, acts: Iterable[Act]) -> None:
+        for act in acts:
+            match act:
+                case Give(exchange, number):
+                    self._wires[number].give(exchange)  # type: ignore[arg-type]
+                case TurnBack(exchange, why):
+                    self.counts.turned_back += 1
+                    exchange.settle(why)  # type: ignore[attr-defined]
+                case Open(number):
+                    self._spawn(self._open(number))
+                case Close(number):
+                    if (wire := self._wires.pop(number, None)) is not None:
+                        self._spawn(wire.part())
+
+    async def _open(self, number: int) -> None:
+        """Bring up a connection; its node shows in time that it speaks HTTP/2, or it is given up."""
+        try:
+            link = await self._pool.open(self.address)
+        except NoRoom:
+            self._log.warning("no-socket", "no connection to a node to spare", held=self._pool.held)
+            self._do(self.book.failed(time.monotonic_ns(), number, Why.NO_SOCKET))
+            return
+        except OSError as wrong:
+            self._log.info("node-unreachable", str(wrong), node=self.name)
+            self._do(self.book.failed(time.monotonic_ns(), number))
+            return
+        wire = self._wires[number] = Wire(number, link, self._pool.drop, self._config, self)
+        wire.start()
+        self._arm()
+        await asyncio.sleep(self._config.settings_wait_s)
+        if not wire.greeted and self._wires.get(number) is wire:
+            wire.break_off("it does not answer the greeting")
+
+    # --- what a connection tells
+
+    def opened(self, wire: Wire, announced: int) -> None:
+        """See `Owner`."""
+        self.unspoken_until_ns = 0
+        self._do(self.book.opened(time.monotonic_ns(), wire.number, announced))
+
+    def limited(self, wire: Wire, announced: int) -> None:
+        """See `Owner`."""
+        self._do(self.book.limited(time.monotonic_ns(), wire.number, announced))
+
+    def quiet(self, wire: Wire, silent: bool) -> None:
+        """See `Owner`."""
+        self._do(self.book.quiet(time.monotonic_ns(), wire.number, silent))
+
+    def retired(self, wire: Wire, code: int | None, above: int) -> None:
+        """See `Owner`."""
+        if code is not None:
+            self.counts.goaways += 1
+            self._log.info("h2-goaway", "the node takes nothing more on a connection", node=self.name,
+                           code=code, above=above)
+        self._do(self.book.retired(time.monotonic_ns(), wire.number))
+
+    def ended(self, wire: Wire, exchange: Exchange[Any]) -> None:
+        """See `Owner`."""
+        if exchange.over.done() and not exchange.over.cancelled() and exchange.over.result() is Outcome.FULL:
+            self.counts.refused += 1
+        self._do(self.book.ended(time.monotonic_ns(), wire.number, exchange))
+
+    def unbegun(self, wire: Wire, exchange: Exchange[Any]) -> None:
+        """See `Owner`."""
+        exchange.connection = 0
+        if exchange.over.done():
+            self._do(self.book.ended(time.monotonic_ns(), wire.number, exchange))
+        else:
+            now = time.monotonic_ns()
+            self._do(self.book.unbegun(now, wire.number, exchange, exchange.until_ns))
+
+    def lost(self, wire: Wire, why: str, spoken: bool) -> None:
+        """See `Owner`."""
+        self._wires.pop(wire.number, None)
+        now = time.monotonic_ns()
+        if not spoken:
+            self.counts.unspoken += 1
+            tried = "is tried by HTTP/1.1"
+            what = tried if self._config.fall_back else "gets nothing: [http2] fall-back is off"
+            self._log.warning(
+                "h2-not-spoken", f"the node is listed as HTTP/2, does not speak it and {what}",
+                node=self.name, why=why)
+            if self._config.fall_back:
+                self.unspoken_until_ns = now + round(self._config.fall_back_for_s * 1e9)
+        if not wire.greeted:
+            self._do(self.book.failed(now, wire.number))
+            return
+        self._log.warning("h2-lost", "a connection broke", node=self.name, why=why, streams=wire.open_streams)
+        self._do(self.book.lost(now, wire.number))
+
+    # --- time
+
+    def _arm(self) -> None:
+        """Look again soon, while anything is open or waits; now and then, while connections are held."""
+        if self._timer is None or self._resting:
+            if self._timer is not None:
+                self._timer.cancel()
+            busy = self.book.waiting or self.book.open_streams or self._tasks
+            self._resting = not busy
+            self._timer = asyncio.get_running_loop().call_later(BEAT_S if busy else REST_S, self._beat)
+
+    def _beat(self) -> None:
+        self._timer = None
+        now = time.monotonic_ns()
+        for wire in list(self._wires.values()):
+            wire.beat(now)
+        self._do(self.book.tick(now))
+        if not self.idle:
+            self._arm()
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (fault := task.exception()) is not None:
+            self._log.error("task-fault", "a task of this program failed", fault=repr(fault))
+
+
+class Carrier:
+    """The connections to all nodes that speak HTTP/2."""
+
+    def __init__(
+        self, config: Http2Config, pool: Pool, log: Log, clock: Callable[[], int] = time.monotonic_ns
+    ) -> None:
+        self._config, self._pool, self._log, self._clock = config, pool, log, clock
+        self._nodes: dict[int, NodeStreams] = {}
+        self.repeats: dict[str, int] = {}  # attempts after the first, by class
+
+    def to(self, number: int, name: str, address: tuple[str, int]) -> NodeStreams:
+        """The connections to a node."""
+        streams = self._nodes.get(number)
+        if streams is None or streams.address != address:
+            if streams is not None:
+                streams.leaving()
+            streams = self._nodes[number] = NodeStreams(name, address, self._config, self._pool, self._log)
+        return streams
+
+    def leaving(self, number: int) -> None:
+        """A node drains, is gone, or is another process from now on."""
+        if (streams := self._nodes.get(number)) is not None:
+            streams.leaving()
+
+    def falls_back(self, number: int) -> bool:
+        """Whether a node is to be reached by HTTP/1.1 for now: it was found not to speak HTTP/2."""
+        streams = self._nodes.get(number)
+        return streams is not None and self._clock() < streams.unspoken_until_ns
+
+    async def report(self) -> None:
+        """Log the figures of each node that was used, and forget nodes that have nothing, until cancelled."""
+        while True:
+            await asyncio.sleep(self._config.report_s)
+            self.tell()
+
+    def tell(self) -> None:
+        """Log the figures now."""
+        for number, streams in list(self._nodes.items()):
+            figures, counts = streams.book.figures, streams.counts
+            if figures.given or counts.turned_back or streams.book.waiting:
+                self._log.info(
+                    "h2-figures", "streams to a node since the last of these lines", node=streams.name,
+                    connections=streams.book.connections, open=streams.book.open_streams,
+                    waiting=streams.book.waiting, given=figures.given, waited=figures.waited,
+                    longest_wait_ms=figures.longest_wait_ns // 1_000_000, opened=figures.opened,
+                    goaways=counts.goaways, lost=figures.lost, refused=counts.refused,
+                    turned_back=counts.turned_back,
+                )
+            streams.book.figures, streams.counts = type(figures)(), Counts()
+            if streams.idle and streams.unspoken_until_ns < self._clock():
+                del self._nodes[number]
+        if self.repeats:
+            self._log.info("h2-repeats", "attempts after the first, by class", **self.repeats)
+            self.repeats = {}
+
+    async def close(self) -> None:
+        """End all connections."""
+        await asyncio.gather(*(streams.close() for streams in self._nodes.values()))
--- a/hollowusher/net/pool.py
+++ b/hollowusher/net/pool.py
@@ -39,6 +39,11 @@
             if self._young(link) and link.fresh():
                 return link
             self.drop(link)
+        return await self.open(address)
+
+    async def open(self, address: tuple[str, int]) -> Link:
+        """A new connection, which counts until it is dropped, whoever uses it; OSError where none comes
+        up."""
         if self._held >= self._most:
             self.sweep(everything=True)
         if self._held >= self._most:
@@ -61,6 +66,11 @@
             link.close()
             self._held -= 1
 
+    @property
+    def idle_s(self) -> float:
+        """How long a connection may stand idle: well less than the node gives it."""
+        return self._idle_s
+
     def forget(self, node: int) -> None:
         """Close what is idle towards a node: it is gone, or came back as a new process."""
         for link in self._idle.pop(node, []):
--- /dev/null
+++ b/hollowusher/rules/streams.py
@@ -0,0 +1,321 @@
+"""Which job goes on which connection to a node, when another is opened, how long a job may wait for a stream,
+and when a connection is retired.  One book a node; the caller carries out what it says.
+
+It does not decide which node a job goes to or whether it goes again: that is the decision module's.  A job
+that cannot go out here is turned back unsent, with the reason.  Times are nanoseconds of the caller's one
+clock; jobs are whatever the caller hands in, each at most once at a time."""
+
+from __future__ import annotations
+
+from collections.abc import Hashable, Iterator
+from dataclasses import dataclass
+from enum import Enum, IntEnum
+
+_NS_PER_MS = 1_000_000
+RETRY_FIRST_NS, RETRY_MOST_NS = 25 * _NS_PER_MS, 200 * _NS_PER_MS  # between connections that came to nothing
+RETIRING_SHARE = 3  # retiring connections a node may leave us with, for each that we may use
+
+
+class Why(Enum):
+    """Why a job comes back without a byte of it written."""
+
+    FULL = "as many jobs wait as may"
+    WAITED = "no stream came free in time"
+    LEAVING = "the node drains, is gone or has been replaced"
+    UNREACHABLE = "no connection came up"
+    NO_SOCKET = "no socket to spare"
+
+
+class Stage(IntEnum):
+    """Where a connection stands."""
+
+    OPENING = 0  # until the node has shown by its SETTINGS that it speaks HTTP/2
+    OPEN = 1
+    RETIRING = 2  # what is on it ends there; nothing new goes on it
+
+
+@dataclass(frozen=True, slots=True)
+class StreamLimits:
+    """The limits of one node's book."""
+
+    connections: int = 2
+    streams: int = 100
+    waiting: int = 512
+    wait_ns: int = 1_000 * _NS_PER_MS
+    idle_ns: int = 21_000 * _NS_PER_MS
+    used_most: int = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Open:
+    """Bring up a connection under this number; `opened` or `failed` follows."""
+
+    connection: int
+
+
+@dataclass(frozen=True, slots=True)
+class Give:
+    """The job goes on this connection now; `ended` or `unbegun` follows."""
+
+    job: Hashable
+    connection: int
+
+
+@dataclass(frozen=True, slots=True)
+class TurnBack:
+    """The job does not go out here."""
+
+    job: Hashable
+    why: Why
+
+
+@dataclass(frozen=True, slots=True)
+class Close:
+    """The connection is of no more use and has nothing on it; the book has forgotten it."""
+
+    connection: int
+
+
+Act = Open | Give | TurnBack | Close
+
+
+class _Connection:
+    """One connection's account."""
+
+    __slots__ = ("announced", "idle_since", "jobs", "quiet", "stage", "used")
+
+    def __init__(self, now: int) -> None:
+        self.stage = Stage.OPENING
+        self.announced = 0
+        self.jobs: set[Hashable] = set()
+        self.used = 0
+        self.quiet = False
+        self.idle_since = now
+
+
+@dataclass(slots=True)
+class Figures:
+    """What the book has seen, for the log."""
+
+    given: int = 0
+    waited: int = 0  # jobs that found no stream free at once
+    opened: int = 0
+    retired: int = 0
+    lost: int = 0
+    longest_wait_ns: int = 0
+
+
+class StreamBook:
+    """The account of one node: its connections, and the jobs that wait for a stream, in order."""
+
+    def __init__(self, limits: StreamLimits) -> None:
+        self._limits = limits
+        self._connections: dict[int, _Connection] = {}
+        self._waiting: dict[Hashable, tuple[int, int]] = {}  # job: since, until
+        self._soonest = 0  # no job's wait ends before this
+        self._numbers = 0
+        self._barren = 0  # connections in a row that came to nothing
+        self._open_after = 0
+        self.figures = Figures()
+
+    # --- what is told of jobs
+
+    def ask(self, now: int, job: Hashable, until: int, urgent: bool = False) -> list[Act]:
+        """A job wants a stream, at the latest at `until`.  An `urgent` one (a probe) goes before the others:
+        behind a queue it would say of a busy node that it is dead."""
+        if len(self._waiting) >= self._limits.waiting and not urgent:
+            return [TurnBack(job, Why.FULL)]
+        self._wait(now, job, until, first=urgent)
+        acts = self._move(now)
+        if job in self._waiting:
+            self.figures.waited += 1
+        return acts
+
+    def leave(self, now: int, job: Hashable) -> bool:
+        """A job no longer wants a stream; whether it was waiting for one."""
+        return self._waiting.pop(job, None) is not None
+
+    def ended(self, now: int, connection: int, job: Hashable) -> list[Act]:
+        """A job's stream is over."""
+        self._off(now, connection, job)
+        return self._move(now)
+
+    def unbegun(self, now: int, connection: int, job: Hashable, until: int) -> list[Act]:
+        """A job that was given comes back without a byte written, and wants another stream: the connection
+        retired, or the node lowered its limit, before its turn came.  It goes before those that came
+        later."""
+        self._off(now, connection, job)
+        self._wait(now, job, until, first=True)
+        return self._move(now)
+
+    # --- what is told of connections
+
+    def opened(self, now: int, connection: int, announced: int) -> list[Act]:
+        """A connection is up and its node allows so many streams."""
+        if (account := self._connections.get(connection)) is not None and account.stage is Stage.OPENING:
+            account.stage, account.announced, account.idle_since = Stage.OPEN, announced, now
+            self.figures.opened += 1
+        return self._move(now)
+
+    def failed(self, now: int, connection: int, why: Why = Why.UNREACHABLE) -> list[Act]:
+        """A connection did not come up.  Where it was the only way to the node, those who wait learn it now:
+        their time is better spent elsewhere."""
+        if self._connections.pop(connection, None) is None:
+            return []
+        self._came_to_nothing(now)
+        if any(c.stage is Stage.OPEN for c in self._connections.values()):
+            return self._move(now)
+        return self._turn_back_all(why)
+
+    def limited(self, now: int, connection: int, announced: int) -> list[Act]:
+        """The node allows so many streams from now on; those above it that are open may end in peace."""
+        if (account := self._connections.get(connection)) is not None:
+            account.announced = announced
+        return self._move(now)
+
+    def quiet(self, now: int, connection: int, silent: bool) -> list[Act]:
+        """Whether the node owes a sign of life on this connection: nothing new goes on it meanwhile."""
+        if (account := self._connections.get(connection)) is not None:
+            account.quiet = silent
+        return self._move(now)
+
+    def retired(self, now: int, connection: int) -> list[Act]:
+        """Nothing new may go on a connection: the node sent GOAWAY, or it cannot be used further."""
+        account = self._connections.get(connection)
+        if account is not None and account.stage is not Stage.RETIRING:
+            account.stage = Stage.RETIRING
+            self.figures.retired += 1
+        return self._move(now)
+
+    def lost(self, now: int, connection: int) -> list[Act]:
+        """A connection broke; the caller has ended what was on it."""
+        account = self._connections.pop(connection, None)
+        if account is not None:
+            self.figures.lost += 1
+            if account.used == 0:
+                self._came_to_nothing(now)
+        return self._move(now)
+
+    # --- what is told of the node and of time
+
+    def leaving(self, now: int) -> list[Act]:
+        """The node drains, is gone, or is another process now: who waits goes back at once, what is open may
+        end, and nothing new goes out on these connections."""
+        acts = self._turn_back_all(Why.LEAVING)
+        for account in self._connections.values():
+            account.stage = Stage.RETIRING
+        self._barren = self._open_after = 0
+        return acts + list(self._spent(now))
+
+    def tick(self, now: int) -> list[Act]:
+        """Time has passed."""
+        return self._move(now)
+
+    @property
+    def next_ns(self) -> int | None:
+        """When `tick` is due, if nothing is told before; None: never."""
+        due = [until for _, until in self._waiting.values()]
+        due += [c.idle_since + self._limits.idle_ns for c in self._connections.values()
+                if c.stage is Stage.OPEN and not c.jobs]
+        if self._waiting and self._open_after:
+            due.append(self._open_after)
+        return min(due, default=None)
+
+    # --- what can be seen
+
+    @property
+    def waiting(self) -> int:
+        """Jobs that wait for a stream."""
+        return len(self._waiting)
+
+    @property
+    def open_streams(self) -> int:
+        """Streams in use."""
+        return sum(len(c.jobs) for c in self._connections.values())
+
+    @property
+    def connections(self) -> int:
+        """Connections held, of every stage."""
+        return len(self._connections)
+
+    # --- the decisions
+
+    def _wait(self, now: int, job: Hashable, until: int, first: bool) -> None:
+        entry = (now, min(until, now + self._limits.wait_ns))
+        self._soonest = min(self._soonest, entry[1]) if self._waiting else entry[1]
+        if first:
+            self._waiting = {job: entry, **self._waiting}
+        else:
+            self._waiting[job] = entry
+
+    def _room(self, account: _Connection) -> int:
+        if account.stage is not Stage.OPEN or account.quiet:
+            return 0
+        return min(self._limits.streams, account.announced) - len(account.jobs)
+
+    def _move(self, now: int) -> list[Act]:
+        """Turn back whose time is over, give out the streams that are free, open what is lacking, close
+        what is of no more use."""
+        acts: list[Act] = []
+        if self._waiting and self._soonest <= now:
+            for job in [job for job, (_, until) in self._waiting.items() if until <= now]:
+                del self._waiting[job]
+                acts.append(TurnBack(job, Why.WAITED))
+            self._soonest = min((until for _, until in self._waiting.values()), default=0)
+        while self._waiting:
+            # The fullest that has room: the emptier ones can then come to rest and be closed.
+            free = [(len(c.jobs), -number) for number, c in self._connections.items() if self._room(c) > 0]
+            if not free:
+                break
+            acts.append(self._give(now, -max(free)[1]))
+        if self._waiting and self._may_open(now):
+            self._numbers += 1
+            self._connections[self._numbers] = _Connection(now)
+            acts.append(Open(self._numbers))
+        acts.extend(self._spent(now))
+        return acts
+
+    def _give(self, now: int, number: int) -> Give:
+        account = self._connections[number]
+        job = next(iter(self._waiting))
+        since, _ = self._waiting.pop(job)
+        account.jobs.add(job)
+        account.used += 1
+        self.figures.given += 1
+        self.figures.longest_wait_ns = max(self.figures.longest_wait_ns, now - since)
+        self._barren = self._open_after = 0
+        if account.used >= self._limits.used_most:  # its stream ids run out one day: better in a calm moment
+            account.stage = Stage.RETIRING
+            self.figures.retired += 1
+        return Give(job, number)
+
+    def _may_open(self, now: int) -> bool:
+        """One at a time comes up, so that a burst costs the node one handshake and not a hundred."""
+        stages = [c.stage for c in self._connections.values()]
+        usable = len(stages) - stages.count(Stage.RETIRING)
+        return (
+            Stage.OPENING not in stages and now >= self._open_after and usable < self._limits.connections
+            and stages.count(Stage.RETIRING) < RETIRING_SHARE * self._limits.connections
+        )
+
+    def _spent(self, now: int) -> Iterator[Close]:
+        for number, account in list(self._connections.items()):
+            idle = account.stage is Stage.OPEN and now - account.idle_since >= self._limits.idle_ns
+            if not account.jobs and (idle or account.stage is Stage.RETIRING):
+                del self._connections[number]
+                yield Close(number)
+
+    def _off(self, now: int, connection: int, job: Hashable) -> None:
+        if (account := self._connections.get(connection)) is not None:
+            account.jobs.discard(job)
+            account.idle_since = now
+
+    def _came_to_nothing(self, now: int) -> None:
+        """Pause before the next one: a node that accepts and breaks must not be called in a circle."""
+        self._open_after = now + min(RETRY_MOST_NS, RETRY_FIRST_NS << min(self._barren, 8))
+        self._barren += 1
+
+    def _turn_back_all(self, why: Why) -> list[Act]:
+        acts: list[Act] = [TurnBack(job, why) for job in self._waiting]
+        self._waiting = {}
+        return acts
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -18,6 +18,7 @@
 from hollowusher.config import Config, load
 from hollowusher.fronts.stomp.settings import StompConfig, StompNode
 from hollowusher.log import Log
+from hollowusher.net.http2.settings import Http2Config
 from tests.support import MS, S
 
 asyncio.set_event_loop_policy(uvloop.EventLoopPolicy())
@@ -281,6 +282,8 @@
 class SocketCase(unittest.IsolatedAsyncioTestCase):
     """Runs the whole program on loopback with stand-ins."""
 
+    http2 = Http2Config()
+
     async def asyncSetUp(self) -> None:
         self.list = NodeList()
         await self.started(self.list)
@@ -304,6 +307,7 @@
         self.config = Config(
             "n0", ("127.0.0.1", self.port), ("127.0.0.1", self.list.port), 1, 512, SETTINGS, MEANINGS, 0.25,
             30.0, {}, None, StompConfig(True, ("127.0.0.1", self.stomp_port), nodes=listed, **fields),
+            http2=self.http2,
         )
         self.stop = asyncio.Event()
         self.program = asyncio.create_task(serve(self.config, self.log, self.stop, again, read))
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -14,7 +14,7 @@
 from hollowusher.fronts.common import read_load
 from hollowusher.fronts.platform.discovery import read_list
 from hollowusher.fronts.platform.http import AnswerReader, BadInput, RequestReader
-from hollowusher.fronts.platform.nodes import settled
+from hollowusher.fronts.platform.answers import settled
 from hollowusher.fronts.stomp.frames import FROM_CLIENT, FROM_SERVER, Frame, FrameError, FrameReader, encode
 from hollowusher.fronts.stomp.wire import read_beat
 from hollowusher.logs.outlet import Outlet
--- a/tests/test_platform_sockets.py
+++ b/tests/test_platform_sockets.py
@@ -21,6 +21,7 @@
 from hollowusher.core.roster import Roster, RouteNode
 from hollowusher.fronts.common import JobIds
 from hollowusher.fronts.platform import discovery, terminals
+from hollowusher.fronts.platform.answers import read_line
 from hollowusher.fronts.platform.nodes import PlatformNodes
 from hollowusher.log import Log
 from hollowusher.net.link import Link, listen
@@ -353,7 +354,7 @@
 
     def test_progress_reaches_the_desk(self) -> None:
         told: list[object] = []
-        nodes = PlatformNodes(Roster(), Pool(1, 1, 1), MEANINGS, told.append, QUIET)
         job = Job("j", "eta-quote", "/", b"", 0, S, lambda a: None)
-        nodes._line(b'{"id":"j","state":"running","share":0.4}', Dispatch(Attempt("j", 0, 1), job, 0))
+        order = Dispatch(Attempt("j", 0, 1), job, 0)
+        read_line(b'{"id":"j","state":"running","share":0.4}', order, MEANINGS, told.append)
         self.assertEqual(told, [AttemptProgress(Attempt("j", 0, 1), 0.4)])
