--- a/hollowusher/emulator/http2node.py
+++ b/hollowusher/emulator/http2node.py
@@ -23,7 +23,7 @@
     ConnectionTerminated, DataReceived, Event, RequestReceived, StreamEnded, StreamReset, WindowUpdated,
 )
 from h2.exceptions import H2Error, ProtocolError
-from h2.settings import SettingCodes
+from h2.settings import SettingCodes, Settings
 from hyperframe.frame import Frame, GoAwayFrame
 
 ALL_STREAMS = 2**31 - 1
@@ -40,6 +40,7 @@
 
     how: str = "done"
     run_s: float = 0.0
+    before: asyncio.Event | None = None  # awaited before anything of an answer goes out
     after: asyncio.Event | None = None
     result: str | None = None
     report: dict[str, float] | None = None
@@ -79,7 +80,7 @@
 
     async def serve(self) -> None:
         """Serve until the connection ends."""
-        self.conn.local_settings.update({
+        self.conn.local_settings = Settings(client=False, initial_values={
             SettingCodes.MAX_CONCURRENT_STREAMS: self.node.limit,
             SettingCodes.INITIAL_WINDOW_SIZE: self.node.window,
         })
@@ -275,6 +276,8 @@
             session.goaway()
 
     async def _answer(self, job: Job, session: Session, plan: Plan) -> None:
+        if plan.before is not None:
+            await plan.before.wait()
         if plan.how == "refuse":
             session.reset(job, ErrorCodes.REFUSED_STREAM)
             return
--- a/hollowusher/fronts/platform/http2.py
+++ b/hollowusher/fronts/platform/http2.py
@@ -24,6 +24,9 @@
 from hollowusher.rules.streams import Why
 
 TRAILER_S = 0.02  # how long a result may be held for the load report that the head says will follow it
+# A job that is still waiting goes back this long before its time is over: while the desk has it as unsent, it
+# can be refused, which tells its terminal that to ask again is harmless.
+LAST_MOMENT_NS = 50_000_000
 MOST_REPORT = 64 * 1024
 _KEPT = (b":status", b"x-load-report", b"x-rejected", b"trailer")
 
@@ -176,7 +179,7 @@
 
         answer = JobAnswer(order, self._meanings, self._post)
         exchange = Exchange[Ending](
-            headers, job.body, answer, until_ns, lambda: self._roster.serving(number))
+            headers, job.body, answer, until_ns - LAST_MOMENT_NS, lambda: self._roster.serving(number))
         answer.settle = exchange.settle
         streams = self._carrier.to(number, node.name, node.address)
         try:
--- a/hollowusher/net/http2/exchange.py
+++ b/hollowusher/net/http2/exchange.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable, Iterable
 from typing import Generic, Protocol, TypeVar
 
@@ -35,13 +34,13 @@
 class Exchange(Generic[T]):
     """What a connection needs of a request, and where it stands on it.
 
-    `over` gets the answer's result, or the outcome of a stream that ended before, or the reason for which the
-    request never went out.  What comes after that is dropped.
+    `settle` is told once how it ended: the answer's result, or the outcome of a stream that ended before, or
+    the reason for which the request never went out.  What comes after that is dropped.
     """
 
     __slots__ = (
         "answer", "answered", "begun_ns", "body", "connection", "end_at", "headers", "interim", "may_begin",
-        "over", "sent", "settled_ns", "stream", "until_ns", "urgent",
+        "result", "sent", "settled", "settled_ns", "stream", "tell", "until_ns", "urgent",
     )
 
     def __init__(
@@ -50,16 +49,19 @@
     ) -> None:
         self.headers, self.body, self.answer = headers, body, answer
         self.until_ns, self.may_begin, self.urgent = until_ns, may_begin, urgent
-        self.over: asyncio.Future[T | Outcome | Why] = asyncio.get_running_loop().create_future()
+        self.tell: Callable[[], None] = lambda: None  # called once it is settled
+        self.settled = False
+        self.result: T | Outcome | Why | None = None
         self.connection = self.stream = 0  # 0: none yet
         self.sent = 0  # bytes of the body that are on their way
         self.end_at: int | None = None  # where in the connection's bytes END_STREAM ends
         self.begun_ns = 0
         self.answered = False  # whether anything of an answer has come
         self.interim = 0
-        self.settled_ns = 0  # when `over` was told, with the stream still open
+        self.settled_ns = 0  # when it was found settled, with the stream still open
 
     def settle(self, how: T | Outcome | Why) -> None:
         """The first ending counts."""
-        if not self.over.done():
-            self.over.set_result(how)
+        if not self.settled:
+            self.settled, self.result = True, how
+            self.tell()
--- a/hollowusher/net/http2/streams.py
+++ b/hollowusher/net/http2/streams.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
 from hazelweir.interface import Outcome
 from hollowusher.log import Log
 from hollowusher.net.http2.exchange import Exchange
+from hollowusher.net.http2.session import Session
 from hollowusher.net.http2.settings import Http2Config
 from hollowusher.net.http2.wire import Wire
 from hollowusher.net.pool import NoRoom, Pool
@@ -46,32 +47,44 @@
         ))
         self.counts = Counts()
         self._wires: dict[int, Wire] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._opening: set[asyncio.Task[None]] = set()
+        self._parting: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
-        self._resting = False
+        self._due_ns = 0  # when the timer looks
         self.unspoken_until_ns = 0  # until when the node counts as one that does not speak HTTP/2
 
     @property
     def idle(self) -> bool:
         """Whether nothing is held, open or waiting here."""
-        return not self._wires and not self._tasks and self.book.waiting == 0
+        return not self._wires and not self._opening and not self._parting and self.book.waiting == 0
 
     async def run(self, exchange: Exchange[T]) -> T | Outcome | Why:
         """Have a request answered: its result, or how its stream ended, or why it never went out.  Whoever
         cancels this calls `withdraw` next."""
+        over: asyncio.Future[T | Outcome | Why] = asyncio.get_running_loop().create_future()
+
+        def tell() -> None:
+            if not over.done():
+                over.set_result(exchange.result)  # type: ignore[arg-type]
+
+        exchange.tell = tell
         self._do(self.book.ask(time.monotonic_ns(), exchange, exchange.until_ns, exchange.urgent))
         self._arm()
-        return await exchange.over
+        return await over
 
     def withdraw(self, exchange: Exchange[T], cause: Cause) -> T | Outcome | Why:
         """Give a request up, wherever it stands; how it ended."""
-        if exchange.over.done() and not exchange.over.cancelled():
-            return exchange.over.result()  # it ended in the same moment
+        if exchange.settled:
+            return exchange.result  # type: ignore[return-value]  # it ended in the same moment
         if self.book.leave(time.monotonic_ns(), exchange):
             # Behind streams that are in use the node is not to blame; without a connection it may be.
-            return outcome(cause, False, False) if self.book.open_streams == 0 else Outcome.NOT_SENT
-        wire = self._wires.get(exchange.connection)
-        return wire.withdraw(exchange, cause) if wire is not None else outcome(cause, False, False)
+            how = outcome(cause, False, False) if self.book.open_streams == 0 else Outcome.NOT_SENT
+        elif (wire := self._wires.get(exchange.connection)) is not None:
+            how = wire.session.withdraw(exchange, cause)
+        else:
+            how = outcome(cause, False, False)
+        exchange.settle(how)
+        return how
 
     def leaving(self) -> None:
         """The node drains, is gone, or is another process from now on."""
@@ -81,11 +94,12 @@
         """End all connections, with a GOAWAY on each."""
         if self._timer is not None:
             self._timer.cancel()
+        for task in self._opening:
+            task.cancel()
         self._do(self.book.leaving(time.monotonic_ns()))
         wires, self._wires = list(self._wires.values()), {}
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*(wire.part() for wire in wires), *self._tasks, return_exceptions=True)
+        await asyncio.gather(
+            *(wire.part() for wire in wires), *self._opening, *self._parting, return_exceptions=True)
 
     # --- what the book orders
 
@@ -93,15 +107,15 @@
         for act in acts:
             match act:
                 case Give(exchange, number):
-                    self._wires[number].give(exchange)  # type: ignore[arg-type]
+                    self._wires[number].session.give(exchange)  # type: ignore[arg-type]
                 case TurnBack(exchange, why):
                     self.counts.turned_back += 1
                     exchange.settle(why)  # type: ignore[attr-defined]
                 case Open(number):
-                    self._spawn(self._open(number))
+                    self._spawn(self._open(number), self._opening)
                 case Close(number):
                     if (wire := self._wires.pop(number, None)) is not None:
-                        self._spawn(wire.part())
+                        self._spawn(wire.part(), self._parting)
 
     async def _open(self, number: int) -> None:
         """Bring up a connection; its node shows in time that it speaks HTTP/2, or it is given up."""
@@ -115,54 +129,57 @@
             self._log.info("node-unreachable", str(wrong), node=self.name)
             self._do(self.book.failed(time.monotonic_ns(), number))
             return
+        if not self.book.holds(number):  # the node left meanwhile
+            self._pool.drop(link)
+            return
         wire = self._wires[number] = Wire(number, link, self._pool.drop, self._config, self)
         wire.start()
         self._arm()
         await asyncio.sleep(self._config.settings_wait_s)
-        if not wire.greeted and self._wires.get(number) is wire:
-            wire.break_off("it does not answer the greeting")
+        if not wire.session.greeted and self._wires.get(number) is wire:
+            wire.end("it does not answer the greeting")
 
     # --- what a connection tells
 
-    def opened(self, wire: Wire, announced: int) -> None:
+    def opened(self, session: Session, announced: int) -> None:
         """See `Owner`."""
         self.unspoken_until_ns = 0
-        self._do(self.book.opened(time.monotonic_ns(), wire.number, announced))
+        self._do(self.book.opened(time.monotonic_ns(), session.number, announced))
 
-    def limited(self, wire: Wire, announced: int) -> None:
+    def limited(self, session: Session, announced: int) -> None:
         """See `Owner`."""
-        self._do(self.book.limited(time.monotonic_ns(), wire.number, announced))
+        self._do(self.book.limited(time.monotonic_ns(), session.number, announced))
 
-    def quiet(self, wire: Wire, silent: bool) -> None:
+    def quiet(self, session: Session, silent: bool) -> None:
         """See `Owner`."""
-        self._do(self.book.quiet(time.monotonic_ns(), wire.number, silent))
+        self._do(self.book.quiet(time.monotonic_ns(), session.number, silent))
 
-    def retired(self, wire: Wire, code: int | None, above: int) -> None:
+    def retired(self, session: Session, code: int | None, above: int) -> None:
         """See `Owner`."""
         if code is not None:
             self.counts.goaways += 1
             self._log.info("h2-goaway", "the node takes nothing more on a connection", node=self.name,
                            code=code, above=above)
-        self._do(self.book.retired(time.monotonic_ns(), wire.number))
+        self._do(self.book.retired(time.monotonic_ns(), session.number))
 
-    def ended(self, wire: Wire, exchange: Exchange[Any]) -> None:
+    def ended(self, session: Session, exchange: Exchange[Any]) -> None:
         """See `Owner`."""
-        if exchange.over.done() and not exchange.over.cancelled() and exchange.over.result() is Outcome.FULL:
+        if exchange.result is Outcome.FULL:
             self.counts.refused += 1
-        self._do(self.book.ended(time.monotonic_ns(), wire.number, exchange))
+        self._do(self.book.ended(time.monotonic_ns(), session.number, exchange))
 
-    def unbegun(self, wire: Wire, exchange: Exchange[Any]) -> None:
+    def unbegun(self, session: Session, exchange: Exchange[Any]) -> None:
         """See `Owner`."""
         exchange.connection = 0
-        if exchange.over.done():
-            self._do(self.book.ended(time.monotonic_ns(), wire.number, exchange))
+        if exchange.settled:
+            self._do(self.book.ended(time.monotonic_ns(), session.number, exchange))
         else:
             now = time.monotonic_ns()
-            self._do(self.book.unbegun(now, wire.number, exchange, exchange.until_ns))
+            self._do(self.book.unbegun(now, session.number, exchange, exchange.until_ns))
 
-    def lost(self, wire: Wire, why: str, spoken: bool) -> None:
+    def lost(self, session: Session, why: str, spoken: bool) -> None:
         """See `Owner`."""
-        self._wires.pop(wire.number, None)
+        self._wires.pop(session.number, None)
         now = time.monotonic_ns()
         if not spoken:
             self.counts.unspoken += 1
@@ -173,22 +190,30 @@
                 node=self.name, why=why)
             if self._config.fall_back:
                 self.unspoken_until_ns = now + round(self._config.fall_back_for_s * 1e9)
-        if not wire.greeted:
-            self._do(self.book.failed(now, wire.number))
+        if not session.greeted:
+            if spoken:
+                self._log.info("node-unreachable", why, node=self.name)
+            self._do(self.book.failed(now, session.number))
             return
-        self._log.warning("h2-lost", "a connection broke", node=self.name, why=why, streams=wire.open_streams)
-        self._do(self.book.lost(now, wire.number))
+        self._log.warning("h2-lost", "a connection broke", node=self.name, why=why,
+                          streams=session.open_streams)
+        self._do(self.book.lost(now, session.number))
 
     # --- time
 
     def _arm(self) -> None:
-        """Look again soon, while anything is open or waits; now and then, while connections are held."""
-        if self._timer is None or self._resting:
+        """Look again soon, while anything is open or waits, and when a wait ends; now and then, while
+        connections are held."""
+        now = time.monotonic_ns()
+        busy = self.book.waiting or self.book.open_streams or self._opening
+        due = now + round((BEAT_S if busy else REST_S) * 1e9)
+        if (soonest := self.book.soonest_ns) is not None:
+            due = min(due, max(now, soonest))
+        if self._timer is None or due < self._due_ns:
             if self._timer is not None:
                 self._timer.cancel()
-            busy = self.book.waiting or self.book.open_streams or self._tasks
-            self._resting = not busy
-            self._timer = asyncio.get_running_loop().call_later(BEAT_S if busy else REST_S, self._beat)
+            self._due_ns = due
+            self._timer = asyncio.get_running_loop().call_later((due - now) / 1e9, self._beat)
 
     def _beat(self) -> None:
         self._timer = None
@@ -199,13 +224,13 @@
         if not self.idle:
             self._arm()
 
-    def _spawn(self, work: Any) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None], among: set[asyncio.Task[None]]) -> None:
         task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
+        among.add(task)
+        task.add_done_callback(among.discard)
         task.add_done_callback(self._done)
 
     def _done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
         if not task.cancelled() and (fault := task.exception()) is not None:
             self._log.error("task-fault", "a task of this program failed", fault=repr(fault))
 
--- a/hollowusher/rules/streams.py
+++ b/hollowusher/rules/streams.py
@@ -211,6 +211,11 @@
         """Time has passed."""
         return self._move(now)
 
+    @property
+    def soonest_ns(self) -> int | None:
+        """No job's wait ends before this; None: none waits."""
+        return self._soonest if self._waiting else None
+
     @property
     def next_ns(self) -> int | None:
         """When `tick` is due, if nothing is told before; None: never."""
@@ -233,6 +238,10 @@
         """Streams in use."""
         return sum(len(c.jobs) for c in self._connections.values())
 
+    def holds(self, connection: int) -> bool:
+        """Whether the book still counts on a connection."""
+        return connection in self._connections
+
     @property
     def connections(self) -> int:
         """Connections held, of every stage."""
@@ -254,25 +263,25 @@
         return min(self._limits.streams, account.announced) - len(account.jobs)
 
     def _move(self, now: int) -> list[Act]:
-        """Turn back whose time is over, give out the streams that are free, open what is lacking, close
-        what is of no more use."""
+        """Give out the streams that are free, turn back whose wait is over, close what is of no more use,
+        open what is lacking."""
         acts: list[Act] = []
-        if self._waiting and self._soonest <= now:
-            for job in [job for job, (_, until) in self._waiting.items() if until <= now]:
-                del self._waiting[job]
-                acts.append(TurnBack(job, Why.WAITED))
-            self._soonest = min((until for _, until in self._waiting.values()), default=0)
         while self._waiting:
             # The fullest that has room: the emptier ones can then come to rest and be closed.
             free = [(len(c.jobs), -number) for number, c in self._connections.items() if self._room(c) > 0]
             if not free:
                 break
             acts.append(self._give(now, -max(free)[1]))
+        if self._waiting and self._soonest <= now:
+            for job in [job for job, (_, until) in self._waiting.items() if until <= now]:
+                del self._waiting[job]
+                acts.append(TurnBack(job, Why.WAITED))
+            self._soonest = min((until for _, until in self._waiting.values()), default=0)
+        acts.extend(self._spent(now))
         if self._waiting and self._may_open(now):
             self._numbers += 1
             self._connections[self._numbers] = _Connection(now)
             acts.append(Open(self._numbers))
-        acts.extend(self._spent(now))
         return acts
 
     def _give(self, now: int, number: int) -> Give:
