--- a/hollowusher/__main__.py
+++ b/hollowusher/__main__.py
@@ -1,4 +1,4 @@
-"""Starts one scheduler: `python -m hollowusher`."""
+"""Starts one scheduler: `python -m hollowusher`; with words, the command line."""
 
 from __future__ import annotations
 
@@ -13,8 +13,12 @@
 from hollowusher.settings.model import ConfigError
 
 
-def main() -> int:
-    """The exit code."""
+def main(words: list[str] | None = None) -> int:
+    """The exit code.  With words it is the command line, which is not even imported without."""
+    if sys.argv[1:] if words is None else words:
+        from hollowusher.cli import cli
+
+        cli(words, prog_name="hollowusher")
     # A SIGHUP that comes before the program can act on it, or as it ends, must wait and not end it.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     try:
--- /dev/null
+++ b/hollowusher/cli.py
@@ -0,0 +1,132 @@
+"""The command line: `python -m hollowusher WORD ...`.  Without a word the program is the platform's
+scheduler."""
+
+from __future__ import annotations
+
+import csv
+import json
+import platform
+import shutil
+import sys
+import time
+from importlib.metadata import version
+from pathlib import Path
+
+import click
+
+from hollowusher.config import SECTIONS, SETTINGS_FILE
+from hollowusher.emulator.script import Script, read, stage
+from hollowusher.emulator.virtual import COUNTS, Rehearsal, Report
+from hollowusher.net.http2.settings import read_http2
+from hollowusher.settings.model import ConfigError
+from hollowusher.settings.reader import read_file
+
+SLICES = 40  # steps of the progress bar
+LATE_SHARE_S = 25.0  # after the script's end, for what is still open
+FIGURES = ("share", "worst_10_s", "suspicions", "second_settles", "late_sends", "fallen", "unanswered")
+_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+@click.group()
+def cli() -> None:
+    """The job scheduler of Roata Verde, and the tools around it."""
+
+
+@cli.command()
+def run() -> None:
+    """Run one scheduler, as without any word."""
+    from hollowusher.__main__ import main
+
+    sys.exit(main([]))
+
+
+@cli.command()
+@click.argument("file", type=_FILE, default=SETTINGS_FILE)
+def check(file: Path) -> None:
+    """Check a settings file, or a rehearsal script (*.rehearsal); a fault is told with file and line."""
+    try:
+        if file.suffix == ".rehearsal":
+            script = read(file)
+            click.echo(f"{file.name}: {len(script.kinds)} nodes, {script.schedulers} schedulers, "
+                       f"{script.length_s:g} s, {len(script.troubles)} troubles")
+        else:
+            read_http2(read_file(file, SECTIONS))
+            click.echo(f"{file.name}: in order")
+    except ConfigError as wrong:
+        raise click.ClickException(str(wrong)) from None
+
+
+@cli.command()
+@click.argument("script", type=_FILE)
+@click.option("--seed", type=click.IntRange(0, 2**31 - 1), help="Another seed than the script's.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="The run's folder.")
+def rehearse(script: Path, seed: int | None, out: Path | None) -> None:
+    """Play a rehearsal in virtual time; its folder gets script, seed, versions and tables."""
+    try:
+        plan = read(script)
+    except ConfigError as wrong:
+        raise click.ClickException(str(wrong)) from None
+    seed = plan.seed if seed is None else seed
+    folder = out or Path("found") / "rehearsals" / f"{script.stem}-{seed}"
+    rehearsal, begun = stage(plan, seed), time.monotonic()
+    whole = plan.length_s + LATE_SHARE_S
+    stopped = False
+    try:
+        with click.progressbar(range(SLICES), label=script.stem, file=sys.stderr) as steps:
+            for step in steps:
+                rehearsal.heap.run(rehearsal.start_ns + round(whole * (step + 1) / SLICES * 1e9))
+    except KeyboardInterrupt:  # what there is, is kept
+        stopped = True
+    took = time.monotonic() - begun
+    report = rehearsal.report()
+    keep(folder, script, plan, seed, rehearsal, report, stopped)
+    tell(report)
+    click.echo(f"{whole:g} s played in {took:.1f} s ({whole / took:.0f} times the clock); {folder}")
+    if broken(report):
+        raise SystemExit(1)
+
+
+def broken(report: Report) -> int:
+    """Rules broken, as the fleet saw them."""
+    return report.second_settles + report.late_sends + report.fallen + report.unanswered
+
+
+def tell(report: Report) -> None:
+    """The run's figures on the terminal."""
+    click.echo(f"{'class':16}" + "".join(f"{name:>10}" for name in COUNTS))
+    for name, counts in sorted(report.by_class.items()):
+        click.echo(f"{name:16}" + "".join(f"{counts[c]:10}" for c in COUNTS))
+    click.echo(f"worth in time {report.share:.4f}, worst 10 s {report.worst_10_s:.4f}, "
+               f"suspicions {report.suspicions}")
+    click.echo(
+        f"rules: second settle-shifts {report.second_settles}, sent after a drain {report.late_sends}, "
+        f"cold nodes pushed over {report.fallen}, without one answer in time {report.unanswered}")
+
+
+def keep(
+    folder: Path, source: Path, plan: Script, seed: int, rehearsal: Rehearsal, report: Report, stopped: bool
+) -> None:
+    """Write a run's folder: what it was made of, and its tables.  The same run gives the same bytes."""
+    folder.mkdir(parents=True, exist_ok=True)
+    shutil.copyfile(source, folder / "script.rehearsal")
+    made_of = {
+        "seed": seed, "stopped": stopped, "python": platform.python_version(),
+        **{name: version(name) for name in ("numpy", "click")},
+    }
+    (folder / "made-of.json").write_text(json.dumps(made_of, indent=1, sort_keys=True) + "\n")
+    with (folder / "classes.csv").open("w", newline="") as file:
+        table = csv.writer(file, lineterminator="\n")
+        table.writerow(["class", *COUNTS])
+        for name, counts in sorted(report.by_class.items()):
+            table.writerow([name, *(counts[c] for c in COUNTS)])
+    with (folder / "figures.csv").open("w", newline="") as file:
+        table = csv.writer(file, lineterminator="\n")
+        for name in FIGURES:
+            table.writerow([name, getattr(report, name)])
+    with (folder / "jobs.csv").open("w", newline="") as file:
+        table = csv.writer(file, lineterminator="\n")
+        table.writerow(["job", "class", "asked_s", "work_s", "tries", "verdict", "took_s"])
+        for r in rehearsal.results:
+            verdict = "gone" if r.gone else r.verdict.value if r.verdict else ""
+            table.writerow([r.wanted.name, r.wanted.demand.name, f"{r.wanted.at / 1e9:.6f}",
+                            f"{r.wanted.work_s:.6f}", r.tries, verdict, f"{r.took_ns / 1e9:.6f}"])
