Compare series of rehearsals with error bars, and make a page with charts of a run

Need: a change is to be judged by more than one run, and a difference smaller than the noise is to be called a tie.

--- a/hollowusher/cli.py
+++ b/hollowusher/cli.py
@@ -86,6 +86,62 @@
         raise SystemExit(1)
 
 
+@cli.command()
+@click.argument("script", type=_FILE)
+@click.option("--runs", type=click.IntRange(3, 10_000), default=10, show_default=True)
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), required=True,
+              help="The folder of the series.")
+def experiment(script: Path, runs: int, out: Path) -> None:
+    """Play a script with many seeds and keep a line of figures for each, to be compared."""
+    from hollowusher.lab.compare import write_series
+
+    try:
+        plan = read(script)
+    except ConfigError as wrong:
+        raise click.ClickException(str(wrong)) from None
+    rows: list[tuple[int, dict[str, float]]] = []
+    try:
+        span = range(plan.seed, plan.seed + runs)
+        with click.progressbar(span, label=script.stem, file=sys.stderr) as seeds:
+            for seed in seeds:
+                report = stage(plan, seed).run(plan.length_s, LATE_SHARE_S)
+                rows.append((seed, {name: getattr(report, name) for name in FIGURES}))
+    except KeyboardInterrupt:
+        pass  # what there is, is kept
+    write_series(out, rows)
+    shutil.copyfile(script, out / "script.rehearsal")
+    click.echo(f"{len(rows)} runs in {out}")
+
+
+@cli.command()
+@click.argument("first", type=click.Path(exists=True, file_okay=False, path_type=Path))
+@click.argument("second", type=click.Path(exists=True, file_okay=False, path_type=Path))
+def compare(first: Path, second: Path) -> None:
+    """Compare two series of runs, seed by seed, with error bars; what lies within them is a tie."""
+    from hollowusher.lab import compare as lab
+
+    try:
+        findings = lab.compare(lab.read_series(first), lab.read_series(second))
+    except ConfigError as wrong:
+        raise click.ClickException(str(wrong)) from None
+    click.echo(f"{'figure':16}{'first':>10}{'second':>10}{'apart':>10}{'95% bar':>22}  the second is")
+    for f in findings:
+        bar = f"{f.low:+.4f} to {f.high:+.4f}"
+        click.echo(f"{f.figure:16}{f.first:10.4f}{f.second:10.4f}{f.difference:+10.4f}{bar:>22}  {f.says}")
+
+
+@cli.command()
+@click.argument("run", type=click.Path(exists=True, file_okay=False, path_type=Path))
+def report(run: Path) -> None:
+    """Make a page with tables and charts of a run's folder."""
+    from hollowusher.lab.page import make
+
+    try:
+        click.echo(str(make(run)))
+    except ConfigError as wrong:
+        raise click.ClickException(str(wrong)) from None
+
+
 def broken(report: Report) -> int:
     """Rules broken, as the fleet saw them."""
     return report.second_settles + report.late_sends + report.fallen + report.unanswered
