Give back the connection's window for answers smaller than one piece

Need: reading the code once more showed that bytes of answers under 32 KiB were never given back to the connection's window: after 1 MiB of them on one connection its node could send nothing more.

Change: what is left of a stream that ends counts at once.

--- a/hollowusher/net/http2/session.py
+++ b/hollowusher/net/http2/session.py
@@ -263,8 +263,12 @@
                 self._h2.acknowledge_received_data(exchange.unread, stream)
                 exchange.unread = 0
             return
-        self._unread += size + (exchange.unread if exchange is not None else 0)
-        if self._unread >= ACKNOWLEDGE:  # of streams that are over: only the connection's window is left
+        self._left_unread(stream, size)
+
+    def _left_unread(self, stream: int, size: int) -> None:
+        """Bytes of a stream that is over: of its windows only the connection's is left to be given back."""
+        self._unread += size
+        if self._unread >= ACKNOWLEDGE:
             self._h2.acknowledge_received_data(self._unread, stream)
             self._unread = 0
 
@@ -320,7 +324,7 @@
             return
         self._bodies.pop(exchange.stream, None)
         self._held -= exchange.answer.held
-        self._unread += exchange.unread
+        self._left_unread(exchange.stream, exchange.unread)
         exchange.unread = 0
         exchange.settle(outcome(cause, self._may_have_run(exchange), exchange.answered))
         self._owner.ended(self, exchange)
--- a/tests/test_http2_sockets.py
+++ b/tests/test_http2_sockets.py
@@ -112,6 +112,15 @@
                 self.assertEqual(await self.job(name), f"200 {plan.result or 'r:' + name}")
         self.assertEqual([r.free_slots for r in readings if r is not None], [3.0, 2.0])  # type: ignore[attr-defined]
 
+    async def test_the_connections_window_is_given_back_for_small_answers_too(self) -> None:
+        node = Http2Node(lambda job: Plan(result="x" * 10_000))
+        direct = await self.direct(node)
+        for batch in range(10):  # 2 MB on one connection, whose window holds 1 MiB
+            jobs = [direct.send(f"j{batch}-{n}") for n in range(20)]
+            await asyncio.wait_for(asyncio.gather(*jobs), 5)
+        self.assertEqual(set(direct.endings().values()), {"OK"})
+        self.assertEqual(node.accepted, 1)
+
     async def test_a_large_body_goes_through_small_windows(self) -> None:
         node = Http2Node(window=1000)
         await self.run_h2(node)
