Hold a session's rare moments in tests: withdrawal after the last byte, GOAWAY, failed writes

Need: two mutations of the session lived through all tests: a withdrawal of a request that is written whole, and a GOAWAY while requests wait for their turn on the connection.

Change: three tests of a session without a socket, each holding one moment still.

--- /dev/null
+++ b/tests/test_http2_session.py
@@ -0,0 +1,63 @@
+"""Moments of a session that a socket seldom meets: each held still."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+from unittest import mock
+
+from h2.config import H2Configuration
+from h2.connection import H2Connection
+from hyperframe.frame import GoAwayFrame
+
+from hazelweir.interface import Outcome
+from hollowusher.net.http2.exchange import Exchange
+from hollowusher.net.http2.session import Session
+from hollowusher.net.http2.settings import Http2Config
+from hollowusher.rules.stream_ends import Cause
+from tests.support import S
+from tests.test_http2_property import Reply
+
+HEADERS = [(b":method", b"POST"), (b":scheme", b"http"), (b":authority", b"n"), (b":path", b"/")]
+
+
+class Moments(unittest.TestCase):
+    def setUp(self) -> None:
+        self.owner: Any = mock.Mock()
+        self.session = Session(1, Http2Config(True, ("*",)), self.owner, lambda: S, lambda: None)
+        self.session.greet()
+        self.node = H2Connection(H2Configuration(client_side=False))
+        self.node.initiate_connection()
+        self.node.receive_data(self.session.make())
+        self.session.receive(memoryview(self.node.data_to_send()))
+
+    def given(self, size: int) -> Exchange[str]:
+        exchange = Exchange[str](lambda: HEADERS, b"." * size, Reply(), 9 * S, lambda: True)
+        self.session.give(exchange)
+        return exchange
+
+    def test_what_was_made_whole_may_run_although_it_is_withdrawn(self) -> None:
+        whole, part, unmade = self.given(5), self.given(100_000), None
+        self.session.make()  # the second one's body is larger than its window
+        unmade = self.given(5)
+        self.assertIs(self.session.withdraw(whole, Cause.WITHDRAWN), Outcome.CANCELLED)
+        self.assertIs(self.session.withdraw(part, Cause.WITHDRAWN), Outcome.NOT_SENT)
+        self.assertIs(self.session.withdraw(unmade, Cause.WITHDRAWN), Outcome.NOT_SENT)
+        self.assertEqual(self.owner.ended.call_count, 3)
+
+    def test_a_goaway_hands_back_those_whose_turn_had_not_come(self) -> None:
+        begun = self.given(5)
+        self.session.make()
+        waiting = self.given(5)
+        self.session.receive(memoryview(GoAwayFrame(0, last_stream_id=1).serialize()))
+        self.owner.unbegun.assert_called_once_with(self.session, waiting)
+        self.assertFalse(begun.settled)
+        self.session.receive(memoryview(GoAwayFrame(0, last_stream_id=0).serialize()))
+        self.assertIs(begun.result, Outcome.NOT_SENT)
+
+    def test_of_a_failed_write_only_the_last_byte_is_known_not_to_have_left(self) -> None:
+        first, last = self.given(5), self.given(5)
+        self.session.make()
+        self.session.broke()
+        self.session.end("broken")
+        self.assertEqual((first.result, last.result), (Outcome.RESET, Outcome.UNREACHABLE))
