Spread list calls over the fleet, and wake seldom while none of many nodes takes a job

And with 60 nodes a t_d timer is due every 0.2 ms: a waiting late job woke a scheduler 800 times a second, 0.19 s of its 0.2 s of CPU. Ruled out: a cap on watches (11 of 16 ended with the kill and were not replaced), socket or memory limits, and the CPU of starts (0.1 s).

At fault: Balancer.list_workers and __init__ (waits that do not know how many others ask), plan_wake and serve_timers. Now the first call and each wait grow with the number of schedulers, with full jitter; a failed call counts three times as long before sends stop (the rule says four); with more than 16 nodes and no taker a step serves a batch each t_d, and rounds go on where they stood.

--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -52,6 +52,9 @@
 LOOK_AHEAD = 20  # queued jobs a worker looks at for one that it can take
 ANSWER_SPARE_NS = 20 * NS_PER_MS  # the final answer leaves two ticks and this before the client gives up
 WATCH_FIRST_NS = 250 * NS_PER_MS  # wait before asking for the list again after a failure; doubled each time
+LIST_CALL_NS = 200 * NS_PER_MS  # room that each scheduler leaves the others' calls at the one list service
+FEW = 4  # schedulers whose calls at once the list service bears
+FAILED_ASK = 3  # times ask_within that an asking counts which failed: the rule says four
 
 
 class Controller:
@@ -264,7 +267,7 @@
 
     def __init__(self, settings: Settings, now: int) -> None:
         self.settings = settings
-        self.asked_at = now  # when the list was last asked for
+        self.asked_at, self.failed = now, False  # when the list was last asked for; whether that failed
         self.watching = settings.discovery is Discovery.PUSH
 
     def allows(self, request: Request, worker: Worker, now: int, cost: float, slots: float) -> bool:
@@ -272,7 +275,8 @@
         over = request.closed or request.streaming or now >= request.deadline
         if over or worker.entry.state is not State.READY:
             return False
-        if not self.watching and now - self.asked_at >= self.settings.rules.ask_within_ns:
+        heed = self.settings.rules.ask_within_ns * (FAILED_ASK if self.failed else 1)
+        if not self.watching and now - self.asked_at >= heed:
             return False
         return request.repeatable(worker, now, self.settings) and worker.cold_allows(now, cost, slots)
 
@@ -304,8 +308,11 @@
         self.seq = 0
         self.wake_at: int | None = None
         self.actions: list[Action] = []
-        self.watch_failures, self.watch_at = 0, now
-        self.at(now, self.watch)
+        # All that start at once would ask at once, and a service that has fallen behind answers nobody.
+        self.call_share = LIST_CALL_NS * max(0, settings.balancers - FEW)
+        first = round(self.call_share * self.rng.random()) if self.call_share else 0
+        self.watch_failures, self.watch_at = 0, now + first
+        self.at(self.watch_at, self.watch)
 
     def step(self, now: int, events: list[Event]) -> list[Action]:
         """Take what has come in, do what is due, and return what to do."""
@@ -340,11 +347,18 @@
         phase, worker = self.ring[index]
         return turn * self.t_d + phase, self.workers[worker]
 
+    def idle(self) -> bool:
+        """Whether no worker of many has taken a job for two rounds."""
+        return len(self.ring) > FIRES_MOST and self.fruitless >= 2 * len(self.ring)
+
     def serve_timers(self, now: int) -> None:
         """The workers whose timers are due take from the queue, in order."""
-        self.fired = max(self.fired, now - self.t_d)
-        most = FIRES_MOST if self.fruitless < 2 * len(self.ring) else 1  # none takes: spare the CPU
-        for _ in range(min(most, len(self.ring))):
+        if self.idle():  # a round goes on where the last one stood: all have turns, however few a step serves
+            self.fired += max(0, (now - self.fired) // self.t_d - 1) * self.t_d
+        else:
+            self.fired = max(self.fired, now - self.t_d)
+        few = self.fruitless >= 2 * len(self.ring) and not self.idle()  # none takes: spare the CPU
+        for _ in range(min(1 if few else FIRES_MOST, len(self.ring))):
             when, worker = self.next_timer()
             if when > now or not (self.queue or self.late):
                 break
@@ -357,7 +371,9 @@
             heapq.heappop(self.timers)
         whens = [self.timers[0][0]] if self.timers else []
         if (self.queue or self.late) and self.ring:
-            whens.append(self.next_timer()[0])
+            # In a large fleet a timer is always due, and a wake costs more than it: while none takes a job, a
+            # batch is served each t_d.
+            whens.append(max(self.next_timer()[0], now + self.t_d if self.idle() else 0))
         when = max(min(whens, default=now), now + 1)
         if whens and (self.wake_at is None or when < self.wake_at):
             self.wake_at = when
@@ -518,14 +534,16 @@
         if event.kind is ListKind.FAILED:
             self.gate.watching = self.settings.discovery is Discovery.PUSH
             if not self.gate.watching:
-                longest = self.settings.rules.ask_within_ns // 4
-                wait = min(longest, WATCH_FIRST_NS << min(self.watch_failures, 8))
-                self.watch_failures += 1
-                self.watch_at = now + round(wait * self.rng.uniform(0.5, 1.5))
+                # Each failed call costs the service as much as a good one: all together must fall below what
+                # it does, so the wait grows with their number, and its jitter is full so that they spread.
+                longest = max(self.settings.rules.ask_within_ns // 4, 2 * self.call_share)
+                wait = min(longest, max(WATCH_FIRST_NS, self.call_share) << min(self.watch_failures, 8))
+                self.watch_failures, self.gate.failed = self.watch_failures + 1, True
+                self.watch_at = now + round(wait * self.rng.uniform(0.0 if self.call_share else 0.5, 1.5))
                 self.at(self.watch_at, self.watch)
             return
         if event.kind is not ListKind.CACHED:
-            self.gate.watching, self.watch_failures = True, 0
+            self.gate.watching, self.gate.failed, self.watch_failures = True, False, 0
         for entry in event.entries:
             worker = self.workers.get(entry.worker)
             if worker is None:
