--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -53,6 +53,7 @@
 LOOK_AHEAD = 20  # queued jobs a worker looks at for one that it can take
 ANSWER_SPARE_NS = 20 * NS_PER_MS  # the final answer leaves two ticks and this before the client gives up
 WATCH_FIRST_NS = 250 * NS_PER_MS  # wait before asking for the list again after a failure; doubled each time
+WATCH_BROKEN_NS = 1_000 * NS_PER_MS  # the same for a watch that stood, however many schedulers there are
 LIST_CALL_NS = 200 * NS_PER_MS  # room that each scheduler leaves the others' calls at the one list service
 FEW = 4  # schedulers whose calls at once the list service bears
 FAILED_ASK = 3  # times ask_within that an asking counts which failed: the rule says four
@@ -541,12 +542,15 @@
     def list_workers(self, now: int, event: WorkerList) -> None:
         """Follow the list."""
         if event.kind is ListKind.FAILED:
+            stood = self.gate.watching and now - self.gate.asked_at >= self.settings.rules.ask_within_ns // 2
             self.gate.watching = self.settings.discovery is Discovery.PUSH
             if not self.gate.watching:
                 # Each failed call costs the service as much as a good one: all together must fall below what
                 # it does, so the wait grows with their number, and its jitter is full so that they spread.
                 longest = max(self.settings.rules.ask_within_ns // 4, 2 * self.call_share)
-                wait = min(longest, max(WATCH_FIRST_NS, self.call_share) << min(self.watch_failures, 8))
+                # Where a watch stood and broke, nothing is sent until the list is asked for: a short wait.
+                share = min(self.call_share, WATCH_BROKEN_NS) if stood else self.call_share
+                wait = min(longest, max(WATCH_FIRST_NS, share) << min(self.watch_failures, 8))
                 self.watch_failures, self.gate.failed = self.watch_failures + 1, True
                 self.watch_at = now + round(wait * self.rng.uniform(0.0 if self.call_share else 0.5, 1.5))
                 self.at(self.watch_at, self.watch)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -69,6 +69,18 @@
     assert told_after(3, S)[-1] < 500 * MS
 
 
+def test_a_watch_that_stood_and_broke_is_soon_asked_for_again() -> None:
+    # Its last asking is long ago, so that nothing is sent until then: that must not take 10 s.
+    settings = replace(SITE, balancers=40, discovery=Discovery.ASK, rules=Rules(ask_within_ns=10 * S))
+    for seed in range(20):
+        node = Node(settings, workers=workers(1), free={1: 4.0}, seed=seed)
+        node.run(8 * S)
+        node.listing(ListKind.CHANGES)
+        node.run(60 * S)
+        node.listing(ListKind.FAILED)
+        assert Watch() in node.run(1600 * MS)
+
+
 def test_an_asking_that_failed_counts_for_longer_but_not_for_ever() -> None:
     node = Node(replace(SITE, balancers=40, discovery=Discovery.ASK, rules=Rules(ask_within_ns=10 * S)),
                 workers=workers(1), free={1: 4.0})
