Expect a cold node to be slow, and do not hold its slowness against it

At fault: Balancer.send and fire, which expected a warm node's time. It is now divided by the least capacity that the node has by its age, as the cold budget does already; running times are learnt times the same.

--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -225,6 +225,13 @@
         self.pace_time = keep * self.pace_time + min(PACE_MOST, run / expected)
         self.pace_jobs = keep * self.pace_jobs + 1.0
 
+    def level(self, now: int) -> float:
+        """The least part of its full capacity that it has by now: a worker that has just started is cold."""
+        rules, age = self.settings.rules, max(0, now - self.entry.started_ns)
+        if self.entry.started_ns == 0 or age >= rules.warm_after_ns:
+            return 1.0
+        return rules.cold_share + (1.0 - rules.cold_share) * age / rules.warm_after_ns
+
     def cold_allows(self, now: int, cost: float, slots: float) -> bool:
         """Rule 4: within any span a node spends at most its share of what a cold worker bears."""
         rules = self.settings.rules
@@ -232,7 +239,7 @@
         if self.entry.started_ns == 0 or age >= rules.warm_after_ns:
             self.sends.clear()
             return True
-        level = rules.cold_share + (1.0 - rules.cold_share) * max(0, age) / max(1, rules.warm_after_ns)
+        level = self.level(now)
         per_ns = COLD_MARGIN * rules.fall_multiple * level * max(1.0, slots) / self.settings.balancers
         spent = sum(c for t, c in self.sends if t > now - rules.fall_span_ns)
         if spent + cost <= per_ns * rules.fall_span_ns:
@@ -468,8 +475,9 @@
             if attempt.started is not None:
                 run = max(1.0, now - attempt.started)
                 worker.finished(run, attempt.expected)
-                mean = self.runs.get(request.cls.name, run)
-                self.runs[request.cls.name] = mean + LEARN * (run - mean)
+                usual = run * worker.level(attempt.started)
+                mean = self.runs.get(request.cls.name, usual)
+                self.runs[request.cls.name] = mean + LEARN * (usual - mean)
             if self.crawls(now, worker):
                 self.strike(now, worker, "crawling")
             elif worker.relieve():
@@ -689,7 +697,8 @@
             return
         if control.credit < 1.0 and control.wanted and not trial:
             return
-        jobs, pace, t_p = self.candidates(now), worker.pace(now), self.time_per_job(worker)
+        jobs, t_p = self.candidates(now), self.time_per_job(worker)
+        pace = worker.pace(now) / worker.level(now)  # a cold worker is slow, and not to blame for it
         if trial:  # a trial risks a job: rather one that may be repeated, or else the cheapest
             jobs = sorted(jobs, key=lambda r: (r.cls.effect is Effect.UNSAFE, r.cls.worth))
         for request in jobs:
@@ -749,7 +758,7 @@
         self.fruitless = 0
         if not request.attempts and not request.late:
             self.in_time[request.cls.name] += FAIR_MEMORY * (1.0 - self.in_time[request.cls.name])
-        attempt = Attempt(request, worker, now, self.expected(request))
+        attempt = Attempt(request, worker, now, self.expected(request) / worker.level(now))
         request.attempts.append(attempt)
         if not worker.out:
             worker.news_at = now
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,7 +5,12 @@
 import heapq
 from dataclasses import replace
 
-from hazelweir.interface import Cancel, Discovery, Group, JobClass, ListKind, Rules, Send, Wake, Watch
+import pytest
+
+from hazelweir.balance import Request
+from hazelweir.interface import (
+    Arrival, Cancel, Discovery, Group, JobClass, ListKind, Rules, Send, Wake, Watch,
+)
 from tests.support import KEYED, MS, SAFE, SITE, UNSAFE, Node, S, only, sends, workers
 
 
@@ -135,6 +140,20 @@
     assert not sends(node.run(60 * MS))
 
 
+def test_a_cold_workers_slowness_is_expected_and_not_held_against_it() -> None:
+    rules = Rules(fall_multiple=2.5, fall_span_ns=S, cold_share=0.2, warm_after_ns=20 * S)
+    node = Node(only(SAFE, rules=rules), free={1: 2.0})
+    node.balancer.runs["safe"] = 100.0 * MS
+    node.listing(ListKind.FULL, *workers(1, started_ns=node.now - 5 * S))
+    worker = node.balancer.workers[1]
+    assert worker.level(node.now) == pytest.approx(0.4)
+    request = Request(Arrival("r1", "safe", 5 * S), SAFE, node.now, 1)
+    node.balancer.send(node.now, worker, request, 100.0 * MS)
+    worker.finished(250.0 * MS, request.attempts[0].expected)
+    assert worker.pace(node.now) == pytest.approx(1.0, abs=0.01)
+    assert worker.level(node.now + 15 * S) == 1.0
+
+
 def test_a_job_that_no_worker_takes_wakes_a_scheduler_of_many_workers_seldom() -> None:
     # Sixty timers fall due every t_d; a wake for each of them took a whole share of a core for nothing.
     settings = only(replace(SAFE, kind="k", late_share=0.2))
