--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,7 @@
 
 from hazelweir.balance import Request
 from hazelweir.interface import (
-    Arrival, Cancel, Discovery, Group, JobClass, Listed, ListKind, Rules, Wake, Watch,
+    Arrival, Cancel, Discovery, Group, JobClass, Listed, ListKind, Outcome, Rules, Send, Wake, Watch,
 )
 from tests.support import KEYED, MS, SAFE, SITE, UNSAFE, Node, S, only, sends, workers
 
@@ -60,13 +60,29 @@
         node = Node(settings, workers=workers(1), free={1: 4.0}, seed=seed)
         node.run(8 * S)
         node.listing(ListKind.CHANGES)
-        node.run(60 * S)
+        node.run(12 * S)
         node.listing(ListKind.FAILED)
         node.arrive("r1", "safe")
         then = node.run(1600 * MS)
         assert Watch() in then and sends(then[: then.index(Watch())]) == []  # no call failed that would count
 
 
+@pytest.mark.parametrize(("balancers", "least", "most"), [
+    (2, 0, S), (8, 100 * MS, 2 * S), (40, 3 * S, 8 * S),
+])
+def test_the_mean_wait_after_a_failed_call_grows_with_the_schedulers(
+    balancers: int, least: int, most: int
+) -> None:
+    waits = []
+    for seed in range(30):
+        node = Node(replace(SITE, balancers=balancers, discovery=Discovery.ASK), seed=seed)
+        node.run(8 * S)
+        node.balancer.gate.asked_at = node.now  # the call that now fails
+        node.listing(ListKind.FAILED)
+        waits.append(node.balancer.watch_at - node.now)
+    assert least <= sum(waits) / 30 < most
+
+
 def test_an_asking_that_failed_counts_for_longer_but_not_for_ever() -> None:
     node = Node(replace(SITE, balancers=40, discovery=Discovery.ASK, rules=Rules(ask_within_ns=10 * S)),
                 workers=workers(1), free={1: 4.0})
@@ -74,7 +90,7 @@
     node.listing(ListKind.FAILED)
     node.run(20 * S)
     node.arrive("r1", "safe")
-    assert sends(node.run(S))
+    node.serve(sends(node.run(S))[0])
     node.run(10 * S)
     node.arrive("r2", "safe")
     assert not sends(node.run(S))
@@ -116,6 +132,16 @@
     worker.finished(250.0 * MS, request.attempts[0].expected)
     assert worker.pace(node.now) == pytest.approx(1.0, abs=0.01)
     assert worker.level(node.now + 15 * S) == 1.0
+    node.started(Send("r1", 1, 0))
+    node.run(250 * MS)
+    node.ended(Send("r1", 1, 0), Outcome.OK)
+    assert node.balancer.runs["safe"] == pytest.approx(100 * MS, rel=0.01)
+    # a job that would end late there waits for a warm worker: aim 200 ms and twice its time, of 2 s
+    node.balancer.runs["safe"] = 2.0 * S
+    node.arrive("r2", "safe")
+    assert not sends(node.run(200 * MS))
+    warm = node.listing(ListKind.CHANGES, *workers(2)) + node.run(200 * MS)
+    assert [a.worker for a in sends(warm)] == [2]
 
 
 def test_a_job_that_no_worker_takes_wakes_a_scheduler_of_many_workers_seldom() -> None:
@@ -129,7 +155,7 @@
     wakes = sum(isinstance(a, Wake) for _, a in node.log[before:])
     assert wakes <= 1.2 * S / node.balancer.t_d
     # and no worker is left out for it: the one that can take the job has its turn within a few rounds
-    for late in (7, 33, 60):
+    for late in range(1, 61, 4):
         able = Node(settings, workers=workers(*range(1, 61), kind="other"))
         able.arrive("r1", "safe", left=60 * S)
         able.run(2 * S)
