Ask for the list in time at 200 schedulers, and count an asking once it is answered

At fault: call_share, 0.2 s a scheduler beyond four, 39 s at 200, and Gate.allows, which rightly sends nothing 10 s after the last asking. At fault: watch(), which set asked_at as it asked, so that the gate opened in the same step on the list of 10 s ago. Ruled out: the list's service at its limit (182 calls, 9 to 17 ms each, none failed, in the trace). Change: the spread of first calls is at most half of ask_within; an asking counts once it is answered; silence (as against a failed call) extends nothing; what a silent watch did not bring counts as told 6 s after its last line; what an old address tells after a move is heeded but is no watch.

--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -57,6 +57,7 @@
 LIST_CALL_NS = 200 * NS_PER_MS  # room that each scheduler leaves the others' calls at the one list service
 FEW = 4  # schedulers whose calls at once the list service bears
 FAILED_ASK = 3  # times ask_within that an asking counts which failed: the rule says four
+LATE_NS = 5_500 * NS_PER_MS  # what a broken watch did not bring counts as told 6 s after its listing
 
 
 class Controller:
@@ -275,16 +276,29 @@
 
     def __init__(self, settings: Settings, now: int) -> None:
         self.settings = settings
-        self.asked_at, self.failed = now, False  # when the list was last asked for; whether that failed
+        # Since when, and for how long, the list held is good while it is not watched.  An asking counts once
+        # it is answered: it may never reach the service, and the answer may tell of nodes that are gone.
+        self.known_at, self.good_for = now, settings.rules.ask_within_ns
+        self.asked_at = now
         self.watching = settings.discovery is Discovery.PUSH
 
+    def told(self, now: int, kind: ListKind) -> None:
+        """What the list's service has said, or failed to say."""
+        within = self.settings.rules.ask_within_ns
+        if kind in (ListKind.FULL, ListKind.CHANGES):
+            self.watching, self.known_at = True, now
+        elif self.watching and self.settings.discovery is Discovery.ASK:
+            self.watching, self.good_for = False, min(within, LATE_NS)
+            self.known_at = self.known_at if kind is ListKind.SILENT else now
+        elif kind is ListKind.FAILED:
+            self.known_at, self.good_for = max(self.known_at, self.asked_at), FAILED_ASK * within
+
     def allows(self, request: Request, worker: Worker, now: int, cost: float, slots: float) -> bool:
         """Whether this send keeps the rules."""
         over = request.closed or request.streaming or now >= request.deadline
         if over or worker.entry.state is not State.READY:
             return False
-        heed = self.settings.rules.ask_within_ns * (FAILED_ASK if self.failed else 1)
-        if not self.watching and now - self.asked_at >= heed:
+        if not self.watching and now - self.known_at >= self.good_for:
             return False
         return request.repeatable(worker, now, self.settings) and worker.cold_allows(now, cost, slots)
 
@@ -320,7 +334,9 @@
         self.wake_at: int | None = None
         self.actions: list[Action] = []
         # All that start at once would ask at once, and a service that has fallen behind answers nobody.
-        self.call_share = LIST_CALL_NS * max(0, settings.balancers - FEW)
+        # But the first call must leave time for its answer, and for another, before the list is too old.
+        spread = LIST_CALL_NS * max(0, settings.balancers - FEW)
+        self.call_share = min(spread, settings.rules.ask_within_ns // 2)
         first = round(self.call_share * self.rng.random()) if self.call_share else 0
         self.watch_failures, self.watch_at = 0, now + first
         self.at(self.watch_at, self.watch)
@@ -548,9 +564,10 @@
 
     def list_workers(self, now: int, event: WorkerList) -> None:
         """Follow the list."""
-        if event.kind is ListKind.FAILED:
-            stood = self.gate.watching and now - self.gate.asked_at >= self.settings.rules.ask_within_ns // 2
-            self.gate.watching = self.settings.discovery is Discovery.PUSH
+        stood = self.gate.watching
+        if event.kind is not ListKind.CACHED:
+            self.gate.told(now, event.kind)
+        if event.kind in (ListKind.FAILED, ListKind.SILENT):
             if not self.gate.watching:
                 # Each failed call costs the service as much as a good one: all together must fall below what
                 # it does, so the wait grows with their number, and its jitter is full so that they spread.
@@ -558,12 +575,12 @@
                 # Where a watch stood and broke, nothing is sent until the list is asked for: a short wait.
                 share = min(self.call_share, WATCH_BROKEN_NS) if stood else self.call_share
                 wait = min(longest, max(WATCH_FIRST_NS, share) << min(self.watch_failures, 8))
-                self.watch_failures, self.gate.failed = self.watch_failures + 1, not stood  # no call failed
+                self.watch_failures += 1
                 self.watch_at = now + round(wait * self.rng.uniform(0.0 if self.call_share else 0.5, 1.5))
                 self.at(self.watch_at, self.watch)
             return
         if event.kind is not ListKind.CACHED:
-            self.gate.watching, self.gate.failed, self.watch_failures = True, False, 0
+            self.watch_failures = 0
         for entry in event.entries:
             worker = self.workers.get(entry.worker)
             if worker is None:
--- a/hazelweir/interface.py
+++ b/hazelweir/interface.py
@@ -72,12 +72,14 @@
 
 class ListKind(Enum):
     """CHANGES: only changed entries.  FULL: the whole list.  CACHED: the whole list as last held, perhaps
-    old.  FAILED: a call for the list failed or the subscription ended; the list held stays."""
+    old.  FAILED: a call for the list failed or the subscription ended; the list held stays.  SILENT: the same
+    where nothing came back, so that the service may not know of the call."""
 
     CHANGES = "changes"
     FULL = "full"
     CACHED = "cached"
     FAILED = "failed"
+    SILENT = "silent"
 
 
 class State(Enum):
--- a/hollowusher/core/roster.py
+++ b/hollowusher/core/roster.py
@@ -78,6 +78,10 @@
                 self._numbers.pop(self._nodes.pop(number).name, None)
         return NodeListTold(kind, tuple(n.entry for n in nodes))
 
+    def held(self) -> NodeListTold:
+        """The whole list as held, of the kind that is no news from the list's service."""
+        return NodeListTold(ListKind.CACHED, tuple(n.entry for n in self._nodes.values()))
+
     def amend(self, number: int, **changes: State | int) -> NodeListTold | None:
         """Take what a fixed node tells of itself.  The event is the whole list as held, of the kind that is
         no news from the list's service: as changes it would count as a watch that stands."""
@@ -85,4 +89,4 @@
         if node is None:
             return None
         self._nodes[number] = replace(node, entry=replace(node.entry, **changes))  # type: ignore[arg-type]
-        return NodeListTold(ListKind.CACHED, tuple(n.entry for n in self._nodes.values()))
+        return self.held()
--- a/hollowusher/fronts/platform/discovery.py
+++ b/hollowusher/fronts/platform/discovery.py
@@ -81,16 +81,19 @@
         self._post(self._roster.told(ListKind.CACHED, nodes))
 
     def ask(self) -> None:
-        """Watch from the version held.  A watch that stands goes on until the new one has told something."""
-        if self._opening is not None:
-            self._opening.cancel()
-        self._opening = asyncio.create_task(self._watch(self._address, self._version))
+        """Watch from the version held.  A watch that stands goes on until the new one has told something; a
+        call that is under way goes on too, since to cut it off would put it at the end of the line again."""
+        if self._opening is None:
+            self._opening = asyncio.create_task(self._watch(self._address, self._version))
 
     def move(self, address: tuple[str, int]) -> None:
         """The service has another address from now on.  Its versions may count otherwise, so the whole list
         is asked for; until it comes, what the old address tells still counts."""
         if address != self._address:
             self._address, self._version = address, 0
+            if self._opening is not None:
+                self._opening.cancel()
+                self._opening = None
             self.ask()
 
     def stop(self) -> None:
@@ -101,7 +104,7 @@
 
     async def _watch(self, address: tuple[str, int], version: int) -> None:
         link: Link | None = None
-        why = "the watch ended"
+        why, kind = "the watch ended", ListKind.FAILED
         try:
             link = await connect(address, CONNECT_TIMEOUT_S)
             reader = AnswerReader(MOST_LINE)
@@ -112,7 +115,6 @@
                 while not reader.head_done:
                     await link.pass_on(reader.feed)
             if reader.status == 200:
-                self._post(NodeListTold(ListKind.CHANGES))  # the watch stands; changes follow, if any
                 while True:
                     while reader.lines:
                         self._line(reader.lines.popleft(), address)
@@ -124,13 +126,13 @@
             else:
                 why = f"status {reader.status}"
         except TimeoutError:
-            why = "silence"
+            why, kind = "silence", ListKind.SILENT
         except (OSError, ValueError) as wrong:
             why = str(wrong) or type(wrong).__name__
         finally:
             if link is not None:
                 link.close()
-        self._ended(address, why)
+        self._ended(address, why, kind)
 
     def _stands(self) -> None:
         """The watch under way has told something: the one before it is no longer needed."""
@@ -141,21 +143,20 @@
                 self._standing.cancel()
             self._standing = task
 
-    def _ended(self, address: tuple[str, int], why: str) -> None:
-        """A watch broke.  An old one that ends while its successor comes up is no news: to tell the desk that
-        nothing is watched would have it ask anew and cut the successor off."""
+    def _ended(self, address: tuple[str, int], why: str, kind: ListKind) -> None:
+        """A watch broke, or a call failed: the desk asks again."""
         if asyncio.current_task() is self._opening:
             self._opening = None
         else:
             self._standing = None
-            if self._opening is not None:
-                return
         where = f"{address[0]}:{address[1]}"
         self._log.warning("list-broken", "the watch on the node list broke", why=why, service=where)
-        self._post(NodeListTold(ListKind.FAILED))
+        self._post(NodeListTold(kind))
 
     def _line(self, line: bytes, address: tuple[str, int]) -> None:
         if not line.strip():
+            if address == self._address:  # nothing has changed: what is held is good until now
+                self._post(NodeListTold(ListKind.CHANGES))
             return
         version, full, nodes = read_list(
             json.loads(line), self._roster, time.monotonic_ns(), time.time() * 1000, self._front
@@ -164,4 +165,6 @@
             self._version = version
         for node in [*nodes, *(self._roster.missing(nodes) if full else ())]:
             self._changed(node)
-        self._post(self._roster.told(ListKind.FULL if full else ListKind.CHANGES, nodes))
+        told = self._roster.told(ListKind.FULL if full else ListKind.CHANGES, nodes)
+        # What the old address still tells is heeded, but is no watch on the new one: that is asked for on.
+        self._post(told if address == self._address else self._roster.held())
