Offer a new job first to cold nodes whose turn is ours, and make a turn one job

Cause: a turn at a cold node lasts half a second and comes once in 40 to 90 s; a new job went to whichever node's timer was due next (serve_timers), one cold node among 52 warm ones, so that turns passed unused. Also, cold_allows let turns that were saved up be spent together, and one job be more than all that a cold node bears in a span. Ruled out: full cold nodes (sends there began after 3 ms, nine in ten after 4), slow ones (as quick as the others from 3 s on). Change: a job that joins goes first to cold nodes that the cold rule allows, without asking for a reading; one job a turn; no job that alone is the whole budget. Both new limits hold in the test of 2, 8, 40 and 200 schedulers.

--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -235,20 +235,22 @@
 
     def cold_allows(self, now: int, cost: float, slots: float) -> bool:
         """Rule 4: within any span a node spends at most its share of what a cold worker bears."""
-        rules = self.settings.rules
+        rules, nodes = self.settings.rules, self.settings.balancers
         age, level = now - self.entry.started_ns, self.level(now)
         if level >= 1.0:
             self.sends.clear()
             return True
-        per_ns = COLD_MARGIN * rules.fall_multiple * level * max(1.0, slots) / self.settings.balancers
+        per_ns = COLD_MARGIN * rules.fall_multiple * level * max(1.0, slots) / nodes
         spent = sum(c for t, c in self.sends if t > now - rules.fall_span_ns)
         if spent + cost <= per_ns * rules.fall_span_ns:
             return True
-        # Where a job costs more, nodes take turns, each lost after half a span: else all send at once.
-        place = ((self.settings.me + self.id) % self.settings.balancers + 1) / self.settings.balancers
+        # Where a job costs more, nodes take turns, each lost after half a span: else all send at once.  A
+        # turn is one job, as turns saved up and spent together are a burst; and no job may be all of it.
+        place = ((self.settings.me + self.id) % nodes + 1) / nodes
         turns, since = divmod(per_ns / level * (rules.cold_share + level) / 2 * age / cost - place, 1.0)
-        paid = turns * cost >= sum(c for t, c in self.sends if t >= self.entry.started_ns)
-        return turns >= 0 and paid and since * cost <= per_ns * rules.fall_span_ns / 2
+        paid = not spent and turns * cost >= sum(c for t, c in self.sends if t >= self.entry.started_ns)
+        fits = cost <= per_ns * nodes * rules.fall_span_ns
+        return turns >= 0 and paid and fits and since * cost <= per_ns * rules.fall_span_ns / 2
 
     def strike(self, now: int, rng: random.Random) -> bool:
         """Lose trust: no bundles, then a trial, later with each strike.  True where this is new."""
@@ -321,6 +323,7 @@
         # Few schedulers have readings enough to choose by; of many, none knows which worker is free.
         limits = settings.limits
         self.copies = limits.second_copies and limits.cancel and settings.balancers > FEW
+        self.joined = False  # whether a job has joined the queue in this step
         self.checking = False  # whether a check of the workers is due
         self.workers, self.requests = dict[int, Worker](), dict[str, Request]()
         self.queue, self.late = list[Request](), list[Request]()  # late: waited too long to be in time
@@ -356,6 +359,7 @@
                 what(now)
         for worker in self.answered:
             self.fire(now, worker)
+        self.offer_cold(now)
         self.serve_timers(now)
         self.plan_wake(now)
         return self.actions
@@ -392,6 +396,15 @@
             self.fired, self.fruitless = when, self.fruitless + 1
             self.fire(now, worker)
 
+    def offer_cold(self, now: int) -> None:
+        """A job that has just joined goes to a cold worker first, if it is this node's turn there: among many
+        nodes turns are short and mostly pass without a job, while the warm workers are crowded."""
+        if self.joined and (self.queue or self.late):
+            for worker in self.workers.values():
+                if worker.level(now) < 1.0 and not worker.suspect:
+                    self.fire(now, worker, sure=True)
+        self.joined = False
+
     def plan_wake(self, now: int) -> None:
         """Ask to be woken for the next thing due."""
         while self.timers and self.timers[0][3] is not None and self.timers[0][3].closed:
@@ -531,7 +544,7 @@
     def enqueue(self, request: Request) -> None:
         """Join the one queue, in order of arrival, whatever has been tried before."""
         if not request.queued and not request.closed:
-            request.queued, self.line = True, None
+            request.queued, self.line, self.joined = True, None, True
             insort(self.late if request.late else self.queue, request, key=lambda r: r.seq)
 
     def unqueue(self, request: Request) -> None:
@@ -683,8 +696,8 @@
             if attempt.request.cls.effect is not Effect.UNSAFE:
                 self.enqueue(attempt.request)
 
-    def fire(self, now: int, worker: Worker) -> None:
-        """A worker's timer is due: it takes its bundle from the head of the queue."""
+    def fire(self, now: int, worker: Worker, sure: bool = False) -> None:
+        """A worker's timer is due: it takes its bundle from the head of the queue.  `sure`: unasked."""
         if worker.entry.state is not State.READY or not (self.queue or self.late):
             return
         worker.move_on(now)
@@ -692,7 +705,7 @@
         waited = now - oldest.arrived
         home = worker.entry.zone == self.settings.zone
         near = home or waited >= self.patience(oldest)  # whether a job that waits would go there
-        if now - worker.seen_at >= SAMPLE_NS:
+        if now - worker.seen_at >= SAMPLE_NS and not sure:
             # By the clock a large fleet would send more probes than jobs: so a job asks, and waits a bit.
             if self.asks:
                 self.ask(now, worker, near)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from hazelweir.balance import Request
+from hazelweir.balance import Request, Worker
 from hazelweir.interface import (
     Arrival, Cancel, Discovery, Group, JobClass, Listed, ListKind, Outcome, Rules, Send, Wake, Watch,
 )
@@ -159,6 +159,51 @@
         assert not sends(node.run(60 * MS))
 
 
+COLD = Rules(fall_multiple=2.5, fall_span_ns=S, cold_share=0.12, warm_after_ns=24 * S, ask_within_ns=10 * S)
+
+
+@pytest.mark.parametrize("idle", [0, 8 * S])
+@pytest.mark.parametrize("balancers", [2, 8, 40, 200])
+def test_all_schedulers_together_keep_a_cold_workers_budget_and_use_it(balancers: int, idle: int) -> None:
+    # Turns that passed without a job while all were idle were spent together with the first jobs after it.
+    settings, entry = replace(SITE, balancers=balancers, rules=COLD), workers(1, started_ns=S)[0]
+    views = [Worker(entry, replace(settings, me=me), 12_500_000, S) for me in range(balancers)]
+    sent, cost, slots = list[int](), 400 * MS, 2.0
+    for now in range(S + idle, 25 * S, 12_500_000):
+        for view in views:
+            if view.cold_allows(now, cost, slots):
+                view.sends.append((now, cost))
+                sent.append(now)
+        level = views[0].level(now)
+        assert sum(t > now - S for t in sent) * cost <= 2.5 * level * slots * S
+    assert len(sent) * cost > 0.5 * slots * sum(views[0].level(S + i * S) for i in range(idle // S, 24)) * S
+
+
+def test_no_job_goes_to_a_cold_worker_that_would_be_all_it_bears() -> None:
+    settings, entry = replace(SITE, balancers=200, rules=COLD), workers(1, started_ns=S)[0]
+    views = [Worker(entry, replace(settings, me=me), 12_500_000, S) for me in range(0, 200, 5)]
+    allowed = [now for now in range(S, 24 * S, 100 * MS)
+               if any(view.cold_allows(now, 1_650 * MS, 2.0) for view in views)]
+    assert 12 * S < min(allowed) < 16 * S
+
+
+def test_a_new_job_goes_first_to_a_cold_worker_whose_turn_is_ours() -> None:
+    # Turns last half a span and mostly passed unused: the job went to whichever warm node was due next.
+    known = [*workers(*range(1, 9)), *workers(9, started_ns=990 * S)]
+    took = 0
+    for me in range(200):
+        settings = replace(SITE, balancers=200, me=me, rules=COLD)
+        node = Node(settings, known, free=dict.fromkeys(range(1, 10), 2.0), seed=me)
+        node.answers_probes = False  # nor does it wait for a reading: all together send it little
+        turn = node.balancer.workers[9].cold_allows(node.now, 400 * MS, 1.0)
+        node.arrive("r1", "safe")
+        node.run(50 * MS)
+        first = sends(a for _, a in node.log)[0]
+        assert first.worker == 9 or not turn
+        took += turn
+    assert took >= 1
+
+
 def test_a_cold_workers_slowness_is_expected_and_not_held_against_it() -> None:
     rules = Rules(fall_multiple=2.5, fall_span_ns=S, cold_share=0.2, warm_after_ns=20 * S)
     node = Node(only(SAFE, rules=rules), free={1: 2.0})
