Write log lines without a second thread: the descriptor is asked first

The program had one thread beside the loop, the log's: it wrote with a blocking write(2), and each line woke it, so that the interpreter lock changed hands in the middle of a step.

Change: the outlet polls for writability without waiting, writes at most PIPE_BUF, and what a stalled reader leaves is tried again by the loop after 20 ms to 1 s. No thread is left (test: active_count).

--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -36,6 +36,7 @@
 
     The events are set by SIGTERM and SIGHUP, unless the caller brings its own.
     """
+    log.attach(asyncio.get_running_loop().call_later)
     # Unheard faults would be printed by the library on this thread, where a stalled reader stops everything.
     asyncio.get_running_loop().set_exception_handler(lambda _, told: log.error(
         "loop-fault", str(told.get("message", "")), fault=repr(told.get("exception"))))
--- a/hollowusher/log.py
+++ b/hollowusher/log.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from datetime import UTC, datetime
 
-from hollowusher.logs.outlet import Outlet
+from hollowusher.logs.outlet import Later, Outlet
 
 _FACILITY = 16  # local0
 _ERROR, _WARNING, _NOTICE, _INFO = 3, 4, 5, 6
@@ -51,7 +51,7 @@
 class Log:
     """Prints lines, each message id at most so often; says how many were left out.
 
-    Lines leave by a queue off the caller's thread: no reader, however slow, holds up a job."""
+    Lines leave by a queue and writes that do not block: no reader, however slow, holds up a job."""
 
     def __init__(
         self, host: str, per_s: float = 5.0, burst: float = 20.0,
@@ -67,6 +67,10 @@
             self._forward.setblocking(False)
             self._forward.connect(forward)
 
+    def attach(self, later: Later) -> None:
+        """From now on an event loop tries again what a stalled reader has left waiting."""
+        self._outlet.later = later
+
     def error(self, msg_id: str, text: str, **fields: object) -> None:
         """Something is wrong with this program or its files."""
         self._write(_ERROR, msg_id, text, fields)
--- a/hollowusher/logs/outlet.py
+++ b/hollowusher/logs/outlet.py
@@ -1,89 +1,114 @@
-"""The way of log lines to a descriptor: a bounded queue and a thread that alone may block on the reader.
+"""The way of log lines to a descriptor: a bounded queue, and writes that cannot block.
 
-A reader that stalls (a full pipe, a terminal that was stopped) blocks whoever writes.  The event loop must
-never be that writer: nobody would be answered until the reader goes on.
+A reader that stalls (a full pipe, a terminal that was stopped) blocks whoever writes, and nobody would be
+answered until it goes on.  So the descriptor is asked first, without waiting, and no more is written at a
+time than a pipe takes whole (PIPE_BUF, pipe(7)).  There is no second thread: a thread blocked in a write
+cannot be ended, and hands the interpreter to and fro with the event loop while it is not.
 """
 
 from __future__ import annotations
 
-import contextlib
 import os
 import select
-import threading
+import time
 from collections import deque
 from collections.abc import Callable
 
 MOST_LINES, MOST_BYTES = 1_000, 128 * 1024  # what may wait; later lines are dropped and counted
-_WRITABLE_S = 1.0
+RETRY_FIRST_S, RETRY_LAST_S = 0.02, 1.0  # how soon a stalled reader is tried again, doubled each time
+_POLL_MOST_S = 0.05  # the longest single wait of the end for its reader
+
+Later = Callable[[float, Callable[[], None]], object]
 
 
 class Outlet:
     """Lines in order to one descriptor.  `put` returns at once; what finds no room is counted and said later.
 
-    `dropped` makes the line that tells of the count, put in where lines are missing.
+    `dropped` makes the line that tells of the count, put in where lines are missing.  What waits for its
+    reader goes out at the next `put`, or by `later` (seconds, what to call) once an event loop runs.
     """
 
     def __init__(
         self, descriptor: int, dropped: Callable[[int], str],
-        most_lines: int = MOST_LINES, most_bytes: int = MOST_BYTES,
+        most_lines: int = MOST_LINES, most_bytes: int = MOST_BYTES, later: Later | None = None,
     ) -> None:
         self._descriptor, self._dropped = descriptor, dropped
         self._most_lines, self._most_bytes = most_lines, most_bytes
         self._lines: deque[bytes] = deque()
         self._bytes = self._lost = 0
-        self._closing = False
-        self._changed = threading.Condition()
-        self._thread: threading.Thread | None = None
+        self._closing = self._waiting = False
+        self._retry_s = RETRY_FIRST_S
+        self.later = later
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
 
     def put(self, line: str) -> bool:
-        """Queue one line; False where it had to be dropped."""
+        """Queue one line and write what the reader takes; False where it had to be dropped."""
         data = line.encode("utf-8", "replace") + b"\n"
-        with self._changed:
-            if len(self._lines) >= self._most_lines or self._bytes + len(data) > self._most_bytes:
-                self._lost += 1
-                return False
-            data = self._told_loss() + data
-            self._lines.append(data)
-            self._bytes += len(data)
-            if self._thread is None and not self._closing:  # daemonic: no reader holds up the end
-                self._thread = threading.Thread(target=self._run, name="log-outlet", daemon=True)
-                self._thread.start()
-            self._changed.notify()
+        self._flush()
+        room = len(self._lines) < self._most_lines and self._bytes + len(data) <= self._most_bytes
+        if self._closing or not room:
+            self._lost += 1
+            return False
+        self._queue(self._told_loss() + data)
+        self._flush()
         return True
 
     def close(self, most_s: float) -> bool:
         """Take no more and give the reader this long (seconds) for what waits; whether all went out."""
-        with self._changed:
-            self._closing = True
-            self._changed.notify()
-        if self._thread is not None:
-            self._thread.join(most_s)
-        return not self._lines
-
-    def _run(self) -> None:
-        while True:
-            with self._changed:
-                while not self._lines and not self._lost and not self._closing:
-                    self._changed.wait()
-                if not self._lines and self._lost:  # the reader is back, and nothing else is to be said
-                    self._lines.append(self._told_loss())
-                    self._bytes += len(self._lines[0])
-                if not self._lines:
-                    return
-                data = self._lines[0]
-            with contextlib.suppress(OSError):  # a closed log must not end the lines' order or the program
-                self._write(data)
-            with self._changed:  # only now: what is being written counts as waiting
-                self._bytes -= len(self._lines.popleft())
+        self._closing, until = True, time.monotonic() + most_s
+        while self._lines or self._lost:
+            if not self._lines:
+                self._queue(self._told_loss())
+            left_s = until - time.monotonic()
+            if not self._write(max(0.0, min(left_s, _POLL_MOST_S))) and left_s <= 0:
+                return False
+        return True
+
+    def _flush(self) -> None:
+        """Write until the reader takes no more; then try again later."""
+        while self._lines:
+            if not self._write(0.0):
+                if self.later is not None and not self._waiting:
+                    self._waiting = True
+                    self.later(self._retry_s, self._again)
+                    self._retry_s = min(RETRY_LAST_S, 2 * self._retry_s)
+                return
+            self._retry_s = RETRY_FIRST_S
+            if not self._lines and self._lost:  # the reader is back, and nothing else is to be said
+                self._queue(self._told_loss())
+
+    def _again(self) -> None:
+        self._waiting = False
+        self._flush()
+
+    def _queue(self, data: bytes) -> None:
+        self._lines.append(data)
+        self._bytes += len(data)
 
     def _told_loss(self) -> bytes:
         lost, self._lost = self._lost, 0
         return self._dropped(lost).encode("utf-8", "replace") + b"\n" if lost else b""
 
-    def _write(self, data: bytes) -> None:
-        rest = memoryview(data)
-        while rest:
-            try:
-                rest = rest[os.write(self._descriptor, rest) :]
-            except BlockingIOError:  # whoever shares the descriptor has made it non-blocking
-                select.select((), (self._descriptor,), (), _WRITABLE_S)
+    def _write(self, wait_s: float) -> bool:
+        """Write one piece if the descriptor takes it within this time; whether anything left the queue."""
+        told = self._poll.poll(wait_s * 1000)
+        if not told:
+            return False
+        if not told[0][1] & select.POLLOUT:  # closed or broken: its lines are lost, the program goes on
+            self._lines.clear()
+            self._bytes = 0
+            return True
+        head = self._lines[0]
+        try:
+            written = os.write(self._descriptor, head[: select.PIPE_BUF])
+        except BlockingIOError:  # whoever shares the pipe was quicker, and has made it non-blocking
+            return False
+        except OSError:  # a closed log must not end the program
+            written = len(head)
+        self._bytes -= written
+        if written < len(head):
+            self._lines[0] = head[written:]
+        else:
+            self._lines.popleft()
+        return True
--- a/tests/test_log_outlet.py
+++ b/tests/test_log_outlet.py
@@ -7,7 +7,9 @@
 import os
 import signal
 import sys
+import threading
 import unittest
+from collections.abc import Callable
 
 from hollowusher.logs.outlet import Outlet
 from tests.standins import post, read_http
@@ -80,10 +82,33 @@
         reads, writes = stalled_pipe()
         outlet = Outlet(writes, str, most_bytes=100)
         self.assertEqual([outlet.put("x" * 40) for _ in range(3)], [True, True, False])
-        os.close(reads)  # a reader that is gone ends the wait: its lines are lost, the thread is not
+        os.close(reads)  # a reader that is gone ends the wait: its lines are lost, the program is not
         self.assertTrue(outlet.close(5.0))
         os.close(writes)
 
+    def test_what_waits_goes_out_by_the_loop_with_longer_waits_and_no_thread(self) -> None:
+        reads, writes = stalled_pipe()
+        waits: list[float] = []
+        calls: list[Callable[[], None]] = []
+
+        def later(wait_s: float, call: Callable[[], None]) -> None:
+            waits.append(wait_s)
+            calls.append(call)
+
+        outlet = Outlet(writes, str, later=later)
+        outlet.put("x" * 9_000)  # more than a pipe takes whole: it goes in pieces
+        for _ in range(8):
+            calls.pop()()
+        self.assertEqual(waits[:3] + waits[-2:], [0.02, 0.04, 0.08, 1.0, 1.0])
+        seen = b""
+        while calls:
+            seen += os.read(reads, 65536)
+            calls.pop()()
+        os.close(writes)
+        self.assertEqual((seen + told(reads)).lstrip(b"."), b"x" * 9_000 + b"\n")
+        self.assertEqual(threading.active_count(), 1)
+        os.close(reads)
+
     def test_a_descriptor_that_does_not_block_is_waited_for(self) -> None:
         reads, writes = stalled_pipe()
         os.set_blocking(writes, False)
