Ask a pushed list's agent by ourselves, and pass on tenants, hints and service times

Seen: with `discovery` push the module never orders a watch (balance.py: Gate.watching stands from the start, `watch` returns), and only its orders made the program ask. X-Caller, X-Call-Cost and latency_ms were dropped (terminals.read_job, desk._tell, common.read_load), though the wire's adapter reads all three.

Change: where the list is pushed the watch asks at the start and again after a failure, by AskAgain: at most a quarter of the drain grace, half of it by chance. Job and Arrival carry tenant and hint; service time is read.

--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import signal
 import time
 from collections.abc import Callable
 from functools import partial
 
+from hazelweir.interface import Discovery
 from hollowusher.config import Config, load
 from hollowusher.core.desk import DispatchDesk
 from hollowusher.core.roster import Roster
@@ -22,6 +24,7 @@
 from hollowusher.net.pool import Pool
 from hollowusher.net.ring import ring_bytes
 from hollowusher.reload import Reloads
+from hollowusher.rules.node_list import AskAgain
 
 SPARE_SOCKETS = 48  # for the log, the list, the listeners and the loop itself
 NODE_SHARE = 0.45  # of the other sockets, for connections to nodes
@@ -52,7 +55,9 @@
     owner = DeskOwner(desk, floor.carry_out, log)
     watch = NodeListWatch(
         config.discovery, roster, owner.post, floor.changed, log,
-        lambda name, kind: "http2" if config.http2.speaks(name, kind) else "platform")
+        lambda name, kind: "http2" if config.http2.speaks(name, kind) else "platform",
+        AskAgain(config.settings.rules.drain_grace_ns, random.Random(config.seed).random)
+        if config.settings.discovery is Discovery.PUSH else None)
     floor.post, floor.watch = owner.post, watch.ask
     http1 = floor.nodes["platform"] = PlatformNodes(roster, pool, config.meanings, owner.post, log)
     carrier = None
--- a/hollowusher/core/desk.py
+++ b/hollowusher/core/desk.py
@@ -54,8 +54,8 @@
                 self._jobs[job.ticket] = job
                 self._sends[job.ticket] = 0
                 return Arrival(
-                    job.ticket, job.job_class, max(0, job.deadline_ns - now), slots=job.slots,
-                    memory=job.memory, key=job.about, retry=job.retry,
+                    job.ticket, job.job_class, max(0, job.deadline_ns - now), job.hint_ns, job.slots,
+                    job.memory, job.tenant, job.about, job.retry,
                 )
             case TerminalGone(job):
                 return ClientGone(job.ticket) if self._close(job.ticket) else None
--- a/hollowusher/core/model.py
+++ b/hollowusher/core/model.py
@@ -43,6 +43,8 @@
     answer_to: Callable[[Answer], None]
     repeat_key: str = ""
     about: str = ""
+    tenant: str = ""  # whose share it counts on; "" where nobody's
+    hint_ns: int = 0  # the terminal's guess at the work, 0: none
     slots: float = 1.0
     memory: float = 0.0
     retry: bool = False
--- a/hollowusher/fronts/common.py
+++ b/hollowusher/fronts/common.py
@@ -21,6 +21,7 @@
     "load_share": "busy", "qps": "served_per_s", "tps": "served_per_s", "eps": "errors_per_s",
     "err_ps": "errors_per_s",
 }
+_SERVICE = ("latency_ms", "mean_ms")  # a node's recent service time without waiting, in milliseconds
 _BUDGET = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 
 
@@ -90,4 +91,8 @@
         meaning = meanings.get(name) or _MEANINGS.get(name)
         if meaning and isinstance(number, int | float) and not isinstance(number, bool):
             values[meaning] = float(number)
-    return Reading(**values) if values else None  # type: ignore[arg-type]
+    service = next((value[n] for n in _SERVICE if type(value.get(n)) in (int, float)), None)
+    service_ns = round(service * 1e6) if service is not None and 0 <= service < 1e9 else None
+    if not values and service_ns is None:
+        return None
+    return Reading(service_ns=service_ns, **values)
--- a/hollowusher/fronts/platform/discovery.py
+++ b/hollowusher/fronts/platform/discovery.py
@@ -16,7 +16,7 @@
 from hollowusher.fronts.platform.http import AnswerReader
 from hollowusher.log import Log
 from hollowusher.net.link import Link, connect
-from hollowusher.rules.node_list import ListRead, one_front, read_list
+from hollowusher.rules.node_list import AskAgain, ListRead, one_front, read_list
 
 CONNECT_TIMEOUT_S = 1.0
 ANSWER_TIMEOUT_S = 4.0  # the service itself fails a call that has waited for 3 s
@@ -30,9 +30,14 @@
     def __init__(
         self, address: tuple[str, int], roster: Roster, post: Callable[[DeskEvent], None],
         changed: Callable[[RouteNode], None], log: Log, front: Callable[[str, str], str] = one_front,
+        again: AskAgain | None = None,
     ) -> None:
+        """With `again` the list is pushed: the address is an agent of our own machine, which this watch asks
+        by itself; without, the desk says when the one service of all schedulers is asked."""
         self._address, self._roster, self._post, self._log = address, roster, post, log
         self._changed, self._front = changed, front
+        self._again = again
+        self._timer: asyncio.TimerHandle | None = None
         self._version = 0
         self._opening: asyncio.Task[None] | None = None
         self._standing: asyncio.Task[None] | None = None
@@ -46,6 +51,8 @@
             read = ListRead(0, True)
         self._version = read.version
         self._post(self._roster.told(ListKind.CACHED, read.nodes))
+        if self._again is not None:
+            self.ask()
 
     def _read(self, told: object) -> ListRead:
         read = read_list(told, self._roster, time.monotonic_ns(), time.time() * 1000, self._front)
@@ -71,7 +78,7 @@
 
     def stop(self) -> None:
         """End all watching."""
-        for task in (self._opening, self._standing):
+        for task in (self._opening, self._standing, self._timer):
             if task is not None:
                 task.cancel()
 
@@ -115,6 +122,8 @@
             if self._standing is not None:
                 self._standing.cancel()
             self._standing = task
+        if self._again is not None:
+            self._again.good()
 
     def _ended(self, address: tuple[str, int], why: str, kind: ListKind) -> None:
         """A watch broke, or a call failed: the desk asks again."""
@@ -124,6 +133,8 @@
             self._standing = None
         where = f"{address[0]}:{address[1]}"
         self._log.warning("list-broken", "the watch on the node list broke", why=why, service=where)
+        if self._again is not None:
+            self._timer = asyncio.get_running_loop().call_later(self._again.wait_s(), self.ask)
         self._post(NodeListTold(kind))
 
     def _line(self, line: bytes, address: tuple[str, int]) -> None:
--- a/hollowusher/fronts/platform/terminals.py
+++ b/hollowusher/fronts/platform/terminals.py
@@ -13,7 +13,7 @@
 from hazelweir.interface import Effect, JobClass
 from hollowusher.core.model import Answer, DeskEvent, Job, JobTaken, TerminalGone, Verdict
 from hollowusher.fronts.common import (
-    FIRST_S, REQUEST_S, TRAVEL_NS, JobIds, printable, read_budget_ns,
+    FIRST_S, MOST_NAME, REQUEST_S, TRAVEL_NS, JobIds, printable, read_budget_ns,
 )
 from hollowusher.fronts.platform.http import BadInput, Request, RequestReader, answer_head
 from hollowusher.log import Log
@@ -54,11 +54,14 @@
     if not printable(repeat_key) or (not repeat_key and classes[job_class].effect is Effect.KEYED):
         raise BadInput(400, "Idempotency-Key is missing or cannot be one")
     info = _figures(headers.get("x-call-info", ""))
+    cost_us = headers.get("x-call-cost", "")  # a guess: one that cannot be read is none, and costs no job
+    hint_ns = int(cost_us) * 1_000 if cost_us.isascii() and cost_us.isdigit() and len(cost_us) < 12 else 0
     left_ns -= now - request.came_ns + TRAVEL_NS
     if last_ns is not None:
         left_ns = min(left_ns, last_ns - now)
     return Job(
         job_id, job_class, request.target, request.body, now, left_ns, answer_to, repeat_key=repeat_key,
+        tenant=headers.get("x-caller", "")[:MOST_NAME], hint_ns=hint_ns,
         slots=info.get("slots", 1.0), memory=info.get("memory", 0.0), retry=headers.get("x-again") == "1",
     )
 
--- a/hollowusher/rules/node_list.py
+++ b/hollowusher/rules/node_list.py
@@ -23,6 +23,28 @@
     return "platform"
 
 
+class AskAgain:
+    """When a pushed list is asked for again.  What its agent has counts as told whether we hear it or not, so
+    that the longest wait (seconds) is a part of the grace that a drain leaves; the agent is our own
+    machine's and answers at no cost, and is not hammered all the same while it is down."""
+
+    FIRST_S, GRACE_PARTS = 0.01, 4
+
+    def __init__(self, grace_ns: int, chance: Callable[[], float]) -> None:
+        self._longest_s = max(self.FIRST_S, grace_ns / 1e9 / self.GRACE_PARTS)
+        self._chance, self._failures = chance, 0
+
+    def good(self) -> None:
+        """It has told something."""
+        self._failures = 0
+
+    def wait_s(self) -> float:
+        """How long to wait after one more failure; half of it by chance."""
+        wait_s = min(self._longest_s, self.FIRST_S * 2.0 ** min(self._failures, 16))
+        self._failures += 1
+        return wait_s * (0.5 + 0.5 * self._chance())
+
+
 @dataclass(slots=True)
 class ListRead:
     """One list object: its version, whether it is the whole list, its nodes, and what was wrong with it."""
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -283,6 +283,7 @@
     """Runs the whole program on loopback with stand-ins."""
 
     http2 = Http2Config()
+    settings = SETTINGS
 
     async def asyncSetUp(self) -> None:
         self.list = NodeList()
@@ -305,8 +306,8 @@
                        for i, n in enumerate(stomp_nodes))
         fields: dict[str, Any] = {"heart_beat_ms": 1000, **stomp_config}
         self.config = Config(
-            "n0", ("127.0.0.1", self.port), ("127.0.0.1", self.list.port), 1, 512, SETTINGS, MEANINGS, 0.25,
-            30.0, {}, None, StompConfig(True, ("127.0.0.1", self.stomp_port), nodes=listed, **fields),
+            "n0", ("127.0.0.1", self.port), ("127.0.0.1", self.list.port), 1, 512, self.settings, MEANINGS,
+            0.25, 30.0, {}, None, StompConfig(True, ("127.0.0.1", self.stomp_port), nodes=listed, **fields),
             http2=self.http2,
         )
         self.stop = asyncio.Event()
