Count a retry's age from its first try, and help classes and tenants by the goal's mix

`alike` was keyed by a size that follows the load there (slots, reading), a new key each second. Tenants and the goal's parts were read by nobody.

Change: a retry's past is what its class's clients have had left at most, less what it has. Rates by worth, by how seldom in time, and by the worst class's part of the goal. A request beyond its tenant's share (counted in shares.py, told) counts as the settings say. Patience is the crossing's price in parts of the whole.

--- a/hazelweir/adapter.py
+++ b/hazelweir/adapter.py
@@ -13,10 +13,11 @@
 from hazelweir.balance import Balancer
 from hazelweir.interface import (
     NS_PER_MS, NS_PER_S, Action, Arrival, Cancel, ClientGone, Discovery, Effect, Ended, Event, Fail,
-    Group, JobClass, Limits, Listed, ListKind, Log, Order, Outcome, Prices, Probe, Probed, Progress,
+    Goal, Group, JobClass, Limits, Listed, ListKind, Log, Order, Outcome, Prices, Probe, Probed, Progress,
     Reading, Refuse, Rules, Send, Settings, Started, State, Streaming, Tenant, Via, Wake, Watch,
     WorkerList, Woken,
 )
+from hazelweir.shares import Shares
 
 _OUTCOMES = {
     "ok": Outcome.OK,
@@ -186,6 +187,7 @@
         reading_fields=o.words("report.names"),
         tells_start=o.get("family_info.tells_start", _BOOLS.__getitem__, False),
         progress_ns=o.get("family_info.progress_ns", int, 0),
+        sizes_told=o.get("weights", str, "nominal") == "nominal",
         order=o.get("family_info.queue_order", _ORDERS.__getitem__, Order.FIFO),
         rules=Rules(
             drain_grace_ns=o.get("contract.drain_grace_ns", int, 0),
@@ -211,6 +213,10 @@
             probe=o.get("prices.probe", _number, 0.0),
             late_fail=o.get("prices.late_fail", _number, 0.0),
         ),
+        goal=Goal(
+            whole=o.get("scoring_mix.whole", _number, 1.0),
+            worst_class=o.get("scoring_mix.worst_class", _number, 0.0),
+        ),
     )
     return settings, meanings
 
@@ -220,6 +226,7 @@
 
     def __init__(self, seed: int, settings: Settings, meanings: dict[str, str], now: int) -> None:
         self.balancer = Balancer(settings, seed, now)
+        self.shares = Shares(settings, now)
         self.meanings = meanings
         self.classes = [c.name for c in settings.classes]
         self.events: list[Event] = []
@@ -302,7 +309,7 @@
                 raise WireError(word[:40], f"node ({node} has not begun)")
             else:
                 instance = self._instances[node]
-                event = self._event(instance, word, parts[1:])
+                event = self._event(instance, word, parts[1:], now)
                 if event is not None:
                     instance.events.append(event)
                 touched[node] = None
@@ -327,7 +334,7 @@
             out.append(f"CONTEXT {node}")
             out.extend(write_action(a) for a in actions)
 
-    def _event(self, instance: Instance, word: str, parts: list[str]) -> Event | None:
+    def _event(self, instance: Instance, word: str, parts: list[str], now: int) -> Event | None:
         f = Fields(word, parts)
         if word == "WAKEUP":
             f.read("ctx", _whole)
@@ -344,6 +351,7 @@
             slots = f.read("slots", _number, 1.0)
             memory = f.read("mem_needed", _number, 0.0)
             flags = f.read("opts", _whole, 0)
+            retry = bool(flags & _CLIENT_RETRY)
             return Arrival(
                 request,
                 job_class,
@@ -353,7 +361,8 @@
                 memory,
                 tenant,
                 key,
-                bool(flags & _CLIENT_RETRY),
+                retry,
+                instance.shares.over(tenant, retry, now),
             )
         if word == "INTERIM":
             request, worker = f.read("request_id", str), f.read("executor", _whole)
--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -50,6 +50,7 @@
 CROWDED_PARTS = 2  # a queue whose head has waited this many t_d is crowded
 FAIR_MEMORY = 0.02  # weight of one job in its class's share of jobs that start in time
 FIRES_MOST = 16  # timers a step serves: in a large fleet one is always due, and a node's CPU is small
+WORST_POWER = 4  # how sharply the class that is seldomest in time counts as the worst one
 LOOK_AHEAD = 20  # queued jobs a worker looks at for one that it can take
 ANSWER_SPARE_NS = 20 * NS_PER_MS  # the final answer leaves two ticks and this before the client gives up
 WATCH_FIRST_NS = 250 * NS_PER_MS  # wait before asking for the list again after a failure; doubled each time
@@ -99,10 +100,11 @@
 class Request:
     """A client's request and what its attempts allow."""
 
-    def __init__(self, event: Arrival, cls: JobClass, now: int, seq: int) -> None:
-        self.id, self.cls, self.arrived, self.seq = event.request, cls, now, seq
+    def __init__(self, event: Arrival, cls: JobClass, now: int, seq: int, past: int = 0) -> None:
+        self.id, self.cls, self.arrived, self.seq = event.request, cls, now - past, seq
         self.deadline = now + event.left_ns
         self.hint, self.slots, self.memory = event.hint_ns, max(event.slots, 0.0), max(event.memory, 0.0)
+        self.over_share = event.over_share
         self.attempts: list[Attempt] = []
         self.queued = self.late = self.closed = self.streaming = self.copied = False
 
@@ -327,12 +329,13 @@
         # Few schedulers have readings enough to choose by; of many, none knows which worker is free.
         limits = settings.limits
         self.copies = limits.second_copies and limits.cancel and settings.balancers > FEW
-        self.joined = False  # whether a job has joined the queue in this step
-        self.checking = False  # whether a check of the workers is due
+        self.joined = self.checking = False  # whether a job joined in this step; a check of workers is due
         self.workers, self.requests = dict[int, Worker](), dict[str, Request]()
         self.queue, self.late = list[Request](), list[Request]()  # late: waited too long to be in time
         self.runs, self.hints = dict[str, float](), dict[str, float]()  # a class's mean running time and hint
-        self.in_time = {c.name: 1.0 for c in settings.classes}  # share of jobs started before they were late
+        self.in_time = dict.fromkeys(self.classes, 1.0)  # share of jobs started before they were late
+        self.came = dict.fromkeys(self.classes, 1)  # jobs of a class that came, and one more
+        self.lefts = dict.fromkeys(self.classes, 0)  # the most time that one of them had left
         self.alike: dict[tuple[str, float], float] = {}  # most free slots seen on like workers
         self.usual_pace = 1.0  # the median pace of the workers: above 1 when a shared cause slows all
         self.bearable_pace = math.inf  # the pace at which the most pressing class ends late without waiting
@@ -449,13 +452,17 @@
         if cls is None or event.request in self.requests:
             return
         self.seq += 1
-        request = Request(event, cls, now, self.seq)
+        # A client's time runs over all its tries: what a first one has left and this one has not, is past.
+        self.lefts[cls.name] = max(event.left_ns, self.lefts[cls.name])
+        past = self.lefts[cls.name] - event.left_ns if event.retry else 0
+        request = Request(event, cls, now, self.seq, past)
+        self.came[cls.name] += 1
         self.requests[request.id] = request
         if request.hint:
             mean = self.hints.get(cls.name, float(request.hint))
             self.hints[cls.name] = mean + LEARN * (request.hint - mean)
         may_wait = cls.aim_ns + STRETCH_SHARE * max(0.0, cls.stretch - 1.0) * self.expected(request)
-        late = now + max(2 * self.t_d, round(HOPE_SHARE * may_wait))  # a round of timers first
+        late = request.arrived + max(2 * self.t_d, round(HOPE_SHARE * may_wait))  # a round of timers first
         self.probe_credit = min(PROBE_BURST, self.probe_credit + 1.0)
         self.enqueue(request)
         self.at(late, lambda then: self.turn_late(then, request), request)
@@ -525,8 +532,7 @@
         if event.final:
             self.close(request)
         elif not any(a.outcome is None for a in request.attempts):
-            lost = request.cls.effect is Effect.UNSAFE and request.may_have_run()
-            again = not lost and any(request.repeatable(w, now, self.settings) for w in self.workers.values())
+            again = any(request.repeatable(w, now, self.settings) for w in self.workers.values())
             (self.enqueue if again else self.finish)(request)
 
     def expected(self, request: Request) -> float:
@@ -625,7 +631,11 @@
 
     def slots(self, worker: Worker) -> float:
         """The slots a worker is taken to have: the most free ones seen on it or on one like it."""
-        return max(1.0, self.alike.get((worker.entry.kind, worker.entry.size), 0.0), worker.most_free)
+        return max(1.0, self.alike.get(self.like(worker), 0.0), worker.most_free)
+
+    def like(self, worker: Worker) -> tuple[str, float]:
+        """What workers of one build share.  A size that follows the load would make each one's its own."""
+        return worker.entry.kind, worker.entry.size if self.settings.sizes_told else 1.0
 
     def check(self, now: int) -> None:
         """Notice silence and crawling, while jobs are out."""
@@ -673,7 +683,7 @@
 
     def reading(self, now: int, worker: Worker, reading: Reading) -> None:
         """A fresh reading resizes the bundle once."""
-        like = (worker.entry.kind, worker.entry.size)
+        like = self.like(worker)
         if reading.free_slots is not None:
             self.alike[like] = max(self.alike.get(like, 0.0), reading.free_slots)
         busy = worker.read(reading, now, self.alike.get(like, 0.0))
@@ -775,20 +785,26 @@
         if self.line is None:
             head = self.queue[:LOOK_AHEAD]
             if head and now - head[0].arrived > CROWDED_PARTS * self.t_d:
-                head.sort(key=self.worth_rate, reverse=True)
+                rates, part = self.rates(), self.settings.over_share_worth
+                head.sort(key=lambda r: rates[r.cls.name] * (part if r.over_share else 1.0), reverse=True)
             self.line = head + self.late[: -LOOK_AHEAD : -1]
         return self.line
 
-    def worth_rate(self, request: Request) -> float:
-        """What a job earns for a worker's time; more for a class seldom started in time, else it starves."""
-        cls = request.cls
-        rate = cls.worth if self.settings.worth_by_work else cls.worth / self.mean_run(cls)
-        return rate / max(LEARN, self.in_time[cls.name]) ** 2
+    def rates(self) -> dict[str, float]:
+        """What a class's jobs earn for a worker's time: its worth, more if it is seldom in time, and what the
+        goal gives the worst class, which is cheap to help if it asks for little."""
+        s, shares = self.settings, {name: max(LEARN, share) for name, share in self.in_time.items()}
+        work = {c.name: self.came[c.name] * self.mean_run(c) for c in s.classes}
+        rate = {c.name: c.worth / (1.0 if s.worth_by_work else self.mean_run(c)) for c in s.classes}
+        worst = s.goal.worst_class / s.goal.whole / sum(share**-WORST_POWER for share in shares.values())
+        mean = sum(work[name] * rate[name] for name in work) or 1.0
+        return {n: rate[n] / mean / t**2 + worst * t**-WORST_POWER / work[n] for n, t in shares.items()}
 
     def patience(self, request: Request) -> float:
         """How long a job waits for a worker of its own zone: the crossing's price in terms of its aim."""
         cls = request.cls
-        return self.settings.prices.cross_zone * (cls.aim_ns + cls.stretch * self.expected(request))
+        share = self.settings.prices.cross_zone / self.settings.goal.whole
+        return share * (cls.aim_ns + cls.stretch * self.expected(request))
 
     def send(self, now: int, worker: Worker, request: Request, cost: float) -> None:
         """Start an attempt."""
--- a/hazelweir/interface.py
+++ b/hazelweir/interface.py
@@ -154,6 +154,14 @@
     late_fail: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Goal:
+    """What the service is measured by: parts of 1."""
+
+    whole: float = 1.0
+    worst_class: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class Settings:
     """All that a balancer is told at its start."""
@@ -174,9 +182,11 @@
     tells_start: bool = False
     progress_ns: int = 0
     order: Order = Order.FIFO
+    sizes_told: bool = True  # a worker's listed size is its own; else it follows its load, or is no figure
     rules: Rules = field(default_factory=Rules)
     limits: Limits = field(default_factory=Limits)
     prices: Prices = field(default_factory=Prices)
+    goal: Goal = field(default_factory=Goal)
 
     def __post_init__(self) -> None:
         """Refuse what cannot hold, naming the field, so that a wrong file stops a node at its start."""
@@ -211,6 +221,7 @@
         need(r.warm_after_ns >= 0, "rules.warm_after_ns", "must not be negative")
         need(r.answer_grace_ns >= 0, "rules.answer_grace_ns", "must not be negative")
         need(r.ask_within_ns > 0, "rules.ask_within_ns", "must be above 0")
+        need(self.goal.whole > 0, "goal.whole", "must be above 0")
         need(m.max_attempts >= 1, "limits.max_attempts", "must be 1 or more")
         need(m.max_retry_after_ns >= 0, "limits.max_retry_after_ns", "must not be negative")
 
@@ -258,7 +269,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """Event: a client asks.  `left_ns` is how long it will wait, `hint_ns` the work to expect (0: untold)."""
+    """Event: a client asks.  `left_ns` is how long it will wait, `hint_ns` the work to expect (0: untold),
+    `over_share` whether its tenant asks for more than its share."""
 
     request: str
     job_class: str
@@ -269,6 +281,7 @@
     tenant: str = ""
     key: str = ""
     retry: bool = False
+    over_share: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/hollowusher/core/desk.py
+++ b/hollowusher/core/desk.py
@@ -13,6 +13,7 @@
     Action, Arrival, Cancel, ClientGone, Ended, Event, Fail, Log, Outcome, Probe, Probed, Progress, Refuse,
     Send, Settings, Started, Wake, Watch, WorkerList, Woken,
 )
+from hazelweir.shares import Shares
 from hollowusher.core.model import (
     Answer, Attempt, AttemptEnded, AttemptProgress, AttemptStarted, DeskEvent, Dispatch, Job, JobTaken,
     NodeListTold, NodeProbed, Order, ProbeNode, Remark, Reply, TerminalGone, TimeCame, Verdict, WakeDesk,
@@ -24,7 +25,7 @@
     """One module, its open jobs and its open attempts."""
 
     def __init__(self, settings: Settings, seed: int, now: int) -> None:
-        self._module = Balancer(settings, seed, now)
+        self._module, self._shares = Balancer(settings, seed, now), Shares(settings, now)
         self._max_wait = settings.limits.max_retry_after_ns if settings.limits.retry_after else 0
         self._jobs: dict[str, Job] = {}
         self._sends: dict[str, int] = {}
@@ -56,6 +57,7 @@
                 return Arrival(
                     job.ticket, job.job_class, max(0, job.deadline_ns - now), job.hint_ns, job.slots,
                     job.memory, job.tenant, job.about, job.retry,
+                    self._shares.over(job.tenant, job.retry, now),
                 )
             case TerminalGone(job):
                 return ClientGone(job.ticket) if self._close(job.ticket) else None
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -7,7 +7,9 @@
 from functools import partial
 from unittest import mock
 
-from hazelweir import Arrival, Discovery, Reading, Rules
+from hazelweir import Arrival, Discovery, ListKind, Prices, Probed, Reading, Refuse, Rules, Tenant
+from hazelweir.interface import Goal
+from hazelweir.shares import Shares
 from hollowusher.core.desk import DispatchDesk
 from hollowusher.core.model import JobTaken
 from hollowusher.fronts.common import read_load
@@ -15,7 +17,7 @@
 from hollowusher.fronts.platform.terminals import read_job
 from hollowusher.rules.node_list import AskAgain
 from tests.standins import CLASSES, SETTINGS, HttpNode, SocketCase, post
-from tests.support import MS
+from tests.support import MS, SAFE, Node, S, only, sends, site, workers
 
 
 class PushedList(SocketCase):
@@ -74,3 +76,68 @@
             free_slots=3.0, served_per_s=2.0, errors_per_s=0.0, service_ns=812_500_000))
         for odd in ("812", None, True, -1, float("nan"), float("inf")):
             self.assertIsNone(read_load({"latency_ms": odd}, {}))
+
+
+class ModuleElsewhere(unittest.TestCase):
+    """What the module does where settings differ; each fails without its change."""
+
+    def test_a_retry_is_as_old_as_its_clients_first_try(self) -> None:
+        """Else each try of a job that is late already gets a new aim, and its work is thrown away."""
+        for retry, left, answered in ((False, 5 * S, []), (True, 5 * S, []), (True, 2 * S, ["r"])):
+            node = Node(only(replace(SAFE, late_share=0.0)), workers(1), free={1: 0.0})
+            node.step(Arrival("first", "safe", 5 * S))
+            actions = node.step(Arrival("r", "safe", left, retry=retry)) + node.run(20 * MS)
+            self.assertEqual([a.request for a in actions if isinstance(a, Refuse)], answered)
+
+    def test_workers_whose_sizes_follow_their_load_are_alike_by_kind(self) -> None:
+        """Else what is known of one worker helps none, not even itself once its size has moved."""
+        for told, slots in ((True, 1.0), (False, 8.0)):
+            node = Node(site(sizes_told=told), [*workers(1, size=6.5), *workers(2, size=3.1)])
+            node.step(Probed(1, True, Reading(free_slots=8.0)))
+            self.assertEqual(node.balancer.slots(node.balancer.workers[2]), slots)
+
+    def test_a_job_beyond_its_tenants_share_gives_way_once_it_is_crowded(self) -> None:
+        brief = replace(SAFE, aim_ns=100 * MS, late_share=0.5)
+        for over, first in ((False, "a"), (True, "b")):
+            node = Node(only(brief, over_share_worth=0.2), free={1: 1.0})
+            node.step(Arrival("a", "safe", 5 * S, over_share=over))
+            node.run(1 * MS)
+            node.step(Arrival("b", "safe", 5 * S))
+            node.run(60 * MS)
+            node.listing(ListKind.CHANGES, *workers(1))
+            node.run(200 * MS)
+            self.assertEqual(sends(a for _, a in node.log)[0].request, first)
+
+    def test_the_worst_class_is_helped_by_what_the_goal_gives_it(self) -> None:
+        """By worth alone the class that is worth least is late first, though it asks for little time."""
+        dear, cheap = replace(SAFE, name="dear", worth=10.0), replace(SAFE, name="cheap", worth=1.0)
+        for worst, best in ((0.0, "dear"), (0.4, "cheap")):
+            balancer = Node(site(classes=(dear, cheap), goal=Goal(0.6, worst))).balancer
+            balancer.came.update(dear=90, cheap=10)
+            balancer.in_time.update(dear=0.9, cheap=0.7)
+            rates = balancer.rates()
+            self.assertEqual(max(rates, key=lambda name: rates[name]), best)
+
+    def test_patience_before_a_crossing_is_its_price_in_parts_of_the_whole(self) -> None:
+        waits = []
+        for whole in (1.0, 0.5):
+            node = Node(only(SAFE, prices=Prices(cross_zone=0.1), goal=Goal(whole)))
+            node.arrive("r", "safe")
+            waits.append(node.balancer.patience(node.balancer.requests["r"]))
+        self.assertAlmostEqual(waits[1], 2 * waits[0])
+
+    def test_shares_are_counted_by_allowance_or_by_part_of_all_that_comes(self) -> None:
+        tenants = (Tenant("big", 0.8, 8.0), Tenant("small", 0.2, 2.0))
+        settings = site(tenants=tenants, balancers=2)
+        for rate, name, beyond in (
+            (0.5, "small", False), (3.0, "small", True), (3.0, "big", False), (9.0, "nobody", False),
+        ):
+            shares, over = Shares(settings, 0), False
+            for n in range(int(20 * rate)):
+                now = round(n / rate * S)
+                over = shares.over(name, False, now)
+                self.assertFalse(shares.over(name, True, now))  # a retry belongs to its first try
+            self.assertEqual(over, beyond, (rate, name))
+        mixed = Shares(settings, 0)  # twice the allowance, as all others: its part of what comes is its share
+        told = [mixed.over("big" if n % 5 else "small", False, n * 25 * MS) for n in range(400)]
+        self.assertFalse(any(told))
