--- a/tests/test_properties.py
+++ b/tests/test_properties.py
@@ -29,6 +29,7 @@
     Listed,
     ListKind,
     Outcome,
+    Prices,
     Probe,
     Probed,
     Progress,
@@ -45,6 +46,7 @@
     WorkerList,
     Woken,
 )
+from hazelweir.interface import Goal
 from tests.support import MS, S
 
 RULES = Rules(drain_grace_ns=500 * MS, fall_multiple=2.5, fall_span_ns=2 * S, cold_share=0.2,
@@ -88,16 +90,22 @@
                 [(Effect.SAFE, Group.ALL), (Effect.UNSAFE, Group.ALL), *((Effect.KEYED, g) for g in Group)]
             )
         ]
+        classes = self.rng.sample(classes, pick([1, 2, 5]))  # also sites with one class of one kind
         self.settings = Settings(
-            classes=tuple(classes), balancers=pick([1, 4]), zone="a", zones=("a", "b"), tick_ns=5 * MS,
+            classes=tuple(classes), balancers=pick([1, 4]), zone="a", tick_ns=5 * MS,
+            zones=pick([("a",), ("a", "b")]),
             discovery=pick(list(Discovery)), readings=pick(list(Via)), tells_start=pick([True, False]),
-            progress_ns=pick([0, S]), rules=RULES,
+            progress_ns=pick([0, S]), rules=RULES, worth_by_work=pick([True, False]),
+            sizes_told=pick([True, False]), over_share_worth=pick([0.2, 1.0]),
+            prices=Prices(cross_zone=pick([0.0, 0.16]), probe=pick([0.0, 0.0025])),
+            goal=Goal(pick([0.5, 1.0]), pick([0.0, 0.2])),
             limits=Limits(cancel=pick([True, False]), probes=pick([True, False]),
                           second_copies=pick([True, False]), max_attempts=pick([1, 2, 4])),
         )
         self.now = 10**15
         self.entries = {
-            i: Listed(i, zone=pick("ab"), kind="k", cell=pick([1, 2]), started_ns=pick([0, 0, self.now - S]))
+            i: Listed(i, zone=pick(self.settings.zones), kind="k", cell=pick([1, 2]),
+                      started_ns=pick([0, 0, self.now - S]))
             for i in range(1, pick([2, 5, 9]))
         }
         self.told_bad: dict[int, int] = {}
@@ -138,7 +146,8 @@
             request, cls = f"r{len(self.cases)}", rng.choice(self.settings.classes)
             left = rng.choice([200, 1500, 4000]) * MS
             self.cases[request] = Case(cls, self.now + left)
-            return [Arrival(request, cls.name, left, rng.choice([0, 100 * MS]), rng.choice([1.0, 2.0]))]
+            return [Arrival(request, cls.name, left, rng.choice([0, 100 * MS]), rng.choice([1.0, 2.0]),
+                            retry=rng.random() < 0.2, over_share=rng.random() < 0.2)]
         if what < 0.75 and self.out:
             request, number = self.out[rng.randrange(len(self.out))]
             worker = self.cases[request].tries[number].worker
@@ -179,7 +188,7 @@
         old = self.entries[worker]
         state = rng.choice([State.READY, State.READY, State.DRAINING, State.GONE])
         started = self.now if rng.random() < 0.3 else old.started_ns
-        entry = Listed(worker, old.zone, old.kind, old.cell, state, 1.0, started)
+        entry = Listed(worker, old.zone, old.kind, old.cell, state, rng.choice([1.0, 2.5]), started)
         self.entries[worker] = entry
         if state is State.READY:
             self.told_bad.pop(worker, None)
