Add membership among schedulers as a state machine, in virtual time and model-checked

Need: copies, shared budgets and warnings want one honest view of who is there, that bears pauses, losses and one-sided cuts. Change: rules/membership (SWIM with Lifeguard, and five additions that docs/membership-design.md names), datagrams of at most 256 bytes by msgspec with an xxhash checksum, a network in virtual time, a model check of three members. Seen while it was built: the model check hung in settling, since a member held dead that never answers was pinged at the network's speed (member.py, `_take`); it is told once a period now. Nothing of it runs in a scheduler yet.

--- /dev/null
+++ b/hollowusher/rules/membership/codec.py
@@ -0,0 +1,68 @@
+"""Datagrams to messages and back: MessagePack in an envelope with version, cluster and checksum.
+
+What cannot be read is counted by its reason and costs nothing else.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections import Counter
+
+import msgspec
+import xxhash
+
+from hollowusher.rules.membership.messages import HEAD_BYTES, MOST_DATAGRAM, Message
+
+MAGIC, VERSION = b"hu", 1
+MOST_NEWS, MOST_HASHES = 64, 64
+_HEAD = struct.Struct(">2sBII")
+assert _HEAD.size == HEAD_BYTES
+
+
+class Codec:
+    """For one cluster.  `bad` counts what came and was skipped, by reason."""
+
+    def __init__(self, cluster: str, room: int = MOST_DATAGRAM) -> None:
+        self._cluster = xxhash.xxh32_intdigest(cluster.encode())
+        self._room = room
+        self._decoder = msgspec.msgpack.Decoder(Message)
+        self._encoder = msgspec.msgpack.Encoder()
+        self.bad: Counter[str] = Counter()
+
+    def encode(self, message: Message) -> bytes:
+        """The datagram; ValueError where it would be longer than allowed."""
+        body = self._encoder.encode(message)
+        if len(body) + HEAD_BYTES > self._room:
+            raise ValueError(f"a datagram of {len(body) + HEAD_BYTES} bytes")
+        return _HEAD.pack(MAGIC, VERSION, self._cluster, self._sum(body)) + body
+
+    def decode(self, data: bytes) -> Message | None:
+        """The message, or None where this is none for us."""
+        why, message = self._read(data)
+        if message is None:
+            self.bad[why] += 1
+        return message
+
+    def _read(self, data: bytes) -> tuple[str, Message | None]:
+        if not HEAD_BYTES < len(data) <= self._room:
+            return "length", None
+        magic, version, cluster, checksum = _HEAD.unpack_from(data)
+        if magic != MAGIC:
+            return "magic", None
+        if version != VERSION:
+            return "version", None
+        if cluster != self._cluster:
+            return "cluster", None
+        body = data[HEAD_BYTES:]
+        if checksum != self._sum(body):
+            return "checksum", None
+        try:
+            message = self._decoder.decode(body)
+        except (msgspec.DecodeError, RecursionError):  # a kind that we do not know among them
+            return "body", None
+        if len(message.news) > MOST_NEWS or len(message.hashes) > MOST_HASHES:
+            return "body", None
+        return "", message
+
+    def _sum(self, body: bytes) -> int:
+        return xxhash.xxh32_intdigest(body, seed=self._cluster)
--- /dev/null
+++ b/hollowusher/rules/membership/member.py
@@ -0,0 +1,606 @@
+"""One member's view of the others: SWIM with Lifeguard's extensions, as a state machine.
+
+In go times and messages, out come messages and events: no I/O, no clock, and chance is handed in.  Sources:
+Das, Gupta and Motivala, "SWIM" (2002); Dadgar, Phillips and Currey, "Lifeguard" (2018).  What is added here:
+who hears nobody accuses nobody; who was paused judges nobody by what it missed; before a death is declared
+its subject is called once more; a death heard of one who was just heard itself is a suspicion.
+"""
+
+from __future__ import annotations
+
+import random
+import zlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from msgspec.structs import replace
+
+from hollowusher.rules.membership.events import Change, Told
+from hollowusher.rules.membership.gossip import Gossip
+from hollowusher.rules.membership.messages import (
+    MOST_LIFE, Kind, Message, News, Standing, message_bytes, news_bytes,
+)
+from hollowusher.rules.membership.pace import Pace
+
+BUCKETS = 12  # parts of a digest: what differs is sent by the part
+MOST_PAGES = 32  # datagrams that answer one digest
+MOST_HELPS = 64  # pings for others that are under way
+TWIN_PERIODS = 20  # after which nothing of an earlier process of a name is under way
+MOST_LIVES = 4  # earlier processes of a name that are remembered
+JOIN_CALLS = 3  # names called in a period, until one has answered
+
+
+@dataclass(slots=True)
+class Suspicion:
+    """A member that does not answer: who says so, and until when it has time to say otherwise."""
+
+    since: int
+    accusers: set[str]
+    heard_at: int = -1  # a sign of life since, though no refutation
+    called: bool = False  # whether it was called once more
+
+
+@dataclass(slots=True)
+class Record:
+    """What is known of one member."""
+
+    news: News
+    heard_at: int  # when it was heard itself, last
+    changed_at: int
+    warned_at: int  # when it was told that it is held dead, or outdated
+    lived_at: int  # since when this process of it is known
+    twin: bool = False  # two processes of it were told of
+    private: bool = False  # judged while we heard nobody: not told, and taken back once we hear
+    suspicion: Suspicion | None = None
+    lives: list[int] = field(default_factory=list)  # earlier ones
+
+    @property
+    def present(self) -> bool:
+        """Whether it counts as there."""
+        return self.news.standing <= Standing.SUSPECT
+
+
+@dataclass(slots=True)
+class Probe:
+    """The ping under way."""
+
+    target: str
+    seq: int
+    ask_at: int
+    end_at: int
+    asked: int = -1  # helpers, once they are asked
+    nacks: int = 0
+    acked: bool = False
+
+
+@dataclass(slots=True)
+class Help:
+    """A ping for another member."""
+
+    target: str
+    origin: str
+    seq: int
+    nack_at: int
+    until: int
+
+
+class Member:
+    """The protocol of one process.  `step` takes the time and at most one message; `due` is when to call it.
+
+    `sends` and `told` gather what is to go out and what has changed; the caller empties them.
+    """
+
+    def __init__(
+        self, name: str, life: int, incarnation: int, contacts: Iterable[str], pace: Pace,
+        chance: random.Random, now: int, address: str = "",
+    ) -> None:
+        self.me = News(name, life & MOST_LIFE, incarnation, address=address)
+        self.contacts = frozenset(contacts) | {name}
+        self.pace, self.chance = pace, chance
+        self.records: dict[str, Record] = {}
+        self.gossip = Gossip()
+        self.sends: list[tuple[str, Message]] = []
+        self.told: list[Told] = []
+        self.number = self.health = self._seq = 0
+        self.minority, self.deaf, self.joined, self.gone = len(self.contacts) > 1, True, False, False
+        self._heard_at = now
+        self._probe: Probe | None = None
+        self._helps: dict[int, Help] = {}
+        self._order: list[str] = []
+        self._doubted: set[str] = set()  # who has a suspicion
+        self._there_now: list[str] | None = None  # the present ones in order, until they change
+        self._probe_at = now + round(chance.random() * pace.period_ns)
+        self._reach_at = now
+        self._digest_at = now + round((1 + chance.random()) * pace.digest_periods * pace.period_ns)
+        self._outbid: dict[int, int] = {}  # another process of our name: the incarnation we answered it with
+        self._answered_at = now - 1
+        self._twin: int | None = None
+
+    # --- what others read ---------------------------------------------------------------------------------
+
+    def present(self) -> list[str]:
+        """The names that are there, our own among them."""
+        return sorted([self.me.name, *(n for n, r in self.records.items() if r.present)])
+
+    def due(self) -> int:
+        """When `step` is to be called at the latest."""
+        whens = [self._reach_at, self._digest_at, self._probe_at]
+        if self._probe is not None:
+            whens.append(self._probe.end_at if self._probe.asked >= 0 else self._probe.ask_at)
+        whens += [h.nack_at for h in self._helps.values()]
+        whens += [self._ends(self.records[n]) for n in self._doubted]
+        return min(whens)
+
+    def frozen(self, now: int) -> tuple[object, ...]:
+        """All that decides what it does next, with times from now on: for a model check."""
+        probe = self._probe
+        return (
+            self.me, self.number, self.health, self.deaf, self.joined, self.gone, self._probe_at - now,
+            self._reach_at - now, self._digest_at - now, min(now - self._heard_at, self.pace.forget_ns),
+            probe and (probe.target, probe.ask_at - now, probe.end_at - now, probe.asked, probe.nacks,
+                       probe.acked),
+            tuple(sorted((n, r.news, r.private, now - r.heard_at, r.suspicion and (
+                r.suspicion.since - now, frozenset(r.suspicion.accusers), r.suspicion.heard_at >= 0,
+                r.suspicion.called)) for n, r in self.records.items())),
+            tuple((h.target, h.origin, h.nack_at - now) for h in self._helps.values()),
+            tuple(self._order), self.gossip.frozen(), tuple(self._outbid.items()),
+        )
+
+    # --- what drives it -----------------------------------------------------------------------------------
+
+    def step(self, now: int, message: Message | None = None) -> None:
+        """Take what has come and do what is due."""
+        if self.gone:
+            return
+        late = now - self.due()
+        if late > self.pace.timeout_ns:
+            self._paused(now, late)
+        if message is not None:
+            self._take(now, message)
+        self._run(now)
+
+    def rename(self, now: int, contacts: Iterable[str]) -> None:
+        """Other names are configured from now on: who is there stays, the majority is of the new ones."""
+        self.contacts = frozenset(contacts) | {self.me.name}
+        self._reach_at = now
+        self._weigh()
+
+    def leave(self, now: int) -> None:
+        """Say that we go, in good order; nothing is said or heard after that."""
+        self.me = replace(self.me, standing=Standing.LEFT)
+        others = self._others(())
+        for name in self.chance.sample(others, min(len(others), 2 * self.pace.helpers)):
+            self._send(name, Kind.PING, first=(self.me,))
+        self.gone = True
+
+    def _run(self, now: int) -> None:
+        for name in sorted(self._doubted):
+            record = self.records[name]
+            if record.suspicion is not None and self._ends(record) <= now:
+                self._expire(now, name, record, record.suspicion)
+        for seq in [s for s, h in self._helps.items() if h.nack_at <= now]:
+            wanted = self._helps[seq]
+            if wanted.until <= now:
+                del self._helps[seq]
+            else:
+                self._send(wanted.origin, Kind.NACK, wanted.seq, wanted.target)
+                wanted.nack_at = wanted.until
+        probe = self._probe
+        if probe is not None and probe.asked < 0 and probe.ask_at <= now:
+            self._ask_helpers(probe)
+        if probe is not None and probe.end_at <= now:
+            self._end_probe(now, probe)
+        if self._probe is None and self._probe_at <= now:
+            self._start_probe(now)
+        if self._reach_at <= now:
+            self._reach(now)
+        if self._digest_at <= now:
+            self._digest_at = now + self._spread(self.pace.digest_periods)
+            others = self._others(())
+            if others:
+                self._digest(self.chance.choice(others), asks=True)
+            self._forget(now)
+        if not self.deaf and now - self._heard_at > self._slow(self.pace.deaf_periods):
+            self.deaf = True
+            self._tell(Change.DEAF, self.me.name, "nothing came from anybody")
+            self._weigh()
+
+    def _paused(self, now: int, late: int) -> None:
+        """We did not run: whom we did not hear meanwhile, we could not hear."""
+        for name in self._doubted:
+            if (suspicion := self.records[name].suspicion) is not None:
+                suspicion.since += late
+                suspicion.called = False
+        self._probe, self._probe_at = None, now + round(self.chance.random() * self.pace.period_ns)
+        self._helps.clear()
+        self._heard_at += late
+        self._worsen(1 + late // self.pace.period_ns)
+        self._tell(Change.PAUSED, self.me.name, f"{late / 1e6:.0f} ms late")
+
+    # --- messages in --------------------------------------------------------------------------------------
+
+    def _take(self, now: int, message: Message) -> None:
+        sender = message.sender
+        if sender.name == self.me.name:
+            if sender.life != self.me.life:
+                self._about_me(now, sender)
+            return
+        self._heard_at = now
+        if self.deaf:
+            self._hears(now, sender.name)
+        self.number = max(self.number, message.number)
+        self._apply(now, sender)
+        for news in message.news:
+            self._apply(now, news)
+        record = self.records.get(sender.name)
+        if record is None:
+            return
+        if record.news.life == sender.life:
+            self._alive(now, record)
+        match message.kind:
+            case Kind.PING:
+                self._send(sender.name, Kind.ACK, message.seq)
+            case Kind.ACK:
+                self._acked(now, message)
+            case Kind.ASK:
+                self._help(now, message)
+            case Kind.NACK:
+                if self._probe is not None and message.seq == self._probe.seq:
+                    self._probe.nacks += 1
+            case Kind.DIGEST:
+                self._answer_digest(message)
+        if ((not record.present or record.news.life != sender.life)
+                and now - record.warned_at >= self.pace.period_ns):
+            # It is held dead or gone, or a process of its name with a younger clock is known: it is told, and
+            # can say otherwise.  Once a period: one that never does would be asked at the network's speed.
+            record.warned_at = now
+            if record.news.life != sender.life and now - record.lived_at > TWIN_PERIODS * self.pace.period_ns:
+                self._twins(record)  # what one that ended had sent has arrived by now
+            self._send(sender.name, Kind.PING, first=(record.news,))
+
+    def _hears(self, now: int, name: str) -> None:
+        """Someone is heard again, or for the first time: what was judged meanwhile is taken back."""
+        self.deaf = False
+        for other, record in self.records.items():
+            if record.private:
+                record.private, record.suspicion = False, None
+                self._doubted.discard(other)
+                if not record.present:
+                    self._tell(Change.JOINED, other, "judged while we heard nobody")
+                record.news = replace(record.news, standing=Standing.ALIVE, by="")
+        self._there_now = None
+        self._tell(Change.HEARING, self.me.name, f"{name} is heard")
+        self.joined = True
+        self._digest(name, asks=True)
+        self._weigh()
+
+    def _alive(self, now: int, record: Record) -> None:
+        """A sign of life from the member itself, or brought by a helper."""
+        record.heard_at = now
+        if record.suspicion is not None:
+            record.suspicion.heard_at = now
+
+    def _acked(self, now: int, message: Message) -> None:
+        name = message.target or message.sender.name
+        wanted = self._helps.get(message.seq)
+        if wanted is not None and wanted.target == name:
+            del self._helps[message.seq]
+            self._send(wanted.origin, Kind.ACK, wanted.seq, wanted.target)
+            return
+        record = self.records.get(name)
+        if record is not None and message.target:
+            self._alive(now, record)
+        if self._probe is not None and self._probe.seq == message.seq and self._probe.target == name:
+            self._probe.acked = True
+
+    def _help(self, now: int, message: Message) -> None:
+        """Ping a member for another that does not hear it."""
+        if message.target not in self.records or len(self._helps) >= MOST_HELPS:
+            return
+        seq = self._next_seq()
+        nack_at = now + self.pace.timeout_ns * 4 // 5
+        until = now + 2 * self.pace.period_ns
+        self._helps[seq] = Help(message.target, message.sender.name, message.seq, nack_at, until)
+        self._send(message.target, Kind.PING, seq)
+
+    # --- news ---------------------------------------------------------------------------------------------
+
+    def _apply(self, now: int, news: News) -> None:
+        """Take one piece of news, if it is newer than what is known."""
+        if news.name == self.me.name:
+            self._about_me(now, news)
+            return
+        record = self.records.get(news.name)
+        if record is None:
+            if len(self.records) < self.pace.most_members:
+                self._first(now, news)
+            return
+        old, suspicion = record.news, record.suspicion
+        if (news.standing is Standing.SUSPECT and suspicion is not None
+                and (news.life, news.incarnation) == (old.life, old.incarnation)):
+            if news.by not in suspicion.accusers and len(suspicion.accusers) <= self.pace.confirmers:
+                suspicion.accusers.add(news.by)
+                self.gossip.put(news)
+            return
+        if not news.beats(old):
+            return
+        just = self.pace.suspicion_ns(self._size(), self.pace.confirmers, 0)
+        if (news.standing is Standing.DEAD and news.life == old.life and not record.private
+                and now - record.heard_at < just):
+            # We heard it itself a moment ago: so it is not reached by some, which it gets to know and answer.
+            news = replace(news, standing=Standing.SUSPECT, by=news.by or "others")
+            if not news.beats(old):
+                return
+            self._send(news.name, Kind.PING, first=(news,))
+        self._set(now, record, news)
+
+    def _first(self, now: int, news: News) -> None:
+        """Somebody who was not known."""
+        record = Record(news, now - self.pace.forget_ns, now, now - self.pace.period_ns, now)
+        self.records[news.name] = record
+        if news.standing is Standing.SUSPECT:
+            record.suspicion = Suspicion(now, {news.by})
+            self._doubted.add(news.name)
+        self._there_now = None
+        if record.present:
+            self._order.insert(self.chance.randrange(len(self._order) + 1), news.name)
+            self.gossip.put(news)
+            self._view(Change.JOINED, news.name, "first heard of")
+
+    def _set(self, now: int, record: Record, news: News, private: bool = False) -> None:
+        """What is known of a member changes."""
+        old, was_there = record.news, record.present
+        record.news = news = replace(news, address=news.address or old.address)
+        record.changed_at, record.private = now, private
+        if news.standing is Standing.SUSPECT:
+            record.suspicion = record.suspicion if news.incarnation == old.incarnation else None
+            record.suspicion = record.suspicion or Suspicion(now, {news.by})
+            self._doubted.add(news.name)
+        else:
+            record.suspicion = None
+            self._doubted.discard(news.name)
+        self._there_now = None
+        if private:
+            self.gossip.drop(news.name)
+        else:
+            self.gossip.put(news)
+        if news.life != old.life:
+            if news.life in record.lives:
+                self._twins(record)
+            record.lived_at = now
+            record.lives = [*(n for n in record.lives if n != news.life), old.life][-MOST_LIVES:]
+        if record.present and not was_there:
+            self._order.insert(self.chance.randrange(len(self._order) + 1), news.name)
+            self._view(Change.JOINED, news.name, f"incarnation {news.incarnation}")
+        elif was_there and not record.present:
+            change = Change.DIED if news.standing is Standing.DEAD else Change.LEFT
+            self._view(change, news.name, f"by {news.by}" if news.by else "")
+        elif record.present and news.life != old.life:
+            self._view(Change.RESTARTED, news.name, f"life {news.life:08x} after {old.life:08x}")
+        elif news.standing is Standing.SUSPECT and old.standing is Standing.ALIVE:
+            self._tell(Change.SUSPECTED, news.name, f"by {news.by}")
+            # So many of all ask it next, out of turn: it hears of the suspicion, and three confirm it soon.
+            if self.chance.random() * len(self.records) < 2 * self.pace.confirmers:
+                self._order.append(news.name)
+        elif news.standing is Standing.ALIVE and old.standing is Standing.SUSPECT:
+            self._tell(Change.CLEARED, news.name, f"incarnation {news.incarnation}")
+
+    def _twins(self, record: Record) -> None:
+        if not record.twin:
+            record.twin = True
+            self._tell(Change.TWIN, record.news.name, "two processes speak under this name")
+
+    def _about_me(self, now: int, news: News) -> None:
+        """Something is said of our own name: we are here, and say so with a higher incarnation."""
+        if news.incarnation < self.me.incarnation or (
+                news.life == self.me.life and news.standing is Standing.ALIVE):
+            return
+        if news.life != self.me.life:
+            answered = self._outbid.get(news.life)
+            if answered is not None and news.incarnation > answered and self._twin != news.life:
+                # Whoever ended cannot have answered us: this process is there.
+                self._twin = news.life
+                self._tell(Change.TWIN, self.me.name, f"another process, life {news.life:08x}, has our name")
+            if self._twin is not None and now - self._answered_at < self._slow(self.pace.digest_periods):
+                return  # two that outbid each other at once would fill the network with it
+            self._outbid[news.life] = news.incarnation + 1
+            if len(self._outbid) > MOST_LIVES:
+                del self._outbid[next(iter(self._outbid))]
+            self._answered_at = now
+        elif news.standing is Standing.SUSPECT:
+            self._worsen(1)
+        self.me = replace(self.me, incarnation=news.incarnation + 1)
+        self.gossip.put(self.me)
+        if news.standing is not Standing.ALIVE:
+            self._tell(Change.REFUTED, self.me.name, f"{news.standing.name.lower()} by {news.by or 'others'}")
+        others = self._others((news.by,))
+        told = self.chance.sample(others, min(len(others), self.pace.helpers))
+        for name in [*([news.by] if news.by in self.records else []), *told]:
+            self._send(name, Kind.PING, first=(self.me,))
+
+    # --- judging ------------------------------------------------------------------------------------------
+
+    def _start_probe(self, now: int) -> None:
+        self._probe_at = now + self._slow(1.0)
+        others = self._others(())
+        if not others:
+            return
+        while True:
+            if not self._order:
+                self._order = self.chance.sample(others, len(others))
+            target = self._order.pop()
+            if target in self.records and self.records[target].present:
+                break
+        self._probe = Probe(target, self._next_seq(), now + self._slow_timeout(), now + self._slow(1.0))
+        self._send(target, Kind.PING, self._probe.seq)
+
+    def _ask_helpers(self, probe: Probe) -> None:
+        probe.asked = 0
+        if probe.acked:
+            return
+        others = self._others((probe.target,))
+        for name in self.chance.sample(others, min(len(others), self.pace.helpers)):
+            self._send(name, Kind.ASK, probe.seq, probe.target)
+            probe.asked += 1
+        self._send(probe.target, Kind.PING, probe.seq)
+
+    def _end_probe(self, now: int, probe: Probe) -> None:
+        self._probe = None
+        if probe.acked:
+            self.health = max(0, self.health - 1)
+            return
+        self._worsen(max(0, probe.asked - probe.nacks) if probe.asked > 0 else 1)
+        record = self.records.get(probe.target)
+        if record is None or not record.present:
+            return
+        if record.suspicion is not None:  # our own word among those that confirm it
+            self._apply(now, replace(record.news, standing=Standing.SUSPECT, by=self.me.name))
+            return
+        news = replace(record.news, standing=Standing.SUSPECT, by=self.me.name, address="")
+        self._set(now, record, news, private=self.deaf)
+
+    def _ends(self, record: Record) -> int:
+        """When a suspicion runs out; one that has been called has a moment more."""
+        suspicion = record.suspicion
+        assert suspicion is not None
+        if suspicion.called:
+            return suspicion.since
+        confirmed = len(suspicion.accusers) - 1
+        return suspicion.since + self.pace.suspicion_ns(self._size(), confirmed, self.health)
+
+    def _expire(self, now: int, name: str, record: Record, suspicion: Suspicion) -> None:
+        """A suspicion has run out: it is called once more, by us and by helpers, and then it is dead."""
+        if not suspicion.called:
+            if suspicion.heard_at >= 0:  # it speaks, though it has not refuted: it may be slow to hear
+                suspicion.since, suspicion.heard_at = now, -1
+                self._send(name, Kind.PING)
+                return
+            suspicion.called, suspicion.since = True, now + 2 * self.pace.timeout_ns
+            self._send(name, Kind.PING, self._next_seq())
+            others = self._others((name,))
+            for other in self.chance.sample(others, min(len(others), self.pace.helpers)):
+                self._send(other, Kind.ASK, self._next_seq(), name)
+        elif suspicion.heard_at >= 0:
+            suspicion.called, suspicion.since, suspicion.heard_at = False, now, -1
+        else:
+            by = self.me.name
+            self._set(now, record, replace(record.news, standing=Standing.DEAD, by=by), private=self.deaf)
+
+    # --- digests ------------------------------------------------------------------------------------------
+
+    def _reach(self, now: int) -> None:
+        """Call at names that are not there: to join, and so that halves that were apart find each other."""
+        absent = sorted({n for n in self.contacts if n != self.me.name and not self._there(n)}
+                        | {n for n, r in self.records.items() if r.news.standing is Standing.DEAD})
+        calls = 1 if self.joined else JOIN_CALLS
+        self._reach_at = now + self._spread(self.pace.reach_periods if self.joined else 1.0)
+        for name in self.chance.sample(absent, min(len(absent), calls)):
+            self._digest(name, asks=True)
+
+    def _there(self, name: str) -> bool:
+        record = self.records.get(name)
+        return record is not None and record.present
+
+    def hashes(self) -> tuple[int, ...]:
+        """What is held of all who are there, in parts; the same at two members that hold the same."""
+        parts = [0] * BUCKETS
+        for news in [self.me, *(r.news for r in self.records.values() if r.present)]:
+            said = f"{news.name}/{news.life}/{news.incarnation}"
+            parts[self._bucket(news.name)] ^= zlib.crc32(said.encode())
+        return tuple(parts)
+
+    def _bucket(self, name: str) -> int:
+        return zlib.crc32(name.encode()) % BUCKETS
+
+    def _digest(self, name: str, asks: bool) -> None:
+        self._send(name, Kind.DIGEST, int(asks), hashes=self.hashes())
+
+    def _answer_digest(self, message: Message) -> None:
+        """Send what differs; and our own digest, so that the other does the same."""
+        pairs = zip(self.hashes(), message.hashes, strict=False)
+        differ = {at for at, (ours, theirs) in enumerate(pairs) if ours != theirs}
+        if not differ:
+            return
+        if message.seq:
+            self._digest(message.sender.name, asks=False)
+        news = [r.news for n, r in self.records.items()
+                if self._bucket(n) in differ and not r.private and n != message.sender.name]
+        empty = self._message(Kind.PAGE, 0, "", (), ())
+        for _ in range(MOST_PAGES):
+            if not news:
+                break
+            page, room = [], self.pace.room - message_bytes(empty)
+            while news and news_bytes(news[-1]) <= room:
+                room -= news_bytes(news[-1])
+                page.append(news.pop())
+            self.sends.append((message.sender.name, replace(empty, news=tuple(page))))
+
+    # --- small things -------------------------------------------------------------------------------------
+
+    def _others(self, but: tuple[str, ...]) -> list[str]:
+        if self._there_now is None:
+            self._there_now = sorted(n for n, r in self.records.items() if r.present)
+        return [n for n in self._there_now if n not in but] if but else self._there_now
+
+    def _size(self) -> int:
+        """Members that are there."""
+        return 1 + len(self._others(()))
+
+    def _next_seq(self) -> int:
+        self._seq = self._seq % 60_000 + 1
+        return self._seq
+
+    def _slow(self, periods: float) -> int:
+        """So many periods, longer for one that distrusts itself."""
+        return round(periods * self.pace.period_ns * (1 + self.health))
+
+    def _slow_timeout(self) -> int:
+        return self.pace.timeout_ns * (1 + self.health)
+
+    def _spread(self, periods: float) -> int:
+        """So many periods, give or take a quarter: what all do at once, they do not do at once for long."""
+        return round(periods * self.pace.period_ns * (0.75 + 0.5 * self.chance.random()))
+
+    def _worsen(self, by: int) -> None:
+        self.health = min(self.pace.health_most, self.health + by)
+
+    def _message(
+        self, kind: Kind, seq: int, target: str, news: tuple[News, ...], hashes: tuple[int, ...]
+    ) -> Message:
+        return Message(kind, self.me, self.number, seq, target, news, hashes)
+
+    def _send(
+        self, name: str, kind: Kind, seq: int = 0, target: str = "", first: tuple[News, ...] = (),
+        hashes: tuple[int, ...] = (),
+    ) -> None:
+        """A message with as much news as fits; what its receiver must hear of itself goes first."""
+        record = self.records.get(name)
+        if record is not None and record.news.standing is not Standing.ALIVE and not record.private:
+            first = (record.news, *first)
+        message = self._message(kind, seq, target, (), hashes)
+        room = self.pace.room - message_bytes(message)
+        self.sends.append((name, replace(message, news=self.gossip.pick(room, len(self.records) + 1, first))))
+
+    def _forget(self, now: int) -> None:
+        for name in [n for n, r in self.records.items()
+                     if not r.present and now - r.changed_at > self.pace.forget_ns]:
+            del self.records[name]
+            self.gossip.drop(name)
+
+    def _view(self, change: Change, name: str, why: str) -> None:
+        """Who is there has changed: the view gets a higher number than any that was heard of."""
+        self.number += 1
+        self._tell(change, name, why)
+        self._weigh()
+
+    def _weigh(self) -> None:
+        """Whether we reach a majority of the configured names."""
+        reached = 1 if self.deaf else sum(1 for n in self.contacts if n == self.me.name or self._there(n))
+        minority = 2 * reached <= len(self.contacts)
+        if minority != self.minority:
+            self.minority = minority
+            self._tell(Change.MINORITY if minority else Change.MAJORITY, self.me.name,
+                       f"{reached} of {len(self.contacts)}")
+
+    def _tell(self, change: Change, name: str, why: str = "") -> None:
+        self.told.append(Told(change, name, why, self.number))
--- /dev/null
+++ b/tests/test_membership_check.py
@@ -0,0 +1,78 @@
+"""The model check of membership holds to a small depth, and finds each fault planted in the protocol."""
+
+from __future__ import annotations
+
+import unittest
+
+from msgspec.structs import replace
+
+from hollowusher.emulator.peers_check import check
+from hollowusher.rules.membership.member import Member, Record
+from hollowusher.rules.membership.messages import News, Standing
+
+
+class Resigned(Member):
+    """Hears that it is held dead, and believes it."""
+
+    def _about_me(self, now: int, news: News) -> None:
+        if news.standing is Standing.DEAD:
+            self.me = replace(self.me, standing=Standing.DEAD)
+
+
+class Mute(Member):
+    """Never says otherwise."""
+
+    def _about_me(self, now: int, news: News) -> None:
+        pass
+
+
+class Meek(Member):
+    """Answers its accuser at the same incarnation, which beats nothing."""
+
+    def _about_me(self, now: int, news: News) -> None:
+        self.gossip.put(self.me)
+
+
+class Backward(Member):
+    """Answers with a lower incarnation than it had."""
+
+    def _about_me(self, now: int, news: News) -> None:
+        super()._about_me(now, replace(news, incarnation=max(0, news.incarnation - 3)))
+        if news.standing is not Standing.ALIVE:
+            self.me = replace(self.me, incarnation=news.incarnation - 1)
+
+
+class Final(Member):
+    """Once dead is dead for good."""
+
+    def _set(self, now: int, record: Record, news: News, private: bool = False) -> None:
+        if record.news.standing is not Standing.DEAD:
+            super()._set(now, record, news, private)
+
+
+class Spiteful(Member):
+    """Counts whoever accused last as right, whatever the incarnation."""
+
+    def _apply(self, now: int, news: News) -> None:
+        record = self.records.get(news.name)
+        if record is not None and news.standing is Standing.ALIVE and record.news.standing is Standing.DEAD:
+            return
+        super()._apply(now, news)
+
+
+FAULTS = ((Resigned, "dead"), (Mute, "dead"), (Meek, "dead"), (Backward, "doubted"), (Final, "dead"),
+          (Spiteful, "dead"), (Mute, "again"))
+
+
+class ModelCheck(unittest.TestCase):
+    def test_every_order_to_a_small_depth(self) -> None:
+        for start, least in (("well", 400), ("doubted", 300), ("dead", 300), ("again", 300)):
+            seen, unsettled = check(4, start)
+            self.assertEqual([(f.why, f.path) for f in seen.findings], [], start)
+            self.assertEqual(len(unsettled), 0, start)
+            self.assertGreater(seen.states, least, start)
+
+    def test_each_planted_fault_is_found(self) -> None:
+        for fault, start in FAULTS:
+            seen, unsettled = check(3, start, kind=fault)
+            self.assertTrue(seen.findings or unsettled, (fault.__name__, start))
