Carry membership over UDP: one member behind a socket, within a budget of datagrams

Need: the protocol has to run between processes; a scheduler's address may be only another's to use. Change: net/peers/node.py, with start, stop and report; names are resolved by the configured addresses first; what is beyond the budget a second is dropped and counted; bad datagrams cost their count. Not in `run`, and imported by nothing there.

--- /dev/null
+++ b/hollowusher/net/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between schedulers: UDP under the membership protocol."""
--- /dev/null
+++ b/hollowusher/net/peers/node.py
@@ -0,0 +1,140 @@
+"""One member behind a UDP socket: datagrams in, datagrams out, one timer.
+
+All judgement is the member's (rules/membership).  Names are resolved here: by the configured addresses, else
+by the one a member names itself, else by where it was heard from.  So an address that is only ours to use (on
+the platform each scheduler has its own for every other) is never passed on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import socket
+import time
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+from hollowusher.rules.membership.codec import Codec
+from hollowusher.rules.membership.events import Told
+from hollowusher.rules.membership.member import Member
+from hollowusher.rules.membership.messages import MOST_LIFE, Message
+from hollowusher.rules.membership.pace import Pace
+
+Address = tuple[str, int]
+MOST_HEARD = 1024  # names whose address is remembered from their datagrams
+BURST = 64.0  # datagrams that may go out at once, above the budget a second
+
+
+class PeerNode(asyncio.DatagramProtocol):
+    """Started, stopped and asked for a report like every part with a life of its own.
+
+    `most_per_s` bounds what is sent: beyond it a message is dropped and counted, which the protocol bears as
+    a loss.  `told` is called with each change of the view.
+    """
+
+    def __init__(
+        self, name: str, listen: Address, peers: Mapping[str, Address], cluster: str, seed: int,
+        told: Callable[[Told], None], pace: Pace | None = None, most_per_s: float = 200.0, address: str = "",
+    ) -> None:
+        self._listen, self._peers, self._told = listen, dict(peers), told
+        self._most_per_s, self._spare, self._spared_at = most_per_s, BURST, time.monotonic()
+        self.codec = Codec(cluster)
+        chance = random.Random(seed)
+        # A process that starts without a disk: the wall clock's seconds are above what it had, mostly.
+        self.member = Member(name, chance.randrange(MOST_LIFE), int(time.time()), self._peers,
+                             pace or Pace(), chance, time.monotonic_ns(), address)
+        self.counts: Counter[str] = Counter()
+        self._heard: dict[str, Address] = {}
+        self._transport: asyncio.DatagramTransport | None = None
+        self._timer: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Bind, and begin to call at the others."""
+        loop = asyncio.get_running_loop()
+        self._transport, _ = await loop.create_datagram_endpoint(lambda: self, local_addr=self._listen)
+        self._step(None)
+
+    async def stop(self) -> None:
+        """Say that we leave, and close."""
+        self.member.leave(time.monotonic_ns())
+        self._send()
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._transport is not None:
+            self._transport.close()
+            self._transport = None
+
+    def report(self) -> dict[str, object]:
+        """What people on call ask for."""
+        member = self.member
+        return {
+            "name": member.me.name, "number": member.number, "present": member.present(),
+            "suspect": sorted(n for n, r in member.records.items() if r.suspicion is not None),
+            "minority": member.minority, "deaf": member.deaf, "health": member.health,
+            "counts": {**self.counts, **{f"bad-{why}": n for why, n in self.codec.bad.items()}},
+        }
+
+    def rename(self, peers: Mapping[str, Address]) -> None:
+        """Other names are configured from now on."""
+        self._peers = dict(peers)
+        self.member.rename(time.monotonic_ns(), self._peers)
+        self._step(None)
+
+    def datagram_received(self, data: bytes, addr: Address) -> None:
+        """One datagram; what cannot be read is counted and costs nothing else."""
+        self.counts["heard"] += 1
+        message = self.codec.decode(data)
+        if message is None:
+            return
+        name = message.sender.name
+        if name in self._heard or len(self._heard) < MOST_HEARD:
+            self._heard[name] = addr
+        self._step(message)
+
+    def error_received(self, exc: Exception) -> None:
+        """Nobody listens there: a member that is not there is found by its silence."""
+        self.counts["refused"] += 1
+
+    def _step(self, message: Message | None) -> None:
+        if self._transport is None:
+            return
+        now = time.monotonic_ns()
+        self.member.step(now, message)
+        for told in self.member.told:
+            self._told(told)
+        self.member.told = []
+        self._send()
+        if self._timer is not None:
+            self._timer.cancel()
+        wait_s = max(0.0, (self.member.due() - time.monotonic_ns()) / 1e9)
+        self._timer = asyncio.get_running_loop().call_later(wait_s, self._step, None)
+
+    def _send(self) -> None:
+        sends, self.member.sends = self.member.sends, []
+        now = time.monotonic()
+        self._spare = min(BURST, self._spare + (now - self._spared_at) * self._most_per_s)
+        self._spared_at = now
+        for name, message in sends:
+            address = self._where(name)
+            if address is None or self._transport is None:
+                self.counts["nowhere"] += 1
+            elif self._spare < 1.0:
+                self.counts["over-budget"] += 1
+            else:
+                self._spare -= 1.0
+                self.counts["sent"] += 1
+                data = self.codec.encode(message)
+                self.counts["sent-bytes"] += len(data)
+                self._transport.sendto(data, address)
+
+    def _where(self, name: str) -> Address | None:
+        if name in self._peers:
+            return self._peers[name]
+        record = self.member.records.get(name)
+        host, _, port = record.news.address.rpartition(":") if record is not None else ("", "", "")
+        with contextlib.suppress(OSError, ValueError):  # what a member says of itself may be anything
+            socket.inet_pton(socket.AF_INET, host)
+            if 0 < int(port) < 65_536:
+                return host, int(port)
+        return self._heard.get(name)
