--- a/hollowusher/__main__.py
+++ b/hollowusher/__main__.py
@@ -16,8 +16,12 @@
 def main(words: list[str] | None = None) -> int:
     """The exit code.  With words it is the command line, which is not even imported without."""
     if sys.argv[1:] if words is None else words:
-        from hollowusher.cli import cli
-
+        try:
+            from hollowusher.cli import cli
+        except ModuleNotFoundError as missing:
+            print(f"hollowusher: {missing.name} is not installed: the command line needs what "
+                  "requirements-tools.txt lists", file=sys.stderr)
+            return 2
         cli(words, prog_name="hollowusher")
     # A SIGHUP that comes before the program can act on it, or as it ends, must wait and not end it.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -23,6 +23,7 @@
 from hollowusher.net.owner import DeskOwner
 from hollowusher.net.pool import Pool
 from hollowusher.net.ring import ring_bytes
+from hollowusher.parts import Part
 from hollowusher.reload import Reloads
 from hollowusher.rules.node_list import AskAgain
 
@@ -76,6 +77,15 @@
 
         stomp = StompFront(config, roster, floor, ids, owner.post, log)
 
+    parts: list[Part] = []
+    if config.peers.enabled and config.peers.listen is not None:
+        from hollowusher.net.peers.node import PeerNode
+        from hollowusher.net.peers.words import tell
+
+        peers = config.peers
+        parts.append(PeerNode(config.name, config.peers.listen, peers.peers, peers.cluster, config.seed,
+                              partial(tell, log), most_per_s=peers.most_messages))
+
     again = again or asyncio.Event()
     if stop is None:
         stop = asyncio.Event()
@@ -86,6 +96,8 @@
     reloads = Reloads(config, read, watch.move, log)
     tasks = [asyncio.create_task(work) for work in (
         owner.run(), terminals.accept(), floor.sweep(), reloads.follow(again))]
+    for part in parts:
+        await part.start()
     if stomp is not None:
         accepting = stomp.start()
     if carrier is not None:
@@ -97,6 +109,9 @@
     if stomp is not None:
         drains.append(stomp.terminals.drain(accepting))
     await asyncio.gather(*drains)
+    for part in parts:
+        log.notice("part-figures", "as it ended", **part.report())
+        await part.stop()
     watch.stop()
     for task in tasks:
         task.cancel()
--- a/hollowusher/config.py
+++ b/hollowusher/config.py
@@ -17,12 +17,13 @@
 from hazelweir.interface import NS_PER_S, Settings
 from hollowusher.fronts.stomp.settings import STOMP, STOMP_NODE, StompConfig, read_stomp
 from hollowusher.net.http2.settings import HTTP2, Http2Config, read_http2
+from hollowusher.net.peers.settings import PEER, PEERS, PeersConfig, read_peers
 from hollowusher.settings.model import ConfigError, parse_address
 from hollowusher.settings.reader import read_file
 
 T = TypeVar("T")
 SETTINGS_FILE = Path(__file__).parent.parent / "deploy" / "hollowusher.conf"
-SECTIONS = (STOMP, STOMP_NODE, HTTP2)  # of the settings file, in the order of docs/settings.md
+SECTIONS = (STOMP, STOMP_NODE, HTTP2, PEERS, PEER)  # of the settings file, in the order of docs/settings.md
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +44,11 @@
     stomp: StompConfig = field(default_factory=StompConfig)
     memory_mb: float = 192.0
     http2: Http2Config = field(default_factory=Http2Config)
+    peers: PeersConfig = field(default_factory=PeersConfig)
+    # What the platform says of messages between schedulers; read and checked, and not used yet.
+    peer_listen: tuple[str, int] | None = None
+    peer_all: tuple[str, int] | None = None
+    peer_addresses: tuple[tuple[str, int], ...] = ()  # by the schedulers' numbers, our own among them
 
 
 def address(key: str, text: object) -> tuple[str, int]:
@@ -62,6 +68,11 @@
     return value
 
 
+def _maybe_address(table: Mapping[str, Any], key: str) -> tuple[str, int] | None:
+    """An address that may be absent."""
+    return address(key, table[key]) if table.get(key) else None
+
+
 def _within(key: str, value: float, least: float, most: float) -> None:
     if not least <= value <= most:
         raise ConfigError(f"{key}: must lie between {least:g} and {most:g}, is {value:g}")
@@ -161,4 +172,8 @@
         stomp=read_stomp(sheet),
         memory_mb=memory_mb,
         http2=read_http2(sheet),
+        peers=read_peers(sheet),
+        peer_listen=_maybe_address(table, "peer_listen"),
+        peer_all=_maybe_address(table, "peers_all"),
+        peer_addresses=tuple(address(f"peers[{i}]", a) for i, a in enumerate(_get(table, "peers", list, []))),
     )
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -2,20 +2,26 @@
 
 from __future__ import annotations
 
+import json
+import re
+import tempfile
 import unittest
 from dataclasses import replace
 from functools import partial
+from typing import Any
 from unittest import mock
 
 from hazelweir import Arrival, Discovery, ListKind, Prices, Probed, Reading, Refuse, Rules, Tenant
 from hazelweir.interface import Goal
 from hazelweir.shares import Shares
+from hollowusher.config import load
 from hollowusher.core.desk import DispatchDesk
 from hollowusher.core.model import JobTaken
 from hollowusher.fronts.common import read_load
 from hollowusher.fronts.platform.http import RequestReader
 from hollowusher.fronts.platform.terminals import read_job
 from hollowusher.rules.node_list import AskAgain
+from hollowusher.settings.model import ConfigError
 from tests.standins import CLASSES, SETTINGS, HttpNode, SocketCase, post
 from tests.support import MS, SAFE, Node, S, only, sends, site, workers
 
@@ -55,6 +61,28 @@
                 self.assertAlmostEqual(again.wait_s(), 0.01 * share)
 
 
+class PlatformsPeers(unittest.TestCase):
+    def test_they_are_read_and_a_wrong_one_is_named(self) -> None:
+        base = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {"grades": [{"name": "a"}]}}
+        cases: tuple[tuple[dict[str, Any], str], ...] = (
+            ({"peers": ["127.0.0.1:7", "127.0.0.1:8"], "peers_all": "127.0.0.1:9",
+              "peer_listen": "127.0.0.1:7"}, ""),
+            ({}, ""), ({"peers": ["127.0.0.1:7", "here"]}, "peers[1]"), ({"peers": "all"}, "peers"),
+            ({"peer_listen": "127.0.0.1"}, "peer_listen"), ({"peers_all": 7}, "peers_all"),
+        )
+        for peers, wrong in cases:
+            with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+                json.dump({**base, **peers}, file)
+                file.flush()
+                if wrong:
+                    with self.assertRaisesRegex(ConfigError, re.escape(wrong) + ":"):
+                        load({"PROXY_CONFIG": file.name})
+                else:
+                    told = load({"PROXY_CONFIG": file.name})
+                    self.assertEqual(len(told.peer_addresses), len(peers.get("peers", ())))
+                    self.assertEqual(told.peer_all is not None, "peers_all" in peers)
+
+
 class WhatARequestTells(unittest.TestCase):
     def test_tenant_and_hint_reach_the_module(self) -> None:
         for cost, hint_ns in (("5200000", 5_200_000_000), ("", 0), ("-1", 0), ("1e9", 0), ("9" * 30, 0)):
