Find more planted faults in membership, and take its budget out of the I/O code

Change: class Additions drives one member by hand, one test each; rules/membership/budget.py holds the bucket.

--- a/hollowusher/net/peers/node.py
+++ b/hollowusher/net/peers/node.py
@@ -15,6 +15,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
+from hollowusher.rules.membership.budget import Budget
 from hollowusher.rules.membership.codec import Codec
 from hollowusher.rules.membership.events import Told
 from hollowusher.rules.membership.member import Member
@@ -23,7 +24,6 @@
 
 Address = tuple[str, int]
 MOST_HEARD = 1024  # names whose address is remembered from their datagrams
-BURST = 64.0  # datagrams that may go out at once, above the budget a second
 
 
 class PeerNode(asyncio.DatagramProtocol):
@@ -38,7 +38,7 @@
         told: Callable[[Told], None], pace: Pace | None = None, most_per_s: float = 200.0, address: str = "",
     ) -> None:
         self._listen, self._peers, self._told = listen, dict(peers), told
-        self._most_per_s, self._spare, self._spared_at = most_per_s, BURST, time.monotonic()
+        self.budget = Budget(most_per_s, time.monotonic_ns())
         self.codec = Codec(cluster)
         chance = random.Random(seed)
         # A process that starts without a disk: the wall clock's seconds are above what it had, mostly.
@@ -112,17 +112,14 @@
 
     def _send(self) -> None:
         sends, self.member.sends = self.member.sends, []
-        now = time.monotonic()
-        self._spare = min(BURST, self._spare + (now - self._spared_at) * self._most_per_s)
-        self._spared_at = now
+        now = time.monotonic_ns()
         for name, message in sends:
             address = self._where(name)
             if address is None or self._transport is None:
                 self.counts["nowhere"] += 1
-            elif self._spare < 1.0:
+            elif not self.budget.takes(now):
                 self.counts["over-budget"] += 1
             else:
-                self._spare -= 1.0
                 self.counts["sent"] += 1
                 data = self.codec.encode(message)
                 self.counts["sent-bytes"] += len(data)
--- /dev/null
+++ b/hollowusher/rules/membership/budget.py
@@ -0,0 +1,21 @@
+"""How many datagrams a member may send: what is beyond is dropped, which the protocol bears as a loss."""
+
+from __future__ import annotations
+
+BURST = 64.0  # that may go out at once, above the budget a second
+
+
+class Budget:
+    """A bucket that fills by `per_s` a second (times in nanoseconds) up to a burst."""
+
+    def __init__(self, per_s: float, now: int) -> None:
+        self.per_s, self.spare, self._at = per_s, BURST, now
+
+    def takes(self, now: int) -> bool:
+        """Whether one more may go out; it counts as sent."""
+        self.spare = min(BURST, self.spare + max(0, now - self._at) * self.per_s / 1e9)
+        self._at = max(now, self._at)
+        if self.spare < 1.0:
+            return False
+        self.spare -= 1.0
+        return True
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from hollowusher.emulator.peers import PeerNet, S
+from hollowusher.emulator.peers_check import CHANCE
 from hollowusher.rules.membership.codec import Codec
 from hollowusher.rules.membership.events import Change
 from hollowusher.rules.membership.member import Member
@@ -16,6 +17,8 @@
     MOST_DATAGRAM, Kind, Message, News, Standing, message_bytes,
 )
 
+from hollowusher.rules.membership.pace import Pace
+
 
 def names(count: int) -> list[str]:
     return [f"n{i}" for i in range(count)]
@@ -174,6 +177,63 @@
         self.assertTrue(play.converged(), play.views())
 
 
+class Additions(unittest.TestCase):
+    """What was added to the papers, each by one member that is driven by hand."""
+
+    def setUp(self) -> None:
+        self.one = Member("n0", 1, 9, names(3), Pace(), CHANCE, 0)
+        self.now = S
+        for name in ("n1", "n2"):
+            self.hear(name)
+        self.one.told.clear()
+        self.one.sends.clear()
+
+    def hear(
+        self, name: str, kind: Kind = Kind.ACK, *news: News, **words: object
+    ) -> list[tuple[str, Message]]:
+        before = len(self.one.sends)
+        self.one.step(self.now, Message(kind, News(name, 5, 9), news=news, **words))  # type: ignore[arg-type]
+        return self.one.sends[before:]
+
+    def said(self, standing: Standing) -> set[str]:
+        return {n.name for _, m in self.one.sends for n in m.news if n.standing is standing}
+
+    def test_a_late_step_judges_nobody(self) -> None:
+        self.hear("n1", Kind.PAGE, News("n2", 5, 9, Standing.SUSPECT, "n1"))
+        self.now += 30 * S
+        self.one.step(self.now)
+        self.one.step(self.one.due())
+        self.assertEqual([t.change for t in self.one.told], [Change.SUSPECTED, Change.PAUSED])
+
+    def test_what_is_judged_while_nobody_is_heard_is_not_told_and_is_taken_back(self) -> None:
+        self.one._heard_at -= 9 * S
+        while self.one.records["n1"].present or self.one.records["n2"].present:
+            self.now = self.one.due()
+            self.one.step(self.now)
+        self.assertEqual(self.one.told[0].change, Change.DEAF)
+        self.assertEqual(self.said(Standing.SUSPECT) | self.said(Standing.DEAD), set())
+        self.hear("n1")
+        self.assertEqual(self.one.present(), names(3))
+        self.assertFalse([r for r in self.one.records.values() if r.private or r.suspicion])
+
+    def test_a_death_of_one_that_was_just_heard_is_a_suspicion_and_it_is_asked_next(self) -> None:
+        sent = self.hear("n1", Kind.PAGE, News("n2", 5, 9, Standing.DEAD, "n1"))
+        self.assertEqual([n for n, m in sent if m.news and m.news[0].standing is Standing.SUSPECT], ["n2"])
+        self.assertIn("n2", self.one.present())
+        self.assertEqual(self.one._order[-1], "n2")
+
+    def test_one_that_never_says_otherwise_is_told_once_a_period(self) -> None:
+        self.now += 9 * S
+        self.one.records["n2"].heard_at = -99 * S
+        self.hear("n1", Kind.PAGE, News("n2", 5, 9, Standing.DEAD, "n1"))
+        told = [message for _ in range(50) for _, message in self.hear("n2")]
+        self.assertEqual(len(told), 1)
+
+    def test_a_digest_is_answered_by_what_differs_and_by_ours(self) -> None:
+        kinds = [m.kind for _, m in self.hear("n1", Kind.DIGEST, seq=1, hashes=(0,) * 12)]
+        self.assertEqual(kinds, [Kind.DIGEST, Kind.PAGE])
+
+
 class Wire(unittest.TestCase):
     def random_message(self, chance: random.Random) -> Message:
         def text(least: int = 0) -> str:
