List parts in app.serve, follow [peer] by SIGHUP, and answer for reports on loopback

Need: each part with a life grew app.serve, cli and __main__ imported each other, SIGHUP did not follow the schedulers' names, nobody could ask a scheduler what it sees, and the platform's peers were read and not used.

Change: HTTP/2, STOMP, the list's watch, membership and reports have one form (start, drain, stop, report); reloads follow what a table names; [reports] answers one line with one JSON document on loopback, eight askers at most; [peers] platform takes the platform's own places where its settings allow messages. The scheduler's start moved to app.run, so that the command line no longer imports __main__.

--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from functools import partial
 
+import uvloop
+
 from hazelweir.interface import Discovery
 from hollowusher.config import Config, load
 from hollowusher.core.desk import DispatchDesk
@@ -26,6 +28,7 @@
 from hollowusher.parts import Part
 from hollowusher.reload import Reloads
 from hollowusher.rules.node_list import AskAgain
+from hollowusher.settings.model import ConfigError
 
 SPARE_SOCKETS = 48  # for the log, the list, the listeners and the loop itself
 NODE_SHARE = 0.45  # of the other sockets, for connections to nodes
@@ -58,33 +61,37 @@
         config.discovery, roster, owner.post, floor.changed, log,
         lambda name, kind: "http2" if config.http2.speaks(name, kind) else "platform",
         AskAgain(config.settings.rules.drain_grace_ns, random.Random(config.seed).random)
-        if config.settings.discovery is Discovery.PUSH else None)
+        if config.settings.discovery is Discovery.PUSH else None, config.known)
+    parts: list[Part] = [watch]
     floor.post, floor.watch = owner.post, watch.ask
     http1 = floor.nodes["platform"] = PlatformNodes(roster, pool, config.meanings, owner.post, log)
-    carrier = None
     if config.http2.enabled:  # what is off is not imported either
         from hollowusher.fronts.platform.http2 import Http2Nodes
         from hollowusher.net.http2.streams import Carrier
 
         carrier = Carrier(config.http2, pool, log)
+        parts.append(carrier)
         floor.nodes["http2"] = Http2Nodes(roster, carrier, http1, config.meanings, owner.post, log)
     classes, ids = {c.name: c for c in config.settings.classes}, JobIds()
     terminals = PlatformTerminals(
         listen(config.listen), classes, sockets - to_nodes, ids, owner.post, log, ring)
-    stomp = None
     if config.stomp.enabled:
         from hollowusher.fronts.stomp.front import StompFront
 
-        stomp = StompFront(config, roster, floor, ids, owner.post, log)
-
-    parts: list[Part] = []
-    if config.peers.enabled and config.peers.listen is not None:
+        parts.append(StompFront(config, roster, floor, ids, owner.post, log))
+    follow = {"discovery": lambda new: watch.move(new.discovery)}
+    if (peers := config.peers).listen is not None:
         from hollowusher.net.peers.node import PeerNode
         from hollowusher.net.peers.words import tell
 
-        peers = config.peers
-        parts.append(PeerNode(config.name, config.peers.listen, peers.peers, peers.cluster, config.seed,
-                              partial(tell, log), most_per_s=peers.most_messages))
+        node = PeerNode(peers.name, peers.listen, peers.peers, peers.cluster, config.seed,
+                        partial(tell, log), most_per_s=peers.most_messages)
+        parts.append(node)
+        follow["peers"] = lambda new: node.follow(new.peers)
+    if config.reports is not None:
+        from hollowusher.net.reports.listener import Reports
+
+        parts.append(Reports(config.reports, list(parts)))
 
     again = again or asyncio.Event()
     if stop is None:
@@ -92,33 +99,39 @@
         for number, event in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, again)):
             asyncio.get_running_loop().add_signal_handler(number, event.set)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came meanwhile counts now
-    watch.start_list(config.known)
-    reloads = Reloads(config, read, watch.move, log)
+    reloads = Reloads(config, read, follow, log)
+    await watch.start()
     tasks = [asyncio.create_task(work) for work in (
         owner.run(), terminals.accept(), floor.sweep(), reloads.follow(again))]
-    for part in parts:
+    for part in parts[1:]:
         await part.start()
-    if stomp is not None:
-        accepting = stomp.start()
-    if carrier is not None:
-        tasks.append(asyncio.create_task(carrier.report()))
     log.notice("ready", "taking jobs", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}")
     await stop.wait()
     log.notice("stopping", "asked to stop; answering what is taken")
-    drains = [terminals.drain(tasks[1])]
-    if stomp is not None:
-        drains.append(stomp.terminals.drain(accepting))
-    await asyncio.gather(*drains)
-    for part in parts:
-        log.notice("part-figures", "as it ended", **part.report())
-        await part.stop()
-    watch.stop()
+    await asyncio.gather(terminals.drain(tasks[1]), *(part.drain() for part in parts))
+    for part in parts[:0:-1]:
+        told = {key: value for key, value in part.report().items() if key != "rows"}
+        log.notice("part-figures", "as it ended", part=part.name, **told)
     for task in tasks:
         task.cancel()
-    if stomp is not None:
-        await stomp.nodes.close()
-    if carrier is not None:
-        carrier.tell()
-        await carrier.close()
+    for part in reversed(parts):
+        await part.stop()
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # the loop's end takes the handler away
     log.notice("stopped", "all that was taken is answered")
+
+
+def run() -> int:
+    """Run one scheduler as the environment configures it; the exit code."""
+    # A SIGHUP that comes before the program can act on it, or as it ends, must wait and not end it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    try:
+        config = load()
+    except ConfigError as wrong:
+        log = Log("-")
+        log.error("config", str(wrong))
+        log.close()
+        return 2
+    log = Log(config.name, forward=config.syslog)
+    uvloop.run(serve(config, log))
+    log.close()
+    return 0
--- a/hollowusher/config.py
+++ b/hollowusher/config.py
@@ -17,13 +17,14 @@
 from hazelweir.interface import NS_PER_S, Settings
 from hollowusher.fronts.stomp.settings import STOMP, STOMP_NODE, StompConfig, read_stomp
 from hollowusher.net.http2.settings import HTTP2, Http2Config, read_http2
-from hollowusher.net.peers.settings import PEER, PEERS, PeersConfig, read_peers
+from hollowusher.net.peers.settings import PEER, PEERS, Allowed, PeersConfig, read_peers
+from hollowusher.net.reports.settings import REPORTS, read_reports
 from hollowusher.settings.model import ConfigError, parse_address
 from hollowusher.settings.reader import read_file
 
 T = TypeVar("T")
 SETTINGS_FILE = Path(__file__).parent.parent / "deploy" / "hollowusher.conf"
-SECTIONS = (STOMP, STOMP_NODE, HTTP2, PEERS, PEER)  # of the settings file, in the order of docs/settings.md
+SECTIONS = (STOMP, STOMP_NODE, HTTP2, PEERS, PEER, REPORTS)  # in the order of docs/settings.md
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +46,8 @@
     memory_mb: float = 192.0
     http2: Http2Config = field(default_factory=Http2Config)
     peers: PeersConfig = field(default_factory=PeersConfig)
-    # What the platform says of messages between schedulers; read and checked, and not used yet.
+    reports: tuple[str, int] | None = None
+    # What the platform says of messages between schedulers; read and checked, used with [peers] `platform`.
     peer_listen: tuple[str, int] | None = None
     peer_all: tuple[str, int] | None = None
     peer_addresses: tuple[tuple[str, int], ...] = ()  # by the schedulers' numbers, our own among them
@@ -155,10 +157,14 @@
     forward = address("HOLLOWUSHER_SYSLOG", syslog) if syslog else None
     if forward and not forward[0].startswith("127."):
         raise ConfigError(f"HOLLOWUSHER_SYSLOG: must be a loopback address, is {syslog!r}")
+    name = environ.get("PROXY_NAME") or _get(table, "name", str, "scheduler")
+    allowed = Allowed(
+        pairs.get("caps.peer_messages") == "true", settings.me, _maybe_address(table, "peer_listen"),
+        tuple(address(f"peers[{i}]", a) for i, a in enumerate(_get(table, "peers", list, []))))
     told, named = environ.get("PROXY_DISCOVERY"), table.get("discovery", "")
     key, service = ("discovery", named or told) if again else ("PROXY_DISCOVERY", told or named)
     return Config(
-        name=environ.get("PROXY_NAME") or _get(table, "name", str, "scheduler"),
+        name=name,
         listen=address("PROXY_LISTEN", environ.get("PROXY_LISTEN") or table.get("listen", "")),
         discovery=address(key, service),
         seed=seed,
@@ -172,8 +178,9 @@
         stomp=read_stomp(sheet),
         memory_mb=memory_mb,
         http2=read_http2(sheet),
-        peers=read_peers(sheet),
-        peer_listen=_maybe_address(table, "peer_listen"),
+        peers=read_peers(sheet, name, allowed),
+        reports=read_reports(sheet),
+        peer_listen=allowed.listen,
         peer_all=_maybe_address(table, "peers_all"),
-        peer_addresses=tuple(address(f"peers[{i}]", a) for i, a in enumerate(_get(table, "peers", list, []))),
+        peer_addresses=allowed.addresses,
     )
--- a/hollowusher/fronts/platform/discovery.py
+++ b/hollowusher/fronts/platform/discovery.py
@@ -16,6 +16,7 @@
 from hollowusher.fronts.platform.http import AnswerReader
 from hollowusher.log import Log
 from hollowusher.net.link import Link, connect
+from hollowusher.parts import Plain
 from hollowusher.rules.node_list import AskAgain, ListRead, one_front, read_list
 
 CONNECT_TIMEOUT_S = 1.0
@@ -24,28 +25,30 @@
 MOST_LINE = 4 * 1024 * 1024
 
 
-class NodeListWatch:
+class NodeListWatch(Plain):
     """Keeps the roster and the desk told.  The desk decides when to ask again."""
 
+    name = "list"
+
     def __init__(
         self, address: tuple[str, int], roster: Roster, post: Callable[[DeskEvent], None],
         changed: Callable[[RouteNode], None], log: Log, front: Callable[[str, str], str] = one_front,
-        again: AskAgain | None = None,
+        again: AskAgain | None = None, known: Mapping[str, Any] | None = None,
     ) -> None:
         """With `again` the list is pushed: the address is an agent of our own machine, which this watch asks
         by itself; without, the desk says when the one service of all schedulers is asked."""
         self._address, self._roster, self._post, self._log = address, roster, post, log
         self._changed, self._front = changed, front
-        self._again = again
+        self._again, self._known = again, known or {}
         self._timer: asyncio.TimerHandle | None = None
         self._version = 0
         self._opening: asyncio.Task[None] | None = None
         self._standing: asyncio.Task[None] | None = None
 
-    def start_list(self, known: Mapping[str, Any]) -> None:
-        """The list as it was last held; it may be old."""
+    async def start(self) -> None:
+        """Begin with the list as it was last held; it may be old."""
         try:
-            read = self._read(dict(known) or {"servers": []})
+            read = self._read(dict(self._known) or {"servers": []})
         except ValueError as wrong:
             self._log.warning("list-unreadable", str(wrong))
             read = ListRead(0, True)
@@ -76,12 +79,17 @@
                 self._opening = None
             self.ask()
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
         """End all watching."""
         for task in (self._opening, self._standing, self._timer):
             if task is not None:
                 task.cancel()
 
+    def report(self) -> Mapping[str, object]:
+        """The list held, and whether a watch on it stands."""
+        return {"version": self._version, "watched": self._standing is not None,
+                "service": f"{self._address[0]}:{self._address[1]}"}
+
     async def _watch(self, address: tuple[str, int], version: int) -> None:
         link: Link | None = None
         why, kind = "the watch ended", ListKind.FAILED
--- a/hollowusher/fronts/stomp/front.py
+++ b/hollowusher/fronts/stomp/front.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from hazelweir.interface import Listed
 from hollowusher.config import Config
@@ -20,6 +20,8 @@
 class StompFront:
     """Both halves of the front, where the settings file enables it."""
 
+    name = "stomp"
+
     def __init__(
         self, config: Config, roster: Roster, floor: Floor, ids: JobIds, post: Callable[[DeskEvent], None],
         log: Log,
@@ -39,7 +41,19 @@
         max_wait_ns = limits.max_retry_after_ns if limits.retry_after else 0
         self.terminals = StompTerminals(listen(stomp.listen), classes, stomp, max_wait_ns, ids, post, log)
 
-    def start(self) -> asyncio.Task[None]:
-        """Connect to the nodes and accept terminals; the task that accepts."""
+    async def start(self) -> None:
+        """Connect to the nodes and accept terminals."""
         self.nodes.start(self._listed)
-        return asyncio.create_task(self.terminals.accept())
+        self._accepting = asyncio.create_task(self.terminals.accept())
+
+    async def drain(self) -> None:
+        """Take what still comes for a moment; return once it is answered."""
+        await self.terminals.drain(self._accepting)
+
+    async def stop(self) -> None:
+        """End the connections to the nodes."""
+        await self.nodes.close()
+
+    def report(self) -> Mapping[str, object]:
+        """The route nodes that are reached by STOMP."""
+        return {"nodes": [node.name for node in self._listed]}
--- a/hollowusher/net/http2/streams.py
+++ b/hollowusher/net/http2/streams.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine, Iterable
+from collections.abc import Callable, Coroutine, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
@@ -15,6 +15,7 @@
 from hollowusher.net.http2.settings import Http2Config
 from hollowusher.net.http2.wire import Wire
 from hollowusher.net.pool import NoRoom, Pool
+from hollowusher.parts import Plain
 from hollowusher.rules.stream_ends import Cause, outcome
 from hollowusher.rules.streams import Act, Close, Give, Open, StreamBook, StreamLimits, TurnBack, Why
 
@@ -235,15 +236,18 @@
             self._log.error("task-fault", "a task of this program failed", fault=repr(fault))
 
 
-class Carrier:
+class Carrier(Plain):
     """The connections to all nodes that speak HTTP/2."""
 
+    name = "http2"
+
     def __init__(
         self, config: Http2Config, pool: Pool, log: Log, clock: Callable[[], int] = time.monotonic_ns
     ) -> None:
         self._config, self._pool, self._log, self._clock = config, pool, log, clock
         self._nodes: dict[int, NodeStreams] = {}
         self.repeats: dict[str, int] = {}  # attempts after the first, by class
+        self._telling: asyncio.Task[None] | None = None
 
     def to(self, number: int, name: str, address: tuple[str, int]) -> NodeStreams:
         """The connections to a node."""
@@ -264,12 +268,28 @@
         streams = self._nodes.get(number)
         return streams is not None and self._clock() < streams.unspoken_until_ns
 
-    async def report(self) -> None:
+    async def start(self) -> None:
+        """Log the figures now and then; connections are opened when there are jobs for them."""
+        self._telling = asyncio.create_task(self._tell_on())
+
+    async def _tell_on(self) -> None:
         """Log the figures of each node that was used, and forget nodes that have nothing, until cancelled."""
         while True:
             await asyncio.sleep(self._config.report_s)
             self.tell()
 
+    async def stop(self) -> None:
+        """Log the last figures and end all connections."""
+        if self._telling is not None:
+            self._telling.cancel()
+        self.tell()
+        await self.close()
+
+    def report(self) -> Mapping[str, object]:
+        """Connections and open streams by node."""
+        return {s.name: f"{s.book.connections} connections, {s.book.open_streams} streams, "
+                        f"{s.book.waiting} waiting" for s in self._nodes.values()}
+
     def tell(self) -> None:
         """Log the figures now."""
         for number, streams in list(self._nodes.items()):
--- a/hollowusher/net/peers/node.py
+++ b/hollowusher/net/peers/node.py
@@ -15,6 +15,8 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 
+from hollowusher.net.peers.settings import PeersConfig
+from hollowusher.parts import Plain
 from hollowusher.rules.membership.budget import Budget
 from hollowusher.rules.membership.codec import Codec
 from hollowusher.rules.membership.events import Told
@@ -26,13 +28,15 @@
 MOST_HEARD = 1024  # names whose address is remembered from their datagrams
 
 
-class PeerNode(asyncio.DatagramProtocol):
+class PeerNode(Plain, asyncio.DatagramProtocol):
     """Started, stopped and asked for a report like every part with a life of its own.
 
     `most_per_s` bounds what is sent: beyond it a message is dropped and counted, which the protocol bears as
     a loss.  `told` is called with each change of the view.
     """
 
+    name = "members"
+
     def __init__(
         self, name: str, listen: Address, peers: Mapping[str, Address], cluster: str, seed: int,
         told: Callable[[Told], None], pace: Pace | None = None, most_per_s: float = 200.0, address: str = "",
@@ -67,17 +71,24 @@
 
     def report(self) -> dict[str, object]:
         """What people on call ask for."""
-        member = self.member
+        member, now = self.member, time.monotonic_ns()
+        rows = {
+            name: {"standing": r.news.standing.name.lower(), "incarnation": r.news.incarnation,
+                   "life": f"{r.news.life:08x}", "heard_s": round((now - r.heard_at) / 1e9, 2),
+                   "accusers": sorted(r.suspicion.accusers) if r.suspicion is not None else []}
+            for name, r in sorted(member.records.items())
+        }
         return {
             "name": member.me.name, "number": member.number, "present": member.present(),
             "suspect": sorted(n for n, r in member.records.items() if r.suspicion is not None),
+            "configured": sorted(member.contacts), "rows": rows,
             "minority": member.minority, "deaf": member.deaf, "health": member.health,
             "counts": {**self.counts, **{f"bad-{why}": n for why, n in self.codec.bad.items()}},
         }
 
-    def rename(self, peers: Mapping[str, Address]) -> None:
-        """Other names are configured from now on."""
-        self._peers = dict(peers)
+    def follow(self, config: PeersConfig) -> None:
+        """Other names or addresses are configured from now on; our own place stays what it was."""
+        self._peers = dict(config.peers)
         self.member.rename(time.monotonic_ns(), self._peers)
         self._step(None)
 
--- a/hollowusher/reload.py
+++ b/hollowusher/reload.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import fields
 
 from hollowusher.config import Config
 from hollowusher.settings.model import ConfigError
 from hollowusher.log import Log
 
-FOLLOWED = ("discovery",)
 TOLD_ONCE = ("known", "seed")  # news at a start only: a running scheduler knows better
 
 
@@ -21,9 +20,11 @@
     """
 
     def __init__(
-        self, config: Config, read: Callable[[], Config], move: Callable[[tuple[str, int]], None], log: Log
+        self, config: Config, read: Callable[[], Config],
+        follow: Mapping[str, Callable[[Config], None]], log: Log,
     ) -> None:
-        self._config, self._read, self._move, self._log = config, read, move, log
+        """`follow`: what is done about a key that changed; the others need a restart."""
+        self._config, self._read, self._follow, self._log = config, read, follow, log
 
     async def follow(self, again: asyncio.Event) -> None:
         """Read it each time `again` is set, until cancelled; asked twice while it reads, it reads twice."""
@@ -37,10 +38,11 @@
 
     def _take(self, new: Config) -> None:
         changed = [f.name for f in fields(new) if getattr(new, f.name) != getattr(self._config, f.name)]
-        restart = [name for name in changed if name not in FOLLOWED + TOLD_ONCE]
+        restart = [name for name in changed if name not in (*self._follow, *TOLD_ONCE)]
         if restart:
             self._log.warning("reload-partly", "some new values need a restart", keys=" ".join(restart))
         where = f"{new.discovery[0]}:{new.discovery[1]}"
         self._log.notice("reloaded", "the configuration was read again", discovery=where)
-        self._move(new.discovery)
+        for name in self._follow.keys() & set(changed):
+            self._follow[name](new)
         self._config = new
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -139,7 +139,7 @@
     async def test_old_watch_counts_until_the_new_one_tells(self) -> None:
         told: list[object] = []
         watch = NodeListWatch(("127.0.0.1", self.list.port), Roster(), told.append, lambda n: None, self.log)
-        self.addCleanup(watch.stop)
+        self.addAsyncCleanup(watch.stop)
         watch.ask()
         await self.within(self.list.asked.get())
         slow = NodeList()
@@ -176,7 +176,7 @@
         told: asyncio.Queue[object] = asyncio.Queue()
         watch = NodeListWatch(
             ("127.0.0.1", self.list.port), Roster(), told.put_nowait, lambda n: None, self.log)
-        self.addCleanup(watch.stop)
+        self.addAsyncCleanup(watch.stop)
 
         async def hears(*kinds: ListKind) -> None:
             for kind in kinds:
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,71 @@
+"""Reports of a running scheduler, asked for on loopback; and who the others are, by file or by platform."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hollowusher.net.peers.settings import PEER, PEERS, Allowed, read_peers
+from hollowusher.net.reports.listener import MOST_ASKERS, Reports, ask
+from hollowusher.net.reports.settings import REPORTS, read_reports
+from hollowusher.parts import Plain
+from hollowusher.settings.model import ConfigError
+from hollowusher.settings.reader import read_text
+from tests.standins import free_port
+
+TWO = (("127.0.0.1", 7), ("127.0.0.1", 8))
+
+
+class Told(Plain):
+    name = "told"
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    def report(self) -> dict[str, object]:
+        return {"number": 7}
+
+
+class Asking(unittest.IsolatedAsyncioTestCase):
+    async def test_a_part_tells_and_bad_askers_cost_nobody(self) -> None:
+        address = ("127.0.0.1", free_port())
+        reports = Reports(address, [Told()])
+        await reports.start()
+        self.addAsyncCleanup(reports.stop)
+        self.assertEqual(await ask(address, "told"), {"number": 7})
+        self.assertIn("no part", str((await ask(address, "nobody"))["fault"]))
+        silent = [await asyncio.open_connection(*address) for _ in range(MOST_ASKERS)]
+        with self.assertRaises((OSError, ValueError)):  # one too many is closed at once
+            await ask(address, "told")
+        for reader, writer in silent:  # those that never ask are closed in time
+            self.assertEqual(await asyncio.wait_for(reader.read(), 5), b"")
+            writer.close()
+        _, writer = await asyncio.open_connection(*address)
+        writer.write(b"x" * 10_000)
+        self.assertEqual(await ask(address, "told"), {"number": 7})
+        writer.close()
+
+
+class WhoTheOthersAre(unittest.TestCase):
+    def test_by_the_platform_only_where_it_allows_messages(self) -> None:
+        sheet = read_text("[peers]\nplatform yes\n", "x", (PEERS, PEER))
+        whole = Allowed(True, 1, TWO[1], TWO)
+        found = read_peers(sheet, "any", whole)
+        peers = {"n0": TWO[0], "n1": TWO[1]}
+        self.assertEqual((found.listen, found.name, found.peers), (TWO[1], "n1", peers))
+        for none in (Allowed(False, 1, TWO[1], TWO), Allowed(True, 0, None, TWO), Allowed(True, 0, TWO[0])):
+            self.assertIsNone(read_peers(sheet, "any", none).listen)
+        with self.assertRaisesRegex(ConfigError, "our own number"):
+            read_peers(sheet, "any", Allowed(True, 2, TWO[1], TWO))
+
+    def test_faults(self) -> None:
+        for text, why in (
+            ("[peers]\nenabled yes\nplatform yes\nlisten 127.0.0.1:7\n", "x:3: .*does not go with"),
+            ("[peers]\nenabled yes\nlisten 127.0.0.1:7\n[peer n2]\naddress 127.0.0.1:7\n", "'n1', is none"),
+            ("[reports]\nlisten 10.0.0.1:7\n", "x:2: .*loopback"),
+        ):
+            sheet = read_text(text, "x", (PEERS, PEER, REPORTS))
+            with self.assertRaisesRegex(ConfigError, why):
+                read_peers(sheet, "n1")
+                read_reports(sheet)
