Add the rig of faults: one script on real processes and in virtual time, one checker

Need: membership was shown with three processes, killed and paused by hand. Copies and shared state want cuts, losses, pauses and restarts between many processes, at will and with a seed.

The first plays found that few who live among many configured names did not find each other (200 names, 5 there: two islands after 18 s): one in 32 of the absent is called each round now.

--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -20,10 +20,11 @@
 from pathlib import Path
 
 from benchmarks.false_suspicion import USUAL, settings_for
-from benchmarks.rig import S, free_port, node_rows
+from benchmarks.rig import S
 from hazelweir import State
 from hollowusher.core.model import Dispatch, Order, ProbeNode, WatchNodeList
 from hollowusher.emulator.model import Kind
+from hollowusher.emulator.outside import free_port, node_rows
 from hollowusher.emulator.traffic import Spell, draw
 from hollowusher.emulator.virtual import Rehearsal, VirtualNode, VirtualScheduler
 
--- a/benchmarks/http2_cost.py
+++ b/benchmarks/http2_cost.py
@@ -21,9 +21,10 @@
 
 import uvloop
 
-from benchmarks.rig import Answered, Program, Terminals, settings_for
+from benchmarks.rig import Program, settings_for
 from hollowusher.emulator.http1node import Http1Node
 from hollowusher.emulator.http2node import Http2Node, Plan
+from hollowusher.emulator.outside import Answered, Terminals
 from hollowusher.net.http2.settings import Http2Config
 
 CLASSES = (("eta-quote", 1.0, 5.0),)
--- a/benchmarks/http2_goaway.py
+++ b/benchmarks/http2_goaway.py
@@ -19,8 +19,9 @@
 
 import uvloop
 
-from benchmarks.rig import Program, Terminals, settings_for
+from benchmarks.rig import Program, settings_for
 from hollowusher.emulator.http2node import ALL_STREAMS, Http2Node, Job, Plan, Session
+from hollowusher.emulator.outside import Terminals
 from hollowusher.net.http2.settings import Http2Config
 
 CLASSES = (("eta-quote", 0.6, 5.0), ("assign-rider", 0.25, 5.0), ("settle-shift", 0.15, 20.0))
--- a/hollowusher/cli.py
+++ b/hollowusher/cli.py
@@ -14,7 +14,9 @@
 
 import click
 
+from hollowusher.app import run as run_scheduler
 from hollowusher.config import SECTIONS, SETTINGS_FILE
+from hollowusher.emulator.processes.commands import faults, members, rehearse_members, tell_play
 from hollowusher.emulator.script import Script, read, stage
 from hollowusher.emulator.virtual import COUNTS, Rehearsal, Report
 from hollowusher.net.http2.settings import read_http2
@@ -32,12 +34,13 @@
     """The job scheduler of Roata Verde, and the tools around it."""
 
 
+cli.add_command(faults)
+cli.add_command(members)
+
 @cli.command()
 def run() -> None:
     """Run one scheduler, as without any word."""
-    from hollowusher.__main__ import main
-
-    sys.exit(main([]))
+    sys.exit(run_scheduler())
 
 
 @cli.command()
@@ -60,13 +63,23 @@
 @click.argument("script", type=_FILE)
 @click.option("--seed", type=click.IntRange(0, 2**31 - 1), help="Another seed than the script's.")
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="The run's folder.")
-def rehearse(script: Path, seed: int | None, out: Path | None) -> None:
-    """Play a rehearsal in virtual time; its folder gets script, seed, versions and tables."""
+@click.option("--members", "many", type=click.IntRange(2, 1000), help="Other than the script's.")
+def rehearse(script: Path, seed: int | None, out: Path | None, many: int | None) -> None:
+    """Play a rehearsal in virtual time; its folder gets script, seed, versions and tables.
+
+    A script with `members` plays their membership, and its traffic if it has any."""
     try:
         plan = read(script)
     except ConfigError as wrong:
         raise click.ClickException(str(wrong)) from None
     seed = plan.seed if seed is None else seed
+    if plan.members:
+        played = rehearse_members(plan, seed, many or 0)
+        tell_play(played)
+        if any(not finding.holds for finding in played.findings):
+            raise SystemExit(1)
+        if not plan.serves:
+            return
     folder = out or Path("found") / "rehearsals" / f"{script.stem}-{seed}"
     rehearsal, begun = stage(plan, seed), time.monotonic()
     whole = plan.length_s + LATE_SHARE_S
--- a/hollowusher/emulator/http1node.py
+++ b/hollowusher/emulator/http1node.py
@@ -35,7 +35,7 @@
         self.accepted += 1
         self.held += 1
         self.most_held = max(self.most_held, self.held)
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
                 first, *lines = head.rstrip().split("\r\n")
--- a/hollowusher/emulator/peers.py
+++ b/hollowusher/emulator/peers.py
@@ -12,6 +12,7 @@
 from itertools import count
 from typing import Protocol
 
+from hollowusher.emulator.faults.links import Links
 from hollowusher.rules.membership.events import Change, Told
 from hollowusher.rules.membership.member import Member
 from hollowusher.rules.membership.messages import MOST_LIFE, Message, message_bytes
@@ -34,7 +35,7 @@
         """When to be stepped at the latest."""
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Process:
     """One process of the play."""
 
@@ -66,19 +67,25 @@
         self.cuts: set[tuple[str, str]] = set()
         self.history: list[tuple[int, str, Told]] = []
         self.processes: dict[str, Process] = {}
+        self.twins: list[Process] = []
         self._make = make or self._member
         self._heap: list[tuple[int, int, Callable[[], None]]] = []
         self._order = count()
         self._starts = 0
+        self.links = Links(self.chance, lambda delay, what: self.at(self.now + delay, what))
         for name in self.names:
             self.at(round(self.chance.random() * 0.5 * S), lambda name=name: self.start(name))  # type: ignore[misc]
 
-    def _member(self, name: str, now: int) -> Peer:
+    def _member(self, name: str, now: int, clock_s: float = 0.0) -> Peer:
         self._starts += 1
         life = self.chance.randrange(MOST_LIFE)
-        return Member(name, life, 1000 + now // S, self.configured, self.pace,
+        return Member(name, life, max(0, 100_000 + now // S + round(clock_s)), self.configured, self.pace,
                       random.Random(self.chance.random()), now)
 
+    def member(self, name: str, clock_s: float = 0.0) -> Peer:
+        """A member that starts now, by a clock that is so far ahead."""
+        return self._member(name, self.now, clock_s)
+
     # --- faults -------------------------------------------------------------------------------------------
 
     def at(self, when: int, what: Callable[[], None]) -> None:
@@ -95,6 +102,21 @@
         """It ends without a word."""
         self.processes[name].up = False
 
+    def leave(self, name: str) -> None:
+        """It ends in good order."""
+        process = self.processes[name]
+        if isinstance(process.peer, Member):
+            process.peer.leave(self.now)
+            self._after(process)
+        process.up = False
+
+    def twin(self, name: str, span: int) -> None:
+        """A second process speaks under a name for a while; what comes for the name reaches the first."""
+        twin = Process(name, self._make(name, self.now))
+        self.twins.append(twin)
+        self._after(twin)
+        self.at(self.now + span, lambda: setattr(twin, "up", False))
+
     def pause(self, name: str, span: int) -> None:
         """It does not run for a while; what comes waits."""
         process = self.processes[name]
@@ -123,7 +145,7 @@
         self._step(process, None)
 
     def _step(self, process: Process, message: Message | None) -> None:
-        if not process.up or self.processes.get(process.name) is not process:
+        if not process.up or (self.processes.get(process.name) is not process and process not in self.twins):
             return
         if self.now < process.paused_until:
             if message is not None and len(process.inbox) < INBOX:
@@ -144,7 +166,9 @@
             if (process.name, name) in self.cuts or self.chance.random() < self.loss:
                 continue
             delay = round(self.chance.uniform(*self.delay_ms) * MS) + self.late.get(process.name, 0)
-            self.at(self.now + delay, lambda n=name, m=message: self._arrive(n, m))  # type: ignore[misc]
+            self.links.carry((process.name, name), message_bytes(message), self.now,
+                             lambda n=name, m=message, d=delay: self.at(  # type: ignore[misc]
+                                 self.now + d, lambda: self._arrive(n, m)))
         when = max(self.now + 1, peer.due())
         if when != process.wake_at:
             process.wake_at = when
--- /dev/null
+++ b/hollowusher/emulator/processes/commands.py
@@ -0,0 +1,133 @@
+"""`hollowusher faults`, `members`: scripts on real processes, and what a running scheduler sees."""
+
+from __future__ import annotations
+
+import asyncio
+import csv
+import json
+import shutil
+import sys
+from collections.abc import Sequence
+from dataclasses import replace
+from pathlib import Path
+
+import click
+import uvloop
+
+from hollowusher.config import SECTIONS, SETTINGS_FILE
+from hollowusher.emulator.faults import history
+from hollowusher.emulator.faults.checks import check
+from hollowusher.emulator.faults.virtual import VirtualPlay
+from hollowusher.emulator.processes.play import Played, ProcessPlay
+from hollowusher.emulator.script import Script, read
+from hollowusher.net.reports.listener import ask
+from hollowusher.net.reports.settings import read_reports
+from hollowusher.settings.model import ConfigError, parse_address
+from hollowusher.settings.reader import read_file
+
+_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+@click.command()
+@click.argument("script", type=_FILE)
+@click.option("--seed", type=click.IntRange(0, 2**31 - 1), help="Another seed than the script's.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="The play's folder.")
+@click.option("--peers/--no-peers", default=True, help="Whether the schedulers keep a view of each other.")
+def faults(script: Path, seed: int | None, out: Path | None, peers: bool) -> None:
+    """Play a script on real processes with faults between them; ends with 1 if anything does not hold."""
+    try:
+        plan = read(script)
+        seed = plan.seed if seed is None else seed
+        folder = out or Path("found") / "faults" / f"{script.stem}-{seed}"
+        shutil.rmtree(folder, ignore_errors=True)
+        with click.progressbar(length=round(plan.length_s * 10), label=script.stem, file=sys.stderr) as bar:
+            play = ProcessPlay(plan, seed, folder, peers,
+                               progress=lambda at: bar.update(max(0, round(at * 10) - bar.pos)))
+            played = uvloop.run(play.run())
+    except ConfigError as wrong:
+        raise click.ClickException(str(wrong)) from None
+    keep(folder, plan, seed, played)
+    tell_play(played)
+    click.echo(str(folder / "faults.html"))
+    if any(not f.holds for f in played.findings):
+        raise SystemExit(1)
+
+
+def rehearse_members(plan: Script, seed: int, members: int = 0) -> Played:
+    """The same script on the pure parts in virtual time, with other numbers of members if so wanted."""
+    count = members or plan.members
+    play = VirtualPlay(count, plan.mishaps, plan.expects, plan.length_s, seed, plan.configured)
+    entries = play.run()
+    expects = [e for e in plan.expects if e.what != "served"]
+    if count != plan.members:  # what a script says of all, it says of its own
+        rest = tuple(f"n{n}" for n in range(plan.members + 1, count + 1))
+        expects = [replace(e, of=(*e.of, *rest)) if e.what == "see" else e for e in expects]
+    return Played(entries, check(entries, play.acts, expects, play.names))
+
+
+@click.command()
+@click.option("--at", "where", help="Where its reports are asked for; else as the settings file has it.")
+@click.option("--conf", type=_FILE, default=SETTINGS_FILE)
+def members(where: str | None, conf: Path) -> None:
+    """What a running scheduler sees of the others."""
+    try:
+        address = parse_address(where) if where else read_reports(read_file(conf, SECTIONS))
+        if address is None:
+            raise ConfigError(f"{conf.name}: [reports] has no `listen`; give --at host:port")
+        told = asyncio.run(ask(address, "members"))
+    except ValueError:
+        raise click.ClickException(f"{where}: must be host:port") from None
+    except OSError as wrong:
+        raise click.ClickException(f"no report: {wrong!r}") from None
+    except ConfigError as wrong:
+        raise click.ClickException(str(wrong)) from None
+    if "fault" in told:
+        raise click.ClickException(str(told["fault"]))
+    click.echo(f"{told['name']}: view {told['number']}, "
+               + ("in a minority" if told["minority"] else "in the majority")
+               + (", hears nobody" if told["deaf"] else "") + f", health {told['health']} (0 is best)")
+    rows = told["rows"]
+    assert isinstance(rows, dict)
+    click.echo(f"{'member':16}{'standing':10}{'incarnation':>13}{'life':>10}{'heard s ago':>13}  accused by")
+    for name, row in rows.items():
+        heard = f"{row['heard_s']:13.2f}" if row["heard_s"] < 3600 else f"{'never':>13}"
+        click.echo(f"{name:16}{row['standing']:10}{row['incarnation']:13}{row['life']:>10}{heard}  "
+                   f"{' '.join(row['accusers'])}")
+    absent = set(map(str, _listed(told["configured"]))) - set(map(str, _listed(told["present"])))
+    if absent:
+        click.echo("configured and not there: " + " ".join(sorted(absent)))
+    click.echo(json.dumps(told["counts"]))
+
+
+def _listed(value: object) -> Sequence[object]:
+    return value if isinstance(value, list) else []
+
+
+def tell_play(played: Played) -> None:
+    """The play's figures and findings on the terminal."""
+    for name, value in played.figures.items():
+        click.echo(f"{name:32}{value:10.2f}")
+    for finding in played.findings:
+        click.echo(f"{'holds ' if finding.holds else 'BROKEN'}  {finding.what}"
+                   + (f"  ({finding.seen})" if finding.seen else ""))
+
+
+def keep(folder: Path, plan: Script, seed: int, played: Played) -> None:
+    """Write a play's folder: the script, its history, the findings, and the page."""
+    from hollowusher.lab.faults_page import make
+
+    folder.mkdir(parents=True, exist_ok=True)
+    (folder / "script.rehearsal").write_text(plan.text)
+    (folder / "made-of.json").write_text(json.dumps({"seed": seed, "members": plan.members}) + "\n")
+    history.write(folder / "history.jsonl", played.entries)
+    rows = [[name, f"{value:.4f}"] for name, value in played.figures.items()]
+    _table(folder / "figures.csv", [["figure", "value"], *rows])
+    _table(folder / "findings.csv", [["holds", "what", "seen"], *(
+        ["yes" if f.holds else "no", f.what, f.seen] for f in played.findings)])
+    make(folder, plan, played.entries, played.findings)
+
+
+def _table(path: Path, rows: list[list[str]]) -> None:
+    with path.open("w", newline="") as file:
+        csv.writer(file, lineterminator="\n").writerows(rows)
+
--- a/hollowusher/emulator/script.py
+++ b/hollowusher/emulator/script.py
@@ -15,6 +15,9 @@
 from hazelweir.interface import (
     Discovery, Effect, Group, JobClass, Limits, Rules, Settings, State, Via,
 )
+from hollowusher.emulator.faults.words import (
+    MOST_MEMBERS, ON_LINKS, ON_MEMBERS, Expect, Mishap, read_expect, read_mishap,
+)
 from hollowusher.emulator.model import Kind
 from hollowusher.emulator.traffic import Demand, Spell, draw
 from hollowusher.emulator.virtual import Rehearsal, VirtualNode
@@ -54,6 +57,15 @@
     demands: list[Demand] = field(default_factory=list)
     spells: list[Spell] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
+    members: int = 0  # schedulers that keep a view of each other: n1, n2, ...
+    configured: int = 0  # names in their files, where these are more
+    mishaps: list[Mishap] = field(default_factory=list)
+    expects: list[Expect] = field(default_factory=list)
+
+    @property
+    def serves(self) -> bool:
+        """Whether it has route nodes and traffic."""
+        return bool(self.kinds)
 
     def settings(self) -> Settings:
         """What the schedulers are told."""
@@ -77,6 +89,10 @@
         """A fault of this line; raise it."""
         return SettingsError(self.file, self.line, why)
 
+    def peek(self) -> str:
+        """The next word, if any; it stays."""
+        return self._words[0] if self._words else ""
+
     def next(self, what: str) -> str:
         """The next word, which must be there."""
         if not self._words:
@@ -144,19 +160,22 @@
             continue
         line = _Line(file, last, words)
         word = line.next("a word")
-        if word in ("seed", "length", "schedulers", "traffic"):
+        if word in ("seed", "length", "schedulers", "traffic", "members", "configured"):
             if word in seen:
                 raise line.fault(f"{word}: stands on line {seen[word]} already")
             seen[word] = last
         if word == "at":
-            _at(script, line, lines)
+            _at(script, line, lines, last, raw)
+        elif word == "expect":
+            script.expects.append(read_expect(line, last, raw.strip(), -1.0, script.members))
+            line.end()
         elif word in _WORDS:
             _WORDS[word](script, line)
         else:
-            known = ", ".join(sorted([*_WORDS, "at"]))
+            known = ", ".join(sorted([*_WORDS, "at", "expect"]))
             raise line.fault(f"{word}: is no word of a script; there are {known}")
     for what, there in (("nodes", script.kinds), ("class", script.classes), ("traffic", script.spells)):
-        if not there:
+        if not there and (script.serves or not script.members):
             raise SettingsError(file, last, f"{what}: is missing from the script")
     for line, trouble in lines:  # only now is the whole fleet known
         for node in trouble.nodes:
@@ -164,6 +183,12 @@
                 raise line.fault(f"node {node}: there are nodes 1 to {len(script.kinds)}")
         if trouble.at_s >= script.length_s:
             raise line.fault(f"at {trouble.at_s:g}s: the script ends after {script.length_s:g}s")
+    if script.spells and not script.kinds:
+        raise SettingsError(file, last, "traffic: needs nodes and classes")
+    for at_s in [*(m.at_s for m in script.mishaps), *(e.at_s for e in script.expects)]:
+        if at_s >= script.length_s:
+            raise SettingsError(file, last, f"at {at_s:g}s: the script ends after {script.length_s:g}s")
+    script.mishaps.sort(key=lambda m: m.at_s)
     script.troubles = sorted((t for _, t in lines), key=lambda t: t.at_s)
     script.spells.sort(key=lambda s: s.since_s)
     return script
@@ -184,6 +209,16 @@
     line.end()
 
 
+def _members(script: Script, line: _Line) -> None:
+    script.members = script.schedulers = int(line.value("members", count(2, MOST_MEMBERS)))
+    line.end()
+
+
+def _configured(script: Script, line: _Line) -> None:
+    script.configured = int(line.value("configured", count(2, MOST_MEMBERS)))
+    line.end()
+
+
 def _traffic(script: Script, line: _Line) -> None:
     script.spells.append(Spell(0.0, _rate(line)))
     line.end()
@@ -235,7 +270,7 @@
     ))
 
 
-def _at(script: Script, line: _Line, lines: list[tuple[_Line, Trouble]]) -> None:
+def _at(script: Script, line: _Line, lines: list[tuple[_Line, Trouble]], stands: int, raw: str) -> None:
     at_s, what = line.value("at", span(0, MOST_LENGTH_S)), line.next("what happens")
     if what == "traffic":
         if any(s.since_s == at_s for s in script.spells):
@@ -243,8 +278,16 @@
         script.spells.append(Spell(at_s, _rate(line)))
         line.end()
         return
+    if what == "expect":
+        script.expects.append(read_expect(line, stands, raw.strip(), at_s, script.members))
+        line.end()
+        return
+    if what in ON_LINKS or (what in ON_MEMBERS and line.peek() != "node"):
+        script.mishaps.append(read_mishap(line, at_s, what, script.members))
+        return
     if what not in _TROUBLES:
-        raise line.fault(f"{what}: nothing of that name happens; there are {', '.join(_TROUBLES)}, traffic")
+        known = ", ".join(sorted({*_TROUBLES, *ON_LINKS, *ON_MEMBERS, "traffic", "expect"}))
+        raise line.fault(f"{what}: nothing of that name happens; there are {known}")
     if line.next("node") != "node":
         raise line.fault(f"{what}: must be followed by node and numbers, as in `{what} node 3..5`")
     trouble = Trouble(at_s, what, _numbers(line))
@@ -283,7 +326,7 @@
 
 _WORDS: dict[str, Callable[[Script, _Line], None]] = {
     "seed": _seed, "length": _length, "schedulers": _schedulers, "traffic": _traffic, "nodes": _nodes,
-    "class": _class,
+    "class": _class, "members": _members, "configured": _configured,
 }
 
 
--- a/hollowusher/lab/page.py
+++ b/hollowusher/lab/page.py
@@ -21,7 +21,7 @@
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
 MOST_US = 3_600_000_000  # an hour
 WINDOW_S = 5.0
-_STYLE = """body{font:15px/1.5 sans-serif;max-width:60em;margin:2em auto;padding:0 1em;color:#222}
+STYLE = """body{font:15px/1.5 sans-serif;max-width:60em;margin:2em auto;padding:0 1em;color:#222}
 table{border-collapse:collapse;margin:1em 0}td,th{border:1px solid #ccc;padding:.25em .7em;text-align:right}
 td:first-child,th:first-child{text-align:left}pre{background:#f5f5f5;padding:1em;overflow-x:auto}
 svg{max-width:100%;height:auto}"""
@@ -66,13 +66,13 @@
     latencies = histograms(rows)
     parts = [
         f"<!doctype html><html lang=en><meta charset=utf-8><title>{html.escape(title)}</title>",
-        f"<style>{_STYLE}</style><h1>{html.escape(title)}</h1>",
+        f"<style>{STYLE}</style><h1>{html.escape(title)}</h1>",
         f"<p>Seed {made_of['seed']}, {len(rows)} jobs."
         + (" <b>Stopped before its end.</b>" if made_of.get("stopped") else "") + "</p>",
-        "<h2>Figures</h2>", _table(_csv(folder / "figures.csv")),
-        "<h2>By class</h2>", _table(_csv(folder / "classes.csv")),
+        "<h2>Figures</h2>", table(csv_rows(folder / "figures.csv")),
+        "<h2>By class</h2>", table(csv_rows(folder / "classes.csv")),
         "<h2>Latency of served jobs, ms</h2>",
-        _table([["class", "jobs", *(f"p{p:g}" for p in PERCENTILES)], *(
+        table([["class", "jobs", *(f"p{p:g}" for p in PERCENTILES)], *(
             [name, str(h.get_total_count()), *(f"{h.get_value_at_percentile(p) / 1000:.1f}" for p in
             PERCENTILES)] for name, h in sorted(latencies.items()))]),
         _latency_chart(latencies),
@@ -85,12 +85,14 @@
     return path
 
 
-def _csv(path: Path) -> list[list[str]]:
+def csv_rows(path: Path) -> list[list[str]]:
+    """A table that was kept."""
     with path.open(newline="") as file:
         return list(csv.reader(file))
 
 
-def _table(rows: Sequence[Sequence[str]]) -> str:
+def table(rows: Sequence[Sequence[str]]) -> str:
+    """The same for a page; the first row is the head."""
     lines = ["<table>"]
     for number, row in enumerate(rows):
         cell = "th" if number == 0 else "td"
@@ -98,7 +100,8 @@
     return "".join([*lines, "</table>"])
 
 
-def _svg(figure: Figure) -> str:
+def svg(figure: Figure) -> str:
+    """A figure for a page."""
     text = io.StringIO()
     # Neither the day nor random names: the same run gives the same page.
     with matplotlib.rc_context({"svg.hashsalt": "hollowusher"}):
@@ -118,7 +121,7 @@
     axes.grid(alpha=0.3)
     if latencies:
         axes.legend()
-    return _svg(figure)
+    return svg(figure)
 
 
 def _time_chart(rows: Sequence[Row]) -> str:
@@ -144,4 +147,4 @@
     lower.legend()
     for axes in (upper, lower):
         axes.grid(alpha=0.3)
-    return _svg(figure)
+    return svg(figure)
--- a/hollowusher/rules/membership/member.py
+++ b/hollowusher/rules/membership/member.py
@@ -492,7 +492,7 @@
         """Call at names that are not there: to join, and so that halves that were apart find each other."""
         absent = sorted({n for n in self.contacts if n != self.me.name and not self._there(n)}
                         | {n for n, r in self.records.items() if r.news.standing is Standing.DEAD})
-        calls = 1 if self.joined else JOIN_CALLS
+        calls = max(1, len(absent) // self.pace.reach_part) if self.joined else JOIN_CALLS
         self._reach_at = now + self._spread(self.pace.reach_periods if self.joined else 1.0)
         for name in self.chance.sample(absent, min(len(absent), calls)):
             self._digest(name, asks=True)
--- a/hollowusher/rules/membership/pace.py
+++ b/hollowusher/rules/membership/pace.py
@@ -21,7 +21,8 @@
     health_most: int = 8  # Lifeguard's local health: how much slower one judges that distrusts itself; 0: off
     deaf_periods: float = 4.0  # who hears nobody for so long is cut off itself and accuses nobody
     digest_periods: float = 10.0  # between two exchanges of digests
-    reach_periods: float = 5.0  # between two calls at one who is not there
+    reach_periods: float = 5.0  # between two rounds of calls at those who are not there
+    reach_part: int = 32  # one of so many is called a round, or one in all: few among many find each other
     forget_ns: int = 120_000 * MS  # how long the dead and those who left are remembered
     most_members: int = 1024
     room: int = 256  # bytes of a datagram
--- a/tests/test_rehearsal_script.py
+++ b/tests/test_rehearsal_script.py
@@ -74,7 +74,7 @@
             self.assertRegex(str(fault), r"^x:[0-9]+: ")
 
     def test_the_examples_hold_together(self) -> None:
-        for file in sorted((ROOT / "rehearsals").iterdir()):
+        for file in sorted((ROOT / "rehearsals").glob("*.rehearsal")):
             self.assertGreaterEqual(len(read(file).kinds), 12, file.name)
 
     def test_two_troubles_at_one_instant_come_in_the_scripts_order(self) -> None:
