Let turns at cold nodes that pass unused go to more schedulers

A turn is half a span and belongs to 0.6 N / 3 schedulers, but one with 1.2 jobs a second has a job in 45% of its turns. At fault: `many` in Worker.cold_allows.

Change: each scheduler divides by the chance that a turn finds a job at it, by its own rate, within the rule's room of 3 roots of N: the expected sum over all stays 0.6 N whatever their rates.

--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -235,9 +235,9 @@
             return 1.0
         return rules.cold_share + (1.0 - rules.cold_share) * age / rules.warm_after_ns
 
-    def cold_allows(self, now: int, cost: float, unit: float, slots: float) -> bool:
+    def cold_allows(self, now: int, cost: float, unit: float, slots: float, use: float = 1.0) -> bool:
         """Rule 4: within any span all nodes together spend at most what a cold worker bears.  `cost` is what
-        this job costs, `unit` what one does on average."""
+        this job costs, `unit` what one does on average, `use` the chance that a turn finds a job here."""
         rules, nodes = self.settings.rules, self.settings.balancers
         age, level = now - self.entry.started_ns, self.level(now)
         if level >= 1.0:
@@ -246,11 +246,11 @@
         bears = COLD_MARGIN * rules.fall_multiple * level * max(1.0, slots) * rules.fall_span_ns
         if bears / nodes >= unit:  # each has a share that some jobs fit in
             return sum(c for t, c in self.sends if t > now - rules.fall_span_ns) + cost <= bears / nodes
-        # Else nodes take turns of half a span, by the worker's age alone: by costs, which each node learns
-        # for itself, their turns would meet.  A span touches three turns.  A turn is one job for each node
-        # whose it is, and it is that of as many as it bears; for a heavy job only every so many turns are.
+        # Else nodes take turns of half a span by the worker's age alone (each learns its own costs); a span
+        # touches three.  A turn is one job for each of as many nodes as it bears, for heavy jobs not each.
+        # What passes unused (`use`) goes to more nodes, within the rule's room: 3 roots of N jobs beyond N.
         turn = age // max(1, rules.fall_span_ns // 2)
-        many = bears / 3 / max(cost, unit)
+        many = bears * min(1 / use, 1 + 3 * math.sqrt(COLD_MARGIN * unit / bears)) / 3 / max(cost, unit)
         place = (self.settings.me + self.id + turn) % nodes
         mine = place < max(1.0, many) and turn % math.ceil(1.0 / many) == 0
         used = any(t - self.entry.started_ns >= turn * (rules.fall_span_ns // 2) for t, _ in self.sends)
@@ -285,7 +285,7 @@
         # Since when, and for how long, the list held is good while it is not watched.  An asking counts once
         # it is answered: it may never reach the service, and the answer may tell of nodes that are gone.
         self.known_at, self.good_for = now, settings.rules.ask_within_ns
-        self.asked_at = now
+        self.asked_at, self.use = now, 1.0  # use: the chance that a turn at a cold worker finds a job here
         self.watching = settings.discovery is Discovery.PUSH
 
     def told(self, now: int, kind: ListKind) -> None:
@@ -299,16 +299,14 @@
         elif kind is ListKind.FAILED:
             self.known_at, self.good_for = max(self.known_at, self.asked_at), FAILED_ASK * within
 
-    def allows(
-        self, request: Request, worker: Worker, now: int, cost: float, unit: float, slots: float
-    ) -> bool:
+    def allows(self, request: Request, worker: Worker, now: int, costs: tuple[float, float, float]) -> bool:
         """Whether this send keeps the rules."""
         over = request.closed or request.streaming or now >= request.deadline
         if over or worker.entry.state is not State.READY:
             return False
         if not self.watching and now - self.known_at >= self.good_for:
             return False
-        return request.repeatable(worker, now, self.settings) and worker.cold_allows(now, cost, unit, slots)
+        return request.repeatable(worker, now, self.settings) and worker.cold_allows(now, *costs, self.use)
 
 
 class Balancer:
@@ -335,6 +333,7 @@
         self.runs, self.hints = dict[str, float](), dict[str, float]()  # a class's mean running time and hint
         self.in_time = dict.fromkeys(self.classes, 1.0)  # share of jobs started before they were late
         self.came = dict.fromkeys(self.classes, 1)  # jobs of a class that came, and one more
+        self.began = now
         self.lefts = dict.fromkeys(self.classes, 0)  # the most time that one of them had left
         self.alike: dict[tuple[str, float], float] = {}  # most free slots seen on like workers
         self.usual_pace = 1.0  # the median pace of the workers: above 1 when a shared cause slows all
@@ -343,8 +342,7 @@
         self.seq = 0
         self.wake_at: int | None = None
         self.actions: list[Action] = []
-        # All that start at once would ask at once, and a service that has fallen behind answers nobody.
-        # But the first call must leave time for its answer, and for another, before the list is too old.
+        # All at once would ask too much of the list's service; but another call must be in time as well.
         spread = LIST_CALL_NS * max(0, settings.balancers - FEW)
         self.call_share = min(spread, settings.rules.ask_within_ns // 2)
         first = round(self.call_share * self.rng.random()) if self.call_share else 0
@@ -457,6 +455,8 @@
         past = self.lefts[cls.name] - event.left_ns if event.retry else 0
         request = Request(event, cls, now, self.seq, past)
         self.came[cls.name] += 1
+        rate = sum(self.came.values()) / max(1, now - self.began)
+        self.gate.use = 1.0 - math.exp(-rate * self.settings.rules.fall_span_ns / 2)
         self.requests[request.id] = request
         if request.hint:
             mean = self.hints.get(cls.name, float(request.hint))
@@ -765,7 +765,7 @@
             if not request.late and not trial and self.slack(now, request, pace) < 0:
                 continue  # here it would end late: rather wait for a faster worker, or be refused
             cost = self.expected(request) * request.slots * self.doubt(request.cls)
-            if not self.gate.allows(request, worker, now, cost, unit, slots):
+            if not self.gate.allows(request, worker, now, (cost, unit, slots)):
                 continue
             control.wanted = True
             if trial or control.credit >= 1.0:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import heapq
+import math
 import random
 from dataclasses import replace
 
 import pytest
 
-from hazelweir.balance import Request, Worker
+from hazelweir.balance import COLD_MARGIN, Request, Worker
 from hazelweir.interface import (
     Arrival, Cancel, Discovery, Group, JobClass, Listed, ListKind, Outcome, Probe, Rules, Send, Wake, Watch,
 )
@@ -177,6 +178,34 @@
     assert sum(c for _, c in sent) > 0.8 * slots * sum(views[0].level(i * S) for i in range(3, 25)) * S
 
 
+@pytest.mark.parametrize(("balancers", "rate"), [(40, 1.2), (200, 1.2), (200, 0.3)])
+def test_turns_that_pass_unused_are_made_up_for_and_no_more(balancers: int, rate: float) -> None:
+    # A scheduler of many has a job at hand in a small part of its turns; each knows its own part alone.
+    chance, entry = random.Random(balancers), workers(1, started_ns=S)[0]
+    views = [Worker(entry, replace(SITE, balancers=balancers, me=me, rules=COLD), 12_500_000, S)
+             for me in range(balancers)]
+    rates = [rate * chance.choice((0.5, 0.5, 1.0, 2.0)) for _ in views]
+    used = dict.fromkeys((False, True), 0)
+    unit, slots, most = 400 * MS, 2.0, 0.0
+    for knows in used:
+        sent = list[int]()
+        for view in views:
+            view.sends.clear()
+        for now in range(3 * S, 23 * S, 50 * MS):
+            for view, own in zip(views, rates, strict=True):
+                use = 1 - math.exp(-own / 2) if knows else 1.0
+                if chance.random() < own / 20 and view.cold_allows(now, unit, unit, slots, use):
+                    view.sends.append((now, unit))
+                    sent.append(now)
+            n = 2.5 * views[0].level(now) * slots * S / unit  # the rule, and its room for chance
+            most = max(most, sum(t > now - S for t in sent) / (n + 3 * math.sqrt(n) + 3))
+        used[knows] = len(sent)
+    assert most < 1.0
+    bears = sum(COLD_MARGIN * 2.5 * views[0].level(i * S) * slots * S / unit for i in range(3, 23))
+    assert used[True] > 1.4 * used[False]
+    assert used[True] < bears  # on average the module's own margin is kept
+
+
 def test_no_job_goes_to_a_cold_worker_that_would_be_all_it_bears() -> None:
     settings, entry = replace(SITE, balancers=200, rules=COLD), workers(1, started_ns=S)[0]
     views = [Worker(entry, replace(settings, me=me), 12_500_000, S) for me in range(200)]
