--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -56,37 +56,65 @@
     roster = Roster()
     floor = Floor(roster, pool, log)
     desk = DispatchDesk(config.settings, config.seed, time.monotonic_ns())
-    owner = DeskOwner(desk, floor.carry_out, log)
+    gate, carry_out = None, floor.carry_out
+    if config.copies.listen is not None:  # what is off is not imported either
+        from hollowusher.net.copies.gate import Gate
+        from hollowusher.net.copies.node import CopiesNode
+
+        limits = config.settings.limits
+        gate = Gate(config.copies.classes, roster, lambda event: owner.post(event), floor.carry_out,
+                    limits.max_retry_after_ns // 2 if limits.retry_after else 0, config.seed)
+        carry_out = gate.carry_out
+        gate.node = copies = CopiesNode(
+            config.copies, {c.name: c for c in config.settings.classes}, config.seed, gate.act, log)
+    owner = DeskOwner(desk, carry_out, log)
+    post = gate.post if gate is not None else owner.post
     watch = NodeListWatch(
-        config.discovery, roster, owner.post, floor.changed, log,
+        config.discovery, roster, post, floor.changed, log,
         lambda name, kind: "http2" if config.http2.speaks(name, kind) else "platform",
         AskAgain(config.settings.rules.drain_grace_ns, random.Random(config.seed).random)
         if config.settings.discovery is Discovery.PUSH else None, config.known)
     parts: list[Part] = [watch]
-    floor.post, floor.watch = owner.post, watch.ask
-    http1 = floor.nodes["platform"] = PlatformNodes(roster, pool, config.meanings, owner.post, log)
-    if config.http2.enabled:  # what is off is not imported either
+    if gate is not None:
+        parts.append(copies)
+    floor.post, floor.watch = post, watch.ask
+    http1 = floor.nodes["platform"] = PlatformNodes(roster, pool, config.meanings, post, log)
+    if config.http2.enabled:
         from hollowusher.fronts.platform.http2 import Http2Nodes
         from hollowusher.net.http2.streams import Carrier
 
         carrier = Carrier(config.http2, pool, log)
         parts.append(carrier)
-        floor.nodes["http2"] = Http2Nodes(roster, carrier, http1, config.meanings, owner.post, log)
+        floor.nodes["http2"] = Http2Nodes(roster, carrier, http1, config.meanings, post, log)
     classes, ids = {c.name: c for c in config.settings.classes}, JobIds()
     terminals = PlatformTerminals(
-        listen(config.listen), classes, sockets - to_nodes, ids, owner.post, log, ring)
+        listen(config.listen), classes, sockets - to_nodes, ids, post, log, ring)
+    if gate is not None:
+        terminals.copied = gate.copied
     if config.stomp.enabled:
         from hollowusher.fronts.stomp.front import StompFront
 
-        parts.append(StompFront(config, roster, floor, ids, owner.post, log))
+        parts.append(StompFront(config, roster, floor, ids, post, log))
     follow = {"discovery": lambda new: watch.move(new.discovery)}
     if (peers := config.peers).listen is not None:
         from hollowusher.net.peers.node import PeerNode
         from hollowusher.net.peers.words import tell
+        from hollowusher.rules.membership.events import Told
+
+        def changed(what: Told) -> None:
+            tell(log, what)
+            if gate is not None and not node.member.deaf:
+                copies.view(set(node.member.contacts) - set(node.member.present()))
 
-        node = PeerNode(peers.name, peers.listen, peers.peers, peers.cluster, config.seed,
-                        partial(tell, log), most_per_s=peers.most_messages)
+        node = PeerNode(peers.name, peers.listen, peers.peers, peers.cluster, config.seed, changed,
+                        most_per_s=peers.most_messages)
         parts.append(node)
+        if config.shared.enabled:
+            from hollowusher.net.shared.node import SharedNode
+
+            shared = SharedNode(config.shared, node, peers.cluster, roster, config.seed, log)
+            owner.taps.append(shared.tap)
+            parts.append(shared)
         follow["peers"] = lambda new: node.follow(new.peers)
     if config.reports is not None:
         from hollowusher.net.reports.listener import Reports
--- a/hollowusher/cli.py
+++ b/hollowusher/cli.py
@@ -16,7 +16,9 @@
 
 from hollowusher.app import run as run_scheduler
 from hollowusher.config import SECTIONS, SETTINGS_FILE
-from hollowusher.emulator.processes.commands import faults, members, rehearse_members, tell_play
+from hollowusher.emulator.processes.commands import (
+    copies, faults, members, rehearse_members, shared, tell_play,
+)
 from hollowusher.emulator.script import Script, read, stage
 from hollowusher.emulator.virtual import COUNTS, Rehearsal, Report
 from hollowusher.net.http2.settings import read_http2
@@ -36,6 +38,8 @@
 
 cli.add_command(faults)
 cli.add_command(members)
+cli.add_command(copies)
+cli.add_command(shared)
 
 @cli.command()
 def run() -> None:
--- a/hollowusher/config.py
+++ b/hollowusher/config.py
@@ -16,15 +16,18 @@
 from hazelweir.adapter import WireError, read_settings
 from hazelweir.interface import NS_PER_S, Settings
 from hollowusher.fronts.stomp.settings import STOMP, STOMP_NODE, StompConfig, read_stomp
+from hollowusher.net.copies.settings import COPIES, COPY, CopiesConfig, read_copies
 from hollowusher.net.http2.settings import HTTP2, Http2Config, read_http2
 from hollowusher.net.peers.settings import PEER, PEERS, Allowed, PeersConfig, read_peers
 from hollowusher.net.reports.settings import REPORTS, read_reports
+from hollowusher.net.shared.settings import SHARED, SharedConfig, read_shared
 from hollowusher.settings.model import ConfigError, parse_address
 from hollowusher.settings.reader import read_file
 
 T = TypeVar("T")
 SETTINGS_FILE = Path(__file__).parent.parent / "deploy" / "hollowusher.conf"
-SECTIONS = (STOMP, STOMP_NODE, HTTP2, PEERS, PEER, REPORTS)  # in the order of docs/settings.md
+# In the order of docs/settings.md.
+SECTIONS = (STOMP, STOMP_NODE, HTTP2, PEERS, PEER, SHARED, COPIES, COPY, REPORTS)
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +49,8 @@
     memory_mb: float = 192.0
     http2: Http2Config = field(default_factory=Http2Config)
     peers: PeersConfig = field(default_factory=PeersConfig)
+    shared: SharedConfig = field(default_factory=SharedConfig)
+    copies: CopiesConfig = field(default_factory=CopiesConfig)
     reports: tuple[str, int] | None = None
     # What the platform says of messages between schedulers; read and checked, used with [peers] `platform`.
     peer_listen: tuple[str, int] | None = None
@@ -178,7 +183,9 @@
         stomp=read_stomp(sheet),
         memory_mb=memory_mb,
         http2=read_http2(sheet),
-        peers=read_peers(sheet, name, allowed),
+        peers=(peers := read_peers(sheet, name, allowed)),
+        shared=read_shared(sheet, peers.listen is not None),
+        copies=read_copies(sheet, name, frozenset(c.name for c in settings.classes)),
         reports=read_reports(sheet),
         peer_listen=allowed.listen,
         peer_all=_maybe_address(table, "peers_all"),
--- /dev/null
+++ b/hollowusher/emulator/copies_check.py
@@ -0,0 +1,230 @@
+"""Faults planted in the protocol of copies, and what must find each of them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+from itertools import product
+from typing import Any
+
+from hollowusher.emulator.copies import Broken, CopyNet, storm
+from hollowusher.emulator.custody import CustodyNet, S
+from hollowusher.rules.copies.custody import Act, Custody, Do
+from hollowusher.rules.copies.keeper import Keeper
+from hollowusher.rules.copies.messages import Ask, Entry, Learn, Taught
+from hollowusher.rules.copies.replica import Replica, Role
+from hollowusher.rules.copies.takeover import Next
+
+SETTINGS: tuple[dict[str, Any], ...] = (
+    {"size": 3, "storage": False, "disks": ("kept",), "most_down": 1},
+    {"size": 5, "storage": False, "disks": ("kept",), "most_down": 2},
+    {"size": 3, "storage": True, "disks": ("kept",), "most_down": 3},
+    {"size": 3, "storage": True, "disks": ("kept", "none"), "most_down": 1},
+    {"size": 5, "storage": True, "disks": ("kept", "none", "old", "image"), "most_down": 2},
+)
+
+
+class CommitByOne(Replica):
+    """What the leader holds counts as committed."""
+
+    def _advance(self) -> None:
+        self._commit_to(self.kept.last)
+
+
+class VoteForgotten(Replica):
+    """It does not remember whom it voted for."""
+
+    def _set_term(self, term: int, voted: str) -> None:
+        super()._set_term(term, "")
+
+
+class NoFence(Replica):
+    """A leader of an earlier term is heeded, and goes on though nobody answers it."""
+
+    def _lead(self, now: int) -> None:
+        self._led_at = now
+        super()._lead(now)
+
+    def _heeds(self, now: int, term: int, sender: str) -> bool:
+        return super()._heeds(now, max(term, self.kept.term), sender)
+
+
+class AnyVote(Replica):
+    """It votes for whoever asks, however little that one holds."""
+
+    def _whole(self, m: Ask) -> bool:
+        return True
+
+
+class OldTermsCount(Replica):
+    """Entries of earlier terms are committed by counting who holds them."""
+
+    def _countable(self, number: int) -> bool:
+        return True
+
+
+class ForgetfulVoter(Replica):
+    """One that starts without its storage votes at once."""
+
+    def _learn(self, now: int) -> None:
+        self._learnt_all(now)
+
+
+class LeaseForGood(Replica):
+    """Who leads promises, whatever it hears."""
+
+    def promises(self, now: int) -> bool:
+        return self.role is Role.LEADER and self.commit >= self._begun
+
+
+class LeaseTooLong(Replica):
+    """It takes its lease for twice as long as the others gave it."""
+
+    def _renew(self, now: int) -> None:
+        super()._renew(now)
+        if now < self.lease_until:
+            self.lease_until = now + 2 * self.pace.lease_ns
+
+
+class WordBroken(Replica):
+    """It votes for another while its leader has its word."""
+
+    def _bound(self, now: int, m: Ask, sender: str) -> bool:
+        return False
+
+
+class NotStored(Replica):
+    """Entries are vouched for before they are stored."""
+
+    def _extend(self, entries: tuple[Entry, ...]) -> None:
+        super()._extend(entries)
+        self.stores.pop()
+
+
+class ImageTrusted(Replica):
+    """Nobody remembers how often another has started."""
+
+    def _teach(self, m: Learn, sender: str) -> None:
+        super()._teach(m, sender)
+        to, t = self.sends.pop()
+        assert isinstance(t, Taught)
+        self.sends.append((to, Taught(t.owner, t.nonce, t.term, 0, t.standing, t.leads, t.last)))
+
+
+class EarlyPromise(Replica):
+    """It promises before all that others promised is committed here."""
+
+    def promises(self, now: int) -> bool:
+        return self.role is Role.LEADER and now < self.lease_until
+
+    def _advance(self) -> None:
+        if self.role is Role.LEADER and not self.peers:
+            return
+        super()._advance()
+        if self.role is Role.LEADER:
+            self._commit_to(self.kept.last)
+
+
+REPLICAS: tuple[type[Replica], ...] = (
+    CommitByOne, VoteForgotten, NoFence, AnyVote, ForgetfulVoter, LeaseForGood, LeaseTooLong, WordBroken,
+    NotStored, EarlyPromise,
+)
+
+
+class IntentAfter(Custody):
+    """An attempt goes out while its intent is still on its way."""
+
+    def intent(self, now: int, now_ms: int, job: str, number: int, node: str, cell: str, handle: Any) -> None:
+        super().intent(now, now_ms, job, number, node, cell, handle)
+        if self._pending and not any(a.handle == handle for a in self.acts):
+            token = max(self._pending)
+            self._pending.pop(token)
+            self.acts.append(Act(Do.GO, handle))
+
+
+class TellsFirst(Custody):
+    """A client is told before its answer is kept."""
+
+    def answer(self, now: int, now_ms: int, answer: Any, handle: Any, until_ms: int) -> None:
+        waiting = self._waiting.pop(answer.job, [])
+        super().answer(now, now_ms, answer, handle, until_ms)
+        self.acts += [Act(Do.TELL, who, answer) for who, _ in waiting]
+
+
+class SendsAgain(Keeper):
+    """Whatever may have run is sent again."""
+
+    def _harmless(self, log: Any, intent: Any, now_ms: int) -> bool:
+        return True
+
+    def step(self, *args: Any, **words: Any) -> None:
+        super().step(*args, **words)
+        self.adopted = [replace(a, next=Next.SEND) for a in self.adopted]
+
+
+def find(make: type[Replica], seeds: int = 30, seconds: int = 30) -> tuple[str, int]:
+    """What a planted fault breaks, and after how many plays; nothing where it is not found."""
+    plays = 0
+    for seed in range(seeds):
+        for setting, quiet in product(SETTINGS, (False, True)):
+            plays += 1
+            net = CopyNet(setting["size"], seed, storage=setting["storage"], make=make)
+            try:
+                storm(net, seconds, seed, setting["disks"], setting["most_down"], quiet)
+            except (Broken, AssertionError) as broken:
+                return str(broken), plays
+            if lost := net.lost():
+                return f"{len(lost)} promises lost", plays
+    return "", plays
+
+
+def jobs_storm(net: CustodyNet, seconds: int, seed: int, most_down: int = 1) -> None:
+    """Jobs and faults at random for so long, then calm.  A process counts as down until it has learnt all."""
+    chance, down = random.Random(seed), dict[str, int]()
+    net.run(4 * S)
+    end, number = net.now + seconds * S, 0
+    while net.now < end:
+        net.run(net.now + round(chance.uniform(0.01, 0.05) * S))
+        number += 1
+        net.ask(f"j{number}", chance.choice(("quote", "assign", "settle")))
+        what, name = chance.random(), chance.choice(net.names)
+        if what < 0.02 and len(down) < most_down and name not in down:
+            net.crash(name)
+            down[name] = net.now
+        elif what < 0.06:
+            for late in [n for n, t in down.items() if net.now - t > 1.5 * S]:
+                if net.processes[late].custody is None:
+                    net.start(late)
+        elif what < 0.08:
+            net.pause(name, round(chance.choice((0.05, 0.5, 1.5, 3.0)) * S))
+        elif what < 0.11:
+            other = chance.choice([n for n in net.names if n != name])
+            net.cut(name, other, round(chance.uniform(0.2, 4) * S))
+        elif what < 0.12:
+            net.loss = chance.choice((0.0, 0.05, 0.2))
+        for name in list(down):
+            custody = net.processes[name].custody
+            if custody is not None and all(
+                    log.replica.role is not Role.LEARNER for log in custody.keeper.logs.values()):
+                del down[name]
+    net.loss = 0.0
+    net.cuts.clear()
+    for name in down:
+        if net.processes[name].custody is None:
+            net.start(name)
+    net.run(net.now + 15 * S)
+
+
+def find_in_jobs(
+    custody: Callable[..., Custody] = Custody, keeper: Callable[..., Keeper] = Keeper, seeds: int = 10,
+    seconds: int = 30,
+) -> tuple[str, int]:
+    """The same over jobs, clients and nodes."""
+    for seed in range(seeds):
+        net = CustodyNet(5, seed, custody=custody, make=keeper)
+        jobs_storm(net, seconds, seed)
+        if faults := net.faults():
+            return faults[0], seed + 1
+    return "", seeds
+
--- /dev/null
+++ b/hollowusher/emulator/copies_model.py
@@ -0,0 +1,173 @@
+"""The model check of copies: three members, every order of messages, losses, crashes and takeovers.
+
+Time moves only where a member's wait ends.  Of each state is asked: one leader a term; one that may promise;
+what was committed anywhere is the same everywhere, and is held by whoever leads a later term.
+"""
+
+from __future__ import annotations
+
+import copy
+import random
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+from hollowusher.emulator.explore import Explored, explore
+from hollowusher.rules.copies.messages import Entry, Message
+from hollowusher.rules.copies.pace import Pace
+from hollowusher.rules.copies.replica import Kept, Replica, Role
+
+T = TypeVar("T")
+NAMES = ("a", "b", "c")
+JOBS = (b"job-1", b"job-2")
+MOST_IN_FLIGHT = 4
+
+
+class First(random.Random):
+    """Chance that always takes the first: what the check varies is the order of what happens."""
+
+    def random(self) -> float:
+        return 0.5
+
+    def randrange(self, *args: Any) -> int:
+        return 1
+
+    def choice(self, seq: Sequence[T]) -> T:  # type: ignore[override]
+        return seq[0]
+
+
+@dataclass(slots=True)
+class World:
+    """Three members, what is under way between them, and what has been committed."""
+
+    now: int = 0
+    members: dict[str, Replica] = field(default_factory=dict)
+    disks: dict[str, Kept] = field(default_factory=dict)
+    flight: list[tuple[str, str, Message]] = field(default_factory=list)
+    committed: dict[int, Entry] = field(default_factory=dict)
+    leaders: dict[int, str] = field(default_factory=dict)
+    proposed: int = 0
+    losses: int = 0
+    crashes: int = 0
+    wrong: str = ""
+
+    def settle(self, name: str) -> None:
+        """What a member's step asks for: store, commit, send."""
+        r = self.members[name]
+        if r.stores:
+            self.disks[name] = copy.deepcopy(r.kept)
+            r.stores = []
+        for number, entry in r.commits:
+            if self.committed.setdefault(number, entry) != entry:
+                self.wrong = f"entry {number} differs at {name}"
+        r.commits, r.images, r.told = [], [], []
+        if r.role is Role.LEADER:
+            term = r.kept.term
+            if self.leaders.setdefault(term, name) != name:
+                self.wrong = f"two lead in term {term}"
+            for number, entry in self.committed.items():
+                at = number - r.kept.first
+                if at >= len(r.kept.entries) or (at >= 0 and r.kept.entries[at] != entry):
+                    self.wrong = f"{name} leads in term {term} without entry {number}"
+        if sum(m.promises(self.now) for m in self.members.values()) > 1:
+            self.wrong = "two promise"
+        self.flight += [(name, to, m) for to, m in r.sends]
+        r.sends = []
+
+
+def start(make: Callable[..., Replica] = Replica, leads: bool = True) -> World:
+    """Three that have begun; with `leads` one of them leads and has committed its first entry."""
+    world = World()
+    pace = Pace()
+    for name in NAMES:
+        world.members[name] = make(name, "a", NAMES, pace, First(), 0)
+        world.settle(name)
+    for _ in range(60):
+        while world.flight:
+            sender, to, message = world.flight.pop(0)
+            world.members[to].step(world.now, message, sender)
+            world.settle(to)
+        if leads and any(m.promises(world.now) for m in world.members.values()):
+            break
+        if not leads and all(m.role is Role.FOLLOWER for m in world.members.values()):
+            break
+        name = min(world.members, key=lambda n: (world.members[n].due(), n))
+        world.now = max(world.now, world.members[name].due())
+        world.members[name].step(world.now)
+        world.settle(name)
+    return world
+
+
+def moves(world: World, make: Callable[..., Replica], storage: bool, most_losses: int, most_crashes: int
+          ) -> Iterator[tuple[str, Callable[[], World]]]:
+    """Whatever may happen next."""
+    def after(what: Callable[[World], None]) -> Callable[[], World]:
+        def run() -> World:
+            new = copy.deepcopy(world)
+            try:
+                what(new)
+            except AssertionError as wrong:
+                new.wrong = str(wrong) or "an assertion"
+            return new
+        return run
+
+    for at, (sender, to, message) in enumerate(world.flight[:MOST_IN_FLIGHT]):
+        def deliver(w: World, at: int = at) -> None:
+            sender, to, message = w.flight.pop(at)
+            w.members[to].step(w.now, message, sender)
+            w.settle(to)
+
+        yield f"{type(message).__name__} {sender}>{to}", after(deliver)
+        if world.losses < most_losses:
+            def lose(w: World, at: int = at) -> None:
+                w.flight.pop(at)
+                w.losses += 1
+
+            yield f"lose {type(message).__name__} {sender}>{to}", after(lose)
+    for name in NAMES:
+        def wait(w: World, name: str = name) -> None:
+            w.now = max(w.now, w.members[name].due())
+            w.members[name].step(w.now)
+            w.settle(name)
+
+        yield f"time for {name}", after(wait)
+        if world.crashes < most_crashes:
+            def crash(w: World, name: str = name) -> None:
+                w.crashes += 1
+                kept = copy.deepcopy(w.disks[name]) if storage else None
+                w.members[name] = make(name, "a", NAMES, Pace(), First(), w.now, kept)
+                w.flight = [(s, t, m) for s, t, m in w.flight if t != name]
+                w.settle(name)
+
+            yield f"restart {name}", after(crash)
+        if world.proposed < len(JOBS) and world.members[name].promises(world.now):
+            def propose(w: World, name: str = name) -> None:
+                w.members[name].propose(w.now, [JOBS[w.proposed]])
+                w.proposed += 1
+                w.settle(name)
+
+            yield f"{name} takes {JOBS[world.proposed].decode()}", after(propose)
+
+
+def key(world: World) -> object:
+    """All that decides what may come."""
+    rows = []
+    for name, r in world.members.items():
+        k = r.kept
+        rows.append((
+            name, r.role, r.leader, k.term, k.voted, k.starts, tuple(k.entries), r.commit, r._need, r._held,
+            r._teacher, frozenset(r._votes), r._trying, max(-1, r.lease_until - world.now),
+            max(-1, r._led_at + r.pace.lease_ns - world.now), r.due() - world.now,
+            tuple((n, p.next, p.match, p.open, p.lacks) for n, p in r.peers.items()),
+            tuple((n, t.standing, t.term, t.last) for n, t in r._taught.items())))
+    return (tuple(rows), tuple(world.flight), world.proposed, world.losses, world.crashes)
+
+
+def check(
+    depth: int, make: Callable[..., Replica] = Replica, storage: bool = False, leads: bool = True,
+    most_losses: int = 1, most_crashes: int = 1, most: int = 10_000_000,
+) -> Explored[World]:
+    """Every order to a depth."""
+    return explore(
+        start(make, leads), lambda w: moves(w, make, storage, most_losses, most_crashes), key,
+        lambda w: w.wrong, depth, most)
--- /dev/null
+++ b/hollowusher/emulator/custody.py
@@ -0,0 +1,320 @@
+"""Schedulers that copy what they hold, in virtual time: jobs, clients that come back, nodes that count runs.
+
+The keeper and the custody are those of the program; desk, nodes, clients and network are as plain as can be.
+"""
+
+from __future__ import annotations
+
+import copy
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any
+
+from hazelweir.interface import Effect, Group, JobClass
+from hollowusher.rules.copies.custody import Act, Custody, Do
+from hollowusher.rules.copies.keeper import Keeper
+from hollowusher.rules.copies.pace import MS, Pace
+from hollowusher.rules.copies.records import Answered, Taken
+from hollowusher.rules.copies.replica import Kept
+
+S = 1000 * MS
+CLASSES = {c.name: c for c in (
+    JobClass("quote", S, 5 * S, effect=Effect.SAFE),
+    JobClass("assign", S, 8 * S, effect=Effect.KEYED, group=Group.CELL, window_ns=2 * S),
+    JobClass("settle", S, 10 * S, effect=Effect.UNSAFE))}
+BUDGET_MS = {"quote": 5_000, "assign": 8_000, "settle": 10_000}
+TICK_NS = 50 * MS
+ALONE_MS = 1_500  # after this without an answer, a client tries elsewhere
+
+
+@dataclass(slots=True, eq=False)
+class Process:
+    """One scheduler's process."""
+
+    name: str
+    rate: float
+    custody: Custody | None = None
+    life: int = 0
+    disks: dict[str, Kept] = field(default_factory=dict)
+    paused_until: int = 0
+    inbox: list[Callable[[], None]] = field(default_factory=list)
+    attempts: Counter[str] = field(default_factory=Counter)  # of the plain desk
+    work: dict[str, Taken] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Client:
+    """One client and its job."""
+
+    taken: Taken
+    asked_at: int
+    answers: list[Answered] = field(default_factory=list)
+    begun: bool = False  # whether anyone took it
+    tries: int = 0
+    refused: int = 0
+    done: bool = False
+
+
+class CustodyNet:
+    """Some schedulers, all chance from one seed.  `make`: the keeper, or one with a planted fault."""
+
+    def __init__(
+        self, size: int, seed: int, group: int = 3, storage: bool = False, loss: float = 0.0,
+        make: Callable[..., Keeper] = Keeper, custody: Callable[..., Custody] = Custody,
+        pace: Pace | None = None,
+    ) -> None:
+        self.chance, self.group, self.storage, self.loss = random.Random(seed), group, storage, loss
+        self._make, self._custody, self.pace = make, custody, pace or Pace()
+        self.names = tuple(f"n{i}" for i in range(size))
+        self.now = self.steps = self.messages = 0
+        self.cuts: set[tuple[str, str]] = set()
+        self.processes = {n: Process(n, 1 + self.chance.uniform(-0.01, 0.01)) for n in self.names}
+        self.clients: dict[str, Client] = {}
+        self.runs: Counter[str] = Counter()
+        self.told: list[tuple[int, str, str, str]] = []
+        self.idle_ns = 0  # time in which the owner of a job's log could not promise
+        self._heap: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = count()
+        for name in self.names:
+            self.start(name)
+
+    def at(self, when: int, what: Callable[[], None]) -> None:
+        """Do something at a time of the play."""
+        heapq.heappush(self._heap, (when, next(self._order), what))
+
+    def run(self, until: int) -> None:
+        """Play up to a time."""
+        while self._heap and self._heap[0][0] <= until:
+            self.now, _, what = heapq.heappop(self._heap)
+            what()
+        self.now = until
+
+    # --- faults -------------------------------------------------------------------------------------------
+
+    def start(self, name: str, disk: bool = True) -> None:
+        """A process starts, with its disk or without."""
+        p = self.processes[name]
+        if not (disk and self.storage):
+            p.disks = {}
+        p.life += 1
+        p.paused_until, p.inbox, p.attempts, p.work = 0, [], Counter(), {}
+        keeper = self._make(name, self.names, self.group, self.pace, random.Random(self.chance.random()),
+                            self._clock(p), CLASSES, copy.deepcopy(p.disks))
+        p.custody = self._custody(keeper, self.names, CLASSES)
+        self._after(p)
+        self._tick(p, p.life)
+
+    def crash(self, name: str) -> None:
+        """It ends without a word; its clients notice, and what it had sent out runs on."""
+        self.processes[name].custody = None
+        self.processes[name].life += 1
+
+    def pause(self, name: str, span: int) -> None:
+        """It does not run; what comes waits."""
+        p = self.processes[name]
+        p.paused_until = self.now + span
+        self.at(p.paused_until, lambda: self._resume(p))
+
+    def cut(self, a: str, b: str, span: int) -> None:
+        """Nothing passes from a to b for a while."""
+        self.cuts.add((a, b))
+        self.at(self.now + span, lambda: self.cuts.discard((a, b)))
+
+    # --- clients ------------------------------------------------------------------------------------------
+
+    def ask(self, job: str, job_class: str) -> None:
+        """A new client asks for a job."""
+        until_ms = self._ms() + BUDGET_MS[job_class]
+        self.clients[job] = Client(Taken(job, job_class, "s", b"body", until_ms), self.now)
+        self._try(job)
+
+    def _try(self, job: str) -> None:
+        client = self.clients[job]
+        if client.done or self._ms() > client.taken.until_ms:
+            return
+        for p in self.processes.values():
+            if p.custody is not None:
+                p.custody.gone(job)  # it has left whom it asked before
+        up = [p for p in self.processes.values() if p.custody is not None]
+        if up:
+            p = self.chance.choice(up)
+            client.tries += 1
+            handle = (job, client.tries, p.life)
+            self._do(p, lambda c: c.take(self._clock(p), self._ms(), client.taken, handle,
+                                         again=client.tries > 1))
+        # Whatever becomes of it, it is back after a while; at once where its scheduler dies, in effect.
+        self.at(self.now + ALONE_MS * MS, lambda: self._try(job))
+
+    def _again(self, job: str) -> None:
+        self.clients[job].done = False
+        self._try(job)
+
+    # --- schedulers ---------------------------------------------------------------------------------------
+
+    def _clock(self, p: Process) -> int:
+        return round(self.now * p.rate)
+
+    def _ms(self) -> int:
+        return 1_000_000 + self.now // MS
+
+    def _tick(self, p: Process, life: int) -> None:
+        if p.custody is None or p.life != life:
+            return
+        self._do(p, lambda c: c.keeper.step(self._clock(p), self._ms()))
+        self.at(self.now + TICK_NS, lambda: self._tick(p, life))
+
+    def _do(self, p: Process, what: Callable[[Custody], None]) -> None:
+        if p.custody is None:
+            return
+        if self.now < p.paused_until:
+            p.inbox.append(lambda: self._do(p, what))
+            return
+        self.steps += 1
+        what(p.custody)
+        p.custody.tick(self._clock(p), self._ms())
+        self._after(p)
+
+    def _resume(self, p: Process) -> None:
+        waiting, p.inbox = p.inbox, []
+        for what in waiting:
+            what()
+
+    def _after(self, p: Process) -> None:
+        custody = p.custody
+        assert custody is not None
+        keeper = custody.keeper
+        while keeper.stores or keeper.sends or custody.acts or custody.asks or keeper.told:
+            for owner in {owner for owner, _ in keeper.stores} if self.storage else ():
+                p.disks[owner] = copy.deepcopy(keeper.logs[owner].replica.kept)
+            keeper.stores = []
+            sends, keeper.sends = keeper.sends, []
+            for name, message in sends:
+                self._send(p.name, name, lambda c, q, m=message: c.keeper.step(  # type: ignore[misc]
+                    self._clock(q), self._ms(), m, p.name))
+            asks, custody.asks = custody.asks, []
+            for name, ask in asks:
+                for other in [name] if name else [n for n in self.names if n != p.name]:
+                    self._send(p.name, other, lambda c, q, m=ask: c.heard(  # type: ignore[misc]
+                        self._clock(q), self._ms(), m, p.name))
+            self.told += [(self.now, p.name, owner, what) for owner, what in keeper.told]
+            keeper.told = []
+            acts, custody.acts = custody.acts, []
+            for act in acts:
+                self._act(p, custody, act)
+
+    def _send(self, source: str, target: str, what: Callable[[Custody, Process], None]) -> None:
+        self.messages += 1
+        if (source, target) in self.cuts or self.chance.random() < self.loss:
+            return
+        q = self.processes[target]
+        life = q.life
+        delay = round(self.chance.uniform(0.2, 6.0) * MS)
+        self.at(self.now + delay, lambda: self._do(q, lambda c: what(c, q)) if q.life == life else None)
+
+    def _act(self, p: Process, custody: Custody, act: Act) -> None:
+        match act.do:
+            case Do.START:
+                taken = act.adopted.held.taken if act.adopted else self.clients[self._job(act.handle)].taken
+                self.clients[taken.job].begun = True
+                p.work[taken.job] = taken
+                self._dispatch(p, custody, taken.job)
+            case Do.REFUSE:
+                self.clients[self._job(act.handle)].refused += 1
+            case Do.TELL if act.answer is not None and act.handle is not None:
+                job, tries = self._job(act.handle), self._tries(act.handle)
+                client = self.clients[job]
+                if tries == client.tries:  # else it has left
+                    client.answers.append(act.answer)
+                    client.done = True
+                    if self.chance.random() < 0.2:  # it comes back for its answer
+                        self.at(self.now + round(self.chance.uniform(0.5, 5) * S),
+                                lambda: self._again(job))
+            case Do.GO:
+                self._run(p, self._job(act.handle))
+            case Do.NOT_SENT:
+                job = self._job(act.handle)
+                life = p.life
+                self.at(self.now + 100 * MS, lambda: self._do(p, lambda c: self._dispatch(p, c, job))
+                        if p.life == life and job in p.work else None)
+            case _:
+                pass
+
+    def _job(self, handle: Any) -> str:
+        return str(handle[0])
+
+    def _tries(self, handle: Any) -> int:
+        return int(handle[1])
+
+    def _dispatch(self, p: Process, custody: Custody, job: str) -> None:
+        """The plain desk: any node, three attempts, then it gives up."""
+        if self._ms() > p.work[job].until_ms:
+            p.work.pop(job)
+            return
+        if p.attempts[job] >= 3:
+            p.work.pop(job)
+            custody.answer(self._clock(p), self._ms(), Answered(job, "failed", self._ms()), None, self._ms())
+            return
+        p.attempts[job] += 1
+        number = p.life * 100 + p.attempts[job]
+        cell = str(self.chance.randrange(2))
+        custody.intent(self._clock(p), self._ms(), job, number, f"s{cell}", cell, (job, number))
+
+    def _run(self, p: Process, job: str) -> None:
+        """The node has it: it runs, whatever becomes of whoever sent it."""
+        self.runs[job] += 1
+        life, fails = p.life, self.chance.random() < 0.1
+        number = p.life * 100 + p.attempts[job]
+
+        def over() -> None:
+            if p.life != life:
+                return
+
+            def end(c: Custody) -> None:
+                taken = p.work.get(job)
+                if taken is None:
+                    return
+                c.ended(self._clock(p), self._ms(), job, number, False)
+                if fails and taken.job_class != "settle":
+                    self._dispatch(p, c, job)
+                    return
+                p.work.pop(job, None)
+                verdict = "failed" if fails else "served"
+                result = b"" if fails else f"r:{job}".encode()
+                c.answer(self._clock(p), self._ms(), Answered(job, verdict, self._ms(), result), None,
+                         self._ms())
+
+            self._do(p, end)
+
+        self.at(self.now + round(self.chance.uniform(20, 400) * MS), over)
+
+    # --- what must hold -----------------------------------------------------------------------------------
+
+    def faults(self) -> list[str]:
+        """What must not be, over all that has been played."""
+        found = []
+        for job, client in self.clients.items():
+            if client.taken.job_class == "settle" and self.runs[job] > 1:
+                found.append(f"{job} ran {self.runs[job]} times")
+            served = {a.result for a in client.answers if a.verdict == "served"}
+            if len(served) > 1 or (served and served != {f"r:{job}".encode()}):
+                found.append(f"{job} was told {served}")
+            if served and not self.runs[job]:
+                found.append(f"{job} was told a result and never ran")
+            verdicts = [a.verdict for a in client.answers if a.at_ms < client.taken.until_ms - 100]
+            if len(set(verdicts)) > 1:
+                found.append(f"{job} was told {verdicts}")
+        return found
+
+    def figures(self) -> Mapping[str, float]:
+        """Shares over all jobs: served, failed, nothing heard."""
+        many = max(1, len(self.clients))
+        served = sum(any(a.verdict == "served" for a in c.answers) for c in self.clients.values())
+        failed = sum(bool(c.answers) and all(a.verdict == "failed" for a in c.answers)
+                     for c in self.clients.values())
+        lost = sum(c.begun and not c.answers for c in self.clients.values())
+        return {"served": served / many, "failed": failed / many, "begun, no answer": lost / many,
+                "messages a job": self.messages / many}
--- a/hollowusher/emulator/faults/virtual.py
+++ b/hollowusher/emulator/faults/virtual.py
@@ -11,7 +11,7 @@
 from hollowusher.rules.membership.member import Member
 
 STARVED_SLICE_S = 0.2  # a starved process runs for its share of each of these
-NOT_PLAYED = {"flood", "reset"}  # what has no meaning without sockets: said in the history
+NOT_PLAYED = {"flood", "reset", "fail"}  # what has no meaning without sockets: said in the history
 
 
 class VirtualPlay:
--- a/hollowusher/emulator/faults/words.py
+++ b/hollowusher/emulator/faults/words.py
@@ -97,7 +97,8 @@
     "reset": None,
 }
 ON_MEMBERS = {"pause", "kill", "start", "restart", "stop", "starve", "flood", "twin", "rename"}
-_LASTS = {"pause", "starve", "flood", "twin"}
+ON_NODES = {"fail"}  # route nodes; other troubles of theirs are words of rehearsals
+_LASTS = {"pause", "starve", "flood", "twin", "fail"}
 
 
 def names(line: Line, members: int, known: Sequence[str] = ("n",)) -> tuple[str, ...]:
@@ -137,7 +138,7 @@
     else:
         if what in ("starve", "flood"):
             fields["amount"] = line.value(what, SHARE if what == "starve" else RATE)
-        fields["who"] = names(line, members)
+        fields["who"] = names(line, members, ("s",) if what in ON_NODES else ("n",))
         if what == "rename":
             if line.next("to") != "to":
                 raise line.fault("rename: `to` and names must follow")
--- a/hollowusher/emulator/outside.py
+++ b/hollowusher/emulator/outside.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
+import random
 import socket
 import time
 from collections.abc import Iterable
@@ -11,11 +13,19 @@
 from typing import Any
 
 
-def free_port() -> int:
-    """A port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+PORTS = range(12_000, 32_000)  # below those that the kernel gives to whoever connects
+_given: set[int] = set()
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """A port that nobody hears on, and that this process has not given before."""
+    while True:
+        port = random.SystemRandom().choice(PORTS)
+        with socket.socket(socket.AF_INET, kind) as sock, contextlib.suppress(OSError):
+            sock.bind(("127.0.0.1", port))
+            if port not in _given:
+                _given.add(port)
+                return port
 
 
 def node_rows(ports: Iterable[int]) -> list[dict[str, Any]]:
@@ -66,6 +76,7 @@
     budget_s: float
 
 
+MARK = "X-Again: 1\r\n"  # a client that has asked for this before
 LATE_S = 0.5  # after its time an answer may still come, as the platform counts
 
 
@@ -79,7 +90,8 @@
         self.broken = 0  # jobs whose connection ended without an answer, or that got more than one
 
     async def ask(
-        self, at: float, job: str, job_class: str, budget_s: float, body: bytes = b"p" * 200
+        self, at: float, job: str, job_class: str, budget_s: float, body: bytes = b"p" * 200,
+        again: bool = False,
     ) -> str:
         """One job at its time (the loop's clock); its time counts from then.  How it ended, in a word."""
         loop = asyncio.get_running_loop()
@@ -90,7 +102,8 @@
             reader, writer = link
             writer.write((
                 f"POST /jobs/{job} HTTP/1.1\r\nHost: h\r\nX-Call-Id: {job}\r\nX-Call-Class: {job_class}\r\n"
-                f"X-Budget: {budget_s}\r\nIdempotency-Key: k{job}\r\nContent-Length: {len(body)}\r\n\r\n"
+                f"X-Budget: {budget_s:.3f}\r\n{MARK if again else ''}Idempotency-Key: k{job}\r\n"
+                f"Content-Length: {len(body)}\r\n\r\n"
             ).encode() + body)
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
             length = int(head.lower().partition("content-length: ")[2].partition("\r\n")[0])
--- a/hollowusher/emulator/processes/commands.py
+++ b/hollowusher/emulator/processes/commands.py
@@ -70,19 +70,7 @@
 @click.option("--conf", type=_FILE, default=SETTINGS_FILE)
 def members(where: str | None, conf: Path) -> None:
     """What a running scheduler sees of the others."""
-    try:
-        address = parse_address(where) if where else read_reports(read_file(conf, SECTIONS))
-        if address is None:
-            raise ConfigError(f"{conf.name}: [reports] has no `listen`; give --at host:port")
-        told = asyncio.run(ask(address, "members"))
-    except ValueError:
-        raise click.ClickException(f"{where}: must be host:port") from None
-    except OSError as wrong:
-        raise click.ClickException(f"no report: {wrong!r}") from None
-    except ConfigError as wrong:
-        raise click.ClickException(str(wrong)) from None
-    if "fault" in told:
-        raise click.ClickException(str(told["fault"]))
+    told = _report(where, conf, "members")
     click.echo(f"{told['name']}: view {told['number']}, "
                + ("in a minority" if told["minority"] else "in the majority")
                + (", hears nobody" if told["deaf"] else "") + f", health {told['health']} (0 is best)")
@@ -99,6 +87,59 @@
     click.echo(json.dumps(told["counts"]))
 
 
+@click.command()
+@click.option("--at", "where", help="Where its reports are asked for; else as the settings file has it.")
+@click.option("--conf", type=_FILE, default=SETTINGS_FILE)
+def copies(where: str | None, conf: Path) -> None:
+    """The logs that a running scheduler keeps: who leads them, and how far each copy is."""
+    told = _report(where, conf, "copies")
+    rows = told["rows"]
+    assert isinstance(rows, dict)
+    click.echo(f"{'owner':12}{'we are':10}{'leader':10}{'term':>6}{'promises':>10}{'committed':>11}"
+               f"{'open':>7}{'jobs':>8}{'bytes':>11}  lags")
+    for owner, row in rows.items():
+        lags = " ".join(f"{name}:{lag}" for name, lag in row["lags"].items())
+        click.echo(f"{owner:12}{row['role']:10}{row['leader']:10}{row['term']:6}"
+                   f"{'yes' if row['promises'] else 'no':>10}{row['committed']:11}{row['open']:7}"
+                   f"{row['jobs']:8}{row['bytes']:11}  {lags}")
+
+
+@click.command()
+@click.option("--at", "where", help="Where its reports are asked for; else as the settings file has it.")
+@click.option("--conf", type=_FILE, default=SETTINGS_FILE)
+def shared(where: str | None, conf: Path) -> None:
+    """What a running scheduler knows with the others: counts, and judgements on nodes."""
+    told = _report(where, conf, "shared")
+    counts, own, rows = told["counts"], told["own"], told["rows"]
+    assert isinstance(counts, dict) and isinstance(own, dict) and isinstance(rows, dict)
+    click.echo(f"{'count':32}{'all':>10}{'here':>10}")
+    for key, value in sorted(counts.items()):
+        click.echo(f"{key:32}{value:10.0f}{own.get(key, 0):10.0f}")
+    click.echo(f"{'node':16}{'bad':>5}{'weight':>8}{'own':>8}  told by")
+    for node, row in sorted(rows.items()):
+        told_by = " ".join(f"{m}:{score:g}" for m, score in row["told_by"].items())
+        bad = "yes" if row["bad"] else "no"
+        click.echo(f"{node:16}{bad:>5}{row['weight']:8.2f}{row['own']:8.2f}  {told_by}")
+
+
+def _report(where: str | None, conf: Path, part: str) -> dict[str, object]:
+    """A part's report of the scheduler there."""
+    try:
+        address = parse_address(where) if where else read_reports(read_file(conf, SECTIONS))
+        if address is None:
+            raise ConfigError(f"{conf.name}: [reports] has no `listen`; give --at host:port")
+        told = asyncio.run(ask(address, part))
+    except ValueError:
+        raise click.ClickException(f"{where}: must be host:port") from None
+    except OSError as wrong:
+        raise click.ClickException(f"no report: {wrong!r}") from None
+    except ConfigError as wrong:
+        raise click.ClickException(str(wrong)) from None
+    if "fault" in told:
+        raise click.ClickException(str(told["fault"]))
+    return told
+
+
 def _listed(value: object) -> Sequence[object]:
     return value if isinstance(value, list) else []
 
--- a/hollowusher/emulator/processes/fleet.py
+++ b/hollowusher/emulator/processes/fleet.py
@@ -8,7 +8,6 @@
 import re
 import shutil
 import signal
-import socket
 import sys
 import time
 from collections.abc import Callable, Mapping
@@ -30,13 +29,6 @@
 _MEMBER = "member-"
 
 
-def free_datagram_port() -> int:
-    """A port that nobody hears datagrams on."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 @dataclass(slots=True)
 class Scheduler:
     """One scheduler: its place is kept over its processes."""
@@ -120,6 +112,8 @@
         elif what.startswith(_MEMBER):
             self._tell(Entry(self._clock(), one.name, what[len(_MEMBER):], fields.get("member", ""), match[3],
                              int(fields.get("view", 0))))
+        elif what.startswith("shared-"):
+            self._tell(Entry(self._clock(), one.name, what, fields.get("node", ""), fields.get("weight", "")))
         elif what.endswith("-fault"):
             self._tell(Entry(self._clock(), one.name, "fault", why=line[:300]))
 
--- a/hollowusher/emulator/processes/play.py
+++ b/hollowusher/emulator/processes/play.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 
 from hollowusher.emulator.faults.checks import Finding, check
@@ -18,7 +19,7 @@
 from hollowusher.emulator.outside import NodeList, Terminals, free_port, node_rows
 from hollowusher.emulator.processes.board import Board
 from hollowusher.emulator.processes.fleet import (
-    Fleet, Scheduler, cpu_s, free_datagram_port, now_s, platform_config,
+    Fleet, Scheduler, cpu_s, now_s, platform_config,
 )
 from hollowusher.emulator.script import Script
 from hollowusher.emulator.traffic import Demand, draw
@@ -27,6 +28,7 @@
 MOST_PROCESSES = 40  # on one machine
 SETTLE_S = 3.0  # after the script's end, for what is still open
 FLOOD_STEP_S = 0.01
+BACK_S = (0.1, 0.4)  # before a client comes back
 _WIRE_EFFECTS = {"safe": "retryable", "keyed": "dedup", "unsafe": "fragile"}
 Address = tuple[str, int]
 
@@ -64,6 +66,7 @@
         self._lists: list[NodeList] = []
         self._terminals: dict[str, Terminals] = {}
         self._work_s: dict[str, float] = {}
+        self._failing: set[str] = set()
         self._doing: set[asyncio.Task[None]] = set()
 
     def _at(self) -> float:
@@ -101,7 +104,7 @@
     async def _set_up(self) -> None:
         script = self._script
         for number in range(1, len(script.kinds) + 1):
-            node = self._nodes[f"s{number}"] = Http1Node(self._plan)
+            node = self._nodes[f"s{number}"] = Http1Node(partial(self._plan, f"s{number}"))
             await node.start()
         hole, _ = await asyncio.get_running_loop().create_datagram_endpoint(
             asyncio.DatagramProtocol, local_addr=("127.0.0.1", 0))  # where names that do not exist would be
@@ -109,7 +112,8 @@
         for name in self.names:
             self.fleet.schedulers[name] = Scheduler(
                 name, self._folder / name, ("127.0.0.1", free_port()),
-                ("127.0.0.1", free_datagram_port()), ("127.0.0.1", free_port()), more=self._more)
+                ("127.0.0.1", free_port(socket.SOCK_DGRAM)), ("127.0.0.1", free_port()), more=self._more)
+        self._copy_places = {name: ("127.0.0.1", free_port()) for name in self.names}
         for number, one in enumerate(self.fleet.schedulers.values()):
             await self._place(one, number, nowhere)
         await asyncio.gather(*(self.fleet.start(one) for one in self.fleet.schedulers.values()))
@@ -124,6 +128,16 @@
         later = {name for m in script.mishaps if m.what == "rename" for name in m.to} - set(self.names)
         one.peers.update(dict.fromkeys(nobody if self._peers else (), nowhere))
         one.later.update(dict.fromkeys(later - nobody if self._peers else (), nowhere))
+        if script.copies:
+            place = self._copy_places[one.name]
+            others = {o: a if o == one.name else await self._board.streams((one.name, o), a)
+                      for o, a in self._copy_places.items()}
+            copied = script.copied or tuple(c.name for c in script.classes)
+            one.more = "\n".join([
+                one.more, "[copies]", "enabled yes", f"listen {place[0]}:{place[1]}",
+                f"group {script.copies}", f"classes {' '.join(copied)}",
+                *([f"folder {one.folder / 'copies'}"] if script.on_disk else []),
+                *(f"[copy {o}]\naddress {a[0]}:{a[1]}" for o, a in others.items())])
         ports = [(await self._board.streams((one.name, name), ("127.0.0.1", node.port)))[1]
                  for name, node in self._nodes.items()]
         listed = NodeList(node_rows(ports))
@@ -140,7 +154,10 @@
         one.write()
         self._terminals[one.name] = Terminals(one.listen[1])
 
-    def _plan(self, job: str) -> Plan:
+    def _plan(self, node: str, job: str) -> Plan:
+        if node in self._failing:
+            self.entries.append(Entry(self._at(), node, "failed", job))
+            return Plan("failed", report={"x0": 4.0})
         return Plan(run_s=self._work_s.get(job, 0.05), report={"x0": 4.0})
 
     def _effect(self, job: str) -> str:
@@ -183,6 +200,8 @@
                 amount = mishap.amount * (NS if mishap.what == "delay" else 1)
                 self._board.links.begin(
                     act.number, Condition(mishap.what, pairs(mishap), amount, mishap.spread_s * NS))
+        elif mishap.what == "fail":
+            self._failing = self._failing - set(mishap.who) if act.ends else self._failing | set(mishap.who)
         elif mishap.what == "reset":
             for pair in pairs(mishap):
                 self._board.reset(pair)
@@ -220,7 +239,7 @@
             return
         twin = Scheduler(
             one.name, one.folder.with_name(f"{one.name}-twin"), ("127.0.0.1", free_port()),
-            ("127.0.0.1", free_datagram_port()), ("127.0.0.1", free_port()))
+            ("127.0.0.1", free_port(socket.SOCK_DGRAM)), ("127.0.0.1", free_port()))
         twin.peers = {**one.peers, one.name: twin.peer_listen}
         twin.config = {**one.config, "listen": f"127.0.0.1:{twin.listen[1]}"}
         twin.write()
@@ -255,7 +274,21 @@
             self._spawn(self._job(self._chance.choice(up).name, job, wanted.demand, loop.time()))
 
     async def _job(self, name: str, job: str, demand: Demand, at: float) -> None:
-        said = await self._terminals[name].ask(at, job, demand.name, demand.budget_s)
+        """One client.  Where jobs are copied it comes back elsewhere when its connection breaks or it is
+        turned away, under the same id and with what is left of its time."""
+        loop, first = asyncio.get_running_loop(), at
+        while True:
+            left_s = demand.budget_s - (at - first)
+            said = await self._terminals[name].ask(at, job, demand.name, left_s, again=at > first)
+            if not self._script.copies or said not in ("broken", "refused"):
+                break
+            at = loop.time() + self._chance.uniform(*BACK_S)
+            if demand.budget_s - (at - first) < 0.2:
+                said = "late" if said == "broken" else said
+                break
+            up = [one.name for one in self.fleet.schedulers.values()
+                  if one.process is not None and one.process.returncode is None and not one.bidden]
+            name = self._chance.choice(up or self.names)
         self.entries.append(Entry(self._at(), name, "job", job, said))
 
     def _spawn(self, work: object) -> None:
--- a/hollowusher/emulator/script.py
+++ b/hollowusher/emulator/script.py
@@ -16,12 +16,12 @@
     Discovery, Effect, Group, JobClass, Limits, Rules, Settings, State, Via,
 )
 from hollowusher.emulator.faults.words import (
-    MOST_MEMBERS, ON_LINKS, ON_MEMBERS, Expect, Mishap, read_expect, read_mishap,
+    MOST_MEMBERS, ON_LINKS, ON_MEMBERS, ON_NODES, Expect, Mishap, read_expect, read_mishap,
 )
 from hollowusher.emulator.model import Kind
 from hollowusher.emulator.traffic import Demand, Spell, draw
 from hollowusher.emulator.virtual import Rehearsal, VirtualNode
-from hollowusher.settings.model import ConfigError, SettingsError, count, number, span
+from hollowusher.settings.model import ConfigError, SettingsError, count, number, span, word, words
 
 MS, NS_PER_S = 1_000_000, 1_000_000_000
 MOST_NODES, MOST_LENGTH_S = 1_000, 86_400.0
@@ -58,6 +58,9 @@
     spells: list[Spell] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
     members: int = 0  # schedulers that keep a view of each other: n1, n2, ...
+    copies: int = 0  # schedulers that keep each log; 0: nothing is copied
+    copied: tuple[str, ...] = ()  # classes
+    on_disk: bool = False
     configured: int = 0  # names in their files, where these are more
     mishaps: list[Mishap] = field(default_factory=list)
     expects: list[Expect] = field(default_factory=list)
@@ -160,7 +163,7 @@
             continue
         line = _Line(file, last, words)
         word = line.next("a word")
-        if word in ("seed", "length", "schedulers", "traffic", "members", "configured"):
+        if word in ("seed", "length", "schedulers", "traffic", "members", "configured", "copies"):
             if word in seen:
                 raise line.fault(f"{word}: stands on line {seen[word]} already")
             seen[word] = last
@@ -183,6 +186,8 @@
                 raise line.fault(f"node {node}: there are nodes 1 to {len(script.kinds)}")
         if trouble.at_s >= script.length_s:
             raise line.fault(f"at {trouble.at_s:g}s: the script ends after {script.length_s:g}s")
+    if not set(script.copied) <= {c.name for c in script.classes}:
+        raise SettingsError(file, last, f"copies of {','.join(script.copied)}: no such class")
     if script.spells and not script.kinds:
         raise SettingsError(file, last, "traffic: needs nodes and classes")
     for at_s in [*(m.at_s for m in script.mishaps), *(e.at_s for e in script.expects)]:
@@ -214,6 +219,17 @@
     line.end()
 
 
+def _copies(script: Script, line: _Line) -> None:
+    script.copies = int(line.value("copies", count(1, 5)))
+    found = line.options({"on": word(), "of": words()})
+    if found.get("on", "memory") not in ("memory", "disk"):
+        raise line.fault(f"copies on: must be memory or disk, is {found['on']!r}")
+    script.on_disk = found.get("on") == "disk"
+    script.copied = tuple(found["of"][0].split(",")) if "of" in found else ()
+    if not 1 <= script.copies <= script.members or script.copies not in (1, 3, 5):
+        raise line.fault("copies: must be 1, 3 or 5, and at most the members that stand before it")
+
+
 def _configured(script: Script, line: _Line) -> None:
     script.configured = int(line.value("configured", count(2, MOST_MEMBERS)))
     line.end()
@@ -282,11 +298,11 @@
         script.expects.append(read_expect(line, stands, raw.strip(), at_s, script.members))
         line.end()
         return
-    if what in ON_LINKS or (what in ON_MEMBERS and line.peek() != "node"):
+    if what in ON_LINKS or what in ON_NODES or (what in ON_MEMBERS and line.peek() != "node"):
         script.mishaps.append(read_mishap(line, at_s, what, script.members))
         return
     if what not in _TROUBLES:
-        known = ", ".join(sorted({*_TROUBLES, *ON_LINKS, *ON_MEMBERS, "traffic", "expect"}))
+        known = ", ".join(sorted({*_TROUBLES, *ON_LINKS, *ON_MEMBERS, *ON_NODES, "traffic", "expect"}))
         raise line.fault(f"{what}: nothing of that name happens; there are {known}")
     if line.next("node") != "node":
         raise line.fault(f"{what}: must be followed by node and numbers, as in `{what} node 3..5`")
@@ -326,7 +342,7 @@
 
 _WORDS: dict[str, Callable[[Script, _Line], None]] = {
     "seed": _seed, "length": _length, "schedulers": _schedulers, "traffic": _traffic, "nodes": _nodes,
-    "class": _class, "members": _members, "configured": _configured,
+    "class": _class, "members": _members, "configured": _configured, "copies": _copies,
 }
 
 
--- a/hollowusher/fronts/platform/terminals.py
+++ b/hollowusher/fronts/platform/terminals.py
@@ -216,13 +216,15 @@
 
         job = read_job(
             request, self._front.classes, time.monotonic_ns(), answer_to, self._front.last_answer_ns)
-        if not self._front.ids.claim(job.job_id):
+        kept = self._front.copied(job)  # such a job may come again, and is known by its id
+        if not kept and not self._front.ids.claim(job.job_id):
             raise BadInput(409, "another request has or had this X-Call-Id")
         try:
             self._front.post(JobTaken(job))
             answer = await self._wait(answered)
         finally:
-            self._front.ids.free(job.job_id)
+            if not kept:
+                self._front.ids.free(job.job_id)
             if not answered.done():  # its terminal has gone, or its next bytes show that it was no job
                 self._front.post(TerminalGone(job))
         if answer is None:
@@ -278,6 +280,7 @@
     ) -> None:
         self._listener, self._most, self.ids, self._ring = listener, most, ids, ring
         self.classes, self.post, self.log = classes, post, log
+        self.copied: Callable[[Job], bool] = lambda job: False  # whether others hold it as well
         self.closing = False  # whether connections end after the answer that is due on them
         self.last_answer_ns: int | None = None  # once a stop is asked for: by when what is taken is answered
         self._sessions: dict[TerminalSession, None] = {}  # the longest idle first
--- /dev/null
+++ b/hollowusher/net/copies/gate.py
@@ -0,0 +1,115 @@
+"""Stands before desk and floor: jobs of copied classes pass only once their records are kept."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hazelweir.interface import Outcome
+from hollowusher.core.model import (
+    Answer, Attempt, AttemptEnded, DeskEvent, Dispatch, Job, JobTaken, Order, Reply, TerminalGone, Verdict,
+)
+from hollowusher.core.roster import Roster
+from hollowusher.net.copies.node import CopiesNode
+from hollowusher.rules.copies.custody import Act, Do
+from hollowusher.rules.copies.records import Answered, Taken
+
+ATTEMPTS = 64  # numbers of attempts that one job of one process may use
+
+
+@dataclass(frozen=True, slots=True, eq=False)
+class _Client:
+    """One asking client."""
+
+    job: Job
+
+
+class Gate:
+    """`post` goes before the desk's queue, `carry_out` before the floor."""
+
+    def __init__(
+        self, classes: frozenset[str], roster: Roster, post: Callable[[DeskEvent], None],
+        carry_out: Callable[[Order], None], wait_ns: int, seed: int,
+    ) -> None:
+        self.classes, self._roster, self._post, self._carry_out = classes, roster, post, carry_out
+        self._wait_ns = wait_ns  # advice that goes with a refusal
+        self.node: CopiesNode | None = None
+        self._numbers = (time.time_ns() ^ seed) % (1 << 40) * ATTEMPTS  # another process has others
+        self._attempts: dict[Attempt, str] = {}  # that are out: the job's id
+
+    def copied(self, job: Job) -> bool:
+        """Whether a job's class is copied."""
+        return job.job_class in self.classes
+
+    # --- to the desk --------------------------------------------------------------------------------------
+
+    def post(self, event: DeskEvent) -> None:
+        """What a front or an attempt tells."""
+        assert self.node is not None
+        match event:
+            case JobTaken(job) if self.copied(job):
+                until_ms = int(time.time() * 1000) + (job.deadline_ns - time.monotonic_ns()) // 1_000_000
+                taken = Taken(job.job_id, job.job_class, job.subject, job.body, until_ms, job.repeat_key,
+                              job.tenant, job.hint_ns, job.slots, job.memory)
+                self.node.take(taken, _Client(job), job.retry)
+            case TerminalGone(job) if self.copied(job):
+                self.node.gone(job.job_id)  # it may come back: the job goes on
+            case AttemptEnded(attempt) if attempt in self._attempts:
+                job_id = self._attempts.pop(attempt)
+                if event.outcome is not Outcome.OK:  # a good end is told by its answer
+                    self.node.ended(job_id, self._number(attempt), event.outcome.never_ran)
+                self._post(event)
+            case _:
+                self._post(event)
+
+    def _number(self, attempt: Attempt) -> int:
+        return self._numbers + attempt.number
+
+    # --- from the desk ------------------------------------------------------------------------------------
+
+    def carry_out(self, order: Order) -> None:
+        """What the desk orders."""
+        assert self.node is not None
+        match order:
+            case Dispatch(attempt, job) if self.copied(job):
+                listed = self._roster.node(attempt.node)
+                name, cell = (listed.name, str(listed.entry.cell)) if listed is not None else ("", "")
+                self.node.intent(job.job_id, self._number(attempt), name, cell, order)
+            case Reply(job, answer) if self.copied(job):
+                until_ms = int(time.time() * 1000) + (job.deadline_ns - time.monotonic_ns()) // 1_000_000
+                told = Answered(job.job_id, answer.verdict.value, int(time.time() * 1000), answer.result,
+                                answer.wait_ns)
+                self.node.answer(told, _Client(job), until_ms)
+            case _:
+                self._carry_out(order)
+
+    # --- what may go on -----------------------------------------------------------------------------------
+
+    def act(self, act: Act) -> None:
+        """One thing that the custody lets go on."""
+        match act.do, act.handle:
+            case Do.START, _Client(job):
+                self._post(JobTaken(job))
+            case Do.START, None if act.adopted is not None:
+                self._post(JobTaken(_adopted(act.adopted.held.taken)))
+            case Do.REFUSE, _Client(job):
+                job.answer_to(Answer(Verdict.REFUSED, wait_ns=self._wait_ns))
+            case Do.TELL, _Client(job) if act.answer is not None:
+                answer = act.answer
+                job.answer_to(Answer(Verdict(answer.verdict), answer.result, answer.wait_ns))
+            case Do.GO, Dispatch(attempt, job) as order:
+                self._attempts[attempt] = job.job_id
+                self._carry_out(order)
+            case Do.NOT_SENT, Dispatch(attempt, _):
+                self._post(AttemptEnded(attempt, Outcome.NOT_SENT))
+            case _:
+                pass
+
+
+def _adopted(taken: Taken) -> Job:
+    """A job of another's log: nobody waits for it here, its answer is for the book."""
+    left_ns = taken.until_ms * 1_000_000 - time.time_ns()
+    return Job(taken.job, taken.job_class, taken.subject, taken.body, time.monotonic_ns(), left_ns,
+               lambda answer: None, repeat_key=taken.key, tenant=taken.tenant, hint_ns=taken.hint_ns,
+               slots=taken.slots, memory=taken.memory)
--- a/hollowusher/net/owner.py
+++ b/hollowusher/net/owner.py
@@ -20,9 +20,12 @@
     def __init__(self, desk: DispatchDesk, carry_out: Callable[[Order], None], log: Log) -> None:
         self._desk, self._carry_out, self._log = desk, carry_out, log
         self._queue: asyncio.Queue[DeskEvent] = asyncio.Queue()
+        self.taps: list[Callable[[DeskEvent], None]] = []  # who else is told of each event
 
     def post(self, event: DeskEvent) -> None:
         """Hand the desk an event."""
+        for tap in self.taps:
+            tap(event)
         self._queue.put_nowait(event)
 
     @property
--- a/hollowusher/net/peers/node.py
+++ b/hollowusher/net/peers/node.py
@@ -18,7 +18,7 @@
 from hollowusher.net.peers.settings import PeersConfig
 from hollowusher.parts import Plain
 from hollowusher.rules.membership.budget import Budget
-from hollowusher.rules.membership.codec import Codec
+from hollowusher.rules.membership.codec import MAGIC, Codec
 from hollowusher.rules.membership.events import Told
 from hollowusher.rules.membership.member import Member
 from hollowusher.rules.membership.messages import MOST_LIFE, Message
@@ -49,6 +49,7 @@
         self.member = Member(name, chance.randrange(MOST_LIFE), int(time.time()), self._peers,
                              pace or Pace(), chance, time.monotonic_ns(), address)
         self.counts: Counter[str] = Counter()
+        self.other: Callable[[bytes], None] | None = None  # who takes what is not membership's
         self._heard: dict[str, Address] = {}
         self._transport: asyncio.DatagramTransport | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -95,6 +96,9 @@
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """One datagram; what cannot be read is counted and costs nothing else."""
         self.counts["heard"] += 1
+        if self.other is not None and not data.startswith(MAGIC):
+            self.other(data)
+            return
         message = self.codec.decode(data)
         if message is None:
             return
@@ -103,6 +107,13 @@
             self._heard[name] = addr
         self._step(message)
 
+    def send_other(self, name: str, data: bytes) -> None:
+        """Send another part's datagram to a member, if it is known where that is."""
+        address = self._where(name)
+        if address is not None and self._transport is not None:
+            self.counts["sent-other"] += 1
+            self._transport.sendto(data, address)
+
     def error_received(self, exc: Exception) -> None:
         """Nobody listens there: a member that is not there is found by its silence."""
         self.counts["refused"] += 1
--- /dev/null
+++ b/hollowusher/net/shared/__init__.py
@@ -0,0 +1,1 @@
+"""What schedulers share, behind the members' datagrams."""
--- /dev/null
+++ b/hollowusher/rules/copies/keeper.py
@@ -0,0 +1,190 @@
+"""All logs that one scheduler keeps, its own and others': what is promised, and what is taken over."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+import msgspec
+
+from hazelweir.interface import JobClass
+from hollowusher.rules.copies.groups import group_of, kept_by
+from hollowusher.rules.copies.messages import HandBack, Message
+from hollowusher.rules.copies.pace import Pace
+from hollowusher.rules.copies.records import Book, Forgotten, Held, Intent, Record, pack, unpack
+from hollowusher.rules.copies.replica import Kept, Replica, Role, Store
+from hollowusher.rules.copies.takeover import Bound, Next, allowed, next_of
+
+COMPACT_ENTRIES = 4_096  # beyond this many, a log's entries give way to an image of its book
+FORGET_BATCH = 256
+FORGET_PERIOD_NS = 1_000_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Adopted:
+    """An open job of a log that we lead from now on, and what becomes of it."""
+
+    owner: str
+    held: Held
+    next: Next
+    bound: Bound | None
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """A record that was asked for is committed (or will never be known to be: we lost the lead)."""
+
+    token: int
+    kept: bool
+
+
+@dataclass(slots=True)
+class _Log:
+    replica: Replica
+    book: Book
+    waiting: dict[int, int] = field(default_factory=dict)  # number of the entry: token
+    term: int = 0  # that we lead and have taken over in; 0: none
+    dirty: int = 0  # entries since the last image
+
+
+class Keeper:
+    """The caller empties, in this order: `stores`, `sends`, `written`, `adopted`, `told`."""
+
+    def __init__(
+        self, name: str, names: Iterable[str], size: int, pace: Pace, chance: random.Random, now: int,
+        classes: Mapping[str, JobClass], kept: Mapping[str, Kept] | None = None, keep_ms: int = 120_000,
+        most_jobs: int = 20_000,
+    ) -> None:
+        self.name, self.classes, self._keep_ms, self._most_jobs = name, classes, keep_ms, most_jobs
+        self.stores: list[tuple[str, Store]] = []
+        self.sends: list[tuple[str, Message]] = []
+        self.written: list[Written] = []
+        self.adopted: list[Adopted] = []
+        self.told: list[tuple[str, str]] = []
+        self.logs: dict[str, _Log] = {}
+        everyone = sorted({*names, name})
+        for owner in kept_by(name, everyone, size):
+            had = (kept or {}).get(owner)
+            replica = Replica(name, owner, group_of(owner, everyone, size), pace,
+                              random.Random(chance.random()), now, had)
+            self.logs[owner] = _Log(replica, Book.of(replica.kept.image))
+        self._tokens = 0
+        self._forget_at = now
+        self._gather()
+
+    # --- what others read ---------------------------------------------------------------------------------
+
+    def due(self) -> int:
+        """When `step` is to be called at the latest."""
+        return min(log.replica.due() for log in self.logs.values())
+
+    def promises(self, now: int, owner: str = "") -> bool:
+        """Whether we may promise for a log, our own if none is named, and have taken it over."""
+        log = self.logs[owner or self.name]
+        return log.replica.promises(now) and log.term == log.replica.kept.term
+
+    def room(self) -> bool:
+        """Whether our own book takes one more job."""
+        return len(self.logs[self.name].book.jobs) < self._most_jobs
+
+    def find(self, job: str) -> tuple[str, Held] | None:
+        """A job in any book that we keep, and whose book that is."""
+        for owner, log in self.logs.items():
+            if (held := log.book.jobs.get(job)) is not None:
+                return owner, held
+        return None
+
+    # --- what drives it -----------------------------------------------------------------------------------
+
+    def step(self, now: int, now_ms: int, message: Message | None = None, sender: str = "") -> None:
+        """Take one message, or do what is due for all logs.  `now_ms`: the wall clock."""
+        if message is not None:
+            log = self.logs.get(message.owner)
+            if log is not None and not (isinstance(message, HandBack) and log.book.open()):
+                log.replica.step(now, message, sender)
+                self._after(now, now_ms, message.owner, log)
+        for owner, log in self.logs.items():
+            if message is None and log.replica.due() <= now:
+                log.replica.step(now)
+                self._after(now, now_ms, owner, log)
+        if now >= self._forget_at:
+            self._forget_at = now + FORGET_PERIOD_NS
+            self._forget(now, now_ms)
+            self.logs[self.name].replica.hand_back(now)
+        self._gather()
+
+    def write(self, now: int, now_ms: int, owner: str, records: Sequence[Record]) -> int:
+        """Have records kept, in order; the token that `written` will name, or 0 where we may not promise."""
+        log = self.logs[owner]
+        if not self.promises(now, owner) or any(
+                isinstance(r, Intent) and not self._harmless(log, r, now_ms) for r in records):
+            return 0
+        number = log.replica.propose(now, [pack(r) for r in records])
+        if not number:
+            return 0
+        self._tokens += 1
+        log.waiting[number] = self._tokens
+        self._after(now, now_ms, owner, log)
+        self._gather()
+        return self._tokens
+
+    def view(self, now: int, missing: set[str]) -> None:
+        """Whom the members' view holds dead."""
+        for log in self.logs.values():
+            log.replica.missing(now, missing)
+
+    def _harmless(self, log: _Log, intent: Intent, now_ms: int) -> bool:
+        """Whether an attempt may go out, by all that is known of the job: who leads knows all that was
+        promised.  Here, and nowhere else, a second run of what must not run twice is kept from happening."""
+        held = log.book.jobs.get(intent.job)
+        if held is None or held.answer is not None:
+            return False
+        what, bound = next_of(held, self.classes, now_ms)
+        return what is Next.SEND and allowed(bound, intent.cell, now_ms)
+
+    # --- inside -------------------------------------------------------------------------------------------
+
+    def _after(self, now: int, now_ms: int, owner: str, log: _Log) -> None:
+        replica = log.replica
+        for image in replica.images:
+            log.book = Book.of(image)
+        replica.images = []
+        for number, entry in replica.commits:
+            if entry.data:
+                try:
+                    log.book.apply(unpack(entry.data))
+                except msgspec.DecodeError:
+                    self.told.append((owner, f"entry {number} cannot be read: is another version running?"))
+            if (token := log.waiting.pop(number, 0)) and replica.role is Role.LEADER:
+                self.written.append(Written(token, True))
+        log.dirty += len(replica.commits)
+        replica.commits = []
+        if replica.role is not Role.LEADER:
+            # What we had asked for may be kept or not; whoever leads now decides what becomes of it.
+            self.written += [Written(token, False) for token in log.waiting.values()]
+            log.waiting.clear()
+            log.term = 0
+        elif log.term != replica.kept.term and replica.promises(now):
+            log.term = replica.kept.term
+            for held in log.book.open():
+                self.adopted.append(Adopted(owner, held, *next_of(held, self.classes, now_ms)))
+        if log.dirty >= COMPACT_ENTRIES:
+            log.dirty = 0
+            replica.compact(log.book.image())
+
+    def _forget(self, now: int, now_ms: int) -> None:
+        for owner, log in self.logs.items():
+            if self.promises(now, owner):
+                old = log.book.answered_before(now_ms - self._keep_ms)
+                for at in range(0, len(old), FORGET_BATCH):
+                    log.replica.propose(now, [pack(Forgotten(tuple(old[at : at + FORGET_BATCH])))])
+
+    def _gather(self) -> None:
+        """What the replicas want stored and sent, in that order."""
+        for owner, log in self.logs.items():
+            replica = log.replica
+            self.stores += [(owner, store) for store in replica.stores]
+            self.sends += replica.sends
+            self.told += [(owner, what) for what in replica.told]
+            replica.stores, replica.sends, replica.told = [], [], []
--- /dev/null
+++ b/hollowusher/rules/copies/messages.py
@@ -0,0 +1,129 @@
+"""What the members of a group say to one another, and what a log holds.
+
+A log belongs to an `owner`; `term` is its fence: who leads it in a term is the only one that may add to it,
+and whatever comes from a lower term is refused.
+"""
+
+from __future__ import annotations
+
+from msgspec import Struct
+
+MOST_ENTRIES = 64  # in one message: a slow copy is caught up piece by piece
+PIECE = 32 * 1024  # bytes of a snapshot in one message
+
+
+class Entry(Struct, frozen=True, array_like=True):
+    """One entry of a log.  `group`: who keeps the log from here on, where this entry changes that."""
+
+    term: int
+    data: bytes = b""
+    group: tuple[str, ...] = ()
+
+
+class Append(Struct, frozen=True, array_like=True, tag="a"):
+    """The leader's entries after `prev`, and how far all is committed.  `sent`: by the leader's own clock."""
+
+    owner: str
+    term: int
+    prev: int
+    prev_term: int
+    entries: tuple[Entry, ...]
+    commit: int
+    sent: int
+
+
+class Appended(Struct, frozen=True, array_like=True, tag="b"):
+    """Held up to `match` (or, refused, try from there).  `sent` comes back, for the leader's lease.  `lacks`:
+    it is a learner, whose word counts for no commit until it has learnt all up to the leader's last entry."""
+
+    owner: str
+    term: int
+    ok: bool
+    match: int
+    sent: int
+    lacks: bool = False
+
+
+class Ask(Struct, frozen=True, array_like=True, tag="v"):
+    """Will you follow me?  `trial`: would you, if I asked: nothing changes by a trial.  `calls`: the leader
+    has told the one who asks to take over, so its lease is no reason to refuse."""
+
+    owner: str
+    term: int
+    last: int
+    last_term: int
+    trial: bool = False
+    calls: bool = False
+
+
+class Vote(Struct, frozen=True, array_like=True, tag="w"):
+    """Whether it will."""
+
+    owner: str
+    term: int
+    yes: bool
+    trial: bool = False
+
+
+class Learn(Struct, frozen=True, array_like=True, tag="l"):
+    """One that has started: it does not know whether it has forgotten something.  `nonce` is of this start,
+    `starts` counts its starts as far as it knows, 0 where it holds nothing."""
+
+    owner: str
+    nonce: int
+    starts: int
+
+
+class Taught(Struct, frozen=True, array_like=True, tag="t"):
+    """What the others know: the term, and the most starts that they have heard of.  `standing`: 0 where it
+    holds nothing either, 1 where it has its storage and learns itself, 2 where it is a full member; `leads`:
+    it leads the log, up to `last`."""
+
+    owner: str
+    nonce: int
+    term: int
+    starts: int
+    standing: int
+    leads: bool = False
+    last: int = 0
+
+
+class Image(Struct, frozen=True, array_like=True, tag="s"):
+    """A piece of the state up to `last`, for one whose entries are no longer kept."""
+
+    owner: str
+    term: int
+    last: int
+    last_term: int
+    group: tuple[str, ...]
+    at: int
+    whole: int
+    piece: bytes
+    sent: int
+
+
+class Imaged(Struct, frozen=True, array_like=True, tag="i"):
+    """Held up to so many bytes of that image."""
+
+    owner: str
+    term: int
+    last: int
+    at: int
+    sent: int
+
+
+class TakeOver(Struct, frozen=True, array_like=True, tag="h"):
+    """The leader gives the lead to its owner, who holds all."""
+
+    owner: str
+    term: int
+
+
+class HandBack(Struct, frozen=True, array_like=True, tag="q"):
+    """The owner is back, holds all, and asks for the lead of its log."""
+
+    owner: str
+    term: int
+
+
+Message = Append | Appended | Ask | Vote | Learn | Taught | Image | Imaged | TakeOver | HandBack
--- /dev/null
+++ b/hollowusher/rules/copies/pace.py
@@ -0,0 +1,33 @@
+"""The times of a group, and what follows from them.  All spans are nanoseconds."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+MS = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """`lease_ns` is all that is set; clocks may run at rates that differ by `drift` either way."""
+
+    lease_ns: int = 1_000 * MS
+    drift: float = 0.01
+    beats: int = 5  # appends, empty ones among them, in a lease
+    resend: int = 2  # beats after which an unanswered append is sent once more
+
+    @property
+    def beat_ns(self) -> int:
+        """Between two signs of a leader."""
+        return self.lease_ns // self.beats
+
+    @property
+    def held_ns(self) -> int:
+        """How long after sending it an append that a majority answered lets a leader promise: shorter than
+        any follower's wait, by what two clocks may differ."""
+        return round(self.lease_ns * (1 - 2 * self.drift))
+
+    def wait_ns(self, share: float, owner: bool) -> int:
+        """How long a follower waits for a silent leader before it asks for the lead: the lease, and then by
+        chance, so that two rarely ask at once.  A log's own owner asks first."""
+        return self.lease_ns + round((share * 0.5 if owner else 0.25 + share) * self.lease_ns)
--- /dev/null
+++ b/hollowusher/rules/copies/records.py
@@ -0,0 +1,136 @@
+"""What is kept of a job, and the book that a log's records make (docs/copies-design.md: their promises)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import msgspec
+from msgspec import Struct
+
+
+class Taken(Struct, frozen=True, array_like=True, tag="t", omit_defaults=True):
+    """The job is ours and is owed one answer.  `until_ms`: when its client stops waiting (wall clock)."""
+
+    job: str
+    job_class: str
+    subject: str
+    body: bytes
+    until_ms: int
+    key: str = ""
+    tenant: str = ""
+    hint_ns: int = 0
+    slots: float = 1.0
+    memory: float = 0.0
+
+
+class Intent(Struct, frozen=True, array_like=True, tag="i"):
+    """An attempt is about to go out: from here on it may have run.  `at_ms`: wall clock."""
+
+    job: str
+    number: int
+    node: str
+    cell: str
+    at_ms: int
+
+
+class Ended(Struct, frozen=True, array_like=True, tag="e"):
+    """An attempt is over; `never`: it is proven that it never ran."""
+
+    job: str
+    number: int
+    never: bool
+
+
+class Answered(Struct, frozen=True, array_like=True, tag="a", omit_defaults=True):
+    """The one answer.  A client may be told it from here on."""
+
+    job: str
+    verdict: str
+    at_ms: int
+    result: bytes = b""
+    wait_ns: int = 0
+
+
+class Forgotten(Struct, frozen=True, array_like=True, tag="f"):
+    """Answers that nobody comes back for any more."""
+
+    jobs: tuple[str, ...]
+
+
+Record = Taken | Intent | Ended | Answered | Forgotten
+_encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Record)
+
+
+def pack(record: Record) -> bytes:
+    """A record as an entry's data."""
+    return _encoder.encode(record)
+
+
+def unpack(data: bytes) -> Record:
+    """Back again; msgspec.DecodeError where it is none."""
+    return _decoder.decode(data)
+
+
+class Held(Struct, array_like=True):
+    """A job as the book has it."""
+
+    taken: Taken
+    intents: list[Intent] = []
+    never: set[int] = set()  # attempts that are proven never to have run
+    answer: Answered | None = None
+
+    def may_have_run(self) -> list[Intent]:
+        """Attempts that were to go out and are not known never to have run."""
+        return [i for i in self.intents if i.number not in self.never]
+
+
+_images = msgspec.msgpack.Decoder(list[Held])
+
+
+@dataclass(slots=True)
+class Book:
+    """All jobs of one log.  Records of jobs that are not known, or come twice, change nothing."""
+
+    jobs: dict[str, Held] = field(default_factory=dict)
+    size: int = 0  # bytes of bodies and results
+
+    def apply(self, record: Record) -> None:
+        """Take one committed record."""
+        match record:
+            case Taken(job) if job not in self.jobs:
+                self.jobs[job] = Held(record, [], set())
+                self.size += len(record.body)
+            case Forgotten(jobs):
+                for job in jobs:
+                    if (held := self.jobs.pop(job, None)) is not None:
+                        self.size -= len(held.taken.body) + (len(held.answer.result) if held.answer else 0)
+            case Intent(job) if (held := self.jobs.get(job)) is not None:
+                held.intents.append(record)
+            case Ended(job) if (held := self.jobs.get(job)) is not None:
+                if record.never:
+                    held.never.add(record.number)
+            case Answered(job) if (held := self.jobs.get(job)) is not None and held.answer is None:
+                held.answer = record
+                self.size += len(record.result)
+
+    def open(self) -> list[Held]:
+        """Jobs that are owed an answer."""
+        return [held for held in self.jobs.values() if held.answer is None]
+
+    def answered_before(self, at_ms: int) -> list[str]:
+        """Jobs whose answer is older."""
+        return [job for job, held in self.jobs.items()
+                if held.answer is not None and held.answer.at_ms < at_ms]
+
+    def image(self) -> bytes:
+        """The whole book."""
+        return msgspec.msgpack.encode(list(self.jobs.values()))
+
+    @staticmethod
+    def of(image: bytes) -> Book:
+        """A book from its image."""
+        book = Book()
+        for held in _images.decode(image) if image else ():
+            book.jobs[held.taken.job] = held
+            book.size += len(held.taken.body) + (len(held.answer.result) if held.answer else 0)
+        return book
--- /dev/null
+++ b/hollowusher/rules/shared/sharer.py
@@ -0,0 +1,103 @@
+"""One member's part of all that is shared: what comes in goes to its place, what is worth telling goes out.
+
+News are told to a few members each beat, and passed on by those to whom they were new, until all must have
+heard them; evidence that a node is bad goes before counts that moved.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from hollowusher.rules.shared.budgets import Ask, Budgets, Grant
+from hollowusher.rules.shared.counts import Counts, Told
+from hollowusher.rules.shared.judgements import Judgements, Seen
+from hollowusher.rules.shared.wire import Message
+
+BEAT_NS = 200_000_000
+FANOUT = 3  # members that are told in each beat
+KEYS = 6  # counts in one telling
+MOST_QUEUED = 512
+MOST_NEWS = 8  # judgements told anew in one beat
+
+
+@dataclass(slots=True)
+class _News:
+    message: Told | Seen
+    worth: float
+    sent: int = 0
+
+
+class Sharer:
+    """`sends` gathers (to whom, message), most worth first for each; the caller empties it."""
+
+    def __init__(
+        self, name: str, names: Sequence[str], incarnation: int, window_ns: int, permit_ns: int,
+        chance: random.Random, now: int,
+    ) -> None:
+        self.name = name
+        self._chance = chance
+        self.budgets = Budgets(name, names, permit_ns, now)
+        self.counts = Counts(name, incarnation, window_ns, now)
+        self.judgements = Judgements(name, incarnation)
+        self._news: dict[tuple[str, str], _News] = {}
+        self._beat_at = now
+        self.sends: list[tuple[str, Message]] = []
+
+    def due(self) -> int:
+        """When `step` is to be called at the latest."""
+        return self._beat_at
+
+    def take(self, now: int, message: Message, sender: str) -> None:
+        """A message of another, its own or passed on."""
+        match message:
+            case Ask() | Grant():
+                self.budgets.take(now, message, sender)
+                self.sends += self.budgets.sends
+                self.budgets.sends = []
+            case Told():
+                before = self.counts.frozen_of(message.member)
+                self.counts.take(now, message)
+                if self.counts.frozen_of(message.member) != before:
+                    self._put(message)
+            case Seen():
+                if self.judgements.take(now, message):
+                    self._put(message)
+
+    def want(self, now: int, budget: str, amount: float, present: Sequence[str]) -> None:
+        """Ask for a permit."""
+        self.budgets.want(now, budget, amount, present)
+        self.sends += self.budgets.sends
+        self.budgets.sends = []
+
+    def step(self, now: int, present: Sequence[str]) -> None:
+        """Tell some of those who are there."""
+        if now < self._beat_at:
+            return
+        self._beat_at = now + round(BEAT_NS * (0.75 + 0.5 * self._chance.random()))
+        others = [n for n in present if n != self.name]
+        told = self.counts.say(now, KEYS)
+        if told.counts:
+            self._put(told)
+        for seen in self.judgements.news(now, MOST_NEWS):
+            self._put(seen)
+        most = math.ceil(2 * math.log2(len(others) + 2)) + 1
+        ranked = sorted(self._news.items(), key=lambda item: (-item[1].worth / (1 + item[1].sent), item[0]))
+        targets = self._chance.sample(others, min(FANOUT, len(others)))
+        for key, news in ranked[: 4 * KEYS]:
+            for name in targets:
+                self.sends.append((name, news.message))
+            news.sent += len(targets)
+            if news.sent >= most:
+                del self._news[key]
+
+    def _put(self, message: Told | Seen) -> None:
+        """Have it told; what the same member says of the same takes an older one's place."""
+        if isinstance(message, Seen):
+            key, worth = (message.member, message.node), 8.0 + message.score
+        else:
+            key, worth = (message.member, ""), 1.0
+        if key in self._news or len(self._news) < MOST_QUEUED:
+            self._news[key] = _News(message, worth)
--- /dev/null
+++ b/hollowusher/rules/shared/wire.py
@@ -0,0 +1,90 @@
+"""Datagrams of what is shared: several messages in an envelope, by worth, at most so many bytes."""
+
+from __future__ import annotations
+
+import struct
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+import xxhash
+
+from hollowusher.rules.shared.budgets import Ask, Grant
+from hollowusher.rules.shared.counts import Told
+from hollowusher.rules.shared.judgements import Seen
+
+MAGIC, VERSION = b"hs", 1
+MOST_DATAGRAM = 256
+_HEAD = struct.Struct(">2sBII")
+Message = Ask | Grant | Told | Seen
+
+
+class Letter(msgspec.Struct, frozen=True, array_like=True):
+    """What one datagram holds."""
+
+    sender: str
+    messages: tuple[Message, ...]
+
+
+class Codec:
+    """For one cluster.  `bad` counts what came and was skipped, by reason."""
+
+    def __init__(self, cluster: str, room: int = MOST_DATAGRAM) -> None:
+        self._cluster = xxhash.xxh32_intdigest(cluster.encode())
+        self._room = room
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Letter)
+        self.bad: Counter[str] = Counter()
+
+    def size(self, message: Message) -> int:
+        """Bytes that a message takes in a letter."""
+        return len(self._encoder.encode(message))
+
+    def letters(self, sender: str, messages: Iterable[Message], most: int) -> list[bytes]:
+        """As many letters as are needed, at most so many; what finds no room is left out, the last first."""
+        letters: list[bytes] = []
+        room = self._room - _HEAD.size - len(sender.encode()) - 8
+        page: list[Message] = []
+        left = room
+        for message in messages:
+            size = self.size(message)
+            if size > room:
+                continue
+            if size > left:
+                letters.append(self._seal(sender, page))
+                page, left = [], room
+                if len(letters) >= most:
+                    return letters
+            page.append(message)
+            left -= size
+        if page:
+            letters.append(self._seal(sender, page))
+        return letters
+
+    def _seal(self, sender: str, page: list[Message]) -> bytes:
+        body = self._encoder.encode(Letter(sender, tuple(page)))
+        return _HEAD.pack(MAGIC, VERSION, self._cluster, self._sum(body)) + body
+
+    def read(self, data: bytes) -> Letter | None:
+        """The letter, or None where this is none for us."""
+        if not _HEAD.size < len(data) <= self._room:
+            return self._bad("length")
+        magic, version, cluster, checksum = _HEAD.unpack_from(data)
+        if (magic, version) != (MAGIC, VERSION):
+            return self._bad("version")
+        if cluster != self._cluster:
+            return self._bad("cluster")
+        body = data[_HEAD.size :]
+        if checksum != self._sum(body):
+            return self._bad("checksum")
+        try:
+            return self._decoder.decode(body)
+        except (msgspec.DecodeError, RecursionError):
+            return self._bad("body")
+
+    def _bad(self, why: str) -> Letter | None:
+        self.bad[why] += 1
+        return None
+
+    def _sum(self, body: bytes) -> int:
+        return xxhash.xxh32_intdigest(body, seed=self._cluster)
--- /dev/null
+++ b/tests/test_copies.py
@@ -0,0 +1,355 @@
+"""Copies: the protocol under storms and planted faults, the book, groups, takeover, storage, frames."""
+
+from __future__ import annotations
+
+import random
+import tempfile
+import unittest
+from collections import Counter
+from pathlib import Path
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hollowusher.emulator import copies_check
+from hollowusher.emulator.copies import Broken, CopyNet, S, storm
+from hollowusher.emulator.copies_check import REPLICAS, SETTINGS, find, find_in_jobs, jobs_storm
+from hollowusher.emulator.custody import CLASSES, CustodyNet
+from hollowusher.net.copies.settings import COPIES, COPY, read_copies
+from hollowusher.net.copies.storage import MAGIC, Files, Folder, parse
+from hollowusher.net.copies.wire import Frames, frame
+from hollowusher.rules.copies.groups import group_of, kept_by
+from hollowusher.rules.copies.messages import Append, Entry, Learn
+from hollowusher.rules.copies.records import (
+    Answered, Book, Ended, Forgotten, Held, Intent, Record, Taken, pack, unpack,
+)
+from hollowusher.rules.copies.replica import Kept, Replica, Store
+from hollowusher.rules.copies.takeover import Bound, Next, allowed, next_of
+from hollowusher.settings.model import ConfigError
+from hollowusher.settings.reader import read_text
+
+MS = 1_000_000
+
+
+class Storms(unittest.TestCase):
+    def test_what_is_committed_stays_and_one_leads(self) -> None:
+        for seed in range(4):
+            for at, setting in enumerate(SETTINGS):
+                with self.subTest(seed=seed, setting=at):
+                    net = CopyNet(setting["size"], seed, storage=setting["storage"])
+                    storm(net, 30, seed, setting["disks"], setting["most_down"], bool(seed % 2))
+                    self.assertIsNotNone(net.leader(), net.told[-3:])
+                    self.assertEqual(net.lost(), [])
+                    self.assertGreater(len(net.promised), 1)
+
+    def test_each_planted_fault_of_the_protocol_is_found(self) -> None:
+        for make in REPLICAS:
+            with self.subTest(make.__name__):
+                self.assertTrue(find(make, 20)[0])
+
+    def test_jobs_run_once_and_are_told_one_thing(self) -> None:
+        net = CustodyNet(5, 1)
+        jobs_storm(net, 25, 1)
+        self.assertEqual(net.faults(), [])
+        self.assertGreater(net.figures()["served"], 0.6)
+
+    def test_each_planted_fault_around_jobs_is_found(self) -> None:
+        for fault in (copies_check.IntentAfter, copies_check.TellsFirst):
+            with self.subTest(fault.__name__):
+                self.assertTrue(find_in_jobs(custody=fault)[0])
+        self.assertTrue(find_in_jobs(keeper=copies_check.SendsAgain)[0])
+
+
+class HardCases(unittest.TestCase):
+    def net(self, size: int = 3, **words: object) -> CopyNet:
+        net = CopyNet(size, 1, **words)  # type: ignore[arg-type]
+        net.run(4 * S)
+        return net
+
+    def fill(self, net: CopyNet, many: int = 10) -> None:
+        for number in range(many):
+            net.propose(f"e{number}".encode())
+            net.run(net.now + S // 20)
+
+    def test_one_alone_stops_promising_within_its_lease_and_another_promises(self) -> None:
+        net = self.net()
+        lead = net.leader()
+        assert lead is not None
+        for other in net.names:
+            net.cut(lead.name, other, 20 * S)
+            net.cut(other, lead.name, 20 * S)
+        net.run(net.now + S)
+        self.assertFalse(lead.promises(net._clock(net.copies[lead.name])))
+        net.run(net.now + 3 * S)
+        new = net.leader()
+        assert new is not None
+        self.assertNotEqual(new.name, lead.name)
+
+    def test_two_of_five_lose_all_and_a_third_restarts_empty(self) -> None:
+        net = self.net(5)
+        self.fill(net)
+        for name in ("n1", "n2", "n3"):
+            net.crash(name)
+        net.run(net.now + S)
+        for name in ("n1", "n2", "n3"):
+            net.start(name)
+        net.run(net.now + 20 * S)
+        self.assertIsNone(net.leader())  # it cannot know what was promised, and promises nothing more
+        self.assertEqual(net.began_anew, 5)  # only at the first start
+
+    def test_an_old_image_of_a_disk_is_found_by_the_starts_that_others_know(self) -> None:
+        for make in (Replica, copies_check.ImageTrusted):
+            net = self.net(storage=True, make=make)
+            net.crash("n1")
+            net.start("n1", "image")  # the image is of its first life
+            net.run(net.now + 3 * S)
+            net.cut("n0", "n2", 100 * S)
+            net.cut("n2", "n0", 100 * S)
+            self.fill(net)
+            net.crash("n0")
+            net.crash("n1")
+            net.start("n1", "old")
+            if make is Replica:
+                net.run(net.now + 10 * S)
+                self.assertIsNone(net.leader())  # the one whole copy that is left cannot promise alone
+                self.assertTrue(any("old image" in what for _, _, what in net.told))
+            else:
+                with self.assertRaises(Broken):
+                    net.run(net.now + 10 * S)
+
+    def test_a_group_changes_one_member_at_a_time(self) -> None:
+        net = self.net(5)
+        lead = net.leader()
+        assert lead is not None
+        now = net._clock(net.copies[lead.name])
+        rest = tuple(n for n in net.names if n != "n4")
+        self.assertEqual(lead.propose(now, [], rest[:-1]), 0)  # two at once
+        self.assertGreater(lead.propose(now, [], rest), 0)
+        self.assertEqual(lead.propose(now, [], (*rest, "n4")), 0)  # the first is not committed yet
+        net._after(net.copies[lead.name])
+        net.run(net.now + 2 * S)
+        groups = {c.replica.group for c in net.copies.values() if c.replica and c.name != "n4"}
+        self.assertEqual(groups, {rest})
+        net.crash("n3")
+        self.fill(net)
+        self.assertEqual(len(net.promised), 10)  # three of four
+
+    def test_a_late_copy_is_caught_up_by_an_image(self) -> None:
+        net = self.net()
+        net.crash("n2")
+        self.fill(net)
+        lead = net.leader()
+        assert lead is not None
+        lead.compact(bytes(100_000))
+        net._after(net.copies[lead.name])
+        net.start("n2")
+        net.run(net.now + 3 * S)
+        late = net.copies["n2"].replica
+        assert late is not None
+        self.assertEqual((late.commit, len(late.kept.image)), (lead.commit, 100_000))
+
+    def test_the_owner_gets_its_log_back(self) -> None:
+        net = self.net()
+        net.crash("n0")
+        net.run(net.now + 4 * S)
+        other = net.leader()
+        assert other is not None
+        self.assertNotEqual(other.name, "n0")
+        net.start("n0")
+        net.run(net.now + 2 * S)
+        back = net.copies["n0"].replica
+        assert back is not None
+        back.hand_back(net._clock(net.copies["n0"]))
+        net._after(net.copies["n0"])
+        net.run(net.now + S)
+        lead = net.leader()
+        self.assertEqual(lead and lead.name, "n0")
+
+
+def taken(job: str = "j", job_class: str = "settle", until_ms: int = 10_000) -> Taken:
+    return Taken(job, job_class, "s", b"body", until_ms)
+
+
+class Rules(unittest.TestCase):
+    def test_what_a_takeover_does(self) -> None:
+        out = [Intent("j", 1, "s1", "7", 1_000)]
+        for job_class, intents, never, now_ms, wanted in (
+            ("settle", [], set(), 2_000, (Next.SEND, None)),
+            ("settle", out, set(), 2_000, (Next.UNKNOWN, None)),
+            ("settle", out, {1}, 2_000, (Next.SEND, None)),
+            ("settle", [], set(), 9_960, (Next.LATE, None)),
+            ("quote", out, set(), 2_000, (Next.SEND, None)),
+            ("assign", out, set(), 2_000, (Next.SEND, Bound("7", 3_000))),
+            ("assign", out, set(), 2_960, (Next.UNKNOWN, None)),
+            ("no such class", out, set(), 2_000, (Next.UNKNOWN, None)),
+        ):
+            with self.subTest(job_class, now=now_ms):
+                held = Held(taken(job_class=job_class), list(intents), set(never))
+                self.assertEqual(next_of(held, CLASSES, now_ms), wanted)
+        for cell, now_ms, may in (("7", 2_999, True), ("8", 2_999, False), ("7", 3_000, False)):
+            self.assertEqual(allowed(Bound("7", 3_000), cell, now_ms), may)
+        self.assertTrue(allowed(None, "any", 1 << 50))
+
+    def test_groups_are_even_and_move_little(self) -> None:
+        names = [f"n{i}" for i in range(40)]
+        kept = Counter(m for owner in names for m in group_of(owner, names, 3))
+        self.assertTrue(all(n in group_of(n, names, 3) for n in names))
+        self.assertLessEqual(max(kept.values()), 9)
+        moved = sum(group_of(n, names, 3) != group_of(n, names[:-1], 3) for n in names[:-1])
+        self.assertLessEqual(moved, 8)
+        for name in names:
+            owners = {o for o in names if name in group_of(o, names, 3)}
+            self.assertEqual(set(kept_by(name, names, 3)), owners)
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.integers(0, 2**31))
+    def test_a_book_is_its_image_and_keeps_the_first_answer(self, seed: int) -> None:
+        chance, book = random.Random(seed), Book()
+        first: dict[str, Answered] = {}
+        for number in range(60):
+            job = f"j{chance.randrange(8)}"
+            record: Record = chance.choice((
+                taken(job), Intent(job, number, "s", "0", 1), Ended(job, chance.randrange(60), True),
+                Answered(job, "served", 5, str(number).encode()), Forgotten((job,))))
+            if isinstance(record, Answered) and job in book.jobs:
+                first.setdefault(job, record)
+            if isinstance(record, Forgotten):
+                first.pop(job, None)
+            book.apply(unpack(pack(record)))
+            for known, answer in first.items():
+                self.assertEqual(book.jobs[known].answer, answer)
+        again = Book.of(book.image())
+        self.assertEqual((again.jobs, again.size), (book.jobs, book.size))
+        self.assertEqual(book.size, sum(len(h.taken.body) + (len(h.answer.result) if h.answer else 0)
+                                        for h in book.jobs.values()))
+
+
+class Faulty(Files):
+    """Dies, or fails, at the so-many-th write or sync; a write that dies is done by half."""
+
+    def __init__(self, at: int, fails: bool = False) -> None:
+        self.left, self._fails = at, fails
+
+    def _due(self) -> bool:
+        self.left -= 1
+        return self.left == 0
+
+    def write(self, descriptor: int, data: bytes) -> None:
+        if self._due():
+            super().write(descriptor, data[: len(data) // 2])
+            raise OSError("no space") if self._fails else SystemExit
+        super().write(descriptor, data)
+
+    def sync(self, descriptor: int) -> None:
+        if self._due():
+            raise OSError("i/o error") if self._fails else SystemExit
+        super().sync(descriptor)
+
+
+class OnDisk(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name)
+
+    def scenario(self, folder: Folder) -> tuple[Kept, Kept]:
+        """Some writes as a replica asks for them; what was synced last, and what was under way."""
+        kept, synced = Kept(), Kept()
+        steps: list[tuple[Store, ...]] = [(Store(meta=True),)]
+        steps += [(Store(entries=(Entry(1, b"%d" % n),), first=n),) for n in range(1, 6)]
+        steps += [(Store(entries=(Entry(2, b"x"), Entry(2, b"y")), first=4),), (Store(meta=True),)]
+        steps += [(Store(image=b"image" * 100, upto=3),), (Store(entries=(Entry(3, b"z"),), first=6),)]
+        kept.starts = 1
+        try:
+            for number, stores in enumerate(steps):
+                for store in stores:
+                    if store.image is not None:
+                        kept.entries = kept.entries[store.upto - kept.first + 1 :]
+                        kept.first, kept.before, kept.image = store.upto + 1, 1, store.image
+                    if store.entries:
+                        del kept.entries[store.first - kept.first :]
+                        kept.entries += store.entries
+                    if store.meta:
+                        kept.term, kept.voted = number, "n1"
+                folder.write("n0", stores, kept)
+                synced = parse((self.path / "n0.log").read_bytes())[0]
+        except (OSError, SystemExit):
+            pass
+        return kept, synced
+
+    def test_a_death_or_a_failure_at_any_write_or_sync_loses_nothing_that_was_synced(self) -> None:
+        for fails in (False, True):
+            for at in range(1, 22):
+                for old in self.path.iterdir():
+                    old.unlink()
+                folder = Folder(self.path, Faulty(at, fails))
+                kept, synced = self.scenario(folder)
+                if fails and folder.broken:
+                    with self.assertRaises(OSError):
+                        folder.write("n0", (Store(meta=True),), kept)
+                folder.close()
+                found, told = Folder(self.path).load()
+                self.assertFalse([t for t in told if "set aside" in t], (at, told))
+                got = found.get("n0", Kept())
+                self.assertGreaterEqual((got.term, got.last), (synced.term, synced.last), at)
+                self.assertLessEqual(got.last, max(kept.last, synced.last))
+        self.assertEqual(got, kept)  # the last one died nowhere
+
+    def test_a_changed_byte_anywhere_is_found(self) -> None:
+        self.scenario(Folder(self.path))
+        whole = (self.path / "n0.log").read_bytes()
+        good = parse(whole)[0]
+        for at in range(0, len(whole), 3):
+            data = bytearray(whole)
+            data[at] ^= 0x10
+            try:
+                kept, size = parse(bytes(data))
+            except ValueError:
+                continue
+            self.assertLess(size, len(whole), at)  # a length beyond the end: as if torn
+            self.assertNotEqual(kept, good)
+        data[len(MAGIC) + 14] ^= 1
+        (self.path / "n0.log").write_bytes(bytes(data))
+        found, told = Folder(self.path).load()
+        self.assertEqual((found, len(list(self.path.glob("*.damaged")))), ({}, 1))
+        self.assertIn("learns anew", told[0])
+
+    def test_a_file_that_images_have_made_long_is_written_anew(self) -> None:
+        folder, kept = Folder(self.path), Kept(starts=1)
+        for number in range(1, 9):
+            kept.entries, kept.first, kept.image = [], number + 1, bytes(1 << 21)
+            folder.write("n0", (Store(image=kept.image, upto=number), Store(meta=True)), kept)
+        folder.close()
+        self.assertLess((self.path / "n0.log").stat().st_size, 8 << 21)
+        self.assertEqual(Folder(self.path).load()[0]["n0"], kept)
+
+
+class OnTheWire(unittest.TestCase):
+    @settings(max_examples=60, deadline=None)
+    @given(st.lists(st.integers(0, 3000), min_size=1, max_size=5), st.integers(1, 900))
+    def test_frames_cut_anywhere_and_bad_ones(self, sizes: list[int], cut: int) -> None:
+        sent = [Append("n0", 1, 2, 1, (Entry(1, bytes(size)),), 0, 5) for size in sizes]
+        data, frames = b"".join(map(frame, sent)), Frames()
+        got = [m for at in range(0, len(data), cut) for m in frames.feed(data[at : at + cut])]
+        self.assertEqual(got, sent)
+        bad = bytearray(frame(Learn("n0", 1, 2)))
+        bad[-1] ^= 1
+        with self.assertRaises(ValueError):
+            frames.feed(bytes(bad))
+        with self.assertRaises(ValueError):
+            Frames().feed(b"\xff" * 16)
+
+    def test_settings_that_do_not_hold_together(self) -> None:
+        head = "[copies]\nenabled yes\nlisten 127.0.0.1:7\nclasses settle\n"
+        three = "".join(f"[copy n{i}]\naddress 127.0.0.1:{i}\n" for i in (1, 2, 3))
+        for text, why in (
+            ("[copies]\nenabled yes\n", "has no place"), (head, "our own name"),
+            (head + "group 2\n" + three, "x:5: .*must be 1, 3 or 5"),
+            (head + "group 5\n" + three, "at most the 3"),
+            (head.replace("settle", "sttle") + three, "x:4: .*sttle: no such class"),
+            (head.replace("classes settle\n", "") + three, "names none"),
+        ):
+            with self.assertRaisesRegex(ConfigError, why):
+                read_copies(read_text(text, "x", (COPIES, COPY)), "n1", frozenset({"settle"}))
+        config = read_copies(read_text(head + three, "x", (COPIES, COPY)), "n1", frozenset({"settle"}))
+        self.assertEqual((config.group, sorted(config.others)), (3, ["n1", "n2", "n3"]))
--- a/tests/test_faults_process.py
+++ b/tests/test_faults_process.py
@@ -14,6 +14,7 @@
 from hollowusher.emulator.processes.play import ProcessPlay
 from hollowusher.emulator.script import parse, read
 from hollowusher.settings.model import ConfigError
+from tests import standins  # noqa: F401  (its event loop)
 from tests.test_faults import SCRIPTS
 
 SHORT = ("older-clock", "pause", "served", "twin")
