Share counts and judgements among schedulers, and cut budgets into quanta with permits

Need: each scheduler learns by itself that a node is bad, and counts only its own part of the traffic; bounds over the fleet are guessed.

Change: rules/shared: budgets (quanta with owners, one use permitted at a time), counts (a register a member, windowed), judgements (capped scores as a prior to one's own), a sharer that passes news on by worth, its datagrams. net/shared rides on the members' socket within its own budget. [shared], `shared`, log lines, pages.

--- /dev/null
+++ b/tests/test_shared.py
@@ -0,0 +1,288 @@
+"""What schedulers share: budgets within bounds, counts in any order, judgements that no one makes alone."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hollowusher.emulator.shared import MS, BudgetNet, S, schedule
+from hollowusher.net.shared.settings import SHARED, read_shared
+from hollowusher.rules.shared.budgets import Ask, Budgets, Grant
+from hollowusher.rules.shared.counts import Counts, Told
+from hollowusher.rules.shared.judgements import LAPSE_NS, Judgements, Seen
+from hollowusher.rules.shared.sharer import Sharer
+from hollowusher.rules.shared.wire import MOST_DATAGRAM, Codec
+from hollowusher.settings.model import ConfigError
+from hollowusher.settings.reader import read_text
+
+
+class Doubles(Budgets):
+    """A grant that comes twice counts twice."""
+
+    def take(self, now: int, message: Ask | Grant, sender: str) -> None:
+        self._budgets[message.budget].had.clear()
+        super().take(now, message, sender)
+
+
+class FreshStart(Budgets):
+    """A process that starts uses its share at once."""
+
+    def __init__(self, name: str, names: list[str], permit_ns: int, now: int) -> None:
+        super().__init__(name, names, permit_ns, now - 100 * S)
+
+
+class NotCounted(Budgets):
+    """What is permitted to others is not counted as used."""
+
+    def take(self, now: int, message: Ask | Grant, sender: str) -> None:
+        before = list(self._budgets[message.budget].spent)
+        super().take(now, message, sender)
+        if isinstance(message, Ask):
+            self._budgets[message.budget].spent.clear()
+            self._budgets[message.budget].spent.extend(before)
+
+
+class CountedEarly(Budgets):
+    """A permit counts from when it is given, though it is used later."""
+
+    def take(self, now: int, message: Ask | Grant, sender: str) -> None:
+        super().take(now, message, sender)
+        if isinstance(message, Ask):
+            spent = self._budgets[message.budget].spent
+            late = [(min(at, now), amount) for at, amount in spent]
+            spent.clear()
+            spent.extend(sorted(late))
+
+
+class ForGood(Budgets):
+    """A permit never lapses."""
+
+    def take(self, now: int, message: Ask | Grant, sender: str) -> None:
+        super().take(now, message, sender)
+        budget = self._budgets[message.budget]
+        budget.permits = [(1 << 62, amount) for _, amount in budget.permits]
+
+
+class ByHearing(Budgets):
+    """The bound is shared among those who are heard, not among those who are configured."""
+
+    def bound(self, name: str, bound: float, span: int, quantum: float) -> None:
+        super().bound(name, bound * 1.5, span, quantum)
+
+
+PLANTED = (Doubles, FreshStart, NotCounted, ByHearing)
+
+
+class WithinBounds(unittest.TestCase):
+    def worst(self, make: type[Budgets], size: int, seeds: int, drift: float = 0.01) -> float:
+        """The most that was used within a span, of a bound of 100."""
+        worst = 0.0
+        for seed in range(seeds):
+            net = BudgetNet(size, seed, make=make, permit=(80 + 200 * (seed % 2)) * MS, drift=drift)
+            schedule(net, 15, seed)
+            worst = max(worst, net.most)
+            if worst > 100:
+                break
+        return worst
+
+    def test_all_together_keep_the_bound_whatever_befalls_them(self) -> None:
+        for size, seeds in ((2, 8), (8, 6), (40, 2), (200, 1)):
+            with self.subTest(size):
+                self.assertLessEqual(self.worst(Budgets, size, seeds), 100.0)
+
+    def test_each_planted_fault_passes_it(self) -> None:
+        # With clocks that agree, and no spare time for those that do not, a fault shows sooner.
+        with mock.patch("hollowusher.rules.shared.budgets.DRIFT", 0.0):
+            self.assertLessEqual(max(self.worst(Budgets, 2, 8, 0.0), self.worst(Budgets, 8, 4, 0.0)), 100.0)
+            for make in PLANTED:
+                with self.subTest(make.__name__):
+                    self.assertGreater(max(self.worst(make, 2, 16, 0.0), self.worst(make, 8, 6, 0.0)), 100.0)
+        with mock.patch("hollowusher.rules.shared.budgets.DRIFT", 0.0):  # clocks differ, nothing is spared
+            self.assertGreater(max(self.worst(Budgets, 2, 16, 0.05), self.worst(Budgets, 8, 6, 0.05)), 100.0)
+
+    def test_a_permit_counts_until_the_last_moment_of_its_use(self) -> None:
+        for make, late, wanted in (
+            (Budgets, 79 * MS, 2), (CountedEarly, 79 * MS, 3), (Budgets, 400 * MS, 2), (ForGood, 400 * MS, 3),
+        ):
+            with self.subTest(make.__name__, late=late):
+                one, two = (make(n, ["a", "b"], 80 * MS, 0) for n in "ab")
+                used, now = [], 10 * S
+                for budgets in (one, two):
+                    budgets.bound("x", 2.0, S, 1.0)  # one each
+                one.take(now, Ask("x", 1.0, now, 1), "b")
+                two.take(now, one.sends[0][1], "a")
+                for who, at in ((two, now + late), (two, now + late + S // 10), (one, now + S + 25 * MS),
+                                (one, now + late + S - 1)):
+                    if who.spend(at, "x", 1.0):
+                        used.append(at)
+                within = max(sum(t <= at < t + S for at in used) for t in used)
+                self.assertEqual(within, wanted)
+
+    def test_the_bound_is_used_when_calm_and_in_a_cut(self) -> None:
+        net = BudgetNet(8, 1)
+        net.demand(150, 3)
+        self.assertGreater(net.demand(150, 5), 0.75)
+        names = sorted(net.members)
+        net.cuts = {(a, b) for a in names for b in names if (a < "n4") != (b < "n4")}
+        self.assertGreater(net.demand(150, 5), 0.6)
+
+    def test_a_lower_bound_holds_at_once_for_what_is_ours_and_nonsense_is_skipped(self) -> None:
+        one = Budgets("a", ["a", "b"], 80 * MS, 0)
+        one.bound("x", 8.0, S, 1.0)
+        now = 10 * S
+        self.assertEqual([one.spend(now, "x", 1.0) for _ in range(5)], [True] * 4 + [False])
+        one.bound("x", 2.0, S, 1.0)
+        self.assertFalse(one.spend(now + S // 2, "x", 1.0))
+        self.assertTrue(one.spend(now + 2 * S, "x", 1.0))
+        for odd in (Ask("x", -1.0, 0, 1), Ask("x", 1e12, 0, 1), Ask("y", 1.0, 0, 1), Grant("x", 1e9, now, 1)):
+            one.take(now + 2 * S, odd, "b")
+        self.assertEqual((one.sends, one.permitted(now + 2 * S, "x")), ([], 0.0))
+
+
+class CountsAddUp(unittest.TestCase):
+    @settings(max_examples=80, deadline=None)
+    @given(st.integers(0, 2**31))
+    def test_in_any_order_and_however_often_the_same(self, seed: int) -> None:
+        chance = random.Random(seed)
+        said = []
+        for member in "abc":
+            for incarnation in (1, 2):
+                source = Counts(member, incarnation, 4 * S, 0)
+                for step in range(4):
+                    source.add(step * S, f"k{chance.randrange(4)}", chance.randint(1, 9))
+                    said.append(source.say(step * S, 3))
+        ends = []
+        for _ in range(3):
+            sink = Counts("z", 1, 4 * S, 0)
+            order = [*said, *chance.sample(said, 5)]
+            chance.shuffle(order)
+            for told in order:
+                sink.take(S, told)
+            ends.append(sink.frozen())
+        self.assertEqual(ends[0], ends[1])
+        self.assertEqual(ends[0], ends[2])
+
+    def test_the_total_is_the_truth_and_a_restart_counts_once(self) -> None:
+        one, two = Counts("a", 1, 4 * S, 0), Counts("b", 1, 4 * S, 0)
+        for step in range(40):
+            one.add(step * S // 10, "jobs", 2)
+            two.add(step * S // 10, "jobs")
+        now = 4 * S - 1
+        one.take(now, two.say(now, 4))
+        self.assertAlmostEqual(one.total(now, "jobs"), 120, places=2)
+        again = Counts("b", 2, 4 * S, now)
+        again.add(now, "jobs", 5)
+        one.take(now, again.say(now, 4))
+        self.assertAlmostEqual(one.total(now, "jobs"), 85, places=2)
+        one.take(now, two.say(now, 4))  # a late one of the earlier life
+        self.assertAlmostEqual(one.totals(now)["jobs"], 85, places=2)
+        for odd in ({"jobs": 1e12}, {"jobs": -1.0}, {f"k{i}": 1.0 for i in range(600)}):
+            one.take(now, Told("b", 9, 9, odd))
+        self.assertEqual((one.refused, round(one.total(now, "jobs"))), (3, 85))
+        self.assertEqual(one.total(now + 20 * S, "jobs"), 0)  # silent for too long
+
+
+class NoOneCondemns(unittest.TestCase):
+    def bad(self, own: str, told: dict[str, float], now: int = S) -> bool:
+        """Whether a node is bad by own ends (g and b) and by others' words."""
+        view = Judgements("me", 1)
+        for end in own:
+            view.saw(now, "s1", end == "g")
+        for number, (member, score) in enumerate(told.items()):
+            view.take(now, Seen(member, 1, number + 1, "s1", score))
+        return view.bad(now, "s1")
+
+    def test_who_can_move_what(self) -> None:
+        for own, told, wanted in (
+            ("", {"a": 4.0}, False),  # one member alone, however loud
+            ("", dict.fromkeys("ab", 1.0), True),  # two that have seen it fail
+            ("b", {}, False),
+            ("b", {"a": 1.0}, True),
+            ("g", dict.fromkeys("ab", 4.0), False),  # own good ends go before two others' word
+            ("gggg", dict.fromkeys("abcdefgh", 4.0), False),  # own good ends outweigh all others
+            ("bb", {}, True),
+            ("bbb", dict.fromkeys("abcdef", -2.0), False),  # all others reach it: perhaps it is not the node
+            ("bbbb", dict.fromkeys("abcdef", -2.0), True),  # but what we see, we see
+            ("", {"a": 4.0, **dict.fromkeys("bcdef", -2.0)}, False),  # a cut in front of one
+            ("", dict.fromkeys("abcdef", 1e9), False),  # nonsense
+            ("ggggggbb", {}, True),  # it was good, and is no more
+        ):
+            with self.subTest(told=told, own=own):
+                self.assertEqual(self.bad(own, told), wanted)
+
+    def test_a_judgement_lapses_a_new_process_is_judged_anew_and_one_makes_the_trial(self) -> None:
+        view = Judgements("me", 1)
+        for _ in range(4):
+            view.saw(S, "s1", False)
+        self.assertTrue(view.bad(S, "s1"))
+        self.assertFalse(view.bad(S + LAPSE_NS, "s1"))
+        for member in "abc":
+            view.take(S, Seen(member, 1, 1, "s2", 4.0))
+        self.assertEqual((view.bad(S, "s2"), view.bad(S + LAPSE_NS + 1, "s2")), (True, False))
+        view.anew("s1")
+        self.assertFalse(view.bad(S, "s1"))
+        present = [f"n{i}" for i in range(7)]
+        for turn in range(50):
+            tries = [n for n in present if Judgements(n, 1).may_try(turn * S, "s1", present)]
+            self.assertEqual(len(tries), 1)
+
+
+class Spreads(unittest.TestCase):
+    def fleet(self, size: int, loss: float, seed: int) -> tuple[dict[str, Sharer], Codec]:
+        names = [f"n{i}" for i in range(size)]
+        return {n: Sharer(n, names, 1, 4 * S, 80 * MS, random.Random(f"{seed}{n}"), 0)
+                for n in names}, Codec("c")
+
+    def play(self, fleet: dict[str, Sharer], codec: Codec, now: int, until: int, loss: float, seed: int,
+             cut: frozenset[tuple[str, str]] = frozenset()) -> tuple[int, int]:
+        """Letters by the wire's own codec; how many, and how many bytes."""
+        chance, letters, size = random.Random(seed), 0, 0
+        while now < until:
+            now += 25 * MS
+            for name, sharer in fleet.items():
+                sharer.step(now, list(fleet))
+                by_name: dict[str, list[object]] = {}
+                for to, message in sharer.sends:
+                    by_name.setdefault(to, []).append(message)
+                sharer.sends = []
+                for to, messages in by_name.items():
+                    for data in codec.letters(name, messages, 2):  # type: ignore[arg-type]
+                        letters, size = letters + 1, size + len(data)
+                        self.assertLessEqual(len(data), MOST_DATAGRAM)
+                        letter = codec.read(data)
+                        if letter is not None and (name, to) not in cut and chance.random() >= loss:
+                            for message in letter.messages:
+                                fleet[to].take(now, message, name)
+        return letters, size
+
+    def test_three_failures_anywhere_are_known_to_all_within_a_second(self) -> None:
+        for size, loss in ((7, 0.0), (40, 0.3)):
+            fleet, codec = self.fleet(size, loss, 1)
+            self.play(fleet, codec, 0, 3 * S, loss, 1)
+            for name in ("n1", "n2", "n3"):
+                fleet[name].judgements.saw(3 * S, "s9", False)
+            self.play(fleet, codec, 3 * S, 4 * S, loss, 2)
+            knowing = sum(s.judgements.bad(4 * S, "s9") for s in fleet.values())
+            self.assertGreaterEqual(knowing, size if not loss else 0.95 * size, size)
+
+    def test_counts_are_near_the_truth_two_seconds_after_a_heal(self) -> None:
+        fleet, codec = self.fleet(7, 0.0, 1)
+        names = list(fleet)
+        cut = {(a, b) for a in names for b in names if (a < "n3") != (b < "n3")}
+        for at in range(0, 12 * S, S // 20):
+            for number, sharer in enumerate(fleet.values()):
+                sharer.counts.add(at, "jobs/quote", 1 + number / 4)
+            self.play(fleet, codec, at, at + S // 20, 0.0, at,
+                      frozenset(cut if at < 10 * S else ()))
+        now = 12 * S
+        truth = sum(s.counts.own(now).get("jobs/quote", 0.0) for s in fleet.values())
+        for sharer in fleet.values():
+            self.assertAlmostEqual(sharer.counts.total(now, "jobs/quote") / truth, 1.0, delta=0.02)
+
+    def test_settings(self) -> None:
+        with self.assertRaisesRegex(ConfigError, "x:2: .*needs .peers. to be enabled"):
+            read_shared(read_text("[shared]\ncounts yes\n", "x", (SHARED,)), False)
--- /dev/null
+++ b/tests/test_shared_process.py
@@ -0,0 +1,50 @@
+"""Judgements and counts among processes: a node that fails is known to all, one behind a cut to no other."""
+
+from __future__ import annotations
+
+import asyncio
+import shutil
+import tempfile
+import unittest
+from pathlib import Path
+
+from benchmarks.copies import CLASSES
+from hollowusher.emulator.processes.play import Played, ProcessPlay
+from hollowusher.emulator.script import parse
+from hollowusher.net.reports.listener import ask
+from tests import standins  # noqa: F401  (its event loop)
+
+SHARED = "[shared]\ncounts yes\njudgements yes\nwindow 2s"
+
+
+class Shared(unittest.IsolatedAsyncioTestCase):
+    async def play(self, members: int, words: str) -> tuple[Played, list[dict[str, float]]]:
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder, ignore_errors=True)
+        text = f"members {members}\nlength 18s\n{CLASSES.format(nodes=4, rate=20)}{words}"
+        play = ProcessPlay(parse(text), 1, folder, more=SHARED)
+        task = asyncio.create_task(play.run())
+        while not task.done() and (play._at() < 16 or not play.entries):
+            await asyncio.sleep(0.05)
+        asked = [ask(one.reports, "shared") for one in play.fleet.schedulers.values()]
+        told = await asyncio.gather(*asked, return_exceptions=True)
+        totals = [dict(t["counts"]) for t in told if isinstance(t, dict)]  # type: ignore[call-overload]
+        return await task, totals
+
+    async def test_what_fails_is_known_to_all_and_a_cut_condemns_nobody(self) -> None:
+        plays = await asyncio.gather(
+            self.play(3, "at 10s fail s2 for 5s\n"), self.play(7, "at 10s fail s2 for 5s\n"),
+            self.play(7, "at 10s cut n1 <-> s1 for 6s\nat 12s cut n2 <-> n3..n5 for 4s\n"))
+        for members, (played, totals) in zip((3, 7, 7), plays, strict=True):
+            self.assertEqual([f for f in played.findings if not f.holds], [])
+            told = [t["jobs/eta-quote"] for t in totals]  # some 20, asked for at moments that differ
+            self.assertGreater(len(told), 1)
+            self.assertLess(max(told) - min(told), 10, (members, told))
+        for members, (played, _) in zip((3, 7), plays[:2], strict=True):
+            bad = {e.who: e.at for e in reversed(played.entries) if e.what == "shared-bad" and e.of == "s-2"}
+            self.assertEqual(len(bad), members)
+            third = [e.at for e in played.entries if e.what == "failed"][2]
+            self.assertLess(max(bad.values()) - third, 3.0)  # the third may be seen by the one that saw two
+            self.assertEqual({e.of for e in played.entries if e.what == "shared-bad"}, {"s-2"})
+        cut = plays[2][0]
+        self.assertLessEqual({e.who for e in cut.entries if e.what == "shared-bad" and e.of == "s-1"}, {"n1"})
