Look for a job at all others before it is taken, and tell all who wait when a disk fails

Cause, found on reading the change again: a job asked for twice while it was being taken went to the desk twice; of two schedulers that were asked at once with one id both took it; a client that left took away the others who waited for the same job; a failed disk left its clients without an answer; a job whose answer was lost with a lead stayed open for good, and one that a takeover could not answer was never judged again.

Change: whoever may be known elsewhere is looked for until the leader of each log has said no; of two that look, one goes on; unsafe jobs always ([copies] seek-once). Handles in place of jobs when a client leaves. Custody.abandon. Open jobs past their client's time are closed. One virtual clock for all plays (heap.py, which rehearsals had), one acceptor for reports and copies, decisions on what an end tells and who is missing moved into rules.

--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -103,8 +103,8 @@
 
         def changed(what: Told) -> None:
             tell(log, what)
-            if gate is not None and not node.member.deaf:
-                copies.view(set(node.member.contacts) - set(node.member.present()))
+            if gate is not None:
+                copies.view(node.member.missing())
 
         node = PeerNode(peers.name, peers.listen, peers.peers, peers.cluster, config.seed, changed,
                         most_per_s=peers.most_messages)
--- a/hollowusher/emulator/copies.py
+++ b/hollowusher/emulator/copies.py
@@ -7,12 +7,11 @@
 from __future__ import annotations
 
 import copy
-import heapq
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from itertools import count
 
+from hollowusher.emulator.heap import Heap
 from hollowusher.rules.copies.messages import Entry, Message
 from hollowusher.rules.copies.pace import MS, Pace
 from hollowusher.rules.copies.replica import Kept, Replica, Role
@@ -41,17 +40,18 @@
     made: list[int] = field(default_factory=list)  # numbers proposed here and not yet known as committed
 
 
-class CopyNet:
+class CopyNet(Heap):
     """Some copies of one log and the network between them; all chance from one seed."""
 
     def __init__(
         self, size: int, seed: int, pace: Pace | None = None, loss: float = 0.0, storage: bool = False,
         make: Make = Replica, drift: float = 0.01, delay_ms: tuple[float, float] = (0.2, 8.0),
     ) -> None:
+        super().__init__()
         self.chance, self.pace, self.storage, self._make = random.Random(seed), pace or Pace(), storage, make
         self.loss, self.delay_ms = loss, delay_ms
         self.names = [f"n{i}" for i in range(size)]
-        self.now = self.steps = 0
+        self.steps = 0
         self.cuts: set[tuple[str, str]] = set()
         self.slow: dict[tuple[str, str], int] = {}  # links on which messages are late by so much
         self.copies = {n: Copy(n, 1 + self.chance.uniform(-drift, drift)) for n in self.names}
@@ -60,17 +60,11 @@
         self.promised: list[bytes] = []  # what a proposer was told is kept
         self.began_anew = 0
         self.told: list[tuple[int, str, str]] = []
-        self._heap: list[tuple[int, int, Callable[[], None]]] = []
-        self._order = count()
         for name in self.names:
             self.start(name)
 
     # --- faults -----------------------------------------------------------------------------------------
 
-    def at(self, when: int, what: Callable[[], None]) -> None:
-        """Do something at a time of the play."""
-        heapq.heappush(self._heap, (when, next(self._order), what))
-
     def start(self, name: str, disk: str = "kept") -> None:
         """A process starts: with what its storage holds, with none, or with an old image of it."""
         one = self.copies[name]
@@ -113,13 +107,6 @@
 
     # --- the play ---------------------------------------------------------------------------------------
 
-    def run(self, until: int) -> None:
-        """Play up to a time; Broken where something does not hold."""
-        while self._heap and self._heap[0][0] <= until:
-            self.now, _, what = heapq.heappop(self._heap)
-            what()
-        self.now = until
-
     def propose(self, data: bytes) -> str:
         """Whoever may promise is asked to keep it: who took it, or nobody."""
         for one in self.copies.values():
--- a/hollowusher/emulator/copies_check.py
+++ b/hollowusher/emulator/copies_check.py
@@ -10,7 +10,7 @@
 
 from hollowusher.emulator.copies import Broken, CopyNet, storm
 from hollowusher.emulator.custody import CustodyNet, S
-from hollowusher.rules.copies.custody import Act, Custody, Do
+from hollowusher.rules.copies.custody import Act, Custody, Do, Seek
 from hollowusher.rules.copies.keeper import Keeper
 from hollowusher.rules.copies.messages import Ask, Entry, Learn, Taught
 from hollowusher.rules.copies.replica import Replica, Role
@@ -151,6 +151,30 @@
         self.acts.append(Act(Do.TELL, handle, answer))
 
 
+class TakesTwice(Custody):
+    """A job that is being taken here is not known yet when it comes once more."""
+
+    def _takes(self, job: str) -> bool:
+        return False
+
+
+class BothLook(Custody):
+    """Of two who look for one job at the same time, each tells the other that it knows nothing."""
+
+    def heard(self, now: int, now_ms: int, message: Any, sender: str) -> None:
+        sought = self._sought.pop(message.job, None) if isinstance(message, Seek) else None
+        super().heard(now, now_ms, message, sender)
+        if sought is not None:
+            self._sought[message.job] = sought
+
+
+class NeverLooks(Custody):
+    """A job is looked for elsewhere only if its client says that it has asked before."""
+
+    def __init__(self, keeper: Keeper, names: tuple[str, ...], classes: Any) -> None:
+        super().__init__(keeper, names, classes, seek_once=False)
+
+
 class SendsAgain(Keeper):
     """Whatever may have run is sent again."""
 
@@ -182,9 +206,12 @@
     """Jobs and faults at random for so long, then calm.  A process counts as down until it has learnt all."""
     chance, down = random.Random(seed), dict[str, int]()
     net.run(4 * S)
-    end, number = net.now + seconds * S, 0
+    end, number, net.die_at_go = net.now + seconds * S, 0, 0.01
     while net.now < end:
         net.run(net.now + round(chance.uniform(0.01, 0.05) * S))
+        for name, process in net.processes.items():
+            if process.custody is None:
+                down.setdefault(name, net.now)
         number += 1
         net.ask(f"j{number}", chance.choice(("quote", "assign", "settle")))
         what, name = chance.random(), chance.choice(net.names)
@@ -207,7 +234,7 @@
             if custody is not None and all(
                     log.replica.role is not Role.LEARNER for log in custody.keeper.logs.values()):
                 del down[name]
-    net.loss = 0.0
+    net.loss = net.die_at_go = 0.0
     net.cuts.clear()
     for name in down:
         if net.processes[name].custody is None:
--- a/hollowusher/emulator/custody.py
+++ b/hollowusher/emulator/custody.py
@@ -6,15 +6,14 @@
 from __future__ import annotations
 
 import copy
-import heapq
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from itertools import count
 from typing import Any
 
 from hazelweir.interface import Effect, Group, JobClass
+from hollowusher.emulator.heap import Heap
 from hollowusher.rules.copies.custody import Act, Custody, Do
 from hollowusher.rules.copies.keeper import Keeper
 from hollowusher.rules.copies.pace import MS, Pace
@@ -57,10 +56,11 @@
     begun: bool = False  # whether anyone took it
     tries: int = 0
     refused: int = 0
+    asked: list[tuple[str, Any]] = field(default_factory=list)  # whom it asks just now: scheduler, handle
     done: bool = False
 
 
-class CustodyNet:
+class CustodyNet(Heap):
     """Some schedulers, all chance from one seed.  `make`: the keeper, or one with a planted fault."""
 
     def __init__(
@@ -68,32 +68,20 @@
         make: Callable[..., Keeper] = Keeper, custody: Callable[..., Custody] = Custody,
         pace: Pace | None = None,
     ) -> None:
+        super().__init__()
         self.chance, self.group, self.storage, self.loss = random.Random(seed), group, storage, loss
         self._make, self._custody, self.pace = make, custody, pace or Pace()
         self.names = tuple(f"n{i}" for i in range(size))
-        self.now = self.steps = self.messages = 0
+        self.steps = self.messages = 0
         self.cuts: set[tuple[str, str]] = set()
         self.processes = {n: Process(n, 1 + self.chance.uniform(-0.01, 0.01)) for n in self.names}
         self.clients: dict[str, Client] = {}
         self.runs: Counter[str] = Counter()
         self.told: list[tuple[int, str, str, str]] = []
-        self.idle_ns = 0  # time in which the owner of a job's log could not promise
-        self._heap: list[tuple[int, int, Callable[[], None]]] = []
-        self._order = count()
+        self.die_at_go = 0.0  # how often a process ends just as an attempt has gone out
         for name in self.names:
             self.start(name)
 
-    def at(self, when: int, what: Callable[[], None]) -> None:
-        """Do something at a time of the play."""
-        heapq.heappush(self._heap, (when, next(self._order), what))
-
-    def run(self, until: int) -> None:
-        """Play up to a time."""
-        while self._heap and self._heap[0][0] <= until:
-            self.now, _, what = heapq.heappop(self._heap)
-            what()
-        self.now = until
-
     # --- faults -------------------------------------------------------------------------------------------
 
     def start(self, name: str, disk: bool = True) -> None:
@@ -137,19 +125,29 @@
         client = self.clients[job]
         if client.done or self._ms() > client.taken.until_ms:
             return
-        for p in self.processes.values():
-            if p.custody is not None:
-                p.custody.gone(job)  # it has left whom it asked before
-        up = [p for p in self.processes.values() if p.custody is not None]
-        if up:
-            p = self.chance.choice(up)
-            client.tries += 1
-            handle = (job, client.tries, p.life)
-            self._do(p, lambda c: c.take(self._clock(p), self._ms(), client.taken, handle,
-                                         again=client.tries > 1))
+        for name, left in client.asked:  # it has left whom it asked before
+            p = self.processes[name]
+            if p.custody is not None and p.life == left[2]:
+                p.custody.gone(job, left)
+        client.asked = []
+        client.tries += 1
+        self._ask_one(client, client.tries > 1, 0)
+        if self.chance.random() < 0.15:  # it is impatient, and asks elsewhere, or there, almost at once
+            says = client.taken.job_class != "settle" or self.chance.random() < 0.5  # that it asks again
+            self._ask_one(client, says, round(self.chance.uniform(0, 20) * MS))
         # Whatever becomes of it, it is back after a while; at once where its scheduler dies, in effect.
         self.at(self.now + ALONE_MS * MS, lambda: self._try(job))
 
+    def _ask_one(self, client: Client, again: bool, delay: int) -> None:
+        up = [p for p in self.processes.values() if p.custody is not None]
+        if not up:
+            return
+        p = self.chance.choice(up)
+        handle = (client.taken.job, client.tries, p.life, len(client.asked))
+        client.asked.append((p.name, handle))
+        self.after(delay, lambda: self._do(p, lambda c: c.take(
+            self._clock(p), self._ms(), client.taken, handle, again)) if p.life == handle[2] else None)
+
     def _again(self, job: str) -> None:
         self.clients[job].done = False
         self._try(job)
@@ -205,6 +203,8 @@
             keeper.told = []
             acts, custody.acts = custody.acts, []
             for act in acts:
+                if p.custody is not custody:
+                    return  # it has ended meanwhile
                 self._act(p, custody, act)
 
     def _send(self, source: str, target: str, what: Callable[[Custody, Process], None]) -> None:
@@ -237,6 +237,8 @@
                                 lambda: self._again(job))
             case Do.GO:
                 self._run(p, self._job(act.handle))
+                if self.chance.random() < self.die_at_go and all(q.custody for q in self.processes.values()):
+                    self.crash(p.name)  # its last byte went out, and whatever it had not said yet did not
             case Do.NOT_SENT:
                 job = self._job(act.handle)
                 life = p.life
--- a/hollowusher/emulator/peers.py
+++ b/hollowusher/emulator/peers.py
@@ -5,13 +5,12 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from itertools import count
 from typing import Protocol
 
+from hollowusher.emulator.heap import Heap
 from hollowusher.emulator.faults.links import Links
 from hollowusher.rules.membership.events import Change, Told
 from hollowusher.rules.membership.member import Member
@@ -49,7 +48,7 @@
     sent_bytes: int = 0
 
 
-class PeerNet:
+class PeerNet(Heap):
     """Some processes and the network between them.  All chance comes from one seed."""
 
     def __init__(
@@ -57,20 +56,18 @@
         delay_ms: tuple[float, float] = (1.8, 25.0), configured: Iterable[str] | None = None,
         make: Callable[[str, int], Peer] | None = None,
     ) -> None:
+        super().__init__()
         self.chance = random.Random(seed)
         self.pace = pace or Pace()
         self.names = list(names)
         self.configured = list(configured if configured is not None else self.names)
         self.loss, self.delay_ms = loss, delay_ms
-        self.now = 0
         self.late: dict[str, int] = {}  # more delay of what this process sends
         self.cuts: set[tuple[str, str]] = set()
         self.history: list[tuple[int, str, Told]] = []
         self.processes: dict[str, Process] = {}
         self.twins: list[Process] = []
         self._make = make or self._member
-        self._heap: list[tuple[int, int, Callable[[], None]]] = []
-        self._order = count()
         self._starts = 0
         self.links = Links(self.chance, lambda delay, what: self.at(self.now + delay, what))
         for name in self.names:
@@ -88,10 +85,6 @@
 
     # --- faults -------------------------------------------------------------------------------------------
 
-    def at(self, when: int, what: Callable[[], None]) -> None:
-        """Do something at a time of the play."""
-        heapq.heappush(self._heap, (when, next(self._order), what))
-
     def start(self, name: str, peer: Peer | None = None) -> None:
         """A process starts anew: it knows nothing."""
         process = Process(name, peer or self._make(name, self.now))
@@ -131,13 +124,6 @@
 
     # --- the play -----------------------------------------------------------------------------------------
 
-    def run(self, until: int) -> None:
-        """Play up to a time."""
-        while self._heap and self._heap[0][0] <= until:
-            self.now, _, what = heapq.heappop(self._heap)
-            what()
-        self.now = until
-
     def _resume(self, process: Process) -> None:
         waiting, process.inbox = process.inbox, []
         for message in waiting:
--- a/hollowusher/emulator/shared.py
+++ b/hollowusher/emulator/shared.py
@@ -5,13 +5,12 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from itertools import count
 
+from hollowusher.emulator.heap import Heap
 from hollowusher.rules.shared.budgets import Ask, Budgets, Grant
 
 MS, S = 1_000_000, 1_000_000_000
@@ -28,22 +27,21 @@
     paused_until: int = 0
 
 
-class BudgetNet:
+class BudgetNet(Heap):
     """So many members that share one budget of `bound` a `span`."""
 
     def __init__(
         self, size: int, seed: int, bound: float = 100.0, span: int = S, permit: int = 80 * MS,
         make: Make = Budgets, loss: float = 0.0, drift: float = 0.01,
     ) -> None:
+        super().__init__()
         self.chance, self.bound = random.Random(seed), bound
         self.span, self.permit = span, permit
         self._make, self.loss = make, loss
-        self.now = self.messages = 0
+        self.messages = 0
         self.spent: deque[tuple[int, float]] = deque()
         self.total = self.wanted = self.most = self._within = 0.0
         self.cuts: set[tuple[str, str]] = set()
-        self._heap: list[tuple[int, int, Callable[[], None]]] = []
-        self._order = count()
         parts = [self.chance.expovariate(1.0) for _ in range(size)]
         rates = [1 + self.chance.uniform(-drift, drift) for _ in parts]
         self.members = {f"n{i}": _Member(f"n{i}", rates[i], None, p / sum(parts))
@@ -58,17 +56,6 @@
         m.budgets = self._make(name, list(self.members), self.permit, now)
         m.budgets.bound("b", self.bound, self.span, 1.0)
 
-    def at(self, when: int, what: Callable[[], None]) -> None:
-        """Do something at a time of the play."""
-        heapq.heappush(self._heap, (when, next(self._order), what))
-
-    def run(self, until: int) -> None:
-        """Deliver what is due until then."""
-        while self._heap and self._heap[0][0] <= until:
-            self.now, _, what = heapq.heappop(self._heap)
-            what()
-        self.now = until
-
     def demand(self, rate: float, spans: float, step: int = 20 * MS) -> float:
         """All together want so much a span for so many spans; the share of the bound that they got."""
         began, end = self.total, self.now + round(spans * self.span)
--- a/hollowusher/emulator/virtual.py
+++ b/hollowusher/emulator/virtual.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import heapq
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from functools import partial
@@ -20,6 +19,7 @@
     NodeListTold, NodeProbed, Order, ProbeNode, Remark, Reply, TerminalGone, TimeCame, Verdict, WakeDesk,
     WatchNodeList, Withdraw,
 )
+from hollowusher.emulator.heap import Heap
 from hollowusher.emulator.model import Kind, NodeModel, Told, What
 from hollowusher.emulator.traffic import Wanted, streams
 
@@ -28,31 +28,6 @@
 DRAIN_GRACE_NS = 250 * MS
 
 
-class Heap:
-    """Things to come, in order of time; of two at one instant the one that was put in first."""
-
-    def __init__(self) -> None:
-        self.now = 0
-        self._things: list[tuple[int, int, Callable[[], None]]] = []
-        self._count = 0
-
-    def at(self, when: int, thing: Callable[[], None]) -> None:
-        """Have something done at a time."""
-        self._count += 1
-        heapq.heappush(self._things, (max(when, self.now), self._count, thing))
-
-    def after(self, span: int, thing: Callable[[], None]) -> None:
-        """Have something done after a span."""
-        self.at(self.now + span, thing)
-
-    def run(self, until: int) -> None:
-        """Do all that is due up to a time."""
-        while self._things and self._things[0][0] <= until:
-            self.now, _, thing = heapq.heappop(self._things)
-            thing()
-        self.now = max(self.now, until)
-
-
 @dataclass(slots=True)
 class Net:
     """How long things take between the parts; each way is drawn evenly between the two (nanoseconds)."""
--- a/hollowusher/net/copies/gate.py
+++ b/hollowusher/net/copies/gate.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from hazelweir.interface import Outcome
 from hollowusher.core.model import (
@@ -18,13 +17,6 @@
 ATTEMPTS = 64  # numbers of attempts that one job of one process may use
 
 
-@dataclass(frozen=True, slots=True, eq=False)
-class _Client:
-    """One asking client."""
-
-    job: Job
-
-
 class Gate:
     """`post` goes before the desk's queue, `carry_out` before the floor."""
 
@@ -52,9 +44,9 @@
                 until_ms = int(time.time() * 1000) + (job.deadline_ns - time.monotonic_ns()) // 1_000_000
                 taken = Taken(job.job_id, job.job_class, job.subject, job.body, until_ms, job.repeat_key,
                               job.tenant, job.hint_ns, job.slots, job.memory)
-                self.node.take(taken, _Client(job), job.retry)
+                self.node.take(taken, job, job.retry)
             case TerminalGone(job) if self.copied(job):
-                self.node.gone(job.job_id)  # it may come back: the job goes on
+                self.node.gone(job.job_id, job)  # it may come back: the job goes on
             case AttemptEnded(attempt) if attempt in self._attempts:
                 job_id = self._attempts.pop(attempt)
                 if event.outcome is not Outcome.OK:  # a good end is told by its answer
@@ -80,7 +72,7 @@
                 until_ms = int(time.time() * 1000) + (job.deadline_ns - time.monotonic_ns()) // 1_000_000
                 told = Answered(job.job_id, answer.verdict.value, int(time.time() * 1000), answer.result,
                                 answer.wait_ns)
-                self.node.answer(told, _Client(job), until_ms)
+                self.node.answer(told, job, until_ms)
             case _:
                 self._carry_out(order)
 
@@ -89,13 +81,13 @@
     def act(self, act: Act) -> None:
         """One thing that the custody lets go on."""
         match act.do, act.handle:
-            case Do.START, _Client(job):
+            case Do.START, Job() as job:
                 self._post(JobTaken(job))
             case Do.START, None if act.adopted is not None:
                 self._post(JobTaken(_adopted(act.adopted.held.taken)))
-            case Do.REFUSE, _Client(job):
+            case Do.REFUSE, Job() as job:
                 job.answer_to(Answer(Verdict.REFUSED, wait_ns=self._wait_ns))
-            case Do.TELL, _Client(job) if act.answer is not None:
+            case Do.TELL, Job() as job if act.answer is not None:
                 answer = act.answer
                 job.answer_to(Answer(Verdict(answer.verdict), answer.result, answer.wait_ns))
             case Do.GO, Dispatch(attempt, job) as order:
--- a/hollowusher/net/copies/node.py
+++ b/hollowusher/net/copies/node.py
@@ -71,7 +71,7 @@
         keeper = Keeper(
             config.name, config.others, config.group, Pace(round(config.lease_s * 1e9)), self._chance,
             time.monotonic_ns(), self._classes, kept, round(config.keep_s * 1000), config.most_jobs)
-        return Custody(keeper, tuple(sorted(config.others)), self._classes)
+        return Custody(keeper, tuple(sorted(config.others)), self._classes, config.seek_once)
 
     async def start(self) -> None:
         """Listen, connect, and ask what the others know."""
@@ -81,7 +81,7 @@
         assert self._config.listen is not None
         self._incoming = Incoming(self._config.listen, self._heard, lambda why: self._log.warning(
             "copies-bad", why))
-        await self._incoming.start()
+        self._incoming.start()
         self._tick()
 
     async def stop(self) -> None:
@@ -133,9 +133,9 @@
         self.custody.answer(time.monotonic_ns(), _ms(), answer, handle, until_ms)
         self._pump()
 
-    def gone(self, job: str) -> None:
-        """Its client waits no more."""
-        self.custody.gone(job)
+    def gone(self, job: str, handle: Hashable) -> None:
+        """This client waits no more."""
+        self.custody.gone(job, handle)
 
     def view(self, missing: set[str]) -> None:
         """Whom the members' view holds dead."""
@@ -204,10 +204,16 @@
                 await loop.run_in_executor(None, self._storage.write, owner, stores, logs[owner].replica.kept)
         except OSError as wrong:
             self._log.error("copies-storage", f"{wrong}: nothing is promised until it can be written again")
-            self._batch = Batch()  # what could not be stored was never said
+            # What could not be stored was never said: all that waited for it is told so, and all begins anew.
+            left, self._batch = self._batch, Batch()
+            for act in self.custody.abandon(_ms(), batch.acts + left.acts):
+                self._act(act)
             await asyncio.sleep(REOPEN_S)
             self._storage.close()
             self._storage = self._opened()
+            for act in self.custody.abandon(_ms(), self._batch.acts):  # who has come meanwhile
+                self._act(act)
+            self._batch = Batch()
             self.custody = self._begin()
             self._flushing = None
             self._pump()
--- a/hollowusher/net/copies/settings.py
+++ b/hollowusher/net/copies/settings.py
@@ -23,6 +23,7 @@
     lease_s: float = 1.0
     keep_s: float = 120.0
     most_jobs: int = 20_000
+    seek_once: bool = True
     others: dict[str, Address] = field(default_factory=dict)
 
 
@@ -37,6 +38,8 @@
               "how long a silent owner keeps its log before another takes it over"),
     Directive("keep", span(1.0, 86_400.0), _BASE.keep_s,
               "how long an answer is kept for those who come back"),
+    Directive("seek-once", switch(), _BASE.seek_once,
+              "whether a job that must not run twice is looked for at all others before it is taken"),
     Directive("most-jobs", count(1, 1_000_000), _BASE.most_jobs,
               "jobs that the own log holds; when it is full, new ones are refused"),
 ))
@@ -66,4 +69,5 @@
         raise own.fault("classes", f"{', '.join(sorted(unknown))}: no such class here")
     return CopiesConfig(
         own["listen"], name, own["group"], frozenset(own["classes"]),
-        Path(own["folder"]) if own["folder"] else None, own["lease"], own["keep"], own["most-jobs"], others)
+        Path(own["folder"]) if own["folder"] else None, own["lease"], own["keep"], own["most-jobs"],
+        own["seek-once"], others)
--- a/hollowusher/net/copies/wire.py
+++ b/hollowusher/net/copies/wire.py
@@ -11,7 +11,8 @@
 import msgspec
 import xxhash
 
-from hollowusher.net.link import Link, connect, listen
+from hollowusher.net.accept import Acceptor
+from hollowusher.net.link import Link, connect
 from hollowusher.rules.copies.custody import Found, Seek
 from hollowusher.rules.copies.messages import (
     Append, Appended, Ask, HandBack, Image, Imaged, Learn, TakeOver, Taught, Vote,
@@ -24,6 +25,7 @@
 MOST_FRAME = 8 * 1024 * 1024
 MOST_QUEUE = 16 * 1024 * 1024  # bytes that wait for a slow copy; what is beyond is said again later
 CONNECT_S, AGAIN_S = 1.0, 0.2
+MOST_STREAMS = 64  # from others, at a time
 _HEAD = struct.Struct(">II")
 _encoder, _decoder = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Message)
 
@@ -131,35 +133,9 @@
     def __init__(
         self, address: Address, told: Callable[[str, Message], None], bad: Callable[[str], None]
     ) -> None:
-        self._address, self._told, self._bad = address, told, bad
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._accepting: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Listen."""
-        self._listener = listen(self._address)
-        self._accepting = asyncio.create_task(self._accept())
-
-    async def stop(self) -> None:
-        """Close all."""
-        if self._accepting is not None:
-            self._accepting.cancel()
-            self._listener.close()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _accept(self) -> None:
-        while True:
-            try:
-                sock, _ = await asyncio.get_running_loop().sock_accept(self._listener)
-            except OSError:
-                await asyncio.sleep(AGAIN_S)
-                continue
-            sock.setblocking(False)
-            task = asyncio.create_task(self._serve(Link(sock)))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        self._told, self._bad = told, bad
+        self._acceptor = Acceptor(address, self._serve, MOST_STREAMS)
+        self.start, self.stop = self._acceptor.start, self._acceptor.stop
 
     async def _serve(self, link: Link) -> None:
         frames, head = Frames(), bytearray()
--- a/hollowusher/net/reports/listener.py
+++ b/hollowusher/net/reports/listener.py
@@ -6,7 +6,8 @@
 import json
 from collections.abc import Iterable, Mapping
 
-from hollowusher.net.link import Link, connect, listen
+from hollowusher.net.accept import Acceptor
+from hollowusher.net.link import Link, connect
 from hollowusher.parts import Part, Plain
 
 MOST_ASKERS = 8  # at a time; more are closed at once
@@ -21,44 +22,21 @@
     name = "reports"
 
     def __init__(self, address: tuple[str, int], parts: Iterable[Part]) -> None:
-        self._address = address
         self._parts = {part.name: part for part in parts}
-        self._askers: set[asyncio.Task[None]] = set()
-        self._accepting: asyncio.Task[None] | None = None
+        self._acceptor = Acceptor(address, self._serve, MOST_ASKERS, _RING)
 
     async def start(self) -> None:
         """Listen."""
-        self._listener = listen(self._address)
-        self._accepting = asyncio.create_task(self._accept())
+        self._acceptor.start()
 
     async def stop(self) -> None:
         """End, whoever is asking."""
-        if self._accepting is not None:
-            self._accepting.cancel()
-            self._listener.close()
-        for task in self._askers:
-            task.cancel()
+        await self._acceptor.stop()
 
     def report(self) -> Mapping[str, object]:
         """The names of the parts that can be asked."""
         return {"parts": sorted(self._parts)}
 
-    async def _accept(self) -> None:
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                sock, _ = await loop.sock_accept(self._listener)
-            except OSError:  # no descriptor left: those who wait are served when there is one
-                await asyncio.sleep(QUESTION_S)
-                continue
-            if len(self._askers) >= MOST_ASKERS:
-                sock.close()
-                continue
-            sock.setblocking(False)
-            task = asyncio.create_task(self._serve(Link(sock, _RING)))
-            self._askers.add(task)
-            task.add_done_callback(self._askers.discard)
-
     async def _serve(self, link: Link) -> None:
         heard = bytearray()
         try:
--- a/hollowusher/net/shared/node.py
+++ b/hollowusher/net/shared/node.py
@@ -7,7 +7,6 @@
 import time
 from collections.abc import Mapping
 
-from hazelweir.interface import Outcome
 from hollowusher.core.model import AttemptEnded, DeskEvent, JobTaken
 from hollowusher.core.roster import Roster
 from hollowusher.log import Log
@@ -15,12 +14,12 @@
 from hollowusher.net.shared.settings import SharedConfig
 from hollowusher.parts import Plain
 from hollowusher.rules.membership.budget import Budget
+from hollowusher.rules.shared.judgements import tells
 from hollowusher.rules.shared.sharer import Sharer
 from hollowusher.rules.shared.wire import Codec, Message
 
 PERMIT_NS = 80_000_000
 MOST_LETTERS = 2  # to one member at a time
-BAD = {Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT, Outcome.UNREACHABLE}
 
 
 class SharedNode(Plain):
@@ -62,8 +61,8 @@
                     self.sharer.counts.add(now, f"tenant/{job.tenant}")
             case AttemptEnded(attempt) if self._config.judgements:
                 node = self._roster.node(attempt.node)
-                if node is not None and (event.outcome is Outcome.OK or event.outcome in BAD):
-                    self.sharer.judgements.saw(now, node.name, event.outcome is Outcome.OK)
+                if node is not None and (good := tells(event.outcome)) is not None:
+                    self.sharer.judgements.saw(now, node.name, good)
                     self._changed(now, node.name)
 
     def report(self) -> Mapping[str, object]:
--- a/hollowusher/rules/copies/custody.py
+++ b/hollowusher/rules/copies/custody.py
@@ -12,20 +12,22 @@
 
 from msgspec import Struct
 
-from hazelweir.interface import JobClass
+from hazelweir.interface import Effect, JobClass
 from hollowusher.rules.copies.keeper import Adopted, Keeper
 from hollowusher.rules.copies.records import Answered, Ended, Forgotten, Held, Intent, Taken
 from hollowusher.rules.copies.takeover import Next
 
 SEEK_AGAIN_MS = 200  # between two questions about a job that another scheduler is working on
 SEEK_MS = 600  # how long a job that comes again may stay unknown before its client is told to come later
+MOST_DENIED = 65_536  # jobs that another was told we do not know; the oldest go first
 TELL_SPARE_MS = 30  # before its client gives up, one that cannot be told its answer is told that it failed
 
 
 class Seek(Struct, frozen=True, array_like=True, tag="seek"):
-    """Does anybody know this job?"""
+    """Does anybody know this job?  `round` comes back with the answer."""
 
     job: str
+    round: int
 
 
 class Found(Struct, frozen=True, array_like=True, tag="found"):
@@ -35,6 +37,7 @@
     open: bool
     answer: Answered | None
     leads: tuple[str, ...]
+    round: int = 0
 
 
 class Do(Enum):
@@ -60,11 +63,13 @@
 @dataclass(slots=True)
 class _Sought:
     taken: Taken
-    handle: Hashable
+    handles: list[Hashable]
     since_ms: int
     asked_ms: int
+    round: int
     open: bool = False
-    leads: set[str] = field(default_factory=set)
+    leads: set[str] = field(default_factory=set)  # logs whose leader says no, in this round
+    no: set[str] = field(default_factory=set)  # and who these are
 
 
 def _refused(held: Held) -> bool:
@@ -75,14 +80,24 @@
 class Custody:
     """The caller empties `acts` and `asks` (who: `""` for all others) after each call."""
 
-    def __init__(self, keeper: Keeper, names: tuple[str, ...], classes: Mapping[str, JobClass]) -> None:
-        self.keeper, self._names, self._classes = keeper, names, classes
+    def __init__(
+        self, keeper: Keeper, names: tuple[str, ...], classes: Mapping[str, JobClass], seek_once: bool = True
+    ) -> None:
+        """`seek_once`: whether a job that must not run twice is looked for at all others before it is taken,
+        even if its client does not say that it has asked before."""
+        self.keeper, self._names = keeper, names
+        self._once = {c.name for c in classes.values() if seek_once and c.effect is Effect.UNSAFE}
         self.acts: list[Act] = []
         self.asks: list[tuple[str, Seek | Found]] = []
         self._pending: dict[int, tuple[str, str, Hashable]] = {}  # token: what was written, job, handle
         self._owners: dict[str, str] = {}  # jobs that this process works on: whose log they are in
-        self._waiting: dict[str, list[tuple[Hashable, int]]] = {}  # job: who waits for its answer, until (ms)
+        self._waiting: dict[str, list[tuple[Hashable, int]]] = {}  # who waits for a job, until when
         self._sought: dict[str, _Sought] = {}
+        self._round = 0
+        # Jobs that another scheduler was told we know nothing of, until (ms): it may have taken them since,
+        # so who comes here with one of them after all, late or at the same time, is not taken as new.
+        self._denied: dict[str, int] = {}
+        self._longest_ms = max((c.deadline_ns for c in classes.values()), default=0) // 1_000_000
 
     # --- in -----------------------------------------------------------------------------------------------
 
@@ -91,12 +106,17 @@
         known = self.keeper.find(taken.job)
         if known is not None and not _refused(known[1]):
             self._wait_for(now_ms, taken, handle, known[1])
-        elif again and len(self._names) > 1:
-            self._sought[taken.job] = _Sought(taken, handle, now_ms, now_ms)
-            self.asks.append(("", Seek(taken.job)))
-            self._hear(now, now_ms, taken.job, self.keeper.name, self._know(now, taken.job))
+        elif taken.job in self._sought:
+            self._sought[taken.job].handles.append(handle)
+        elif self._takes(taken.job):
+            self._waiting.setdefault(taken.job, []).append((handle, taken.until_ms))
+        elif len(self._names) > 1 and (
+                again or taken.job_class in self._once or self._denied.get(taken.job, 0) > now_ms):
+            sought = self._sought[taken.job] = _Sought(taken, [handle], now_ms, now_ms, self._next_round())
+            self.asks.append(("", Seek(taken.job, sought.round)))
+            self._hear(now, now_ms, self.keeper.name, self._know(now, taken.job, sought.round))
         else:
-            self._take_new(now, now_ms, taken, handle)
+            self._take_new(now, now_ms, taken, [handle])
         self._settle(now, now_ms)
 
     def intent(
@@ -124,20 +144,63 @@
         token = self.keeper.write(now, now_ms, owner, (answer,)) if owner is not None else 0
         if token:
             self._pending[token] = ("answer", answer.job, handle)
+        else:
+            self._owners.pop(answer.job, None)  # our desk is through with it, whoever leads its log now
         self._waiting.setdefault(answer.job, []).append((handle, until_ms))
         self._settle(now, now_ms)
 
-    def gone(self, job: str) -> None:
-        """Its client waits no more; the job itself goes on."""
-        self._waiting.pop(job, None)
-        self._sought.pop(job, None)
+    def gone(self, job: str, handle: Hashable) -> None:
+        """This client waits no more; the job itself goes on, and others may wait for it."""
+        if left := [w for w in self._waiting.pop(job, []) if w[0] != handle]:
+            self._waiting[job] = left
+        if (sought := self._sought.get(job)) is not None:
+            sought.handles = [h for h in sought.handles if h != handle]
+            if not sought.handles:
+                del self._sought[job]
+
+    def abandon(self, now_ms: int, acts: list[Act]) -> list[Act]:
+        """The storage has failed and all begins anew from what it holds: what every client and attempt here
+        is told now.  `acts`: those that had not been let go on, which they are not any more."""
+        told: dict[Hashable, Act] = {}
+        for act in acts:
+            if act.do is Do.GO:
+                told[act.handle] = Act(Do.NOT_SENT, act.handle)
+            elif act.do is Do.START and act.handle is not None:
+                told[act.handle] = Act(Do.TELL, act.handle, Answered("", "failed", now_ms))
+            elif act.do in (Do.REFUSE, Do.NOT_SENT, Do.TELL):
+                told[act.handle] = act
+        for what, _, handle in self._pending.values():
+            if what == "intent":
+                told.setdefault(handle, Act(Do.NOT_SENT, handle))
+        for job, waiting in self._waiting.items():
+            for handle, _ in waiting:
+                told.setdefault(handle, Act(Do.TELL, handle, Answered(job, "failed", now_ms)))
+        for sought in self._sought.values():
+            for handle in sought.handles:
+                told.setdefault(handle, Act(Do.REFUSE, handle))
+        return list(told.values())
 
     def heard(self, now: int, now_ms: int, message: Seek | Found, sender: str) -> None:
         """Another scheduler asks, or answers."""
         if isinstance(message, Seek):
-            self.asks.append((sender, self._know(now, message.job)))
+            sought = self._sought.get(message.job)
+            if sought is not None and (sender in sought.no or self.keeper.name < sender):
+                # Both look for it: whoever has the other's no goes on, else the first by name.
+                self.asks.append((sender, Found(message.job, True, None, (), message.round)))
+                return
+            if sought is not None:  # it goes first: what was said to us before counts no more
+                sought.round, sought.asked_ms = self._next_round(), now_ms
+                sought.leads.clear()
+                sought.no.clear()
+            found = self._know(now, message.job, message.round)
+            if not found.open and found.answer is None:
+                self._denied.pop(message.job, None)  # so that the oldest stand first
+                self._denied[message.job] = now_ms + self._longest_ms
+                if len(self._denied) > MOST_DENIED:
+                    del self._denied[next(iter(self._denied))]
+            self.asks.append((sender, found))
         else:
-            self._hear(now, now_ms, message.job, sender, message)
+            self._hear(now, now_ms, sender, message)
             self._settle(now, now_ms)
 
     def tick(self, now: int, now_ms: int) -> None:
@@ -145,25 +208,36 @@
         for job, sought in list(self._sought.items()):
             if now_ms - sought.asked_ms >= SEEK_AGAIN_MS:
                 sought.asked_ms = now_ms
-                self.asks.append(("", Seek(job)))
+                self.asks.append(("", Seek(job, sought.round)))
+                self._hear(now, now_ms, self.keeper.name, self._know(now, job, sought.round))
+                if job not in self._sought:
+                    continue
             late = now_ms - sought.since_ms > SEEK_MS and not sought.open
             if late or now_ms > sought.taken.until_ms - TELL_SPARE_MS:
                 del self._sought[job]
-                self.acts.append(Act(Do.REFUSE, sought.handle))
+                self.acts += [Act(Do.REFUSE, handle) for handle in sought.handles]
         self._settle(now, now_ms)
 
     # --- inside -------------------------------------------------------------------------------------------
 
-    def _take_new(self, now: int, now_ms: int, taken: Taken, handle: Hashable) -> None:
+    def _next_round(self) -> int:
+        self._round += 1
+        return self._round
+
+    def _takes(self, job: str) -> bool:
+        """Whether the job is being taken here, and is not kept yet."""
+        return any(what == "taken" and j == job for what, j, _ in self._pending.values())
+
+    def _take_new(self, now: int, now_ms: int, taken: Taken, handles: list[Hashable]) -> None:
         token, known = 0, self.keeper.logs[self.keeper.name].book.jobs.get(taken.job)
         if self.keeper.room():
             records = (taken,) if known is None else (Forgotten((taken.job,)), taken)
             token = self.keeper.write(now, now_ms, self.keeper.name, records)
         if token:
-            self._pending[token] = ("taken", taken.job, handle)
-            self._waiting.setdefault(taken.job, []).append((handle, taken.until_ms))
+            self._pending[token] = ("taken", taken.job, handles[0])
+            self._waiting.setdefault(taken.job, []).extend((h, taken.until_ms) for h in handles)
         else:
-            self.acts.append(Act(Do.REFUSE, handle))
+            self.acts += [Act(Do.REFUSE, handle) for handle in handles]
 
     def _wait_for(self, now_ms: int, taken: Taken, handle: Hashable, held: Held) -> None:
         if held.answer is not None:
@@ -171,29 +245,31 @@
         else:
             self._waiting.setdefault(taken.job, []).append((handle, taken.until_ms))
 
-    def _know(self, now: int, job: str) -> Found:
+    def _know(self, now: int, job: str, seek_round: int) -> Found:
         known = self.keeper.find(job)
         leads = tuple(o for o in self.keeper.logs if self.keeper.promises(now, o))
         if known is None or _refused(known[1]):
-            busy = any(j == job for _, j, _ in self._pending.values())
-            return Found(job, busy, None, leads)
-        return Found(job, known[1].answer is None, known[1].answer, leads)
+            return Found(job, self._takes(job), None, leads, seek_round)
+        return Found(job, known[1].answer is None, known[1].answer, leads, seek_round)
 
-    def _hear(self, now: int, now_ms: int, job: str, sender: str, found: Found) -> None:
+    def _hear(self, now: int, now_ms: int, sender: str, found: Found) -> None:
+        job = found.job
         sought = self._sought.get(job)
-        if sought is None:
+        if sought is None or found.round != sought.round:
             return
         if found.answer is not None:
             del self._sought[job]
-            self.acts.append(Act(Do.TELL, sought.handle, found.answer))
+            self.acts += [Act(Do.TELL, handle, found.answer) for handle in sought.handles]
         elif found.open:
             sought.open = True
             sought.leads.clear()
-        elif not sought.open or found.leads:
+            sought.no.clear()
+        elif found.leads:
             sought.leads.update(found.leads)
+            sought.no.add(sender)
             if sought.leads >= set(self._names):  # whoever leads each log says no
                 del self._sought[job]
-                self._take_new(now, now_ms, sought.taken, sought.handle)
+                self._take_new(now, now_ms, sought.taken, sought.handles)
 
     def _settle(self, now: int, now_ms: int) -> None:
         """What the keeper has told."""
@@ -210,13 +286,15 @@
                     self._waiting.setdefault(job, []).append((handle, now_ms + SEEK_MS))
             elif what == "intent":
                 self.acts.append(Act(Do.GO if written.kept else Do.NOT_SENT, handle))
+            elif what == "answer" and not written.kept:
+                self._owners.pop(job, None)
         self.keeper.written = []
         for adopted in self.keeper.adopted:
             job = adopted.held.taken.job
             if job in self._owners:
                 continue  # our own desk has it still
-            self._owners[job] = adopted.owner
             if adopted.next is Next.SEND:
+                self._owners[job] = adopted.owner
                 self.acts.append(Act(Do.START, None, adopted=adopted))
             else:
                 self.keeper.write(now, now_ms, adopted.owner, (Answered(job, "failed", now_ms),))
--- a/hollowusher/rules/copies/keeper.py
+++ b/hollowusher/rules/copies/keeper.py
@@ -12,13 +12,14 @@
 from hollowusher.rules.copies.groups import group_of, kept_by
 from hollowusher.rules.copies.messages import HandBack, Message
 from hollowusher.rules.copies.pace import Pace
-from hollowusher.rules.copies.records import Book, Forgotten, Held, Intent, Record, pack, unpack
+from hollowusher.rules.copies.records import Answered, Book, Forgotten, Held, Intent, Record, pack, unpack
 from hollowusher.rules.copies.replica import Kept, Replica, Role, Store
 from hollowusher.rules.copies.takeover import Bound, Next, allowed, next_of
 
 COMPACT_ENTRIES = 4_096  # beyond this many, a log's entries give way to an image of its book
 FORGET_BATCH = 256
 FORGET_PERIOD_NS = 1_000_000_000
+LATE_MS = 2_000  # after its client gave up, an open job is answered as failed
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,11 +90,12 @@
         return len(self.logs[self.name].book.jobs) < self._most_jobs
 
     def find(self, job: str) -> tuple[str, Held] | None:
-        """A job in any book that we keep, and whose book that is."""
-        for owner, log in self.logs.items():
-            if (held := log.book.jobs.get(job)) is not None:
-                return owner, held
-        return None
+        """A job in any book that we keep, and whose book that is; one that was refused only where no other
+        book has it, since it may have come anew elsewhere."""
+        found = [(owner, held) for owner, log in self.logs.items()
+                 if (held := log.book.jobs.get(job)) is not None]
+        found.sort(key=lambda f: f[1].answer is not None and f[1].answer.verdict == "refused")
+        return found[0] if found else None
 
     # --- what drives it -----------------------------------------------------------------------------------
 
@@ -179,6 +181,10 @@
                 old = log.book.answered_before(now_ms - self._keep_ms)
                 for at in range(0, len(old), FORGET_BATCH):
                     log.replica.propose(now, [pack(Forgotten(tuple(old[at : at + FORGET_BATCH])))])
+                # Nobody waits for these any more, and nobody works on them: an answer was lost with a lead.
+                late = [h.taken.job for h in log.book.open() if h.taken.until_ms + LATE_MS < now_ms]
+                if late:
+                    log.replica.propose(now, [pack(Answered(job, "failed", now_ms)) for job in late])
 
     def _gather(self) -> None:
         """What the replicas want stored and sent, in that order."""
--- a/hollowusher/rules/membership/member.py
+++ b/hollowusher/rules/membership/member.py
@@ -122,6 +122,10 @@
         """The names that are there, our own among them."""
         return sorted([self.me.name, *(n for n, r in self.records.items() if r.present)])
 
+    def missing(self) -> set[str]:
+        """Configured names that are not there; none, while we hear nobody: it may be us."""
+        return set() if self.deaf else set(self.contacts) - set(self.present())
+
     def due(self) -> int:
         """When `step` is to be called at the latest."""
         whens = [self._reach_at, self._digest_at, self._probe_at]
--- a/hollowusher/rules/shared/judgements.py
+++ b/hollowusher/rules/shared/judgements.py
@@ -16,6 +16,8 @@
 
 from msgspec import Struct
 
+from hazelweir.interface import Outcome
+
 HALF_NS = 3_000_000_000  # in which a score fades by half
 GOOD_HALF_NS = 700_000_000  # and one for a node, sooner: what was good may have failed since
 LAPSE_NS = 10_000_000_000  # and after which another's is forgotten
@@ -28,6 +30,15 @@
 MOST_NODES = 4_096
 
 
+# Ends that tell something of the node: a refusal or an attempt that never went out does not.
+_BAD_ENDS = {Outcome.ERROR, Outcome.RESET, Outcome.TIMEOUT, Outcome.UNREACHABLE}
+
+
+def tells(outcome: Outcome) -> bool | None:
+    """Whether an attempt's end speaks for its node; None where it says nothing of it."""
+    return True if outcome is Outcome.OK else False if outcome in _BAD_ENDS else None
+
+
 class Seen(Struct, frozen=True, array_like=True, tag="J"):
     """A member's score of a node when it says so.  `seq` grows."""
 
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import tempfile
+import time
 import unittest
 from collections import Counter
 from pathlib import Path
@@ -16,9 +18,12 @@
 from hollowusher.emulator.copies_check import REPLICAS, SETTINGS, find, find_in_jobs, jobs_storm
 from hollowusher.emulator.copies_model import check
 from hollowusher.emulator.custody import CLASSES, CustodyNet
-from hollowusher.net.copies.settings import COPIES, COPY, read_copies
+from hollowusher.log import Log
+from hollowusher.net.copies.node import CopiesNode
+from hollowusher.net.copies.settings import COPIES, COPY, CopiesConfig, read_copies
 from hollowusher.net.copies.storage import MAGIC, Files, Folder, parse
 from hollowusher.net.copies.wire import Frames, frame
+from hollowusher.rules.copies.custody import Act, Do
 from hollowusher.rules.copies.groups import group_of, kept_by
 from hollowusher.rules.copies.messages import Append, Entry, Learn
 from hollowusher.rules.copies.records import (
@@ -28,6 +33,7 @@
 from hollowusher.rules.copies.takeover import Bound, Next, allowed, next_of
 from hollowusher.settings.model import ConfigError
 from hollowusher.settings.reader import read_text
+from tests.standins import free_port
 
 MS = 1_000_000
 
@@ -55,7 +61,8 @@
         self.assertGreater(net.figures()["served"], 0.6)
 
     def test_each_planted_fault_around_jobs_is_found(self) -> None:
-        for fault in (copies_check.IntentAfter, copies_check.TellsFirst):
+        for fault in (copies_check.IntentAfter, copies_check.TellsFirst, copies_check.TakesTwice,
+                      copies_check.BothLook, copies_check.NeverLooks):
             with self.subTest(fault.__name__):
                 self.assertTrue(find_in_jobs(custody=fault)[0])
         self.assertTrue(find_in_jobs(keeper=copies_check.SendsAgain)[0])
@@ -333,6 +340,46 @@
         self.assertEqual(Folder(self.path).load()[0]["n0"], kept)
 
 
+class FailingDisk(unittest.IsolatedAsyncioTestCase):
+    async def next(self, acts: asyncio.Queue[Act]) -> Act:
+        async with asyncio.timeout(5):
+            return await acts.get()
+
+    async def test_whoever_waits_is_told_at_once_and_jobs_are_taken_again_once_it_writes(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        config = CopiesConfig(("127.0.0.1", free_port()), "n1", 1, frozenset({"settle"}), Path(folder.name),
+                              0.2, others={"n1": ("127.0.0.1", 1)})
+        acts: asyncio.Queue[Act] = asyncio.Queue()
+        for fails_at in (3, 5, 7, 9):  # writes and syncs by turns
+            storage = Folder(Path(folder.name), Faulty(fails_at, fails=True))
+            node = CopiesNode(config, CLASSES, 1, acts.put_nowait, Log("n1", per_s=0, burst=0), storage)
+            await node.start()
+            try:
+                served, told = 0, list[Do]()
+                for number in range(200):
+                    job = f"{fails_at}-{number}"
+                    node.take(taken(job, until_ms=int(time.time() * 1000) + 10_000), job, False)
+                    act = await self.next(acts)
+                    while act.handle != job:  # a job of before the failure that goes on
+                        self.assertIsNone(act.handle)
+                        act = await self.next(acts)
+                    told.append(act.do)
+                    served = served + 1 if act.do is Do.START else 0
+                    if served == 3 and storage.broken:
+                        break
+                    await asyncio.sleep(0.02)
+                self.assertTrue(storage.broken, told)
+                self.assertEqual(served, 3, told)
+                self.assertIn(Do.REFUSE, told)
+            finally:
+                await node.stop()
+            found, faults = Folder(Path(folder.name)).load()
+            self.assertEqual([f for f in faults if "set aside" in f], [])
+            kept = [unpack(e.data) for e in found["n1"].entries if e.data]
+            self.assertTrue(any(isinstance(r, Taken) and r.job == job for r in kept))
+
+
 class OnTheWire(unittest.TestCase):
     @settings(max_examples=60, deadline=None)
     @given(st.lists(st.integers(0, 3000), min_size=1, max_size=5), st.integers(1, 900))
--- a/tests/test_rehearsal.py
+++ b/tests/test_rehearsal.py
@@ -9,7 +9,8 @@
 from hazelweir import State
 from hollowusher.emulator.model import Kind
 from hollowusher.emulator.traffic import Demand, Spell, draw
-from hollowusher.emulator.virtual import Heap, Rehearsal, Report, VirtualNode
+from hollowusher.emulator.heap import Heap
+from hollowusher.emulator.virtual import Rehearsal, Report, VirtualNode
 from tests.support import MS, S
 
 
