Wait out a lapse of the lease, and void no log of which a learner holds a part

An attempt ordered while the lease had lapsed was turned away at once, which costs a job one of three; an answer that came then was dropped, and its client waited to its end.

Change: attempts wait 500 ms for the promise, answers until their clients give up; a job whose record was under way as the lead was lost waits until a later leader's log decides. Learners that hold a part say so. Ports of plays side by side are claimed.

--- a/hollowusher/emulator/copies_check.py
+++ b/hollowusher/emulator/copies_check.py
@@ -231,8 +231,7 @@
             net.loss = chance.choice((0.0, 0.05, 0.2))
         for name in list(down):
             custody = net.processes[name].custody
-            if custody is not None and all(
-                    log.replica.role is not Role.LEARNER for log in custody.keeper.logs.values()):
+            if custody is not None and not custody.keeper.learns():
                 del down[name]
     net.loss = net.die_at_go = 0.0
     net.cuts.clear()
--- a/hollowusher/emulator/custody.py
+++ b/hollowusher/emulator/custody.py
@@ -108,6 +108,10 @@
         p.paused_until = self.now + span
         self.at(p.paused_until, lambda: self._resume(p))
 
+    def whole(self) -> bool:
+        """Whether all run, and know all that they must."""
+        return all(q.custody is not None and not q.custody.keeper.learns() for q in self.processes.values())
+
     def cut(self, a: str, b: str, span: int) -> None:
         """Nothing passes from a to b for a while."""
         self.cuts.add((a, b))
@@ -237,7 +241,7 @@
                                 lambda: self._again(job))
             case Do.GO:
                 self._run(p, self._job(act.handle))
-                if self.chance.random() < self.die_at_go and all(q.custody for q in self.processes.values()):
+                if self.chance.random() < self.die_at_go and self.whole():
                     self.crash(p.name)  # its last byte went out, and whatever it had not said yet did not
             case Do.NOT_SENT:
                 job = self._job(act.handle)
--- a/hollowusher/emulator/outside.py
+++ b/hollowusher/emulator/outside.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import random
 import socket
@@ -14,18 +13,23 @@
 
 
 PORTS = range(12_000, 32_000)  # below those that the kernel gives to whoever connects
-_given: set[int] = set()
+CLAIMS = "127.0.0.77"  # a port bound here is claimed, so that plays side by side choose different ones
+_claimed: list[socket.socket] = []
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
-    """A port that nobody hears on, and that this process has not given before."""
+    """A port that nobody hears on, and that no play has been given."""
     while True:
         port = random.SystemRandom().choice(PORTS)
-        with socket.socket(socket.AF_INET, kind) as sock, contextlib.suppress(OSError):
-            sock.bind(("127.0.0.1", port))
-            if port not in _given:
-                _given.add(port)
-                return port
+        claim = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            claim.bind((CLAIMS, port))
+            with socket.socket(socket.AF_INET, kind) as sock:
+                sock.bind(("127.0.0.1", port))
+            _claimed.append(claim)  # for as long as this process runs
+            return port
+        except OSError:
+            claim.close()
 
 
 def node_rows(ports: Iterable[int]) -> list[dict[str, Any]]:
--- a/hollowusher/rules/copies/custody.py
+++ b/hollowusher/rules/copies/custody.py
@@ -20,6 +20,7 @@
 SEEK_AGAIN_MS = 200  # between two questions about a job that another scheduler is working on
 SEEK_MS = 600  # how long a job that comes again may stay unknown before its client is told to come later
 MOST_DENIED = 65_536  # jobs that another was told we do not know; the oldest go first
+HOLD_MS = 500  # how long an attempt waits for our promise to come back, before it counts as not sent
 TELL_SPARE_MS = 30  # before its client gives up, one that cannot be told its answer is told that it failed
 
 
@@ -93,6 +94,9 @@
         self._owners: dict[str, str] = {}  # jobs that this process works on: whose log they are in
         self._waiting: dict[str, list[tuple[Hashable, int]]] = {}  # who waits for a job, until when
         self._sought: dict[str, _Sought] = {}
+        self._held: list[tuple[int, Intent, Hashable]] = []  # attempts that wait for our promise, until (ms)
+        self._doubted: dict[str, int] = {}  # jobs that may be kept: by which term our log was settled
+        self._unsaid: dict[str, tuple[str, Answered, int]] = {}  # by job: whose log, what, until (ms)
         self._round = 0
         # Jobs that another scheduler was told we know nothing of, until (ms): it may have taken them since,
         # so who comes here with one of them after all, late or at the same time, is not taken as new.
@@ -123,15 +127,24 @@
         self, now: int, now_ms: int, job: str, number: int, node: str, cell: str, handle: Hashable
     ) -> None:
         """The desk orders an attempt."""
-        owner = self._owners.get(job)
-        records = (Intent(job, number, node, cell, now_ms),)
-        token = self.keeper.write(now, now_ms, owner, records) if owner is not None else 0
-        if token:
-            self._pending[token] = ("intent", job, handle)
-        else:
-            self.acts.append(Act(Do.NOT_SENT, handle))
+        self._held.append((now_ms + HOLD_MS, Intent(job, number, node, cell, now_ms), handle))
         self._settle(now, now_ms)
 
+    def _intents(self, now: int, now_ms: int) -> None:
+        """Those that may be kept now.  Without our promise they wait a moment: it is lost for as long as a
+        stall lasts, and an attempt that is turned away at once costs the job one of the few it has."""
+        held, self._held = self._held, []
+        for until_ms, intent, handle in held:
+            owner = self._owners.get(intent.job)
+            if owner is not None and not self.keeper.promises(now, owner) and now_ms < until_ms:
+                self._held.append((until_ms, intent, handle))
+                continue
+            token = self.keeper.write(now, now_ms, owner, (intent,)) if owner is not None else 0
+            if token:
+                self._pending[token] = ("intent", intent.job, handle)
+            else:
+                self.acts.append(Act(Do.NOT_SENT, handle))
+
     def ended(self, now: int, now_ms: int, job: str, number: int, never: bool) -> None:
         """An attempt is over.  Told, and not waited for."""
         if (owner := self._owners.get(job)) is not None:
@@ -140,15 +153,22 @@
 
     def answer(self, now: int, now_ms: int, answer: Answered, handle: Hashable, until_ms: int) -> None:
         """The desk has its answer: the client is told once it is kept."""
-        owner = self._owners.get(answer.job)
-        token = self.keeper.write(now, now_ms, owner, (answer,)) if owner is not None else 0
-        if token:
-            self._pending[token] = ("answer", answer.job, handle)
-        else:
-            self._owners.pop(answer.job, None)  # our desk is through with it, whoever leads its log now
+        owner = self._owners.pop(answer.job, None)  # our desk is through with it
+        if owner is not None:
+            self._unsaid[answer.job] = (owner, answer, until_ms)
         self._waiting.setdefault(answer.job, []).append((handle, until_ms))
         self._settle(now, now_ms)
 
+    def _answers(self, now: int, now_ms: int) -> None:
+        """Those that may be kept now; others wait until our promise comes back, or another has answered."""
+        for job, (owner, answer, until_ms) in list(self._unsaid.items()):
+            token = self.keeper.write(now, now_ms, owner, (answer,))
+            known = self.keeper.find(job)
+            if token:
+                self._pending[token] = ("answer", job, (owner, answer, until_ms))
+            if token or now_ms > until_ms or (known is not None and known[1].answer is not None):
+                del self._unsaid[job]
+
     def gone(self, job: str, handle: Hashable) -> None:
         """This client waits no more; the job itself goes on, and others may wait for it."""
         if left := [w for w in self._waiting.pop(job, []) if w[0] != handle]:
@@ -169,6 +189,8 @@
                 told[act.handle] = Act(Do.TELL, act.handle, Answered("", "failed", now_ms))
             elif act.do in (Do.REFUSE, Do.NOT_SENT, Do.TELL):
                 told[act.handle] = act
+        for _, _, handle in self._held:
+            told[handle] = Act(Do.NOT_SENT, handle)
         for what, _, handle in self._pending.values():
             if what == "intent":
                 told.setdefault(handle, Act(Do.NOT_SENT, handle))
@@ -272,22 +294,24 @@
                 self._take_new(now, now_ms, sought.taken, sought.handles)
 
     def _settle(self, now: int, now_ms: int) -> None:
-        """What the keeper has told."""
+        """What the keeper has told, and what may be kept by now."""
+        self._intents(now, now_ms)
+        self._answers(now, now_ms)
         for written in self.keeper.written:
             what, job, handle = self._pending.pop(written.token, ("", "", None))
             if what == "taken":
-                others = [w for w in self._waiting.pop(job, []) if w[0] != handle]
-                if others:
-                    self._waiting[job] = others
                 if written.kept:
+                    others = [w for w in self._waiting.pop(job, []) if w[0] != handle]
+                    if others:
+                        self._waiting[job] = others
                     self._owners[job] = self.keeper.name
                     self.acts.append(Act(Do.START, handle))
-                else:  # it may be kept all the same: whoever leads now answers it, and we pass that on
-                    self._waiting.setdefault(job, []).append((handle, now_ms + SEEK_MS))
+                else:  # it may be kept all the same: that shows once somebody leads our log anew
+                    self._doubted[job] = self.keeper.settled_term(self.keeper.name)
             elif what == "intent":
                 self.acts.append(Act(Do.GO if written.kept else Do.NOT_SENT, handle))
-            elif what == "answer" and not written.kept:
-                self._owners.pop(job, None)
+            elif what == "answer" and not written.kept and isinstance(handle, tuple):
+                self._unsaid[job] = handle  # it may be kept or not: once more does no harm, the first counts
         self.keeper.written = []
         for adopted in self.keeper.adopted:
             job = adopted.held.taken.job
@@ -299,6 +323,11 @@
             else:
                 self.keeper.write(now, now_ms, adopted.owner, (Answered(job, "failed", now_ms),))
         self.keeper.adopted = []
+        for job, term in list(self._doubted.items()):
+            if self.keeper.settled_term(self.keeper.name) > term:
+                del self._doubted[job]
+                if self.keeper.find(job) is None:  # it never was, and never will be
+                    self.acts += [Act(Do.REFUSE, handle) for handle, _ in self._waiting.pop(job, [])]
         for job in list(self._waiting):
             self._tell(now_ms, job)
 
--- a/hollowusher/rules/copies/keeper.py
+++ b/hollowusher/rules/copies/keeper.py
@@ -85,6 +85,16 @@
         log = self.logs[owner or self.name]
         return log.replica.promises(now) and log.term == log.replica.kept.term
 
+    def learns(self) -> bool:
+        """Whether this process does not know yet all that it must of some log."""
+        return any(log.replica.role is Role.LEARNER for log in self.logs.values())
+
+    def settled_term(self, owner: str) -> int:
+        """The term of the last entry that we know to be committed: what an earlier leader had under way when
+        one of a higher term committed something is in the book by now, or nowhere."""
+        replica = self.logs[owner].replica
+        return max(0, replica.kept.term_of(replica.commit))
+
     def room(self) -> bool:
         """Whether our own book takes one more job."""
         return len(self.logs[self.name].book.jobs) < self._most_jobs
--- a/hollowusher/rules/copies/messages.py
+++ b/hollowusher/rules/copies/messages.py
@@ -6,12 +6,23 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
+
 from msgspec import Struct
 
 MOST_ENTRIES = 64  # in one message: a slow copy is caught up piece by piece
 PIECE = 32 * 1024  # bytes of a snapshot in one message
 
 
+class Standing(IntEnum):
+    """How much the word of one that is asked by a learner is worth."""
+
+    BLANK = 0  # it holds nothing either
+    PART = 1  # it is a learner that holds a part
+    STORED = 2  # it has its storage, and is a learner itself
+    FULL = 3  # it is a full member
+
+
 class Entry(Struct, frozen=True, array_like=True):
     """One entry of a log.  `group`: who keeps the log from here on, where this entry changes that."""
 
@@ -75,15 +86,14 @@
 
 
 class Taught(Struct, frozen=True, array_like=True, tag="t"):
-    """What the others know: the term, and the most starts that they have heard of.  `standing`: 0 where it
-    holds nothing either, 1 where it has its storage and learns itself, 2 where it is a full member; `leads`:
-    it leads the log, up to `last`."""
+    """What the others know: the term, and the most starts that they have heard of.  `leads`: it leads the
+    log, up to `last`."""
 
     owner: str
     nonce: int
     term: int
     starts: int
-    standing: int
+    standing: Standing
     leads: bool = False
     last: int = 0
 
--- a/hollowusher/rules/copies/replica.py
+++ b/hollowusher/rules/copies/replica.py
@@ -15,8 +15,8 @@
 from enum import Enum
 
 from hollowusher.rules.copies.messages import (
-    MOST_ENTRIES, PIECE, Append, Appended, Ask, Entry, HandBack, Image, Imaged, Learn, Message, TakeOver,
-    Taught, Vote,
+    MOST_ENTRIES, PIECE, Append, Appended, Ask, Entry, HandBack, Image, Imaged, Learn, Message, Standing,
+    TakeOver, Taught, Vote,
 )
 from hollowusher.rules.copies.pace import Pace
 
@@ -501,9 +501,13 @@
             self.kept.heard[sender] = (m.starts, m.nonce)
             self.stores.append(Store(meta=True))
         # One that holds nothing and has voted for nobody knows no more than one that may have forgotten it.
-        standing = 2 if self.kept.term or self.kept.last else 0
-        if self.role is Role.LEARNER:
-            standing = int(self._held)
+        standing = Standing.BLANK
+        if self.role is not Role.LEARNER and (self.kept.term or self.kept.last):
+            standing = Standing.FULL
+        elif self.role is Role.LEARNER and self._held:
+            standing = Standing.STORED
+        elif self.kept.last:
+            standing = Standing.PART  # what it was taught before its teacher was lost: so the log is not void
         self.sends.append((sender, Taught(self.owner, m.nonce, self.kept.term, known, standing,
                                           self.role is Role.LEADER, self.kept.last)))
 
@@ -517,7 +521,7 @@
             self.told.append("its storage is an old image: it learns anew")
             self._held, self.kept.starts = False, max(t.starts for t in told) + 1
             self._lose()
-        full = {n: t for n, t in self._taught.items() if t.standing == 2}
+        full = {n: t for n, t in self._taught.items() if t.standing == Standing.FULL}
         if len(full) >= self._most():
             newest = max(t.term for t in full.values())
             for name, t in full.items():
@@ -527,9 +531,9 @@
                 self._set_term(newest, "")
         elif self._held:
             # Too few can teach us, so that our storage is needed: all of a group have been restarted, say.
-            if now >= self._trust_at and 1 + sum(t.standing > 0 for t in told) >= self._most():
+            if now >= self._trust_at and 1 + sum(t.standing >= Standing.STORED for t in told) >= self._most():
                 self._learnt_all(now)
-        elif len(told) == len(self.group) - 1 and not any(t.standing for t in told):
+        elif len(told) == len(self.group) - 1 and not self.kept.last and not any(t.standing for t in told):
             # Nobody in the whole group holds anything: the log begins, or all that was promised is lost.
             self.told.append("nobody holds anything of this log: it begins anew")
             self._learnt_all(now)
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import random
 import tempfile
 import time
@@ -25,11 +26,13 @@
 from hollowusher.net.copies.wire import Frames, frame
 from hollowusher.rules.copies.custody import Act, Do
 from hollowusher.rules.copies.groups import group_of, kept_by
+from hollowusher.rules.copies.keeper import Keeper
 from hollowusher.rules.copies.messages import Append, Entry, Learn
+from hollowusher.rules.copies.pace import Pace
 from hollowusher.rules.copies.records import (
     Answered, Book, Ended, Forgotten, Held, Intent, Record, Taken, pack, unpack,
 )
-from hollowusher.rules.copies.replica import Kept, Replica, Store
+from hollowusher.rules.copies.replica import Kept, Replica, Role, Store
 from hollowusher.rules.copies.takeover import Bound, Next, allowed, next_of
 from hollowusher.settings.model import ConfigError
 from hollowusher.settings.reader import read_text
@@ -100,6 +103,7 @@
         new = net.leader()
         assert new is not None
         self.assertNotEqual(new.name, lead.name)
+        self.assertIsNot(lead.role, Role.LEADER)  # what waits at the old one must not wait on
 
     def test_two_of_five_lose_all_and_a_third_restarts_empty(self) -> None:
         net = self.net(5)
@@ -113,6 +117,26 @@
         self.assertIsNone(net.leader())  # it cannot know what was promised, and promises nothing more
         self.assertEqual(net.began_anew, 5)  # only at the first start
 
+    def test_a_log_is_not_void_while_a_learner_holds_a_part_of_it(self) -> None:
+        net = self.net()
+        self.fill(net)
+        net.crash("n1")
+        net.start("n1")
+        for other in ("n0", "n2"):  # it is taught, and cannot say that it has learnt
+            net.cut("n1", other, 30 * S)
+        net.run(net.now + S // 10)
+        net.cuts.clear()
+        net.run(net.now + S // 10)
+        taught = net.copies["n1"].replica
+        assert taught is not None
+        taught.role, taught._held = Role.LEARNER, False  # as if its teacher had gone a moment sooner
+        for name in ("n0", "n2"):
+            net.crash(name)
+            net.start(name)
+        net.run(net.now + 10 * S)
+        self.assertIsNone(net.leader())
+        self.assertEqual(net.began_anew, 3)  # at the first start only
+
     def test_an_old_image_of_a_disk_is_found_by_the_starts_that_others_know(self) -> None:
         for make in (Replica, copies_check.ImageTrusted):
             net = self.net(storage=True, make=make)
@@ -133,6 +157,18 @@
                 with self.assertRaises(Broken):
                     net.run(net.now + 10 * S)
 
+    def test_one_that_lost_its_disk_is_not_taken_for_an_old_image_later(self) -> None:
+        net = self.net(storage=True)
+        for disk in ("kept", "kept", "kept", "none", "kept", "kept"):
+            net.crash("n2")
+            net.run(net.now + S // 2)
+            net.start("n2", disk)
+            net.run(net.now + 3 * S)
+            again = net.copies["n2"].replica
+            assert again is not None
+            self.assertIsNot(again.role, Role.LEARNER, disk)
+        self.assertFalse([what for _, _, what in net.told if "old image" in what])
+
     def test_a_group_changes_one_member_at_a_time(self) -> None:
         net = self.net(5)
         lead = net.leader()
@@ -182,6 +218,52 @@
         self.assertEqual(lead and lead.name, "n0")
 
 
+class Kept1(unittest.TestCase):
+    """A keeper of one log with nobody else, so that all is kept at once."""
+
+    def setUp(self) -> None:
+        self.keeper = Keeper("n1", ["n1"], 1, Pace(), random.Random(1), 0, CLASSES)
+        self.now = 0
+        self.to(3 * S)
+        self.assertTrue(self.keeper.promises(self.now))
+
+    def to(self, now: int) -> None:
+        while self.now < now:
+            self.now += S // 10
+            self.keeper.step(self.now, self.now // MS)
+
+    def write(self, *records: Record) -> int:
+        return self.keeper.write(self.now, self.now // MS, "n1", records)
+
+    def test_an_open_job_is_closed_some_time_after_its_client_left(self) -> None:
+        self.assertTrue(self.write(taken("j", until_ms=5_000)))
+        self.to(6 * S)
+        self.assertEqual(len(self.keeper.logs["n1"].book.open()), 1)
+        self.to(9 * S)
+        held = self.keeper.logs["n1"].book.jobs["j"]
+        self.assertEqual(held.answer and held.answer.verdict, "failed")
+
+    def test_an_unsafe_intent_is_refused_where_one_may_have_run(self) -> None:
+        intent = Intent("j", 1, "s1", "0", 3_000)
+        self.assertEqual(self.write(intent), 0)  # the job is not known
+        self.assertTrue(self.write(taken("j", until_ms=20_000)))
+        self.assertTrue(self.write(intent))
+        self.assertEqual(self.write(Intent("j", 2, "s2", "0", 3_100)), 0)
+        self.assertTrue(self.write(Ended("j", 1, True)))  # it never ran, after all
+        self.assertTrue(self.write(Intent("j", 2, "s2", "0", 3_200)))
+        self.assertTrue(self.write(Answered("j", "served", 3_300)))
+        self.assertEqual(self.write(Intent("j", 3, "s2", "0", 3_400)), 0)
+
+    def test_a_job_that_came_anew_goes_before_its_refusal(self) -> None:
+        self.write(taken("j", until_ms=20_000), Answered("j", "refused", 3_000))
+        other = copy.deepcopy(self.keeper.logs["n1"])
+        other.book = Book()
+        other.book.apply(taken("j", until_ms=20_000))
+        self.keeper.logs["n0"] = other
+        found = self.keeper.find("j")
+        self.assertEqual(found and found[0], "n0")
+
+
 def taken(job: str = "j", job_class: str = "settle", until_ms: int = 10_000) -> Taken:
     return Taken(job, job_class, "s", b"body", until_ms)
 
--- a/tests/test_faults_process.py
+++ b/tests/test_faults_process.py
@@ -17,7 +17,7 @@
 from tests import standins  # noqa: F401  (its event loop)
 from tests.test_faults import SCRIPTS
 
-SHORT = ("older-clock", "pause", "served", "twin")
+SHORT = ("older-clock", "pause", "renamed", "served", "twin")
 
 
 class ShortSet(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -59,6 +59,7 @@
         play.run(60 * S)
         self.assertEqual(self.deaths(play, ("n0",)), [])
         self.assertTrue(member(play, "n0").minority)
+        self.assertEqual(member(play, "n0").missing(), set())  # it may be itself that is cut off
         self.assertFalse(any(member(play, n).minority for n in others))
         play.run(90 * S)
         self.assertTrue(play.converged())
