End an attempt that is withdrawn while its intent is being kept, and number intents apart

At fault: gate.py passed a Withdraw on to the floor while the attempt still waited for its intent; the floor knew of none, the desk never heard its end, and the module took the node for silent. The kept intent went out later all the same.

Change: such an attempt ends at once as not sent, and is told as one that never ran if its intent is kept after all. Intents are numbered one by one: a job that came to one process twice had the same numbers again, so that the end of one could speak for the other.

--- a/hollowusher/net/copies/gate.py
+++ b/hollowusher/net/copies/gate.py
@@ -8,14 +8,13 @@
 from hazelweir.interface import Outcome
 from hollowusher.core.model import (
     Answer, Attempt, AttemptEnded, DeskEvent, Dispatch, Job, JobTaken, Order, Reply, TerminalGone, Verdict,
+    Withdraw,
 )
 from hollowusher.core.roster import Roster
 from hollowusher.net.copies.node import CopiesNode
 from hollowusher.rules.copies.custody import Act, Do
 from hollowusher.rules.copies.records import Answered, Taken
 
-ATTEMPTS = 64  # numbers of attempts that one job of one process may use
-
 
 class Gate:
     """`post` goes before the desk's queue, `carry_out` before the floor."""
@@ -27,8 +26,11 @@
         self.classes, self._roster, self._post, self._carry_out = classes, roster, post, carry_out
         self._wait_ns = wait_ns  # advice that goes with a refusal
         self.node: CopiesNode | None = None
-        self._numbers = (time.time_ns() ^ seed) % (1 << 40) * ATTEMPTS  # another process has others
-        self._attempts: dict[Attempt, str] = {}  # that are out: the job's id
+        # Each intent has a number of its own, of this process alone: a job may come to it more than once.
+        self._number = (time.time_ns() ^ seed) % (1 << 40) << 20
+        self._waiting: dict[Attempt, int] = {}  # intents that are not kept yet, and their numbers
+        self._withdrawn: dict[Attempt, int] = {}  # those of them that the desk does not want any more
+        self._out: dict[Attempt, tuple[str, int]] = {}  # attempts that are out: the job's id, the number
 
     def copied(self, job: Job) -> bool:
         """Whether a job's class is copied."""
@@ -47,17 +49,14 @@
                 self.node.take(taken, job, job.retry)
             case TerminalGone(job) if self.copied(job):
                 self.node.gone(job.job_id, job)  # it may come back: the job goes on
-            case AttemptEnded(attempt) if attempt in self._attempts:
-                job_id = self._attempts.pop(attempt)
+            case AttemptEnded(attempt) if attempt in self._out:
+                job_id, number = self._out.pop(attempt)
                 if event.outcome is not Outcome.OK:  # a good end is told by its answer
-                    self.node.ended(job_id, self._number(attempt), event.outcome.never_ran)
+                    self.node.ended(job_id, number, event.outcome.never_ran)
                 self._post(event)
             case _:
                 self._post(event)
 
-    def _number(self, attempt: Attempt) -> int:
-        return self._numbers + attempt.number
-
     # --- from the desk ------------------------------------------------------------------------------------
 
     def carry_out(self, order: Order) -> None:
@@ -67,7 +66,14 @@
             case Dispatch(attempt, job) if self.copied(job):
                 listed = self._roster.node(attempt.node)
                 name, cell = (listed.name, str(listed.entry.cell)) if listed is not None else ("", "")
-                self.node.intent(job.job_id, self._number(attempt), name, cell, order)
+                self._number += 1
+                self._waiting[attempt] = self._number
+                self.node.intent(job.job_id, self._number, name, cell, order)
+            case Withdraw(attempt) if attempt in self._waiting:
+                # Nothing of it is out, and nothing will be: the desk must hear so, else it waits for good and
+                # takes the node for one that is silent.
+                self._withdrawn[attempt] = self._waiting.pop(attempt)
+                self._post(AttemptEnded(attempt, Outcome.NOT_SENT))
             case Reply(job, answer) if self.copied(job):
                 until_ms = int(time.time() * 1000) + (job.deadline_ns - time.monotonic_ns()) // 1_000_000
                 told = Answered(job.job_id, answer.verdict.value, int(time.time() * 1000), answer.result,
@@ -80,6 +86,7 @@
 
     def act(self, act: Act) -> None:
         """One thing that the custody lets go on."""
+        assert self.node is not None
         match act.do, act.handle:
             case Do.START, Job() as job:
                 self._post(JobTaken(job))
@@ -90,10 +97,15 @@
             case Do.TELL, Job() as job if act.answer is not None:
                 answer = act.answer
                 job.answer_to(Answer(Verdict(answer.verdict), answer.result, answer.wait_ns))
-            case Do.GO, Dispatch(attempt, job) as order:
-                self._attempts[attempt] = job.job_id
+            case Do.GO, Dispatch(attempt, job) as order if attempt in self._waiting:
+                self._out[attempt] = (job.job_id, self._waiting.pop(attempt))
                 self._carry_out(order)
-            case Do.NOT_SENT, Dispatch(attempt, _):
+            case Do.GO, Dispatch(attempt, job) if attempt in self._withdrawn:
+                self.node.ended(job.job_id, self._withdrawn.pop(attempt), True)
+            case Do.NOT_SENT, Dispatch(attempt, _) if attempt in self._withdrawn:
+                del self._withdrawn[attempt]
+            case Do.NOT_SENT, Dispatch(attempt, _) if attempt in self._waiting:
+                del self._waiting[attempt]
                 self._post(AttemptEnded(attempt, Outcome.NOT_SENT))
             case _:
                 pass
--- a/tests/test_copies.py
+++ b/tests/test_copies.py
@@ -9,17 +9,22 @@
 import time
 import unittest
 from collections import Counter
+from unittest import mock
 from pathlib import Path
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from hazelweir import Outcome
+from hollowusher.core.model import Attempt, AttemptEnded, DeskEvent, Dispatch, Job, Order, Withdraw
+from hollowusher.core.roster import Roster
 from hollowusher.emulator import copies_check
 from hollowusher.emulator.copies import Broken, CopyNet, S, storm
 from hollowusher.emulator.copies_check import REPLICAS, SETTINGS, find, find_in_jobs, jobs_storm
 from hollowusher.emulator.copies_model import check
 from hollowusher.emulator.custody import CLASSES, CustodyNet
 from hollowusher.log import Log
+from hollowusher.net.copies.gate import Gate
 from hollowusher.net.copies.node import CopiesNode
 from hollowusher.net.copies.settings import COPIES, COPY, CopiesConfig, read_copies
 from hollowusher.net.copies.storage import MAGIC, Files, Folder, parse
@@ -462,6 +467,42 @@
             self.assertTrue(any(isinstance(r, Taken) and r.job == job for r in kept))
 
 
+class BeforeTheFloor(unittest.TestCase):
+    def setUp(self) -> None:
+        self.posted: list[DeskEvent] = []
+        self.carried: list[Order] = []
+        self.node = mock.Mock()
+        self.gate = Gate(frozenset({"settle"}), Roster(), self.posted.append, self.carried.append, 0, 1)
+        self.gate.node = self.node
+        self.order = Dispatch(Attempt("job-1", 0, 7), Job("j", "settle", "s", b"", 0, 10**12, print), 0)
+
+    def test_an_attempt_waits_for_its_intent(self) -> None:
+        self.gate.carry_out(self.order)
+        self.assertEqual((self.carried, self.posted), ([], []))
+        self.gate.act(Act(Do.GO, self.order))
+        self.assertEqual(self.carried, [self.order])
+        self.gate.post(AttemptEnded(self.order.attempt, Outcome.RESET))
+        self.node.ended.assert_called_once_with("j", mock.ANY, False)
+        self.assertEqual(len(self.posted), 1)
+
+    def test_one_that_is_withdrawn_meanwhile_ends_at_once_and_is_never_sent(self) -> None:
+        for late, never in ((Do.GO, 1), (Do.NOT_SENT, 0)):
+            self.setUp()
+            self.gate.carry_out(self.order)
+            number = self.node.intent.call_args.args[1]
+            self.gate.carry_out(Withdraw(self.order.attempt))
+            self.assertEqual(self.posted, [AttemptEnded(self.order.attempt, Outcome.NOT_SENT)])
+            self.gate.act(Act(late, self.order))
+            self.assertEqual((self.carried, len(self.posted)), ([], 1))
+            self.assertEqual(self.node.ended.call_args_list, [mock.call("j", number, True)] * never)
+
+    def test_no_two_intents_of_one_job_have_one_number(self) -> None:
+        for ticket in ("job-1", "job-2"):  # it came to the desk twice
+            self.gate.carry_out(Dispatch(Attempt(ticket, 0, 7), self.order.job, 0))
+        numbers = [call.args[1] for call in self.node.intent.call_args_list]
+        self.assertEqual(len(set(numbers)), 2)
+
+
 class OnTheWire(unittest.TestCase):
     @settings(max_examples=60, deadline=None)
     @given(st.lists(st.integers(0, 3000), min_size=1, max_size=5), st.integers(1, 900))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -206,6 +206,17 @@
     assert used[True] < bears  # on average the module's own margin is kept
 
 
+def test_a_scheduler_knows_how_often_a_turn_finds_a_job() -> None:
+    node = Node(only(SAFE, balancers=200, rules=COLD), workers(1))
+    uses = []
+    for count in range(60):
+        node.arrive(f"r{count}", "safe")
+        node.run(S if count < 30 else S // 10)
+        uses.append(node.balancer.gate.use)
+    assert abs(uses[29] - (1 - math.exp(-0.5))) < 0.05  # one job a second, half a span
+    assert uses[-1] > uses[29] + 0.1
+
+
 def test_no_job_goes_to_a_cold_worker_that_would_be_all_it_bears() -> None:
     settings, entry = replace(SITE, balancers=200, rules=COLD), workers(1, started_ns=S)[0]
     views = [Worker(entry, replace(settings, me=me), 12_500_000, S) for me in range(200)]
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -220,7 +220,7 @@
             view.saw(S, "s1", False)
         self.assertTrue(view.bad(S, "s1"))
         self.assertFalse(view.bad(S + LAPSE_NS, "s1"))
-        for member in "abc":
+        for member in "abcdefgh":  # faded to less than a half each, they would still be enough together
             view.take(S, Seen(member, 1, 1, "s2", 4.0))
         self.assertEqual((view.bad(S, "s2"), view.bad(S + LAPSE_NS + 1, "s2")), (True, False))
         view.anew("s1")
