Refuse settings with a missing, odd or contradictory key by the key's own name

Need: a file without an effect made the class unsafe in silence, one without caps got one attempt, and faults were named by the module's fields (classes[x].aim_ns) rather than by the file's keys.

Change: hollowusher/settings/platform.py, a table of checks: what must be there, of what kind, in what range; effects and scopes by word; classes by different names; a share of zero; me below fleet_size; must_ask_in where the list is asked for. Keys that are not named are ignored. An aim beyond the deadline is no fault. Test configurations are whole now (emulator/outside.py platform_settings).

--- a/benchmarks/fleet_sums.py
+++ b/benchmarks/fleet_sums.py
@@ -24,7 +24,7 @@
 from hazelweir import State
 from hollowusher.core.model import Dispatch, Order, ProbeNode, WatchNodeList
 from hollowusher.emulator.model import Kind
-from hollowusher.emulator.outside import free_port, node_rows
+from hollowusher.emulator.outside import free_port, node_rows, platform_settings
 from hollowusher.emulator.traffic import Spell, draw
 from hollowusher.emulator.virtual import Rehearsal, VirtualNode, VirtualScheduler
 
@@ -97,7 +97,7 @@
     """The program with a list of so many nodes; its row."""
     grade = {"name": "eta-quote", "effect": "retryable", "goal_time_ns": S // 5, "deadline_ns": 5 * S}
     site = {"name": "n", "seed": "1", "limits": {"memory_mb": 192, "sockets": 512},
-            "settings": {"grades": [grade], "discovery": "ask"}}
+            "settings": platform_settings([grade])}
     listen = f"127.0.0.1:{free_port()}"
     known = {"version": 1, "full": True, "servers": node_rows(range(20_000, 20_000 + nodes))}
     with tempfile.TemporaryDirectory() as folder:
--- a/hollowusher/config.py
+++ b/hollowusher/config.py
@@ -21,6 +21,7 @@
 from hollowusher.net.peers.settings import PEER, PEERS, Allowed, PeersConfig, read_peers
 from hollowusher.net.reports.settings import REPORTS, read_reports
 from hollowusher.net.shared.settings import SHARED, SharedConfig, read_shared
+from hollowusher.settings.platform import faults
 from hollowusher.settings.model import ConfigError, parse_address
 from hollowusher.settings.reader import read_file
 
@@ -140,6 +141,8 @@
     if not isinstance(table, dict):
         raise ConfigError("PROXY_CONFIG: must hold one JSON object")
     raw = _get(table, "settings", dict, {})
+    for fault in faults(raw):  # the first of them
+        raise ConfigError(f"settings.{fault}")
     pairs = flatten(raw)
     try:
         settings, meanings = read_settings("BEGIN", (f"{k}={v}" for k, v in pairs.items()))
--- a/hollowusher/emulator/processes/fleet.py
+++ b/hollowusher/emulator/processes/fleet.py
@@ -10,12 +10,13 @@
 import signal
 import sys
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
 from hollowusher.emulator.faults.history import Entry
+from hollowusher.emulator.outside import platform_settings
 from hollowusher.emulator.processes.child import CLOCK
 from hollowusher.net.reports.listener import ask
 from hollowusher.settings.model import ConfigError
@@ -221,18 +222,11 @@
     classes: list[dict[str, Any]], stretches: list[float],
 ) -> dict[str, Any]:
     """The platform's file for one scheduler, with the settings that a rehearsal has."""
-    settings: Mapping[str, Any] = {
-        "grades": classes, "fleet_size": fleet, "me": number, "az": "a", "zones": ["a"], "discovery": "ask",
-        "granularity_ns": 2_000_000, "caps": {
-            "cancel": True, "probes": True, "second_copies": True, "retry_after": True,
-            "max_retry_after_ns": 2_000_000_000, "max_attempts": 3},
-        "contract": {"drain_grace_ns": 250_000_000, "fall_multiple": 2.5, "cold_share": 0.12,
-                     "warm_after_ns": 24_000_000_000},
-        "report": {"via": "inline", "names": ["x0"]},
-        "family_info": {"report_x0": "free_slots", "tells_start": True, "progress_ns": 2_000_000_000,
-                        "class_stretch": stretches, "class_kind": [-1] * len(stretches),
-                        "class_priority": [0] * len(stretches)},
-    }
+    settings = platform_settings(
+        classes, fleet_size=fleet, me=number, az="a", zones=["a"], report={"via": "inline", "names": ["x0"]},
+        family_info={"report_x0": "free_slots", "tells_start": True, "progress_ns": 2_000_000_000,
+                     "class_stretch": stretches, "class_kind": [-1] * len(stretches),
+                     "class_priority": [0] * len(stretches)})
     return {"name": name, "listen": f"{listen[0]}:{listen[1]}", "discovery": f"{discovery[0]}:{discovery[1]}",
             "seed": f"{seed * 1000 + number + 1:x}", "limits": {"sockets": 512}, "settings": settings,
             "known": {"version": 0, "full": True, "servers": []}}
--- /dev/null
+++ b/hollowusher/settings/platform.py
@@ -0,0 +1,130 @@
+"""What the platform's settings have to hold: named checks of single keys, and of keys against each other.
+
+A key that is not named here may be there or not.  Each fault is one line that names the key as the file has
+it.  An aim beyond the deadline is no fault: such a class is never late.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+_MISSING = object()
+LONGEST_NS = 86_400 * 1_000_000_000
+EFFECTS, SCOPES = ("retryable", "dedup", "fragile"), ("all", "zone", "cell")
+
+
+@dataclass(frozen=True, slots=True)
+class Check:
+    """One key: whether it must be there, and what it may be."""
+
+    path: str
+    needed: bool = True
+    words: tuple[str, ...] = ()  # one of these
+    least: float | None = None  # a number from here on
+    above: float | None = None  # a number above this
+    most: float | None = None
+    whole: bool = False
+
+    def fault(self, table: Mapping[str, Any]) -> str | None:
+        """What is wrong with the key, if anything is."""
+        value: Any = table
+        for part in self.path.split("."):
+            value = value.get(part, _MISSING) if isinstance(value, Mapping) else _MISSING
+        if value is _MISSING or value is None:
+            return "is missing" if self.needed else None
+        if self.words:
+            if value not in self.words:
+                return f"must be one of {', '.join(self.words)}, is {value!r}"
+        elif self.least is not None or self.above is not None:
+            if isinstance(value, bool) or not isinstance(value, int if self.whole else int | float):
+                return f"must be a {'whole ' if self.whole else ''}number, is {value!r}"
+            if not self._holds(value):
+                floor = f"{self.least:g} or more" if self.least is not None else f"above {self.above:g}"
+                return f"must be {floor}{f' and at most {self.most:g}' if self.most else ''}, is {value!r}"
+        elif not isinstance(value, str) or not value:
+            return f"must be a text, is {value!r}"
+        return None
+
+    def _holds(self, value: float) -> bool:
+        return ((self.least is None or value >= self.least) and (self.above is None or value > self.above)
+                and (self.most is None or value <= self.most))
+
+
+COMMON = (
+    Check("discovery", words=("push", "ask")),
+    Check("fleet_size", least=1, most=100_000, whole=True),
+    Check("me", least=0, whole=True),
+    Check("granularity_ns", above=0, most=LONGEST_NS, whole=True, needed=False),
+    Check("caps.max_attempts", least=1, most=1000, whole=True),
+    Check("caps.connect_timeout_ns", above=0, most=LONGEST_NS, whole=True),
+    Check("caps.idle_close_ns", above=0, most=LONGEST_NS, whole=True),
+    Check("caps.max_retry_after_ns", least=0, most=LONGEST_NS, whole=True, needed=False),
+    Check("contract.drain_grace_ns", least=0, most=LONGEST_NS, whole=True),
+    Check("contract.fall_multiple", above=0, most=1e6),
+    Check("contract.tip_after_ns", above=0, most=LONGEST_NS, whole=True),
+    Check("contract.cold_share", above=0, most=1),
+    Check("contract.warm_after_ns", least=0, most=LONGEST_NS, whole=True),
+    Check("contract.grace_to_answer_ns", least=0, most=LONGEST_NS, whole=True, needed=False),
+)
+ASKED = (Check("contract.must_ask_in_ns", above=0, most=LONGEST_NS, whole=True),)
+GRADE = (
+    Check("name"),
+    Check("effect", words=EFFECTS),
+    Check("goal_time_ns", above=0, most=LONGEST_NS, whole=True),
+    Check("deadline_ns", above=0, most=LONGEST_NS, whole=True),
+    Check("value", least=0, most=1e12, needed=False),
+    Check("late_share", least=0, most=1, needed=False),
+    Check("share", above=0, needed=False),
+)
+KEYED = (
+    Check("key_scope", words=SCOPES),
+    Check("memory_span_ns", above=0, most=LONGEST_NS, whole=True),
+)
+CUSTOMER = (
+    Check("name"), Check("share", above=0, needed=False), Check("allowance_per_s", least=0, needed=False),
+)
+
+
+def faults(table: Mapping[str, Any]) -> Iterator[str]:
+    """All that is wrong, a line each: the key and why."""
+    for check in (*COMMON, *(ASKED if table.get("discovery") == "ask" else ())):
+        if (why := check.fault(table)) is not None:
+            yield f"{check.path}: {why}"
+    size, me = table.get("fleet_size"), table.get("me")
+    if isinstance(size, int) and isinstance(me, int) and 1 <= size <= me:
+        yield f"me: must be below fleet_size, which is {size}, is {me}"
+    grades = table.get("grades", _MISSING)
+    if not isinstance(grades, list) or not grades:
+        yield "grades: " + ("is missing" if grades is _MISSING else "must be a list of one class or more")
+        grades = []
+    names = set[str]()
+    for index, grade in enumerate(grades):
+        yield from _rows("grades", index, grade, GRADE)
+        if isinstance(grade, Mapping):
+            yield from _class_faults(f"grades.{index}", index, grade, names)
+    customers = table.get("customers") or []
+    if not isinstance(customers, list):
+        yield "customers: must be a list"
+        customers = []
+    for index, customer in enumerate(customers):
+        yield from _rows("customers", index, customer, CUSTOMER)
+
+
+def _class_faults(at: str, index: int, grade: Mapping[str, Any], names: set[str]) -> Iterator[str]:
+    """What a class's keys are to each other and to other classes."""
+    if grade.get("effect") == "dedup":
+        yield from _rows("grades", index, grade, KEYED)
+    if (name := str(grade.get("name"))) in names:
+        yield f"{at}.name: another class has this name, {name!r}"
+    names.add(name)
+
+
+def _rows(list_name: str, index: int, row: object, checks: tuple[Check, ...]) -> Iterator[str]:
+    if not isinstance(row, Mapping):
+        yield f"{list_name}.{index}: must be an object"
+        return
+    for check in checks:
+        if (why := check.fault(row)) is not None:
+            yield f"{list_name}.{index}.{check.path}: {why}"
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -15,6 +15,7 @@
 from hazelweir.interface import Goal
 from hazelweir.shares import Shares
 from hollowusher.config import load
+from hollowusher.emulator.outside import platform_settings
 from hollowusher.core.desk import DispatchDesk
 from hollowusher.core.model import JobTaken
 from hollowusher.fronts.common import read_load
@@ -63,7 +64,8 @@
 
 class PlatformsPeers(unittest.TestCase):
     def test_they_are_read_and_a_wrong_one_is_named(self) -> None:
-        base = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {"grades": [{"name": "a"}]}}
+        base = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": platform_settings(
+                [{"name": "a", "effect": "fragile", "goal_time_ns": S, "deadline_ns": 2 * S}])}
         cases: tuple[tuple[dict[str, Any], str], ...] = (
             ({"peers": ["127.0.0.1:7", "127.0.0.1:8"], "peers_all": "127.0.0.1:9",
               "peer_listen": "127.0.0.1:7"}, ""),
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -33,6 +33,7 @@
     WatchNodeList,
     Withdraw,
 )
+from hollowusher.emulator.outside import platform_settings
 from hollowusher.fronts.stomp.ledger import Finding, Ledger, fingerprint
 from hollowusher.log import Log
 from hollowusher.settings.model import ConfigError
@@ -200,12 +201,14 @@
         self.assertEqual((len(self.ledger), self.ledger.bytes), (0, 0))
 
 
+GRADE = {"name": "q", "effect": "fragile", "goal_time_ns": 10, "deadline_ns": 20}
+KEYED = {**GRADE, "effect": "dedup", "key_scope": "cell", "memory_span_ns": 9}
 GOOD: dict[str, Any] = {
     "listen": "127.0.0.1:1",
     "discovery": "127.0.0.1:2",
     "seed": "ff",
     "limits": {"sockets": 2048},
-    "settings": {"grades": [{"name": "q", "goal_time_ns": 10}], "kinds": ["a", "b"], "caps": {}},
+    "settings": platform_settings([GRADE], kinds=["a", "b"]),
 }
 
 
@@ -235,9 +238,7 @@
             ({"limits": {"sockets": 3}}, "limits.sockets"),
             ({"known": []}, "known"),
             ({"settings": 1}, "settings"),
-            ({"settings": {"grades": [{"goal_time_ns": "x"}]}}, "settings.grades.0.goal_time_ns"),
-            ({"settings": {"grades": []}}, "settings.classes"),
-            ({"settings": {**GOOD["settings"], "caps": {"idle_close_ns": 0}}}, "settings.caps.idle_close_ns"),
+            ({"settings": {}}, "settings.discovery"),
         )
         for change, key in cases:
             self.table = {**GOOD, **change}
@@ -250,3 +251,41 @@
                 self.load(**{name: value})
         with self.assertRaisesRegex(ConfigError, "^PROXY_CONFIG:"):
             load({})
+
+    def test_settings_that_cannot_hold_are_named_and_more_keys_are_no_matter(self) -> None:
+        caps, contract = platform_settings([])["caps"], platform_settings([])["contract"]
+        cases: list[tuple[dict[str, Any], str]] = [
+            ({"grades": []}, "grades"), ({"grades": {}}, "grades"), ({"grades": [1]}, "grades.0"),
+            ({"discovery": "now and then"}, "discovery"), ({"fleet_size": 0}, "fleet_size"),
+            ({"fleet_size": 2, "me": 2}, "me"), ({"me": True}, "me"),
+            ({"granularity_ns": 0}, "granularity_ns"), ({"customers": 3}, "customers"),
+            ({"customers": [{"name": "a", "share": 0}]}, "customers.0.share"),
+            ({"customers": [{"share": 1.0}]}, "customers.0.name"),
+            ({"grades": [GRADE, {**GRADE, "share": 0}]}, "grades.1.share"),
+            ({"grades": [GRADE, GRADE]}, "grades.1.name"),
+            ({"grades": [{**KEYED, "memory_span_ns": 0}]}, "grades.0.memory_span_ns"),
+            ({"grades": [{**KEYED, "key_scope": "street"}]}, "grades.0.key_scope"),
+        ]
+        cases += [({"grades": [{**GRADE, key: value}]}, f"grades.0.{key}") for key, value in (
+            ("effect", "now and then"), ("effect", None), ("name", ""), ("goal_time_ns", "x"),
+            ("goal_time_ns", 0), ("deadline_ns", 1.5), ("deadline_ns", 10**18), ("late_share", 2),
+            ("value", -1))]
+        cases += [({"caps": {**caps, key: value}}, f"caps.{key}") for key, value in (
+            ("idle_close_ns", 0), ("max_attempts", 0), ("connect_timeout_ns", None),
+            ("max_retry_after_ns", -1))]
+        cases += [({"contract": {**contract, key: value}}, f"contract.{key}") for key, value in (
+            ("cold_share", 0), ("cold_share", 1.1), ("fall_multiple", 0), ("tip_after_ns", None),
+            ("drain_grace_ns", -1), ("must_ask_in_ns", 0), ("warm_after_ns", "24s"))]
+        for key in ("caps", "contract", "me", "fleet_size"):
+            cases.append(({key: None}, key))
+        for change, key in cases:
+            self.table = {**GOOD, "settings": {**GOOD["settings"], **change}}
+            with self.assertRaises(ConfigError, msg=change) as caught:
+                self.load()
+            self.assertRegex(str(caught.exception), rf"^settings\.{key}", change)
+            self.assertNotIn("\n", str(caught.exception))
+        more = {**GRADE, "colour": "red", "share": 0.5}
+        for change in ({"grades": [more], "weather": {"rain": [1]}}, {"grades": [KEYED]},
+                       {"discovery": "push", "contract": {**contract, "must_ask_in_ns": None}}):
+            self.table = {**GOOD, "settings": {**GOOD["settings"], **change}, "extra": 1}
+            self.assertEqual(self.load().settings.classes[0].name, "q")
