--- a/hazelweir/interface.py
+++ b/hazelweir/interface.py
@@ -75,9 +75,9 @@
 
 class ListKind(Enum):
     """CHANGES: only changed entries.  FULL: the whole list.  CACHED: the whole list as last held, perhaps
-    old.  FAILED: the service could not be reached, or a watch that stood has ended; the list held stays.
-    SILENT: the service may have news that was not heard: a watch fell silent or cannot be read, or a call was
-    turned away or not answered in time."""
+    old.  FAILED: the service turned a call away or could not be reached, or a watch that stood has ended; the
+    list held stays.  SILENT: the service may have news that was not heard: a watch fell silent or cannot be
+    read, or a call was given up."""
 
     CHANGES = "changes"
     FULL = "full"
--- a/hollowusher/fronts/platform/discovery.py
+++ b/hollowusher/fronts/platform/discovery.py
@@ -100,6 +100,8 @@
 
     async def _watch(self, address: tuple[str, int], version: int) -> None:
         link: Link | None = None
+        # A call that is refused, reset or answered with an error met no service that could tell; one that is
+        # given up, or whose answer cannot be read, shows nothing.
         why, kind = "the watch ended", ListKind.SILENT
         lines = ListLines(MOST_LINE)
         try:
@@ -109,13 +111,13 @@
             async with asyncio.timeout(self._call_s):
                 try:
                     link = await connect(address, min(CONNECT_TIMEOUT_S, self._call_s))
+                    await link.send(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+                    while not reader.head_done:
+                        await link.pass_on(reader.feed)
                 except OSError as wrong:
-                    if not out_of_descriptors(wrong):
+                    if not (reader.spoilt or out_of_descriptors(wrong)):
                         kind = ListKind.FAILED
                     raise
-                await link.send(f"GET {path} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
-                while not reader.head_done:
-                    await link.pass_on(reader.feed)
             if reader.status == 200:
                 patience_s = FIRST_LINE_S
                 while True:
@@ -133,7 +135,7 @@
                             kind = ListKind.FAILED  # up to its end it has told all
                             raise
             else:
-                why = f"status {reader.status}"
+                why, kind = f"status {reader.status}", ListKind.FAILED
         except TimeoutError:
             why = "silence"
         except Exception as wrong:  # whatever the service sends: a call that never ended would be the last
