Bound every wait of the endings' tests

Cause: with a mutation that closes at once two tests waited for a stage that never came, for as long as the runner lets them.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -10,6 +10,7 @@
 import struct
 import time
 import unittest
+from collections.abc import Callable
 from typing import Any
 from unittest import mock
 
@@ -52,6 +53,13 @@
         return False
 
 
+async def until(holds: Callable[[], bool]) -> None:
+    """Wait for what the other tasks of this loop will bring about."""
+    async with asyncio.timeout(5.0):
+        while not holds():
+            await asyncio.sleep(0.001)
+
+
 def break_off(sock: socket.socket) -> None:
     """Reset a connection."""
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -160,8 +168,7 @@
         sock.sendall(post("a").replace(b"Host: h", b"Connection: close\r\nHost: h"))
         (await self.taken()).answer_to(Answer(Verdict.SERVED, b"result"))
         (session,) = self.front._sessions
-        while session._stage is not clients.Stage.LEAVING:
-            await asyncio.sleep(0.001)
+        await until(lambda: session._stage is clients.Stage.LEAVING)
         sock.sendall(post("b"))  # it is written to a connection that we have shut
         for _ in range(20):
             await asyncio.sleep(0.001)
@@ -175,12 +182,10 @@
         sock, young = self.client(), self.client()
         sock.sendall(post("a"))
         (await self.taken()).answer_to(Answer(Verdict.SERVED, b"result"))
-        while not shows(sock, b"result"):
-            await asyncio.sleep(0.001)
+        await until(lambda: shows(sock, b"result"))
         with mock.patch.object(self.front, "drain_times", DrainTimes(0.0, 1.0, 0.5)):
             draining = asyncio.create_task(self.front.drain(self.accepting))
-            while not all(s._stage is clients.Stage.LEAVING for s in self.front._sessions):
-                await asyncio.sleep(0.001)
+            await until(lambda: all(s._stage is clients.Stage.LEAVING for s in self.front._sessions))
             sock.sendall(post("b"))  # crosses it
             self.assertTrue((await self.read(sock)).endswith(b"result"))
             self.assertEqual(await self.read(young), b"")
@@ -194,8 +199,7 @@
         sock = self.client()
         sock.sendall(post("a"))
         (await self.taken()).answer_to(Answer(Verdict.SERVED, b"result"))
-        while not shows(sock, b"result"):
-            await asyncio.sleep(0.001)
+        await until(lambda: shows(sock, b"result"))
         (session,) = self.front._sessions
         sock.sendall(post("b"))  # it lies in the kernel as the session is told
         self.front.closing = True
@@ -211,20 +215,17 @@
         job = await self.taken()
         idle = [self.client() for _ in range(7)]
         with mock.patch.object(clients, "YOUNG_S", 0.0):
-            while len(self.front._sessions) < 8:
-                await asyncio.sleep(0.001)
+            await until(lambda: len(self.front._sessions) >= 8)
             late = self.client()
             late.sendall(post("late"))
             (await self.taken()).answer_to(Answer(Verdict.SERVED, b"late"))
             self.assertEqual(await self.read(idle[0]), b"")
         job.answer_to(Answer(Verdict.SERVED, b"owed"))
-        while not shows(owed, b"owed"):
-            await asyncio.sleep(0.001)
+        await until(lambda: shows(owed, b"owed"))
 
     async def test_small_writes_are_not_held_back(self) -> None:
         sock = self.client()
-        while not self.front._sessions:
-            await asyncio.sleep(0.001)
+        await until(lambda: bool(self.front._sessions))
         (session,) = self.front._sessions
         out = await connect(self.listener.getsockname(), 1.0)
         for link in (session._link, out):
@@ -382,8 +383,7 @@
         await nodes.attempt(self.order(), self.node)
         self.assertIs(self.outcome(), Outcome.OK)
         (link,) = self.pool._idle[1]
-        while link.fresh():
-            await asyncio.sleep(0.001)
+        await until(lambda: not link.fresh())
         node.pieces = (HEAD, DONE.replace(b"j1", b"j2"), LAST)
         await nodes.attempt(self.order("j2"), self.node)
         self.assertIs(self.outcome(), Outcome.OK)
