Sharpen five tests of endings and cold sums that passed without the code they are for

Not found: a STOMP job that is not told of its client's leaving (time ended it at 5 s, inside the test's patience; its budget is 30 s now, and so is that of frames that wait unread); a stop that closes hard (the sessions were gone, and nothing was left to be in a wrong stage); turns lent without a bound (now also with 30 times the jobs that were expected for 2 s); an eviction of a resting connection with a request unread (only a young one was tried).

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -185,7 +185,7 @@
         await until(lambda: shows(sock, b"result"))
         with mock.patch.object(self.front, "drain_times", DrainTimes(0.0, 1.0, 0.5)):
             draining = asyncio.create_task(self.front.drain(self.accepting))
-            await until(lambda: all(s._stage is clients.Stage.LEAVING for s in self.front._sessions))
+            await until(lambda: [s._stage for s in self.front._sessions] == [clients.Stage.LEAVING] * 2)
             sock.sendall(post("b"))  # crosses it
             self.assertTrue((await self.read(sock)).endswith(b"result"))
             self.assertEqual(await self.read(young), b"")
@@ -223,6 +223,18 @@
         job.answer_to(Answer(Verdict.SERVED, b"owed"))
         await until(lambda: shows(owed, b"owed"))
 
+    async def test_a_resting_connection_with_a_request_unread_is_not_evicted(self) -> None:
+        sock = self.client()
+        sock.sendall(post("a"))
+        (await self.taken()).answer_to(Answer(Verdict.SERVED, b"result"))
+        await until(lambda: shows(sock, b"result"))
+        (session,) = self.front._sessions
+        sock.sendall(post("b"))  # it lies in the kernel as room is wanted
+        self.assertFalse(session.evict())
+        (await self.taken()).answer_to(Answer(Verdict.SERVED, b"second"))
+        await until(lambda: shows(sock, b"second"))
+        self.assertTrue(session.evict())
+
     async def test_small_writes_are_not_held_back(self) -> None:
         sock = self.client()
         await until(lambda: bool(self.front._sessions))
@@ -477,10 +489,12 @@
         probe.job("probe", "eta-quote", budget="0.3")
         self.assertEqual((await probe.answer())[1], "refused")  # the drain is known
         first, again = await self.stomp_client(), await self.stomp_client()
-        first.job("pay-1")
+        first.job("pay-1", budget="30")  # it would wait for a node for longer than this test does
         self.assertEqual((await first.next())[0], "RECEIPT")
         first.reset()
-        again.job("pay-1", resend="true")  # it is told what became of it, once that is known
+        probe.job("later", "eta-quote", budget="0.3")
+        self.assertEqual((await probe.answer())[1], "refused")  # by now the reset has been read as well
+        again.job("pay-1", budget="30", resend="true")  # it is told what became of it, once that is known
         self.assertEqual(await again.answer(), ("pay-1", "refused", b""))
         node.report(state="serving")
         again.job("pay-2")
@@ -496,7 +510,7 @@
                 await self.run_program(stomp_nodes=(node,))
                 session = await self.stomp_client()
                 for number in range(6):
-                    session.job(f"q-{number}", "eta-quote")
+                    session.job(f"q-{number}", "eta-quote", budget="30")  # nor does time end it
                 sent = await self.within(node.got.get())
                 if leave == "reset":
                     session.reset()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -350,8 +350,9 @@
         unit = round(MEAN * self.chance.uniform(0.7, 1.4))
         return Gate(settings, began), Worker(self.entry, settings, 12_500_000, began), unit
 
-    def play(self, rate: float, killed: float) -> None:
-        """Jobs a second and scheduler, unevenly; of a hundred schedulers so many are killed each second."""
+    def play(self, rate: float, killed: float, burst: float) -> None:
+        """Jobs a second and scheduler, unevenly; of a hundred schedulers so many are killed each second.
+        From 12 s on there are `burst` times as many jobs for a while, which nobody has learnt to expect."""
         chance, step, number = self.chance, 40 * MS, 0
         rates = [rate * chance.choice((0.3, 0.6, 1.0, 2.1)) for _ in self.lives]
         for now in range(S, 25 * S, step):
@@ -359,7 +360,8 @@
                 if chance.random() < killed / 100 * step / S:
                     self.lives[me] = self.life(me, now + 300 * MS)
                 gate, view, unit = self.lives[me]
-                if now < max(gate.began, self.heard[me]) or chance.random() > rates[me] * step / S:
+                more = burst if 12 * S <= now < 14 * S else 1.0
+                if now < max(gate.began, self.heard[me]) or chance.random() > more * rates[me] * step / S:
                     continue
                 number += 1
                 work = chance.choice((0.5, 1.0, 1.0, 4.0)) / 1.625 if self.heavy else 1.0
@@ -388,15 +390,16 @@
         return sum(8 * S <= t < 24 * S for t, _ in self.sent) / sum(self.budget(i * S) for i in spans)
 
 
-@pytest.mark.parametrize(("rate", "killed", "heavy", "least"), [
-    (50.0, 0.0, False, 0.33), (50.0, 10.0, True, 0.33), (1.5, 10.0, False, 0.15),
+@pytest.mark.parametrize(("rate", "killed", "heavy", "burst", "least"), [
+    (50.0, 0.0, False, 1.0, 0.33), (50.0, 10.0, True, 1.0, 0.33), (1.5, 10.0, False, 1.0, 0.15),
+    (0.3, 0.0, False, 30.0, 0.0),
 ])
 @pytest.mark.parametrize("balancers", [2, 8, 20, 30, 40, 200])
 def test_what_all_send_to_a_cold_worker_is_bounded_as_a_sum(
-    balancers: int, rate: float, killed: float, heavy: bool, least: float
+    balancers: int, rate: float, killed: float, heavy: bool, burst: float, least: float
 ) -> None:
     fleet = ColdFleet(balancers, balancers, heavy)
-    fleet.play(rate, killed)
+    fleet.play(rate, killed, burst)
     assert fleet.most() <= 1.0
     assert fleet.used() >= least  # a bound that is kept by using nothing would be none
 
