Hold the look before the first byte in tests of HTTP/2 and STOMP workers too

Need: of the three wires that ask Dispatch.may_begin only HTTP/1.1 had a test. Change: a client that left and a repeat past its window on the other two. Measured: both pass; nothing but tests is changed.

--- a/tests/test_http2_sockets.py
+++ b/tests/test_http2_sockets.py
@@ -75,9 +75,13 @@
         http1 = PlatformNodes(roster, self.pool, MEANINGS, self.told.append, log)
         self.nodes = Http2Nodes(roster, self.carrier, http1, MEANINGS, self.told.append, log)
 
-    def send(self, name: str, job_class: str = "eta-quote", number: int = 0) -> asyncio.Task[None]:
+    def send(
+        self, name: str, job_class: str = "eta-quote", number: int = 0, gone: bool = False,
+        write_by_ns: int = 0,
+    ) -> asyncio.Task[None]:
         job = Job(name, job_class, "/", b"x", time.monotonic_ns(), 8 * S, lambda answer: None)
-        order = Dispatch(Attempt(name, number, 1), job, 0)
+        job.gone = lambda: gone
+        order = Dispatch(Attempt(name, number, 1), job, 0, write_by_ns)
         return asyncio.create_task(self.nodes.attempt(order, self.entry))
 
     def endings(self) -> dict[str, str]:
@@ -121,6 +125,15 @@
         self.assertEqual(set(direct.endings().values()), {"OK"})
         self.assertEqual(node.accepted, 1)
 
+    async def test_no_stream_begins_for_a_client_that_left_or_past_a_repeats_window(self) -> None:
+        node = Http2Node()
+        direct = await self.direct(node)
+        past = time.monotonic_ns() - 1
+        jobs = [direct.send("left", gone=True), direct.send("late", write_by_ns=past), direct.send("good")]
+        await asyncio.wait_for(asyncio.gather(*jobs), 5)
+        self.assertEqual(direct.endings(), {"left": "NOT_SENT", "late": "NOT_SENT", "good": "OK"})
+        self.assertEqual(set(node.runs), {"good"})
+
     async def test_a_large_body_goes_through_small_windows(self) -> None:
         node = Http2Node(window=1000)
         await self.run_h2(node)
--- a/tests/test_stomp_sockets.py
+++ b/tests/test_stomp_sockets.py
@@ -143,7 +143,9 @@
 class Attempts(SocketCase):
     """Outcomes, one attempt at a time."""
 
-    async def outcome(self, node: StompNodeStandIn, body: bytes = b"") -> Outcome:
+    async def outcome(
+        self, node: StompNodeStandIn, body: bytes = b"", gone: bool = False, write_by_ns: int = 0,
+    ) -> Outcome:
         await self.started(node)
         told: list[object] = []
         roster = Roster()
@@ -151,7 +153,8 @@
         roster.fix(listed)
         nodes = StompNodes(roster, MEANINGS, told.append, self.log, "s", 0, 0.25)
         job = Job("j", "settle-shift", "/x", body, time.monotonic_ns(), 5 * S, lambda a: None)
-        await self.within(nodes.attempt(Dispatch(Attempt("j", 0, 1), job, 0), listed))
+        job.gone = lambda: gone
+        await self.within(nodes.attempt(Dispatch(Attempt("j", 0, 1), job, 0, write_by_ns), listed))
         await nodes.close()
         (ended,) = [e for e in told if isinstance(e, AttemptEnded)]
         return ended.outcome
@@ -161,6 +164,13 @@
         node.hello = {"state": "draining"}
         self.assertEqual((await self.outcome(node), node.runs), (Outcome.NOT_SENT, []))
 
+    async def test_nothing_goes_out_for_a_client_that_left_or_past_a_repeats_window(self) -> None:
+        for case in ({"gone": True}, {"write_by_ns": time.monotonic_ns() - 1}):
+            node = StompNodeStandIn()
+            self.assertEqual(
+                (await self.outcome(node, **case), node.runs),
+                (Outcome.NOT_SENT, []), case)
+
     async def test_break_before_the_last_byte_never_ran(self) -> None:
         self.assertEqual(await self.outcome(Early(), b"x" * (32 << 20)), Outcome.UNREACHABLE)
 
