Give a call for the list up after 11 parts of 20 of its time, not after a third

A call given up shows nothing, so from 5.5 s after the last news on nobody sent anything.

At fault: Rules.list_calls. Change: 11 parts of 20 for a call (3.2 s at 250 ms of grace), 3 for the wait after it, 6 for the call that is answered; after a watch that stood a third, as before, since all break at once. The bound in tests/test_fleet.py holds as it stood: all schedulers have the list inside 6 s less the grace, 2 to 200 of them, four lengths of outage, refusing and mute.

--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -601,7 +601,7 @@
             self.gate.told(now, event.kind)
         if event.kind in (ListKind.FAILED, ListKind.SILENT):
             if not self.gate.watching:
-                longest = self.calls.wait_ns(self.watch_failures)
+                longest = self.calls.wait_ns(self.watch_failures, stood)
                 self.watch_failures += 1
                 part = (0.0, 0.8) if stood else (0.5, 1.0)  # watches break all at once, calls fail one by one
                 self.watch_at = now + round(longest * self.rng.uniform(*part))
--- a/hazelweir/interface.py
+++ b/hazelweir/interface.py
@@ -125,18 +125,21 @@
 @dataclass(frozen=True, slots=True)
 class ListCalls:
     """How the list is asked for, so that at the return of its service each of any number of balancers has it
-    before its news counts as told, less the grace of a drain: a call that hangs until it is given up, the
-    longest wait after it and a call that is answered late make a third of that time each."""
+    before its news counts as told, less the grace of a drain.  Of that time a call that hangs until it is
+    given up takes 11 parts of 20, the longest wait after it 3, and 6 are left for a call that waits its
+    turn.  Given up any sooner, calls end before a service that is away or overcharged tells so, after 3 s."""
 
     timeout_ns: int  # after which a call is given up
     longest_wait_ns: int  # between two calls; a part of it is by chance
+    broken_wait_ns: int  # after a watch that stood and broke, as all of them may at once
     spread_ns: int  # over which the calls of balancers that begin at once are spread
     good_ns: int  # how long the list held counts once nothing watches it
 
-    def wait_ns(self, failures: int) -> int:
-        """The longest wait after so many failures in a row before this one.  A failed call costs the service
-        as much as a good one, so it grows, up to what leaves time for the next call."""
-        return min(self.longest_wait_ns, max(LIST_FIRST_NS, self.spread_ns) << min(failures, 8))
+    def wait_ns(self, failures: int, stood: bool) -> int:
+        """The longest wait after so many failures in a row before this one, or after a watch that `stood`.
+        A failed call costs the service as much as a good one, so it grows, as far as there is time."""
+        most = self.broken_wait_ns if stood else self.longest_wait_ns
+        return min(most, max(LIST_FIRST_NS, self.spread_ns) << min(failures, 8))
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,7 +160,8 @@
         within = max(self.told_within_ns - self.drain_grace_ns, self.told_within_ns // 2)
         spread = min(within // 2, LIST_CALL_NS * max(0, balancers - FEW_BALANCERS))
         good = max(self.told_within_ns - 2 * dial_ns, self.told_within_ns // 2)
-        return ListCalls(within // 3, within // 3, spread, min(self.ask_within_ns, good))
+        return ListCalls(within * 11 // 20, within * 3 // 20, within // 3, spread,
+                         min(self.ask_within_ns, good))
 
 
 @dataclass(frozen=True, slots=True)
