--- /dev/null
+++ b/hollowusher/coordination/rendezvous.py
@@ -0,0 +1,25 @@
+"""Rendezvous (highest random weight) hashing: every process computes the same choice from the same names.
+
+Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates" (1998).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def weight(key: str, name: str) -> int:
+    """The weight of `name` for `key`."""
+    return xxhash.xxh64_intdigest(f"{key}\0{name}")
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """The names in the order of preference for a key, best first."""
+    return sorted(names, key=lambda name: (weight(key, name), name), reverse=True)
+
+
+def choose(key: str, names: Iterable[str]) -> str | None:
+    """The best name for a key, None where there is none."""
+    return max(names, key=lambda name: (weight(key, name), name), default=None)
--- /dev/null
+++ b/hollowusher/protocol/codec.py
@@ -0,0 +1,71 @@
+"""MessagePack encoding of registered message types.
+
+Each message type is an attrs class registered with a number between 1 and 127.  A message travels as a
+MessagePack extension of that number which holds the array of its fields, so messages may contain messages.
+Fields may be added at the end of a class if they have a default: shorter arrays from older processes decode.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, TypeVar
+
+import attrs
+import ormsgpack
+
+_OPTIONS = ormsgpack.OPT_NON_STR_KEYS
+MessageType = TypeVar("MessageType", bound=type)
+
+_types: dict[int, type] = {}
+_tags: dict[type, int] = {}
+_fields: dict[type, tuple[str, ...]] = {}
+
+
+class DecodeError(ValueError):
+    """Bytes that are no message of this protocol."""
+
+
+def message(tag: int) -> Callable[[MessageType], MessageType]:
+    """Register a class as the message type `tag`; it becomes an immutable attrs class with slots."""
+
+    def register(cls: MessageType) -> MessageType:
+        made = attrs.frozen(cls)
+        if tag in _types or not 1 <= tag <= 127:
+            raise ValueError(f"message tag {tag} of {cls.__name__} is taken or out of range")
+        _types[tag] = made
+        _tags[made] = tag
+        _fields[made] = tuple(field.name for field in attrs.fields(made))
+        return made
+
+    return register
+
+
+def _encode_message(value: Any) -> Any:
+    tag = _tags.get(type(value))
+    if tag is None:
+        raise TypeError(f"{type(value).__name__} is no registered message")
+    values = [getattr(value, name) for name in _fields[type(value)]]
+    return ormsgpack.Ext(tag, ormsgpack.packb(values, default=_encode_message, option=_OPTIONS))
+
+
+def _decode_message(tag: int, data: bytes) -> Any:
+    cls = _types.get(tag)
+    if cls is None:
+        raise DecodeError(f"unknown message type {tag}")
+    values = ormsgpack.unpackb(data, ext_hook=_decode_message, option=_OPTIONS)
+    return cls(*values)
+
+
+def encode(value: Any) -> bytes:
+    """The bytes of a message, or of plain values that contain messages."""
+    return ormsgpack.packb(value, default=_encode_message, option=_OPTIONS)
+
+
+def decode(data: bytes) -> Any:
+    """The value of such bytes; `DecodeError` for anything else."""
+    try:
+        return ormsgpack.unpackb(data, ext_hook=_decode_message, option=_OPTIONS)
+    except DecodeError:
+        raise
+    except Exception as error:  # the decoder's own errors, and a type called with the wrong fields
+        raise DecodeError(str(error)) from error
--- /dev/null
+++ b/hollowusher/protocol/control.py
@@ -0,0 +1,310 @@
+"""Messages of the control plane: members, views, the control chain, distributed updates, configuration.
+
+Names: a node is known by its `nodeName`; an incarnation is the number of one life of its process (it only
+grows); a disk id is written to a new, empty data folder and names that disk for good, so that a machine that
+lost its disk is not taken for the one that had it.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from hollowusher.protocol.codec import message
+
+
+@message(1)
+class Member:
+    """One process of the system as the others know it.  `status` grows within an incarnation: even numbers
+    mean alive, odd ones mean dead or leaving."""
+
+    name: str
+    role: str  # "edge" or "store"
+    address: str  # internal "ip:port"
+    zone: str
+    region: str
+    incarnation: int
+    disk_id: str = ""  # empty without a data folder
+    counts: bool = False  # countsForQuorum: its loss is limited by faultTolerance
+    controller: bool = False  # takes part in the control chain: serves control_plane, has a disk
+    admin: str = ""  # operator address "ip:port"
+    status: int = 0
+
+    @property
+    def alive(self) -> bool:
+        """Whether it is present and takes work."""
+        return self.status % 2 == 0
+
+    @property
+    def store_id(self) -> str:
+        """Name and disk: what a replica set holds."""
+        return f"{self.name}/{self.disk_id}"
+
+
+@message(2)
+class Register:
+    """A process announces itself to a controller (also: it refutes its death with a higher status)."""
+
+    member: Member
+
+
+@message(3)
+class Registered:
+    """Answer to `Register`; `epoch` is the newest view that the controller knows, 0 for none."""
+
+    epoch: int
+
+
+@message(4)
+class Heartbeat:
+    """One-way, to each monitor."""
+
+    name: str
+    incarnation: int
+
+
+@message(5)
+class Suspicion:
+    """One-way, from a monitor to every controller: no sign of life within the time allowed."""
+
+    name: str
+    incarnation: int
+    reporter: str
+
+
+@message(6)
+class Leaving:
+    """A process tells a controller that it is about to stop (after SIGTERM)."""
+
+    name: str
+    incarnation: int
+
+
+@message(7)
+class Done:
+    """A plain acknowledgement."""
+
+
+@message(10)
+class Voter:
+    """A member of the group that agrees on views."""
+
+    name: str
+    disk_id: str
+    address: str
+
+
+@message(11)
+class View:
+    """The agreed view: who votes on the next one, and the control chain from head to tail."""
+
+    epoch: int
+    voters: list[Voter]
+    chain: list[str]
+
+    @property
+    def head(self) -> str:
+        """The chain's first member: takes writes and holds the singleton duties."""
+        return self.chain[0]
+
+    @property
+    def tail(self) -> str:
+        """The chain's last member: answers reads."""
+        return self.chain[-1]
+
+
+@message(12)
+class ReadView:
+    """Asks for the newest decided view."""
+
+
+@message(13)
+class ViewAnswer:
+    """The newest decided view, None where there is none yet."""
+
+    view: View | None
+
+
+@message(14)
+class Prepare:
+    """First phase of agreeing on view `epoch`."""
+
+    epoch: int
+    ballot: list[Any]  # [round, name]
+
+
+@message(15)
+class Promise:
+    """Answer to `Prepare`."""
+
+    granted: bool
+    ballot: list[Any]
+    accepted_ballot: list[Any] | None = None
+    accepted: View | None = None
+    decided: View | None = None  # a newer view than the asker's
+
+
+@message(16)
+class Accept:
+    """Second phase of agreeing on a view."""
+
+    epoch: int
+    ballot: list[Any]
+    view: View
+
+
+@message(17)
+class Accepted:
+    """Answer to `Accept`."""
+
+    granted: bool
+    ballot: list[Any]
+    decided: View | None = None
+
+
+@message(18)
+class Decided:
+    """One-way: a view has been decided."""
+
+    view: View
+
+
+@message(20)
+class PartitionPlacement:
+    """Who keeps one partition.  Replicas and learners are store ids ("name/disk id"); the primary is one of
+    the replicas.  Learners receive records but do not count until they have caught up."""
+
+    partition: int
+    epoch: int  # grows with each change of the primary or the replicas
+    primary: str
+    replicas: list[str]
+    learners: list[str] = attrs.Factory(list)
+
+
+@message(21)
+class Placement:
+    """The placement of all partitions."""
+
+    version: int
+    partitions: list[PartitionPlacement]
+
+
+@message(22)
+class ControlState:
+    """All that the control chain keeps."""
+
+    sequence: int
+    generation: int  # 0: no configuration has been taken yet
+    document: bytes  # the configuration in force, canonical JSON
+    history: list[list[Any]]  # [generation, digest of the order] of changes taken, oldest first
+    placement: Placement | None = None
+    retiring: dict[str, str] = attrs.Factory(dict)  # store name -> "running" | "completed"
+
+
+@message(23)
+class ChainWrite:
+    """From the head towards the tail: keep this state durably, pass it on, then answer."""
+
+    epoch: int
+    state: ControlState
+
+
+@message(24)
+class ChainWritten:
+    """Answer to `ChainWrite`: `ok` once the tail has the state; else the epoch known to the refuser."""
+
+    ok: bool
+    epoch: int = 0
+
+
+@message(25)
+class ChangeConfiguration:
+    """An operator's order, forwarded to the chain's head.  `method` is PUT or PATCH."""
+
+    method: str
+    if_match: int | None
+    body: bytes
+
+
+@message(26)
+class ReadConfiguration:
+    """Asks the tail for the configuration in force."""
+
+
+@message(27)
+class OperatorAnswer:
+    """The HTTP answer an operator is to get; 503 where nothing can be promised."""
+
+    status: int
+    body: bytes = b""
+
+
+@message(28)
+class Retire:
+    """Operator's order to empty a store machine, forwarded to the head.  `duration_s` None only asks."""
+
+    name: str
+    duration_s: float | None
+
+
+@message(29)
+class ReadState:
+    """Asks the chain's tail for the control state (a started scheduler does, before it serves)."""
+
+
+@message(30)
+class StateAnswer:
+    """The committed control state, None where it could not be confirmed."""
+
+    state: ControlState | None
+    epoch: int = 0
+
+
+@message(31)
+class Item:
+    """One distributed value.  Of two items with one key the one with the greater `version` counts."""
+
+    key: str  # "configuration" | "placement" | "view" | "member/NAME" | "workers"
+    version: list[int]
+    origin: str  # "name/incarnation" of the controller that published it
+    counter: int  # position among its origin's items
+    value: Any
+
+
+@message(32)
+class PullUpdates:
+    """Asks a controller for the items beyond the reader's version vector; it may wait for one to come."""
+
+    reader: str
+    have: dict[str, int]  # origin -> counter
+    wait_ms: int
+
+
+@message(33)
+class Updates:
+    """Answer to `PullUpdates`."""
+
+    items: list[Item]
+    have: dict[str, int]
+
+
+@message(34)
+class Worker:
+    """One worker of the platform's list."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    capacity: int
+    state: str  # "ready" | "draining"
+    warm_in_ms: int = 0  # how much longer it stays slow
+    generation: str = ""
+
+
+@message(35)
+class WorkerList:
+    """The whole list as read by the duty holder.  `read_ms` is the age of the reading when published."""
+
+    workers: list[Worker]
--- /dev/null
+++ b/hollowusher/transport/interface.py
@@ -0,0 +1,39 @@
+"""What the roles need of a network: calls that are answered, and one-way messages."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+Handler = Callable[[Any], Awaitable[Any]]  # takes a message; the answer, or None for one-way messages
+
+
+class PeerError(Exception):
+    """A call that got no answer: the step that was under way, the peer's address, and the reason.
+
+    `sent` is False where it is certain that the peer never saw the call."""
+
+    def __init__(self, step: str, peer: str, reason: str, sent: bool = True) -> None:
+        super().__init__(f"{step} at {peer}: {reason}")
+        self.step = step
+        self.peer = peer
+        self.reason = reason
+        self.sent = sent
+
+
+class Transport(Protocol):
+    """One process's access to the others, by internal address "ip:port"."""
+
+    address: str
+
+    async def call(self, address: str, message: Any, timeout: float) -> Any:
+        """The answer of the process there; `PeerError` where none came within `timeout` seconds."""
+
+    def send(self, address: str, message: Any) -> None:
+        """Send without an answer; lost where the peer cannot be reached."""
+
+    async def start(self, handler: Handler) -> None:
+        """Listen, and give each message that comes to `handler`."""
+
+    async def close(self) -> None:
+        """Stop listening and drop all connections."""
--- /dev/null
+++ b/hollowusher/transport/tcp.py
@@ -0,0 +1,269 @@
+"""The transport over TCP: frames of a length and a MessagePack array [call number, kind, message].
+
+One connection is opened to each peer that is called; the answers come back on it.  A connection on which a
+call ran out of time without any byte received is dropped, so that the next call tries a new one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import socket
+import struct
+from contextlib import suppress
+from typing import Any
+
+from hollowusher.protocol.codec import DecodeError, decode, encode
+from hollowusher.transport.interface import Handler, PeerError
+
+ONE_WAY, REQUEST, ANSWER, FAILURE = range(4)
+LENGTH = struct.Struct(">I")
+MOST_FRAME_BYTES = 32 * 1024 * 1024
+MOST_UNSENT_BYTES = 16 * 1024 * 1024
+CONNECT_TIMEOUT_S = 1.0
+USER_TIMEOUT_MS = 3_000
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Host and port of "host:port"."""
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class _FrameProtocol(asyncio.Protocol):
+    """Cuts the stream into frames and decodes them; a frame that cannot be read ends the connection."""
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.bytes_received = 0
+        self._buffer = bytearray()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        _tune(transport.get_extra_info("socket"))
+
+    def data_received(self, data: bytes) -> None:
+        self.bytes_received += len(data)
+        buffer = self._buffer
+        buffer += data
+        start = 0
+        while len(buffer) - start >= LENGTH.size:
+            (length,) = LENGTH.unpack_from(buffer, start)
+            if length > MOST_FRAME_BYTES:
+                self._drop()
+                return
+            end = start + LENGTH.size + length
+            if len(buffer) < end:
+                break
+            try:
+                number, kind, message = decode(bytes(buffer[start + LENGTH.size:end]))
+            except (DecodeError, TypeError, ValueError):
+                self._drop()
+                return
+            start = end
+            self.frame_received(number, kind, message)
+        del buffer[:start]
+
+    def frame_received(self, number: int, kind: int, message: Any) -> None:
+        """Take one frame."""
+        raise NotImplementedError
+
+    def write_frame(self, number: int, kind: int, message: Any) -> None:
+        """Send one frame, if the connection stands."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        data = encode([number, kind, message])
+        transport.write(LENGTH.pack(len(data)) + data)
+
+    def _drop(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class _ServerConnection(_FrameProtocol):
+    """A connection that a peer opened."""
+
+    def __init__(self, owner: TcpTransport) -> None:
+        super().__init__()
+        self._owner = owner
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        self._owner.accepted.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._owner.accepted.discard(self)
+
+    def frame_received(self, number: int, kind: int, message: Any) -> None:
+        if kind in (ONE_WAY, REQUEST):
+            self._owner.run(self._handle(number, kind, message))
+
+    async def _handle(self, number: int, kind: int, message: Any) -> None:
+        handler = self._owner.handler
+        if handler is None:
+            return
+        try:
+            answer = await handler(message)
+        except Exception as error:
+            self._owner.failed_handlers += 1
+            self._owner.report_failure(message, error)
+            if kind == REQUEST:
+                self.write_frame(number, FAILURE, f"{type(error).__name__}: {error}")
+            return
+        if kind == REQUEST:
+            self.write_frame(number, ANSWER, answer)
+
+
+class _ClientConnection(_FrameProtocol):
+    """A connection to a peer, with the calls that wait for their answers."""
+
+    def __init__(self, peer: str) -> None:
+        super().__init__()
+        self.peer = peer
+        self.waiting: dict[int, asyncio.Future[Any]] = {}
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.transport = None
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(PeerError("call", self.peer, "connection lost"))
+        self.waiting.clear()
+
+    def frame_received(self, number: int, kind: int, message: Any) -> None:
+        future = self.waiting.pop(number, None)
+        if future is None or future.done():
+            return
+        if kind == ANSWER:
+            future.set_result(message)
+        else:
+            future.set_exception(PeerError("call", self.peer, f"peer failed: {message}"))
+
+
+class TcpTransport:
+    """The transport of one process, listening at `address` ("ip:port")."""
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.handler: Handler | None = None
+        self.accepted: set[_ServerConnection] = set()
+        self.failed_handlers = 0
+        self.on_failure: Any = None  # called with (message, error) when a handler fails
+        self._numbers = itertools.count(1)
+        self._connections: dict[str, _ClientConnection] = {}
+        self._connecting: dict[str, asyncio.Task[_ClientConnection]] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._server: asyncio.Server | None = None
+
+    async def start(self, handler: Handler) -> None:
+        """Listen, and give each message that comes to `handler`."""
+        self.handler = handler
+        host, port = split_address(self.address)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(lambda: _ServerConnection(self), host, port, backlog=512)
+
+    async def close(self) -> None:
+        """Stop listening and drop all connections."""
+        if self._server is not None:
+            self._server.close()
+        for accepted in list(self.accepted):
+            if accepted.transport is not None:
+                accepted.transport.close()
+        for connection in list(self._connections.values()):
+            if connection.transport is not None:
+                connection.transport.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def run(self, work: Any) -> None:
+        """Run a coroutine, holding on to its task."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def report_failure(self, message: Any, error: Exception) -> None:
+        """Tell the owner that a handler raised."""
+        if self.on_failure is not None:
+            self.on_failure(message, error)
+
+    def connected(self, address: str) -> bool:
+        """Whether a connection to the peer stands."""
+        connection = self._connections.get(address)
+        return connection is not None and connection.transport is not None
+
+    async def call(self, address: str, message: Any, timeout: float) -> Any:
+        """The answer of the process at `address`; `PeerError` where none came in time."""
+        step = type(message).__name__
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        connection = self._connections.get(address)
+        if connection is None or connection.transport is None:
+            connection = await self._connect(address, step, timeout)
+        if connection.transport is None:
+            raise PeerError(step, address, "connection lost", sent=False)
+        if connection.transport.get_write_buffer_size() > MOST_UNSENT_BYTES:
+            raise PeerError(step, address, "too much unsent", sent=False)
+        number = next(self._numbers)
+        future: asyncio.Future[Any] = loop.create_future()
+        connection.waiting[number] = future
+        received = connection.bytes_received
+        connection.write_frame(number, REQUEST, message)
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await future
+        except TimeoutError:
+            if connection.bytes_received == received and connection.transport is not None:
+                connection.transport.abort()
+            raise PeerError(step, address, f"no answer in {timeout:.3g} s") from None
+        except PeerError as error:
+            raise PeerError(step, address, error.reason) from None
+        finally:
+            connection.waiting.pop(number, None)
+
+    def send(self, address: str, message: Any) -> None:
+        """Send without an answer; lost where the peer cannot be reached."""
+        connection = self._connections.get(address)
+        if connection is not None and connection.transport is not None:
+            connection.write_frame(0, ONE_WAY, message)
+            return
+        self.run(self._send_later(address, message))
+
+    async def _send_later(self, address: str, message: Any) -> None:
+        with suppress(PeerError):
+            connection = await self._connect(address, type(message).__name__, CONNECT_TIMEOUT_S)
+            connection.write_frame(0, ONE_WAY, message)
+
+    async def _connect(self, address: str, step: str, timeout: float) -> _ClientConnection:
+        task = self._connecting.get(address)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._open(address))
+            self._connecting[address] = task
+            task.add_done_callback(lambda done: self._connected(address, done))
+        try:
+            return await asyncio.wait_for(asyncio.shield(task), timeout)
+        except TimeoutError:
+            raise PeerError(step, address, "no connection in time", sent=False) from None
+        except OSError as error:
+            raise PeerError(step, address, f"no connection: {error}", sent=False) from None
+
+    def _connected(self, address: str, task: asyncio.Task[_ClientConnection]) -> None:
+        self._connecting.pop(address, None)
+        if not task.cancelled() and task.exception() is None:
+            self._connections[address] = task.result()
+
+    async def _open(self, address: str) -> _ClientConnection:
+        host, port = split_address(address)
+        loop = asyncio.get_running_loop()
+        _, connection = await asyncio.wait_for(
+            loop.create_connection(lambda: _ClientConnection(address), host, port), CONNECT_TIMEOUT_S)
+        return connection
+
+
+def _tune(sock: socket.socket | None) -> None:
+    """No delay, and an end for connections whose peer has gone silent with bytes unacknowledged."""
+    if sock is None:
+        return
+    with suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
