--- /dev/null
+++ b/hollowusher/storage/interface.py
@@ -0,0 +1,64 @@
+"""What the state machines need of a disk: an append-only log with reclaiming, and small replaced values."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import NamedTuple, Protocol
+
+
+class StorageError(Exception):
+    """A disk that failed, is full or answers nothing: the step, the file, and the reason."""
+
+    def __init__(self, step: str, file: str, reason: str) -> None:
+        super().__init__(f"{step} {file}: {reason}")
+        self.step = step
+        self.file = file
+        self.reason = reason
+
+
+class Position(NamedTuple):
+    """Where a record stands: the sequence number of its segment, the offset in it, its length."""
+
+    segment: int
+    offset: int
+    length: int
+
+
+class Log(Protocol):
+    """A log over a ring of preallocated files.  Records that are no longer needed are released; when a
+    segment is to be used again, `move` is called with each of its records that are still live, and the
+    owner appends them anew."""
+
+    def replay(self) -> Iterator[tuple[Position, bytes]]:
+        """All records that survived, oldest first.  To be used up before the first append."""
+
+    def append(self, record: bytes) -> Position:
+        """Add a record in memory; durable after a later `sync`.  `StorageError` where there is no room."""
+
+    async def sync(self) -> None:
+        """Return once all that was appended before is durable; calls at the same time share one sync."""
+
+    def read(self, position: Position) -> bytes:
+        """A record's bytes again."""
+
+    def release(self, position: Position) -> None:
+        """This record is no longer needed."""
+
+    def set_move(self, move: Callable[[Position, bytes], None]) -> None:
+        """Who re-appends live records of a segment that is to be used again."""
+
+    def free_bytes(self) -> int:
+        """Room for further live records."""
+
+    def close(self) -> None:
+        """Release the files."""
+
+
+class Slot(Protocol):
+    """One small value that is replaced as a whole: after a crash the old or the new one is there."""
+
+    def load(self) -> bytes | None:
+        """The value saved last, None where there is none."""
+
+    async def save(self, value: bytes) -> None:
+        """Replace the value durably."""
