--- a/hollowusher/__main__.py
+++ b/hollowusher/__main__.py
@@ -4,13 +4,20 @@
 
 import sys
 
-from hollowusher.app import run
+ROLES = ("edge", "store")
 
 
 def main(words: list[str] | None = None) -> int:
     """The exit code.  With words it is the command line, which is not even imported without."""
-    if not (sys.argv[1:] if words is None else words):
+    given = sys.argv[1:] if words is None else words
+    if not given:
+        from hollowusher.app import run  # the scheduler in service
+
         return run()
+    if given[0] in ROLES:  # the roles of deploy/system.toml, whose libraries `run` does not need
+        from hollowusher.roles.main import run_role
+
+        return run_role(given[0])
     try:
         from hollowusher.cli import cli
     except ModuleNotFoundError as missing:
