--- /dev/null
+++ b/hollowusher/simulation/loop.py
@@ -0,0 +1,225 @@
+"""An asyncio event loop in virtual time, and the processes whose code runs on it.
+
+Time stands while anything is ready and then jumps to the next timer, so a run depends on its seed alone.
+Each callback belongs to the simulated process in whose context it was scheduled: callbacks of a killed
+process never run again (not even its `finally` clauses), those of a frozen one are held until it is thawed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import heapq
+import itertools
+import weakref
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any, TypeVar
+
+MOST_CALLBACKS_AT_ONE_TIME = 500_000
+Result = TypeVar("Result")
+
+
+class DeadlockError(Exception):
+    """Nothing is ready and no timer is set, but the main task has not ended."""
+
+
+class LivelockError(Exception):
+    """Time does not go on: callbacks keep each other ready."""
+
+
+class SimulatedProcess:
+    """One life of a program: all that it schedules runs in its own context and ends with it."""
+
+    def __init__(self, name: str, incarnation: int = 1) -> None:
+        self.name = name
+        self.incarnation = incarnation
+        self.alive = True
+        self.frozen = False
+        self.context = contextvars.Context()
+        self.context.run(_current_process.set, self)
+        self.failures: list[str] = []  # errors that nobody caught
+        self._held: list[asyncio.Handle] = []
+        self._tasks: list[asyncio.Task[Any]] = []  # kept, so that a killed task is never finalized early
+
+    def __repr__(self) -> str:
+        return f"{self.name}#{self.incarnation}"
+
+    def run(self, work: Coroutine[Any, Any, Result]) -> asyncio.Task[Result]:
+        """Run a coroutine as part of this process."""
+        return asyncio.get_running_loop().create_task(work, context=self.context.copy())
+
+    def hold(self, handle: asyncio.Handle) -> None:
+        """Keep a callback until the process is thawed."""
+        self._held.append(handle)
+
+    def take_held(self) -> list[asyncio.Handle]:
+        """The callbacks kept, oldest first."""
+        held, self._held = self._held, []
+        return held
+
+    def remember(self, task: asyncio.Task[Any]) -> None:
+        """Hold on to a task of this process."""
+        self._tasks.append(task)
+        if len(self._tasks) > 2_000:
+            self._tasks = [kept for kept in self._tasks if not kept.done()]
+
+    def kill(self) -> None:
+        """End at once: nothing of it runs again."""
+        self.alive = False
+        self._held.clear()
+        for task in self._tasks:
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
+
+
+_current_process: contextvars.ContextVar[SimulatedProcess] = contextvars.ContextVar("simulated_process")
+_outside = contextvars.Context()
+
+
+def current_process() -> SimulatedProcess | None:
+    """The process whose code is running, None outside all of them."""
+    return _current_process.get(None)
+
+
+class _VirtualTask(asyncio.Task):  # type: ignore[type-arg]
+    """A task that its process remembers."""
+
+    def __init__(self, coro: Any, *, loop: Any = None, name: Any = None, context: Any = None) -> None:
+        super().__init__(coro, loop=loop, name=name, context=context)
+        process = context.get(_current_process) if context is not None else current_process()
+        if process is not None:
+            process.remember(self)
+
+
+class VirtualLoop(asyncio.BaseEventLoop):
+    """The event loop; `time()` starts at 1000 s so that no code takes zero for a time."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._now = 1000.0
+        self._numbers = itertools.count()
+        self._due: list[tuple[float, int, asyncio.TimerHandle]] = []
+        self._runnable: deque[asyncio.Handle] = deque()
+        self._callbacks_now = 0
+        self.callbacks = 0
+        self.failures: list[str] = []
+        self._every_task: weakref.WeakSet[asyncio.Task[Any]] = weakref.WeakSet()
+        self.set_task_factory(self._make_task)
+        self.set_exception_handler(self._take_failure)
+
+    def time(self) -> float:
+        """The virtual time in seconds."""
+        return self._now
+
+    def call_soon(self, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
+                  context: Any = None) -> asyncio.Handle:
+        """Run a callback at the present virtual time, after those already ready."""
+        handle = asyncio.Handle(callback, args, self, context)
+        self._runnable.append(handle)
+        return handle
+
+    def call_at(self, when: float, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
+                context: Any = None) -> asyncio.TimerHandle:
+        """Run a callback at a virtual time; equal times run in the order of the calls."""
+        timer = asyncio.TimerHandle(when, callback, args, self, context)
+        heapq.heappush(self._due, (when, next(self._numbers), timer))
+        return timer
+
+    def call_later(self, delay: float, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
+                   context: Any = None) -> asyncio.TimerHandle:
+        """Run a callback after a virtual delay."""
+        return self.call_at(self._now + delay, callback, *args, context=context)
+
+    def call_outside(self, delay: float, callback: Callable[..., Any], *args: Any) -> asyncio.TimerHandle:
+        """Run a callback that belongs to no process (the network, the platform)."""
+        return self.call_at(self._now + delay, callback, *args, context=_outside.copy())
+
+    def call_soon_threadsafe(self, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
+                             context: Any = None) -> asyncio.Handle:
+        """Refused: a simulation has no threads."""
+        raise RuntimeError("no threads in virtual time")
+
+    def run_in_executor(self, executor: Any, func: Callable[..., Any],  # type: ignore[override]
+                        *args: Any) -> Any:
+        """Refused: a simulation has no threads."""
+        raise RuntimeError("no threads in virtual time")
+
+    def freeze(self, process: SimulatedProcess) -> None:
+        """Hold all callbacks of a process."""
+        process.frozen = True
+
+    def thaw(self, process: SimulatedProcess) -> None:
+        """Let a frozen process go on with what it missed."""
+        process.frozen = False
+        self._runnable.extend(process.take_held())
+
+    def play(self, work: Coroutine[Any, Any, Result]) -> Result:
+        """Run a main coroutine to its end; `DeadlockError` where it can never end."""
+        return self.run_until_complete(work)
+
+    def shut(self) -> None:
+        """Forget everything that is still to run, and close."""
+        for task in list(self._every_task):
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
+        self._runnable.clear()
+        self._due.clear()
+        self.close()
+
+    def _run_once(self) -> None:
+        if not self._runnable:
+            self._advance()
+        while self._runnable and not self._stopping:  # type: ignore[attr-defined]
+            self._run_handle(self._runnable.popleft())
+
+    def _run_handle(self, handle: asyncio.Handle) -> None:
+        if handle.cancelled():
+            return
+        context = handle._context  # type: ignore[attr-defined]
+        process = context.get(_current_process)
+        if process is not None and not process.alive:
+            return
+        if process is not None and process.frozen:
+            process.hold(handle)
+            return
+        self.callbacks += 1
+        self._callbacks_now += 1
+        if self._callbacks_now > MOST_CALLBACKS_AT_ONE_TIME:
+            raise LivelockError(f"time stands at {self._now:.6f}; last callback: {handle!r}")
+        handle._run()
+
+    def _advance(self) -> None:
+        while self._due and self._due[0][2].cancelled():
+            heapq.heappop(self._due)
+        if not self._due:
+            raise DeadlockError(self._describe_tasks())
+        if self._due[0][0] > self._now:
+            self._now = self._due[0][0]
+            self._callbacks_now = 0
+        while self._due and self._due[0][0] <= self._now:
+            self._runnable.append(heapq.heappop(self._due)[2])
+
+    def _describe_tasks(self) -> str:
+        waiting = sorted(repr(task.get_coro()) for task in self._every_task if not task.done())
+        return "nothing can happen any more; waiting: " + "; ".join(waiting[:10])
+
+    def _make_task(self, loop: Any, coro: Any, context: Any = None) -> asyncio.Task[Any]:
+        task = _VirtualTask(coro, loop=loop, context=context)
+        self._every_task.add(task)
+        return task
+
+    def _take_failure(self, loop: Any, details: dict[str, Any]) -> None:
+        error = details.get("exception")
+        text = f"{details.get('message')}: {type(error).__name__}: {error}"
+        process = current_process()
+        self.failures.append(f"{self._now:.3f} {process}: {text}")
+        if process is not None:
+            process.failures.append(text)
+
+    def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
+        """Cancelled timers are dropped when their time comes."""
+
+    def _process_events(self, event_list: Any) -> None:
+        """There are no file descriptors."""
+
+    def _write_to_self(self) -> None:
+        """There is no other thread to wake this loop."""
