Add the clients' side of an edge process: admission, puts at the stores, HTTP

Need: messages, questions about them and pull workers' calls reach the stores through one process. Change: pure admission, a store client that repeats uncertain puts at one partition, the aiohttp servers.

--- /dev/null
+++ b/hollowusher/intake/admission.py
@@ -0,0 +1,185 @@
+"""Whether a client's request is a message that may be kept, by the configuration in force (pure)."""
+
+from __future__ import annotations
+
+import enum
+import math
+import re
+from collections.abc import Mapping
+
+import attrs
+
+from hollowusher.configuration.model import Configuration, Route, Service
+from hollowusher.protocol.store import NewMessage
+
+ATTEMPT_ID = "X-Attempt-Id"
+DEADLINE = "X-Deadline-Ms"
+DELAY = "X-Delay-Ms"
+ORDERING_KEY = "X-Ordering-Key"
+CALLBACK_URL = "X-Callback-Url"
+
+DEFAULT_DEADLINE_MS = 1000.0
+MOST_MILLISECONDS = 1e10
+LONGEST_ID = 256
+LONGEST_ORDERING_KEY = 1024
+ASYNC_ROUTE = "async"
+_CALLBACK = re.compile(r"http://(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})/[!-~]*", re.ASCII)
+_NUMBER = re.compile(r"\d{1,12}(\.\d{1,12})?", re.ASCII)
+_VISIBLE = re.compile(r"[!-~]+")
+
+
+class Reason(enum.Enum):
+    """Why a request is not taken as a message."""
+
+    NO_ROUTE = "no route"
+    MALFORMED = "malformed"
+    TOO_LARGE = "too large"
+    UNREADY = "not ready"
+    LOAD = "too much under way"
+
+
+@attrs.frozen
+class Refusal:
+    """The answer to a request that is not taken."""
+
+    status: int
+    reason: Reason
+    text: str
+
+
+@attrs.frozen
+class IntakeRequest:
+    """A whole HTTP request.  `headers` is a mapping that ignores the case of names."""
+
+    method: str
+    target: str  # path and query as sent
+    headers: Mapping[str, str]
+    body: bytes = b""
+    waited_s: float = 0.0  # since its head arrived
+
+
+@attrs.frozen
+class Admission:
+    """A message that may be kept.  `client_wait_s`: how much longer the client waits for its answer."""
+
+    message: NewMessage
+    home_only: bool  # no other partition than its service's home may keep it
+    client_wait_s: float
+
+
+class RouteIndex:
+    """One configuration, arranged for looking up a request's route and service."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        self.configuration = configuration
+        self.services: dict[str, Service] = {service.name: service for service in configuration.upstreams}
+        self._routes: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.hostname, []).append(route)
+        for routes in self._routes.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self.home_only = {service.name for service in configuration.upstreams if service.rate_per_s > 0}
+        self.home_only.update(route.upstream for route in configuration.routes if route.ordered)
+
+    def find(self, host: str, target: str) -> Route | None:
+        """The route of this host with the longest prefix that the target starts with."""
+        for route in self._routes.get(host, ()):
+            if target.startswith(route.path_prefix):
+                return route
+        return None
+
+
+def host_name(header: str) -> str:
+    """The name in a Host header, in lower case and without the port."""
+    return header.partition(":")[0].strip().lower()
+
+
+def milliseconds(text: str) -> float | None:
+    """The number of a header that gives milliseconds, None where it is none."""
+    text = text.strip()
+    if _NUMBER.fullmatch(text) is None:
+        return None
+    number = float(text)
+    return number if number <= MOST_MILLISECONDS else None
+
+
+def callback_is_valid(url: str) -> bool:
+    """Whether a call-back URL is of the form http://IP:PORT/path."""
+    found = _CALLBACK.fullmatch(url)
+    if found is None:
+        return False
+    *octets, port = (int(part) for part in found.groups())
+    return max(octets) <= 255 and 0 < port < 65_536
+
+
+def admit(request: IntakeRequest, index: RouteIndex) -> Admission | Refusal:
+    """The message that a request is, or why it is none."""
+    headers = request.headers
+    host = host_name(headers.get("Host", ""))
+    if not host or not request.target.isascii() or not request.target.startswith("/"):
+        return Refusal(400, Reason.MALFORMED, "Host or path is missing or malformed")
+    route = index.find(host, request.target)
+    if route is None:
+        return Refusal(404, Reason.NO_ROUTE, "no route")
+    service = index.services.get(route.upstream)
+    if service is None or route.type != ASYNC_ROUTE:
+        return Refusal(503, Reason.UNREADY, "the route cannot be served")
+    if len(request.body) > index.configuration.limits.max_body_bytes:
+        return Refusal(413, Reason.TOO_LARGE, "body too large")
+    attempt_id = headers.get(ATTEMPT_ID, "")
+    if len(attempt_id) > LONGEST_ID or _VISIBLE.fullmatch(attempt_id) is None:
+        return _malformed(ATTEMPT_ID)
+    deadline_ms = milliseconds(headers.get(DEADLINE, str(DEFAULT_DEADLINE_MS)))
+    if deadline_ms is None:
+        return _malformed(DEADLINE)
+    delay_ms = milliseconds(headers.get(DELAY, "0"))
+    if delay_ms is None:
+        return _malformed(DELAY)
+    ordering_key = headers.get(ORDERING_KEY, "") if route.ordered else ""
+    if len(ordering_key) > LONGEST_ORDERING_KEY or not _is_text(ordering_key):
+        return _malformed(ORDERING_KEY)
+    callback_url = headers.get(CALLBACK_URL, "") if route.callback_url else ""
+    if callback_url and not callback_is_valid(callback_url):
+        return _malformed(CALLBACK_URL)
+    content_type = headers.get("Content-Type", "")
+    if not content_type.isascii():
+        return _malformed("Content-Type")
+    message = NewMessage(
+        id=attempt_id,
+        route=route.name,
+        service=service.name,
+        method=request.method,
+        path=request.target,
+        host=host,
+        body=request.body,
+        content_type=content_type,
+        ordering_key=ordering_key,
+        delay_ms=math.ceil(delay_ms),
+        callback_url=callback_url,
+        max_attempts=route.max_attempts,
+        retention_ms=math.ceil(route.retention_s * 1000),
+        timeout_ms=route.timeout_ms,
+        priority=route.priority,
+        target_start_ms=route.target_start_ms,
+    )
+    client_wait_s = max(0.0, deadline_ms / 1000 - request.waited_s)
+    return Admission(message, service.name in index.home_only, client_wait_s)
+
+
+def admit_head(request: IntakeRequest, index: RouteIndex, declared_length: int | None) -> Refusal | None:
+    """Why a request can be refused before its body has come, None where it must be read."""
+    found = admit(request, index)
+    if isinstance(found, Refusal):
+        return found
+    if declared_length is not None and declared_length > index.configuration.limits.max_body_bytes:
+        return Refusal(413, Reason.TOO_LARGE, "body too large")
+    return None
+
+
+def _is_text(value: str) -> bool:
+    """Whether a header's value can be sent on (bytes that are no UTF-8 come as lone surrogates)."""
+    return value.isascii() or not any("\ud800" <= letter <= "\udfff" for letter in value)
+
+
+def _malformed(header: str) -> Refusal:
+    return Refusal(400, Reason.MALFORMED, f"{header} is missing or malformed")
--- /dev/null
+++ b/hollowusher/intake/pull_desk.py
@@ -0,0 +1,14 @@
+"""The interface between the clients' side, which hears the calls of pull workers, and the leasing of jobs."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from hollowusher.protocol.store import Job
+
+
+class PullDesk(Protocol):
+    """Leases jobs for the pull calls that wait at this process."""
+
+    async def pull(self, service: str, instance: str, wait_s: float) -> Job | None:
+        """A leased job for one free slot of a worker, None where none came within `wait_s` seconds."""
--- /dev/null
+++ b/hollowusher/intake/server.py
@@ -0,0 +1,264 @@
+"""The HTTP server on the frontend address, and the readiness server: aiohttp around `Intake`.
+
+The low-level server is used, since the routes come from the operator's configuration.  Handlers go on when
+their client has gone: a message whose put was sent is followed to its end.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable
+
+import attrs
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+
+from hollowusher.configuration.model import RequestLimits
+from hollowusher.intake.admission import IntakeRequest
+from hollowusher.intake.intake import Intake, IntakeAnswer
+from hollowusher.transport.tcp import split_address
+
+BACKLOG = 1024
+LINGER_S = 1.0  # how long the rest of a refused body is read and thrown away
+SWEEP_PAUSE_S = 0.5
+READ_BUFFER_BYTES = 64 * 1024
+MOST_HEADERS = 128
+READY_PATH = "/readyz"
+_no_log = logging.getLogger("hollowusher.intake.http")  # bad requests are counted by their answers only
+_no_log.disabled = True
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+HEADERS_TOO_LARGE = IntakeAnswer(431, b"headers too large")
+BODY_TOO_LATE = IntakeAnswer(408, b"body not received in time")
+BODY_TOO_LARGE = IntakeAnswer(413, b"body too large")
+BODY_BROKEN = IntakeAnswer(400, b"body broken off")
+FAILED = IntakeAnswer(504, b"not known whether the request was carried out")
+
+
+class _BodyError(Exception):
+    """A body that could not be read whole, and the answer to its request."""
+
+    def __init__(self, answer: IntakeAnswer) -> None:
+        super().__init__(answer.status)
+        self.answer = answer
+
+
+class FrontendServer:
+    """Clients and pull workers on one address ("ip:port").  `report` is told of errors in this program."""
+
+    def __init__(self, intake: Intake, address: str,
+                 report: Callable[[Exception], None] | None = None) -> None:
+        self._intake = intake
+        self._address = address
+        self._report = report
+        self._listener: asyncio.Server | None = None
+        self._servers: dict[RequestLimits, web.Server] = {}
+        self._without_request: dict[web.RequestHandler, float] = {}
+        self._sweep_handle: asyncio.TimerHandle | None = None
+        self._under_way = 0
+        self._draining = False
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = split_address(self._address)
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self._new_connection, host, port, backlog=BACKLOG)
+        self._sweep()
+
+    def drain(self) -> None:
+        """Go on serving, but close each connection after its next answer."""
+        self._draining = True
+
+    async def stop(self, grace_s: float) -> None:
+        """Listen no more, wait up to `grace_s` for the requests under way, then close all connections."""
+        self._draining = True
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + grace_s
+        if self._listener is not None:
+            self._listener.close()
+        if self._sweep_handle is not None:
+            self._sweep_handle.cancel()
+        for server in self._servers.values():
+            server.pre_shutdown()
+        while self._under_way and loop.time() < deadline:
+            await asyncio.sleep(0.01)
+        for server in self._servers.values():
+            await server.shutdown(timeout=max(0.1, deadline - loop.time()))
+
+    @property
+    def requests_under_way(self) -> int:
+        """Requests that have been received and not yet answered."""
+        return self._under_way
+
+    def _new_connection(self) -> web.RequestHandler:
+        limits = self._intake.request_limits
+        server = self._servers.get(limits)
+        if server is None:
+            server = self._servers[limits] = self._make_server(limits)
+        connection = server()
+        self._without_request[connection] = asyncio.get_running_loop().time()
+        return connection
+
+    def _make_server(self, limits: RequestLimits) -> web.Server:
+        return web.Server(
+            self._handle,
+            access_log=None,
+            logger=_no_log,
+            keepalive_timeout=limits.idle_timeout_ms / 1000,
+            max_line_size=limits.max_header_bytes,
+            max_field_size=limits.max_header_bytes,
+            max_headers=MOST_HEADERS,
+            lingering_time=LINGER_S,
+            read_bufsize=READ_BUFFER_BYTES,
+            auto_decompress=False,
+        )
+
+    def _sweep(self) -> None:
+        """Close the connections whose first request does not come."""
+        loop = asyncio.get_running_loop()
+        self._sweep_handle = loop.call_later(SWEEP_PAUSE_S, self._sweep)
+        oldest = loop.time() - self._intake.request_limits.header_timeout_ms / 1000
+        late = list(itertools.takewhile(lambda entry: entry[1] < oldest, self._without_request.items()))
+        for connection, _ in late:
+            del self._without_request[connection]
+            if connection.transport is not None:
+                self._intake.figures.header_timeouts += 1
+                connection.force_close()
+                connection.transport.close()
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self._without_request.pop(request.protocol, None)
+        self._under_way += 1
+        try:
+            answer = await self._answer(request)
+        except Exception as error:
+            self._intake.figures.failures += 1
+            if self._report is not None:
+                self._report(error)
+            answer = FAILED
+        finally:
+            self._under_way -= 1
+        response = web.Response(status=answer.status, body=answer.body, headers=_headers(answer))
+        if self._draining or not request.content.is_eof():
+            response.force_close()
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> IntakeAnswer:
+        intake = self._intake
+        header_bytes = sum(map(len, itertools.chain.from_iterable(request.raw_headers)))
+        if header_bytes > intake.request_limits.max_header_bytes:
+            intake.figures.too_large += 1
+            return HEADERS_TOO_LARGE
+        content = request.content
+        head = IntakeRequest(request.method, request.raw_path, request.headers)
+        if content.is_eof() and content.exception() is None:
+            whole = attrs.evolve(head, body=content.read_nowait(-1)) if request.body_exists else head
+            return await intake.accept(whole, lambda: _gone(request))
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        refusal = intake.refuse_head(head, request.content_length)
+        if refusal is not None:
+            return refusal
+        try:
+            body = await self._read_body(request)
+        except _BodyError as error:
+            return error.answer
+        waited_s = loop.time() - started
+        return await intake.accept(attrs.evolve(head, body=body, waited_s=waited_s), lambda: _gone(request))
+
+    async def _read_body(self, request: web.BaseRequest) -> bytes:
+        """The body of a request that comes in parts; it is counted as it grows."""
+        intake = self._intake
+        limits = intake.request_limits
+        if not intake.gate.enter(0):
+            raise _BodyError(intake.refuse_load())
+        if request.headers.get("Expect", "").lower() == "100-continue" and request.transport is not None:
+            request.transport.write(CONTINUE)
+        parts: list[bytes] = []
+        size = 0
+        try:
+            async with asyncio.timeout(limits.header_timeout_ms / 1000):
+                while part := await request.content.readany():
+                    if size + len(part) > limits.max_body_bytes:
+                        intake.figures.too_large += 1
+                        raise _BodyError(BODY_TOO_LARGE)
+                    if not intake.gate.grow(len(part)):
+                        raise _BodyError(intake.refuse_load())
+                    size += len(part)
+                    parts.append(part)
+        except TimeoutError:
+            intake.figures.body_timeouts += 1
+            raise _BodyError(BODY_TOO_LATE) from None
+        except (OSError, web.PayloadAccessError, HttpProcessingError, web.RequestPayloadError):
+            intake.figures.broken_off += 1
+            raise _BodyError(BODY_BROKEN) from None
+        finally:
+            intake.gate.leave(size)
+        return b"".join(parts)
+
+
+class ReadinessServer:
+    """Answers GET /readyz on one address with 200 or 503, as `ready` says."""
+
+    def __init__(self, address: str, ready: Callable[[], bool]) -> None:
+        self._address = address
+        self._ready = ready
+        self._server: web.Server | None = None
+        self._listener: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = split_address(self._address)
+        self._server = web.Server(self._handle, access_log=None, logger=_no_log)
+        self._listener = await asyncio.get_running_loop().create_server(self._server, host, port)
+
+    async def stop(self) -> None:
+        """Stop listening and close all connections."""
+        if self._listener is not None:
+            self._listener.close()
+        if self._server is not None:
+            await self._server.shutdown(timeout=0.1)
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.raw_path.partition("?")[0] != READY_PATH:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._ready() else 503)
+
+
+class EdgeFrontend:
+    """Both servers of an edge process, drained and stopped together."""
+
+    def __init__(self, intake: Intake, frontend: str, readiness: str, ready: Callable[[], bool],
+                 report: Callable[[Exception], None] | None = None) -> None:
+        self._frontend = FrontendServer(intake, frontend, report)
+        self._readiness = ReadinessServer(readiness, lambda: not self._draining and ready())
+        self._intake = intake
+        self._draining = False
+
+    async def start(self) -> None:
+        """Listen on both addresses."""
+        await self._readiness.start()
+        await self._frontend.start()
+
+    def drain(self) -> None:
+        """Be unready from now on; go on serving what comes."""
+        self._draining = True
+        self._frontend.drain()
+
+    async def stop(self, grace_s: float) -> None:
+        """Stop within `grace_s`, after the requests under way."""
+        self.drain()
+        await self._frontend.stop(grace_s)
+        await self._readiness.stop()
+
+
+def _headers(answer: IntakeAnswer) -> list[tuple[str, str]]:
+    return [("Content-Type", answer.content_type), *answer.headers]
+
+
+def _gone(request: web.BaseRequest) -> bool:
+    """Whether the connection of a request has ended."""
+    transport = request.transport
+    return transport is None or transport.is_closing()
--- /dev/null
+++ b/hollowusher/intake/store_client.py
@@ -0,0 +1,294 @@
+"""Calls from an edge process to the primaries of partitions, repeated until a deadline.
+
+A put whose outcome is uncertain is repeated at the same partition only, so that a message never stands in
+two partitions; before that, another candidate partition may be chosen.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from typing import Any, Protocol, TypeVar, cast
+
+import attrs
+
+from hollowusher.coordination.cluster_state import MEMBER_PREFIX, PLACEMENT, ClusterState
+from hollowusher.intake.peer_health import PeerHealth
+from hollowusher.protocol.control import Member, PartitionPlacement
+from hollowusher.protocol.store import (
+    Extend,
+    Finish,
+    LeaseAnswer,
+    NewMessage,
+    Put,
+    PutAnswer,
+    StatusAnswer,
+    StatusRequest,
+)
+from hollowusher.transport.interface import PeerError, Transport
+
+CALL_TIMEOUT_S = 0.5  # a single call; a silent connection is dropped then and the call repeated on a new one
+PROBE_TIMEOUT_S = 0.3
+FIRST_PAUSE_S = 0.03
+LONGEST_PAUSE_S = 0.2
+REPEATED = ("not_primary", "unavailable")  # the answers after which another try may succeed
+AnswerType = TypeVar("AnswerType", LeaseAnswer, StatusAnswer)
+
+
+class MessageStore(Protocol):
+    """What the clients' side needs of the stores; `StoreClient` is the one over the network."""
+
+    async def put(self, message: NewMessage, candidates: Sequence[int], deadline: float,
+                  refuse_at: float | None = None) -> PutAnswer:
+        """Keep a message."""
+
+    async def finish(self, request: Finish, deadline: float) -> LeaseAnswer:
+        """End a lease."""
+
+    async def extend(self, request: Extend, deadline: float) -> LeaseAnswer:
+        """Prolong a lease."""
+
+    async def status(self, reference: str, want_body: bool, deadline: float) -> StatusAnswer:
+        """Read the state of a message."""
+
+
+@attrs.frozen
+class _Target:
+    """A partition and its primary's address, as known when a call was made."""
+
+    partition: int
+    address: str
+
+
+class _PrimaryMoved(Exception):
+    """The partition got another primary while a call waited; the call may have been carried out."""
+
+
+class _Backoff:
+    """Growing pauses between the tries of one request."""
+
+    def __init__(self) -> None:
+        self._next = FIRST_PAUSE_S
+
+    def next(self) -> float:
+        """The length of the next pause."""
+        pause = self._next
+        self._next = min(pause * 2, LONGEST_PAUSE_S)
+        return pause
+
+
+def partition_of(identifier: str) -> int | None:
+    """The partition that a message reference or lease id names, None where it names none."""
+    number, dash, _ = identifier.partition("-")
+    if not dash or not number.isascii() or not number.isdigit() or len(number) > 9:
+        return None
+    return int(number)
+
+
+class StoreClient:
+    """The stores as one edge process sees them.  `clock` is the event loop's time; so are all deadlines."""
+
+    def __init__(self, transport: Transport, state: ClusterState, clock: Callable[[], float]) -> None:
+        self._transport = transport
+        self._state = state
+        self._clock = clock
+        self._health: dict[str, PeerHealth] = {}
+        self._under_way: dict[asyncio.Timeout, _Target] = {}
+        self._changed = asyncio.Event()
+        self._probes: set[asyncio.Task[None]] = set()
+        self._placed = self._placed_partitions()
+        self._incarnations = {name: member.incarnation for name, member in state.members.items()}
+        state.listen(self._on_change)
+
+    async def put(self, message: NewMessage, candidates: Sequence[int], deadline: float,
+                  refuse_at: float | None = None) -> PutAnswer:
+        """Keep a message in the first usable candidate partition.
+
+        "stored"; "unavailable" where it is certain that it is not kept (given at `refuse_at` if that comes
+        before the deadline); "unknown" where a put was sent and nothing more was learned by the deadline."""
+        started = self._clock()
+        patience = deadline if refuse_at is None else min(refuse_at, deadline)
+        refused: set[int] = set()
+        backoff = _Backoff()
+        bound: int | None = None  # the partition that may have kept it
+        while True:
+            now = self._clock()
+            if now >= (patience if bound is None else deadline):
+                return PutAnswer("unavailable" if bound is None else "unknown")
+            target = self._choose(candidates, refused, now) if bound is None else self._primary(bound)
+            if target is None:
+                refused.clear()
+                await self._pause(backoff, patience if bound is None else deadline)
+                continue
+            try:
+                request = Put(target.partition, _with_delay_left(message, now - started))
+                answer = await self._call(target, request, deadline)
+            except _PrimaryMoved:
+                bound = target.partition
+                continue
+            except PeerError as error:
+                answer = PutAnswer("unknown" if error.sent else "unavailable")
+            if answer.status == "stored":
+                return PutAnswer("stored", answer.reference)
+            if answer.status not in REPEATED:
+                bound = target.partition
+            if bound is None:
+                refused.add(target.partition)
+            else:
+                await self._pause(backoff, deadline)
+
+    async def finish(self, request: Finish, deadline: float) -> LeaseAnswer:
+        """End a lease; "unavailable" where the deadline came first (it may have been ended)."""
+        return await self._ask(request.lease, request, deadline,
+                               LeaseAnswer("gone"), LeaseAnswer("unavailable"), _lease_settled)
+
+    async def extend(self, request: Extend, deadline: float) -> LeaseAnswer:
+        """Prolong a lease; "unavailable" where the deadline came first."""
+        return await self._ask(request.lease, request, deadline,
+                               LeaseAnswer("gone"), LeaseAnswer("unavailable"), _lease_settled)
+
+    async def status(self, reference: str, want_body: bool, deadline: float) -> StatusAnswer:
+        """The state of a message; "unavailable" where the deadline came first."""
+        return await self._ask(reference, StatusRequest(reference, want_body), deadline,
+                               StatusAnswer("unknown"), StatusAnswer("unavailable"), _status_settled)
+
+    def suspect(self, address: str) -> bool:
+        """Whether the store at this address is to be avoided at present."""
+        health = self._health.get(address)
+        return health is not None and health.suspect(self._clock())
+
+    async def _ask(self, identifier: str, request: Any, deadline: float, absent: AnswerType,
+                   unavailable: AnswerType, settled: Callable[[AnswerType], bool]) -> AnswerType:
+        """Ask the primary of the partition that the identifier names until an answer settles it."""
+        partition = partition_of(identifier)
+        if partition is None:
+            return absent
+        backoff = _Backoff()
+        while self._clock() < deadline:
+            if self._state.placement is not None and self._state.partition(partition) is None:
+                return absent
+            target = self._primary(partition)
+            if target is not None:
+                try:
+                    answer: AnswerType = await self._call(target, request, deadline)
+                    if settled(answer):
+                        return answer
+                except _PrimaryMoved:
+                    continue
+                except PeerError:
+                    pass
+            await self._pause(backoff, deadline)
+        return unavailable
+
+    def _primary(self, partition: int) -> _Target | None:
+        address = self._state.primary_address(partition)
+        return None if address is None else _Target(partition, address)
+
+    def _choose(self, candidates: Sequence[int], refused: set[int], now: float) -> _Target | None:
+        """The first candidate whose primary is known and not suspect."""
+        for partition in candidates:
+            if partition in refused:
+                continue
+            target = self._primary(partition)
+            if target is None:
+                continue
+            health = self._health.get(target.address)
+            if health is None or not health.suspect(now):
+                return target
+            if health.probe_due(now):
+                self._start_probe(target)
+        return None
+
+    async def _call(self, target: _Target, request: Any, deadline: float) -> Any:
+        """One call; `PeerError` without an answer, `_PrimaryMoved` when the placement changes meanwhile."""
+        health = self._health.setdefault(target.address, PeerHealth())
+        now = self._clock()
+        number = health.begin(now)
+        scope = asyncio.timeout(None)  # brought forward to now when the partition's primary changes
+        self._under_way[scope] = target
+        try:
+            async with scope:
+                answer = await self._transport.call(
+                    target.address, request, min(deadline - now, CALL_TIMEOUT_S))
+            health.answered(number, self._clock())
+            return answer
+        except PeerError:
+            health.failed(number, self._clock())
+            raise
+        except TimeoutError:
+            raise _PrimaryMoved from None
+        finally:
+            health.abandoned(number)
+            del self._under_way[scope]
+
+    async def _pause(self, backoff: _Backoff, until: float) -> None:
+        """Wait a while, less if the cluster changes or a suspected store answers."""
+        seconds = min(backoff.next(), until - self._clock())
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
+
+    def _start_probe(self, target: _Target) -> None:
+        task = asyncio.get_running_loop().create_task(self._probe(target))
+        self._probes.add(task)
+        task.add_done_callback(self._probes.discard)
+
+    async def _probe(self, target: _Target) -> None:
+        """See whether a suspected store answers, without risking a message."""
+        request = StatusRequest(f"{target.partition}-0-0")
+        with suppress(PeerError, _PrimaryMoved):
+            await self._call(target, request, self._clock() + PROBE_TIMEOUT_S)
+            self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _on_change(self, key: str) -> None:
+        if key == PLACEMENT:
+            self._forgive_new_primaries()
+        elif key.startswith(MEMBER_PREFIX):
+            self._forgive_restarted(self._state.members[key.removeprefix(MEMBER_PREFIX)])
+        else:
+            return
+        for scope, target in self._under_way.items():
+            address = self._state.primary_address(target.partition)
+            if address is not None and address != target.address and not scope.expired():
+                scope.reschedule(self._clock())
+        self._wake()
+
+    def _placed_partitions(self) -> dict[int, PartitionPlacement]:
+        placement = self._state.placement
+        return {} if placement is None else {entry.partition: entry for entry in placement.partitions}
+
+    def _forgive_new_primaries(self) -> None:
+        before, self._placed = self._placed, self._placed_partitions()
+        for number, entry in self._placed.items():
+            known = before.get(number)
+            address = self._state.store_address(entry.primary)
+            if (known is None or known.epoch != entry.epoch) and address in self._health:
+                self._health[address].forgive()
+
+    def _forgive_restarted(self, member: Member) -> None:
+        known = self._incarnations.get(member.name)
+        self._incarnations[member.name] = member.incarnation
+        if known != member.incarnation and member.address in self._health:
+            self._health[member.address].forgive()
+
+
+def _with_delay_left(message: NewMessage, waited_s: float) -> NewMessage:
+    """The message with the delay that is left after waiting here."""
+    waited_ms = int(waited_s * 1000)
+    if not message.delay_ms or not waited_ms:
+        return message
+    changed: NewMessage = attrs.evolve(cast(Any, message), delay_ms=max(0, message.delay_ms - waited_ms))
+    return changed
+
+
+def _lease_settled(answer: LeaseAnswer) -> bool:
+    return answer.status not in REPEATED
+
+
+def _status_settled(answer: StatusAnswer) -> bool:
+    return answer.state not in REPEATED
