Add the ring log, the replaced values and their stand-ins in memory

The roles need durable storage: a ring of segment files with group commit, slots, the identity of a disk.

--- /dev/null
+++ b/hollowusher/storage/identity.py
@@ -0,0 +1,66 @@
+"""The identity of a disk, and the numbers of the lives of the process that owns it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from random import Random
+
+from hollowusher.storage.files import Files, SystemFiles, read_whole
+from hollowusher.storage.interface import Slot, StorageError
+
+IDENTITY_FILE = "disk-id"
+TEMPORARY_FILE = "disk-id.new"
+IDENTITY_BITS = 64
+RANDOM_BITS = 16  # of an incarnation without a disk
+
+
+def disk_identity(folder: Path, chance: Random, files: Files | None = None) -> tuple[str, bool]:
+    """The id of the disk that holds `folder`, and whether it was given just now (an empty disk)."""
+    system: Files = SystemFiles() if files is None else files
+    try:
+        system.make_folder(folder)
+        known = read_whole(system, folder / IDENTITY_FILE)
+        if known is not None:
+            system.sync_folder(folder)  # the process that gave it may have died before it did this
+            return _check_identity(folder, known), False
+        identity = f"{chance.getrandbits(IDENTITY_BITS):016x}"
+        _write_durably(system, folder, identity.encode())
+    except OSError as error:
+        raise StorageError("identity", str(folder), error.strerror or str(error)) from error
+    return identity, True
+
+
+def _check_identity(folder: Path, data: bytes) -> str:
+    if len(data) != IDENTITY_BITS // 4:
+        raise StorageError("identity", str(folder / IDENTITY_FILE), "it does not hold an id")
+    return data.decode()
+
+
+def _write_durably(system: Files, folder: Path, data: bytes) -> None:
+    descriptor = system.open(folder / TEMPORARY_FILE, create=True)
+    try:
+        system.set_size(descriptor, 0)
+        system.write(descriptor, data, 0)
+        system.sync(descriptor)
+    finally:
+        system.close(descriptor)
+    system.rename(folder / TEMPORARY_FILE, folder / IDENTITY_FILE)
+    system.sync_folder(folder)
+
+
+def next_incarnation(now_wall_ms: int, stored: int | None, chance: Random) -> int:
+    """The number of a new life, greater than the `stored` one of the life before.
+
+    It is the time of day in milliseconds, with random bits below: two lives without a stored number in the
+    same millisecond hardly get the same."""
+    by_time = now_wall_ms << RANDOM_BITS | chance.getrandbits(RANDOM_BITS)
+    return by_time if stored is None else max(by_time, stored + 1)
+
+
+async def claim_incarnation(slot: Slot, now_wall_ms: int, chance: Random) -> int:
+    """The number of this life of a process with a disk; it is durable before it is used."""
+    value = slot.load()
+    stored = int.from_bytes(value, "big") if value else None
+    incarnation = next_incarnation(now_wall_ms, stored, chance)
+    await slot.save(incarnation.to_bytes(8, "big"))
+    return incarnation
--- a/hollowusher/storage/interface.py
+++ b/hollowusher/storage/interface.py
@@ -24,32 +24,47 @@
     length: int
 
 
+MoveRecord = Callable[[Position, bytes], None]
+
+
 class Log(Protocol):
     """A log over a ring of preallocated files.  Records that are no longer needed are released; when a
     segment is to be used again, `move` is called with each of its records that are still live, and the
-    owner appends them anew."""
+    owner appends them anew.
+
+    Segments are used again strictly from the oldest on, and only after everything appended up to then is
+    durable.  So a record that replaces another may be relied on to outlive it, if it is appended before
+    the other is released.  Released records may come back at a replay until their segment is used again."""
 
     def replay(self) -> Iterator[tuple[Position, bytes]]:
-        """All records that survived, oldest first.  To be used up before the first append."""
+        """All records that survived, oldest first.  To be used up before the first append.  Each one counts
+        as live until it is released (this may be done during the replay)."""
 
     def append(self, record: bytes) -> Position:
         """Add a record in memory; durable after a later `sync`.  `StorageError` where there is no room."""
 
     async def sync(self) -> None:
-        """Return once all that was appended before is durable; calls at the same time share one sync."""
+        """Return once all that was appended before is durable; calls at the same time share one sync.
+
+        After a `StorageError` the records stay in memory, in order: a later sync writes them, so whether
+        they survive a crash is unknown."""
 
     def read(self, position: Position) -> bytes:
         """A record's bytes again."""
 
     def release(self, position: Position) -> None:
-        """This record is no longer needed."""
+        """This record is no longer needed.  Released twice, or after it was moved, it is ignored."""
 
-    def set_move(self, move: Callable[[Position, bytes], None]) -> None:
-        """Who re-appends live records of a segment that is to be used again."""
+    def set_move(self, move: MoveRecord) -> None:
+        """Who re-appends live records of a segment that is to be used again.  `move` is called within
+        `append` or from the event loop; when it returns, the old position is released."""
 
     def free_bytes(self) -> int:
         """Room for further live records."""
 
+    def stalled(self, now: float) -> bool:
+        """Whether a sync has been under way too long at `now`, in the event loop's time."""
+
     def close(self) -> None:
         """Release the files."""
 
--- /dev/null
+++ b/hollowusher/storage/memory.py
@@ -0,0 +1,213 @@
+"""A log and a slot in memory, with the semantics of the ones on disk, for tests and simulations."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from hollowusher.storage.interface import MoveRecord, Position, StorageError
+
+FRAME_BYTES = 12  # what a record costs beyond its own bytes, as on disk
+LIVE_SHARE = 0.75
+SPARE_SEGMENTS = 3
+
+
+@dataclass(slots=True)
+class _Segment:
+    sequence: int
+    records: dict[int, bytes] = field(default_factory=dict)  # offset -> record, in order
+    live: dict[int, int] = field(default_factory=dict)  # offset -> length
+    end: int = 0
+
+
+class MemoryLog:
+    """A log in memory.  `sync_s` is how long a sync takes; `failing` makes syncs and appends fail."""
+
+    def __init__(self, segment_bytes: int = 64 * 1024, segments: int = 64, sync_s: float = 0.0,
+                 stall_s: float = 2.0) -> None:
+        self.sync_s = sync_s
+        self.failing = ""  # the reason, empty: works
+        self.syncs = 0
+        self._segment_bytes = segment_bytes
+        self._segments_allowed = segments
+        self._stall_s = stall_s
+        self._segments: dict[int, _Segment] = {1: _Segment(1)}
+        self._unsynced: dict[Position, bytes] = {}
+        self._appended = 0
+        self._synced = 0
+        self._live_bytes = 0
+        self._sync_started: float | None = None
+        self._sync_task: asyncio.Task[None] | None = None
+        self._move: MoveRecord | None = None
+        self._moving = False
+
+    def replay(self) -> Iterator[tuple[Position, bytes]]:
+        """All records that survived, oldest first."""
+        for segment in list(self._segments.values()):
+            for offset, record in list(segment.records.items()):
+                yield Position(segment.sequence, offset, len(record)), record
+
+    def append(self, record: bytes) -> Position:
+        """Add a record in memory."""
+        size = FRAME_BYTES + len(record)
+        if self.failing:
+            raise StorageError("append", "memory", self.failing)
+        if size > self._segment_bytes or (not self._moving and size > self.free_bytes()):
+            raise StorageError("append", "memory", "the ring is full")
+        segment = self._active()
+        if segment.end + size > self._segment_bytes:
+            segment = _Segment(segment.sequence + 1)
+            self._segments[segment.sequence] = segment
+        position = Position(segment.sequence, segment.end, len(record))
+        segment.end += size
+        segment.records[position.offset] = record
+        segment.live[position.offset] = len(record)
+        self._live_bytes += size
+        self._unsynced[position] = record
+        self._appended += 1
+        self._reclaim()
+        return position
+
+    async def sync(self) -> None:
+        """Return once all that was appended before is durable."""
+        target = self._appended
+        while self._synced < target:
+            if self._sync_task is None:
+                self._sync_task = asyncio.get_running_loop().create_task(self._sync_batch())
+            await asyncio.shield(self._sync_task)
+
+    def read(self, position: Position) -> bytes:
+        """A record's bytes again."""
+        segment = self._segments.get(position.segment)
+        record = segment.records.get(position.offset) if segment is not None else None
+        if record is None:
+            raise StorageError("read", "memory", f"no record at {position}")
+        return record
+
+    def release(self, position: Position) -> None:
+        """This record is no longer needed."""
+        segment = self._segments.get(position.segment)
+        if segment is None or segment.live.pop(position.offset, None) is None:
+            return
+        self._live_bytes -= FRAME_BYTES + position.length
+
+    def set_move(self, move: MoveRecord) -> None:
+        """Who re-appends live records of a segment that is to be used again."""
+        self._move = move
+
+    def free_bytes(self) -> int:
+        """Room for further live records."""
+        usable = (self._segments_allowed - SPARE_SEGMENTS - 1) * self._segment_bytes * LIVE_SHARE
+        return max(0, int(usable) - self._live_bytes)
+
+    def stalled(self, now: float) -> bool:
+        """Whether a sync has been under way too long."""
+        return self._sync_started is not None and now - self._sync_started > self._stall_s
+
+    def close(self) -> None:
+        """Nothing to release."""
+
+    def crash(self, chance: Random, in_order: bool = False) -> MemoryLog:
+        """The log that a loss of power leaves: all that was synced, and any of the rest.
+
+        A torn record does not check and so is missing.  `in_order`: the rest is cut at some record, as
+        the ring log cuts it; else any subset of it survives."""
+        after = MemoryLog(self._segment_bytes, self._segments_allowed, self.sync_s, self._stall_s)
+        lost = self._lost_records(chance, in_order)
+        after._segments = {}
+        for segment in self._segments.values():
+            records = {offset: record for offset, record in segment.records.items()
+                       if (segment.sequence, offset) not in lost}
+            after._adopt(_Segment(segment.sequence, records, end=segment.end))
+        after._adopt(_Segment(max(self._segments) + 1))  # a torn tail never stands before newer records
+        return after
+
+    def _lost_records(self, chance: Random, in_order: bool) -> set[tuple[int, int]]:
+        unsynced = [(position.segment, position.offset) for position in self._unsynced]
+        if in_order:
+            return set(unsynced[chance.randint(0, len(unsynced)):])
+        return {key for key in unsynced if chance.random() < 0.5}
+
+    def _adopt(self, segment: _Segment) -> None:
+        segment.live = {offset: len(record) for offset, record in segment.records.items()}
+        self._segments[segment.sequence] = segment
+        self._live_bytes += sum(FRAME_BYTES + length for length in segment.live.values())
+
+    def _active(self) -> _Segment:
+        return self._segments[max(self._segments)]
+
+    async def _sync_batch(self) -> None:
+        batch, target = list(self._unsynced), self._appended
+        self._sync_started = asyncio.get_running_loop().time()
+        try:
+            await asyncio.sleep(self.sync_s)
+            if self.failing:
+                raise StorageError("sync", "memory", self.failing)
+            for position in batch:
+                self._unsynced.pop(position, None)
+            self._synced = target
+            self.syncs += 1
+        finally:
+            self._sync_started = None
+            self._sync_task = None
+        self._drop_oldest()
+
+    def _reclaim(self) -> None:
+        """Have the live records of the oldest segment moved when segments run short."""
+        if self._moving or self._move is None:
+            return
+        if len(self._segments) <= self._segments_allowed - SPARE_SEGMENTS:
+            return
+        oldest = self._segments[min(self._segments)]
+        self._moving = True
+        try:
+            for offset, length in list(oldest.live.items()):
+                position = Position(oldest.sequence, offset, length)
+                self._move(position, oldest.records[offset])
+                self.release(position)
+        finally:
+            self._moving = False
+
+    def _drop_oldest(self) -> None:
+        """Use emptied segments again: all that replaced their records is durable now."""
+        while len(self._segments) > self._segments_allowed - SPARE_SEGMENTS and not self._unsynced:
+            oldest = self._segments[min(self._segments)]
+            if oldest.live:
+                return
+            del self._segments[oldest.sequence]
+
+
+class MemorySlot:
+    """A slot in memory; `save_s` is how long a save takes, `failing` makes saves fail."""
+
+    def __init__(self, value: bytes | None = None, save_s: float = 0.0) -> None:
+        self.save_s = save_s
+        self.failing = ""
+        self.saves = 0
+        self._value = value
+        self._saving: bytes | None = None
+        self._lock = asyncio.Lock()
+
+    def load(self) -> bytes | None:
+        """The value saved last, None where there is none."""
+        return self._value
+
+    async def save(self, value: bytes) -> None:
+        """Replace the value durably."""
+        async with self._lock:
+            self._saving = value
+            await asyncio.sleep(self.save_s)
+            self._saving = None
+            if self.failing:
+                raise StorageError("save", "memory", self.failing)
+            self._value = value
+            self.saves += 1
+
+    def crash(self, chance: Random) -> MemorySlot:
+        """The slot that a loss of power leaves: the old value, or the one being saved."""
+        value = self._value
+        if self._saving is not None and chance.random() < 0.5:
+            value = self._saving
+        return MemorySlot(value, self.save_s)
--- /dev/null
+++ b/hollowusher/storage/segment_format.py
@@ -0,0 +1,113 @@
+"""The bytes of a segment file: one header, then records framed by length and checksum.
+
+A segment is a range of offsets.  It usually stands in one file.  If a sync fails, the segment's rest goes
+on in another file: a further part with the offset where it begins (`base`), and what an earlier part holds
+from there on does not count.
+
+Each use of a file draws a new random `nonce`, which enters the checksum of every record together with the
+record's offset: bytes left from an earlier use never read as records.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterator
+from typing import NamedTuple
+
+import xxhash
+
+MAGIC = b"HWRINGLG"
+FORMAT_VERSION = 1
+UNKNOWN_END = 0xFFFFFFFF
+MASK_64 = (1 << 64) - 1
+
+_HEADER = struct.Struct("<8sIIQQII")  # magic, version, part, sequence, nonce, base, previous_end
+_CHECKSUM = struct.Struct("<Q")
+_FRAME = struct.Struct("<IQ")  # length, checksum
+HEADER_BYTES = _HEADER.size + _CHECKSUM.size
+FRAME_BYTES = _FRAME.size
+
+
+class SegmentHeader(NamedTuple):
+    """What stands at the start of a segment file."""
+
+    sequence: int
+    part: int
+    base: int  # the segment's offset at which this file's records begin
+    nonce: int
+    previous_end: int  # where the records of segment `sequence - 1` end: all of them were durable
+
+    def encode(self) -> bytes:
+        """The header's bytes."""
+        data = _HEADER.pack(MAGIC, FORMAT_VERSION, self.part, self.sequence, self.nonce, self.base,
+                            self.previous_end)
+        return data + _CHECKSUM.pack(xxhash.xxh64_intdigest(data))
+
+
+def decode_header(data: bytes) -> SegmentHeader | None:
+    """The header in a file's first bytes, None where there is no valid one."""
+    if len(data) < HEADER_BYTES:
+        return None
+    fields = data[:_HEADER.size]
+    (checksum,) = _CHECKSUM.unpack_from(data, _HEADER.size)
+    if xxhash.xxh64_intdigest(fields) != checksum:
+        return None
+    magic, version, part, sequence, nonce, base, previous_end = _HEADER.unpack(fields)
+    if magic != MAGIC or version != FORMAT_VERSION:
+        return None
+    return SegmentHeader(sequence, part, base, nonce, previous_end)
+
+
+def encode_frame(record: bytes, nonce: int, offset: int) -> bytes:
+    """What stands before a record at `offset` of its segment."""
+    return _FRAME.pack(len(record), xxhash.xxh64_intdigest(record, (nonce + offset) & MASK_64))
+
+
+def decode_record(data: bytes, nonce: int, offset: int) -> bytes | None:
+    """The record of a frame and payload, None where they do not match."""
+    if len(data) < FRAME_BYTES:
+        return None
+    length, checksum = _FRAME.unpack_from(data)
+    record = data[FRAME_BYTES:]
+    if length != len(record) or xxhash.xxh64_intdigest(record, (nonce + offset) & MASK_64) != checksum:
+        return None
+    return record
+
+
+class RecordScan:
+    """Reads the records of one part.
+
+    `end` is the offset up to which the records are known to have been durable, None for the newest part:
+    there the first record that does not check ends the scan, since it was never promised.  Before a known
+    end it is damage: it is counted, and skipped if its length leads on."""
+
+    def __init__(self, data: bytes, header: SegmentHeader, end: int | None) -> None:
+        self.damaged = 0
+        self.position = header.base  # where the records read so far end
+        self._data = data  # the part's bytes after its header
+        self._header = header
+        self._end = end
+
+    def records(self) -> Iterator[tuple[int, bytes]]:
+        """Offsets and records, in order."""
+        view = memoryview(self._data)
+        base, nonce = self._header.base, self._header.nonce
+        limit = base + len(view)
+        if self._end is not None:
+            limit = min(limit, self._end)
+        while self.position + FRAME_BYTES <= limit:
+            offset = self.position
+            start = offset - base + FRAME_BYTES
+            length, checksum = _FRAME.unpack_from(view, offset - base)
+            fits = offset + FRAME_BYTES + length <= limit
+            payload = view[start:start + length] if fits else b""
+            if fits and xxhash.xxh64_intdigest(payload, (nonce + offset) & MASK_64) == checksum:
+                self.position = offset + FRAME_BYTES + length
+                yield offset, bytes(payload)
+            elif self._end is None:
+                return
+            else:
+                self.damaged += 1
+                self.position = offset + FRAME_BYTES + length if fits else self._end
+        if self._end is not None:
+            self.position = self._end
--- /dev/null
+++ b/hollowusher/storage/slots.py
@@ -0,0 +1,156 @@
+"""A small value on disk that is replaced as a whole: two files that are written in turn.
+
+Each holds a sequence number, a length, a checksum and the value.  A save writes the file with the older
+value, so a torn write leaves the newer one as it was.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from concurrent.futures import Executor, ThreadPoolExecutor
+from pathlib import Path
+
+import xxhash
+
+from hollowusher.storage.files import Files, SystemFiles
+from hollowusher.storage.interface import StorageError
+
+MAGIC = b"HWSLOT01"
+_HEADER = struct.Struct("<8sQIQ")  # magic, sequence, length, checksum of sequence and value
+SIDES = (".0", ".1")
+
+
+def encode_value(sequence: int, value: bytes) -> bytes:
+    """The contents of a slot's file."""
+    return _HEADER.pack(MAGIC, sequence, len(value), xxhash.xxh64_intdigest(value, sequence)) + value
+
+
+def decode_value(data: bytes) -> tuple[int, bytes] | None:
+    """Sequence and value of such contents, None where they are not whole."""
+    if len(data) < _HEADER.size:
+        return None
+    magic, sequence, length, checksum = _HEADER.unpack_from(data)
+    value = data[_HEADER.size:_HEADER.size + length]
+    if magic != MAGIC or len(value) != length or xxhash.xxh64_intdigest(value, sequence) != checksum:
+        return None
+    return sequence, value
+
+
+class SlotFile:
+    """A `Slot` in the files `PATH.0` and `PATH.1`.
+
+    Saves at the same time are written as one: the newest value, which
+    answers for those before it."""
+
+    def __init__(self, path: Path, files: Files | None = None, executor: Executor | None = None) -> None:
+        self._path = path
+        self._io: Files = SystemFiles() if files is None else files
+        self._own_executor = executor is None
+        self._executor: Executor = ThreadPoolExecutor(1, "slot") if executor is None else executor
+        self._descriptors: list[int] = []
+        self._sequence = 0  # of the newest value known to be durable
+        self._newest_side = 1
+        self._value: bytes | None = None
+        self._waiting: tuple[bytes, asyncio.Future[None]] | None = None
+        self._writing = False
+        self._closed = False
+
+    def load(self) -> bytes | None:
+        """The value saved last, None where there is none."""
+        try:
+            self._open()
+        except OSError as error:
+            raise self._error("load", error) from error
+        return self._value
+
+    async def save(self, value: bytes) -> None:
+        """Replace the value durably."""
+        loop = asyncio.get_running_loop()
+        if self._closed:
+            raise StorageError("save", str(self._path), "the slot is closed")
+        if self._waiting is None:
+            self._waiting = (value, loop.create_future())
+        else:
+            self._waiting = (value, self._waiting[1])
+        done = self._waiting[1]
+        if not self._writing:
+            self._start_write(loop)
+        await asyncio.shield(done)
+
+    def close(self) -> None:
+        """Release the files, once a write under way has ended."""
+        if self._closed:
+            return
+        self._closed = True
+        if self._waiting is not None:
+            self._waiting[1].set_exception(StorageError("save", str(self._path), "the slot was closed"))
+            self._waiting = None
+        if not self._writing:
+            self._close_files()
+
+    def _open(self) -> None:
+        """Open both files and read the newest value, once."""
+        if self._descriptors:
+            return
+        self._io.make_folder(self._path.parent)
+        descriptors = [self._io.open(self._side_path(side), create=True) for side in SIDES]
+        for descriptor in descriptors:
+            self._io.sync(descriptor)  # what a killed process wrote may stand in the system's cache alone
+        self._io.sync_folder(self._path.parent)
+        for side, descriptor in enumerate(descriptors):
+            found = decode_value(self._io.read(descriptor, self._io.size(descriptor), 0))
+            if found is not None and found[0] > self._sequence:
+                self._sequence, self._value = found
+                self._newest_side = side
+        self._descriptors = descriptors
+
+    def _side_path(self, side: str) -> Path:
+        return self._path.with_name(self._path.name + side)
+
+    def _start_write(self, loop: asyncio.AbstractEventLoop) -> None:
+        assert self._waiting is not None
+        value, done = self._waiting
+        self._waiting = None
+        self._writing = True
+        write = loop.run_in_executor(self._executor, self._write, value)
+        write.add_done_callback(lambda finished: self._finish_write(loop, value, done, finished))
+
+    def _write(self, value: bytes) -> OSError | None:
+        """In the writing thread: write the file with the older value."""
+        try:
+            self._open()
+            descriptor = self._descriptors[1 - self._newest_side]
+            self._io.write(descriptor, encode_value(self._sequence + 1, value), 0)
+            self._io.sync(descriptor)
+        except OSError as error:
+            return error
+        return None
+
+    def _finish_write(self, loop: asyncio.AbstractEventLoop, value: bytes, done: asyncio.Future[None],
+                      finished: asyncio.Future[OSError | None]) -> None:
+        self._writing = False
+        error = finished.result()
+        if error is None:
+            self._sequence += 1
+            self._newest_side = 1 - self._newest_side
+            self._value = value
+        if not done.done():
+            if error is None:
+                done.set_result(None)
+            else:
+                done.set_exception(self._error("save", error))
+        if self._closed:
+            self._close_files()
+        elif self._waiting is not None:
+            self._start_write(loop)
+
+    def _close_files(self) -> None:
+        for descriptor in self._descriptors:
+            self._io.close(descriptor)
+        self._descriptors = []
+        if self._own_executor:
+            self._executor.shutdown(wait=False)
+
+    def _error(self, step: str, error: OSError) -> StorageError:
+        return StorageError(step, str(self._path), error.strerror or str(error))
