--- /dev/null
+++ b/hollowusher/coordination/client.py
@@ -0,0 +1,376 @@
+"""Every process's part in the cluster: it finds the controllers, registers, follows the distributed values,
+and takes part in failure detection.
+
+An ordinary process pulls from one controller: one in its own zone where possible, picked by rendezvous, and
+another one at once after a failure.  A controller has a `Feed` of its own: it pulls from each other
+controller and applies its own feed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import Callable
+from contextlib import suppress
+from typing import Any
+
+from hollowusher.configuration.boot import BootSettings
+from hollowusher.coordination.cluster_state import (
+    CONFIGURATION, MEMBER_PREFIX, PLACEMENT, VIEW, ClusterState,
+)
+from hollowusher.coordination.directory import version_of
+from hollowusher.coordination.monitor import Monitor
+from hollowusher.coordination.rendezvous import rank
+from hollowusher.coordination.updates import Feed, LongPoll
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import (
+    ControlState, Done, Heartbeat, Item, Leaving, Member, PullUpdates, ReadState, ReadView, Register,
+    Registered, StateAnswer, Updates, ViewAnswer, Voter,
+)
+from hollowusher.transport.interface import PeerError, Transport
+
+PULL_WAIT_MS = 1_000
+PULL_MARGIN_S = 0.7  # how much longer than its wait a pull may take
+CALL_TIMEOUT_S = 0.6
+LEAVE_TIMEOUT_S = 0.5
+BEAT_S = 0.15  # how often the failure detector runs
+FIRST_PAUSE_S = 0.1
+MOST_PAUSE_S = 0.5
+AVOID_S = 3.0  # a controller that has failed is not chosen for this long, if there is another one
+IDLE_PAUSE_S = 0.1  # after an answer that came at once and brought nothing
+MOST_HELPERS = 3  # living members asked for the view besides the seeds and the voters
+SOLICITED = ""  # the origin of items that were read from the control chain and not pulled
+
+
+class Backoff:
+    """Growing pauses between tries, with some chance so that processes do not try in step."""
+
+    def __init__(self, chance: random.Random) -> None:
+        self._chance = chance
+        self._pause = 0.0
+
+    def reset(self) -> None:
+        """A try has succeeded."""
+        self._pause = 0.0
+
+    async def wait(self) -> None:
+        """Pause after a failed try."""
+        self._pause = min(MOST_PAUSE_S, max(FIRST_PAUSE_S, 1.5 * self._pause))
+        await asyncio.sleep(self._pause * self._chance.uniform(0.7, 1.0))
+
+
+class ClusterClient:
+    """One process's access to the cluster.  `me` is its present registration."""
+
+    MESSAGES: tuple[type, ...] = (Heartbeat, ReadView, PullUpdates)
+
+    def __init__(
+        self,
+        me: Member,
+        transport: Transport,
+        settings: BootSettings,
+        state: ClusterState,
+        feed: Feed | None,
+        chance: random.Random,
+    ) -> None:
+        self.me = me
+        self.state = state
+        self._transport = transport
+        self._seeds = [address for address in settings.seed_addresses() if address != me.address]
+        self._feed = feed
+        self._chance = chance
+        self._monitor = Monitor(me.name)
+        self._members_changed = True
+        self._controller = ""  # the address at which this process is registered
+        self._registration_seen = False  # the cluster has this life of this process
+        self._leaving = False
+        self._failed_at: dict[str, float] = {}
+        self._contact: float | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._peers: dict[str, asyncio.Task[None]] = {}
+        self._peer_have: dict[str, dict[str, int]] = {}
+        self._view_changed = asyncio.Event()
+        self._long_poll = LongPoll(feed) if feed is not None else None
+        state.listen(self._on_change)
+        if feed is not None:
+            feed.listen(lambda item: self._apply([item]))
+
+    # ---- life
+
+    def start(self) -> None:
+        """Begin to follow the cluster, to send heartbeats and to monitor others."""
+        follow = self._follow_one() if self._feed is None else self._follow_all()
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(follow), loop.create_task(self._beat())]
+
+    async def stop(self) -> None:
+        """End all of that."""
+        tasks = [*self._tasks, *self._peers.values()]
+        self._tasks, self._peers = [], {}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def confirmed_start(self) -> None:
+        """Wait until the control chain has told its committed state, and apply it: after that, nothing
+        older than what was acknowledged before this start is served."""
+        backoff = Backoff(self._chance)
+        while True:
+            if self.state.view is None:
+                await self._find_view()
+            for voter in self._readers():
+                answer = await self._try_call(voter.address, ReadState())
+                if isinstance(answer, StateAnswer) and answer.state is not None:
+                    self._apply_state(answer.state)
+                    return
+            await backoff.wait()
+            await self._find_view()
+
+    async def leave(self) -> None:
+        """Tell a controller that this process is about to stop."""
+        self._leaving = True
+        if self._feed is not None:
+            self._publish(evolve(self.me, status=self.me.status + 1))
+            return
+        message = Leaving(self.me.name, self.me.incarnation)
+        for voter in self._voters_by_preference():
+            if isinstance(await self._try_call(voter.address, message, LEAVE_TIMEOUT_S), Done):
+                return
+
+    def seconds_since_contact(self, now: float) -> float:
+        """How long ago a controller last answered a pull; infinite before the first answer, 0 for a
+        controller that has no others to ask."""
+        if self._feed is not None and self.state.view is not None and not self._other_voters():
+            return 0.0
+        return math.inf if self._contact is None else now - self._contact
+
+    async def handle(self, message: Any) -> Any:
+        """Answer one of `MESSAGES`."""
+        if isinstance(message, Heartbeat):
+            self._monitor.heard(message, self._now())
+        elif isinstance(message, ReadView):
+            return ViewAnswer(self.state.view)
+        elif isinstance(message, PullUpdates) and self._long_poll is not None:
+            return await self._long_poll.answer(message)
+        return None
+
+    # ---- finding the controllers
+
+    async def _find_view(self) -> None:
+        """Ask for a newer view than the known one; without any, go on until there is one."""
+        backoff = Backoff(self._chance)
+        while True:
+            await self._ask_for_view()
+            if self.state.view is not None:
+                return
+            await backoff.wait()
+
+    async def _ask_for_view(self) -> None:
+        answers = await asyncio.gather(
+            *(self._try_call(address, ReadView()) for address in self._view_sources()))
+        for answer in answers:
+            if isinstance(answer, ViewAnswer) and answer.view is not None:
+                self._apply([Item(VIEW, [answer.view.epoch], SOLICITED, 0, answer.view)])
+
+    def _view_sources(self) -> list[str]:
+        sources = [*self._seeds, *(voter.address for voter in self._other_voters())]
+        edges = [member.address for member in self.state.alive("edge")]
+        sources += self._chance.sample(edges, min(MOST_HELPERS, len(edges)))
+        return [address for address in dict.fromkeys(sources) if address != self.me.address]
+
+    def _voters(self) -> list[Voter]:
+        view = self.state.view
+        return [] if view is None else view.voters
+
+    def _other_voters(self) -> list[Voter]:
+        return [voter for voter in self._voters() if voter.address != self.me.address]
+
+    def _readers(self) -> list[Voter]:
+        """The voters that may know the committed state, the chain's tail first."""
+        view = self.state.view
+        tail = "" if view is None else view.tail
+        return sorted(self._voters(), key=lambda voter: voter.name != tail)
+
+    def _voters_by_preference(self) -> list[Voter]:
+        """Those that have not failed lately, then those alive, in the own zone, by rendezvous."""
+        by_name = {voter.name: voter for voter in self._voters()}
+        ranked = rank(f"controller/{self.me.name}", by_name)
+        order = sorted(ranked, key=lambda name: (
+            self._failed_lately(by_name[name].address), self._is_dead(name), not self._in_my_zone(name)))
+        return [by_name[name] for name in order]
+
+    def _failed_lately(self, address: str) -> bool:
+        failed_at = self._failed_at.get(address)
+        return failed_at is not None and self._now() - failed_at < AVOID_S
+
+    def _is_dead(self, name: str) -> bool:
+        member = self.state.members.get(name)
+        return member is not None and not member.alive
+
+    def _in_my_zone(self, name: str) -> bool:
+        member = self.state.members.get(name)
+        return member is not None and member.zone == self.me.zone
+
+    # ---- following one controller
+
+    async def _follow_one(self) -> None:
+        backoff = Backoff(self._chance)
+        while True:
+            voters = self._voters_by_preference()
+            if not voters:
+                await self._find_view()
+                continue
+            address = voters[0].address
+            try:
+                await self._register_at(address)
+                await self._pull(address, dict(self.state.have), self._take)
+                backoff.reset()
+            except PeerError:
+                self._controller = ""
+                every_one_failed = self._failed_lately(address)
+                self._failed_at[address] = self._now()
+                if every_one_failed or len(voters) == 1:
+                    await backoff.wait()
+                    await self._ask_for_view()
+
+    async def _register_at(self, address: str) -> None:
+        if address == self._controller or self._leaving:
+            return
+        answer = await self._transport.call(address, Register(self.me), CALL_TIMEOUT_S)
+        if not isinstance(answer, Registered):
+            raise PeerError("Register", address, "no registration there")
+        self._controller = address
+
+    async def _pull(self, address: str, have: dict[str, int], take: Callable[[Updates], list[str]]) -> None:
+        """One long poll; `PeerError` where it fails."""
+        started = self._now()
+        request = PullUpdates(self.me.name, have, PULL_WAIT_MS)
+        answer = await self._transport.call(address, request, PULL_WAIT_MS / 1000 + PULL_MARGIN_S)
+        if not isinstance(answer, Updates):
+            raise PeerError("PullUpdates", address, "no updates there")
+        self._contact = self._now()
+        self._failed_at.pop(address, None)
+        if not take(answer) and self._now() - started < IDLE_PAUSE_S:
+            await asyncio.sleep(IDLE_PAUSE_S)
+
+    def _take(self, updates: Updates) -> list[str]:
+        return self.state.apply(updates.items, updates.have)
+
+    # ---- a controller follows all others
+
+    async def _follow_all(self) -> None:
+        self._publish(self.me)
+        while True:
+            if self.state.view is None:
+                await self._find_view()
+            wanted = {voter.address for voter in self._other_voters()}
+            for address in [address for address in self._peers if address not in wanted]:
+                self._peers.pop(address).cancel()
+                self._peer_have.pop(address, None)
+            for address in wanted - self._peers.keys():
+                self._peers[address] = asyncio.get_running_loop().create_task(self._follow_peer(address))
+            self._view_changed.clear()
+            await self._view_changed.wait()
+
+    async def _follow_peer(self, address: str) -> None:
+        backoff = Backoff(self._chance)
+        while True:
+            try:
+                await self._pull(address, self._have_of(address), lambda answer: self._merge(address, answer))
+                backoff.reset()
+            except PeerError:
+                self._failed_at[address] = self._now()
+                await backoff.wait()
+                if all(self._failed_lately(voter.address) for voter in self._other_voters()):
+                    await self._ask_for_view()
+
+    def _have_of(self, address: str) -> dict[str, int]:
+        """What this feed has, and what that peer has already given: origins that one side has pruned are
+        not sent again and again."""
+        assert self._feed is not None
+        have = self._feed.have
+        for origin, counter in self._peer_have.get(address, {}).items():
+            have[origin] = max(counter, have.get(origin, 0))
+        return have
+
+    def _merge(self, address: str, updates: Updates) -> list[str]:
+        assert self._feed is not None
+        self._peer_have[address] = updates.have
+        return self._feed.merge(updates)
+
+    def _publish(self, member: Member) -> None:
+        assert self._feed is not None
+        self.me = member
+        self._feed.publish(MEMBER_PREFIX + member.name, version_of(member), member)
+
+    # ---- applying what was learnt
+
+    def _apply(self, items: list[Item]) -> None:
+        self.state.apply(items, {})
+
+    def _apply_state(self, state: ControlState) -> None:
+        values: list[tuple[str, int, Any]] = []
+        if state.generation > 0:
+            values.append((CONFIGURATION, state.generation, state.document))
+        if state.placement is not None:
+            values.append((PLACEMENT, state.placement.version, state.placement))
+        for key, version, value in values:
+            if self._feed is not None:
+                self._feed.publish(key, [version], value)
+            else:
+                self._apply([Item(key, [version], SOLICITED, 0, value)])
+
+    def _on_change(self, key: str) -> None:
+        if key == VIEW:
+            self._view_changed.set()
+        elif key.startswith(MEMBER_PREFIX):
+            self._members_changed = True
+            if key == MEMBER_PREFIX + self.me.name:
+                self._on_own_state(self.state.members[self.me.name])
+
+    def _on_own_state(self, seen: Member) -> None:
+        """Refute one's own death.  A greater incarnation seen at the start is that of an earlier life whose
+        clock was ahead; seen later, it is a successor's, which is left alone."""
+        if version_of(seen) == version_of(self.me):
+            self._registration_seen = True
+        if self._leaving or version_of(seen) <= version_of(self.me):
+            return
+        if seen.incarnation == self.me.incarnation:
+            self._announce(evolve(self.me, status=seen.status + seen.status % 2))
+        elif not self._registration_seen:
+            self._announce(evolve(self.me, incarnation=seen.incarnation + 1, status=0))
+
+    def _announce(self, member: Member) -> None:
+        self.me = member
+        self._controller = ""
+        if self._feed is not None:
+            asyncio.get_running_loop().call_soon(self._publish, member)
+
+    # ---- failure detection
+
+    async def _beat(self) -> None:
+        while True:
+            now = self._now()
+            if self._members_changed:
+                self._members_changed = False
+                self._monitor.update(self.state.alive(), now)
+            for suspicion in self._monitor.tick(now):
+                for voter in self._voters():
+                    self._transport.send(voter.address, suspicion)
+            if not self._leaving and self._monitor.heartbeat_due(now):
+                heartbeat = Heartbeat(self.me.name, self.me.incarnation)
+                for member in self._monitor.my_monitors:
+                    self._transport.send(member.address, heartbeat)
+            await asyncio.sleep(BEAT_S)
+
+    # ---- small things
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+    async def _try_call(self, address: str, message: Any, timeout: float = CALL_TIMEOUT_S) -> Any:
+        with suppress(PeerError):
+            return await self._transport.call(address, message, timeout)
+        return None
--- a/hollowusher/coordination/rendezvous.py
+++ b/hollowusher/coordination/rendezvous.py
@@ -12,7 +12,7 @@
 
 def weight(key: str, name: str) -> int:
     """The weight of `name` for `key`."""
-    return xxhash.xxh64_intdigest(f"{key}\0{name}")
+    return xxhash.xxh64_intdigest(f"{key}\0{name}".encode())
 
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
--- /dev/null
+++ b/hollowusher/coordination/updates.py
@@ -0,0 +1,135 @@
+"""Distribution of control values: a feed of versioned items that others pull with their version vector.
+
+Every controller publishes items under its own origin ("name/incarnation") and numbers them.  A version
+vector (origin -> counter) says which items a reader has, or has newer ones of.  Controllers pull from each
+other, all other processes from one controller.  Only the newest item of each key is kept, so a feed's size
+is bounded by the number of keys.
+
+`Feed` is pure; `LongPoll` adds the waiting.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from hollowusher.protocol.control import Item, PullUpdates, Updates
+
+BATCH_S = 0.02  # a waiting pull is answered this long after the first news, so that news travel together
+Listener = Callable[[Item], None]  # called with each item that replaced an older value
+
+
+class Feed:
+    """The newest item of every key, and the version vector that says what has been seen."""
+
+    def __init__(self, origin: str) -> None:
+        self.origin = origin
+        self._counter = 0
+        self._items: dict[str, Item] = {}
+        self._have: dict[str, int] = {}
+        self._listeners: list[Listener] = []
+
+    @property
+    def have(self) -> dict[str, int]:
+        """The version vector."""
+        return dict(self._have)
+
+    def item(self, key: str) -> Item | None:
+        """The newest item of a key."""
+        return self._items.get(key)
+
+    def items(self) -> list[Item]:
+        """The newest items of all keys."""
+        return list(self._items.values())
+
+    def listen(self, listener: Listener) -> None:
+        """Have `listener` called with each item that brings a greater version of its key."""
+        self._listeners.append(listener)
+
+    def publish(self, key: str, version: Iterable[int], value: Any) -> bool:
+        """Give a key a new value under this origin; False where the version is not greater than the known."""
+        known = self._items.get(key)
+        numbers = list(version)
+        if known is not None and numbers <= list(known.version):
+            return False
+        self._counter += 1
+        self._items[key] = item = Item(key, numbers, self.origin, self._counter, value)
+        self._have[self.origin] = self._counter
+        self._prune()
+        self._tell([item])
+        return True
+
+    def merge(self, updates: Updates) -> list[str]:
+        """Take the answer of another controller; the keys whose value has changed."""
+        newer = [item for item in updates.items if self._take(item)]
+        for origin, counter in updates.have.items():
+            if origin != self.origin and counter > self._have.get(origin, 0):
+                self._have[origin] = counter
+        self._prune()
+        self._tell(newer)
+        return [item.key for item in newer]
+
+    def answer(self, request: PullUpdates) -> Updates:
+        """The items beyond the reader's vector, and the vector it has after taking them."""
+        items = [item for item in self._items.values() if item.counter > request.have.get(item.origin, 0)]
+        items.sort(key=lambda item: (item.origin, item.counter))
+        return Updates(items, self.have)
+
+    def _take(self, item: Item) -> bool:
+        """Keep an item if it is newer; True if its version is greater than the known one.
+
+        Of two items with one version the same one wins everywhere, so that all feeds come to hold the same
+        items and the vectors can be pruned alike."""
+        known = self._items.get(item.key)
+        if known is None or list(item.version) > list(known.version):
+            self._items[item.key] = item
+            return True
+        same_version = list(item.version) == list(known.version)
+        if same_version and (item.origin, item.counter) > (known.origin, known.counter):
+            self._items[item.key] = item
+        return False
+
+    def _prune(self) -> None:
+        """Forget origins without live items.  A reader that forgets one may get an old item again, which
+        its version then rules out."""
+        live = {item.origin for item in self._items.values()}
+        live.add(self.origin)
+        if len(self._have) > len(live):
+            self._have = {origin: counter for origin, counter in self._have.items() if origin in live}
+
+    def _tell(self, items: list[Item]) -> None:
+        for item in items:
+            for listener in list(self._listeners):
+                listener(item)
+
+
+class LongPoll:
+    """Answers pulls from a feed, and lets them wait for news."""
+
+    def __init__(self, feed: Feed) -> None:
+        self._feed = feed
+        self._news = asyncio.Event()
+        feed.listen(self._wake)
+
+    def _wake(self, _item: Item) -> None:
+        self._news.set()
+        self._news = asyncio.Event()
+
+    async def answer(self, request: PullUpdates) -> Updates:
+        """The answer to a pull: at once if there are items for it, else when some come, at the latest after
+        the time that the reader is willing to wait."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + request.wait_ms / 1000
+        while True:
+            news = self._news
+            updates = self._feed.answer(request)
+            left = deadline - loop.time()
+            if updates.items or left <= 0:
+                return updates
+            try:
+                async with asyncio.timeout(left):
+                    await news.wait()
+            except TimeoutError:
+                continue
+            await asyncio.sleep(min(BATCH_S, max(0.0, deadline - loop.time())))
--- a/hollowusher/protocol/codec.py
+++ b/hollowusher/protocol/codec.py
@@ -8,13 +8,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Any, TypeVar
+from typing import Any, TypeVar, dataclass_transform
 
 import attrs
 import ormsgpack
 
 _OPTIONS = ormsgpack.OPT_NON_STR_KEYS
 MessageType = TypeVar("MessageType", bound=type)
+Value = TypeVar("Value")
 
 _types: dict[int, type] = {}
 _tags: dict[type, int] = {}
@@ -25,6 +26,7 @@
     """Bytes that are no message of this protocol."""
 
 
+@dataclass_transform(frozen_default=True, field_specifiers=(attrs.field,))
 def message(tag: int) -> Callable[[MessageType], MessageType]:
     """Register a class as the message type `tag`; it becomes an immutable attrs class with slots."""
 
@@ -40,6 +42,12 @@
     return register
 
 
+def evolve(value: Value, **changes: Any) -> Value:
+    """The same message with some fields changed."""
+    changed: Value = attrs.evolve(value, **changes)  # type: ignore[misc]  # any message is an attrs class
+    return changed
+
+
 def _encode_message(value: Any) -> Any:
     tag = _tags.get(type(value))
     if tag is None:
--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -102,6 +102,7 @@
     epoch: int
     voters: list[Voter]
     chain: list[str]
+    since: dict[str, int] = attrs.Factory(dict)  # chain member -> epoch from which on every chain holds it
 
     @property
     def head(self) -> str:
@@ -132,6 +133,7 @@
 
     epoch: int
     ballot: list[Any]  # [round, name]
+    base: View | None = None  # the view before, for an acceptor that has not heard of it yet
 
 
 @message(15)
@@ -180,6 +182,7 @@
     primary: str
     replicas: list[str]
     learners: list[str] = attrs.Factory(list)
+    primary_incarnation: int = 0  # the life of the primary's process that may serve this epoch; 0: any
 
 
 @message(21)
@@ -216,6 +219,7 @@
 
     ok: bool
     epoch: int = 0
+    unreachable: str = ""  # the chain member that gave no answer
 
 
 @message(25)
@@ -225,12 +229,15 @@
     method: str
     if_match: int | None
     body: bytes
+    forwarded: bool = False  # a controller passed it on: it is not passed on again
 
 
 @message(26)
 class ReadConfiguration:
     """Asks the tail for the configuration in force."""
 
+    forwarded: bool = False
+
 
 @message(27)
 class OperatorAnswer:
@@ -252,6 +259,8 @@
 class ReadState:
     """Asks the chain's tail for the control state (a started scheduler does, before it serves)."""
 
+    forwarded: bool = False
+
 
 @message(30)
 class StateAnswer:
@@ -305,6 +314,80 @@
 
 @message(35)
 class WorkerList:
-    """The whole list as read by the duty holder.  `read_ms` is the age of the reading when published."""
+    """The whole list as read by the duty holder."""
 
     workers: list[Worker]
+
+
+@message(36)
+class Announce:
+    """A controller makes itself known: to the seeds while the system starts for the first time
+    (`bootstrap`), to the voters while it is none of them.  The answer is a `ViewAnswer`."""
+
+    voter: Voter
+    bootstrap: bool = False
+
+
+@message(37)
+class ProposeFirst:
+    """Asks a controller with an empty disk to take this as view 1."""
+
+    view: View
+
+
+@message(38)
+class FirstTaken:
+    """Answer to `ProposeFirst`: the first view that the controller holds durably, and the newest view that
+    it knows to be decided."""
+
+    taken: View | None
+    decided: View | None = None
+
+
+@message(39)
+class Ping:
+    """A voter asks another one whether it is there."""
+
+    name: str
+    epoch: int  # the newest view the sender knows
+
+
+@message(40)
+class Pong:
+    """Answer to `Ping`."""
+
+    name: str
+    disk_id: str
+    epoch: int
+    complete: bool  # holds every committed state: may become the chain's head
+    heard: list[str]  # the voters that it hears
+    leaving: bool = False  # about to stop: not to be taken into the chain
+
+
+@message(41)
+class ConfirmEpoch:
+    """The chain's tail or head asks the voters whether its view is still the newest."""
+
+    epoch: int
+
+
+@message(42)
+class EpochConfirmed:
+    """Answer to `ConfirmEpoch`: `ok` where the voter has accepted no later view."""
+
+    ok: bool
+    epoch: int
+
+
+@message(45)
+class LearnerReady:
+    """From a partition's primary to the head: this learner holds every committed record.  Sent again until
+    the placement has changed.
+
+    From the moment it first sends this until the new placement is in force, the primary has to commit with
+    the learner's acknowledgement besides those of f+1 replicas; else a record that stands on the primary and
+    on the replaced replica alone would be lost together with the primary."""
+
+    partition: int
+    epoch: int
+    store_id: str
