--- /dev/null
+++ b/hollowusher/delivery/connection.py
@@ -0,0 +1,203 @@
+"""One HTTP/1.1 connection to a worker or receiver, one request at a time.
+
+The answers are parsed by aiohttp's response parser.  aiohttp's client session is not used: it takes bytes
+that came while a connection was idle for the answer to the next request, it cannot read on past an answer
+that belongs to another message, and it does not tell whether anything was sent.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable, Mapping
+from contextlib import suppress
+from typing import Any
+
+import attrs
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http import HttpResponseParser
+
+MOST_ANSWER_BYTES = 8 * 1024 * 1024
+READ_LIMIT = 2 * MOST_ANSWER_BYTES  # of the parser: it is never to pause, the bound above closes first
+MOST_HEADER_BYTES = 16_384
+KEEP_ALIVE_MARGIN_S = 0.4  # an idle connection is not used within this time of its announced end
+USER_TIMEOUT_MS = 5_000
+
+
+class ExchangeError(Exception):
+    """No answer to a request: the step, the address and the reason.
+
+    `sent`: bytes may have reached the peer.  `answered`: bytes of an answer had come back.
+    `reused`: the connection had carried a request before."""
+
+    def __init__(self, step: str, address: str, reason: str, *, sent: bool, answered: bool = False,
+                 reused: bool = False) -> None:
+        super().__init__(f"{step} at {address}: {reason}")
+        self.step = step
+        self.address = address
+        self.reason = reason
+        self.sent = sent
+        self.answered = answered
+        self.reused = reused
+
+
+@attrs.frozen
+class Answer:
+    """A whole answer.  The body is dropped: workers' answers to messages are not passed on."""
+
+    status: int
+    headers: Mapping[str, str]
+
+
+Accepts = Callable[[Answer], bool]  # whether an answer belongs to the request that waits
+
+
+class Connection(asyncio.Protocol):
+    """A connection; `on_lost` is called once with it when it has ended."""
+
+    def __init__(self, address: str, on_lost: Callable[[Connection], None]) -> None:
+        self.address = address
+        self.requests = 0
+        self.idle_until: float | None = None  # None: no end was announced
+        self._on_lost = on_lost
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser: Any = None
+        self._payload: Any = None  # body of the answer that is being read
+        self._reading: Answer | None = None  # the answer whose body is being read
+        self._closes = False  # the peer has said that it closes after this answer
+        self._bytes_in = 0
+        self._waiting: asyncio.Future[Answer] | None = None
+        self._accepts: Accepts | None = None
+
+    @property
+    def usable(self) -> bool:
+        """Whether a request may be sent on it."""
+        transport = self._transport
+        if transport is None or transport.is_closing() or self._waiting is not None or self._closes:
+            return False
+        return self.idle_until is None or self._loop.time() < self.idle_until
+
+    async def exchange(self, request: list[bytes], accepts: Accepts, deadline: float) -> Answer:
+        """Send a request and wait for its answer until `deadline`.  `ExchangeError` where none came; the
+        connection is closed then."""
+        transport = self._transport
+        if transport is None or not self.usable:
+            raise ExchangeError("send", self.address, "connection lost", sent=False)
+        future: asyncio.Future[Answer] = self._loop.create_future()
+        self._waiting, self._accepts = future, accepts
+        self._bytes_in = 0
+        self.requests += 1
+        transport.writelines(request)
+        timer = self._loop.call_at(deadline, self._fail, "no answer in time")
+        try:
+            return await future
+        finally:
+            timer.cancel()
+            if self._waiting is not None:  # cancelled: an answer that comes now would be nobody's
+                self._waiting = None
+                self.close()
+
+    def close(self) -> None:
+        """End the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take the transport."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        _tune(transport.get_extra_info("socket"))
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came.  Bytes on an idle connection answer nothing: they end it."""
+        if self._waiting is None:
+            self.close()
+            return
+        self._bytes_in += len(data)
+        if self._bytes_in > MOST_ANSWER_BYTES:
+            self._fail("answer too long")
+            return
+        if self._parser is None:
+            self._parser = _new_parser(self._loop)
+        try:
+            messages, _, _ = self._parser.feed_data(data)
+        except Exception as error:  # the parser's own errors, all of which mean the same
+            self._fail(f"answer cannot be read: {type(error).__name__}")
+            return
+        for message, payload in messages:
+            self._take_body_end()
+            if self._reading is not None:
+                self._fail("answer cut short by another")
+                return
+            self._reading, self._payload = Answer(message.code, message.headers), payload
+            self._closes = self._closes or message.should_close
+        self._take_body_end()
+        if self._waiting is None and self._reading is not None:
+            self.close()  # the start of a second answer
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """The peer or the network ended it."""
+        if self._parser is not None:
+            with suppress(Exception):  # an answer without a length is whole when the connection ends
+                self._parser.feed_eof()
+            if error is None:
+                self._take_body_end()
+        self._transport = None
+        self._fail(f"connection lost: {error or 'closed'}")
+        self._on_lost(self)
+
+    def _take_body_end(self) -> None:
+        """If the answer that is being read is whole, hand it over."""
+        answer, payload = self._reading, self._payload
+        if answer is None or not payload.is_eof():
+            return
+        self._reading = self._payload = None
+        if payload.exception() is not None:
+            self._fail("answer cut short")
+            return
+        if 100 <= answer.status < 200:
+            return
+        waiting, accepts = self._waiting, self._accepts
+        if waiting is None or accepts is None:
+            self._closes = True  # two answers for one request
+            self.close()
+            return
+        if not accepts(answer):
+            self._closes = True  # out of step: read on, but never use the connection again
+            return
+        self._waiting = self._accepts = None
+        self.idle_until = _idle_end(answer, self._loop.time())
+        if not waiting.done():
+            waiting.set_result(answer)
+
+    def _fail(self, reason: str) -> None:
+        waiting, self._waiting = self._waiting, None
+        if waiting is not None and not waiting.done():
+            waiting.set_exception(ExchangeError("answer", self.address, reason, sent=True,
+                                                answered=self._bytes_in > 0, reused=self.requests > 1))
+        self.close()
+
+
+def _new_parser(loop: asyncio.AbstractEventLoop) -> Any:
+    return HttpResponseParser(BaseProtocol(loop), loop, READ_LIMIT, max_line_size=MOST_HEADER_BYTES,
+                              max_field_size=MOST_HEADER_BYTES, auto_decompress=False, read_until_eof=True)
+
+
+def _idle_end(answer: Answer, now: float) -> float | None:
+    """When the peer will close the connection if it stays idle: `Keep-Alive: timeout=SECONDS`."""
+    for part in answer.headers.get("Keep-Alive", "").split(","):
+        name, _, value = part.partition("=")
+        if name.strip().lower() == "timeout":
+            with suppress(ValueError):
+                return now + max(0.0, float(value) - KEEP_ALIVE_MARGIN_S)
+    return None
+
+
+def _tune(sock: socket.socket | None) -> None:
+    """No delay, and an end for connections whose peer has gone silent with bytes unacknowledged."""
+    if sock is None:
+        return
+    with suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
--- /dev/null
+++ b/hollowusher/delivery/leasing.py
@@ -0,0 +1,175 @@
+"""Lease requests for one service: one outstanding at each store that has jobs of it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+
+import attrs
+
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.delivery.figures import DeliveryFigures
+from hollowusher.protocol.control import Member, Placement
+from hollowusher.protocol.store import Job, Leased, LeaseRequest
+from hollowusher.transport.interface import PeerError, Transport
+
+POLL_S = 1.0  # how long a store may wait for jobs to come
+ANSWER_S = 1.0  # beyond it, until the call is given up
+MOST_PER_REQUEST = 64
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 0.5
+AT_ONCE_S = 0.1  # an answer without jobs that came sooner was no long poll: pause, as after a failure
+STALE_S = 0.8  # an answer so much later than the poll allows was read after a freeze: its jobs are old
+
+Homes = Callable[[str, Iterable[int]], list[int]]  # a service's partitions, in the order of preference
+
+
+@attrs.frozen
+class LeaseNetwork:
+    """What all lease requests of a process need."""
+
+    me: Member
+    transport: Transport
+    state: ClusterState
+    homes: Homes
+    figures: DeliveryFigures
+
+    def home_store(self, service: str) -> str | None:
+        """The store that is the primary of the service's home partition."""
+        ranking = self.homes(service, self.state.partitions())
+        entry = self.state.partition(ranking[0]) if ranking else None
+        return entry.primary if entry is not None else None
+
+    def address(self, store: str) -> str | None:
+        """The address of a store, given by its store id or its name."""
+        if "/" in store:
+            return self.state.store_address(store)
+        member = self.state.members.get(store)
+        return member.address if member is not None else None
+
+
+@attrs.frozen
+class Demand:
+    """What the receiver of the jobs wants.  `wanted`: how many jobs now; `take`: here they are; `give_back`:
+    they came too late to be of use; `recheck_s`: how long to wait at most for a wake-up before `wanted` is
+    asked again, None where demand never grows by time alone."""
+
+    wanted: Callable[[], int]
+    take: Callable[[list[Job]], None]
+    give_back: Callable[[list[Job]], None]
+    recheck_s: Callable[[], float | None]
+
+
+class LeaseGroup:
+    """The sources of one service's jobs: its home store, and stores that said that jobs wait there."""
+
+    def __init__(self, service: str, network: LeaseNetwork, demand: Demand, *, keep_empty_s: float,
+                 has_home: bool = True, visibility_ms: int = 0) -> None:
+        self.service = service
+        self._network = network
+        self._demand = demand
+        self._keep_empty_s = keep_empty_s
+        self._has_home = has_home
+        self._visibility_ms = visibility_ms  # above 0: leases for pull workers
+        self._home: str | None = None
+        self._placement: Placement | None = None  # the one that the home was taken from
+        self._sources: dict[str, asyncio.Task[None]] = {}
+        self._stopping = False
+        self._woken = asyncio.Event()
+
+    @property
+    def active(self) -> bool:
+        """Whether any store is being asked."""
+        return bool(self._sources)
+
+    def refresh(self) -> None:
+        """Follow the placement: ask the home store of now."""
+        if not self._has_home or self._stopping:
+            return
+        placement = self._network.state.placement
+        if placement is not self._placement or self._home is None:
+            self._placement = placement
+            self._home = self._network.home_store(self.service)
+        if self._home is not None:
+            self._ensure(self._home)
+        self.wake()
+
+    def leave(self) -> None:
+        """Ask the home store no more once the requests under way have ended, until the next `refresh`."""
+        self._home = None
+
+    def add(self, store: str) -> None:
+        """Jobs wait at this store."""
+        if not self._stopping:
+            self._ensure(store)
+
+    def wake(self) -> None:
+        """Demand may have grown."""
+        self._woken.set()
+
+    def stop(self) -> list[asyncio.Task[None]]:
+        """Ask for nothing more; the tasks that still await an answer."""
+        self._stopping = True
+        self.wake()
+        return list(self._sources.values())
+
+    def _ensure(self, store: str) -> None:
+        if store not in self._sources:
+            task = asyncio.get_running_loop().create_task(self._ask_repeatedly(store))
+            self._sources[store] = task
+            task.add_done_callback(lambda done: self._ended(store, done))
+
+    def _ended(self, store: str, task: asyncio.Task[None]) -> None:
+        if self._sources.get(store) is task:
+            del self._sources[store]
+
+    async def _ask_repeatedly(self, store: str) -> None:
+        loop = asyncio.get_running_loop()
+        last_jobs = loop.time()
+        pause = FIRST_PAUSE_S
+        while not self._stopping:
+            if store != self._home and loop.time() - last_jobs > self._keep_empty_s:
+                return
+            wanted = min(MOST_PER_REQUEST, self._demand.wanted())
+            if wanted <= 0:
+                await self._wait_for_demand()
+                continue
+            asked = loop.time()
+            leased = await self._request(store, wanted)
+            took = loop.time() - asked
+            if leased is not None and leased.jobs:
+                last_jobs = loop.time()
+                self._receive(leased.jobs, took)
+            elif leased is None or took < AT_ONCE_S:
+                await asyncio.sleep(pause)
+                pause = min(LONGEST_PAUSE_S, 2 * pause)
+                continue
+            pause = FIRST_PAUSE_S
+
+    def _receive(self, jobs: list[Job], took: float) -> None:
+        self._network.figures.leased += len(jobs)
+        if self._stopping or took > POLL_S + STALE_S:
+            self._demand.give_back(jobs)
+        else:
+            self._demand.take(jobs)
+
+    async def _wait_for_demand(self) -> None:
+        self._woken.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(self._demand.recheck_s()):
+                await self._woken.wait()
+
+    async def _request(self, store: str, most: int) -> Leased | None:
+        address = self._network.address(store)
+        if address is None:
+            return None
+        me = self._network.me
+        request = LeaseRequest(me.name, me.incarnation, self.service, most, round(POLL_S * 1000),
+                               pull=self._visibility_ms > 0, visibility_ms=self._visibility_ms)
+        try:
+            answer = await self._network.transport.call(address, request, POLL_S + ANSWER_S)
+        except PeerError:
+            self._network.figures.lease_failures += 1
+            return None
+        return answer if isinstance(answer, Leased) else None
--- /dev/null
+++ b/hollowusher/delivery/pool.py
@@ -0,0 +1,105 @@
+"""The connections to one address: kept and reused, since a new one has a price, and never too many."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hollowusher.delivery.connection import Accepts, Answer, Connection, ExchangeError
+from hollowusher.transport.tcp import split_address
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class ConnectionPool:
+    """At most `limit` connections to `address`; the one used last is used first, so that spare ones lapse."""
+
+    def __init__(self, address: str, limit: int) -> None:
+        self.address = address
+        self.limit = max(1, limit)
+        self.opened = 0  # connections opened since the start
+        self.last_used = 0.0
+        self._idle: list[Connection] = []
+        self._open: set[Connection] = set()
+        self._connecting = 0
+
+    @property
+    def open_count(self) -> int:
+        """Connections that stand or are being opened."""
+        return len(self._open) + self._connecting
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is under way."""
+        return self.open_count > len(self._idle)
+
+    async def exchange(self, request: list[bytes], accepts: Accepts, deadline: float,
+                       may_repeat: bool = False) -> Answer:
+        """The answer to one request; `ExchangeError` where none came.
+
+        `may_repeat`: the request may run twice.  Then it is sent once more, on a new connection, when a kept
+        connection ended without a byte of an answer: most likely its end and the request crossed."""
+        self.last_used = asyncio.get_running_loop().time()
+        connection = self._take_idle() or await self._connect(deadline)
+        try:
+            return await self._exchange_on(connection, request, accepts, deadline)
+        except ExchangeError as error:
+            crossed = error.reused and not error.answered and error.reason.startswith("connection lost")
+            if error.sent and not (crossed and may_repeat):
+                raise
+        connection = await self._connect(deadline, may_have_run=may_repeat)
+        return await self._exchange_on(connection, request, accepts, deadline)
+
+    def close(self) -> None:
+        """End all connections."""
+        for connection in list(self._open):
+            connection.close()
+
+    def close_idle(self) -> None:
+        """End the connections without a request."""
+        for connection in list(self._idle):
+            connection.close()
+
+    async def _exchange_on(self, connection: Connection, request: list[bytes], accepts: Accepts,
+                           deadline: float) -> Answer:
+        answer = await connection.exchange(request, accepts, deadline)
+        if connection.usable:
+            self._idle.append(connection)
+        else:
+            connection.close()
+        return answer
+
+    def _take_idle(self) -> Connection | None:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable:
+                return connection
+            connection.close()
+        return None
+
+    async def _connect(self, deadline: float, may_have_run: bool = False) -> Connection:
+        if self.open_count >= self.limit:
+            raise ExchangeError("connect", self.address, "too many connections", sent=may_have_run)
+        loop = asyncio.get_running_loop()
+        host, port = split_address(self.address)
+        self._connecting += 1
+        try:
+            async with asyncio.timeout_at(min(deadline, loop.time() + CONNECT_TIMEOUT_S)):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(self.address, self._lost), host, port)
+        except TimeoutError:
+            raise ExchangeError("connect", self.address, "no connection in time", sent=may_have_run) from None
+        except OSError as error:
+            raise ExchangeError("connect", self.address, f"no connection: {error}",
+                                sent=may_have_run) from None
+        finally:
+            self._connecting -= 1
+        self.opened += 1
+        if not connection.usable:  # ended before this task went on
+            raise ExchangeError("connect", self.address, "connection lost", sent=may_have_run)
+        self._open.add(connection)
+        return connection
+
+    def _lost(self, connection: Connection) -> None:
+        self._open.discard(connection)
+        if connection in self._idle:
+            self._idle.remove(connection)
--- /dev/null
+++ b/hollowusher/dispatch/dispatcher.py
@@ -0,0 +1,185 @@
+"""The dispatcher of an edge process: which destinations it owns now, and the dispatch of each service."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable, Sequence
+
+from hollowusher.configuration.boot import BootSettings
+from hollowusher.configuration.model import Configuration, Route, Service
+from hollowusher.coordination.cluster_state import (
+    CONFIGURATION,
+    MEMBER_PREFIX,
+    PLACEMENT,
+    WORKERS,
+    ClusterState,
+)
+from hollowusher.coordination.placement import homes
+from hollowusher.delivery.callbacks import CallbackDelivery
+from hollowusher.delivery.figures import DeliveryFigures
+from hollowusher.delivery.leasing import Homes, LeaseNetwork
+from hollowusher.delivery.pull import LeasingPullDesk
+from hollowusher.delivery.reports import EndReporter, FinishClient
+from hollowusher.delivery.worker_client import Endpoint, WorkerClient
+from hollowusher.dispatch.ownership import Destination, assign, fixed_destination, worker_destination
+from hollowusher.dispatch.service_dispatch import DispatchContext, ServiceDispatch, WorkerSpec
+from hollowusher.protocol.control import Member, Worker
+from hollowusher.protocol.store import CALLBACK_PREFIX, JobsWaiting
+from hollowusher.transport.interface import Transport
+
+READY = "ready"
+STOP_MARGIN_S = 0.3  # of the grace, kept for the reports of the last ends
+EDGE = "edge"
+
+
+class Dispatcher:
+    """Delivers the jobs of pushed workers and call-backs that this process owns; `pull_desk` leases those
+    of the pull workers that call here."""
+
+    def __init__(self, me: Member, transport: Transport, state: ClusterState, store_client: FinishClient,
+                 settings: BootSettings, worker_client: WorkerClient, chance: random.Random, *,
+                 homes: Homes = homes, figures: DeliveryFigures | None = None) -> None:
+        self.figures = figures or DeliveryFigures()
+        self._me = me
+        self._state = state
+        self._client = worker_client
+        self._reporter = EndReporter(store_client, self.figures)
+        self._network = LeaseNetwork(me, transport, state, homes, self.figures)
+        self._context = DispatchContext(self._network, worker_client, self._reporter, self.figures, chance,
+                                        self._route)
+        self._callbacks = CallbackDelivery(self._network, self._reporter, self._owns_receiver)
+        self.pull_desk = LeasingPullDesk(self._network, self._reporter, settings.bounds.visibility_ms)
+        self._services: dict[str, ServiceDispatch] = {}
+        self._routes: dict[str, Route] = {}
+        self._configuration: Configuration | None = None
+        self._refresh_due = False
+        self._listed_at = 0.0  # when the list of workers was received, in the loop's time
+        self._started = self._stopping = False
+
+    def start(self) -> None:
+        """Begin to lease and deliver; changes of the cluster's state are followed from now on."""
+        self._started = True
+        self._listed_at = asyncio.get_running_loop().time()
+        self._state.listen(self._changed)
+        self._refresh()
+
+    async def stop(self, grace_s: float) -> None:
+        """Planned stop: lease nothing more, give back what has not begun, wait for what is under way."""
+        loop = asyncio.get_running_loop()
+        self._stopping = True
+        deadline = loop.time() + grace_s
+        waiting = [task for service in self._services.values() for task in service.stop()]
+        waiting += self._callbacks.stop()
+        waiting += [task for service in self._services.values() for task in service.deliveries]
+        waiting += self.pull_desk.stop()
+        if waiting:
+            _, left = await asyncio.wait(waiting, timeout=max(0.0, grace_s - STOP_MARGIN_S))
+            for task in left:
+                task.cancel()
+        await self._reporter.settle(deadline)
+        await self._callbacks.close()
+        await self._client.close()
+
+    def handle(self, waiting: JobsWaiting) -> None:
+        """A store says that jobs of a service wait there and nobody asks for them."""
+        if not self._started or self._stopping:
+            return
+        if waiting.service.startswith(CALLBACK_PREFIX):
+            self._callbacks.handle(waiting)
+            return
+        self.pull_desk.handle(waiting)
+        dispatch = self._services.get(waiting.service)
+        if dispatch is not None and not dispatch.idle:
+            dispatch.leases.add(waiting.store)
+
+    def owned(self) -> dict[str, list[str]]:
+        """The destinations owned now, by service."""
+        return {name: [spec.key for spec in specs] for name, specs in self._owned_specs().items()}
+
+    def _route(self, name: str) -> Route | None:
+        return self._routes.get(name)
+
+    def _owns_receiver(self, service: str) -> bool:
+        owners = assign([Destination(service)], self._state.alive(EDGE))
+        return owners.get(service) == self._me.name
+
+    def _changed(self, key: str) -> None:
+        if key == WORKERS:
+            self._listed_at = asyncio.get_running_loop().time()
+        relevant = key in (CONFIGURATION, WORKERS, PLACEMENT) or key.startswith(MEMBER_PREFIX)
+        if relevant and not self._refresh_due and not self._stopping:
+            self._refresh_due = True
+            asyncio.get_running_loop().call_soon(self._refresh)
+
+    def _refresh(self) -> None:
+        """Bring the services and their destinations up to date."""
+        self._refresh_due = False
+        if self._stopping:
+            return
+        configuration = self._state.configuration
+        if configuration is None:
+            return
+        if configuration is not self._configuration:
+            self._configuration = configuration
+            self._routes = {route.name: route for route in configuration.routes}
+        owned = self._owned_specs()
+        services = {service.name: service for service in configuration.upstreams}
+        for name in set(self._services) | set(owned):
+            self._update(name, services.get(name), owned.get(name, []))
+
+    def _update(self, name: str, service: Service | None, specs: list[WorkerSpec]) -> None:
+        dispatch = self._services.get(name)
+        if dispatch is None:
+            if service is None or not specs:
+                return
+            dispatch = self._services[name] = ServiceDispatch(service, self._context)
+        dispatch.update(service or dispatch.service, specs)
+        if not specs and dispatch.idle:
+            del self._services[name]
+
+    def _owned_specs(self) -> dict[str, list[WorkerSpec]]:
+        configuration = self._state.configuration
+        if configuration is None:
+            return {}
+        pushed = {service.name: service for service in configuration.upstreams if not service.pull}
+        workers = self._listed(pushed)
+        members = self._state.alive(EDGE)
+        owners = assign(_destinations(pushed.values(), workers), members)
+        owned: dict[str, list[WorkerSpec]] = {}
+        for service in pushed.values():
+            if service.fixed is not None:
+                key = fixed_destination(service.name, service.fixed).key
+                if owners.get(key) == self._me.name:
+                    owned[service.name] = [_fixed_spec(service, service.fixed, key)]
+        for worker in workers:
+            key = _destination(worker).key
+            if worker.state == READY and owners.get(key) == self._me.name:
+                owned.setdefault(worker.service, []).append(self._listed_spec(pushed[worker.service], worker))
+        return owned
+
+    def _listed(self, pushed: dict[str, Service]) -> Sequence[Worker]:
+        workers = self._state.workers
+        listed = workers.workers if workers is not None else []
+        return [worker for worker in listed
+                if worker.service in pushed and pushed[worker.service].fixed is None]
+
+    def _listed_spec(self, service: Service, worker: Worker) -> WorkerSpec:
+        endpoint = Endpoint(worker.address, worker.id, service.max_connections, service.idempotent)
+        warm_at = self._listed_at + worker.warm_in_ms / 1000 if worker.warm_in_ms > 0 else 0.0
+        return WorkerSpec(_destination(worker).key, endpoint, worker.capacity, warm_at)
+
+
+def _destination(worker: Worker) -> Destination:
+    return worker_destination(worker.service, worker.id, worker.zone)
+
+
+def _destinations(services: Iterable[Service], workers: Iterable[Worker]) -> list[Destination]:
+    """All destinations: every process counts the same ones, draining workers too, so that they agree."""
+    fixed = [fixed_destination(service.name, service.fixed) for service in services
+             if service.fixed is not None]
+    return fixed + [_destination(worker) for worker in workers]
+
+
+def _fixed_spec(service: Service, address: str, key: str) -> WorkerSpec:
+    return WorkerSpec(key, Endpoint(address, "", service.max_connections, service.idempotent))
