--- /dev/null
+++ b/hollowusher/simulation/http.py
@@ -0,0 +1,191 @@
+"""HTTP exchanges between simulated machines, without sockets: one exchange is one connection.
+
+An exchange can be refused, meet silence, be reset under way, or lose its answer; a caller that leaves closes
+the connection, which the server may notice.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+from hollowusher.simulation.loop import SimulatedProcess, current_process
+from hollowusher.simulation.network import Network, host_of
+
+RESEND_S = 0.2
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """A whole request."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+    def header(self, name: str, default: str = "") -> str:
+        """A header's value, whatever its case."""
+        wanted = name.lower()
+        return next((value for key, value in self.headers.items() if key.lower() == wanted), default)
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: Mapping[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+    def header(self, name: str, default: str = "") -> str:
+        """A header's value, whatever its case."""
+        wanted = name.lower()
+        return next((value for key, value in self.headers.items() if key.lower() == wanted), default)
+
+
+class HttpFailure(Exception):
+    """An exchange without an answer.  `sent` is False where the server certainly never saw the request."""
+
+    def __init__(self, reason: str, sent: bool) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.sent = sent
+
+
+class Exchange:
+    """One request on its way; servers see whether its caller has left."""
+
+    def __init__(self, request: HttpRequest, source: str, caller: SimulatedProcess | None) -> None:
+        self.request = request
+        self.source = source
+        self.caller = caller
+        self.reached = False
+        self.server: Server | None = None
+        self.closed = asyncio.Event()
+        self.read = False  # the caller has taken the whole answer
+        self.on_read: Callable[[], None] | None = None
+
+
+class Server(Protocol):
+    """Something that answers HTTP at an address."""
+
+    @property
+    def process(self) -> SimulatedProcess | None:
+        """The process that it belongs to; None outside the system."""
+
+    async def serve(self, exchange: Exchange) -> HttpAnswer | None:
+        """The answer; None closes the connection without one."""
+
+
+class SilentServer(Exception):
+    """Raised by a server that never answers and keeps the connection open."""
+
+
+class HttpNetwork:
+    """All HTTP servers of the world, by address."""
+
+    def __init__(self, network: Network) -> None:
+        self.network = network
+        self.servers: dict[str, Server] = {}
+        self.exchanges = 0
+        self._open: dict[Exchange, asyncio.Future[HttpAnswer]] = {}
+
+    def listen(self, address: str, server: Server) -> None:
+        """Have a server answer at an address."""
+        self.servers[address] = server
+
+    def silence(self, address: str) -> None:
+        """Nothing listens at an address any more."""
+        self.servers.pop(address, None)
+
+    def process_ended(self, process: SimulatedProcess) -> None:
+        """Servers of a process end; exchanges that it served or made are closed."""
+        for address, server in list(self.servers.items()):
+            if server.process is process:
+                del self.servers[address]
+                self.server_ended(server, host_of(address))
+        for exchange in list(self._open):
+            if exchange.caller is process:
+                exchange.closed.set()
+                del self._open[exchange]
+
+    def server_ended(self, server: Server, host: str) -> None:
+        """The exchanges that a server had open are reset, where its host can still say so."""
+        for exchange, future in list(self._open.items()):
+            if exchange.server is server:
+                exchange.closed.set()
+                if self.network.reaches(host, exchange.source):
+                    self.network.loop.call_outside(self.network.delay(), _fail, future, "reset", True)
+
+    async def exchange(self, source: str, address: str, request: HttpRequest, timeout: float) -> HttpAnswer:
+        """The answer of the server at `address`; `HttpFailure` where none came."""
+        loop = self.network.loop
+        exchange = Exchange(request, source, current_process())
+        future: asyncio.Future[HttpAnswer] = loop.create_future()
+        self._open[exchange] = future
+        self.exchanges += 1
+        loop.call_outside(self.network.delay(), self._arrive, exchange, address, future)
+        try:
+            async with asyncio.timeout(timeout):
+                answer = await future
+        except TimeoutError:
+            raise HttpFailure("timeout", exchange.reached) from None
+        finally:
+            exchange.closed.set()
+            self._open.pop(exchange, None)
+        exchange.read = True
+        if exchange.on_read is not None:
+            exchange.on_read()
+        return answer
+
+    def _arrive(self, exchange: Exchange, address: str, future: asyncio.Future[HttpAnswer]) -> None:
+        if exchange.closed.is_set() or future.done():
+            return
+        network = self.network
+        there = host_of(address)
+        if not (network.reaches(exchange.source, there) and network.reaches(there, exchange.source)):
+            network.loop.call_outside(RESEND_S, self._arrive, exchange, address, future)
+            return
+        server = self.servers.get(address)
+        if server is None:
+            network.loop.call_outside(network.delay(), _fail, future, "refused", False)
+            return
+        exchange.reached = True
+        exchange.server = server
+        work = self._serve(exchange, server, there, future)
+        if server.process is not None:
+            server.process.run(work)
+        else:
+            network.loop.call_outside(0.0, _spawn, network.loop, work)
+
+    async def _serve(self, exchange: Exchange, server: Server, host: str,
+                     future: asyncio.Future[HttpAnswer]) -> None:
+        try:
+            answer = await server.serve(exchange)
+        except SilentServer:
+            return
+        self.network.loop.call_outside(self.network.delay(), self._return, exchange, host, answer, future)
+
+    def _return(self, exchange: Exchange, host: str, answer: HttpAnswer | None,
+                future: asyncio.Future[HttpAnswer]) -> None:
+        if future.done() or exchange.closed.is_set():
+            return
+        if not self.network.reaches(host, exchange.source):
+            self.network.loop.call_outside(RESEND_S, self._return, exchange, host, answer, future)
+        elif answer is None:
+            _fail(future, "reset", True)
+        else:
+            future.set_result(answer)
+
+
+def _spawn(loop: Any, work: Awaitable[None]) -> None:
+    loop.create_task(work)
+
+
+def _fail(future: asyncio.Future[HttpAnswer], reason: str, sent: bool) -> None:
+    if not future.done():
+        future.set_exception(HttpFailure(reason, sent))
+        future.exception()
--- /dev/null
+++ b/hollowusher/simulation/observations.py
@@ -0,0 +1,158 @@
+"""What the outside saw in one play: clients, workers, receivers, the operator and the platform.
+
+Times are virtual seconds.  Nothing here is learned from inside the system.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+
+@dataclass
+class SentMessage:
+    """One try of a client: a message with an id of its own."""
+
+    id: str
+    route: str
+    service: str
+    body: bytes
+    ordering_key: str
+    delay_s: float
+    callback_url: str
+    edge: str
+    edge_life: int
+    sent_at: float
+    status: int | None = None  # None: no answer
+    answered_at: float | None = None
+    reference: str = ""  # X-Message-Ref, else the id
+
+    @property
+    def accepted(self) -> bool:
+        """Whether a 202 reached the client."""
+        return self.status == 202
+
+
+@dataclass
+class Run:
+    """A worker's work on a message.  `result`: "success", "failed" (500), "refused" (422), "broken" (no
+    answer was made), "" while it works."""
+
+    id: str
+    service: str
+    worker: str
+    started_at: float
+    body: bytes
+    ended_at: float | None = None
+    result: str = ""
+    signature: str = ""
+    read_at: float | None = None  # when the whole answer was read by the sender
+
+
+@dataclass
+class Arrival:
+    """A delivery that reached a service with a ceiling, run or not."""
+
+    service: str
+    id: str
+    at: float
+
+
+@dataclass
+class LeaseEnd:
+    """A pull worker's end that was accepted with 200."""
+
+    id: str
+    lease: str
+    result: int
+    at: float
+
+
+@dataclass
+class StateAnswer:
+    """Answer to `GET /message` and, with `body`, `GET /message-body`."""
+
+    id: str
+    at: float
+    status: int | None
+    state: str = ""
+    signature: str = ""
+    body: bytes | None = None
+    final: bool = False
+
+
+@dataclass
+class CallbackCall:
+    """A call-back as its receiver saw it."""
+
+    id: str
+    url: str
+    state: str
+    signature: str
+    at: float
+    status: int | None
+
+
+@dataclass
+class ConfigurationOrder:
+    """An operator's change: what it builds on and what it makes, with the answers it got."""
+
+    number: int
+    if_match: int
+    generation: int
+    document: dict[str, Any]  # the whole configuration that it makes
+    valid: bool
+    first_sent_at: float = 0.0
+    acknowledged_at: float | None = None
+    refused_at: float | None = None
+    answers: list[tuple[float, int | None]] = field(default_factory=list)
+
+
+@dataclass
+class ConfigurationRead:
+    """The answer to `GET /config`."""
+
+    at: float
+    edge: str
+    document: dict[str, Any]
+    final: bool = False
+
+
+@dataclass
+class GenerationSeen:
+    """Which configuration an edge process worked with when it answered a request."""
+
+    edge: str
+    life: int
+    generation: int
+    at: float
+
+
+@dataclass
+class Trouble:
+    """A disturbance by the world.  `planned`: SIGTERM only."""
+
+    kind: str
+    host: str
+    begun_at: float
+    ended_at: float | None = None
+    planned: bool = False
+
+
+@dataclass
+class Observations:
+    """Everything that was seen."""
+
+    messages: dict[str, SentMessage] = field(default_factory=dict)
+    runs: list[Run] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    lease_ends: list[LeaseEnd] = field(default_factory=list)
+    states: list[StateAnswer] = field(default_factory=list)
+    callbacks: list[CallbackCall] = field(default_factory=list)
+    orders: list[ConfigurationOrder] = field(default_factory=list)
+    reads: list[ConfigurationRead] = field(default_factory=list)
+    generations: list[GenerationSeen] = field(default_factory=list)
+    troubles: list[Trouble] = field(default_factory=list)
+    calm_since: float = 0.0  # no disturbance after this
+    traffic_ended_at: float = 0.0
+    ended_at: float = 0.0
--- /dev/null
+++ b/hollowusher/simulation/operators.py
@@ -0,0 +1,157 @@
+"""The operator: changes of the configuration, repeated until they are answered, and reading it back."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import random
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from hollowusher.simulation import plain_model as model
+from hollowusher.simulation.http import HttpAnswer, HttpFailure, HttpNetwork, HttpRequest
+from hollowusher.simulation.observations import ConfigurationOrder, ConfigurationRead, Observations
+
+SILENCE_S = 1.0
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+FINAL_ANSWERS = (400, 409, 412, 413, 422)
+MOST_OTHER_REFUSALS = 3
+MOST_REDIRECTS = 2
+
+
+class Operator:
+    """Sends orders to any scheduler that serves the control plane; answers may be lost on their way."""
+
+    def __init__(self, http: HttpNetwork, seen: Observations, chance: random.Random, host: str,
+                 admins: Callable[[], list[str]], lost_answers: float = 0.1) -> None:
+        self.http = http
+        self.seen = seen
+        self.host = host
+        self.lost_answers = lost_answers
+        self._chance = chance
+        self._admins = admins
+        self._orders = 0
+        http.network.power_on(host)
+
+    def _now(self) -> float:
+        return self.http.network.loop.time()
+
+    async def _exchange(self, request: HttpRequest) -> tuple[HttpAnswer | None, str]:
+        """One call, with its redirects; None where no answer came (or it was lost)."""
+        address = self._chance.choice(self._admins())
+        for _ in range(MOST_REDIRECTS + 1):
+            try:
+                answer = await self.http.exchange(self.host, address, request, SILENCE_S)
+            except HttpFailure:
+                return None, address
+            if answer.status != 307:
+                break
+            address = answer.header("Location").removeprefix("http://").partition("/")[0]
+        lost = self._chance.random() < self.lost_answers
+        return (None if lost else answer), address
+
+    def order(self, if_match: int, document: dict[str, Any], valid: bool = True) -> ConfigurationOrder:
+        """Note a change that is to be sent."""
+        self._orders += 1
+        made = ConfigurationOrder(self._orders, if_match, document["generation"], document, valid)
+        self.seen.orders.append(made)
+        return made
+
+    async def send(self, order: ConfigurationOrder, request: HttpRequest, give_up_at: float) -> bool | None:
+        """Send an order until it is answered: True taken, False refused, None unknown."""
+        pause, refusals = FIRST_PAUSE_S, 0
+        if not order.first_sent_at:
+            order.first_sent_at = self._now()
+        while self._now() < give_up_at:
+            answer, _ = await self._exchange(request)
+            status = None if answer is None else answer.status
+            order.answers.append((self._now(), status))
+            if status == 200:
+                if order.acknowledged_at is None:
+                    order.acknowledged_at = self._now()
+                return True
+            if status is not None and 400 <= status < 500 and status not in (408, 429):
+                refusals += 1
+                if status in FINAL_ANSWERS or refusals >= MOST_OTHER_REFUSALS:
+                    order.refused_at = self._now()
+                    return False
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, LONGEST_PAUSE_S)
+        return None
+
+    async def read(self, give_up_at: float, final: bool = False) -> dict[str, Any] | None:
+        """The configuration read back."""
+        pause = FIRST_PAUSE_S
+        while self._now() < give_up_at:
+            answer, edge = await self._exchange(HttpRequest("GET", "/config"))
+            if answer is not None and answer.status == 200:
+                document: dict[str, Any] = orjson.loads(answer.body)
+                self.seen.reads.append(ConfigurationRead(self._now(), edge, document, final))
+                return document
+            await asyncio.sleep(pause)
+            pause = min(pause * 2, LONGEST_PAUSE_S)
+        return None
+
+
+def put_request(order: ConfigurationOrder) -> HttpRequest:
+    """A whole configuration."""
+    headers = {"If-Match": str(order.if_match), "Content-Type": "application/json"}
+    return HttpRequest("PUT", "/config", headers, orjson.dumps(order.document))
+
+
+def patch_request(order: ConfigurationOrder, patch: dict[str, Any]) -> HttpRequest:
+    """A change of some items."""
+    headers = {"If-Match": str(order.if_match), "Content-Type": "application/json"}
+    return HttpRequest("PATCH", "/config", headers, orjson.dumps(patch))
+
+
+class ChangePlan:
+    """Random changes: extra routes come and go, time-outs alter."""
+
+    def __init__(self, chance: random.Random, base: dict[str, Any], extra_service: str) -> None:
+        self._chance = chance
+        self._extra_service = extra_service
+        self._extra = 0
+        self.base = base
+        self.route_rules: dict[str, model.RouteRules] = {}
+
+    def next_patch(self, generation: int) -> tuple[dict[str, Any], dict[str, Any]]:
+        """A PATCH and the whole configuration that it makes of the newest known one."""
+        patch: dict[str, Any] = {"generation": generation + self._chance.randint(1, 3)}
+        extras = [route["name"] for route in self.base["routes"] if route["name"].startswith("extra-")]
+        if extras and self._chance.random() < 0.4:
+            patch["delete"] = {"routes": [self._chance.choice(extras)]}
+        elif self._chance.random() < 0.3:
+            route = copy.deepcopy(self._chance.choice(self.base["routes"]))
+            route["targetLatencyMs"] = self._chance.randint(50, 300)
+            patch["upsert"] = {"routes": [route]}
+        else:
+            patch["upsert"] = {"routes": [self._new_route()]}
+        return patch, model.effective_document(self.base, patch)
+
+    def _new_route(self) -> dict[str, Any]:
+        self._extra += 1
+        route = copy.deepcopy(self.base["routes"][0])
+        route.update(name=f"extra-{self._extra}", pathPrefix=f"/extra/{self._extra}/",
+                     upstream=self._extra_service, ordered=False, callbackUrl=False)
+        return dict(route)
+
+    def invalid(self, generation: int) -> dict[str, Any]:
+        """A configuration that must not be taken."""
+        document = copy.deepcopy(self.base)
+        document["generation"] = generation + 1
+        kind = self._chance.randrange(4)
+        if kind == 0:
+            document["routes"][0]["upstream"] = "no-such-service"
+        elif kind == 1:
+            document["routes"][0]["timeoutMs"] = 0
+        elif kind == 2:
+            twin = copy.deepcopy(document["routes"][0])
+            twin["name"] = "twin"
+            document["routes"].append(twin)
+        else:
+            document["generation"] = max(generation - 1, 0)
+        return document
--- /dev/null
+++ b/hollowusher/simulation/plain_model.py
@@ -0,0 +1,108 @@
+"""A slow, plain reading of the rules: what may be said about a message, from what the outside saw.
+
+Every question looks through all observations again; nothing is indexed, so nothing can be indexed wrongly.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from hollowusher.simulation.observations import ConfigurationOrder, Observations, Run, SentMessage
+
+NEVER = float("inf")
+
+
+@dataclass(frozen=True)
+class RouteRules:
+    """What the rules need to know of a route; the same in every configuration that has it."""
+
+    name: str
+    service: str
+    max_attempts: int
+    retention_s: float
+    timeout_s: float
+    ordered: bool
+
+
+def runs_of(seen: Observations, message: str) -> list[Run]:
+    """The runs of a message in the order they started."""
+    return sorted((run for run in seen.runs if run.id == message), key=lambda run: run.started_at)
+
+
+def route_names(order: ConfigurationOrder) -> set[str]:
+    """The routes of the configuration that an order makes."""
+    return {str(route["name"]) for route in order.document["routes"]}
+
+
+def may_be_in_force(order: ConfigurationOrder) -> bool:
+    """Whether a change may have been taken."""
+    return order.valid and (order.acknowledged_at is not None or order.refused_at is None)
+
+
+def route_dropped_at(seen: Observations, route: str, since: float) -> float:
+    """The first time from which a configuration without this route may be in force."""
+    times = [order.first_sent_at for order in seen.orders
+             if may_be_in_force(order) and order.first_sent_at > 0 and route not in route_names(order)]
+    return min((at for at in times if at >= since), default=NEVER)
+
+
+def ended_at(seen: Observations, message: SentMessage, rules: RouteRules) -> float:
+    """When a message ended by the rules: success, refused for good, attempts used up, its time passed, or its
+    route dropped; `NEVER` where none of that has been seen."""
+    ends = [message.sent_at + rules.retention_s]
+    failures = 0
+    for run in sorted(runs_of(seen, message.id), key=lambda run: run.ended_at or NEVER):
+        if run.ended_at is None:
+            continue
+        if run.result in ("success", "refused"):
+            ends.append(run.ended_at)
+        elif run.result == "failed":
+            failures += 1
+            if failures == rules.max_attempts:
+                ends.append(run.ended_at)
+    ends.append(route_dropped_at(seen, message.route, message.sent_at))
+    return min(ends)
+
+
+def stamps(seen: Observations, message: str) -> set[str]:
+    """The signatures of successful runs."""
+    return {run.signature for run in runs_of(seen, message) if run.result == "success"}
+
+
+def may_be_dead(seen: Observations, message: SentMessage, rules: RouteRules, at: float) -> bool:
+    """Whether `dead_letter` may be said at a time: the message has ended (by something other than a success
+    that was read, which would be `completed`)."""
+    return ended_at(seen, message, rules) <= at
+
+
+def troubled(seen: Observations, begin: float, end: float, contact_s: float) -> bool:
+    """Whether unplanned trouble touched the span, or the `contact_s` before it."""
+    return any(not trouble.planned and trouble.begun_at <= end
+               and (trouble.ended_at is None or trouble.ended_at >= begin - contact_s)
+               for trouble in seen.troubles)
+
+
+def disturbed(seen: Observations, begin: float, end: float, contact_s: float) -> bool:
+    """Whether any trouble, planned or not, touched the span or the `contact_s` before it."""
+    return any(trouble.begun_at <= end
+               and (trouble.ended_at is None or trouble.ended_at >= begin - contact_s)
+               for trouble in seen.troubles)
+
+
+def effective_document(base: dict[str, Any], patch: dict[str, Any]) -> dict[str, Any]:
+    """The whole configuration that a PATCH makes of another."""
+    document = {"generation": patch["generation"], "limits": dict(base["limits"])}
+    for section in ("routes", "upstreams"):
+        dropped = set(patch.get("delete", {}).get(section, []))
+        changed = {item["name"]: item for item in patch.get("upsert", {}).get(section, [])}
+        kept = [changed.pop(item["name"], item) for item in base[section] if item["name"] not in dropped]
+        document[section] = kept + list(changed.values())
+    return document
+
+
+def canonical(document: dict[str, Any]) -> dict[str, Any]:
+    """A configuration as a value that is equal however its lists are ordered."""
+    return {"generation": document["generation"], "limits": document["limits"],
+            "routes": sorted(document["routes"], key=lambda item: str(item["name"])),
+            "upstreams": sorted(document["upstreams"], key=lambda item: str(item["name"]))}
--- /dev/null
+++ b/hollowusher/simulation/world.py
@@ -0,0 +1,342 @@
+"""The machines of the system with their processes, disks, power, links and clocks.
+
+A `Program` is one life of a role on a machine.  The world builds it from seams alone (transport, storage,
+HTTP, clock), starts it, stops it and takes its resources away.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from hollowusher.configuration.boot import Bind, Bounds, BootSettings, CloudApi, FaultTolerance
+from hollowusher.simulation.http import Exchange, HttpAnswer, HttpNetwork
+from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
+from hollowusher.simulation.network import Network, SimulatedTransport
+from hollowusher.simulation.observations import Observations, Trouble
+from hollowusher.storage.memory import MemoryLog, MemorySlot
+
+INTERNAL_PORT, FRONTEND_PORT, READINESS_PORT, ADMIN_PORT = 7780, 8069, 8063, 8064
+WALL_CLOCK_ORIGIN_S = 1_700_000_000.0
+LIST_ADDRESS = "10.200.0.70:8065"
+REGION = "region-a"
+
+
+class Disk:
+    """A machine's disk: logs and slots by name, which outlive processes."""
+
+    def __init__(self, chance: random.Random, sync_s: float) -> None:
+        self._chance = chance
+        self._sync_s = sync_s
+        self._logs: dict[str, MemoryLog] = {}
+        self._slots: dict[str, MemorySlot] = {}
+
+    def log(self, name: str = "messages") -> MemoryLog:
+        """The log of a name, new where there was none."""
+        if name not in self._logs:
+            self._logs[name] = MemoryLog(segment_bytes=256 * 1024, segments=64, sync_s=self._sync_s)
+        return self._logs[name]
+
+    def slot(self, name: str) -> MemorySlot:
+        """The slot of a name, new where there was none."""
+        if name not in self._slots:
+            self._slots[name] = MemorySlot(save_s=self._sync_s)
+        return self._slots[name]
+
+    def process_ended(self) -> None:
+        """Files stay as they were; what the process had not yet written is gone."""
+        self._crash(in_order=True)
+
+    def power_lost(self) -> None:
+        """What was synced stays; any of the rest is missing."""
+        self._crash(in_order=self._chance.random() < 0.5)
+
+    def _crash(self, in_order: bool) -> None:
+        self._logs = {name: log.crash(self._chance, in_order) for name, log in self._logs.items()}
+        self._slots = {name: slot.crash(self._chance) for name, slot in self._slots.items()}
+
+    def lost(self) -> None:
+        """An empty disk in its place."""
+        self._logs, self._slots = {}, {}
+
+
+@dataclass
+class Seams:
+    """All that a program may use of the world."""
+
+    settings: BootSettings
+    transport: SimulatedTransport
+    disk: Disk | None
+    http: HttpNetwork
+    host: str
+    chance: random.Random
+    wall_ms: Callable[[], int]
+    incarnation: int
+
+
+class Program(Protocol):
+    """One life of a role."""
+
+    async def start(self) -> None:
+        """Begin to serve."""
+
+    async def stop(self) -> None:
+        """End in order (SIGTERM)."""
+
+    def ready(self) -> bool:
+        """The answer of `/readyz`; always False for stores."""
+
+    def generation(self) -> int:
+        """The configuration in force here, 0 for none."""
+
+    async def frontend(self, exchange: Exchange) -> HttpAnswer | None:
+        """Answer a client or pull worker."""
+
+    async def admin(self, exchange: Exchange) -> HttpAnswer | None:
+        """Answer the operator."""
+
+
+Builder = Callable[[Seams], Program]
+
+
+@dataclass
+class Machine:
+    """A machine and the present life of its process."""
+
+    name: str
+    role: str
+    ip: str
+    zone: str
+    disk: Disk | None
+    clock_offset_s: float = 0.0
+    powered: bool = False
+    frozen: bool = False
+    started_once: bool = False
+    life: int = 0
+    process: SimulatedProcess | None = None
+    program: Program | None = None
+    running: bool = False  # its process has been started and has not ended
+    readiness_misses: int = 2
+    starts: list[float] = field(default_factory=list)
+
+    @property
+    def counts(self) -> bool:
+        """Whether its loss is limited by `faultTolerance`."""
+        return self.disk is not None
+
+    @property
+    def controller(self) -> bool:
+        """Whether it takes part in the control chain."""
+        return self.role == "edge" and self.disk is not None
+
+
+class _Side:
+    """The HTTP server of one side of a program."""
+
+    def __init__(self, process: SimulatedProcess,
+                 handle: Callable[[Exchange], asyncio.Future[HttpAnswer | None]]) -> None:
+        self.process = process
+        self._handle = handle
+
+    async def serve(self, exchange: Exchange) -> HttpAnswer | None:
+        """Pass the exchange on."""
+        return await self._handle(exchange)
+
+
+@dataclass(frozen=True)
+class Size:
+    """How many machines there are."""
+
+    controllers: int = 3
+    plain_edges: int = 1
+    stores: int = 3
+    faults: int = 1
+    sync_s: float = 0.003
+
+
+class World:
+    """All machines, and what may happen to them."""
+
+    def __init__(self, loop: VirtualLoop, seed: int, size: Size, build: Builder) -> None:
+        self.loop = loop
+        self.seed = seed
+        self.size = size
+        self.seen = Observations()
+        self.network = Network(loop, self.random("network"))
+        self.http = HttpNetwork(self.network)
+        self.machines: dict[str, Machine] = {}
+        self.program_failures: list[str] = []
+        self._build = build
+        self._incarnations = itertools.count(1)
+        self._make_machines()
+
+    def random(self, purpose: str) -> random.Random:
+        """A source of randomness of its own for each purpose."""
+        return random.Random(f"{self.seed}/{purpose}")
+
+    def _make_machines(self) -> None:
+        chance = self.random("machines")
+        zones = ("zone-a", "zone-b", "zone-c", "zone-d")
+        kinds = [("edge", True)] * self.size.controllers + [("edge", False)] * self.size.plain_edges
+        kinds += [("store", True)] * self.size.stores
+        numbers = {"edge": 0, "store": 0}
+        for position, (role, with_disk) in enumerate(kinds):
+            number = numbers[role]
+            numbers[role] += 1
+            name = f"{role}-{number + 1}"
+            disk = Disk(self.random(f"disk {name}"), self.size.sync_s) if with_disk else None
+            self.machines[name] = Machine(name, role, f"10.0.0.{position + 1}", zones[number % len(zones)],
+                                          disk, clock_offset_s=chance.uniform(-2.0, 2.0))
+
+    def of(self, role: str) -> list[Machine]:
+        """The machines of a role."""
+        return [machine for machine in self.machines.values() if machine.role == role]
+
+    def controllers(self) -> list[Machine]:
+        """The machines of the control chain."""
+        return [machine for machine in self.machines.values() if machine.controller]
+
+    def settings(self, machine: Machine) -> BootSettings:
+        """The settings file of a machine as it is now."""
+        seeds = [f"{each.ip}:{ADMIN_PORT}" for each in self.controllers()[:3]]
+        edge = machine.role == "edge"
+        bind = Bind(f"{machine.ip}:{FRONTEND_PORT}", f"{machine.ip}:{READINESS_PORT}",
+                    f"{machine.ip}:{ADMIN_PORT}") if edge else Bind()
+        return BootSettings(
+            node_name=machine.name, machine_class="edge" if edge else "storage", ip=machine.ip,
+            zone=machine.zone, region=REGION, serves=["edge", "control_plane"] if edge else ["storage"],
+            internal_ports=[INTERNAL_PORT, INTERNAL_PORT + 15], seed_nodes=seeds,
+            bootstrap=not machine.started_once, counts_for_quorum=machine.counts,
+            data_dir=f"/data/{machine.role}" if machine.disk else "", bind=bind,
+            fault_tolerance=FaultTolerance(machines=self.size.faults), bounds=Bounds(),
+            cloud_api=CloudApi(LIST_ADDRESS, 50.0, 800))
+
+    # ---- lives
+
+    def start(self, machine: Machine) -> None:
+        """Begin a new life of the machine's process."""
+        if machine.running:
+            return
+        settings = self.settings(machine)
+        machine.life += 1
+        process = SimulatedProcess(machine.name, machine.life)
+        machine.process = process
+        machine.powered = machine.running = True
+        machine.started_once = True
+        machine.readiness_misses = 2
+        machine.starts.append(self.loop.time())
+        self.network.power_on(machine.ip)
+        transport = self.network.transport(process, f"{machine.ip}:{INTERNAL_PORT}")
+        seams = Seams(settings, transport, machine.disk, self.http, machine.ip,
+                      self.random(f"{machine.name} {machine.life}"), lambda: self.wall_ms(machine),
+                      next(self._incarnations))
+        process.run(self._live(machine, process, seams))
+
+    async def _live(self, machine: Machine, process: SimulatedProcess, seams: Seams) -> None:
+        try:
+            machine.program = program = self._build(seams)
+            if machine.role == "edge":
+                self.http.listen(seams.settings.bind.frontend, _Side(process, program.frontend))  # type: ignore[arg-type]
+                self.http.listen(seams.settings.bind.admin, _Side(process, program.admin))  # type: ignore[arg-type]
+            await program.start()
+        except Exception as error:
+            self.program_failures.append(
+                f"{self.loop.time():.3f} {process} start: {type(error).__name__}: {error}")
+            raise
+
+    def wall_ms(self, machine: Machine) -> int:
+        """The machine's time of day."""
+        return round((WALL_CLOCK_ORIGIN_S + self.loop.time() + machine.clock_offset_s) * 1000)
+
+    def _end(self, machine: Machine) -> None:
+        process = machine.process
+        machine.running = machine.frozen = False
+        machine.program = None
+        if process is None:
+            return
+        self.program_failures += [f"{process}: {text}" for text in process.failures]
+        process.kill()
+        self.network.process_ended(process)
+        self.http.process_ended(process)
+
+    def kill(self, machine: Machine) -> None:
+        """SIGKILL: the disk stays as it was written."""
+        self._end(machine)
+        if machine.disk is not None:
+            machine.disk.process_ended()
+
+    def power_off(self, machine: Machine) -> None:
+        """The machine falls silent; unsynced writes are lost."""
+        self.network.power_off(machine.ip)
+        machine.powered = False
+        self._end(machine)
+        if machine.disk is not None:
+            machine.disk.power_lost()
+
+    def lose_disk(self, machine: Machine) -> None:
+        """The machine loses power and comes back with an empty disk."""
+        self.power_off(machine)
+        if machine.disk is not None:
+            machine.disk.lost()
+
+    def freeze(self, machine: Machine) -> None:
+        """Its process stands still."""
+        if machine.process is not None and machine.running:
+            machine.frozen = True
+            self.loop.freeze(machine.process)
+
+    def thaw(self, machine: Machine) -> None:
+        """Its process goes on."""
+        if machine.process is not None and machine.frozen:
+            machine.frozen = False
+            self.loop.thaw(machine.process)
+
+    async def terminate(self, machine: Machine, grace_s: float) -> None:
+        """SIGTERM, and SIGKILL after `grace_s`."""
+        process, program = machine.process, machine.program
+        if process is None or program is None or not machine.running:
+            return
+        stopped = asyncio.Event()
+
+        async def stop() -> None:
+            try:
+                await program.stop()
+            except Exception as error:
+                self.program_failures.append(
+                    f"{self.loop.time():.3f} {process} stop: {type(error).__name__}: {error}")
+            self.loop.call_outside(0.0, stopped.set)
+
+        process.run(stop())
+        try:
+            async with asyncio.timeout(grace_s):
+                await stopped.wait()
+        except TimeoutError:
+            self.program_failures.append(f"{self.loop.time():.3f} {process} did not stop in {grace_s} s")
+        if machine.process is process:
+            self.kill(machine)
+
+    def isolate(self, machine: Machine, inward: bool, outward: bool) -> None:
+        """Cut a machine off from all other machines of the system (clients and workers as well)."""
+        for other in self.network.powered | {each.ip for each in self.machines.values()}:
+            if other == machine.ip:
+                continue
+            if inward:
+                self.network.cut(other, machine.ip, both=False)
+            if outward:
+                self.network.cut(machine.ip, other, both=False)
+
+    def rejoin(self, machine: Machine) -> None:
+        """End all cuts of a machine."""
+        for other in sorted(self.network.powered | {each.ip for each in self.machines.values()}):
+            if other != machine.ip:
+                self.network.join(machine.ip, other)
+
+    def trouble(self, kind: str, host: str, planned: bool = False) -> Trouble:
+        """Note a disturbance that begins now."""
+        noted = Trouble(kind, host, self.loop.time(), planned=planned)
+        self.seen.troubles.append(noted)
+        return noted
