--- a/hollowusher/messages/__init__.py
+++ b/hollowusher/messages/__init__.py
@@ -1,1 +1,1 @@
-"""Messages in partitions: records, replicas, the queue with its leases, ordering keys, ceilings, retention."""
+"""Messages in partitions: records, replicas, queue, leases, ordering keys, ceilings, retention."""
--- a/hollowusher/protocol/store.py
+++ b/hollowusher/protocol/store.py
@@ -39,6 +39,7 @@
     priority: int = 0
     target_start_ms: int = 0
     headers: list[list[str]] = attrs.Factory(list)  # further headers that a delivery repeats
+    generation: int = 0  # of the configuration that the edge process accepted it under, 0: unknown
 
 
 @message(51)
