--- /dev/null
+++ b/hollowusher/messages/comparing.py
@@ -0,0 +1,116 @@
+"""Comparing one partition with one peer until both hold the same, and answering such comparisons."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable, Iterator
+
+from hollowusher.messages.records import Key
+from hollowusher.messages.table import PartitionTable
+from hollowusher.protocol.store import Difference, Records, Replicate, Replicated, Summary
+from hollowusher.transport.interface import PeerError, Transport
+
+ANSWER_TIMEOUT_S = 1.5
+BUCKETS_AT_ONCE = 8
+CHUNK_BYTES = 256 * 1024
+PACED_BYTES_PER_S = 4 * 1024 * 1024
+
+
+class StaleEpoch(Exception):
+    """The peer has promised a newer epoch."""
+
+    def __init__(self, partition: int, epoch: int) -> None:
+        super().__init__(f"partition {partition}: epoch {epoch} is promised")
+        self.partition = partition
+        self.epoch = epoch
+
+
+class Comparison:
+    """One comparison: fetches what the peer knows better and sends it what it lacks."""
+
+    def __init__(self, table: PartitionTable, epoch: int, me: str, address: str, transport: Transport,
+                 wall_ms: Callable[[], int], paced: bool) -> None:
+        self.changed: list[Key] = []  # messages about which the peer knew better
+        self._table = table
+        self._epoch = epoch
+        self._me = me
+        self._address = address
+        self._transport = transport
+        self._wall_ms = wall_ms
+        self._paced = paced
+
+    async def run(self) -> None:
+        """Compare everything once; `PeerError` or `StaleEpoch` where that fails."""
+        table = self._table
+        answer = await self._ask(Summary(table.partition, self._epoch, self._me, table.digests(), fence=True))
+        buckets = answer.buckets
+        for start in range(0, len(buckets), BUCKETS_AT_ONCE):
+            await self._settle(buckets[start:start + BUCKETS_AT_ONCE])
+
+    async def _settle(self, buckets: list[int]) -> None:
+        while True:
+            versions = self._table.versions(buckets)
+            partition = self._table.partition
+            answer = await self._ask(Summary(partition, self._epoch, self._me, [], versions, fence=True))
+            learnt = self._merge(answer.records)
+            more, incomplete = answer.extra
+            await self._push(self._table.records_for(answer.wanted, incomplete))
+            if self._paced:
+                await self._pause(sum(map(len, answer.records)))
+            if not more or not learnt:
+                return
+
+    def _merge(self, found: Iterable[bytes]) -> bool:
+        learnt = False
+        for record in found:
+            key = self._table.apply(record, self._wall_ms())
+            if key is not None:
+                self.changed.append(key)
+                learnt = True
+        return learnt
+
+    async def _push(self, found: Iterator[bytes]) -> None:
+        for chunk in _chunks(found):
+            batch = Records(self._table.partition, self._epoch, chunk)
+            answer = await self._transport.call(
+                self._address, Replicate(self._me, [batch], True), ANSWER_TIMEOUT_S)
+            if not isinstance(answer, Replicated):
+                raise PeerError("Replicate", self._address, f"answered {type(answer).__name__}")
+            if answer.refused:
+                raise StaleEpoch(self._table.partition, max(answer.refused.values()))
+            if self._paced:
+                await self._pause(sum(map(len, chunk)))
+
+    async def _ask(self, summary: Summary) -> Difference:
+        answer = await self._transport.call(self._address, summary, ANSWER_TIMEOUT_S)
+        if not isinstance(answer, Difference):
+            raise PeerError("Summary", self._address, f"answered {type(answer).__name__}")
+        if answer.status == "stale":
+            raise StaleEpoch(self._table.partition, answer.epoch)
+        return answer
+
+    @staticmethod
+    async def _pause(size: int) -> None:
+        await asyncio.sleep(size / PACED_BYTES_PER_S)
+
+
+def answer_summary(table: PartitionTable, summary: Summary) -> Difference:
+    """What a replica answers to a comparison."""
+    if summary.buckets:
+        return Difference("ok", table.promised_epoch, table.differing(summary.buckets))
+    found, more = table.newer_than(summary.versions)
+    wanted, incomplete = table.older_than(summary.versions)
+    return Difference("ok", table.promised_epoch, [], found, wanted, [more, incomplete])
+
+
+def _chunks(found: Iterator[bytes]) -> Iterator[list[bytes]]:
+    chunk: list[bytes] = []
+    size = 0
+    for record in found:
+        chunk.append(record)
+        size += len(record)
+        if size >= CHUNK_BYTES:
+            yield chunk
+            chunk, size = [], 0
+    if chunk:
+        yield chunk
--- /dev/null
+++ b/hollowusher/messages/hosting.py
@@ -0,0 +1,134 @@
+"""One partition at one store: its table and, while this store is its primary, the quorum of its records."""
+
+from __future__ import annotations
+
+import attrs
+
+from hollowusher.messages.primary import PartitionPrimary
+from hollowusher.messages.proposal import Proposal
+from hollowusher.messages.table import PartitionTable
+from hollowusher.protocol.control import PartitionPlacement
+
+
+@attrs.define(slots=True, eq=False)
+class PeerLink:
+    """What the primary knows of one other replica or learner of its partition."""
+
+    joined: bool = False  # new records are sent to it
+    complete: bool = False  # it has everything older, too, and so has this store
+    confirmed_at: float = -1.0  # send time of the newest batch that it acknowledged
+
+
+class PartitionHost:
+    """The state of one partition at this store."""
+
+    def __init__(self, me: str, table: PartitionTable) -> None:
+        self.me = me
+        self.table = table
+        self.partition = table.partition
+        self.placement: PartitionPlacement | None = None
+        self.former_replicas: list[str] = []  # of the placement before: they may hold committed records
+        self.epoch = 0  # for which this store is the primary, 0 where it is not
+        self.promised = False  # this store's own promise for that epoch is on its disk
+        self.primary: PartitionPrimary | None = None
+        self.links: dict[str, PeerLink] = {}
+        self.outstanding: dict[Proposal, None] = {}  # in the order they were made
+        self.drop_at = 0.0  # when the table is to be dropped, 0: not at all
+        self.learners_told_at: dict[str, float] = {}
+        self._tolerated = 0
+
+    # Placement
+
+    def place(self, placement: PartitionPlacement, tolerated: int) -> None:
+        """Take a newer placement."""
+        if self.placement is not None and set(self.placement.replicas) != set(placement.replicas):
+            self.former_replicas = [replica for replica in self.placement.replicas
+                                    if replica not in placement.replicas]
+        self.placement = placement
+        self._tolerated = tolerated
+
+    def lead(self, epoch: int) -> None:
+        """Start to be the primary for an epoch: all others have to be compared with first."""
+        self.resign()
+        self.epoch = epoch
+        self.promised = False
+        self.refresh_links()
+
+    def lead_on(self, epoch: int) -> None:
+        """Stay the primary through a change of the placement."""
+        self.epoch = epoch
+        if self.primary is not None:
+            self.primary.epoch = epoch
+        self.refresh_links()
+
+    def resign(self) -> None:
+        """Be the primary no longer; who waits learns that nothing is known of his record."""
+        self.epoch = 0
+        self.primary = None
+        self.links = {}
+        abandoned, self.outstanding = self.outstanding, {}
+        for proposal in abandoned:
+            proposal.answer(False)
+
+    def refresh_links(self) -> None:
+        """Have one link for each other replica, learner and former replica."""
+        assert self.placement is not None
+        wanted = [*self.placement.replicas, *self.placement.learners]
+        if self.primary is None:
+            wanted += self.former_replicas
+        self.links = {peer: self.links.get(peer) or PeerLink() for peer in wanted if peer != self.me}
+
+    @property
+    def is_placed_here(self) -> bool:
+        """Whether the placement makes this store the primary."""
+        return self.placement is not None and self.placement.primary == self.me
+
+    @property
+    def replicas(self) -> list[str]:
+        """The replicas that count."""
+        return self.placement.replicas if self.placement is not None else []
+
+    # Quorums
+
+    @property
+    def commit_quorum(self) -> int:
+        """How many replicas, this one among them, must have a record."""
+        return min(self._tolerated + 1, max(1, len(self.replicas)))
+
+    @property
+    def takeover_quorum(self) -> int:
+        """How many replicas, this one among them, must have been compared before this one serves: any commit
+        is known to one of them, and everything they know is committed afterwards."""
+        return max(self.commit_quorum, len(self.replicas) - self.commit_quorum + 1)
+
+    def may_serve(self) -> bool:
+        """Whether enough replicas have been compared."""
+        if not self.promised:
+            return False
+        complete = sum(self.links[replica].complete for replica in self.replicas if replica in self.links)
+        return complete + 1 >= self.takeover_quorum
+
+    def acknowledge(self, proposal: Proposal, store_id: str) -> bool:
+        """A replica has a record; whether that commits it."""
+        if proposal not in self.outstanding or store_id in proposal.acknowledged:
+            return False
+        proposal.acknowledged.append(store_id)
+        if self._count(proposal) < self.commit_quorum:
+            return False
+        del self.outstanding[proposal]
+        return True
+
+    def confirmed_since(self, now: float, within_s: float) -> bool:
+        """Whether a quorum has followed this primary within the last `within_s` seconds."""
+        links = [self.links[replica] for replica in self.replicas if replica in self.links]
+        times = sorted((link.confirmed_at for link in links), reverse=True)
+        needed = self.commit_quorum - 1
+        return needed == 0 or (len(times) >= needed and times[needed - 1] >= now - within_s)
+
+    def joined(self) -> list[str]:
+        """The peers that get new records."""
+        return [peer for peer, link in self.links.items() if link.joined]
+
+    def _count(self, proposal: Proposal) -> int:
+        replicas = self.replicas
+        return sum(store_id in replicas for store_id in proposal.acknowledged)
--- /dev/null
+++ b/hollowusher/messages/queue.py
@@ -0,0 +1,214 @@
+"""The order in which the messages of one partition may be leased.  No clock of its own: times are passed in.
+
+Ready messages of a service leave by priority, then by the time they are due, then in the order of acceptance.
+Of the messages with one ordering key only the oldest may leave until it has ended, whatever it waits for.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from bisect import insort
+from enum import Enum
+from typing import NamedTuple
+
+import attrs
+
+from hollowusher.messages.records import Key
+
+LaneName = tuple[str, str]  # service and ordering key
+
+
+class Stage(Enum):
+    """Where a message is within the queue."""
+
+    HELD = 1  # not committed yet
+    WAITING = 2  # until a time, or for earlier messages of its ordering key
+    READY = 3
+    LEASED = 4
+    REMOVED = 5
+
+
+@attrs.define(slots=True, eq=False)
+class QueuedMessage:
+    """What the queue needs to know of a message that has not ended."""
+
+    key: Key
+    service: str
+    priority: int
+    due_ms: int  # wall clock, for the order only
+    ordering_key: str = ""
+    stage: Stage = Stage.HELD
+    ready_at: float = 0.0  # steady clock
+    ticket: int = 0  # counts its moves; heap entries with an older ticket are void
+
+    @property
+    def rank(self) -> tuple[int, int, Key]:
+        """Its place among the ready messages of its service."""
+        return self.priority, self.due_ms, self.key
+
+
+class _ReadyItem(NamedTuple):
+    rank: tuple[int, int, Key]
+    ticket: int
+    message: QueuedMessage
+
+
+class _Timer(NamedTuple):
+    ready_at: float
+    number: int
+    ticket: int
+    message: QueuedMessage
+
+
+class MessageQueue:
+    """The messages of one partition that have not ended."""
+
+    def __init__(self) -> None:
+        self.gained: set[str] = set()  # services with newly ready messages; the owner clears it
+        self._ready: dict[str, list[_ReadyItem]] = {}
+        self._timers: list[_Timer] = []
+        self._numbers = itertools.count()
+        self._lanes: dict[LaneName, list[QueuedMessage]] = {}
+
+    def add(self, message: QueuedMessage) -> None:
+        """Take a message in: it has its place among its ordering key from now on, and waits for `release`."""
+        if not message.ordering_key:
+            return
+        lane = self._lanes.setdefault((message.service, message.ordering_key), [])
+        if lane and lane[-1].key > message.key:
+            insort(lane, message, key=lambda other: other.key)
+            if lane[0] is message and lane[1].stage is Stage.READY:
+                self._move(lane[1], Stage.WAITING)
+        else:
+            lane.append(message)
+
+    def release(self, message: QueuedMessage, ready_at: float, now: float) -> None:
+        """The message may leave from `ready_at` on: after its commit, or given back after a lease."""
+        if message.stage is Stage.REMOVED:
+            return
+        self._move(message, Stage.WAITING)
+        message.ready_at = ready_at
+        if self._is_first(message):
+            self._schedule(message, now)
+
+    def take(self, service: str) -> QueuedMessage | None:
+        """Remove the first ready message of a service for a lease."""
+        message = self.first(service)
+        if message is not None:
+            heapq.heappop(self._ready[service])
+            self._move(message, Stage.LEASED)
+        return message
+
+    def first(self, service: str) -> QueuedMessage | None:
+        """The first ready message of a service."""
+        heap = self._ready.get(service)
+        while heap:
+            item = heap[0]
+            if item.ticket == item.message.ticket:
+                return item.message
+            heapq.heappop(heap)
+        self._ready.pop(service, None)
+        return None
+
+    def lease(self, message: QueuedMessage) -> None:
+        """Mark a message as leased without `take`: a lease learnt of at a takeover."""
+        self._move(message, Stage.LEASED)
+
+    def hold(self, message: QueuedMessage) -> None:
+        """Let a message not leave, while its end is being committed; it keeps its place."""
+        self._move(message, Stage.HELD)
+
+    def remove(self, message: QueuedMessage, now: float) -> None:
+        """The message has ended: the next one of its ordering key may leave."""
+        if message.stage is Stage.REMOVED:
+            return
+        was_first = self._is_first(message)
+        self._move(message, Stage.REMOVED)
+        if not message.ordering_key:
+            return
+        name = (message.service, message.ordering_key)
+        lane = self._lanes[name]
+        lane.remove(message)
+        if not lane:
+            del self._lanes[name]
+        elif was_first and lane[0].stage is Stage.WAITING:
+            self._schedule(lane[0], now)
+
+    def advance(self, now: float) -> None:
+        """Make due messages ready."""
+        while self._timers and self._timers[0].ready_at <= now:
+            timer = heapq.heappop(self._timers)
+            if timer.ticket == timer.message.ticket:
+                self._make_ready(timer.message)
+
+    def next_time(self) -> float | None:
+        """When `advance` has something to do next."""
+        while self._timers and self._timers[0].ticket != self._timers[0].message.ticket:
+            heapq.heappop(self._timers)
+        return self._timers[0].ready_at if self._timers else None
+
+    def ready_services(self) -> list[str]:
+        """The services with ready messages."""
+        return [service for service in list(self._ready) if self.first(service) is not None]
+
+    def _is_first(self, message: QueuedMessage) -> bool:
+        if not message.ordering_key:
+            return True
+        lane = self._lanes.get((message.service, message.ordering_key))
+        return lane is not None and lane[0] is message
+
+    def _schedule(self, message: QueuedMessage, now: float) -> None:
+        if message.ready_at <= now:
+            self._make_ready(message)
+        else:
+            timer = _Timer(message.ready_at, next(self._numbers), message.ticket, message)
+            heapq.heappush(self._timers, timer)
+
+    def _make_ready(self, message: QueuedMessage) -> None:
+        self._move(message, Stage.READY)
+        item = _ReadyItem(message.rank, message.ticket, message)
+        heapq.heappush(self._ready.setdefault(message.service, []), item)
+        self.gained.add(message.service)
+
+    @staticmethod
+    def _move(message: QueuedMessage, stage: Stage) -> None:
+        message.stage = stage
+        message.ticket += 1
+
+
+class TokenBucket:
+    """Grants of a service with a ceiling: a little under its rate, with a short burst.  Starts empty."""
+
+    RATE_SHARE = 0.97
+    BURST_S = 0.15
+
+    def __init__(self, rate_per_s: float, now: float) -> None:
+        self.rate = rate_per_s * self.RATE_SHARE
+        self.burst = max(1.0, rate_per_s * self.BURST_S)
+        self._tokens = 0.0
+        self._filled_at = now
+
+    def change_rate(self, rate_per_s: float, now: float) -> None:
+        """Use another rate from now on."""
+        self._fill(now)
+        self.rate = rate_per_s * self.RATE_SHARE
+        self.burst = max(1.0, rate_per_s * self.BURST_S)
+
+    def available(self, now: float) -> int:
+        """How many may be taken now."""
+        self._fill(now)
+        return int(self._tokens + 1e-9)
+
+    def take(self) -> None:
+        """Use up one."""
+        self._tokens -= 1.0
+
+    def next_time(self, now: float) -> float:
+        """When the next one is there."""
+        self._fill(now)
+        return now + max(0.0, 1.0 - self._tokens) / self.rate
+
+    def _fill(self, now: float) -> None:
+        self._tokens = min(self.burst, self._tokens + max(0.0, now - self._filled_at) * self.rate)
+        self._filled_at = now
--- /dev/null
+++ b/hollowusher/messages/records.py
@@ -0,0 +1,176 @@
+"""The records that stores keep and replicate, and their packing.
+
+A record is a fixed header (kind, partition, version) and a MessagePack array.  A message is named, within
+its partition, by the version of the record that put it: its `Key`.  Versions are (epoch, sequence); of two
+records about the same thing the one with the greater version counts, so replicas merge records in any order.
+"""
+
+from __future__ import annotations
+
+import struct
+from enum import IntEnum
+from typing import Any, NamedTuple, cast
+
+import attrs
+import ormsgpack
+
+from hollowusher.protocol.store import NewMessage
+
+Version = tuple[int, int]  # (epoch, sequence)
+Key = Version  # the version of the record that put the message
+
+_HEADER = struct.Struct("<BHIQ")
+_NEW_MESSAGE_FIELDS = tuple(field.name for field in attrs.fields(cast(Any, NewMessage)))
+
+
+class Kind(IntEnum):
+    """What a record is about."""
+
+    PUT = 1  # a whole message
+    STATE = 2  # the whole small state of a message
+    EPOCH = 3  # the newest epoch that this replica has promised to a primary
+
+
+class Status(IntEnum):
+    """Where a message stands."""
+
+    QUEUED = 0
+    LEASED = 1
+    COMPLETED = 2
+    DEAD_LETTER = 3
+
+    @property
+    def ended(self) -> bool:
+        """Whether the message will not run again."""
+        return self >= Status.COMPLETED
+
+
+class Header(NamedTuple):
+    """The fixed part of a record."""
+
+    kind: int
+    partition: int
+    epoch: int
+    sequence: int
+
+    @property
+    def version(self) -> Version:
+        """The version of the record."""
+        return self.epoch, self.sequence
+
+
+@attrs.define(slots=True)
+class Put:
+    """The content of a PUT record."""
+
+    accepted_ms: int  # wall clock of the primary that accepted it
+    due_ms: int  # wall clock: not to run earlier
+    generation: int  # of the configuration that accepted it
+    message: NewMessage
+
+
+@attrs.define(slots=True)
+class State:
+    """The content of a STATE record: everything about a message that changes.  `id` and `callback_url` are
+    filled in once the message has ended, because the PUT record of a completed message is dropped."""
+
+    version: Version
+    status: Status = Status.QUEUED
+    attempts: int = 0  # deliveries that the worker answered with a failure
+    lease: int = 0  # number of the current lease
+    dispatcher: str = ""
+    incarnation: int = 0
+    pull: bool = False
+    visibility_ms: int = 0
+    last_lease: int = 0  # the lease that finished last: a repeat of its end gets the same answer
+    signature: str = ""
+    callback_owed: bool = False
+    ended_ms: int = 0  # wall clock
+    id: str = ""
+    callback_url: str = ""
+
+
+_STATE_FIELDS = tuple(field.name for field in attrs.fields(State))[1:]
+
+
+def header_of(record: bytes) -> Header:
+    """The fixed part of a record; ValueError where the bytes are none."""
+    if len(record) < _HEADER.size:
+        raise ValueError(f"a record of {len(record)} bytes")
+    return Header(*_HEADER.unpack_from(record))
+
+
+def pack_put(partition: int, key: Key, put: Put) -> bytes:
+    """A PUT record; the message is named by the record's version."""
+    message = put.message
+    values = [getattr(message, name) for name in _NEW_MESSAGE_FIELDS]
+    return _HEADER.pack(Kind.PUT, partition, *key) + ormsgpack.packb(
+        [put.accepted_ms, put.due_ms, put.generation, values])
+
+
+def unpack_put(record: bytes) -> Put:
+    """The content of a PUT record."""
+    accepted_ms, due_ms, generation, values = ormsgpack.unpackb(memoryview(record)[_HEADER.size:])
+    return Put(accepted_ms, due_ms, generation, NewMessage(*values))
+
+
+def pack_state(partition: int, key: Key, state: State) -> bytes:
+    """A STATE record of the message `key`."""
+    values = [
+        state.status.value, state.attempts, state.lease, state.dispatcher, state.incarnation, state.pull,
+        state.visibility_ms, state.last_lease, state.signature, state.callback_owed, state.ended_ms, state.id,
+        state.callback_url,
+    ]
+    return _HEADER.pack(Kind.STATE, partition, *state.version) + ormsgpack.packb([*key, *values])
+
+
+def unpack_state(record: bytes, version: Version) -> tuple[Key, State]:
+    """The message and the content of a STATE record with this version."""
+    epoch, sequence, status, *values = ormsgpack.unpackb(memoryview(record)[_HEADER.size:])
+    return (epoch, sequence), State(version, Status(status), *values)
+
+
+def pack_epoch(partition: int, epoch: int) -> bytes:
+    """An EPOCH record."""
+    return _HEADER.pack(Kind.EPOCH, partition, epoch, 0)
+
+
+def reference_of(partition: int, key: Key) -> str:
+    """The public name of a message."""
+    return f"{partition}-{key[0]}-{key[1]}"
+
+
+def parse_reference(reference: str) -> tuple[int, Key] | None:
+    """Partition and key of a reference, None where it is none."""
+    parts = reference.split("-")
+    if len(parts) != 3 or not all(part.isascii() and part.isdigit() for part in parts):
+        return None
+    return int(parts[0]), (int(parts[1]), int(parts[2]))
+
+
+CALLBACK_LEASE = "c"  # stands before the number of a lease for a call-back
+
+
+class LeaseId(NamedTuple):
+    """A parsed lease id."""
+
+    partition: int
+    key: Key
+    number: int
+    callback: bool
+
+
+def lease_id_of(partition: int, key: Key, number: int, callback: bool = False) -> str:
+    """The public name of a lease."""
+    return f"{partition}-{key[0]}-{key[1]}-{CALLBACK_LEASE if callback else ''}{number}"
+
+
+def parse_lease_id(lease: str) -> LeaseId | None:
+    """The parts of a lease id, None where it is none."""
+    reference, _, number = lease.rpartition("-")
+    parsed = parse_reference(reference)
+    callback = number.startswith(CALLBACK_LEASE)
+    digits = number[len(CALLBACK_LEASE):] if callback else number
+    if parsed is None or not (digits.isascii() and digits.isdigit()):
+        return None
+    return LeaseId(parsed[0], parsed[1], int(digits), callback)
--- /dev/null
+++ b/hollowusher/messages/table.py
@@ -0,0 +1,306 @@
+"""The messages of one partition at one replica.
+
+The table merges records by version and knows where each stands in the log.  It keeps the bytes of PUT records
+of messages that have not ended in memory while the process's cache has room, and reads them from the log
+otherwise.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+import attrs
+import xxhash
+
+from hollowusher.messages import records
+from hollowusher.messages.records import Key, Kind, Put, State, Status, Version
+from hollowusher.storage.interface import Log, Position
+
+BUCKETS = 64
+CALLBACK_KEPT_MS = 3_600_000  # an end whose call-back was never taken is forgotten after this
+DIFFERENCE_BYTES = 512 * 1024  # most bytes of records in one answer
+
+
+class RecordCache:
+    """How many bytes of PUT records one process holds in memory."""
+
+    def __init__(self, most_bytes: int) -> None:
+        self.most_bytes = most_bytes
+        self.used_bytes = 0
+
+
+@attrs.define(slots=True, eq=False)
+class Entry:
+    """One message as this replica knows it."""
+
+    key: Key
+    put_position: Position | None = None
+    put_record: bytes | None = None  # cached
+    state: State | None = None
+    state_position: Position | None = None
+
+    @property
+    def version(self) -> Version:
+        """The version of what is known."""
+        return self.state.version if self.state is not None else self.key
+
+    @property
+    def status(self) -> Status:
+        """Where the message stands."""
+        return self.state.status if self.state is not None else Status.QUEUED
+
+    @property
+    def complete(self) -> bool:
+        """Whether nothing is missing: the message itself, unless it has been completed."""
+        return self.put_position is not None or self.status is Status.COMPLETED
+
+    def summary(self) -> list[int]:
+        """What replicas compare."""
+        return [*self.version, int(self.complete)]
+
+
+class PartitionTable:
+    """All messages of one partition."""
+
+    def __init__(self, partition: int, log: Log, cache: RecordCache, status_ms: int) -> None:
+        self.partition = partition
+        self.promised_epoch = 0
+        self.entries: dict[Key, Entry] = {}
+        self.greatest_sequence = 0
+        self._log = log
+        self._cache = cache
+        self._status_ms = status_ms
+        self._epoch_position: Position | None = None
+
+    # Merging
+
+    def apply(self, record: bytes, wall_ms: int) -> Key | None:
+        """Merge a record and append it to the log if it is news; the message that changed."""
+        header = records.header_of(record)
+        if header.kind == Kind.PUT:
+            return self._merge_put(record, header.version, None)
+        if header.kind == Kind.STATE:
+            return self._merge_state(record, header.version, wall_ms, None)
+        if header.kind == Kind.EPOCH:
+            self.promise(header.epoch)
+        return None
+
+    def replayed(self, record: bytes, header: records.Header, position: Position, wall_ms: int) -> None:
+        """Take a record that was read back from the log at the start."""
+        taken = False
+        if header.kind == Kind.PUT:
+            taken = self._merge_put(record, header.version, position) is not None
+        elif header.kind == Kind.STATE:
+            taken = self._merge_state(record, header.version, wall_ms, position) is not None
+        elif header.kind == Kind.EPOCH:
+            taken = self._merge_epoch(header.epoch, position)
+        if not taken:
+            self._log.release(position)
+
+    def promise(self, epoch: int) -> None:
+        """Never again take records from a primary of an older epoch (durable after the next sync)."""
+        if epoch > self.promised_epoch:
+            self._merge_epoch(epoch, self._log.append(records.pack_epoch(self.partition, epoch)))
+
+    def moved(self, position: Position, record: bytes) -> None:
+        """Append a live record anew, because the log is about to use its place again."""
+        header = records.header_of(record)
+        if header.kind == Kind.EPOCH:
+            if self._epoch_position == position:
+                self._epoch_position = self._log.append(record)
+            return
+        key = header.version
+        if header.kind == Kind.STATE:
+            key, _ = records.unpack_state(record, header.version)
+        entry = self.entries.get(key)
+        if entry is None:
+            return
+        if entry.put_position == position:
+            entry.put_position = self._log.append(record)
+        elif entry.state_position == position:
+            entry.state_position = self._log.append(record)
+
+    def _merge_put(self, record: bytes, key: Key, position: Position | None) -> Key | None:
+        entry = self.entries.get(key)
+        if entry is not None and (entry.put_position is not None or entry.status is Status.COMPLETED):
+            return None
+        if position is None:
+            position = self._log.append(record)
+        if entry is None:
+            entry = self.entries[key] = Entry(key)
+        entry.put_position = position
+        self.greatest_sequence = max(self.greatest_sequence, key[1])
+        if not entry.status.ended:
+            self._cache_record(entry, record)
+        return key
+
+    def _merge_state(self, record: bytes, version: Version, wall_ms: int,
+                     position: Position | None) -> Key | None:
+        key, state = records.unpack_state(record, version)
+        entry = self.entries.get(key)
+        if entry is None:
+            if self._expired(state, wall_ms):
+                return None
+        elif entry.version >= version:
+            return None
+        if position is None:
+            position = self._log.append(record)
+        if entry is None:
+            entry = self.entries[key] = Entry(key)
+        if entry.state_position is not None:
+            self._log.release(entry.state_position)
+        entry.state = state
+        entry.state_position = position
+        self.greatest_sequence = max(self.greatest_sequence, version[1])
+        if state.status.ended:
+            self._drop_cached(entry)
+        if state.status is Status.COMPLETED:
+            self._release_put(entry)
+        return key
+
+    def _merge_epoch(self, epoch: int, position: Position) -> bool:
+        if epoch <= self.promised_epoch:
+            return False
+        if self._epoch_position is not None:
+            self._log.release(self._epoch_position)
+        self._epoch_position = position
+        self.promised_epoch = epoch
+        return True
+
+    # Reading
+
+    def put_record(self, entry: Entry) -> bytes | None:
+        """The PUT record of a message, None where it is not here."""
+        if entry.put_record is not None:
+            return entry.put_record
+        return None if entry.put_position is None else self._log.read(entry.put_position)
+
+    def put(self, entry: Entry) -> Put | None:
+        """The message itself."""
+        record = self.put_record(entry)
+        return None if record is None else records.unpack_put(record)
+
+    # Forgetting
+
+    def forget_expired(self, wall_ms: int) -> list[Key]:
+        """Drop the messages that ended long enough ago; their keys."""
+        expired = [entry.key for entry in self.entries.values()
+                   if entry.state is not None and self._expired(entry.state, wall_ms)]
+        for key in expired:
+            self._forget(key)
+        return expired
+
+    def drop(self) -> None:
+        """Release everything: this store keeps the partition no longer."""
+        for key in list(self.entries):
+            self._forget(key)
+        if self._epoch_position is not None:
+            self._log.release(self._epoch_position)
+            self._epoch_position = None
+
+    def _expired(self, state: State, wall_ms: int) -> bool:
+        if not state.status.ended:
+            return False
+        kept_ms = CALLBACK_KEPT_MS if state.callback_owed else self._status_ms
+        return state.ended_ms + kept_ms < wall_ms
+
+    def _forget(self, key: Key) -> None:
+        entry = self.entries.pop(key)
+        self._drop_cached(entry)
+        self._release_put(entry)
+        if entry.state_position is not None:
+            self._log.release(entry.state_position)
+            entry.state_position = None
+
+    def _release_put(self, entry: Entry) -> None:
+        if entry.put_position is not None:
+            self._log.release(entry.put_position)
+            entry.put_position = None
+
+    def _cache_record(self, entry: Entry, record: bytes) -> None:
+        if self._cache.used_bytes + len(record) <= self._cache.most_bytes:
+            entry.put_record = record
+            self._cache.used_bytes += len(record)
+
+    def _drop_cached(self, entry: Entry) -> None:
+        if entry.put_record is not None:
+            self._cache.used_bytes -= len(entry.put_record)
+            entry.put_record = None
+
+    # Comparing with other replicas
+
+    def digests(self) -> list[int]:
+        """One digest for each bucket; equal digests mean equal content."""
+        totals = [0] * BUCKETS
+        for entry in self.entries.values():
+            text = b"%d %d %d %d %d" % (*entry.key, *entry.version, entry.complete)
+            totals[entry.key[1] % BUCKETS] ^= xxhash.xxh64_intdigest(text)
+        return totals
+
+    def differing(self, digests: list[int]) -> list[int]:
+        """The buckets whose content is not that of the digests."""
+        return [bucket for bucket, (mine, other) in enumerate(zip(self.digests(), digests, strict=True))
+                if mine != other]
+
+    def versions(self, buckets: Iterable[int]) -> dict[int, dict[str, list[int]]]:
+        """What is held in some buckets: bucket -> reference -> summary."""
+        held: dict[int, dict[str, list[int]]] = {bucket: {} for bucket in buckets}
+        for entry in self.entries.values():
+            bucket = entry.key[1] % BUCKETS
+            if bucket in held:
+                held[bucket][records.reference_of(self.partition, entry.key)] = entry.summary()
+        return held
+
+    def newer_than(self, versions: dict[int, dict[str, list[int]]]) -> tuple[list[bytes], bool]:
+        """The records that the holder of these versions lacks or has older, and whether there are more."""
+        found: list[bytes] = []
+        size = 0
+        for entry in self._in_buckets(versions):
+            other = versions[entry.key[1] % BUCKETS].get(records.reference_of(self.partition, entry.key))
+            missing = self.records_beyond(entry, other)
+            if not missing:
+                continue
+            if found and size > DIFFERENCE_BYTES:
+                return found, True
+            found += missing
+            size += sum(map(len, missing))
+        return found, False
+
+    def older_than(self, versions: dict[int, dict[str, list[int]]]) -> tuple[list[str], list[str]]:
+        """The references that this table lacks or has older than these versions, and those of which it lacks
+        the message itself."""
+        wanted, incomplete = [], []
+        for bucket in versions.values():
+            for reference, (epoch, sequence, complete) in bucket.items():
+                parsed = records.parse_reference(reference)
+                entry = None if parsed is None else self.entries.get(parsed[1])
+                lacking = bool(complete) and (entry is None or not entry.complete)
+                if lacking:
+                    incomplete.append(reference)
+                if lacking or entry is None or entry.version < (epoch, sequence):
+                    wanted.append(reference)
+        return wanted, incomplete
+
+    def records_for(self, wanted: Iterable[str], incomplete: Iterable[str]) -> Iterator[bytes]:
+        """The records that another replica asked for by `older_than`."""
+        whole = set(incomplete)
+        for reference in wanted:
+            parsed = records.parse_reference(reference)
+            entry = None if parsed is None else self.entries.get(parsed[1])
+            if entry is not None:
+                yield from self.records_beyond(entry, None if reference in whole else [0, 0, 1])
+
+    def records_beyond(self, entry: Entry, other: list[int] | None) -> list[bytes]:
+        """The records of a message that a replica with this summary (None: nothing) lacks."""
+        missing = []
+        if (other is None or not other[2]) and entry.put_position is not None:
+            record = self.put_record(entry)
+            if record is not None:
+                missing.append(record)
+        if entry.state is not None and (other is None or entry.version > (other[0], other[1])):
+            missing.append(records.pack_state(self.partition, entry.key, entry.state))
+        return missing
+
+    def _in_buckets(self, buckets: Iterable[int]) -> Iterator[Entry]:
+        wanted = set(buckets)
+        return (entry for entry in self.entries.values() if entry.key[1] % BUCKETS in wanted)
