Add agreed views, the control chain and the operator's configuration orders

Views are decided by single-decree Paxos per epoch among voters named by machine and disk; the control state goes down a chain whose members save before they pass on.

--- /dev/null
+++ b/hollowusher/configuration/checks.py
@@ -0,0 +1,182 @@
+"""The checks that a configuration passes before it is taken.  Each refusal names the item and the reason.
+
+Types are those of the model's dataclasses; keys that the model does not know are left alone.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import types
+from collections.abc import Callable
+from typing import Any, Union, get_args, get_origin, get_type_hints
+
+from expression import Error, Ok, Result
+from mashumaro.exceptions import InvalidFieldValue, MissingField
+
+from hollowusher.configuration.model import Configuration, RequestLimits, Route, Service
+
+ROUTES = "routes"
+SERVICES = "upstreams"
+LIMITS = "limits"
+LISTS = (ROUTES, SERVICES)
+_MODELS: dict[str, type] = {ROUTES: Route, SERVICES: Service}
+Document = dict[str, Any]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """Why a configuration is refused: the item, and what is wrong with it."""
+
+    item: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.item}: {self.reason}"
+
+
+Checked = Result[Configuration, Fault]
+Check = Callable[[Document], Fault | None]
+
+
+def check_document(document: Document) -> Checked:
+    """The configuration of a whole document, or the first fault found in it."""
+    for check in _CHECKS:
+        fault = check(document)
+        if fault is not None:
+            return Error(fault)
+    try:
+        return Ok(Configuration.from_dict(document))
+    except MissingField as error:
+        return Error(Fault("configuration", f"{error.field_name} is missing"))
+    except InvalidFieldValue as error:
+        return Error(Fault("configuration", f"{error.field_name} has an unusable value"))
+
+
+def check_items(section: str, items: Any) -> Fault | None:
+    """Whether a list holds well-formed items, each with a name of its own."""
+    if not isinstance(items, list):
+        return Fault(section, "is not a list")
+    names: set[str] = set()
+    for number, item in enumerate(items):
+        fault = _check_item(section, number, item)
+        if fault is not None:
+            return fault
+        if item["name"] in names:
+            return Fault(f"{section} {item['name']}", "the name stands twice")
+        names.add(item["name"])
+    return None
+
+
+def check_generation(value: Any) -> Fault | None:
+    """Whether a generation is a positive whole number."""
+    if isinstance(value, bool) or not isinstance(value, int) or value <= 0:
+        return Fault("generation", "is not a whole number above 0")
+    return None
+
+
+def _check_item(section: str, number: int, item: Any) -> Fault | None:
+    if not isinstance(item, dict):
+        return Fault(f"{section}[{number}]", "is not an object")
+    name = item.get("name")
+    if not isinstance(name, str) or not name:
+        return Fault(f"{section}[{number}]", "has no name")
+    label = f"{section} {name}"
+    fault = _check_fields(label, _MODELS[section], item)
+    if fault is not None:
+        return fault
+    return _check_route(label, item) if section == ROUTES else _check_service(label, item)
+
+
+def _check_route(label: str, route: Document) -> Fault | None:
+    if not route["hostname"]:
+        return Fault(label, "hostname is empty")
+    if not route["pathPrefix"].startswith("/"):
+        return Fault(label, "pathPrefix does not start with /")
+    if "timeoutMs" not in route:
+        return Fault(label, "timeoutMs is missing")
+    if route["timeoutMs"] <= 0:
+        return Fault(label, "timeoutMs is not above 0")
+    if route.get("maxAttempts", 1) < 1:
+        return Fault(label, "maxAttempts is below 1")
+    return None
+
+
+def _check_service(label: str, service: Document) -> Fault | None:
+    fixed = service.get("fixed")
+    if fixed is not None and not is_host_port(fixed):
+        return Fault(label, "fixed is not host:port")
+    return None
+
+
+def is_host_port(text: str) -> bool:
+    """Whether a text is a host and a port."""
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isascii() and port.isdigit() and 0 < int(port[:6]) < 65_536
+
+
+def _check_fields(label: str, model: type, values: Document) -> Fault | None:
+    """Types of the model's fields; numbers must not be negative."""
+    hints = get_type_hints(model)
+    for field in dataclasses.fields(model):
+        key = field.metadata.get("alias", field.name)
+        if key not in values:
+            if field.default is dataclasses.MISSING and field.default_factory is dataclasses.MISSING:
+                return Fault(label, f"{key} is missing")
+            continue
+        if not _fits(values[key], hints[field.name]):
+            return Fault(label, f"{key} has a wrong type or is negative")
+    return None
+
+
+def _fits(value: Any, hint: Any) -> bool:
+    if get_origin(hint) in (Union, types.UnionType):
+        return any(_fits(value, choice) for choice in get_args(hint))
+    if hint is type(None):
+        return value is None
+    if hint in (int, float):
+        return isinstance(value, int | float) and not isinstance(value, bool) and value >= 0
+    return isinstance(value, hint)
+
+
+def _check_generation_of(document: Document) -> Fault | None:
+    return check_generation(document.get("generation"))
+
+
+def _check_lists(document: Document) -> Fault | None:
+    for section in LISTS:
+        if section not in document:
+            return Fault(section, "is missing")
+        fault = check_items(section, document[section])
+        if fault is not None:
+            return fault
+    return None
+
+
+def _check_limits(document: Document) -> Fault | None:
+    limits = document.get(LIMITS)
+    if not isinstance(limits, dict):
+        return Fault(LIMITS, "is missing or not an object")
+    return _check_fields(LIMITS, RequestLimits, limits)
+
+
+def _check_upstreams_known(document: Document) -> Fault | None:
+    known = {service["name"] for service in document[SERVICES]}
+    for route in document[ROUTES]:
+        if route["upstream"] not in known:
+            return Fault(f"{ROUTES} {route['name']}", f"names the unknown service {route['upstream']}")
+    return None
+
+
+def _check_prefixes(document: Document) -> Fault | None:
+    taken: dict[tuple[str, str], str] = {}
+    for route in document[ROUTES]:
+        place = (route["hostname"].lower(), route["pathPrefix"])
+        if place in taken:
+            return Fault(f"{ROUTES} {route['name']}", f"has the host and prefix of {taken[place]}")
+        taken[place] = route["name"]
+    return None
+
+
+_CHECKS: tuple[Check, ...] = (
+    _check_generation_of, _check_lists, _check_limits, _check_upstreams_known, _check_prefixes,
+)
--- /dev/null
+++ b/hollowusher/coordination/bootstrap.py
@@ -0,0 +1,159 @@
+"""The very first start: a seed gathers the controllers and proposes view 1.
+
+Any edge process may be a seed, with or without a disk.  The seeds propose in the order of the list in the
+settings, so that ordinarily only one does.  A controller holds the first view 1 that it is offered; it is
+decided once a majority of its own voters hold it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+from hollowusher.configuration.boot import BootSettings
+from hollowusher.coordination.view import first_view, majority
+from hollowusher.protocol.control import (
+    Announce,
+    Decided,
+    FirstTaken,
+    ProposeFirst,
+    ReadView,
+    View,
+    ViewAnswer,
+    Voter,
+)
+from hollowusher.transport.interface import PeerError, Transport
+
+GATHER_S = 1.5
+LONGEST_GATHER_S = 4.0  # while fewer than `USUAL_CONTROLLERS` have announced themselves
+USUAL_CONTROLLERS = 3
+SEED_STAGGER_S = 1.0
+ASK_TIMEOUT_S = 0.4
+RETRY_S = 0.3
+
+
+@attrs.frozen
+class FirstOutcome:
+    """What the proposed voters answered."""
+
+    decided: View | None
+    held: View | None  # the undecided view that most of them hold
+
+
+async def call_all(transport: Transport, addresses: Iterable[str], message: Any, timeout: float) -> list[Any]:
+    """The answers of those that answer in time."""
+    calls = [transport.call(address, message, timeout) for address in addresses]
+    answers = await asyncio.gather(*calls, return_exceptions=True)
+    failures = [answer for answer in answers if isinstance(answer, BaseException)]
+    for failure in failures:
+        if not isinstance(failure, PeerError):
+            raise failure
+    return [answer for answer in answers if not isinstance(answer, BaseException)]
+
+
+async def read_view(transport: Transport, addresses: Iterable[str]) -> View | None:
+    """The newest decided view known at these addresses."""
+    answers = await call_all(transport, addresses, ReadView(), ASK_TIMEOUT_S)
+    views = [answer.view for answer in answers if isinstance(answer, ViewAnswer) and answer.view is not None]
+    return max(views, key=lambda view: view.epoch, default=None)
+
+
+async def propose_first(transport: Transport, view: View) -> FirstOutcome:
+    """Offer a first view to its voters."""
+    addresses = [voter.address for voter in view.voters]
+    answers = await call_all(transport, addresses, ProposeFirst(view), ASK_TIMEOUT_S)
+    taken = [answer for answer in answers if isinstance(answer, FirstTaken)]
+    known = [answer.decided for answer in taken if answer.decided is not None]
+    if known:
+        return FirstOutcome(max(known, key=lambda decided: decided.epoch), None)
+    held = [answer.taken for answer in taken if answer.taken is not None]
+    if sum(1 for other in held if other == view) >= majority(view):
+        return FirstOutcome(view, None)
+    return FirstOutcome(None, _most_held(held))
+
+
+def _most_held(views: list[View]) -> View | None:
+    """The view that most hold; among equals the one whose voters' names come first."""
+    counts = Counter(tuple(view.chain) for view in views)
+    ordered = sorted(views, key=lambda view: (-counts[tuple(view.chain)], view.chain))
+    return ordered[0] if ordered else None
+
+
+class SeedService:
+    """An edge process as a seed: it tells the newest view it knows, and makes the first one."""
+
+    def __init__(self, settings: BootSettings, transport: Transport) -> None:
+        self._settings = settings
+        self._transport = transport
+        self._announced: dict[str, Voter] = {}
+        self._task: asyncio.Task[None] | None = None
+        self.view: View | None = None
+
+    async def start(self) -> None:
+        """Gather controllers, if this is the first start of the system and this process is a seed."""
+        seeds = self._settings.seed_addresses()
+        if self._settings.bootstrap and self._transport.address in seeds:
+            self._task = asyncio.get_running_loop().create_task(self._bootstrap(seeds))
+
+    async def stop(self) -> None:
+        """Stop gathering."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def learn(self, view: View) -> None:
+        """Take a decided view that became known in another way."""
+        if self.view is None or view.epoch > self.view.epoch:
+            self.view = view
+
+    async def handle(self, message: Any) -> ViewAnswer | None:
+        """Answer `Announce` and `ReadView`, and take `Decided`; None for the rest."""
+        if isinstance(message, Decided):
+            self.learn(message.view)
+        elif isinstance(message, Announce):
+            if message.bootstrap:
+                self._announced[message.voter.name] = message.voter
+            return ViewAnswer(self.view)
+        elif isinstance(message, ReadView):
+            return ViewAnswer(self.view)
+        return None
+
+    async def _bootstrap(self, seeds: list[str]) -> None:
+        await self._gather()
+        await asyncio.sleep(seeds.index(self._transport.address) * SEED_STAGGER_S)
+        offered: View | None = None
+        while self.view is None:
+            others = {voter.address for voter in self._announced.values()} | set(seeds)
+            existing = await read_view(self._transport, sorted(others - {self._transport.address}))
+            if existing is not None:
+                self.learn(existing)
+                return
+            if offered is None and self._announced:
+                offered = first_view(self._announced.values())
+            if offered is not None:
+                offered = await self._offer(offered)
+            await asyncio.sleep(RETRY_S)
+
+    async def _gather(self) -> None:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while self.view is None:
+            waited = loop.time() - started
+            enough = len(self._announced) >= USUAL_CONTROLLERS
+            if waited >= LONGEST_GATHER_S or (enough and waited >= GATHER_S):
+                return
+            await asyncio.sleep(GATHER_S / 10)
+
+    async def _offer(self, view: View) -> View:
+        """Offer a view; the one to be offered next."""
+        outcome = await propose_first(self._transport, view)
+        if outcome.decided is not None:
+            self.learn(outcome.decided)
+            addresses = {voter.address for voter in [*outcome.decided.voters, *self._announced.values()]}
+            for address in sorted(addresses | set(self._settings.seed_addresses())):
+                self._transport.send(address, Decided(outcome.decided))
+        return outcome.held or view
--- /dev/null
+++ b/hollowusher/coordination/chain.py
@@ -0,0 +1,129 @@
+"""Chain replication of the control state.  No I/O, no clock.
+
+Source: van Renesse and Schneider, "Chain replication for supporting high throughput and availability" (2004).
+Every state has the version (epoch, sequence).  A member saves a state before it passes it on; a state that
+the tail has saved is committed.  The head of a new epoch sends its whole state down before anything else, so
+within an epoch each member's state descends from the head's.
+
+A member holds every committed state ("complete") when it has saved one in an epoch since which it has been
+in every chain: each commit of those epochs needed its save.  Only a complete member may become the head.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+
+from hollowusher.coordination.view import FIRST_EPOCH, is_voter
+from hollowusher.protocol.codec import decode, encode, evolve
+from hollowusher.protocol.control import ChainWrite, ControlState, View
+
+EMPTY_STATE = ControlState(sequence=0, generation=0, document=b"", history=[])
+
+
+class Receipt(Enum):
+    """What a member does with a state that came down the chain."""
+
+    KEEP = auto()  # save it, then pass it on
+    REFUSE = auto()  # of another epoch, or older than what is held
+
+
+class ChainMember:
+    """The chain's part in one controller: the newest state it holds and what it may do with it."""
+
+    def __init__(self, name: str, disk_id: str, saved: bytes | None = None) -> None:
+        self.name = name
+        self.disk_id = disk_id
+        self.view: View | None = None
+        self.state = EMPTY_STATE
+        self.state_epoch = 0
+        self.committed: ControlState | None = None  # the newest state known to be committed
+        if saved is not None:
+            self.state_epoch, self.state = decode(saved)
+
+    def dump(self) -> bytes:
+        """What is to be saved."""
+        return encode([self.state_epoch, self.state])
+
+    @property
+    def epoch(self) -> int:
+        """The epoch of the view in use, 0 for none."""
+        return self.view.epoch if self.view is not None else 0
+
+    @property
+    def in_chain(self) -> bool:
+        """Whether this name with this disk is in the chain."""
+        view = self.view
+        return view is not None and self.name in view.chain and is_voter(view, self.name, self.disk_id)
+
+    @property
+    def is_head(self) -> bool:
+        """Whether it takes writes."""
+        return self.in_chain and self.view is not None and self.view.head == self.name
+
+    @property
+    def is_tail(self) -> bool:
+        """Whether it answers reads."""
+        return self.in_chain and self.view is not None and self.view.tail == self.name
+
+    @property
+    def complete(self) -> bool:
+        """Whether it holds every state committed up to its view."""
+        if self.view is None or not self.in_chain:
+            return False
+        since = self.view.since.get(self.name, self.view.epoch)
+        return since == FIRST_EPOCH or self.state_epoch >= since
+
+    @property
+    def synchronised(self) -> bool:
+        """Whether it has a state of its view's own epoch."""
+        return self.in_chain and self.state_epoch == self.epoch
+
+    @property
+    def settled(self) -> bool:
+        """Whether the newest state it holds is known to be committed in this epoch."""
+        return self.synchronised and self.committed is self.state
+
+    def next_name(self) -> str | None:
+        """The member after this one, None for the tail."""
+        if self.view is None or not self.in_chain:
+            return None
+        position = self.view.chain.index(self.name) + 1
+        return self.view.chain[position] if position < len(self.view.chain) else None
+
+    def install(self, view: View) -> bool:
+        """Use a decided view; False for an older one."""
+        if view.epoch <= self.epoch:
+            return False
+        self.view = view
+        if self.is_tail and self.synchronised:
+            self.committed = self.state
+        return True
+
+    def receive(self, write: ChainWrite) -> Receipt:
+        """Take a state from the member before; it is in `state` where it is to be kept."""
+        version = (write.epoch, write.state.sequence)
+        held = (self.state_epoch, self.state.sequence)
+        if write.epoch != self.epoch or not self.in_chain or self.is_head or version < held:
+            return Receipt.REFUSE
+        if version > held:
+            self.state = write.state
+            self.state_epoch = write.epoch
+        return Receipt.KEEP
+
+    def begin(self, state: ControlState | None = None) -> ChainWrite:
+        """Head: take a new state, or the present one into this epoch, to be saved and then passed on."""
+        if not (self.is_head and self.complete):
+            raise ValueError(f"{self.name} is not a head that holds all committed states")
+        if state is not None:
+            self.state = evolve(state, sequence=self.state.sequence + 1)
+        self.state_epoch = self.epoch
+        return ChainWrite(self.epoch, self.state)
+
+    def commit(self, write: ChainWrite) -> ControlState | None:
+        """The tail has this state: it is committed.  The state, where that is news."""
+        known = self.committed
+        if known is not None and write.state.sequence < known.sequence:
+            return None
+        current = write.epoch == self.state_epoch and write.state.sequence == self.state.sequence
+        self.committed = self.state if current else write.state
+        return None if known is not None and known.sequence == write.state.sequence else self.committed
--- /dev/null
+++ b/hollowusher/coordination/operator_api.py
@@ -0,0 +1,124 @@
+"""The operator's HTTP interface: configuration orders and the emptying of store machines.
+
+Each request becomes one message that `forward` brings to whoever decides on it.  Callers move on after a
+second of silence, so a question gets 503 before that; a change may take longer, for its answer is then true.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import orjson
+from aiohttp import web
+
+from hollowusher.configuration.orders import MOST_BODY_BYTES, Refusal
+from hollowusher.protocol.control import ChangeConfiguration, OperatorAnswer, ReadConfiguration, Retire
+from hollowusher.transport.interface import PeerError
+
+QUESTION_TIMEOUT_S = 0.9
+CHANGE_TIMEOUT_S = 3.0
+RETRY_AFTER_S = 1
+
+Forward = Callable[[Any], Awaitable[OperatorAnswer]]
+
+
+class OperatorApi:
+    """The handlers of one process."""
+
+    def __init__(self, forward: Forward) -> None:
+        self._forward = forward
+        self._tasks: set[asyncio.Future[OperatorAnswer]] = set()
+
+    def add_routes(self, application: web.Application) -> None:
+        """Serve the operator's paths from an application (made with `client_max_size` of
+        `MOST_BODY_BYTES` or more)."""
+        application.router.add_put("/config", self._change)
+        application.router.add_patch("/config", self._change)
+        application.router.add_get("/config", self._read)
+        application.router.add_post("/retire/{node}", self._retire)
+        application.router.add_get("/retire/{node}", self._retirement)
+
+    async def _change(self, request: web.Request) -> web.Response:
+        if_match = _read_if_match(request.headers.get("If-Match"))
+        if isinstance(if_match, Refusal):
+            return _response(if_match.answer())
+        body = await _read_body(request)
+        if isinstance(body, Refusal):
+            return _response(body.answer())
+        return await self._ask(ChangeConfiguration(request.method, if_match, body), CHANGE_TIMEOUT_S)
+
+    async def _read(self, request: web.Request) -> web.Response:
+        return await self._ask(ReadConfiguration(), QUESTION_TIMEOUT_S)
+
+    async def _retire(self, request: web.Request) -> web.Response:
+        body = await _read_body(request)
+        if isinstance(body, Refusal):
+            return _response(body.answer())
+        duration = _read_duration(body)
+        if isinstance(duration, Refusal):
+            return _response(duration.answer())
+        return await self._ask(Retire(request.match_info["node"], duration), CHANGE_TIMEOUT_S)
+
+    async def _retirement(self, request: web.Request) -> web.Response:
+        return await self._ask(Retire(request.match_info["node"], None), QUESTION_TIMEOUT_S)
+
+    async def _ask(self, message: Any, timeout: float) -> web.Response:
+        """The answer to a message.  A change goes on when its caller is told 503: it may yet be taken."""
+        task = asyncio.ensure_future(self._forward(message))
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        done, _ = await asyncio.wait({task}, timeout=timeout)
+        if not done:
+            return _unavailable("no answer in time")
+        try:
+            return _response(task.result())
+        except PeerError as error:
+            return _unavailable(str(error))
+
+    def _finished(self, task: asyncio.Future[OperatorAnswer]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            task.exception()  # retrieved: a late failure concerns nobody any more
+
+
+def _read_if_match(value: str | None) -> int | Refusal | None:
+    if value is None:
+        return None
+    text = value.strip().strip('"')
+    if text.isascii() and text.isdigit() and len(text) < 19:
+        return int(text)
+    return Refusal(400, "If-Match", "is not a version number")
+
+
+async def _read_body(request: web.Request) -> bytes | Refusal:
+    too_long = Refusal(413, "body", f"is longer than {MOST_BODY_BYTES} bytes")
+    if (request.content_length or 0) > MOST_BODY_BYTES:
+        return too_long
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        return too_long
+
+
+def _read_duration(body: bytes) -> float | Refusal:
+    try:
+        content = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        return Refusal(400, "body", f"is not JSON: {error}")
+    duration = content.get("durationS") if isinstance(content, dict) else None
+    if isinstance(duration, bool) or not isinstance(duration, int | float) or duration < 0:
+        return Refusal(400, "durationS", "is missing or not a number")
+    return float(duration)
+
+
+def _response(answer: OperatorAnswer) -> web.Response:
+    if answer.status == 503:
+        return _unavailable("", answer.body)
+    return web.Response(status=answer.status, body=answer.body, content_type="application/json")
+
+
+def _unavailable(reason: str, body: bytes = b"") -> web.Response:
+    return web.Response(status=503, body=body or orjson.dumps({"error": reason}),
+                        content_type="application/json", headers={"Retry-After": str(RETRY_AFTER_S)})
--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -292,10 +292,12 @@
 
 @message(33)
 class Updates:
-    """Answer to `PullUpdates`."""
+    """Answer to `PullUpdates`.  `connected` is False where the controller has lost most of the others, so
+    that what it gives may be old."""
 
     items: list[Item]
     have: dict[str, int]
+    connected: bool = True
 
 
 @message(34)
--- /dev/null
+++ b/tests/controller_cluster.py
@@ -0,0 +1,305 @@
+"""A virtual cluster of controllers for the tests: a loop whose clock jumps, a network with cuts, disks."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import selectors
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+import orjson
+
+from hollowusher.configuration.boot import Bind, BootSettings
+from hollowusher.coordination.bootstrap import SeedService
+from hollowusher.coordination.controller import Controller
+from hollowusher.protocol.codec import decode, encode
+from hollowusher.protocol.control import (
+    ChangeConfiguration,
+    ControlState,
+    Member,
+    OperatorAnswer,
+    ReadConfiguration,
+    View,
+)
+from hollowusher.transport.interface import Handler, PeerError
+
+T = TypeVar("T")
+LINK_DELAY_S = 0.001
+SYNC_S = 0.005
+
+
+class _JumpingSelector(selectors.SelectSelector):
+    """Never waits: it moves the loop's clock to the next timer."""
+
+    loop: VirtualLoop
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        if timeout is None:
+            raise AssertionError("everything waits for nothing")
+        self.loop.now += timeout
+        return []
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """An event loop with a virtual clock."""
+
+    def __init__(self) -> None:
+        selector = _JumpingSelector()
+        selector.loop = self
+        self.now = 100.0
+        super().__init__(selector)
+
+    def time(self) -> float:
+        return self.now
+
+
+def run_virtual(work: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine under a virtual clock."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(work)
+
+
+class Network:
+    """Which process listens where, and the links that are cut."""
+
+    def __init__(self) -> None:
+        self.listening: dict[str, VirtualTransport] = {}
+        self.cuts: set[frozenset[str]] = set()
+
+    def cut(self, one: str, other: str) -> None:
+        self.cuts.add(frozenset((one, other)))
+
+    def join(self, one: str, other: str) -> None:
+        self.cuts.discard(frozenset((one, other)))
+
+    def passes(self, one: str, other: str) -> bool:
+        return frozenset((one, other)) not in self.cuts
+
+
+class VirtualTransport:
+    """The `Transport` of one process of a `Network`."""
+
+    def __init__(self, network: Network, address: str) -> None:
+        self.network = network
+        self.address = address
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self._handler: Handler | None = None
+
+    async def start(self, handler: Handler) -> None:
+        self._handler = handler
+        self.network.listening[self.address] = self
+
+    async def close(self) -> None:
+        if self.network.listening.get(self.address) is self:
+            del self.network.listening[self.address]
+        for task in list(self.tasks):
+            task.cancel()
+
+    async def call(self, address: str, message: Any, timeout: float) -> Any:
+        step = type(message).__name__
+        data = encode(message)
+        deadline = asyncio.get_running_loop().time() + timeout
+        await asyncio.sleep(LINK_DELAY_S)
+        if not self.network.passes(self.address, address):
+            await self._silence(deadline)
+            raise PeerError(step, address, "no answer in time")
+        peer = self.network.listening.get(address)
+        if peer is None:
+            raise PeerError(step, address, "no connection: refused", sent=False)
+        task = peer.take(data)
+        await asyncio.wait({task}, timeout=deadline - asyncio.get_running_loop().time())
+        if task.cancelled():
+            raise PeerError(step, address, "connection lost")
+        if not task.done() or not self.network.passes(self.address, address):
+            await self._silence(deadline)
+            raise PeerError(step, address, "no answer in time")
+        return decode(encode(task.result()))
+
+    def send(self, address: str, message: Any) -> None:
+        task = asyncio.get_running_loop().create_task(self._send(address, encode(message)))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _send(self, address: str, data: bytes) -> None:
+        await asyncio.sleep(LINK_DELAY_S)
+        peer = self.network.listening.get(address)
+        if peer is not None and self.network.passes(self.address, address):
+            peer.take(data)
+
+    def take(self, data: bytes) -> asyncio.Task[Any]:
+        """Handle a message that has arrived."""
+        assert self._handler is not None
+        task = asyncio.get_running_loop().create_task(self._run(self._handler, data))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    @staticmethod
+    async def _run(handler: Handler, data: bytes) -> Any:
+        return await handler(decode(data))
+
+    @staticmethod
+    async def _silence(deadline: float) -> None:
+        await asyncio.sleep(max(0.0, deadline - asyncio.get_running_loop().time()))
+
+
+class VirtualSlot:
+    """A `Slot` on a virtual disk."""
+
+    def __init__(self, files: dict[str, bytes], name: str) -> None:
+        self._files = files
+        self._name = name
+
+    def load(self) -> bytes | None:
+        return self._files.get(self._name)
+
+    async def save(self, value: bytes) -> None:
+        await asyncio.sleep(SYNC_S)
+        self._files[self._name] = value
+
+
+class Node:
+    """One machine with a disk, and the controller that runs on it at times."""
+
+    def __init__(self, cluster: Cluster, name: str) -> None:
+        self.cluster = cluster
+        self.name = name
+        self.ip = f"10.0.0.{len(cluster.nodes) + 1}"
+        self.address = f"{self.ip}:7780"
+        self.disk_id = f"disk-{name}"
+        self.files: dict[str, bytes] = {}
+        self.controller: Controller | None = None
+        self.transport: VirtualTransport | None = None
+        self.views: list[View] = []
+        self.states: list[ControlState] = []
+
+    @property
+    def running(self) -> Controller:
+        assert self.controller is not None
+        return self.controller
+
+    async def start(self, bootstrap: bool = False) -> None:
+        settings = BootSettings(node_name=self.name, machine_class="edge", ip=self.ip,
+                                seed_nodes=self.cluster.seeds, bootstrap=bootstrap, bind=Bind())
+        member = Member(self.name, "edge", self.address, "z", "r", 1, self.disk_id, True, True)
+        self.transport = VirtualTransport(self.cluster.network, self.address)
+        self.controller = Controller(
+            member, self.transport, settings, VirtualSlot(self.files, "view"),
+            VirtualSlot(self.files, "state"), random.Random(f"{self.cluster.seed} {self.name}"),
+            self.views.append, self.states.append)
+        await self.transport.start(self.controller.handle)
+        await self.controller.start()
+
+    async def kill(self) -> None:
+        """End the process at once, as SIGKILL does."""
+        if self.controller is None or self.transport is None:
+            return
+        await self.transport.close()
+        tasks = self.controller._tasks | self.controller._agreement._tasks
+        if self.controller._seed._task is not None:
+            tasks = tasks | {self.controller._seed._task}
+        for task in tasks:
+            task.cancel()
+        self.controller = None
+
+    async def stop(self) -> None:
+        """End the process as SIGTERM does."""
+        await self.running.stop()
+        assert self.transport is not None
+        await self.transport.close()
+        self.controller = None
+
+    def wipe(self) -> None:
+        """Replace the disk by an empty one."""
+        self.files = {}
+        self.disk_id += "'"
+
+    async def put(self, generation: int, if_match: int) -> int:
+        """Send a whole configuration to this machine; the status."""
+        body = orjson.dumps(document(generation))
+        answer = await self.running.handle(ChangeConfiguration("PUT", if_match, body))
+        assert isinstance(answer, OperatorAnswer)
+        return answer.status
+
+    async def read(self) -> tuple[int, int]:
+        """Ask this machine for the configuration: the status, and its generation."""
+        answer = await self.running.handle(ReadConfiguration())
+        assert isinstance(answer, OperatorAnswer)
+        return answer.status, orjson.loads(answer.body)["generation"] if answer.status == 200 else 0
+
+
+class Cluster:
+    """Some machines on one network.  `seed_nodes` names those that are seeds."""
+
+    def __init__(self, names: str = "abc", seed: int = 0, seeds: list[str] | None = None) -> None:
+        self.seed = seed
+        self.network = Network()
+        self.nodes: dict[str, Node] = {}
+        for name in names:
+            self.add(name)
+        self.seeds = seeds if seeds is not None else [f"{node.ip}:8064" for node in self.nodes.values()][:3]
+
+    def add(self, name: str) -> Node:
+        self.nodes[name] = Node(self, name)
+        return self.nodes[name]
+
+    def __getitem__(self, name: str) -> Node:
+        return self.nodes[name]
+
+    async def first_start(self) -> None:
+        """Start all machines within 0.3 s, and wait until each knows the first view."""
+        for number, node in enumerate(self.nodes.values()):
+            await asyncio.sleep(0.3 * number / len(self.nodes))
+            await node.start(bootstrap=True)
+        await self.until(lambda: all(node.running.view is not None for node in self.nodes.values()), 4.0)
+        await self.until(lambda: any(node.running.is_head for node in self.nodes.values()), 2.0)
+
+    async def until(self, true: Any, seconds: float) -> float:
+        """Wait for something; how long it took."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while not true():
+            assert loop.time() - started < seconds, f"not so within {seconds} s"
+            await asyncio.sleep(0.01)
+        return loop.time() - started
+
+    async def put_somewhere(self, generation: int, if_match: int, seconds: float = 5.0) -> float:
+        """Send an order to one machine after the other until it is acknowledged; how long that took."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while True:
+            for node in self.nodes.values():
+                if node.controller is None:
+                    continue
+                try:
+                    status = await asyncio.wait_for(node.put(generation, if_match), 1.0)
+                except TimeoutError:
+                    continue
+                if status == 200:
+                    return loop.time() - started
+                assert status == 503, status
+            assert loop.time() - started < seconds, f"no acknowledgement within {seconds} s"
+            await asyncio.sleep(0.1)
+
+    def cut_off(self, *names: str) -> None:
+        """Cut these machines off from all others."""
+        for name in names:
+            for other in self.nodes.keys() - set(names):
+                self.network.cut(self[name].address, self[other].address)
+
+    def join_all(self) -> None:
+        self.network.cuts.clear()
+
+    def diskless_seed(self, ip: str) -> SeedService:
+        """An edge process without a disk that is a seed."""
+        settings = BootSettings(node_name=ip, machine_class="edge", ip=ip, seed_nodes=self.seeds,
+                                bootstrap=True)
+        return SeedService(settings, VirtualTransport(self.network, f"{ip}:7780"))
+
+
+def document(generation: int) -> dict[str, Any]:
+    """A small valid configuration."""
+    route = {"name": "r", "hostname": "h.example", "pathPrefix": "/a/", "type": "async",
+             "timeoutMs": 100 + generation, "upstream": "s"}
+    return {"generation": generation, "routes": [route], "upstreams": [{"name": "s"}], "limits": {}}
