--- a/hollowusher/coordination/client.py
+++ b/hollowusher/coordination/client.py
@@ -39,6 +39,7 @@
 MOST_PAUSE_S = 0.5
 AVOID_S = 3.0  # a controller that has failed is not chosen for this long, if there is another one
 IDLE_PAUSE_S = 0.1  # after an answer that came at once and brought nothing
+CONNECTED_S = 2.5  # a controller that has not heard most of the others for this long says so
 MOST_HELPERS = 3  # living members asked for the view besides the seeds and the voters
 SOLICITED = ""  # the origin of items that were read from the control chain and not pulled
 
@@ -86,31 +87,26 @@
         self._registration_seen = False  # the cluster has this life of this process
         self._leaving = False
         self._failed_at: dict[str, float] = {}
-        self._contact: float | None = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self._contact = -math.inf  # last answer of a connected controller
+        self._heard_at: dict[str, float] = {}  # controllers: last answer of each other one
         self._peers: dict[str, asyncio.Task[None]] = {}
         self._peer_have: dict[str, dict[str, int]] = {}
         self._view_changed = asyncio.Event()
-        self._long_poll = LongPoll(feed) if feed is not None else None
+        self._long_poll = LongPoll(feed, self._is_connected) if feed is not None else None
         state.listen(self._on_change)
         if feed is not None:
             feed.listen(lambda item: self._apply([item]))
 
     # ---- life
 
-    def start(self) -> None:
-        """Begin to follow the cluster, to send heartbeats and to monitor others."""
-        follow = self._follow_one() if self._feed is None else self._follow_all()
-        loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(follow), loop.create_task(self._beat())]
-
-    async def stop(self) -> None:
-        """End all of that."""
-        tasks = [*self._tasks, *self._peers.values()]
-        self._tasks, self._peers = [], {}
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+    async def run(self) -> None:
+        """Follow the cluster, send heartbeats and monitor others; runs until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._beat())
+            if self._feed is None:
+                tasks.create_task(self._follow_one())
+            else:
+                tasks.create_task(self._follow_all(tasks))
 
     async def confirmed_start(self) -> None:
         """Wait until the control chain has told its committed state, and apply it: after that, nothing
@@ -139,11 +135,21 @@
                 return
 
     def seconds_since_contact(self, now: float) -> float:
-        """How long ago a controller last answered a pull; infinite before the first answer, 0 for a
-        controller that has no others to ask."""
-        if self._feed is not None and self.state.view is not None and not self._other_voters():
-            return 0.0
-        return math.inf if self._contact is None else now - self._contact
+        """How long ago a controller in touch with most of the others answered a pull; for a controller, how
+        long ago most of them, itself counted, answered.  Infinite before the first time."""
+        if self._feed is None:
+            return now - self._contact
+        voters = self._voters()
+        if not voters:
+            return math.inf
+        heard = sorted(self._heard_from(voter, now) for voter in voters)
+        return now - heard[-(len(voters) // 2 + 1)]
+
+    def _heard_from(self, voter: Voter, now: float) -> float:
+        return now if voter.address == self.me.address else self._heard_at.get(voter.address, -math.inf)
+
+    def _is_connected(self) -> bool:
+        return self.seconds_since_contact(self._now()) <= CONNECTED_S
 
     async def handle(self, message: Any) -> Any:
         """Answer one of `MESSAGES`."""
@@ -243,23 +249,27 @@
         self._controller = address
 
     async def _pull(self, address: str, have: dict[str, int], take: Callable[[Updates], list[str]]) -> None:
-        """One long poll; `PeerError` where it fails."""
+        """One long poll; `PeerError` where it fails or the controller there has lost the others."""
         started = self._now()
         request = PullUpdates(self.me.name, have, PULL_WAIT_MS)
         answer = await self._transport.call(address, request, PULL_WAIT_MS / 1000 + PULL_MARGIN_S)
         if not isinstance(answer, Updates):
             raise PeerError("PullUpdates", address, "no updates there")
+        changed = take(answer)
+        self._heard_at[address] = self._now()
+        if not changed and self._now() - started < IDLE_PAUSE_S:
+            await asyncio.sleep(IDLE_PAUSE_S)
+        if self._feed is None and not answer.connected:
+            raise PeerError("PullUpdates", address, "it has lost most of the other controllers")
         self._contact = self._now()
         self._failed_at.pop(address, None)
-        if not take(answer) and self._now() - started < IDLE_PAUSE_S:
-            await asyncio.sleep(IDLE_PAUSE_S)
 
     def _take(self, updates: Updates) -> list[str]:
         return self.state.apply(updates.items, updates.have)
 
     # ---- a controller follows all others
 
-    async def _follow_all(self) -> None:
+    async def _follow_all(self, tasks: asyncio.TaskGroup) -> None:
         self._publish(self.me)
         while True:
             if self.state.view is None:
@@ -268,8 +278,8 @@
             for address in [address for address in self._peers if address not in wanted]:
                 self._peers.pop(address).cancel()
                 self._peer_have.pop(address, None)
-            for address in wanted - self._peers.keys():
-                self._peers[address] = asyncio.get_running_loop().create_task(self._follow_peer(address))
+            for address in sorted(wanted - self._peers.keys()):
+                self._peers[address] = tasks.create_task(self._follow_peer(address))
             self._view_changed.clear()
             await self._view_changed.wait()
 
--- a/hollowusher/coordination/cluster_state.py
+++ b/hollowusher/coordination/cluster_state.py
@@ -41,9 +41,8 @@
     def apply(self, items: Iterable[Item], have: dict[str, int]) -> list[str]:
         """Take what a controller sent; the keys that have changed."""
         changed = [item.key for item in items if self._apply(item)]
-        for origin, counter in have.items():
-            if counter > self.have.get(origin, 0):
-                self.have[origin] = counter
+        if have:  # origins that the controller has forgotten are forgotten here too
+            self.have = {origin: max(counter, self.have.get(origin, 0)) for origin, counter in have.items()}
         for key in changed:
             for listener in list(self._listeners):
                 listener(key)
--- a/hollowusher/coordination/duties.py
+++ b/hollowusher/coordination/duties.py
@@ -24,8 +24,8 @@
 from hollowusher.coordination.updates import Feed
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control import (
-    ControlState, Done, Item, LearnerReady, Leaving, Member, OperatorAnswer, Placement, ReadView, Register, Registered,
-    Retire, Suspicion, View, Worker, WorkerList,
+    ControlState, Done, Item, LearnerReady, Leaving, Member, OperatorAnswer, Placement, ReadView, Register,
+    Registered, Retire, Suspicion, View, Worker, WorkerList,
 )
 from hollowusher.transport.interface import PeerError, Transport
 
@@ -59,8 +59,7 @@
         """The newest committed state."""
 
     async def change(self, update: Update) -> bool:
-        """Commit what `update` makes of the newest state; True once it is committed.  None from `update`
-        changes nothing (False)."""
+        """Commit what `update` makes of the newest state (None: leave it); True once that is committed."""
 
 
 class ListReader(Protocol):
@@ -96,7 +95,6 @@
         self._clock = clock
         self._caught_up: set[CAUGHT_UP] = set()
         self._probing: set[str] = set()
-        self._tasks: set[asyncio.Task[Any]] = set()
         self._planned_for = (-1, -1)  # changes of the directory and sequence of the state at the last plan
         self._planned_at = 0.0
         self._moved_at = 0.0
@@ -152,13 +150,18 @@
 
     async def run(self) -> None:
         """Do the duties whenever this process is the head; runs until cancelled."""
-        try:
-            await asyncio.gather(self._run_ticks(), self._run_readings())
-        finally:
-            for task in list(self._tasks):
-                task.cancel()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._run_judgement(tasks))
+            tasks.create_task(self._run_placement())
+            tasks.create_task(self._run_readings())
+
+    async def _run_judgement(self, tasks: asyncio.TaskGroup) -> None:
+        while True:
+            if self._controller.is_head:
+                self._judge(tasks)
+            await asyncio.sleep(TICK_S)
 
-    async def _run_ticks(self) -> None:
+    async def _run_placement(self) -> None:
         while True:
             if not self._controller.is_head:
                 self._duty_since = None
@@ -166,11 +169,10 @@
             else:
                 if self._duty_since is None:
                     self._duty_since = self._clock()
-                self._judge()
                 await self._keep_placement()
             await asyncio.sleep(TICK_S)
 
-    def _judge(self) -> None:
+    def _judge(self, tasks: asyncio.TaskGroup) -> None:
         """Publish the deaths that the monitors agree on, and try those that they do not agree on."""
         now = self._clock()
         for dead in self._directory.condemned(now):
@@ -178,9 +180,7 @@
         for member in self._directory.doubtful(now):
             if member.name not in self._probing and member.name != self._me.name:
                 self._probing.add(member.name)
-                task = asyncio.get_running_loop().create_task(self._probe(member))
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                tasks.create_task(self._probe(member))
 
     async def _probe(self, member: Member) -> None:
         try:
@@ -204,6 +204,7 @@
         if seen == self._planned_for and now - self._planned_at < REPLAN_S:
             return
         self._planned_at = now
+        self._forget_old_reports(state)
         may_move = now - self._moved_at >= MOVE_S
         if self._replanned(state, may_move) is None:
             self._planned_for = seen
@@ -212,6 +213,12 @@
             self._moved_at = now
         await self._controller.change(lambda newest: self._replanned(newest, may_move))
 
+    def _forget_old_reports(self, state: ControlState) -> None:
+        """Drop reports about learners in epochs that have passed."""
+        entries = [] if state.placement is None else state.placement.partitions
+        epochs = {entry.partition: entry.epoch for entry in entries}
+        self._caught_up = {report for report in self._caught_up if report[1] >= epochs.get(report[0], 0)}
+
     def _replanned(self, state: ControlState, may_move: bool) -> ControlState | None:
         """The state with the placement and the emptied machines as they should be; None where they are."""
         if state.placement is None:
--- a/hollowusher/coordination/updates.py
+++ b/hollowusher/coordination/updates.py
@@ -70,11 +70,11 @@
         self._tell(newer)
         return [item.key for item in newer]
 
-    def answer(self, request: PullUpdates) -> Updates:
+    def answer(self, request: PullUpdates, connected: bool = True) -> Updates:
         """The items beyond the reader's vector, and the vector it has after taking them."""
         items = [item for item in self._items.values() if item.counter > request.have.get(item.origin, 0)]
         items.sort(key=lambda item: (item.origin, item.counter))
-        return Updates(items, self.have)
+        return Updates(items, self.have, connected)
 
     def _take(self, item: Item) -> bool:
         """Keep an item if it is newer; True if its version is greater than the known one.
@@ -105,10 +105,12 @@
 
 
 class LongPoll:
-    """Answers pulls from a feed, and lets them wait for news."""
+    """Answers pulls from a feed, and lets them wait for news.  `connected` says whether this controller
+    hears enough of the others for its answers to be new."""
 
-    def __init__(self, feed: Feed) -> None:
+    def __init__(self, feed: Feed, connected: Callable[[], bool] = lambda: True) -> None:
         self._feed = feed
+        self._connected = connected
         self._news = asyncio.Event()
         feed.listen(self._wake)
 
@@ -123,7 +125,7 @@
         deadline = loop.time() + request.wait_ms / 1000
         while True:
             news = self._news
-            updates = self._feed.answer(request)
+            updates = self._feed.answer(request, self._connected())
             left = deadline - loop.time()
             if updates.items or left <= 0:
                 return updates
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,248 @@
+"""Members: incarnations, deaths by the monitors' agreement, and who monitors whom."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hollowusher.coordination.directory import Directory
+from hollowusher.coordination.monitor import (
+    HEARTBEAT_S, REPEAT_S, SILENCE_S, Monitor, monitors_of,
+)
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import Heartbeat, Leaving, Member, Suspicion
+
+
+def edge(name: str, incarnation: int = 1, status: int = 0) -> Member:
+    return Member(name, "edge", f"{name}:1", "z", "r", incarnation, status=status)
+
+
+def store(name: str, incarnation: int = 1, status: int = 0, disk_id: str = "d") -> Member:
+    return Member(name, "store", f"{name}:1", "z", "r", incarnation, disk_id, status=status)
+
+
+def directory_of(*members: Member, now: float = 0.0) -> Directory:
+    directory = Directory(now)
+    for member in members:
+        assert directory.take(member, now)
+    return directory
+
+
+EDGES = [edge(f"e{number}") for number in range(6)]
+
+
+# ---- members
+
+
+def test_a_new_incarnation_replaces_the_old_life_at_once() -> None:
+    directory = directory_of(store("s", 1))
+    assert directory.take(store("s", 2), 5.0)
+    assert directory.members["s"].incarnation == 2
+    assert directory.since("s") == 5.0
+    assert not directory.take(store("s", 1, 1), 6.0)
+    assert directory.members["s"].alive
+
+
+def test_leaving_gives_an_odd_status_once_and_only_to_that_life() -> None:
+    directory = directory_of(store("s", 2))
+    assert directory.left(Leaving("s", 1)) is None
+    dead = directory.left(Leaving("s", 2))
+    assert dead is not None and dead.status == 1 and not dead.alive
+    directory.take(dead, 1.0)
+    assert directory.left(Leaving("s", 2)) is None
+    assert directory.left(Leaving("unknown", 1)) is None
+
+
+def test_a_living_process_refutes_its_death_with_the_next_even_status() -> None:
+    directory = directory_of(store("s", 1))
+    directory.take(store("s", 1, 1), 1.0)
+    assert not directory.take(store("s", 1, 0), 2.0)
+    assert directory.take(store("s", 1, 2), 2.0)
+    assert directory.members["s"].alive
+
+
+def test_conditions_of_stores_known_and_only_named() -> None:
+    directory = directory_of(store("s1"), edge("e"), now=10.0)
+    conditions = directory.stores(["s1", "s2"], 13.0)
+    assert sorted(conditions) == ["s1", "s2"]
+    assert conditions["s1"].living and conditions["s1"].for_s == 3.0
+    assert conditions["s2"].member is None and conditions["s2"].for_s == 3.0
+    assert conditions["s2"].store_id == ""
+
+
+# ---- judgement
+
+
+def suspected_by(directory: Directory, name: str, reporters: list[str], now: float) -> list[str]:
+    for reporter in reporters:
+        directory.suspect(Suspicion(name, directory.members[name].incarnation, reporter), now)
+    return [member.name for member in directory.condemned(now)]
+
+
+def test_most_of_the_monitors_have_to_agree() -> None:
+    directory = directory_of(*EDGES, store("s"))
+    monitors = monitors_of("s", [member.name for member in EDGES])
+    others = [member.name for member in EDGES if member.name not in monitors]
+    assert suspected_by(directory, "s", [monitors[0], *others], 1.0) == []
+    assert suspected_by(directory, "s", [monitors[2]], 1.2) == ["s"]
+    [dead] = directory.condemned(1.2)
+    assert dead.status == 1
+    directory.take(dead, 1.2)
+    assert directory.condemned(1.3) == []
+
+
+def test_suspicions_do_not_add_up_over_long_times_or_lives() -> None:
+    directory = directory_of(*EDGES, store("s"))
+    monitors = monitors_of("s", [member.name for member in EDGES])
+    assert suspected_by(directory, "s", monitors[:1], 1.0) == []
+    assert suspected_by(directory, "s", monitors[1:2], 3.0) == []
+    directory.take(store("s", 2), 3.1)
+    directory.suspect(Suspicion("s", 1, monitors[2]), 3.2)
+    assert directory.condemned(3.2) == []
+    assert suspected_by(directory, "s", monitors[:1], 3.2) == []
+
+
+def test_dead_monitors_have_no_vote() -> None:
+    """With two monitors dead, three others are the monitors, and two of them decide."""
+    directory = directory_of(*EDGES, store("s"))
+    first = monitors_of("s", [member.name for member in EDGES])
+    for name in first[:2]:
+        directory.take(edge(name, 1, 1), 0.5)
+    remaining = [member.name for member in EDGES if member.name not in first[:2]]
+    second = monitors_of("s", remaining)
+    assert second[0] == first[2] and not set(second) & set(first[:2])
+    assert suspected_by(directory, "s", second[:2], 1.0) == ["s"]
+
+
+def test_a_lone_monitor_decides_alone_and_nobody_judges_the_last_edge_process() -> None:
+    directory = directory_of(edge("e0"), store("s"))
+    assert suspected_by(directory, "s", ["e0"], 1.0) == ["s"]
+    assert "e0" not in suspected_by(directory, "e0", ["e0"], 1.0)
+
+
+def test_where_monitors_disagree_the_head_tries_the_member_itself() -> None:
+    directory = directory_of(*EDGES, store("s"))
+    monitors = monitors_of("s", [member.name for member in EDGES])
+    suspicion = Suspicion("s", 1, monitors[0])
+    for now in (1.0, 1.5, 2.0):
+        directory.suspect(suspicion, now)
+    assert directory.doubtful(1.9) == []
+    [doubtful] = directory.doubtful(2.1)
+    dead = directory.unreachable(doubtful, 2.1)
+    assert dead is not None and dead.status == 1
+    directory.reached(doubtful)
+    assert directory.doubtful(2.1) == [] and directory.unreachable(doubtful, 2.1) is None
+
+
+def test_a_verdict_on_an_earlier_life_does_not_hit_the_next() -> None:
+    directory = directory_of(*EDGES, store("s"))
+    for now in (1.0, 1.5, 2.0):
+        directory.suspect(Suspicion("s", 1, monitors_of("s", [member.name for member in EDGES])[0]), now)
+    [doubtful] = directory.doubtful(2.1)
+    directory.take(store("s", 2), 2.2)
+    assert directory.unreachable(doubtful, 2.3) is None
+
+
+# ---- monitors
+
+
+def test_monitors_are_at_most_three_living_edge_processes_and_never_oneself() -> None:
+    names = [member.name for member in EDGES]
+    for name in names:
+        monitors = monitors_of(name, names)
+        assert len(set(monitors)) == 3 and name not in monitors
+    assert monitors_of("e0", ["e0", "e1"]) == ["e1"]
+    assert monitors_of("e0", ["e0"]) == []
+
+
+@settings(max_examples=100, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 9), st.booleans(), st.booleans()), max_size=40))
+def test_incremental_assignment_equals_the_plain_one(changes: list[tuple[int, bool, bool]]) -> None:
+    monitor = Monitor("n0")
+    present: dict[str, Member] = {"n0": edge("n0")}
+    for number, there, is_edge in changes:
+        name = f"n{number}"
+        if name == "n0":
+            continue
+        if there:
+            present[name] = edge(name) if is_edge else store(name)
+        else:
+            present.pop(name, None)
+        monitor.update(present.values(), 0.0)
+        edges = [member.name for member in present.values() if member.role == "edge"]
+        assert [member.name for member in monitor.my_monitors] == monitors_of("n0", edges)
+        assert monitor.watched == sorted(
+            member for member in present if "n0" in monitors_of(member, edges))
+
+
+def watching(now: float = 0.0) -> Monitor:
+    """A monitor of one store, just assigned."""
+    monitor = Monitor("e0")
+    monitor.update([edge("e0"), store("s")], now)
+    assert monitor.watched == ["s"]
+    return monitor
+
+
+def ticks(monitor: Monitor, start: float, end: float, step: float = 0.15) -> list[tuple[float, Suspicion]]:
+    found = []
+    now = start
+    while now <= end:
+        found += [(now, suspicion) for suspicion in monitor.tick(now)]
+        now = round(now + step, 6)
+    return found
+
+
+def test_silence_is_suspected_after_its_time_and_repeated() -> None:
+    found = ticks(watching(), 0.0, 2.4)
+    times = [now for now, _ in found]
+    assert SILENCE_S <= times[0] <= SILENCE_S + 0.15
+    gaps = [later - earlier for earlier, later in pairwise(times)]
+    assert len(gaps) >= 2 and all(REPEAT_S <= gap < REPEAT_S + 0.15 for gap in gaps)
+    assert all(suspicion == Suspicion("s", 1, "e0") for _, suspicion in found)
+
+
+def test_heartbeats_end_suspicion() -> None:
+    monitor = watching()
+    assert ticks(monitor, 0.0, 1.2)
+    monitor.heard(Heartbeat("s", 1), 1.2)
+    assert ticks(monitor, 1.35, 2.2) == []
+    assert ticks(monitor, 2.25, 2.6)
+
+
+def test_heartbeats_of_an_earlier_life_do_not_count() -> None:
+    monitor = watching()
+    monitor.update([edge("e0"), store("s", 2)], 0.5)
+    monitor.heard(Heartbeat("s", 1), 1.4)
+    found = ticks(monitor, 1.5, 1.8)
+    assert found and found[0][1].incarnation == 2
+
+
+def test_a_monitor_that_was_paused_judges_nobody_by_what_it_missed() -> None:
+    monitor = watching()
+    assert ticks(monitor, 0.0, 0.9) == []
+    assert monitor.tick(5.0) == []  # after a freeze
+    assert ticks(monitor, 5.15, 5.0 + SILENCE_S - 0.01) == []
+    assert ticks(monitor, 5.0 + SILENCE_S, 6.5)
+
+
+def test_suspicion_ends_with_death_or_another_monitor() -> None:
+    monitor = watching()
+    assert ticks(monitor, 0.0, 1.2)
+    monitor.update([edge("e0"), evolve(store("s"), status=1)], 1.3)
+    assert monitor.watched == [] and ticks(monitor, 1.35, 3.0) == []
+
+
+def test_a_newly_watched_member_has_its_full_time() -> None:
+    monitor = watching()
+    ticks(monitor, 0.0, 0.9)
+    monitor.update([edge("e0"), store("s"), store("late")], 0.9)
+    assert {suspicion.name for _, suspicion in ticks(monitor, 1.05, 1.9)} == {"s"}
+
+
+def test_heartbeats_are_due_at_their_interval() -> None:
+    monitor = watching()
+    sent = [now / 100 for now in range(0, 150, 15) if monitor.heartbeat_due(now / 100)]
+    assert sent == [0.0, 0.3, 0.6, 0.9, 1.2]
+    assert HEARTBEAT_S == 0.3
--- /dev/null
+++ b/tests/test_updates.py
@@ -0,0 +1,194 @@
+"""The feed of versioned items: merging, version vectors, pruning and the long poll."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.coordination.updates import Feed, LongPoll
+from hollowusher.protocol.codec import decode, encode
+from hollowusher.protocol.control import Item, Member, PullUpdates, Updates
+from hollowusher.simulation.loop import VirtualLoop
+
+
+def pull(source: Feed, target: Feed) -> Updates:
+    answer: Updates = decode(encode(source.answer(PullUpdates("reader", target.have, 0))))
+    target.merge(answer)
+    return answer
+
+
+def values(feed: Feed) -> dict[str, tuple[list[int], Any]]:
+    return {item.key: (list(item.version), item.value) for item in feed.items()}
+
+
+def member(name: str, incarnation: int = 1, status: int = 0) -> Member:
+    return Member(name, "edge", f"{name}:1", "z", "r", incarnation, status=status)
+
+
+def test_publish_takes_only_greater_versions() -> None:
+    feed = Feed("a/1")
+    assert feed.publish("placement", [2], "two")
+    assert not feed.publish("placement", [2], "again")
+    assert not feed.publish("placement", [1], "one")
+    assert feed.publish("placement", [10], "ten")
+    assert values(feed) == {"placement": ([10], "ten")}
+
+
+def test_versions_compare_number_by_number() -> None:
+    feed = Feed("a/1")
+    assert feed.publish("member/x", [5, 9], "life 5")
+    assert feed.publish("member/x", [6, 0], "life 6")
+    assert not feed.publish("member/x", [5, 10], "life 5 again")
+
+
+def test_answer_has_only_what_lies_beyond_the_vector_and_the_newest_of_a_key() -> None:
+    feed = Feed("a/1")
+    feed.publish("view", [1], "first")
+    have = feed.have
+    feed.publish("placement", [1], "p1")
+    feed.publish("placement", [2], "p2")
+    answer = feed.answer(PullUpdates("reader", have, 0))
+    assert [(item.key, item.value) for item in answer.items] == [("placement", "p2")]
+    assert feed.answer(PullUpdates("reader", answer.have, 0)).items == []
+
+
+def test_merge_never_goes_back_and_tells_listeners_only_of_news() -> None:
+    feed = Feed("a/1")
+    told: list[Any] = []
+    feed.listen(lambda item: told.append(item.value))
+    feed.publish("configuration", [7], "seven")
+    changed = feed.merge(Updates([Item("configuration", [6], "b/1", 1, "six"),
+                                  Item("view", [1], "b/1", 2, "view")], {"b/1": 2}))
+    assert changed == ["view"]
+    assert told == ["seven", "view"]
+    assert values(feed)["configuration"] == ([7], "seven")
+
+
+def test_a_third_controller_gets_items_through_the_second() -> None:
+    first, second, third = Feed("a/1"), Feed("b/1"), Feed("c/1")
+    first.publish("view", [3], "v3")
+    pull(first, second)
+    pull(second, third)
+    assert values(third) == {"view": ([3], "v3")}
+    assert pull(second, third).items == []
+
+
+def test_the_vector_forgets_origins_without_live_items() -> None:
+    feed = Feed("z/1")
+    for incarnation in range(1, 50):
+        other = Feed(f"a/{incarnation}")
+        other.publish("member/a", [incarnation, 0], incarnation)
+        pull(other, feed)
+    assert set(feed.have) <= {"a/49", "z/1"}
+    state = ClusterState()
+    state.apply(*(lambda answer: (answer.items, answer.have))(
+        feed.answer(PullUpdates("reader", {"old/1": 4}, 0))))
+    assert set(state.have) <= {"a/49", "z/1"}
+
+
+def test_the_same_version_from_two_controllers_is_not_sent_for_ever() -> None:
+    """Both publish a committed state; whichever way they pull, there is an end to it."""
+    first, second = Feed("a/1"), Feed("b/1")
+    first.publish("configuration", [7], "seven")
+    second.publish("configuration", [7], "seven")
+    for _ in range(2):
+        pull(first, second)
+        pull(second, first)
+    assert pull(first, second).items == [] and pull(second, first).items == []
+
+
+def test_a_reader_that_moves_to_a_controller_that_is_behind_keeps_what_it_has() -> None:
+    ahead, behind = Feed("a/1"), Feed("b/1")
+    behind.publish("member/x", [1, 0], member("x"))
+    ahead.publish("member/x", [1, 1], member("x", status=1))
+    state = ClusterState()
+    for feed in (ahead, behind, ahead):
+        answer = feed.answer(PullUpdates("reader", state.have, 0))
+        state.apply(answer.items, answer.have)
+    assert state.members["x"].status == 1
+
+
+steps = st.lists(st.one_of(
+    st.tuples(st.just("publish"), st.integers(0, 2), st.sampled_from("kml"), st.integers(1, 9)),
+    st.tuples(st.just("pull"), st.integers(0, 2), st.integers(0, 2)),
+    st.tuples(st.just("read"), st.integers(0, 2)),
+), max_size=60)
+
+
+@settings(max_examples=150, deadline=None)
+@given(steps)
+def test_feeds_and_a_reader_come_to_the_greatest_versions(run: list[tuple[Any, ...]]) -> None:
+    """Compared with a plain model: the greatest version ever published of each key."""
+    feeds = [Feed(f"{name}/1") for name in "abc"]
+    state = ClusterState()
+    greatest: dict[str, int] = {}
+
+    def read(feed: Feed) -> None:
+        before = {key: list(version) for key, version in state.versions.items()}
+        answer = feed.answer(PullUpdates("reader", state.have, 0))
+        state.apply(answer.items, answer.have)
+        assert all(state.versions[key] >= version for key, version in before.items())
+
+    for step in run:
+        if step[0] == "publish":
+            key = f"member/{step[2]}"
+            feeds[step[1]].publish(key, [step[3]], member(step[2], step[3]))
+            greatest[key] = max(greatest.get(key, 0), step[3])
+        elif step[0] == "pull" and step[1] != step[2]:
+            pull(feeds[step[1]], feeds[step[2]])
+        elif step[0] == "read":
+            read(feeds[step[1]])
+    for _ in range(2):
+        for source in feeds:
+            for target in feeds:
+                if source is not target:
+                    pull(source, target)
+    read(feeds[0])
+    wanted = {key: [version] for key, version in greatest.items()}
+    assert all({item.key: list(item.version) for item in feed.items()} == wanted for feed in feeds)
+    assert state.versions == wanted
+    assert {name: found.incarnation for name, found in state.members.items()} == {
+        key.removeprefix("member/"): version for key, version in greatest.items()}
+
+
+def test_long_poll_answers_at_once_with_news_and_else_waits() -> None:
+    async def play() -> None:
+        loop = asyncio.get_running_loop()
+        feed = Feed("a/1")
+        poll = LongPoll(feed)
+        feed.publish("view", [1], "v1")
+        started = loop.time()
+        answer = await poll.answer(PullUpdates("reader", {}, 1000))
+        assert [item.value for item in answer.items] == ["v1"] and loop.time() == started
+
+        loop.call_later(0.3, feed.publish, "view", [2], "v2")
+        loop.call_later(0.31, feed.publish, "placement", [1], "p1")
+        answer = await poll.answer(PullUpdates("reader", answer.have, 1000))
+        assert [item.value for item in answer.items] == ["v2", "p1"]  # they travel together
+        assert loop.time() - started < 0.4
+
+        started = loop.time()
+        answer = await poll.answer(PullUpdates("reader", answer.have, 1000))
+        assert answer.items == [] and abs(loop.time() - started - 1.0) < 0.001
+
+    virtual = VirtualLoop()
+    try:
+        virtual.play(play())
+    finally:
+        virtual.shut()
+
+
+def test_long_poll_says_whether_its_controller_is_connected() -> None:
+    async def play() -> None:
+        poll = LongPoll(Feed("a/1"), lambda: False)
+        assert not (await poll.answer(PullUpdates("reader", {}, 0))).connected
+
+    virtual = VirtualLoop()
+    try:
+        virtual.play(play())
+    finally:
+        virtual.shut()
