--- a/hollowusher/messages/comparing.py
+++ b/hollowusher/messages/comparing.py
@@ -8,6 +8,7 @@
 from hollowusher.messages.records import Key
 from hollowusher.messages.table import PartitionTable
 from hollowusher.protocol.store import Difference, Records, Replicate, Replicated, Summary
+from hollowusher.storage.interface import Log
 from hollowusher.transport.interface import PeerError, Transport
 
 ANSWER_TIMEOUT_S = 1.5
@@ -29,13 +30,14 @@
     """One comparison: fetches what the peer knows better and sends it what it lacks."""
 
     def __init__(self, table: PartitionTable, epoch: int, me: str, address: str, transport: Transport,
-                 wall_ms: Callable[[], int], paced: bool) -> None:
+                 log: Log, wall_ms: Callable[[], int], paced: bool) -> None:
         self.changed: list[Key] = []  # messages about which the peer knew better
         self._table = table
         self._epoch = epoch
         self._me = me
         self._address = address
         self._transport = transport
+        self._log = log
         self._wall_ms = wall_ms
         self._paced = paced
 
@@ -53,6 +55,8 @@
             partition = self._table.partition
             answer = await self._ask(Summary(partition, self._epoch, self._me, [], versions, fence=True))
             learnt = self._merge(answer.records)
+            if learnt:
+                await self._log.sync()
             more, incomplete = answer.extra
             await self._push(self._table.records_for(answer.wanted, incomplete))
             if self._paced:
--- a/hollowusher/messages/hosting.py
+++ b/hollowusher/messages/hosting.py
@@ -17,6 +17,7 @@
     joined: bool = False  # new records are sent to it
     complete: bool = False  # it has everything older, too, and so has this store
     confirmed_at: float = -1.0  # send time of the newest batch that it acknowledged
+    lost_at: float = 0.0  # when it last stopped answering
 
 
 class PartitionHost:
@@ -34,7 +35,7 @@
         self.links: dict[str, PeerLink] = {}
         self.outstanding: dict[Proposal, None] = {}  # in the order they were made
         self.drop_at = 0.0  # when the table is to be dropped, 0: not at all
-        self.learners_told_at: dict[str, float] = {}
+        self.required: dict[str, float] = {}  # learners reported ready, and when: each commit needs them
         self._tolerated = 0
 
     # Placement
@@ -66,6 +67,7 @@
         self.epoch = 0
         self.primary = None
         self.links = {}
+        self.required = {}
         abandoned, self.outstanding = self.outstanding, {}
         for proposal in abandoned:
             proposal.answer(False)
@@ -77,6 +79,8 @@
         if self.primary is None:
             wanted += self.former_replicas
         self.links = {peer: self.links.get(peer) or PeerLink() for peer in wanted if peer != self.me}
+        learners = self.placement.learners
+        self.required = {peer: told_at for peer, told_at in self.required.items() if peer in learners}
 
     @property
     def is_placed_here(self) -> bool:
@@ -113,10 +117,11 @@
         if proposal not in self.outstanding or store_id in proposal.acknowledged:
             return False
         proposal.acknowledged.append(store_id)
-        if self._count(proposal) < self.commit_quorum:
-            return False
-        del self.outstanding[proposal]
-        return True
+        return self._settle(proposal)
+
+    def settled(self) -> list[Proposal]:
+        """The proposals that are committed because fewer replicas are asked for than before."""
+        return [proposal for proposal in list(self.outstanding) if self._settle(proposal)]
 
     def confirmed_since(self, now: float, within_s: float) -> bool:
         """Whether a quorum has followed this primary within the last `within_s` seconds."""
@@ -132,3 +137,11 @@
     def _count(self, proposal: Proposal) -> int:
         replicas = self.replicas
         return sum(store_id in replicas for store_id in proposal.acknowledged)
+
+    def _settle(self, proposal: Proposal) -> bool:
+        if self._count(proposal) < self.commit_quorum:
+            return False
+        if any(learner not in proposal.acknowledged for learner in self.required):
+            return False
+        del self.outstanding[proposal]
+        return True
--- a/hollowusher/messages/primary.py
+++ b/hollowusher/messages/primary.py
@@ -219,15 +219,11 @@
             return GONE
         return self._take_result(active, entry, lease.number, finish, now, wall_ms)
 
-    def give_back(self, lease: LeaseId, now: float, wall_ms: int) -> None:
+    def give_back(self, grant: Grant, now: float, wall_ms: int) -> None:
         """A lease that never reached its dispatcher."""
-        if lease.callback:
-            callback = self._callbacks.get(lease.key)
-            if callback is not None and callback.lease == lease.number:
-                self._requeue_callback(callback, 0.0, now)
-            return
-        active = self._leased.get(lease.key)
-        if active is not None and active.lease == lease.number:
+        lease = records.parse_lease_id(grant.job.lease)
+        active = self._leased.get(lease.key) if lease is not None else None
+        if active is not None and lease is not None and active.lease == lease.number:
             self._requeue(active, now, now, wall_ms)
 
     def extend(self, lease: LeaseId, now: float, wall_ms: int) -> Proposal | LeaseAnswer:
--- a/hollowusher/messages/table.py
+++ b/hollowusher/messages/table.py
@@ -97,6 +97,16 @@
         if not taken:
             self._log.release(position)
 
+    def drop_outdated(self, wall_ms: int) -> None:
+        """After a replay: drop messages so old that they must have ended and been forgotten.  Of a message
+        that was forgotten the log may still hold the PUT record, moved to a place after its end."""
+        for entry in [entry for entry in self.entries.values() if entry.state is None]:
+            put = self.put(entry)
+            if put is None or put.message.retention_ms <= 0:
+                continue
+            if put.accepted_ms + put.message.retention_ms + self._status_ms < wall_ms:
+                self._forget(entry.key)
+
     def promise(self, epoch: int) -> None:
         """Never again take records from a primary of an older epoch (durable after the next sync)."""
         if epoch > self.promised_epoch:
--- /dev/null
+++ b/hollowusher/messages/waiting.py
@@ -0,0 +1,100 @@
+"""Dispatchers that wait for jobs at this store, and telling dispatchers that do not ask."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from contextlib import suppress
+
+from hollowusher.coordination import rendezvous
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.protocol.store import CALLBACK_PREFIX, JobsWaiting
+from hollowusher.transport.interface import Transport
+
+NOTIFY_AFTER_S = 0.06
+NOTIFY_EVERY_S = 0.3
+LONG_AGO = -1e9
+
+
+class JobWaiters:
+    """Waiting lease requests by service, oldest first.  `has_ready` tells whether a job could go now."""
+
+    def __init__(self, store_id: str, transport: Transport, state: ClusterState,
+                 has_ready: Callable[[str], bool]) -> None:
+        self._store_id = store_id
+        self._transport = transport
+        self._state = state
+        self._has_ready = has_ready
+        self._waiting: dict[str, deque[asyncio.Future[None]]] = {}
+        self._asked_at: dict[str, float] = {}
+        self._notifying: dict[str, asyncio.TimerHandle] = {}
+        self._closed = False
+
+    def asked(self, service: str) -> None:
+        """A dispatcher has asked for jobs of a service."""
+        self._asked_at[service] = self._now()
+
+    async def wait(self, service: str, until: float) -> None:
+        """Wait for jobs of a service to become ready, at most until then."""
+        waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        queue = self._waiting.setdefault(service, deque())
+        queue.append(waiter)
+        try:
+            async with asyncio.timeout_at(until):
+                await waiter
+        except TimeoutError:
+            pass
+        finally:
+            with suppress(ValueError):
+                queue.remove(waiter)
+            if not queue and self._waiting.get(service) is queue:
+                del self._waiting[service]
+
+    def wake(self, service: str) -> None:
+        """Jobs may be ready: let one dispatcher look; it wakes the next where some are left."""
+        if not self._has_ready(service):
+            return
+        for waiter in self._waiting.get(service, ()):
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+        self._notify_later(service, NOTIFY_AFTER_S)
+
+    def close(self) -> None:
+        """Answer all who wait."""
+        self._closed = True
+        for timer in self._notifying.values():
+            timer.cancel()
+        for queue in self._waiting.values():
+            for waiter in queue:
+                if not waiter.done():
+                    waiter.set_result(None)
+
+    def _notify_later(self, service: str, delay_s: float) -> None:
+        if service not in self._notifying and not self._closed:
+            loop = asyncio.get_running_loop()
+            self._notifying[service] = loop.call_later(delay_s, self._notify, service)
+
+    def _notify(self, service: str) -> None:
+        del self._notifying[service]
+        if service in self._waiting or not self._has_ready(service):
+            return
+        silent_s = self._now() - self._asked_at.get(service, LONG_AGO)
+        if silent_s < NOTIFY_AFTER_S:
+            self._notify_later(service, NOTIFY_AFTER_S - silent_s)
+            return
+        for address in self._dispatchers(service):
+            self._transport.send(address, JobsWaiting(service, self._store_id))
+        self._notify_later(service, NOTIFY_EVERY_S)
+
+    def _dispatchers(self, service: str) -> list[str]:
+        edges = {member.name: member.address for member in self._state.alive("edge")}
+        if not service.startswith(CALLBACK_PREFIX):
+            return list(edges.values())
+        owner = rendezvous.choose(service, edges)
+        return [edges[owner]] if owner is not None else []
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/tests/message_store.py
@@ -0,0 +1,230 @@
+"""Stores, their disks and a network in virtual time, for the tests of the message store."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+import orjson
+
+from hollowusher.configuration.boot import Bounds, BootSettings, FaultTolerance
+from hollowusher.coordination.cluster_state import CONFIGURATION, PLACEMENT, VIEW, ClusterState
+from hollowusher.messages.service import StoreService
+from hollowusher.protocol.control import Done, Item, LearnerReady, Member, PartitionPlacement, Placement, View, Voter
+from hollowusher.protocol.store import (
+    Finish,
+    Job,
+    JobsWaiting,
+    LeaseAnswer,
+    Leased,
+    LeaseRequest,
+    NewMessage,
+    Put,
+    PutAnswer,
+    StatusAnswer,
+    StatusRequest,
+)
+from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
+from hollowusher.simulation.network import Network, SimulatedTransport, host_of
+from hollowusher.storage.memory import MemoryLog
+
+EPOCH_MS = 1_700_000_000_000
+SYNC_S = 0.005
+EDGE_ADDRESS = "10.1.0.1:7780"
+ROUTE = {"name": "r", "hostname": "a.example", "pathPrefix": "/x/", "upstream": "s"}
+
+
+def message(message_id: str, **changes: Any) -> NewMessage:
+    """A message with plain fields."""
+    plain = NewMessage(
+        id=message_id, route="r", service="s", method="POST", path="/x/1", host="a.example",
+        body=message_id.encode(), max_attempts=3, retention_ms=60_000, timeout_ms=1_000)
+    return attrs.evolve(plain, **changes)
+
+
+def configuration(generation: int, routes: list[dict[str, Any]] | None = None, **rates: float) -> bytes:
+    """A configuration document; `rates` gives services a ceiling."""
+    routes = [ROUTE] if routes is None else routes
+    names = {route["upstream"] for route in routes} | set(rates) | {"s"}
+    services = [{"name": name, "ratePerS": rates.get(name, 0.0)} for name in sorted(names)]
+    return orjson.dumps({"generation": generation, "routes": routes, "upstreams": services})
+
+
+class Store:
+    """One life after another of one store machine."""
+
+    def __init__(self, cluster: StoreCluster, name: str, address: str) -> None:
+        self.cluster = cluster
+        self.name = name
+        self.address = address
+        self.store_id = f"{name}/d1"
+        self.log = MemoryLog(segments=256, sync_s=SYNC_S)
+        self.incarnation = 0
+        self.state = ClusterState()
+        self.deaf = False  # learns nothing from controllers
+        self.process = SimulatedProcess(name, 0)
+        self.service: StoreService
+
+    def member(self) -> Member:
+        return Member(self.name, "store", self.address, "z", "r", self.incarnation, "d1", True)
+
+    async def start(self) -> None:
+        """Begin a life."""
+        self.incarnation += 1
+        self.process = SimulatedProcess(self.name, self.incarnation)
+        await self.process.run(self._start())
+
+    async def _start(self) -> None:
+        cluster = self.cluster
+        cluster.network.power_on(host_of(self.address))
+        transport = cluster.network.transport(self.process, self.address)
+        self.state = ClusterState()
+        cluster.tell(self.state)
+        settings = BootSettings(
+            self.name, "storage", fault_tolerance=FaultTolerance(cluster.tolerated), bounds=Bounds(status_s=60))
+        self.service = StoreService(
+            self.member(), self.store_id, transport, self.log, self.state, settings, cluster.chance.random,
+            cluster.wall_ms)
+        await transport.start(self.service.handle)
+        await self.service.start()
+
+    def kill(self, power: bool = True) -> None:
+        """The process ends at once; without power what was not synced may be lost."""
+        self.process.kill()
+        self.cluster.network.process_ended(self.process)
+        if power:
+            self.cluster.network.power_off(host_of(self.address))
+        self.log = self.log.crash(self.cluster.chance)
+
+    def freeze(self) -> None:
+        self.cluster.loop.freeze(self.process)
+
+    def thaw(self) -> None:
+        self.cluster.loop.thaw(self.process)
+
+    def apply(self, item: Item) -> None:
+        """Learn an item, as part of this store's process."""
+        if self.process.alive and not self.deaf:
+            self.cluster.loop.call_soon(self.state.apply, [item], {}, context=self.process.context.copy())
+
+    def cut(self, *others: Store) -> None:
+        for other in others:
+            self.cluster.network.cut(host_of(self.address), host_of(other.address))
+
+
+class StoreCluster:
+    """Some stores, and an edge process that calls them."""
+
+    def __init__(self, loop: VirtualLoop, stores: int = 3, tolerated: int = 1, seed: int = 1) -> None:
+        self.loop = loop
+        self.chance = random.Random(seed)
+        self.network = Network(loop, random.Random(seed + 1))
+        self.tolerated = tolerated
+        self.stores = [Store(self, f"store-{n}", f"10.0.0.{n}:7780") for n in range(1, stores + 1)]
+        self.items: dict[str, Item] = {}
+        self.announced: list[JobsWaiting] = []
+        self.learners_ready: list[LearnerReady] = []
+        self._version = 0
+        self._edge = SimulatedProcess("edge-1")
+        self.network.power_on(host_of(EDGE_ADDRESS))
+        self.edge: SimulatedTransport = self.network.transport(self._edge, EDGE_ADDRESS)
+
+    def wall_ms(self) -> int:
+        return EPOCH_MS + int(self.loop.time() * 1000)
+
+    async def start(self, partitions: int = 1, primary: int = 0) -> None:
+        """Start everything with all stores as replicas of all partitions."""
+        await self.edge.start(self._hear)
+        for store in self.stores:
+            self._add(f"member/{store.name}", store.member())
+        self._add("member/edge-1", Member("edge-1", "edge", EDGE_ADDRESS, "z", "r", 1))
+        self._add(CONFIGURATION, configuration(1))
+        self._add(VIEW, View(1, [Voter("edge-1", "d", EDGE_ADDRESS)], ["edge-1"]))
+        self.place([self.entry(number, 1, primary) for number in range(partitions)])
+        for store in self.stores:
+            await store.start()
+
+    def entry(self, partition: int, epoch: int, primary: int, replicas: list[int] | None = None,
+              learners: list[int] | None = None) -> PartitionPlacement:
+        """A placement by the stores' numbers."""
+        ids = [store.store_id for store in self.stores]
+        chosen = list(range(len(ids))) if replicas is None else replicas
+        return PartitionPlacement(
+            partition, epoch, ids[primary], [ids[n] for n in chosen], [ids[n] for n in learners or []])
+
+    def place(self, entries: list[PartitionPlacement]) -> None:
+        """A new placement of all partitions."""
+        self._add(PLACEMENT, Placement(self._version + 1, entries))
+
+    def configure(self, document: bytes) -> None:
+        self._add(CONFIGURATION, document)
+
+    def announce(self, member: Member) -> None:
+        self._add(f"member/{member.name}", member)
+
+    def tell(self, state: ClusterState) -> None:
+        state.apply(list(self.items.values()), {})
+
+    def _add(self, key: str, value: Any) -> None:
+        self._version += 1
+        item = self.items[key] = Item(key, [self._version], "head/1", self._version, value)
+        for store in self.stores:
+            store.apply(item)
+
+    async def _hear(self, heard: Any) -> Any:
+        if isinstance(heard, JobsWaiting):
+            self.announced.append(heard)
+            return None
+        if isinstance(heard, LearnerReady):
+            self.learners_ready.append(heard)
+        return Done()
+
+    # Calls of the edge process
+
+    async def call(self, store: int, request: Any, timeout: float = 10.0) -> Any:
+        return await self.edge.call(self.stores[store].address, request, timeout)
+
+    async def put(self, new: NewMessage, store: int = 0, partition: int = 0) -> PutAnswer:
+        answer = await self.call(store, Put(partition, new))
+        assert isinstance(answer, PutAnswer)
+        return answer
+
+    async def stored(self, new: NewMessage, store: int = 0) -> str:
+        """Put a message; its reference."""
+        answer = await self.put(new, store)
+        assert answer.status == "stored", answer
+        return answer.reference
+
+    async def lease(self, store: int = 0, most: int = 1, wait_ms: int = 0, service: str = "s", pull: bool = False,
+                    visibility_ms: int = 0, incarnation: int = 1) -> list[Job]:
+        request = LeaseRequest("edge-1", incarnation, service, most, wait_ms, pull, visibility_ms)
+        answer = await self.call(store, request, timeout=wait_ms / 1000 + 10)
+        assert isinstance(answer, Leased)
+        return answer.jobs
+
+    async def finish(self, lease: str, result: str, store: int = 0, signature: str = "",
+                     retry_ms: int = 0) -> str:
+        answer = await self.call(store, Finish(lease, result, signature, retry_ms))
+        assert isinstance(answer, LeaseAnswer)
+        return answer.status
+
+    async def status(self, reference: str, store: int = 0, body: bool = False) -> StatusAnswer:
+        answer = await self.call(store, StatusRequest(reference, body))
+        assert isinstance(answer, StatusAnswer)
+        return answer
+
+
+def play(work: Callable[[StoreCluster], Coroutine[Any, Any, None]], stores: int = 3, tolerated: int = 1,
+         seed: int = 1) -> StoreCluster:
+    """Run a scenario on a new cluster; errors that nobody caught fail it."""
+    loop = VirtualLoop()
+    cluster = StoreCluster(loop, stores, tolerated, seed)
+    try:
+        loop.play(work(cluster))
+    finally:
+        loop.shut()
+    assert loop.failures == []
+    assert cluster.network.handler_failures == []
+    return cluster
