--- a/hollowusher/delivery/worker_client.py
+++ b/hollowusher/delivery/worker_client.py
@@ -65,6 +65,11 @@
         """Connections opened since the start."""
         return self._opened_before + sum(pool.opened for pool in self._pools.values())
 
+    @property
+    def connections_open(self) -> int:
+        """Connections that stand or are being opened."""
+        return sum(pool.open_count for pool in self._pools.values())
+
     async def deliver(self, endpoint: Endpoint, job: Job, timeout_s: float) -> DeliveryOutcome:
         """Hand a job over and wait for its end."""
         loop = asyncio.get_running_loop()
--- a/hollowusher/dispatch/ownership.py
+++ b/hollowusher/dispatch/ownership.py
@@ -16,6 +16,7 @@
 from hollowusher.protocol.control import Member
 
 LOAD_BOUND = 1.25  # most destinations of one process, in even shares
+ROUNDING = 1e-9  # of sums of shares
 MOST_RANKINGS = 100_000  # hashes for the bounded assignment; beyond it each destination has its first choice
 
 
@@ -75,4 +76,4 @@
     for those in names.values():
         for name in those:
             shares[name] = shares.get(name, 0.0) + 1.0 / len(those)
-    return {name: math.ceil(LOAD_BOUND * share) for name, share in shares.items()}
+    return {name: math.ceil(LOAD_BOUND * share - ROUNDING) for name, share in shares.items()}
--- a/hollowusher/dispatch/service_dispatch.py
+++ b/hollowusher/dispatch/service_dispatch.py
@@ -53,7 +53,7 @@
 
     job: Job
     begin_by: float
-    tries: int = 0
+    refused_by: list[str] = attrs.Factory(list)  # the workers that it was handed to, by key
 
 
 @attrs.frozen
@@ -143,7 +143,7 @@
         self._give_back_late(now)
         isolate = self._isolate()
         while self._queue:
-            worker = self._choose(now, isolate)
+            worker = self._choose(self._queue[0], now, isolate)
             if worker is None:
                 break
             self._hand_over(worker, self._queue.popleft(), now)
@@ -182,14 +182,16 @@
         taking = self._taking()
         return 2 * sum(worker.control.suspect for worker in taking) <= len(taking)
 
-    def _choose(self, now: float, isolate: bool) -> OwnedWorker | None:
-        """The least busy worker that may have a job now; one due for a trial goes first."""
+    def _choose(self, waiting: WaitingJob, now: float, isolate: bool) -> OwnedWorker | None:
+        """The least busy worker that may have a job now; one due for a trial goes first, one that has refused
+        this job last."""
         ready = [worker for worker in self._taking() if worker.control.allowed(now, isolate) > 0]
         if not ready:
             return None
         self._turn += 1
         ready = ready[self._turn % len(ready):] + ready[:self._turn % len(ready)]
-        return min(ready, key=lambda worker: (not worker.control.suspect, worker.control.busy_share()))
+        return min(ready, key=lambda worker: (worker.key in waiting.refused_by, not worker.control.suspect,
+                                              worker.control.busy_share()))
 
     def _hand_over(self, worker: OwnedWorker, waiting: WaitingJob, now: float) -> None:
         message = waiting.job.message
@@ -197,7 +199,7 @@
         if route is None:
             self._context.reporter.give_back(waiting.job.lease)
             return
-        waiting.tries += 1
+        waiting.refused_by.append(worker.key)
         worker.control.handed(now, waiting.job.lease)
         task = self._loop.create_task(self._deliver(worker, waiting, route.timeout_ms / 1000))
         self._deliveries.add(task)
@@ -237,7 +239,7 @@
         if outcome.result != "not_run" or outcome.ending not in NOT_RUN or self._stopping:
             return False
         in_time = self._loop.time() < waiting.begin_by - NEAR_END_S
-        if not in_time or waiting.tries >= MOST_TRIES or self.service.rate_per_s > 0:
+        if not in_time or len(waiting.refused_by) >= MOST_TRIES or self.service.rate_per_s > 0:
             return False
         self._context.figures.requeued += 1
         self._queue.appendleft(waiting)
--- a/hollowusher/dispatch/worker_control.py
+++ b/hollowusher/dispatch/worker_control.py
@@ -25,11 +25,13 @@
 SLOW_TIMES: Final = 3.0  # answers this many times slower than the quickest mean seen: no growth
 OVERLAP_S: Final = 0.06  # a job may wait so long in its worker, so that a freed slot has work at once
 COLD_SHARE: Final = 0.4  # part of its slots that a cold worker gets
-REFUSAL_PAUSE_S: Final = 0.05
+REFUSAL_PAUSE_S: Final = 0.05  # doubled by each further refusal in a row
+REFUSAL_PAUSE_MOST_S: Final = 0.8
 UNREACHABLE_PAUSE_S: Final = 0.1  # doubled by each further failure to connect
 UNREACHABLE_PAUSE_MOST_S: Final = 1.0
 TRIAL_FIRST_S: Final = 0.5  # wait for a suspect worker's first trial, doubled by each further strike
 TRIAL_DOUBLINGS: Final = 4
+QUIET_TIMERS: Final = 4  # t_d without a look at it that make a spell quiet
 LEAST_LOOK_S: Final = 0.001
 SILENT_RUNS: Final = 6.0  # mean running times without an answer that make a worker suspect
 SILENT_LEAST_S: Final = 1.0
@@ -43,8 +45,8 @@
                  phase: float = 0.0) -> None:
         self._controller = Controller(round(TIMER_S * NS_PER_S), balancers)
         self._balancers = balancers
-        self.slots = float(capacity) if capacity else GUESSED_SLOTS
-        self.capacity_told = bool(capacity)
+        self.capacity = capacity or 0  # what the list tells, 0: nothing
+        self.slots = float(capacity or GUESSED_SLOTS)  # what its answers have shown of it
         self.most_slots = math.inf
         self.warm_at = 0.0
         self.suspect = False
@@ -60,6 +62,7 @@
         self._good_trials = 0
         self._failures = 0
         self._connect_failures = 0
+        self._refusals = 0  # in a row
         self._sent: dict[str, float] = {}  # jobs out, oldest first: when they were handed over
 
     @property
@@ -78,9 +81,9 @@
 
     def told(self, capacity: int, warm_at: float) -> None:
         """Take what the platform's list says: its capacity (0: nothing), and until when it is slow."""
-        if capacity > 0:
+        if capacity > 0 and capacity != self.capacity:
             self.slots = float(capacity)
-            self.capacity_told = True
+            self.capacity = capacity
         self.warm_at = warm_at
 
     def bounded(self, most: float) -> None:
@@ -115,13 +118,13 @@
         return max(0, math.floor(self.usable_slots(now) + 0.5) - self.out)
 
     def allowed(self, now: float, isolate: bool = True) -> int:
-        """How many jobs it may be handed now."""
+        """How many jobs it may be handed now, asked while a job waits."""
         room = self.room(now, isolate)
         if room == 0 or (self.suspect and isolate):
             return room
         self._move_on(now)
         whole = int(self._controller.credit)
-        if whole < room:
+        if whole == 0:
             self._controller.wanted = True
         return min(room, whole)
 
@@ -174,7 +177,7 @@
         elif ending is Ending.GONE:
             self.gone = True
         elif ending is Ending.LOST:
-            if not self.capacity_told:
+            if not self.capacity:
                 self.slots = max(LEAST_SLOTS, self.slots * SHRINK_ON_TIMEOUT)
             return self._strike(now, jitter)
         return False
@@ -191,6 +194,8 @@
     def _read(self, now: float) -> None:
         elapsed = round((now - self._read_at) * NS_PER_S)
         self._read_at = now
+        if elapsed > QUIET_TIMERS * self._controller.t_d and not self._sent:
+            self._controller.wanted = False  # used at the start of a quiet spell only: no reason to grow
         time_per_job = self.time_per_job() * NS_PER_S
         ceiling = max(1.0, MOST_RATE * self._controller.t_d / time_per_job)
         self._controller.resize(self.busy_share(), elapsed, time_per_job, ceiling, not self.suspect)
@@ -200,8 +205,10 @@
         self._quickest_run_s = min(self._quickest_run_s * (1.0 + LEARN / 10), self.run_s)
         self._connect_failures = 0
         quick = self.run_s <= SLOW_TIMES * self._quickest_run_s
-        if not self.capacity_told and was_full and quick and now >= self._grow_at:
-            self.slots = min(self.most_slots, self.slots + 1.0 / self.slots)
+        self._refusals = 0
+        if was_full and quick and now >= self._grow_at:
+            most = min(self.most_slots, self.capacity or math.inf)
+            self.slots = max(self.slots, min(most, self.slots + 1.0 / self.slots))
 
     def _good(self) -> None:
         self._failures = 0
@@ -215,11 +222,11 @@
 
     def _refused(self, now: float) -> None:
         """Full: whatever else it runs, these jobs filled it."""
-        if not self.capacity_told:
-            self.slots = max(LEAST_SLOTS, min(self.slots, float(self.out)))
-            self._grow_at = now + GROWTH_PAUSE_S
+        self.slots = max(LEAST_SLOTS, min(self.slots, float(self.out)))
+        self._grow_at = now + GROWTH_PAUSE_S
         self._controller.credit = min(self._controller.credit, 1.0)
-        self._hold_until = now + max(REFUSAL_PAUSE_S, min(self.time_per_job(), 10 * REFUSAL_PAUSE_S))
+        self._hold_until = now + min(REFUSAL_PAUSE_MOST_S, REFUSAL_PAUSE_S * 2**min(self._refusals, 8))
+        self._refusals += 1
 
     def _unreachable(self, now: float, jitter: float) -> bool:
         pause = min(UNREACHABLE_PAUSE_MOST_S, UNREACHABLE_PAUSE_S * 2**min(self._connect_failures, 8))
--- /dev/null
+++ b/tests/dispatch_support.py
@@ -0,0 +1,223 @@
+"""Stand-ins for tests of dispatch and delivery: stores that lease jobs, workers, and a cluster's state."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import orjson
+
+from hollowusher.configuration.boot import BootSettings
+from hollowusher.configuration.model import Configuration, Route, Service
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.delivery.outcome import DeliveryOutcome, Ending
+from hollowusher.delivery.worker_client import Endpoint
+from hollowusher.dispatch.dispatcher import Dispatcher
+from hollowusher.protocol.control import Item, Member, PartitionPlacement, Placement, Worker, WorkerList
+from hollowusher.protocol.store import Finish, Job, LeaseAnswer, Leased, LeaseRequest, NewMessage
+from hollowusher.simulation.loop import VirtualLoop
+from hollowusher.transport.interface import PeerError
+
+STORE_1, STORE_2 = "store-1/d1", "store-2/d2"
+ADDRESSES = {STORE_1: "10.0.1.1:7780", STORE_2: "10.0.1.2:7780"}
+LATENCY_S = 0.002
+BEGUN = 1_000.0  # the virtual loop's first time
+
+
+def play(work: Callable[[VirtualLoop], Coroutine[Any, Any, Any]]) -> Any:
+    """Run a coroutine in virtual time."""
+    loop = VirtualLoop()
+    try:
+        return loop.play(work(loop))
+    finally:
+        loop.shut()
+
+
+def clock() -> float:
+    """Seconds since the start of the play."""
+    return asyncio.get_running_loop().time() - BEGUN
+
+
+def edge(name: str, zone: str = "z1", status: int = 0) -> Member:
+    return Member(name, "edge", f"10.0.0.{len(name)}:7780", zone, "r", 1, status=status)
+
+
+def store(store_id: str) -> Member:
+    name, _, disk = store_id.partition("/")
+    return Member(name, "store", ADDRESSES[store_id], "z1", "r", 1, disk_id=disk)
+
+
+def listed(number: int, service: str = "svc", capacity: int = 4, state: str = "ready",
+           warm_in_ms: int = 0, zone: str = "z1") -> Worker:
+    return Worker(f"i-{number}", service, f"10.2.0.{number}:8080", zone, capacity, state, warm_in_ms)
+
+
+def route(name: str = "r1", upstream: str = "svc", timeout_ms: int = 1000) -> Route:
+    return Route(name, f"{name}.example", "/", upstream, timeout_ms=timeout_ms)
+
+
+def job(number: int, service: str = "svc", route_name: str = "r1", start_within_ms: int = 500,
+        body: bytes = b"x", **fields: Any) -> Job:
+    message = NewMessage(f"m{number}", route_name, service, "POST", "/p", "r1.example", body, **fields)
+    return Job(f"0-1-{number}-1", message, 0, start_within_ms)
+
+
+class Cluster:
+    """A cluster's state whose items grow in version with each change."""
+
+    def __init__(self, members: list[Member], services: list[Service], routes: list[Route],
+                 workers: list[Worker], primary: str = STORE_1) -> None:
+        self.state = ClusterState()
+        self._version = 0
+        for member in [*members, store(STORE_1), store(STORE_2)]:
+            self.put(f"member/{member.name}", member)
+        self.place(primary)
+        self.configure(services, routes)
+        self.list_workers(workers)
+
+    def put(self, key: str, value: Any) -> None:
+        self._version += 1
+        self.state.apply([Item(key, [self._version], "c/1", self._version, value)], {})
+
+    def place(self, primary: str) -> None:
+        entry = PartitionPlacement(0, self._version + 1, primary, [STORE_1, STORE_2])
+        self.put("placement", Placement(self._version + 1, [entry]))
+
+    def configure(self, services: list[Service], routes: list[Route]) -> None:
+        document = Configuration(self._version + 1, routes, services)
+        self.put("configuration", orjson.dumps(document.to_dict()))
+
+    def list_workers(self, workers: list[Worker]) -> None:
+        self.put("workers", WorkerList(workers))
+
+
+class LeasingStores:
+    """The transport and the store client of a process, with stores that lease jobs from simple queues."""
+
+    def __init__(self) -> None:
+        self.address = "10.0.0.9:7780"
+        self.queues: dict[tuple[str, str], deque[Job]] = {}
+        self.requests: list[tuple[float, str, LeaseRequest]] = []
+        self.outstanding: dict[tuple[str, str], int] = {}
+        self.most_outstanding = 0
+        self.finished: dict[str, Finish] = {}
+        self.finish_times: dict[str, float] = {}
+        self.finish_calls = 0
+        self.refuse_finishes = 0  # so many finishes are answered "unavailable" first
+        self.down: set[str] = set()
+        self._changed = asyncio.Event()
+
+    def add(self, store_id: str, jobs: list[Job]) -> None:
+        for each in jobs:
+            self.queues.setdefault((ADDRESSES[store_id], each.message.service), deque()).append(each)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def call(self, address: str, message: Any, timeout: float) -> Any:
+        assert isinstance(message, LeaseRequest)
+        self.requests.append((clock(), address, message))
+        key = (address, message.service)
+        self.outstanding[key] = self.outstanding.get(key, 0) + 1
+        self.most_outstanding = max(self.most_outstanding, self.outstanding[key])
+        try:
+            await asyncio.sleep(LATENCY_S)
+            if address in self.down:
+                raise PeerError("LeaseRequest", address, "down")
+            return await self._lease(key, message)
+        finally:
+            self.outstanding[key] -= 1
+
+    async def _lease(self, key: tuple[str, str], request: LeaseRequest) -> Leased:
+        loop = asyncio.get_running_loop()
+        until = loop.time() + request.wait_ms / 1000
+        while not self.queues.get(key):
+            try:
+                async with asyncio.timeout_at(until):
+                    await self._changed.wait()
+            except TimeoutError:
+                return Leased([])
+        queue = self.queues[key]
+        return Leased([queue.popleft() for _ in range(min(request.most, len(queue)))])
+
+    def send(self, address: str, message: Any) -> None:
+        raise AssertionError("nothing is sent one-way")
+
+    async def start(self, handler: Any) -> None:
+        raise AssertionError
+
+    async def close(self) -> None:
+        raise AssertionError
+
+    async def finish(self, request: Finish, deadline: float) -> LeaseAnswer:
+        self.finish_calls += 1
+        await asyncio.sleep(LATENCY_S)
+        if self.refuse_finishes > 0:
+            self.refuse_finishes -= 1
+            return LeaseAnswer("unavailable")
+        assert request.lease not in self.finished, "an end that was taken is reported again"
+        self.finished[request.lease] = request
+        self.finish_times[request.lease] = clock()
+        return LeaseAnswer("taken")
+
+    def results(self) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for finish in self.finished.values():
+            counts[finish.result] = counts.get(finish.result, 0) + 1
+        return counts
+
+
+class ModelWorkers:
+    """Workers with slots and a short queue; a `WorkerClient` for them."""
+
+    def __init__(self, slots: dict[str, int], run_s: float = 0.2, places: int = 2) -> None:
+        self.slots = slots  # by address
+        self.run_s = run_s
+        self.places = places
+        self.out: dict[str, int] = {}
+        self.most_out: dict[str, int] = {}
+        self.begun: list[tuple[float, str, str]] = []  # when, where, message id
+        self.endpoints: list[Endpoint] = []
+        self.timeouts: list[float] = []
+        self.answers: dict[str, DeliveryOutcome] = {}  # by address: what to answer at once in place of a run
+        self.forgotten: list[Endpoint] = []
+        self._gates: dict[str, asyncio.Semaphore] = {}
+
+    async def deliver(self, endpoint: Endpoint, job: Job, timeout_s: float) -> DeliveryOutcome:
+        loop, address = asyncio.get_running_loop(), endpoint.address
+        self.endpoints.append(endpoint)
+        self.timeouts.append(timeout_s)
+        began = loop.time()
+        self.begun.append((clock(), address, job.message.id))
+        await asyncio.sleep(LATENCY_S)
+        if address in self.answers:
+            return self.answers[address]
+        if self.out.get(address, 0) >= self.slots[address] + self.places:
+            return DeliveryOutcome("not_run", Ending.FULL, retry_ms=50)
+        self.out[address] = self.out.get(address, 0) + 1
+        self.most_out[address] = max(self.most_out.get(address, 0), self.out[address])
+        gate = self._gates.setdefault(address, asyncio.Semaphore(self.slots[address]))
+        try:
+            async with gate:
+                await asyncio.sleep(self.run_s)
+        finally:
+            self.out[address] -= 1
+        return DeliveryOutcome("success", Ending.DONE, f"s-{job.message.id}", started=began,
+                               took=loop.time() - began)
+
+    def forget(self, endpoint: Endpoint) -> None:
+        self.forgotten.append(endpoint)
+
+    async def close(self) -> None:
+        return None
+
+
+SETTINGS = BootSettings(node_name="e1", machine_class="edge", ip="10.0.0.1")
+
+
+def dispatcher(cluster: Cluster, stores: LeasingStores, workers: ModelWorkers,
+               name: str = "e1") -> Dispatcher:
+    me = cluster.state.members[name]
+    return Dispatcher(me, stores, cluster.state, stores, SETTINGS, workers, random.Random(1))
--- /dev/null
+++ b/tests/test_callbacks.py
@@ -0,0 +1,229 @@
+"""Call-backs: who sends them, over how many connections, and what answers mean."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+
+import pytest
+
+from hollowusher.coordination.placement import homes
+from hollowusher.delivery.callbacks import MOST_CONNECTIONS, CallbackDelivery, HttpCallbackClient
+from hollowusher.delivery.figures import DeliveryFigures
+from hollowusher.delivery.leasing import LeaseNetwork
+from hollowusher.delivery.reports import EndReporter
+from hollowusher.dispatch.dispatcher import Dispatcher
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.store import Job, JobsWaiting
+from hollowusher.simulation.loop import VirtualLoop
+from tests.dispatch_support import (
+    SETTINGS,
+    STORE_1,
+    STORE_2,
+    Cluster,
+    LeasingStores,
+    ModelWorkers,
+    edge,
+    job,
+    play,
+)
+from tests.test_delivery import Exchange, real, serving
+
+RECEIVER = "callback:10.20.0.4:8080"
+
+
+def owed(number: int, state: str = "completed", signature: str = "sig", service: str = RECEIVER) -> Job:
+    url = f"http://{service.partition(':')[2]}/done?a=1"
+    return evolve(job(number, service=service, callback_url=url), state=state, signature=signature)
+
+
+class ModelReceiver:
+    """A receiver that takes a while and answers from a script."""
+
+    def __init__(self, run_s: float = 0.1, script: list[str] | None = None) -> None:
+        self.run_s = run_s
+        self.script = script or []
+        self.heard: list[str] = []
+        self.out = self.most_out = 0
+        self.addresses: list[str] = []
+        self.closed = 0
+
+    def client(self, address: str) -> ModelReceiver:
+        self.addresses.append(address)
+        return self
+
+    async def post(self, job: Job) -> str:
+        self.out += 1
+        self.most_out = max(self.most_out, self.out)
+        await asyncio.sleep(self.run_s)
+        self.out -= 1
+        self.heard.append(job.message.id)
+        return self.script.pop(0) if self.script else "success"
+
+    def close(self) -> None:
+        self.closed += 1
+
+
+def made(receiver: ModelReceiver,
+         owns: bool = True) -> tuple[LeasingStores, CallbackDelivery, DeliveryFigures]:
+    cluster, stores, figures = Cluster([edge("e1")], [], [], []), LeasingStores(), DeliveryFigures()
+    network = LeaseNetwork(cluster.state.members["e1"], stores, cluster.state, homes, figures)
+    reporter = EndReporter(stores, figures)
+    return stores, CallbackDelivery(network, reporter, lambda service: owns, receiver.client), figures
+
+
+class TestCallbackDelivery:
+    def test_owed_call_backs_are_sent_and_their_ends_reported(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            receiver = ModelReceiver()
+            stores, subject, figures = made(receiver)
+            stores.add(STORE_1, [owed(n) for n in range(10)])
+            stores.add(STORE_2, [owed(n) for n in range(10, 15)])
+            subject.handle(JobsWaiting(RECEIVER, STORE_1))
+            subject.handle(JobsWaiting(RECEIVER, STORE_2))
+            await asyncio.sleep(3)
+            assert sorted(receiver.heard) == sorted(f"m{n}" for n in range(15))
+            assert stores.results() == {"success": 15}
+            assert receiver.addresses == ["10.20.0.4:8080"]
+            assert figures.callbacks_accepted == 15
+
+        play(work)
+
+    def test_at_most_four_at_a_time(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            receiver = ModelReceiver(run_s=0.5)
+            stores, subject, _ = made(receiver)
+            stores.add(STORE_1, [owed(n) for n in range(20)])
+            stores.add(STORE_2, [owed(n) for n in range(20, 40)])
+            subject.handle(JobsWaiting(RECEIVER, STORE_1))
+            subject.handle(JobsWaiting(RECEIVER, STORE_2))
+            await asyncio.sleep(8)
+            assert receiver.most_out == MOST_CONNECTIONS
+            assert stores.results()["success"] == 40
+
+        play(work)
+
+    def test_a_failing_receiver_rests_and_its_failures_are_reported(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            receiver = ModelReceiver(run_s=0.01, script=["failed", "unknown"] * 4)
+            stores, subject, figures = made(receiver)
+            stores.add(STORE_1, [owed(n) for n in range(20)])
+            subject.handle(JobsWaiting(RECEIVER, STORE_1))
+            await asyncio.sleep(0.3)
+            assert len(receiver.heard) <= 8
+            await asyncio.sleep(6)
+            assert stores.results() == {"failed": 4, "unknown": 4, "success": 12}
+            assert figures.callbacks_failed == 8
+
+        play(work)
+
+    def test_a_source_is_asked_until_it_has_been_empty_for_ten_seconds(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            receiver = ModelReceiver()
+            stores, subject, _ = made(receiver)
+            subject.handle(JobsWaiting(RECEIVER, STORE_1))
+            await asyncio.sleep(8)
+            stores.add(STORE_1, [owed(1)])
+            await asyncio.sleep(0.2)
+            assert receiver.heard == ["m1"]
+            await asyncio.sleep(30)
+            last = max(at for at, _, _ in stores.requests)
+            assert 16 < last < 20
+            subject.handle(JobsWaiting("callback:10.20.0.5:80", STORE_1))
+            await asyncio.sleep(1)
+            assert receiver.closed == 1
+
+        play(work)
+
+    def test_only_the_owner_asks(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            stores, subject, _ = made(ModelReceiver(), owns=False)
+            subject.handle(JobsWaiting(RECEIVER, STORE_1))
+            await asyncio.sleep(1)
+            assert stores.requests == []
+
+        play(work)
+
+    def test_each_receiver_has_one_owner_among_the_edge_processes(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster = Cluster([edge(f"e{n}") for n in range(1, 5)], [], [], [])
+            stores = [LeasingStores() for _ in range(4)]
+            subjects = [Dispatcher(cluster.state.members[f"e{n + 1}"], stores[n], cluster.state, stores[n],
+                                   SETTINGS, ModelWorkers({}), random.Random(n)) for n in range(4)]
+            for number in range(12):
+                for subject in subjects:
+                    if number == 0:
+                        subject.start()
+                    subject.handle(JobsWaiting(f"callback:10.20.0.{number}:80", STORE_1))
+            await asyncio.sleep(0.1)
+            asked = [request.service for each in stores for _, _, request in each.requests]
+            assert sorted(asked) == sorted(f"callback:10.20.0.{number}:80" for number in range(12))
+            assert sum(1 for each in stores if each.requests) > 1
+            await asyncio.gather(*(subject.stop(3) for subject in subjects))
+
+        play(work)
+
+    def test_a_stop_waits_for_posts_and_gives_back_the_rest(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            receiver = ModelReceiver(run_s=0.5)
+            stores, subject, _ = made(receiver)
+            subject.handle(JobsWaiting(RECEIVER, STORE_1))
+            subject.handle(JobsWaiting(RECEIVER, STORE_2))
+            await asyncio.sleep(0.1)
+            stores.add(STORE_1, [owed(n) for n in range(4)])
+            stores.add(STORE_2, [owed(n) for n in range(4, 8)])
+            await asyncio.sleep(0.1)
+            await asyncio.wait(subject.stop(), timeout=3)
+            await asyncio.sleep(0.1)
+            assert stores.results() == {"success": 4, "not_run": 4}
+
+        play(work)
+
+
+class TestHttpCallbackClient:
+    @pytest.mark.parametrize(("status", "result"), [(200, "success"), (400, "failed"), (503, "failed"),
+                                                    (204, "failed")])
+    def test_only_200_accepts(self, status: int, result: str) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode())
+
+            async with serving(behave) as (server, _, endpoint):
+                client = HttpCallbackClient(endpoint.address)
+                for number in range(2):
+                    told = owed(number, service=f"callback:{endpoint.address}")
+                    assert await client.post(told) == result
+                assert server.connections == 1
+                assert server.exchanges[0].head.split("\r\n")[:3] == [
+                    "POST /done?a=1 HTTP/1.1", f"Host: {endpoint.address}", "Content-Type: application/json"]
+                assert json.loads(server.exchanges[0].body) == {
+                    "id": "m0", "state": "completed", "signature": "sig"}
+                client.close()
+
+        real(work)
+
+    def test_a_dead_letter_has_no_signature(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+            async with serving(behave) as (server, _, endpoint):
+                client = HttpCallbackClient(endpoint.address)
+                await client.post(owed(1, "dead_letter", "", f"callback:{endpoint.address}"))
+                assert json.loads(server.exchanges[0].body) == {
+                    "id": "m1", "state": "dead_letter", "signature": None}
+                client.close()
+
+        real(work)
+
+    def test_no_answer_is_unknown(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.writer.close()
+
+            async with serving(behave) as (_, _client, endpoint):
+                client = HttpCallbackClient(endpoint.address)
+                assert await client.post(owed(1, service=f"callback:{endpoint.address}")) == "unknown"
+
+        real(work)
--- /dev/null
+++ b/tests/test_delivery.py
@@ -0,0 +1,590 @@
+"""The HTTP client for workers against small servers on loopback that misbehave, and the reporter of ends."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from typing import Any
+
+import attrs
+import pytest
+
+from hollowusher.delivery.connection import Answer
+from hollowusher.delivery.figures import DeliveryFigures
+from hollowusher.delivery.outcome import Ending
+from hollowusher.delivery.reports import PATIENCE_S, EndReporter
+from hollowusher.delivery.worker_client import LATE_ANSWER_S, Endpoint, HttpWorkerClient, belongs, judge
+from hollowusher.protocol.store import Finish, LeaseAnswer
+from hollowusher.simulation.loop import VirtualLoop
+from hollowusher.transport.interface import PeerError
+from tests.dispatch_support import job, play
+
+TIMEOUT_S = 0.5
+VERY_SHORT_S = 0.05 - LATE_ANSWER_S
+
+
+@attrs.define
+class Exchange:
+    """One request as a server read it, and the connection that it came on."""
+
+    head: str
+    body: bytes
+    connection: int  # number of the connection, from 1
+    request: int  # number of the request on it, from 1
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    @property
+    def id(self) -> str:
+        """The message's id."""
+        return self.header("X-Attempt-Id")
+
+    def header(self, name: str) -> str:
+        """The value of a header, empty where it is missing."""
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(": ")
+            if key.lower() == name.lower():
+                return value
+        return ""
+
+    def send(self, data: bytes) -> None:
+        """Write to the client."""
+        self.writer.write(data)
+
+
+Behaviour = Callable[[Exchange], Awaitable[None]]
+
+
+def answer(identifier: str, status: int = 200, signature: str = "sig", body: bytes = b"done",
+           extra: str = "") -> bytes:
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"X-Attempt-Id: {identifier}"] if identifier else []
+    lines += [f"X-Server-Signature: {signature}"] if signature and status == 200 else []
+    lines += [extra] if extra else []
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+class Server:
+    """A worker on loopback whose every answer is written by a `Behaviour`."""
+
+    def __init__(self, behaviour: Behaviour) -> None:
+        self.behaviour = behaviour
+        self.exchanges: list[Exchange] = []
+        self.connections = 0
+        self.address = ""
+        self.closed = asyncio.Event()  # a connection has ended
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        number = self.connections
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            for request in range(1, 1_000):
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()[:-4]
+                exchange = Exchange(head, b"", number, request, reader, writer)
+                exchange.body = await reader.readexactly(int(exchange.header("Content-Length") or 0))
+                self.exchanges.append(exchange)
+                await self.behaviour(exchange)
+                if writer.is_closing():
+                    break
+        writer.close()
+        self.closed.set()
+
+
+@contextlib.asynccontextmanager
+async def serving(behaviour: Behaviour) -> AsyncIterator[tuple[Server, HttpWorkerClient, Endpoint]]:
+    """A server, a client, and the endpoint that stands for the server as a listed worker."""
+    server = Server(behaviour)
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    server.address = f"{host}:{port}"
+    client = HttpWorkerClient()
+    try:
+        yield server, client, Endpoint(server.address, "i-1")
+    finally:
+        await client.close()
+        listener.close()
+
+
+def real(work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Run a coroutine on a real loop, as sockets need."""
+    asyncio.run(asyncio.wait_for(work(), 10))
+
+
+async def well(exchange: Exchange) -> None:
+    """A worker that does what it should."""
+    exchange.send(answer(exchange.id))
+
+
+def reset(exchange: Exchange) -> None:
+    transport: Any = exchange.writer.transport
+    transport.abort()
+
+
+class TestRequest:
+    def test_the_request_is_unchanged(self) -> None:
+        async def work() -> None:
+            async with serving(well) as (server, client, endpoint):
+                message = job(1, body=b"\x00\xffbytes", content_type="application/x-thing", ordering_key="k7",
+                              headers=[["X-Trace", "t"], ["Host", "evil"]])
+                outcome = await client.deliver(endpoint, message, 1.25)
+                assert (outcome.result, outcome.signature) == ("success", "sig")
+                assert outcome.started is not None and outcome.took > 0
+                exchange = server.exchanges[0]
+                assert exchange.head.split("\r\n") == [
+                    "POST /p HTTP/1.1", "Host: r1.example", "X-Attempt-Id: m1", "X-Deadline-Ms: 1250",
+                    "X-Ordering-Key: k7", "X-Target-Instance: i-1", "Content-Type: application/x-thing",
+                    "X-Trace: t", "Content-Length: 7"]
+                assert exchange.body == b"\x00\xffbytes"
+
+        real(work)
+
+    def test_a_fixed_endpoint_is_told_no_instance_and_an_empty_body_its_length(self) -> None:
+        async def work() -> None:
+            async with serving(well) as (server, client, endpoint):
+                await client.deliver(Endpoint(endpoint.address), job(1, body=b""), TIMEOUT_S)
+                assert "X-Target-Instance" not in server.exchanges[0].head
+                assert server.exchanges[0].header("Content-Length") == "0"
+
+        real(work)
+
+    @pytest.mark.parametrize("field", [{"ordering_key": "a\r\nX-Evil: 1"}, {"content_type": "a\nb"}])
+    def test_a_request_that_would_hold_another_header_is_never_sent(self, field: dict[str, Any]) -> None:
+        async def work() -> None:
+            async with serving(well) as (server, client, endpoint):
+                outcome = await client.deliver(endpoint, job(1, **field), TIMEOUT_S)
+                assert (outcome.result, outcome.ending) == ("not_run", Ending.NEUTRAL)
+                assert server.exchanges == []
+
+        real(work)
+
+
+class TestAnswers:
+    @pytest.mark.parametrize(("status", "extra", "result", "ending"), [
+        (500, "", "failed", Ending.FAILED),
+        (422, "", "refused", Ending.DONE),
+        (504, "", "unknown", Ending.FAILED),
+        (404, "", "unknown", Ending.FAILED),
+        (503, "X-Not-Executed: 1", "not_run", Ending.FULL),
+        (429, "X-Not-Executed: 1", "not_run", Ending.RATE),
+        (409, "X-Not-Executed: 1", "not_run", Ending.NEUTRAL),
+        (409, "", "not_run", Ending.NEUTRAL),
+        (400, "X-Not-Executed: 1", "not_run", Ending.NEUTRAL),
+        (400, "", "unknown", Ending.FAILED),
+        (421, "", "not_run", Ending.GONE),
+        (503, "", "unknown", Ending.FULL),
+    ])
+    def test_what_a_status_means(self, status: int, extra: str, result: str, ending: Ending) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(answer(exchange.id, status, extra=extra))
+
+            async with serving(behave) as (_, client, endpoint):
+                outcome = await client.deliver(endpoint, job(1), TIMEOUT_S)
+                assert (outcome.result, outcome.ending) == (result, ending)
+
+        real(work)
+
+    def test_running_elsewhere_is_leased_again_a_little_later(self) -> None:
+        assert judge(Answer(409, {"X-Attempt-Id": "m1"})).retry_ms == 300
+
+    def test_success_without_a_signature_is_none(self) -> None:
+        outcome = judge(Answer(200, {"X-Attempt-Id": "m1"}))
+        assert (outcome.result, outcome.ending) == ("unknown", Ending.LOST)
+
+    def test_an_answer_without_an_id_is_never_a_success_or_an_end(self) -> None:
+        assert not belongs(Answer(200, {"X-Server-Signature": "s"}), "m1")
+        for status in (422, 500):
+            assert judge(Answer(status, {})).result == "unknown"
+        assert judge(Answer(503, {"X-Not-Executed": "1"})).result == "not_run"
+
+    def test_a_chunked_answer_must_be_whole(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                head = ["HTTP/1.1 200 OK", "Transfer-Encoding: chunked", f"X-Attempt-Id: {exchange.id}",
+                        "X-Server-Signature: sig", "", "4", "done", ""]
+                exchange.send("\r\n".join(head).encode())
+                if exchange.id == "m2":
+                    exchange.writer.close()
+                else:
+                    exchange.send(b"0\r\n\r\n")
+
+            async with serving(behave) as (_, client, endpoint):
+                assert (await client.deliver(endpoint, job(1), TIMEOUT_S)).result == "success"
+                assert (await client.deliver(endpoint, job(2), TIMEOUT_S)).result == "unknown"
+
+        real(work)
+
+    def test_a_compressed_answer_is_not_unpacked(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(answer(exchange.id, body=b"no gzip", extra="Content-Encoding: gzip"))
+
+            async with serving(behave) as (_, client, endpoint):
+                assert (await client.deliver(endpoint, job(1), TIMEOUT_S)).result == "success"
+
+        real(work)
+
+    def test_an_interim_answer_is_passed_over(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(b"HTTP/1.1 102 Processing\r\n\r\n" + answer(exchange.id))
+
+            async with serving(behave) as (_, client, endpoint):
+                assert (await client.deliver(endpoint, job(1), TIMEOUT_S)).result == "success"
+
+        real(work)
+
+    @pytest.mark.parametrize("sent", [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\nX-Attempt-Id: m1\r\nX-Server-Signature: s\r\n\r\nshort",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"garbage that is no answer\r\n\r\n",
+        b"",
+    ])
+    def test_an_answer_cut_short_or_garbled_is_unknown(self, sent: bytes) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(sent)
+                exchange.writer.close()
+
+            async with serving(behave) as (_, client, endpoint):
+                outcome = await client.deliver(endpoint, job(1), TIMEOUT_S)
+                assert (outcome.result, outcome.ending) == ("unknown", Ending.LOST)
+
+        real(work)
+
+    def test_a_reset_after_the_request_is_unknown(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                reset(exchange)
+
+            async with serving(behave) as (_, client, endpoint):
+                outcome = await client.deliver(endpoint, job(1), TIMEOUT_S)
+                assert (outcome.result, outcome.ending) == ("unknown", Ending.LOST)
+
+        real(work)
+
+    def test_silence_is_unknown_and_its_connection_is_closed(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                if exchange.id != "m1":
+                    exchange.send(answer(exchange.id))
+
+            async with serving(behave) as (server, client, endpoint):
+                outcome = await client.deliver(endpoint, job(1), VERY_SHORT_S)
+                assert (outcome.result, outcome.ending) == ("unknown", Ending.LOST)
+                await server.closed.wait()
+                assert (await client.deliver(endpoint, job(2), TIMEOUT_S)).result == "success"
+                assert server.connections == 2
+
+        real(work)
+
+    def test_no_connection_means_not_run(self) -> None:
+        async def work() -> None:
+            async with serving(well) as (_, client, _unused):
+                listener = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+                host, port = listener.sockets[0].getsockname()
+                listener.close()
+                await listener.wait_closed()
+                outcome = await client.deliver(Endpoint(f"{host}:{port}", "i-2"), job(1), TIMEOUT_S)
+                assert (outcome.result, outcome.ending) == ("not_run", Ending.UNREACHABLE)
+                assert outcome.started is None
+
+        real(work)
+
+
+class TestConnections:
+    def test_a_connection_is_reused(self) -> None:
+        async def work() -> None:
+            async with serving(well) as (server, client, endpoint):
+                for number in range(5):
+                    assert (await client.deliver(endpoint, job(number), TIMEOUT_S)).result == "success"
+                assert server.connections == client.connections_opened == 1
+
+        real(work)
+
+    def test_one_request_at_a_time_on_each(self) -> None:
+        async def work() -> None:
+            gate = asyncio.Event()
+
+            async def behave(exchange: Exchange) -> None:
+                await gate.wait()
+                exchange.send(answer(exchange.id))
+
+            async with serving(behave) as (server, client, endpoint):
+                tasks = [asyncio.create_task(client.deliver(endpoint, job(n), TIMEOUT_S)) for n in range(3)]
+                while len(server.exchanges) < 3:
+                    await asyncio.sleep(0)
+                assert server.connections == 3
+                gate.set()
+                assert [outcome.result for outcome in await asyncio.gather(*tasks)] == ["success"] * 3
+
+        real(work)
+
+    def test_never_more_connections_than_the_worker_accepts(self) -> None:
+        async def work() -> None:
+            gate = asyncio.Event()
+
+            async def behave(exchange: Exchange) -> None:
+                await gate.wait()
+                exchange.send(answer(exchange.id))
+
+            async with serving(behave) as (server, client, endpoint):
+                narrow = attrs.evolve(endpoint, max_connections=2)
+                tasks = [asyncio.create_task(client.deliver(narrow, job(n), TIMEOUT_S)) for n in range(2)]
+                while len(server.exchanges) < 2:
+                    await asyncio.sleep(0)
+                outcome = await client.deliver(narrow, job(9), TIMEOUT_S)
+                assert (outcome.result, outcome.ending) == ("not_run", Ending.UNREACHABLE)
+                gate.set()
+                await asyncio.gather(*tasks)
+                assert server.connections == 2
+
+        real(work)
+
+    def test_another_messages_answer_is_read_past(self) -> None:
+        """A worker in trouble sends an earlier answer again: the right one is still heard, then the
+        connection goes."""
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                if exchange.id == "m2":
+                    exchange.send(answer("m1", signature="old"))
+                exchange.send(answer(exchange.id, signature=f"for-{exchange.id}"))
+
+            async with serving(behave) as (server, client, endpoint):
+                for number in (1, 2, 3):
+                    outcome = await client.deliver(endpoint, job(number), TIMEOUT_S)
+                    assert (outcome.result, outcome.signature) == ("success", f"for-m{number}")
+                assert [exchange.connection for exchange in server.exchanges] == [1, 1, 2]
+
+        real(work)
+
+    def test_another_messages_answer_alone_is_no_answer(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(answer("other"))
+
+            async with serving(behave) as (_, client, endpoint):
+                outcome = await client.deliver(endpoint, job(1), VERY_SHORT_S)
+                assert (outcome.result, outcome.ending) == ("unknown", Ending.LOST)
+
+        real(work)
+
+    def test_a_second_answer_on_an_idle_connection_is_nobodys(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(answer(exchange.id))
+                if exchange.id == "m1":
+                    exchange.send(answer(exchange.id, 500))
+
+            async with serving(behave) as (server, client, endpoint):
+                assert (await client.deliver(endpoint, job(1), TIMEOUT_S)).result == "success"
+                await server.closed.wait()
+                outcome = await client.deliver(endpoint, job(2), TIMEOUT_S)
+                assert outcome.result == "success"
+                assert server.connections == 2
+
+        real(work)
+
+    def test_a_late_second_answer_ends_the_idle_connection(self) -> None:
+        async def work() -> None:
+            late = asyncio.Event()
+
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(answer(exchange.id))
+                if exchange.id == "m1":
+                    await late.wait()
+                    exchange.send(answer(exchange.id, 500))
+
+            async with serving(behave) as (server, client, endpoint):
+                assert (await client.deliver(endpoint, job(1), TIMEOUT_S)).result == "success"
+                late.set()
+                await server.closed.wait()
+                assert (await client.deliver(endpoint, job(2), TIMEOUT_S)).result == "success"
+                assert server.connections == 2
+
+        real(work)
+
+    def test_the_start_of_a_second_answer_is_not_the_start_of_the_next(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                second = answer(exchange.id, 500)
+                exchange.send(answer(exchange.id) + (second[:-2] if exchange.id == "m1" else b""))
+
+            async with serving(behave) as (_, client, endpoint):
+                assert (await client.deliver(endpoint, job(1), TIMEOUT_S)).result == "success"
+                assert (await client.deliver(endpoint, job(2), TIMEOUT_S)).result == "success"
+
+        real(work)
+
+    def test_a_connection_that_the_worker_closes_after_an_answer_is_not_reused(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(answer(exchange.id, extra="Connection: close"))
+
+            async with serving(behave) as (server, client, endpoint):
+                for number in range(2):
+                    assert (await client.deliver(endpoint, job(number), TIMEOUT_S)).result == "success"
+                assert server.connections == 2
+
+        real(work)
+
+    def test_an_idle_connection_is_left_before_its_announced_end(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(answer(exchange.id, extra="Keep-Alive: timeout=0, max=9"))
+
+            async with serving(behave) as (server, client, endpoint):
+                for number in range(2):
+                    assert (await client.deliver(endpoint, job(number), TIMEOUT_S)).result == "success"
+                assert server.connections == 2
+
+        real(work)
+
+    def test_an_idle_connection_that_the_worker_has_closed_is_not_used(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                exchange.send(answer(exchange.id))
+                exchange.writer.close()
+
+            async with serving(behave) as (_, client, endpoint):
+                assert (await client.deliver(endpoint, job(1), TIMEOUT_S)).result == "success"
+                while client.connections_open:
+                    await asyncio.sleep(0)
+                assert (await client.deliver(endpoint, job(2), TIMEOUT_S)).result == "success"
+
+        real(work)
+
+    @pytest.mark.parametrize("idempotent", [True, False])
+    def test_a_request_that_crossed_the_end_is_repeated_only_where_it_may_run_twice(
+            self, idempotent: bool) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                if exchange.connection == 1 and exchange.request == 2:
+                    reset(exchange)
+                else:
+                    exchange.send(answer(exchange.id))
+
+            async with serving(behave) as (server, client, endpoint):
+                endpoint = attrs.evolve(endpoint, idempotent=idempotent)
+                assert (await client.deliver(endpoint, job(1), TIMEOUT_S)).result == "success"
+                outcome = await client.deliver(endpoint, job(2), TIMEOUT_S)
+                assert outcome.result == ("success" if idempotent else "unknown")
+                assert server.connections == (2 if idempotent else 1)
+
+        real(work)
+
+    def test_a_new_connection_that_dies_is_not_tried_again(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                reset(exchange)
+
+            async with serving(behave) as (server, client, endpoint):
+                outcome = await client.deliver(attrs.evolve(endpoint, idempotent=True), job(1), TIMEOUT_S)
+                assert outcome.result == "unknown"
+                assert server.connections == 1
+
+        real(work)
+
+    def test_a_cancelled_delivery_leaves_no_connection_behind(self) -> None:
+        async def work() -> None:
+            async def behave(exchange: Exchange) -> None:
+                if exchange.id != "m1":
+                    exchange.send(answer(exchange.id))
+
+            async with serving(behave) as (server, client, endpoint):
+                task = asyncio.create_task(client.deliver(endpoint, job(1), 5))
+                while not server.exchanges:
+                    await asyncio.sleep(0)
+                task.cancel()
+                await asyncio.wait([task])
+                await server.closed.wait()
+                assert (await client.deliver(endpoint, job(2), TIMEOUT_S)).result == "success"
+
+        real(work)
+
+    def test_a_forgotten_workers_idle_connections_end(self) -> None:
+        async def work() -> None:
+            async with serving(well) as (server, client, endpoint):
+                await client.deliver(endpoint, job(1), TIMEOUT_S)
+                client.forget(endpoint)
+                await server.closed.wait()
+
+        real(work)
+
+    def test_another_worker_at_the_address_gets_connections_of_its_own(self) -> None:
+        async def work() -> None:
+            async with serving(well) as (server, client, endpoint):
+                await client.deliver(endpoint, job(1), TIMEOUT_S)
+                await client.deliver(attrs.evolve(endpoint, instance="i-2"), job(2), TIMEOUT_S)
+                assert server.connections == 2
+
+        real(work)
+
+
+class FinishStub:
+    """A store client that answers ends from a script, then with "taken"."""
+
+    def __init__(self, script: list[str]) -> None:
+        self.script = script
+        self.calls: list[Finish] = []
+
+    async def finish(self, request: Finish, deadline: float) -> LeaseAnswer:
+        self.calls.append(request)
+        await asyncio.sleep(0.01)
+        word = self.script.pop(0) if self.script else "taken"
+        if word == "error":
+            raise PeerError("Finish", "s", "gone")
+        return LeaseAnswer(word)
+
+
+class TestEndReporter:
+    def test_repeated_until_taken_or_gone(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            for last in ("taken", "gone"):
+                stub = FinishStub(["unavailable", "error", "not_primary", last, "never"])
+                figures = DeliveryFigures()
+                await EndReporter(stub, figures).report(Finish("0-1-1-1", "success", "s"))
+                assert stub.calls == [Finish("0-1-1-1", "success", "s")] * 4
+                assert (figures.ends_reported, figures.ends_gone) == ((1, 0) if last == "taken" else (0, 1))
+
+        play(work)
+
+    def test_given_up_after_minutes(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            stub, figures = FinishStub(["unavailable"] * 10_000), DeliveryFigures()
+            began = loop.time()
+            await EndReporter(stub, figures).report(Finish("0-1-1-1", "success", "s"))
+            assert PATIENCE_S <= loop.time() - began < PATIENCE_S + 5
+            assert figures.ends_dropped == 1
+
+        play(work)
+
+    def test_settling_waits_for_reports_but_not_beyond_the_deadline(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            stub, figures = FinishStub(["unavailable"] * 10_000), DeliveryFigures()
+            reporter = EndReporter(stub, figures)
+            reporter.give_back("0-1-1-1")
+            await reporter.settle(loop.time() + 2)
+            assert loop.time() == pytest.approx(1_002)
+            stub.script.clear()
+            reporter.give_back("0-1-2-1")
+            await reporter.settle(loop.time() + 2)
+            assert loop.time() == pytest.approx(1_002.01)
+            assert figures.ends_reported == 1
+
+        play(work)
+
+    def test_a_bounded_number_of_given_back_jobs_waits(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            stub, figures = FinishStub(["unavailable"] * 10_000), DeliveryFigures()
+            reporter = EndReporter(stub, figures)
+            for number in range(5):
+                reporter.give_back(f"0-1-{number}-1")
+                await asyncio.sleep(0)
+            assert reporter.open_count == 3
+            assert figures.ends_dropped == 2
+            await reporter.settle(loop.time() + 0.1)
+
+        monkeypatch.setattr("hollowusher.delivery.reports.MOST_OPEN", 3)
+        play(work)
--- /dev/null
+++ b/tests/test_dispatch.py
@@ -0,0 +1,695 @@
+"""Ownership, the control of one worker, and the dispatcher over stand-ins in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import Counter
+from typing import ClassVar
+
+import pytest
+
+from hazelweir.balance import GOOD_TRIALS
+from hollowusher.configuration.model import Service
+from hollowusher.coordination.rendezvous import choose
+from hollowusher.delivery.outcome import DeliveryOutcome, Ending
+from hollowusher.dispatch import ownership
+from hollowusher.dispatch.dispatcher import Dispatcher
+from hollowusher.dispatch.ownership import Destination, assign, fixed_destination, owner, worker_destination
+from hollowusher.dispatch.worker_control import TIMER_S, WorkerControl
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import Member
+from hollowusher.protocol.store import JobsWaiting
+from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
+from tests.dispatch_support import (
+    ADDRESSES,
+    STORE_1,
+    STORE_2,
+    Cluster,
+    LeasingStores,
+    ModelWorkers,
+    clock,
+    dispatcher,
+    edge,
+    job,
+    listed,
+    play,
+    route,
+)
+
+SVC = Service("svc")
+
+
+class TestOwnership:
+    MEMBERS: ClassVar[list[Member]] = [edge(f"e{number}") for number in range(10)]
+
+    def test_every_destination_has_one_owner_whatever_the_order(self) -> None:
+        wanted = [worker_destination("svc", f"i-{n}", "z1") for n in range(40)]
+        owners = assign(wanted, self.MEMBERS)
+        assert set(owners) == {each.key for each in wanted}
+        assert owners == assign(reversed(wanted), list(reversed(self.MEMBERS)))
+
+    def test_no_process_has_much_more_than_its_share(self) -> None:
+        wanted = [worker_destination("svc", f"i-{n}", "z1") for n in range(200)]
+        assert max(Counter(assign(wanted, self.MEMBERS).values()).values()) <= 25
+
+    def test_the_bound_of_a_few_destinations_is_one_or_two(self) -> None:
+        wanted = [worker_destination("svc", f"i-{n}", "z1") for n in range(8)]
+        assert max(Counter(assign(wanted, self.MEMBERS).values()).values()) == 1
+
+    def test_a_member_that_goes_moves_little_else(self) -> None:
+        wanted = [worker_destination("svc", f"i-{n}", "z1") for n in range(200)]
+        before, after = assign(wanted, self.MEMBERS), assign(wanted, self.MEMBERS[1:])
+        moved = [key for key in before if before[key] != after[key] and before[key] != "e0"]
+        assert len(moved) <= 40
+
+    def test_a_process_of_the_destinations_zone_is_preferred(self) -> None:
+        members = [edge("e1", "z1"), edge("e2", "z2"), edge("e3", "z2")]
+        for number in range(20):
+            assert owner(worker_destination("svc", f"i-{number}", "z1"), members) == "e1"
+            assert owner(worker_destination("svc", f"i-{number}", "z2"), members) in ("e2", "e3")
+            assert owner(worker_destination("svc", f"i-{number}", "z9"), members) in ("e1", "e2", "e3")
+
+    def test_without_members_nothing_is_owned(self) -> None:
+        assert assign([Destination("svc/i-1")], []) == {}
+        assert owner(Destination("svc/i-1"), []) is None
+
+    def test_beyond_the_bound_of_rankings_each_takes_its_first_choice(
+            self, monkeypatch: pytest.MonkeyPatch) -> None:
+        monkeypatch.setattr(ownership, "MOST_RANKINGS", 10)
+        wanted = [fixed_destination("svc", f"10.0.0.{n}:80") for n in range(20)]
+        names = [member.name for member in self.MEMBERS]
+        assert assign(wanted, self.MEMBERS) == {each.key: choose(each.key, names) for each in wanted}
+
+
+def fill(control: WorkerControl, now: float, most: int = 100) -> list[str]:
+    """Hand over jobs while it allows; their leases."""
+    leases = list[str]()
+    while control.allowed(now) > 0 and len(leases) < most:
+        lease = f"{now}-{len(leases)}"
+        control.handed(now, lease)
+        leases.append(lease)
+    return leases
+
+
+class TestWorkerControl:
+    def test_first_jobs_go_at_once(self) -> None:
+        control = WorkerControl(100.0, 8)
+        assert control.bundle == 0.0
+        assert control.allowed(100.0) == 3
+
+    def test_the_bundle_grows_by_the_integral_rule_and_paces_the_rest(self) -> None:
+        control = WorkerControl(0.0, 16)
+        fill(control, 0.0)
+        assert control.allowed(0.001) == 0
+        handed = 3
+        for tick in range(1, 60):
+            handed += len(fill(control, tick * TIMER_S + 0.001))
+        assert handed == control.out
+        assert 16 <= control.out <= 32
+        assert control.bundle > 0
+
+    def test_never_much_more_out_than_its_slots(self) -> None:
+        control = WorkerControl(0.0, 4)
+        for tick in range(200):
+            fill(control, tick * TIMER_S)
+        assert 4 <= control.out <= 6
+
+    def test_a_busy_worker_keeps_up_its_rate_and_its_bundle_stays_bounded(self) -> None:
+        """Jobs of 0.2 s on 8 slots are 40 a second; the controller is to allow about that many."""
+        control, due, done = WorkerControl(0.0, 8), list[tuple[float, str]](), 0
+        for step in range(4_000):
+            now = step * 0.005
+            while due and due[0][0] <= now:
+                control.ended(now, due.pop(0)[1], Ending.DONE)
+                done += 1
+            due += [(now + 0.2, lease) for lease in fill(control, now)]
+        assert done >= 0.9 * 40 * 20 * 8 / 8
+        assert control.bundle <= 2.0 * TIMER_S * 40 * 1.3
+
+    def test_a_quiet_spell_does_not_wind_the_bundle_up(self) -> None:
+        control = WorkerControl(0.0, 8)
+        control.handed(0.0, "a")
+        control.ended(0.2, "a", Ending.DONE)
+        for second in range(1, 100):
+            control.allowed(float(second))
+        per_timer = TIMER_S / (0.2 / 8)
+        assert control.bundle <= per_timer + 1e-6
+        assert control.allowed(100.0) <= 8 + 4
+
+    def test_refused_as_full_it_rests(self) -> None:
+        control = WorkerControl(0.0, 8)
+        control.handed(0.0, "a")
+        control.ended(0.01, "a", Ending.FULL)
+        assert control.allowed(0.02) == 0
+        assert control.allowed(0.2) > 0
+
+    def test_slots_that_refusals_took_come_back_as_jobs_end_well_up_to_what_the_list_tells(self) -> None:
+        control, due = WorkerControl(0.0, 4), list[tuple[float, str]]()
+        control.handed(0.0, "a")
+        control.ended(0.01, "a", Ending.FULL)
+        assert control.slots == 1
+        for step in range(20, 2_000):
+            now = step * 0.005
+            while due and due[0][0] <= now:
+                control.ended(now, due.pop(0)[1], Ending.DONE)
+            due += [(now + 0.1, lease) for lease in fill(control, now)]
+        assert control.slots == 4
+
+    def test_each_refusal_in_a_row_doubles_the_pause(self) -> None:
+        control = WorkerControl(0.0, 8)
+        for number, pause in enumerate([0.05, 0.1, 0.2, 0.4, 0.8, 0.8]):
+            control.handed(0.0, str(number))
+            control.ended(0.0, str(number), Ending.FULL)
+            assert control.resumes_at(0.0) == pytest.approx(pause)
+
+    def test_an_endpoint_without_told_capacity_learns_it_from_refusals(self) -> None:
+        control = WorkerControl(0.0)
+        for lease in ("a", "b", "c"):
+            control.handed(0.0, lease)
+        control.ended(0.01, "c", Ending.FULL)
+        assert control.slots == 2
+
+    def test_an_endpoint_that_answers_quickly_gets_more_slots(self) -> None:
+        control, due = WorkerControl(0.0), list[tuple[float, str]]()
+        for step in range(2_000):
+            now = step * 0.005
+            while due and due[0][0] <= now:
+                control.ended(now, due.pop(0)[1], Ending.DONE)
+            due += [(now + 0.1, lease) for lease in fill(control, now)]
+        assert control.slots > 20
+
+    def test_a_rate_refusal_does_not_change_the_slots(self) -> None:
+        control = WorkerControl(0.0)
+        control.handed(0.0, "a")
+        control.ended(0.01, "a", Ending.RATE)
+        assert control.slots == 8
+        assert control.room(0.02) == 0
+        assert control.room(0.5) > 0
+
+    def test_a_lost_answer_makes_it_suspect_until_trials_succeed(self) -> None:
+        control = WorkerControl(0.0, 8)
+        control.handed(0.0, "a")
+        assert control.ended(0.3, "a", Ending.LOST)
+        assert control.allowed(0.4) == 0
+        assert control.resumes_at(0.4) == pytest.approx(0.8)
+        now = 0.9
+        for trial in range(GOOD_TRIALS):
+            assert control.allowed(now) == 1
+            control.handed(now, f"t{trial}")
+            assert control.allowed(now) == 0  # one at a time
+            control.ended(now + 0.1, f"t{trial}", Ending.DONE)
+            now += 0.1
+        assert not control.suspect
+        assert control.allowed(now + 0.1) > 1
+
+    def test_each_failed_trial_doubles_the_wait(self) -> None:
+        control, now, waits = WorkerControl(0.0, 8), 0.0, list[float]()
+        for number in range(4):
+            control.handed(now, f"a{number}")
+            control.ended(now, f"a{number}", Ending.LOST)
+            waits.append(control.resumes_at(now) - now)
+            now = control.resumes_at(now)
+        assert waits == pytest.approx([0.5, 1.0, 2.0, 4.0])
+
+    def test_where_most_look_bad_a_suspect_worker_counts_as_well(self) -> None:
+        control = WorkerControl(0.0, 8)
+        control.handed(0.0, "a")
+        control.ended(0.3, "a", Ending.LOST)
+        assert control.allowed(0.4, isolate=False) > 1
+
+    def test_failures_in_a_row_make_it_suspect_but_not_a_few(self) -> None:
+        control = WorkerControl(0.0, 8)
+        told = []
+        for number in range(5):
+            control.handed(0.0, str(number))
+            told.append(control.ended(0.1, str(number), Ending.FAILED))
+        assert told == [False] * 4 + [True]
+
+    def test_a_job_out_far_beyond_the_usual_makes_it_suspect(self) -> None:
+        control = WorkerControl(0.0, 8)
+        control.handed(0.0, "a")
+        control.ended(0.1, "a", Ending.DONE)
+        control.handed(1.0, "b")
+        assert control.room(1.9) > 0
+        assert control.room(2.2) == 0
+        assert control.suspect
+
+    def test_no_connection_pauses_it_longer_each_time(self) -> None:
+        control = WorkerControl(0.0, 8)
+        for number, pause in enumerate([0.1, 0.2, 0.4, 0.8, 1.0, 1.0]):
+            control.handed(0.0, str(number))
+            control.ended(0.0, str(number), Ending.UNREACHABLE)
+            assert control.resumes_at(0.0) == pytest.approx(pause)
+
+    def test_a_cold_worker_gets_less_until_it_is_warm(self) -> None:
+        control = WorkerControl(0.0, 10)
+        control.told(10, 5.0)
+        for tick in range(120):
+            fill(control, tick * TIMER_S)
+        assert control.out == 4
+        fill(control, 5.1)
+        assert control.out > 4
+
+    def test_another_worker_at_the_address_ends_it(self) -> None:
+        control = WorkerControl(0.0, 8)
+        control.handed(0.0, "a")
+        control.ended(0.1, "a", Ending.GONE)
+        assert control.allowed(100.0) == 0
+
+    def test_never_more_out_than_its_connections(self) -> None:
+        control = WorkerControl(0.0, 50)
+        control.bounded(5)
+        for tick in range(100):
+            fill(control, tick * TIMER_S)
+        assert control.out == 5
+
+    def test_the_step_is_divided_among_balancers(self) -> None:
+        alone, shared = WorkerControl(0.0, 8), WorkerControl(0.0, 8, balancers=4)
+        alone.allowed(TIMER_S)
+        shared.allowed(TIMER_S)
+        assert shared.bundle == pytest.approx(alone.bundle / 4)
+
+
+def simple_cluster(workers: int = 2, members: int = 1, capacity: int = 4) -> Cluster:
+    names = [edge(f"e{number}") for number in range(1, members + 1)]
+    return Cluster(names, [SVC], [route()], [listed(n, capacity=capacity) for n in range(1, workers + 1)])
+
+
+def model(cluster: Cluster, run_s: float = 0.2, places: int = 2) -> ModelWorkers:
+    assert cluster.state.workers is not None
+    return ModelWorkers({w.address: w.capacity for w in cluster.state.workers.workers}, run_s, places)
+
+
+class TestDispatcher:
+    def test_jobs_run_in_time_and_their_ends_are_reported(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            workers = model(cluster)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            stores.add(STORE_1, [job(n) for n in range(40)])
+            await asyncio.sleep(3)
+            assert stores.results() == {"success": 40}
+            assert stores.finished["0-1-7-1"].signature == "s-m7"
+            # 40 jobs of 0.2 s on 8 slots take 1 s at best
+            assert max(stores.finish_times.values()) < 1.6
+            assert subject.figures.success == 40 and subject.figures.in_flight == 0
+            assert workers.begun[0][0] < 0.02
+            await subject.stop(3)
+
+        play(work)
+
+    def test_one_request_is_outstanding_at_each_source(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            subject = dispatcher(cluster, stores, model(cluster))
+            subject.start()
+            for wave in range(30):
+                stores.add(STORE_1, [job(wave * 10 + n) for n in range(3)])
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(2)
+            assert stores.most_outstanding == 1
+            assert stores.results() == {"success": 90}
+            await subject.stop(3)
+
+        play(work)
+
+    def test_an_idle_service_is_asked_for_about_once_a_second(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            subject = dispatcher(cluster, stores, model(cluster))
+            subject.start()
+            await asyncio.sleep(20)
+            assert 18 <= len(stores.requests) <= 22
+            await subject.stop(3)
+
+        play(work)
+
+    def test_owners_share_the_workers_and_each_hands_over_only_to_its_own(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(workers=8, members=3), LeasingStores()
+            clients = [model(cluster) for _ in range(3)]
+            subjects = [dispatcher(cluster, stores, clients[n], f"e{n + 1}") for n in range(3)]
+            for subject in subjects:
+                subject.start()
+            keys = [key for subject in subjects for key in subject.owned().get("svc", [])]
+            assert len(keys) == len(set(keys)) == 8
+            stores.add(STORE_1, [job(n) for n in range(100)])
+            await asyncio.sleep(4)
+            assert stores.results() == {"success": 100}
+            used = [{address for _, address, _ in client.begun} for client in clients]
+            assert not used[0] & used[1] and not used[1] & used[2] and not used[0] & used[2]
+            await asyncio.gather(*(subject.stop(3) for subject in subjects))
+
+        play(work)
+
+    def test_a_member_that_dies_leaves_its_workers_to_the_others(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(workers=8, members=2), LeasingStores()
+            subject = dispatcher(cluster, stores, model(cluster))
+            subject.start()
+            assert len(subject.owned()["svc"]) < 8
+            cluster.put("member/e2", evolve(cluster.state.members["e2"], status=1))
+            assert len(subject.owned()["svc"]) == 8
+            await subject.stop(3)
+
+        play(work)
+
+    def test_jobs_follow_the_placement_to_the_new_primary(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            subject = dispatcher(cluster, stores, model(cluster))
+            subject.start()
+            await asyncio.sleep(0.3)
+            stores.down.add(ADDRESSES[STORE_1])
+            cluster.place(STORE_2)
+            stores.add(STORE_2, [job(1)])
+            await asyncio.sleep(0.3)
+            assert stores.results() == {"success": 1}
+            await asyncio.sleep(6)
+            asked = [address for at, address, _ in stores.requests if at > 5]
+            assert asked and set(asked) == {ADDRESSES[STORE_2]}
+            await subject.stop(3)
+
+        play(work)
+
+    def test_a_store_where_jobs_wait_is_asked_until_it_has_been_empty_for_a_while(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            subject = dispatcher(cluster, stores, model(cluster))
+            subject.start()
+            stores.add(STORE_2, [job(1), job(2)])
+            subject.handle(JobsWaiting("svc", STORE_2))
+            subject.handle(JobsWaiting("unknown", STORE_2))
+            await asyncio.sleep(1)
+            assert stores.results() == {"success": 2}
+            await asyncio.sleep(9)
+            assert not [1 for at, address, _ in stores.requests if at > 5 and address == ADDRESSES[STORE_2]]
+            await subject.stop(3)
+
+        play(work)
+
+    def test_a_store_that_fails_is_asked_again_with_growing_pauses(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            stores.down.add(ADDRESSES[STORE_1])
+            subject = dispatcher(cluster, stores, model(cluster))
+            subject.start()
+            await asyncio.sleep(5)
+            times = [at for at, _, _ in stores.requests]
+            pauses = [b - a for a, b in itertools.pairwise(times)]
+            assert pauses[0] == pytest.approx(0.052, abs=0.01)
+            assert pauses[-1] == pytest.approx(0.502, abs=0.01)
+            stores.down.clear()
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(1)
+            assert stores.results() == {"success": 1}
+            await subject.stop(3)
+
+        play(work)
+
+    def test_nothing_new_goes_to_a_draining_worker_and_its_jobs_in_hand_end(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            workers = model(cluster)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            stores.add(STORE_1, [job(n) for n in range(60)])
+            await asyncio.sleep(0.5)
+            cluster.list_workers([listed(1, state="draining"), listed(2)])
+            await asyncio.sleep(0)
+            told = clock()
+            await asyncio.sleep(4)
+            assert [1 for at, address, _ in workers.begun if at < told and address == listed(1).address]
+            assert not [1 for at, address, _ in workers.begun if at > told and address == listed(1).address]
+            assert [endpoint.instance for endpoint in workers.forgotten] == ["i-1"]
+            assert stores.results() == {"success": 60}
+            await subject.stop(3)
+
+        play(work)
+
+    def test_a_worker_no_longer_listed_gets_nothing_new(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(workers=1), LeasingStores()
+            workers = model(cluster)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            await asyncio.sleep(0.5)
+            cluster.list_workers([])
+            stores.add(STORE_1, [job(n) for n in range(3)])
+            await asyncio.sleep(4)
+            assert workers.begun == []
+            # what the request that was out has leased goes back at once; then nobody asks
+            assert set(stores.results()) <= {"not_run"}
+            assert not [1 for at, _, _ in stores.requests if at > 2]
+            cluster.list_workers([listed(1)])
+            stores.add(STORE_1, [job(9)])
+            await asyncio.sleep(1)
+            assert stores.finished["0-1-9-1"].result == "success"
+            await subject.stop(3)
+
+        play(work)
+
+    def test_a_worker_listed_anew_at_an_address_is_another_one(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(workers=1), LeasingStores()
+            workers = model(cluster)
+            workers.answers[listed(1).address] = DeliveryOutcome("not_run", Ending.GONE)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(2)
+            tries = len(workers.begun)
+            assert tries == 1  # 421: it is gone
+            workers.answers.clear()
+            cluster.list_workers([evolve(listed(2), address=listed(1).address)])
+            stores.add(STORE_1, [job(2)])
+            await asyncio.sleep(1)
+            assert workers.endpoints[-1].instance == "i-2"
+            assert stores.finished["0-1-2-1"].result == "success"
+            await subject.stop(3)
+
+        play(work)
+
+    def test_a_refused_job_is_offered_to_another_worker(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            workers = model(cluster)
+            workers.answers[listed(1).address] = DeliveryOutcome("not_run", Ending.FULL)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            stores.add(STORE_1, [job(n) for n in range(6)])
+            await asyncio.sleep(2)
+            assert stores.results() == {"success": 6}
+            assert subject.figures.requeued > 0
+            await subject.stop(3)
+
+        play(work)
+
+    def test_under_a_rate_ceiling_a_refused_job_goes_back_to_the_store(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            cluster.configure([Service("svc", rate_per_s=20.0)], [route()])
+            workers = model(cluster)
+            workers.answers = {listed(n).address: DeliveryOutcome("not_run", Ending.RATE, retry_ms=100)
+                               for n in (1, 2)}
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(1)
+            assert len(workers.begun) == 1
+            assert stores.finished["0-1-1-1"].result == "not_run"
+            assert stores.finished["0-1-1-1"].retry_ms == 100
+            await subject.stop(3)
+
+        play(work)
+
+    def test_a_job_that_no_worker_takes_in_its_time_is_given_back(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(workers=1, capacity=1), LeasingStores()
+            workers = model(cluster, run_s=3.0)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            await asyncio.sleep(0.1)
+            stores.add(STORE_1, [job(1)])
+            stores.add(STORE_2, [job(n) for n in range(2, 9)])
+            subject.handle(JobsWaiting("svc", STORE_2))
+            await asyncio.sleep(1.5)
+            assert stores.results().get("not_run", 0) + len(workers.begun) + sum(
+                len(queue) for queue in stores.queues.values()) == 8
+            assert all(stores.finish_times[lease] <= 0.7 for lease in stores.finished)
+            await subject.stop(5)
+
+        play(work)
+
+    def test_workers_are_not_flooded_when_the_list_tells_too_many_slots(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(workers=1, capacity=20), LeasingStores()
+            workers = ModelWorkers({listed(1).address: 3}, places=1)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            stores.add(STORE_1, [job(n, start_within_ms=5_000) for n in range(40)])
+            await asyncio.sleep(8)
+            refused = subject.figures.not_run
+            assert refused < 60
+            assert subject.figures.success == 40
+            await subject.stop(3)
+
+        play(work)
+
+    def test_a_dropped_route_gives_its_jobs_back_unrun(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            workers = model(cluster)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            stores.add(STORE_1, [job(1, route_name="gone"), job(2)])
+            await asyncio.sleep(1)
+            assert stores.finished["0-1-1-1"].result == "not_run"
+            assert stores.finished["0-1-2-1"].result == "success"
+            assert [message for _, _, message in workers.begun] == ["m2"]
+            await subject.stop(3)
+
+        play(work)
+
+    def test_a_service_that_is_gone_gets_nothing(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            workers = model(cluster)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            await asyncio.sleep(0.1)
+            cluster.configure([Service("other")], [route(upstream="other")])
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(2)
+            assert workers.begun == []
+            await subject.stop(3)
+
+        play(work)
+
+    def test_the_timeout_is_that_of_the_configuration_in_force(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            workers = model(cluster)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            cluster.configure([SVC], [route(timeout_ms=700)])
+            stores.add(STORE_1, [job(1, timeout_ms=1000)])
+            await asyncio.sleep(1)
+            assert workers.timeouts == [0.7]
+            await subject.stop(3)
+
+        play(work)
+
+    def test_a_fixed_endpoint_is_delivered_to_without_an_instance(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            address = "10.3.0.1:9000"
+            cluster = Cluster([edge("e1")], [Service("svc", fixed=address, max_connections=7)], [route()], [])
+            stores, workers = LeasingStores(), ModelWorkers({address: 4})
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            stores.add(STORE_1, [job(n, start_within_ms=5_000) for n in range(30)])
+            await asyncio.sleep(6)
+            assert stores.results() == {"success": 30}
+            assert workers.endpoints[0].instance == "" and workers.endpoints[0].max_connections == 7
+            assert workers.most_out[address] <= 6
+            await subject.stop(3)
+
+        play(work)
+
+    def test_pull_services_are_not_pushed(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            cluster.configure([Service("svc", pull=True)], [route()])
+            subject = dispatcher(cluster, stores, model(cluster))
+            subject.start()
+            await asyncio.sleep(1)
+            assert subject.owned() == {} and stores.requests == []
+            await subject.stop(3)
+
+        play(work)
+
+    def test_an_end_is_reported_until_a_store_takes_it_and_never_rerun(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            workers = model(cluster)
+            stores.refuse_finishes = 10
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(30)
+            assert stores.finish_calls == 11
+            assert stores.results() == {"success": 1}
+            assert len(workers.begun) == 1
+            await subject.stop(3)
+
+        play(work)
+
+    def test_a_planned_stop_gives_back_what_has_not_begun_and_waits_for_the_rest(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            workers = model(cluster, run_s=1.0)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            await asyncio.sleep(0.1)
+            stores.add(STORE_1, [job(n, start_within_ms=5_000) for n in range(60)])
+            stores.add(STORE_2, [job(n, start_within_ms=5_000) for n in range(60, 80)])
+            subject.handle(JobsWaiting("svc", STORE_2))
+            await asyncio.sleep(0.3)
+            begun = len(workers.begun)
+            stopped = loop.time()
+            await subject.stop(6)
+            assert len(workers.begun) == begun
+            assert loop.time() - stopped < 3
+            left = sum(len(queue) for queue in stores.queues.values())
+            assert stores.results()["success"] == begun
+            assert stores.results().get("not_run", 0) == 80 - begun - left
+            assert subject.figures.in_flight == 0
+
+        play(work)
+
+    def test_after_a_freeze_nothing_that_was_leased_before_is_begun(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(workers=1, capacity=1), LeasingStores()
+            workers = model(cluster, run_s=0.3)
+            process = SimulatedProcess("e1")
+
+            async def begin() -> Dispatcher:
+                subject = dispatcher(cluster, stores, workers)
+                subject.start()
+                return subject
+
+            subject = await process.run(begin())
+            process.context.copy().run(subject.handle, JobsWaiting("svc", STORE_2))
+            await asyncio.sleep(0.01)  # both are asked, each for all that the worker may take
+            stores.add(STORE_1, [job(n, start_within_ms=60_000) for n in range(8)])
+            stores.add(STORE_2, [job(n, start_within_ms=60_000) for n in range(8, 16)])
+            await asyncio.sleep(0.1)
+            leased = 16 - sum(len(queue) for queue in stores.queues.values())
+            begun = len(workers.begun)
+            assert leased > begun
+            loop.freeze(process)
+            await asyncio.sleep(2.0)
+            loop.thaw(process)
+            await asyncio.sleep(0.05)
+            assert subject.figures.frozen == 1
+            assert stores.results()["not_run"] == leased - begun
+            again = {message for _, _, message in workers.begun[begun:]}
+            assert not again & {f"m{finish.split('-')[2]}" for finish in stores.finished}
+
+        play(work)
+
+    def test_a_stop_ends_within_its_grace(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            workers = model(cluster, run_s=100.0)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(0.3)
+            stopped = loop.time()
+            await subject.stop(4)
+            assert loop.time() - stopped <= 4
+
+        play(work)
--- /dev/null
+++ b/tests/test_pull_desk.py
@@ -0,0 +1,197 @@
+"""Jobs for the calls of pull workers, over stand-in stores in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hollowusher.configuration.model import Service
+from hollowusher.delivery.pull import SPARE_KEPT_S, LeasingPullDesk
+from hollowusher.dispatch.dispatcher import Dispatcher
+from hollowusher.intake.pull_desk import PullDesk
+from hollowusher.protocol.store import Job, JobsWaiting
+from hollowusher.simulation.loop import VirtualLoop
+from tests.dispatch_support import (
+    ADDRESSES,
+    SETTINGS,
+    STORE_1,
+    STORE_2,
+    Cluster,
+    LeasingStores,
+    ModelWorkers,
+    clock,
+    dispatcher,
+    edge,
+    job,
+    play,
+    route,
+)
+
+
+def made() -> tuple[Cluster, LeasingStores, Dispatcher, LeasingPullDesk]:
+    members = [edge("e1")]
+    cluster = Cluster(members, [Service("svc", pull=True)], [route()], [])
+    stores = LeasingStores()
+    subject = dispatcher(cluster, stores, ModelWorkers({}))
+    subject.start()
+    return cluster, stores, subject, subject.pull_desk
+
+
+def waiting(desk: PullDesk, calls: int, wait_s: float = 1.0) -> list[asyncio.Task[Job | None]]:
+    return [asyncio.create_task(desk.pull("svc", f"i-{n}", wait_s)) for n in range(calls)]
+
+
+class TestPullDesk:
+    def test_a_call_gets_a_job_that_waits_at_the_store(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, stores, _, desk = made()
+            stores.add(STORE_1, [job(1)])
+            assert await desk.pull("svc", "i-1", 1.0) == job(1)
+            assert clock() < 0.05
+            request = stores.requests[0][2]
+            assert request.pull and request.visibility_ms == SETTINGS.bounds.visibility_ms
+
+        play(work)
+
+    def test_a_call_that_waits_gets_a_job_as_soon_as_it_comes(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, stores, _, desk = made()
+            call = asyncio.create_task(desk.pull("svc", "i-1", 5.0))
+            await asyncio.sleep(2.5)
+            stores.add(STORE_1, [job(1)])
+            assert await call == job(1)
+            assert clock() < 2.52
+
+        play(work)
+
+    def test_a_call_ends_without_a_job_after_its_wait(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, _, _, desk = made()
+            assert await desk.pull("svc", "i-1", 1.5) is None
+            assert clock() == pytest.approx(1.5)
+            assert await desk.pull("svc", "i-1", 0.0) is None
+            assert clock() == pytest.approx(1.5)
+
+        play(work)
+
+    def test_nothing_is_asked_for_while_no_call_waits(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, stores, _, desk = made()
+            await desk.pull("svc", "i-1", 0.5)
+            await asyncio.sleep(2)
+            asked = len(stores.requests)
+            await asyncio.sleep(60)
+            assert len(stores.requests) == asked
+
+        play(work)
+
+    def test_calls_are_served_in_the_order_of_their_arrival(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, stores, _, desk = made()
+            calls = waiting(desk, 4)
+            await asyncio.sleep(0.1)
+            for number in range(4):
+                stores.add(STORE_1, [job(number)])
+            assert await asyncio.gather(*calls) == [job(n) for n in range(4)]
+
+        play(work)
+
+    def test_one_request_for_all_calls_that_wait(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, stores, _, desk = made()
+            waiting(desk, 6, 3.0)
+            await asyncio.sleep(1.5)
+            assert stores.most_outstanding == 1
+            assert stores.requests[-1][2].most == 6
+
+        play(work)
+
+    def test_a_job_nobody_waits_for_is_offered_to_the_next_call(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, stores, _, desk = made()
+            assert await desk.pull("svc", "i-1", 0.5) is None  # the store's long poll goes on
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(0.1)
+            assert await desk.pull("svc", "i-1", 0.5) == job(1)
+            await asyncio.sleep(1)
+            assert stores.results() == {}
+
+        play(work)
+
+    def test_else_it_is_given_back_unrun(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, stores, _, desk = made()
+            assert await desk.pull("svc", "i-1", 0.5) is None
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(SPARE_KEPT_S + 0.05)
+            assert stores.results() == {"not_run": 1}
+
+        play(work)
+
+    def test_a_cancelled_calls_job_goes_to_the_next_call(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, _, _, desk = made()
+            first, second = waiting(desk, 2, 5.0)
+            await asyncio.sleep(0.1)
+            desk._desks["svc"].calls[0].set_result(job(1))
+            first.cancel()
+            assert await asyncio.wait_for(second, 1) == job(1)
+            assert first.cancelled() or await asyncio.wait([first])
+
+        play(work)
+
+    def test_a_cancelled_call_is_not_counted(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, stores, _, desk = made()
+            first, second = waiting(desk, 2, 5.0)
+            await asyncio.sleep(0.1)
+            first.cancel()
+            await asyncio.sleep(0.1)
+            stores.add(STORE_1, [job(1)])
+            assert await second == job(1)
+            assert stores.results() == {}
+
+        play(work)
+
+    def test_other_stores_where_jobs_wait_are_asked_while_calls_wait(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, stores, subject, desk = made()
+            subject.handle(JobsWaiting("svc", STORE_2))
+            await asyncio.sleep(0.1)
+            assert stores.requests == []  # no call waits
+            stores.add(STORE_2, [job(1)])
+            call = waiting(desk, 1)[0]
+            await asyncio.sleep(0.1)
+            subject.handle(JobsWaiting("svc", STORE_2))
+            assert await call == job(1)
+
+        play(work)
+
+    def test_the_new_primary_is_asked_after_a_change(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores, _, desk = made()
+            call = waiting(desk, 1, 5.0)[0]
+            await asyncio.sleep(0.1)
+            stores.down.add(ADDRESSES[STORE_1])
+            cluster.place(STORE_2)
+            stores.add(STORE_2, [job(1)])
+            assert await call == job(1)
+            assert clock() < 0.2
+
+        play(work)
+
+    def test_a_stop_ends_calls_and_gives_back_what_comes_later(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            _, stores, subject, desk = made()
+            calls = waiting(desk, 2, 5.0)
+            await asyncio.sleep(0.3)
+            stop = asyncio.create_task(subject.stop(4))
+            assert await asyncio.gather(*calls) == [None, None]
+            stores.add(STORE_1, [job(1)])
+            await stop
+            assert stores.results() == {"not_run": 1}
+            assert clock() < 2
+            assert await desk.pull("svc", "i-1", 1.0) is None
+
+        play(work)
