Split the controller by its tasks; the tail reads only what it committed itself

A read could go back: a tail that had saved the state of a new epoch, but had not committed it, answered with what it knew from before. Members now keep a state only once it is saved, a stalled disk takes its machine out of the chain, and a voter that is just back may stand in for a member that dies.

--- a/hollowusher/coordination/agreement.py
+++ b/hollowusher/coordination/agreement.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from contextlib import suppress
 from typing import Any
 
@@ -31,6 +31,7 @@
 VOTE_TIMEOUT_S = 0.5
 CONFIRM_TIMEOUT_S = 0.4
 MOST_BACKOFF_S = 0.2
+LOCAL_MARGIN_S = 0.05  # beyond the peers' time-out; the own disk may take longer than that
 
 
 class Agreement:
@@ -153,8 +154,11 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
             pending.add(task)
-        while pending:
-            done, pending = await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout + LOCAL_MARGIN_S
+        while pending and loop.time() < deadline:
+            done, pending = await asyncio.wait(
+                pending, timeout=deadline - loop.time(), return_when=asyncio.FIRST_COMPLETED)
             for task in done:
                 name, answer = task.result()
                 if answer is not None and take(name, answer):
@@ -180,15 +184,3 @@
 
     async def _save(self) -> None:
         await self._slot.save(self.acceptor.dump())
-
-    def handler(self, message: Any) -> Awaitable[Any] | None:
-        """The work that answers one of the agreement's own messages; None for other messages."""
-        if isinstance(message, Prepare):
-            return self.prepare(message)
-        if isinstance(message, Accept):
-            return self.accept(message)
-        if isinstance(message, ProposeFirst):
-            return self.take_first(message)
-        if isinstance(message, Decided):
-            return self.learn(message.view)
-        return None
--- a/hollowusher/coordination/chain.py
+++ b/hollowusher/coordination/chain.py
@@ -11,8 +11,6 @@
 
 from __future__ import annotations
 
-from enum import Enum, auto
-
 from hollowusher.coordination.view import FIRST_EPOCH, is_voter
 from hollowusher.protocol.codec import decode, encode, evolve
 from hollowusher.protocol.control import ChainWrite, ControlState, View
@@ -20,13 +18,6 @@
 EMPTY_STATE = ControlState(sequence=0, generation=0, document=b"", history=[])
 
 
-class Receipt(Enum):
-    """What a member does with a state that came down the chain."""
-
-    KEEP = auto()  # save it, then pass it on
-    REFUSE = auto()  # of another epoch, or older than what is held
-
-
 class ChainMember:
     """The chain's part in one controller: the newest state it holds and what it may do with it."""
 
@@ -37,13 +28,10 @@
         self.state = EMPTY_STATE
         self.state_epoch = 0
         self.committed: ControlState | None = None  # the newest state known to be committed
+        self.committed_epoch = 0  # the epoch of the chain whose tail had it
         if saved is not None:
             self.state_epoch, self.state = decode(saved)
 
-    def dump(self) -> bytes:
-        """What is to be saved."""
-        return encode([self.state_epoch, self.state])
-
     @property
     def epoch(self) -> int:
         """The epoch of the view in use, 0 for none."""
@@ -78,6 +66,11 @@
         """Whether it has a state of its view's own epoch."""
         return self.in_chain and self.state_epoch == self.epoch
 
+    @property
+    def readable(self) -> bool:
+        """Whether it is the tail and has committed a state in this epoch: `committed` is then the newest."""
+        return self.is_tail and self.committed_epoch == self.epoch
+
     @property
     def settled(self) -> bool:
         """Whether the newest state it holds is known to be committed in this epoch."""
@@ -97,33 +90,48 @@
         self.view = view
         if self.is_tail and self.synchronised:
             self.committed = self.state
+            self.committed_epoch = view.epoch
         return True
 
-    def receive(self, write: ChainWrite) -> Receipt:
-        """Take a state from the member before; it is in `state` where it is to be kept."""
-        version = (write.epoch, write.state.sequence)
-        held = (self.state_epoch, self.state.sequence)
-        if write.epoch != self.epoch or not self.in_chain or self.is_head or version < held:
-            return Receipt.REFUSE
-        if version > held:
-            self.state = write.state
-            self.state_epoch = write.epoch
-        return Receipt.KEEP
+    def accepts(self, write: ChainWrite) -> bool:
+        """Whether a state from the member before is to be saved, kept and passed on: it is of this epoch and
+        not older than the one held."""
+        follows = self.in_chain and not self.is_head
+        return follows and write.epoch == self.epoch and self._version(write) >= self._held_version()
 
     def begin(self, state: ControlState | None = None) -> ChainWrite:
-        """Head: take a new state, or the present one into this epoch, to be saved and then passed on."""
+        """Head: a new state, or the present one in this epoch, to be saved, kept and passed on."""
         if not (self.is_head and self.complete):
             raise ValueError(f"{self.name} is not a head that holds all committed states")
-        if state is not None:
-            self.state = evolve(state, sequence=self.state.sequence + 1)
-        self.state_epoch = self.epoch
-        return ChainWrite(self.epoch, self.state)
+        if state is None:
+            return ChainWrite(self.epoch, self.state)
+        return ChainWrite(self.epoch, evolve(state, sequence=self.state.sequence + 1))
+
+    def keep(self, write: ChainWrite) -> None:
+        """A state has been saved."""
+        if self._version(write) > self._held_version():
+            self.state = write.state
+            self.state_epoch = write.epoch
 
     def commit(self, write: ChainWrite) -> ControlState | None:
         """The tail has this state: it is committed.  The state, where that is news."""
         known = self.committed
         if known is not None and write.state.sequence < known.sequence:
             return None
+        news = known is None or write.state.sequence > known.sequence
         current = write.epoch == self.state_epoch and write.state.sequence == self.state.sequence
         self.committed = self.state if current else write.state
-        return None if known is not None and known.sequence == write.state.sequence else self.committed
+        self.committed_epoch = max(write.epoch, self.committed_epoch)
+        return self.committed if news else None
+
+    def _held_version(self) -> tuple[int, int]:
+        return self.state_epoch, self.state.sequence
+
+    @staticmethod
+    def _version(write: ChainWrite) -> tuple[int, int]:
+        return write.epoch, write.state.sequence
+
+
+def dump_write(write: ChainWrite) -> bytes:
+    """What a member saves for a state: it is loaded by `ChainMember`."""
+    return encode([write.epoch, write.state])
--- a/hollowusher/coordination/reconfiguration.py
+++ b/hollowusher/coordination/reconfiguration.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 import attrs
 
@@ -77,7 +77,8 @@
         silence = now - peer.last_sign
         refused = (peer.refusals >= REFUSALS_OF_A_DEAD_PROCESS
                    and now - self._started > SUSPECT_AFTER_S)
-        dead = silence > SUSPECT_AFTER_S or refused or now < peer.avoid_until
+        stalled = peer.pong is not None and peer.pong.stalled
+        dead = silence > SUSPECT_AFTER_S or refused or stalled or now < peer.avoid_until
         return max(silence, 0.001) if dead else 0.0
 
     def hears(self, name: str, now: float) -> bool:
@@ -108,14 +109,18 @@
 
     alive: frozenset[str]
     complete: frozenset[str]  # chain members that hold every committed state
-    joinable: frozenset[str]  # may be added to the chain's tail
+    heard: Mapping[str, frozenset[str]]  # whom each of them hears
+
+    def linked(self, one: str, other: str) -> bool:
+        """Whether two of them hear each other."""
+        return other in self.heard.get(one, ()) and one in self.heard.get(other, ())
 
 
 def presence(health: VoterHealth, view: View, self_complete: bool, now: float) -> Presence:
     """The presence as one voter sees it."""
     alive = {health.name}
     complete = {health.name} if self_complete else set()
-    joinable = set()
+    heard = {health.name: frozenset(health.heard(now))}
     for voter in view.voters:
         pong = health.pong(voter.name)
         if pong is None or not health.hears(voter.name, now) or pong.leaving:
@@ -123,17 +128,8 @@
         alive.add(voter.name)
         if pong.complete and pong.epoch == view.epoch:
             complete.add(voter.name)
-        if pong.epoch == view.epoch and _hears_tail(health, pong, view):
-            joinable.add(voter.name)
-    return Presence(frozenset(alive), frozenset(complete), frozenset(joinable))
-
-
-def _hears_tail(health: VoterHealth, joiner: Pong, view: View) -> bool:
-    """Whether a voter that is to follow the tail and the tail hear each other."""
-    if view.tail == health.name:
-        return True
-    tail = health.pong(view.tail)
-    return tail is not None and joiner.name in tail.heard and view.tail in joiner.heard
+        heard[voter.name] = frozenset(pong.heard)
+    return Presence(frozenset(alive), frozenset(complete), heard)
 
 
 def plan_chain(view: View, present: Presence, leave: str = "") -> View | None:
@@ -141,11 +137,14 @@
     every committed state, in their order, last those that join.  None where that is the present chain, or
     where no chain would be safe."""
     kept = [name for name in view.chain if name in present.alive and name != leave]
-    ordered = [name for name in kept if name in present.complete]
-    ordered += [name for name in kept if name not in present.complete]
-    joiners = [voter.name for voter in view.voters
-               if voter.name in present.joinable and voter.name not in view.chain and voter.name != leave]
-    chain = ordered + joiners
+    chain = [name for name in kept if name in present.complete]
+    chain += [name for name in kept if name not in present.complete]
+    joiners = []
+    for voter in view.voters:
+        may_join = voter.name in present.alive and voter.name not in view.chain and voter.name != leave
+        if may_join and chain and present.linked(chain[-1], voter.name):
+            joiners.append(voter.name)
+            chain.append(voter.name)
     if not chain or chain[0] not in present.complete or chain == view.chain:
         return None
     if len(chain) < shortest_chain(view):
--- a/hollowusher/coordination/replicator.py
+++ b/hollowusher/coordination/replicator.py
@@ -5,13 +5,14 @@
 import asyncio
 from collections.abc import Callable
 
-from hollowusher.coordination.chain import ChainMember, Receipt
+from hollowusher.coordination.chain import ChainMember, dump_write
 from hollowusher.coordination.view import find_voter
 from hollowusher.protocol.control import ChainWrite, ChainWritten, ControlState, View
 from hollowusher.storage.interface import Slot, StorageError
 from hollowusher.transport.interface import PeerError, Transport
 
 HOP_TIMEOUT_S = 0.4
+STALLED_AFTER_S = 0.8
 BYTES_PER_S = 4_000_000  # slowest link and disk that a large state is to get through
 
 
@@ -25,6 +26,7 @@
         self._slot = slot
         self._on_state = on_state
         self._lock = asyncio.Lock()
+        self._saving_since: float | None = None
 
     def install(self, view: View) -> None:
         """Use a decided view from now on."""
@@ -40,16 +42,16 @@
             if not (self.member.is_head and self.member.complete):
                 return ChainWritten(False, self.member.epoch)
             write = self.member.begin(state)
-            if not await self._save():
+            if not await self._save(write):
                 return ChainWritten(False, self.member.epoch, self.member.name)
         return await self._pass_on(write)
 
     async def receive(self, write: ChainWrite) -> ChainWritten:
         """Take a state from the member before."""
         async with self._lock:
-            if self.member.receive(write) is Receipt.REFUSE:
+            if not self.member.accepts(write):
                 return ChainWritten(False, self.member.epoch)
-            if not await self._save():
+            if not await self._save(write):
                 return ChainWritten(False, self.member.epoch, self.member.name)
         return await self._pass_on(write)
 
@@ -79,9 +81,17 @@
             return ChainWritten(False, self.member.epoch, name)
         return answer if isinstance(answer, ChainWritten) else ChainWritten(False, self.member.epoch)
 
-    async def _save(self) -> bool:
+    def stalled(self, now: float) -> bool:
+        """Whether the disk has been busy with one state for too long."""
+        return self._saving_since is not None and now - self._saving_since > STALLED_AFTER_S
+
+    async def _save(self, write: ChainWrite) -> bool:
+        self._saving_since = asyncio.get_running_loop().time()
         try:
-            await self._slot.save(self.member.dump())
+            await self._slot.save(dump_write(write))
         except StorageError:
             return False
+        finally:
+            self._saving_since = None
+        self.member.keep(write)
         return True
--- /dev/null
+++ b/hollowusher/coordination/state_service.py
@@ -0,0 +1,113 @@
+"""Orders and questions about the control state: the head and the tail answer, the others pass them on."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hollowusher.configuration.orders import Order, OrderOutcome, apply_order, read_order
+from hollowusher.coordination.agreement import Agreement
+from hollowusher.coordination.chain import ChainMember
+from hollowusher.coordination.chain_owner import ChainOwner
+from hollowusher.coordination.view import find_voter, is_voter
+from hollowusher.coordination.voter_group import VoterGroup
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import (
+    ChangeConfiguration,
+    ControlState,
+    OperatorAnswer,
+    ReadConfiguration,
+    ReadState,
+    StateAnswer,
+    Voter,
+)
+from hollowusher.transport.interface import PeerError, Transport
+
+FORWARD_CHANGE_TIMEOUT_S = 2.8
+FORWARD_READ_TIMEOUT_S = 0.7
+
+UNAVAILABLE = OperatorAnswer(503, b'{"error":"no majority of the controllers can be reached"}')
+NOT_CONFIGURED = OperatorAnswer(404, b'{"error":"there is no configuration yet"}')
+
+
+class StateService:
+    """One controller's answers about the control state."""
+
+    def __init__(self, me: Voter, transport: Transport, agreement: Agreement, member: ChainMember,
+                 owner: ChainOwner, group: VoterGroup) -> None:
+        self._me = me
+        self._transport = transport
+        self._agreement = agreement
+        self._member = member
+        self._owner = owner
+        self._group = group
+
+    async def change_configuration(self, message: ChangeConfiguration) -> OperatorAnswer:
+        """An order of the operator; the head decides."""
+        read = read_order(message.method, message.if_match, message.body)
+        if read.is_error():
+            return read.error.answer()
+        if not self._member.is_head:
+            head = self._agreement.view.head if self._agreement.view is not None else ""
+            answer = await self._forward(head, message, FORWARD_CHANGE_TIMEOUT_S)
+            return answer if isinstance(answer, OperatorAnswer) else UNAVAILABLE
+        return await self._take_order(read.ok)
+
+    async def _take_order(self, order: Order) -> OperatorAnswer:
+        """Head: check an order against the newest state and commit what it asks for."""
+        outcomes: list[OrderOutcome] = []
+
+        def update(state: ControlState) -> ControlState | None:
+            outcome = apply_order(state, order)
+            outcomes.append(outcome)
+            return outcome.state
+
+        committed = await self._owner.change(update)
+        if not committed or not outcomes:
+            return UNAVAILABLE
+        answer = outcomes[0].answer
+        if answer.status != 200 and not await self._agreement.majority_confirms(self._member.epoch):
+            return UNAVAILABLE  # a deposed head must not refuse what builds on a newer version
+        return answer
+
+    async def read_configuration(self, message: ReadConfiguration) -> OperatorAnswer:
+        """The newest configuration; the tail knows it."""
+        if not self._member.is_tail:
+            answer = await self._forward_read(message)
+            return answer if isinstance(answer, OperatorAnswer) else UNAVAILABLE
+        state = await self._confirmed_state()
+        if state is None:
+            return UNAVAILABLE
+        return OperatorAnswer(200, state.document) if state.generation else NOT_CONFIGURED
+
+    async def read_state(self, message: ReadState) -> StateAnswer:
+        """The newest committed control state; the tail knows it."""
+        if not self._member.is_tail:
+            answer = await self._forward_read(message)
+            return answer if isinstance(answer, StateAnswer) else StateAnswer(None)
+        state = await self._confirmed_state()
+        return StateAnswer(state, self._member.epoch)
+
+    async def _confirmed_state(self) -> ControlState | None:
+        """Tail: its state, once a majority says that the view is still the newest."""
+        view = self._member.view
+        if view is None or not self._member.readable or not self._group.hears_majority(view):
+            return None
+        state = self._member.committed
+        return state if await self._agreement.majority_confirms(view.epoch) else None
+
+    async def _forward_read(self, message: ReadConfiguration | ReadState) -> Any:
+        tail = self._agreement.view.tail if self._agreement.view is not None else ""
+        return await self._forward(tail, message, FORWARD_READ_TIMEOUT_S)
+
+    async def _forward(self, name: str, message: Any, timeout: float) -> Any:
+        """Pass an order or a question on to a member of the chain; None where that does not help."""
+        view = self._agreement.view
+        voter = find_voter(view, name) if view is not None else None
+        if view is None or voter is None or message.forwarded or name == self._me.name:
+            return None
+        if is_voter(view, self._me.name, self._me.disk_id) and not self._group.hears(name):
+            return None
+        try:
+            return await self._transport.call(voter.address, evolve(message, forwarded=True), timeout)
+        except PeerError:
+            return None
--- /dev/null
+++ b/hollowusher/coordination/voter_group.py
@@ -0,0 +1,223 @@
+"""A voter's work on the group: pings to the other voters, and views that follow who is there."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from hollowusher.coordination.agreement import Agreement
+from hollowusher.coordination.bootstrap import call_all, read_view
+from hollowusher.coordination.chain import ChainMember
+from hollowusher.coordination.reconfiguration import (
+    PROPOSAL_STAGGER_S,
+    Presence,
+    VoterHealth,
+    choose_candidate,
+    lost_member,
+    plan_chain,
+    plan_voters,
+    presence,
+    proposal_rank,
+)
+from hollowusher.coordination.view import find_voter
+from hollowusher.protocol.control import Decided, Ping, Pong, View, Voter
+from hollowusher.transport.interface import PeerError, Transport
+
+PING_INTERVAL_S = 0.2
+PING_TIMEOUT_S = 0.6
+CANDIDATE_LIFE_S = 2.5
+REJOIN_INTERVAL_S = 1.0  # least time between a view and the next one that only lets voters join
+FINISH_AFTER_S = 0.5  # an accepted view that is not decided by then is proposed again
+AVOID_S = 3.0  # a chain member that its neighbour cannot reach stays out for this long
+HAND_OVER_TIMEOUT_S = 0.3
+NO_CONNECTION_IN_TIME = "in time"  # in a `PeerError`: the peer was silent, it did not refuse
+
+Spawn = Callable[[Coroutine[Any, Any, Any]], None]
+
+
+class VoterGroup:
+    """This controller among the voters.  `spawn` runs a coroutine for as long as the controller lives;
+    `is_stalled` tells whether its disk does not answer."""
+
+    def __init__(self, me: Voter, transport: Transport, agreement: Agreement, member: ChainMember,
+                 chance: random.Random, spawn: Spawn, is_stalled: Callable[[float], bool]) -> None:
+        self._me = me
+        self._transport = transport
+        self._agreement = agreement
+        self._member = member
+        self._chance = chance
+        self._spawn = spawn
+        self._is_stalled = is_stalled
+        self._health = VoterHealth(me.name, 0.0)
+        self._candidates: dict[str, tuple[Voter, float]] = {}
+        self._pinging: set[str] = set()
+        self._next_ping = 0.0
+        self._view_since = 0.0
+        self._loss_since: float | None = None
+        self._accepted_since: float | None = None
+        self._leaving = False
+
+    def start(self) -> None:
+        """Nothing has been heard yet."""
+        self._health = VoterHealth(self._me.name, _now())
+
+    def install(self, view: View) -> None:
+        """Use a newer decided view."""
+        self._view_since = _now()
+        self._loss_since = None
+        self._accepted_since = None
+        self._health.track([voter.name for voter in view.voters], _now())
+
+    def hears(self, name: str) -> bool:
+        """Whether a voter has answered lately."""
+        return self._health.hears(name, _now())
+
+    def hears_majority(self, view: View) -> bool:
+        """Whether enough voters to decide have answered lately."""
+        return self._health.hears_majority(view, _now())
+
+    def avoid(self, name: str) -> None:
+        """A chain member cannot be reached by its neighbour."""
+        self._health.avoid(name, _now() + AVOID_S)
+
+    def note_candidate(self, voter: Voter) -> None:
+        """A controller asks to become a voter."""
+        self._candidates[voter.name] = (voter, _now())
+
+    async def step(self, view: View) -> None:
+        """Do what is due."""
+        self._ping_voters(view)
+        if self._leaving or not self.hears_majority(view):
+            return
+        if lost_member(view, self._health, _now()):
+            await self._replace_lost(view)
+            return
+        self._loss_since = None
+        if await self._finish_accepted():
+            return
+        if self._member.is_head and _now() - self._view_since > REJOIN_INTERVAL_S:
+            await self._admit(view)
+
+    # -- pings -----------------------------------------------------------------------------------------
+
+    def answer_ping(self, ping: Ping) -> Pong:
+        """The answer to another voter's ping."""
+        view = self._agreement.view
+        sender = find_voter(view, ping.name) if view is not None else None
+        if view is not None and sender is not None and ping.epoch > view.epoch:
+            self._spawn(self._catch_up(sender.address))
+        epoch = view.epoch if view is not None else 0
+        return Pong(self._me.name, self._me.disk_id, epoch, self._member.complete,
+                    self._health.heard(_now()), self._leaving, self._is_stalled(_now()))
+
+    def _ping_voters(self, view: View) -> None:
+        if _now() < self._next_ping:
+            return
+        self._next_ping = _now() + PING_INTERVAL_S
+        for voter in view.voters:
+            if voter.name != self._me.name and voter.name not in self._pinging:
+                self._pinging.add(voter.name)
+                self._spawn(self._ping(voter, view.epoch))
+
+    async def _ping(self, voter: Voter, epoch: int) -> None:
+        try:
+            answer = await self._transport.call(voter.address, Ping(self._me.name, epoch), PING_TIMEOUT_S)
+        except PeerError as error:
+            if not error.sent and NO_CONNECTION_IN_TIME not in error.reason:
+                self._health.refused(voter.name)
+            return
+        finally:
+            self._pinging.discard(voter.name)
+        if isinstance(answer, Pong):
+            await self._take_pong(voter, answer)
+
+    async def _take_pong(self, voter: Voter, pong: Pong) -> None:
+        if pong.name != voter.name or pong.disk_id != voter.disk_id:
+            self._health.refused(voter.name)
+            return
+        self._health.answered(pong, _now())
+        view = self._agreement.view
+        if view is not None and pong.epoch < view.epoch:
+            self._transport.send(voter.address, Decided(view))
+        elif view is None or pong.epoch > view.epoch:
+            await self._catch_up(voter.address)
+
+    async def _catch_up(self, address: str) -> None:
+        newest = await read_view(self._transport, [address])
+        if newest is not None:
+            await self._agreement.learn(newest)
+
+    # -- views -----------------------------------------------------------------------------------------
+
+    def _presence(self, view: View) -> Presence:
+        return presence(self._health, view, self._member.complete, _now())
+
+    async def _replace_lost(self, view: View) -> None:
+        """Propose a chain without the dead, after those that come earlier in the chain."""
+        present = self._presence(view)
+        rank = proposal_rank(view, present, self._me.name)
+        if rank is None:
+            return
+        if self._loss_since is None:
+            self._loss_since = _now()
+        if _now() - self._loss_since >= rank * PROPOSAL_STAGGER_S:
+            await self._propose_chain(view, present)
+
+    async def _propose_chain(self, view: View, present: Presence) -> None:
+        await self._agreement.propose(lambda base: plan_chain(base, present) if base == view else None)
+
+    async def _finish_accepted(self) -> bool:
+        """Bring a view to its end that was accepted here but not heard of since; whether there is one."""
+        accepted = self._agreement.acceptor.accepted
+        if accepted is None:
+            self._accepted_since = None
+            return False
+        if self._accepted_since is None:
+            self._accepted_since = _now() + self._chance.uniform(0.0, FINISH_AFTER_S)
+        if _now() - self._accepted_since > FINISH_AFTER_S:
+            self._accepted_since = None
+            await self._agreement.propose(lambda base: accepted if accepted.epoch == base.epoch + 1 else None)
+        return True
+
+    async def _admit(self, view: View) -> None:
+        """Let voters that came back join the chain, and controllers that ask become voters."""
+        present = self._presence(view)
+        if plan_chain(view, present) is not None:
+            await self._propose_chain(view, present)
+            return
+        recent = [voter for voter, heard in self._candidates.values() if _now() - heard < CANDIDATE_LIFE_S]
+        chosen = choose_candidate(view, recent, self._health, _now())
+        if chosen is not None:
+            await self.propose_voters(*chosen)
+
+    async def propose_voters(self, add: Voter, remove: str | None) -> bool:
+        """Head: propose a view with a further voter, and without another one."""
+        return await self._agreement.propose(lambda base: plan_voters(base, add, remove))
+
+    async def leave_chain(self) -> bool:
+        """Propose a view whose chain is without this controller; True once it is so, or cannot be."""
+        self._leaving = True
+        view = self._agreement.view
+        if view is None or not self._member.in_chain or self._plan_without_me(view) is None:
+            return True
+        await self._agreement.propose(self._plan_without_me)
+        if self._member.in_chain:
+            return False
+        await self._hand_over()
+        return True
+
+    def _plan_without_me(self, base: View) -> View | None:
+        return plan_chain(base, self._presence(base), leave=self._me.name)
+
+    async def _hand_over(self) -> None:
+        """Be sure, before this process ends, that the others know the view without it."""
+        view = self._agreement.view
+        if view is not None:
+            others = [voter.address for voter in view.voters if voter.name != self._me.name]
+            await call_all(self._transport, others, Decided(view), HAND_OVER_TIMEOUT_S)
+
+
+def _now() -> float:
+    return asyncio.get_running_loop().time()
--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -364,6 +364,7 @@
     complete: bool  # holds every committed state: may become the chain's head
     heard: list[str]  # the voters that it hears
     leaving: bool = False  # about to stop: not to be taken into the chain
+    stalled: bool = False  # its disk does not answer
 
 
 @message(41)
--- a/tests/controller_cluster.py
+++ b/tests/controller_cluster.py
@@ -27,6 +27,7 @@
 T = TypeVar("T")
 LINK_DELAY_S = 0.001
 SYNC_S = 0.005
+STUCK = "stuck"  # a file of this name on a virtual disk: its syncs do not end
 
 
 class _JumpingSelector(selectors.SelectSelector):
@@ -156,6 +157,8 @@
 
     async def save(self, value: bytes) -> None:
         await asyncio.sleep(SYNC_S)
+        while self._files.get(STUCK):
+            await asyncio.sleep(SYNC_S)
         self._files[self._name] = value
 
 
--- a/tests/test_controller_role.py
+++ b/tests/test_controller_role.py
@@ -22,7 +22,7 @@
     StateAnswer,
     Voter,
 )
-from tests.controller_cluster import Cluster, run_virtual
+from tests.controller_cluster import STUCK, Cluster, run_virtual
 
 
 def virtual(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
@@ -271,6 +271,49 @@
             await node.kill()
 
 
+@virtual
+async def test_a_voter_just_back_takes_the_place_of_a_member_that_dies() -> None:
+    cluster = Cluster("abc")
+    await cluster.first_start()
+    await cluster["c"].kill()
+    assert await cluster.put_somewhere(1, 0) < 2.5
+    assert _chain(cluster, "a") == ["a", "b"]
+    await cluster["c"].start()
+    await asyncio.sleep(0.2)
+    await cluster["b"].kill()
+    assert await cluster.put_somewhere(2, 1) < 3.0
+    assert _chain(cluster, "a") == ["a", "c"]
+
+
+@pytest.mark.parametrize("victim", "abc")
+def test_a_disk_that_hangs_takes_its_machine_out_of_the_chain(victim: str) -> None:
+    @virtual
+    async def check() -> None:
+        cluster = Cluster("abc")
+        await cluster.first_start()
+        assert await cluster.put_somewhere(1, 0) < 1.0
+        cluster[victim].files[STUCK] = b"yes"
+        assert await cluster.put_somewhere(2, 1) < 4.0
+        assert victim not in _chain(cluster, next(name for name in "abc" if name != victim))
+        del cluster[victim].files[STUCK]
+        await cluster.until(lambda: victim in _chain(cluster, victim), 6.0)
+        assert await cluster.put_somewhere(3, 2) < 1.5
+    check()
+
+
+@virtual
+async def test_one_controller_alone_is_a_whole_system() -> None:
+    cluster = Cluster("a")
+    await cluster["a"].start(bootstrap=True)
+    await cluster.until(lambda: cluster["a"].running.is_head, 6.0)
+    assert await cluster["a"].put(1, 0) == 200
+    assert await cluster["a"].read() == (200, 1)
+    await cluster["a"].stop()
+    await cluster["a"].start()
+    await cluster.until(lambda: cluster["a"].running.is_head, 1.0)
+    assert await cluster["a"].read() == (200, 1)
+
+
 @virtual
 async def test_a_write_of_an_old_epoch_is_refused_everywhere() -> None:
     cluster = Cluster("abc")
@@ -304,7 +347,7 @@
 
     results = await asyncio.gather(*(head.change(retire(f"s{number}")) for number in range(5)))
     assert results == [True] * 5
-    assert len(head.state.retiring) == 5
+    assert head.state is not None and len(head.state.retiring) == 5
     assert await head.change(lambda state: None)
     assert not await cluster["b"].running.change(retire("x"))
 
@@ -387,6 +430,7 @@
         statuses = [await node.read() for node in cluster.nodes.values()]
         assert len(set(statuses)) == 1 and statuses[0][0] == 200, statuses
         state = next(node.running.state for node in cluster.nodes.values() if node.running.is_head)
+        assert state is not None
         kept = [generation for generation, _ in state.history]
         assert set(operators.acknowledged) <= set(kept)
         assert not operators.refused & set(kept)
