--- a/hollowusher/delivery/callbacks.py
+++ b/hollowusher/delivery/callbacks.py
@@ -57,7 +57,7 @@
         self._pool.close()
 
 
-def callback_request(job: Job) -> list[bytes]:
+def callback_request(job: Job) -> bytes:
     """Head and body of a call-back."""
     parts = urlsplit(job.message.callback_url)
     path = parts.path or "/"
@@ -67,7 +67,7 @@
     body = orjson.dumps(content)
     head = (f"POST {path} HTTP/1.1\r\nHost: {parts.netloc}\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(body)}\r\n\r\n")
-    return [head.encode("utf-8", "surrogateescape"), body]
+    return head.encode("utf-8", "surrogateescape") + body
 
 
 @attrs.define(eq=False)
--- a/hollowusher/delivery/pool.py
+++ b/hollowusher/delivery/pool.py
@@ -32,7 +32,7 @@
         """Whether a request is under way."""
         return self.open_count > len(self._idle)
 
-    async def exchange(self, request: list[bytes], accepts: Accepts, deadline: float,
+    async def exchange(self, request: bytes, accepts: Accepts, deadline: float,
                        may_repeat: bool = False) -> Answer:
         """The answer to one request; `ExchangeError` where none came.
 
@@ -59,7 +59,7 @@
         for connection in list(self._idle):
             connection.close()
 
-    async def _exchange_on(self, connection: Connection, request: list[bytes], accepts: Accepts,
+    async def _exchange_on(self, connection: Connection, request: bytes, accepts: Accepts,
                            deadline: float) -> Answer:
         answer = await connection.exchange(request, accepts, deadline)
         if connection.usable:
--- a/hollowusher/delivery/worker_client.py
+++ b/hollowusher/delivery/worker_client.py
@@ -88,7 +88,9 @@
             if error.sent:
                 return DeliveryOutcome("unknown", Ending.LOST, started=began, took=took, reason=str(error))
             return DeliveryOutcome("not_run", Ending.UNREACHABLE, took=took, reason=str(error))
-        return attrs.evolve(judge(answer), started=began, took=loop.time() - began)
+        verdict = judge(answer)
+        return DeliveryOutcome(verdict.result, verdict.ending, verdict.signature, verdict.retry_ms, began,
+                               loop.time() - began, verdict.reason)
 
     def forget(self, endpoint: Endpoint) -> None:
         """End the idle connections of a worker that is not to be used any more."""
@@ -121,7 +123,7 @@
                 del self._pools[key]
 
 
-def request_bytes(message: NewMessage, endpoint: Endpoint, timeout_s: float) -> list[bytes]:
+def request_bytes(message: NewMessage, endpoint: Endpoint, timeout_s: float) -> bytes:
     """Head and body of a delivery."""
     lines = [
         f"{message.method} {message.path} HTTP/1.1",
@@ -141,8 +143,7 @@
     head = "\r\n".join(lines)
     if head.count("\n") != len(lines) - 1 or head.count("\r") != len(lines) - 1 or lines[0].count(" ") != 2:
         raise MalformedRequest("a line of the request holds a line end or a space")
-    head_bytes = (head + "\r\n\r\n").encode("utf-8", "surrogateescape")
-    return [head_bytes, message.body] if message.body else [head_bytes]
+    return (head + "\r\n\r\n").encode("utf-8", "surrogateescape") + message.body
 
 
 def belongs(answer: Answer, identifier: str) -> bool:
--- a/hollowusher/dispatch/service_dispatch.py
+++ b/hollowusher/dispatch/service_dispatch.py
@@ -141,9 +141,9 @@
         now = self._loop.time()
         self._check_freeze(now)
         self._give_back_late(now)
-        isolate = self._isolate()
+        isolate, taking = self._isolate(), self._taking()
         while self._queue:
-            worker = self._choose(self._queue[0], now, isolate)
+            worker = self._choose(self._queue[0], taking, now, isolate)
             if worker is None:
                 break
             self._hand_over(worker, self._queue.popleft(), now)
@@ -182,12 +182,15 @@
         taking = self._taking()
         return 2 * sum(worker.control.suspect for worker in taking) <= len(taking)
 
-    def _choose(self, waiting: WaitingJob, now: float, isolate: bool) -> OwnedWorker | None:
+    def _choose(self, waiting: WaitingJob, taking: list[OwnedWorker], now: float,
+                isolate: bool) -> OwnedWorker | None:
         """The least busy worker that may have a job now; one due for a trial goes first, one that has refused
         this job last."""
-        ready = [worker for worker in self._taking() if worker.control.allowed(now, isolate) > 0]
+        ready = [worker for worker in taking if worker.control.allowed(now, isolate) > 0]
         if not ready:
             return None
+        if len(ready) == 1:
+            return ready[0]
         self._turn += 1
         ready = ready[self._turn % len(ready):] + ready[:self._turn % len(ready)]
         return min(ready, key=lambda worker: (worker.key in waiting.refused_by, not worker.control.suspect,
