--- a/hollowusher/simulation/clients.py
+++ b/hollowusher/simulation/clients.py
@@ -65,9 +65,10 @@
     async def play(self, stream: Stream, until: float) -> None:
         """Send a stream's messages at random times."""
         while True:
-            await asyncio.sleep(self.chance.expovariate(stream.rate))
-            if self._now() >= until:
+            pause = self.chance.expovariate(stream.rate)
+            if self._now() + pause >= until:
                 return
+            await asyncio.sleep(pause)
             self.post_one(stream)
 
     def post_one(self, stream: Stream) -> None:
--- a/hollowusher/simulation/faults.py
+++ b/hollowusher/simulation/faults.py
@@ -1,7 +1,7 @@
 """Random troubles of a day.
 
-Of the machines that count, no more than `faultTolerance` are lost at a time; all of them may be killed or lose
-power at once, with their disks.
+Of the machines that count, no more than `faultTolerance` are lost at a time; all of them may be killed or
+lose power at once, with their disks.
 """
 
 from __future__ import annotations
--- a/hollowusher/simulation/loop.py
+++ b/hollowusher/simulation/loop.py
@@ -81,10 +81,28 @@
     return _current_process.get(None)
 
 
+_hashes = itertools.count(1)
+
+
+class _VirtualFuture(asyncio.Future):  # type: ignore[type-arg]
+    """A future whose hash does not depend on its address, so that sets of futures keep one order."""
+
+    def __init__(self, *, loop: Any = None) -> None:
+        super().__init__(loop=loop)
+        self._hash = next(_hashes)
+
+    def __hash__(self) -> int:
+        return self._hash
+
+
 class _VirtualTask(asyncio.Task):  # type: ignore[type-arg]
     """A task that its process remembers."""
 
+    def __hash__(self) -> int:
+        return self._hash
+
     def __init__(self, coro: Any, *, loop: Any = None, name: Any = None, context: Any = None) -> None:
+        self._hash = next(_hashes)
         super().__init__(coro, loop=loop, name=name, context=context)
         process = context.get(_current_process) if context is not None else current_process()
         if process is not None:
@@ -111,6 +129,10 @@
         """The virtual time in seconds."""
         return self._now
 
+    def create_future(self) -> asyncio.Future[Any]:
+        """A future of this loop."""
+        return _VirtualFuture(loop=self)
+
     def call_soon(self, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
                   context: Any = None) -> asyncio.Handle:
         """Run a callback at the present virtual time, after those already ready."""
