--- a/hollowusher/simulation/day.py
+++ b/hollowusher/simulation/day.py
@@ -423,6 +423,7 @@
         day = Day(loop, seed, plan, build)
         loop.play(day.play())
         found = day.judge()
+        day.world.collect_failures()
         failures = day.world.program_failures + day.world.network.handler_failures + loop.failures
         figures = day.figures()
         figures["processor s"] = time.process_time() - begun
--- a/hollowusher/simulation/loop.py
+++ b/hollowusher/simulation/loop.py
@@ -11,6 +11,7 @@
 import contextvars
 import heapq
 import itertools
+import traceback
 import weakref
 from collections import deque
 from collections.abc import Callable, Coroutine
@@ -62,16 +63,32 @@
         """Hold on to a task of this process."""
         self._tasks.append(task)
         if len(self._tasks) > 2_000:
-            self._tasks = [kept for kept in self._tasks if not kept.done()]
+            self.collect_failures()
+
+    def collect_failures(self) -> None:
+        """Note the errors of ended tasks that nobody has asked for, and forget those tasks."""
+        for task in self._tasks:
+            if task.done() and not task.cancelled() and task._log_traceback:
+                self.failures.append(_describe_failure(task))
+        self._tasks = [kept for kept in self._tasks if not kept.done()]
 
     def kill(self) -> None:
         """End at once: nothing of it runs again."""
         self.alive = False
+        self.collect_failures()
         self._held.clear()
         for task in self._tasks:
             task._log_destroy_pending = False  # type: ignore[attr-defined]
 
 
+def _describe_failure(task: asyncio.Task[Any]) -> str:
+    error = task.exception()
+    assert error is not None
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f"{frames[-1].filename.rpartition('/')[2]}:{frames[-1].lineno}" if frames else "unknown"
+    return f"task failed: {type(error).__name__}: {error} ({place})"
+
+
 _current_process: contextvars.ContextVar[SimulatedProcess] = contextvars.ContextVar("simulated_process")
 _outside = contextvars.Context()
 
--- a/hollowusher/simulation/programs.py
+++ b/hollowusher/simulation/programs.py
@@ -123,9 +123,9 @@
         return answer.body
 
 
-def parse_request(parts: list[bytes]) -> HttpRequest:
+def parse_request(sent: bytes) -> HttpRequest:
     """The request in the bytes that a client would send."""
-    head, _, body = b"".join(parts).partition(b"\r\n\r\n")
+    head, _, body = sent.partition(b"\r\n\r\n")
     first, *lines = head.decode("utf-8", "surrogateescape").split("\r\n")
     method, target, _ = first.split(" ")
     headers = dict(line.split(": ", 1) for line in lines)
--- a/hollowusher/simulation/world.py
+++ b/hollowusher/simulation/world.py
@@ -258,11 +258,22 @@
         machine.program = None
         if process is None:
             return
-        self.program_failures += [f"{process}: {text}" for text in process.failures]
         process.kill()
+        self._note_failures(process)
         self.network.process_ended(process)
         self.http.process_ended(process)
 
+    def _note_failures(self, process: SimulatedProcess) -> None:
+        process.collect_failures()
+        self.program_failures += [f"{process}: {text}" for text in process.failures]
+        process.failures.clear()
+
+    def collect_failures(self) -> None:
+        """Note the errors of the running processes that nobody caught."""
+        for machine in self.machines.values():
+            if machine.process is not None:
+                self._note_failures(machine.process)
+
     def kill(self, machine: Machine) -> None:
         """SIGKILL: the disk stays as it was written."""
         self._end(machine)
