--- /dev/null
+++ b/hollowusher/roles/signals.py
@@ -0,0 +1,64 @@
+"""Signals and changes of the settings file, for any role.
+
+SIGTERM asks for an orderly end.  SIGHUP says that the settings file has changed; as it may also change
+without a signal, its time of change is looked at now and then.  A file that cannot be used changes nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from collections.abc import Callable
+
+from hollowusher.configuration.boot import BootSettings, SettingsError, read_settings
+from hollowusher.roles.logs import log
+
+WATCH_EVERY_S = 2.0
+
+
+class SettingsWatch:
+    """Follows the settings file; `changed` is called with each new content that is in order."""
+
+    def __init__(self, path: str, settings: BootSettings, changed: Callable[[BootSettings], None]) -> None:
+        self.settings = settings
+        self.refused = 0
+        self._path = path
+        self._changed = changed
+        self._stamp = self._read_stamp()
+
+    def reload(self) -> None:
+        """Read the file again; a fault is logged and changes nothing."""
+        self._stamp = self._read_stamp()
+        try:
+            settings = read_settings(self._path)
+        except SettingsError as error:
+            self.refused += 1
+            log("settings_refused", reason=str(error))
+            return
+        if settings != self.settings:
+            self.settings = settings
+            log("settings_taken")
+            self._changed(settings)
+
+    async def run(self) -> None:
+        """Look at the file's time of change now and then."""
+        while True:
+            await asyncio.sleep(WATCH_EVERY_S)
+            if self._read_stamp() != self._stamp:
+                self.reload()
+
+    def _read_stamp(self) -> tuple[int, int]:
+        try:
+            status = os.stat(self._path)
+        except OSError:
+            return 0, 0
+        return status.st_mtime_ns, status.st_size
+
+
+def on_signals(stop: Callable[[], None], reload: Callable[[], None]) -> None:
+    """Call `stop` at SIGTERM or SIGINT and `reload` at SIGHUP."""
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop)
+    loop.add_signal_handler(signal.SIGINT, stop)
+    loop.add_signal_handler(signal.SIGHUP, reload)
