--- a/hollowusher/messages/primary.py
+++ b/hollowusher/messages/primary.py
@@ -96,6 +96,26 @@
     proposal: Proposal | None
 
 
+class LeaseEnd(NamedTuple):
+    """What the holder of a lease reported."""
+
+    lease: int
+    result: str
+    signature: str
+
+    def is_last_of(self, state: State) -> bool:
+        """Whether the message's state holds this end already: the report is a repeat."""
+        return state.last_lease == self.lease and state.last_result == self.result
+
+    def enter(self, state: State) -> None:
+        """Write the end into the message's state."""
+        state.last_lease = self.lease
+        state.last_result = self.result
+        state.attempts += self.result == "failed"
+        if state.status is Status.COMPLETED:
+            state.signature = self.signature
+
+
 class _Expiry(NamedTuple):
     expires_at: float
     number: int
@@ -109,6 +129,11 @@
     message: ActiveMessage
 
 
+def last_lease_of(entry: Entry) -> int:
+    """The number of the lease that finished last, 0: none has."""
+    return entry.state.last_lease if entry.state is not None else 0
+
+
 def callback_service(url: str) -> str:
     """The pseudo service of a call-back address, empty where the URL has no host."""
     try:
@@ -212,12 +237,21 @@
         entry = self.table.entries.get(lease.key)
         if entry is None:
             return GONE
-        if entry.state is not None and entry.state.last_lease == lease.number:
+        end = LeaseEnd(lease.number, finish.result, finish.signature)
+        if entry.state is not None and end.is_last_of(entry.state):
             return self.pending.get(lease.key) or TAKEN
         active = self._active.get(lease.key)
-        if active is None or active.ending or not self._holds(active, entry, lease.number):
+        if active is None or active.ending or not self._may_end(active, entry, lease.number):
             return GONE
-        return self._take_result(active, entry, lease.number, finish, now, wall_ms)
+        return self._take_result(active, entry, end, finish.retry_ms / 1000, now, wall_ms)
+
+    def holds(self, grant: Grant) -> bool:
+        """Whether a grant still stands: its lease may have run out before it was committed."""
+        lease = records.parse_lease_id(grant.job.lease)
+        if lease is None or lease.callback:
+            return True
+        active = self._leased.get(lease.key)
+        return active is not None and active.lease == lease.number
 
     def give_back(self, grant: Grant, now: float, wall_ms: int) -> None:
         """A lease that never reached its dispatcher."""
@@ -236,7 +270,7 @@
             visibility_ms = entry.state.visibility_ms if entry.state is not None else 0
             active.expires_at = now + (visibility_ms or self._visibility_ms) / 1000 + PULL_GRACE_S
             return TAKEN
-        if not self._holds(active, entry, lease.number):
+        if lease.number == last_lease_of(entry) or not self._may_end(active, entry, lease.number):
             return GONE
         return self._adopt_lease(active, entry, lease.number, now, wall_ms)
 
@@ -257,7 +291,7 @@
         while self._retentions and self._retentions[0].until <= now:
             message = heapq.heappop(self._retentions).message
             if message.stage in (Stage.WAITING, Stage.READY):
-                self._end(message, Status.DEAD_LETTER, 0, "", now, wall_ms)
+                self._end(message, Status.DEAD_LETTER, now, wall_ms)
         self.queue.advance(now)
 
     def postpone_leases(self, seconds: float) -> None:
@@ -298,7 +332,7 @@
             if active.stage not in (Stage.WAITING, Stage.READY):
                 continue
             if self._dropped(active):
-                self._end(active, Status.DEAD_LETTER, 0, "", now, wall_ms)
+                self._end(active, Status.DEAD_LETTER, now, wall_ms)
             elif self._service_for(active.route, active.service) != active.service:
                 self._change_service(active, active.ready_at, now)
 
@@ -419,7 +453,7 @@
         if active.stage not in (Stage.HELD, Stage.LEASED) or active.ending:
             return
         if active.retained_until <= now or self._dropped(active):
-            self._end(active, Status.DEAD_LETTER, 0, "", now, wall_ms)
+            self._end(active, Status.DEAD_LETTER, now, wall_ms)
         elif self._service_for(active.route, active.service) != active.service:
             self._change_service(active, ready_at, now)
         else:
@@ -435,39 +469,47 @@
         state.lease = state.version[1]
         state.dispatcher, state.incarnation = request.dispatcher, request.incarnation
         state.pull, state.visibility_ms = request.pull, request.visibility_ms
-        proposal = self._propose_state(active.key, state, False, now, wall_ms)
+        lasts_s = self._lease_seconds(active, state)
+        proposal = self._propose_state(
+            active.key, state, False, now, wall_ms, partial(self._granted, active, state.lease, lasts_s))
         active.lease = state.lease
         self._leased[active.key] = active
-        self._start_expiry(active, now + self._lease_seconds(active, state))
+        self._start_expiry(active, now + lasts_s)
         lease = records.lease_id_of(self.partition, active.key, state.lease)
         return Grant(Job(lease, put.message, state.attempts, START_WITHIN_MS), proposal)
 
+    @staticmethod
+    def _granted(active: ActiveMessage, lease: int, lasts_s: float, now: float, wall_ms: int) -> None:
+        """A lease is committed and goes out now: it counts from here."""
+        if active.lease == lease:
+            active.expires_at = max(active.expires_at, now + lasts_s)
+
     def _lease_seconds(self, active: ActiveMessage, state: State) -> float:
         if state.pull:
             return (state.visibility_ms or self._visibility_ms) / 1000 + PULL_GRACE_S
         return active.timeout_ms / 1000 + PUSH_GRACE_S
 
-    def _holds(self, active: ActiveMessage, entry: Entry, number: int) -> bool:
-        """Whether this lease is the current one, or may be taken for it because its record was lost."""
+    @staticmethod
+    def _may_end(active: ActiveMessage, entry: Entry, number: int) -> bool:
+        """Whether this lease is the current one, or may stand for it: nobody has the message, and no later
+        lease has ended.  Its record was lost, it ran out, or it was given back by mistake."""
         if active.lease:
             return active.lease == number
-        last_lease = entry.state.last_lease if entry.state is not None else 0
-        return number > last_lease and active.stage in (Stage.WAITING, Stage.READY)
-
-    def _take_result(self, active: ActiveMessage, entry: Entry, number: int, finish: Finish, now: float,
-                     wall_ms: int) -> Proposal:
-        result = finish.result
-        if result == "success":
-            return self._end(active, Status.COMPLETED, number, finish.signature, now, wall_ms)
-        if result == "refused":
-            return self._end(active, Status.DEAD_LETTER, number, "", now, wall_ms)
+        return number >= last_lease_of(entry) and active.stage in (Stage.WAITING, Stage.READY)
+
+    def _take_result(self, active: ActiveMessage, entry: Entry, end: LeaseEnd, least_wait_s: float,
+                     now: float, wall_ms: int) -> Proposal:
+        if end.result == "success":
+            return self._end(active, Status.COMPLETED, now, wall_ms, end)
+        if end.result == "refused":
+            return self._end(active, Status.DEAD_LETTER, now, wall_ms, end)
         attempts = entry.state.attempts if entry.state is not None else 0
-        if result == "failed":
+        if end.result == "failed":
             attempts += 1
             if attempts >= active.max_attempts:
-                return self._end(active, Status.DEAD_LETTER, number, "", now, wall_ms, attempts)
-        wait_s = max(self._backoff(active, result, attempts), finish.retry_ms / 1000)
-        return self._requeue(active, now + wait_s, now, wall_ms, number, attempts)
+                return self._end(active, Status.DEAD_LETTER, now, wall_ms, end)
+        wait_s = max(self._backoff(active, end.result, attempts), least_wait_s)
+        return self._requeue(active, now + wait_s, now, wall_ms, end)
 
     def _backoff(self, active: ActiveMessage, result: str, attempts: int) -> float:
         jitter = 0.75 + 0.5 * self._chance()
@@ -480,12 +522,11 @@
             return min(FAILED_MOST_S, FAILED_FIRST_S * 2.0 ** min(attempts - 1, MOST_DOUBLINGS)) * jitter
         return UNKNOWN_S * jitter
 
-    def _requeue(self, active: ActiveMessage, ready_at: float, now: float, wall_ms: int, last_lease: int = 0,
-                 attempts: int | None = None) -> Proposal:
+    def _requeue(self, active: ActiveMessage, ready_at: float, now: float, wall_ms: int,
+                 end: LeaseEnd | None = None) -> Proposal:
         state = self._changed_state(active.key)
-        state.last_lease = last_lease or state.last_lease
-        if attempts is not None:
-            state.attempts = attempts
+        if end is not None:
+            end.enter(state)
         proposal = self._propose_state(active.key, state, False, now, wall_ms)
         self._clear_lease(active)
         if active.stage is not Stage.LEASED:
@@ -493,18 +534,16 @@
         self._release(active, ready_at, now, wall_ms)
         return self.pending.get(active.key, proposal)
 
-    def _end(self, active: ActiveMessage, status: Status, last_lease: int, signature: str, now: float,
-             wall_ms: int, attempts: int | None = None) -> Proposal:
+    def _end(self, active: ActiveMessage, status: Status, now: float, wall_ms: int,
+             end: LeaseEnd | None = None) -> Proposal:
         state = self._changed_state(active.key)
         state.status = status
-        state.last_lease = last_lease or state.last_lease
-        state.signature = signature
+        if end is not None:
+            end.enter(state)
         state.ended_ms = wall_ms
         state.id = active.id
         state.callback_owed = bool(callback_service(active.callback_url)) if active.callback_url else False
         state.callback_url = active.callback_url if state.callback_owed else ""
-        if attempts is not None:
-            state.attempts = attempts
         proposal = self._propose_state(active.key, state, True, now, wall_ms, partial(self._ended, active))
         self._clear_lease(active)
         active.ending = True
@@ -611,7 +650,7 @@
         if active is not None and not active.ending:
             active.callback_url = ""
             active.id = ""
-            self._end(active, Status.COMPLETED, 0, "", now, wall_ms)
+            self._end(active, Status.COMPLETED, now, wall_ms)
         return False
 
     # Call-backs
--- a/hollowusher/messages/records.py
+++ b/hollowusher/messages/records.py
@@ -83,6 +83,7 @@
     pull: bool = False
     visibility_ms: int = 0
     last_lease: int = 0  # the lease that finished last: a repeat of its end gets the same answer
+    last_result: str = ""  # and what it ended with
     signature: str = ""
     callback_owed: bool = False
     ended_ms: int = 0  # wall clock
@@ -90,9 +91,6 @@
     callback_url: str = ""
 
 
-_STATE_FIELDS = tuple(field.name for field in attrs.fields(State))[1:]
-
-
 def header_of(record: bytes) -> Header:
     """The fixed part of a record; ValueError where the bytes are none."""
     if len(record) < _HEADER.size:
@@ -118,8 +116,8 @@
     """A STATE record of the message `key`."""
     values = [
         state.status.value, state.attempts, state.lease, state.dispatcher, state.incarnation, state.pull,
-        state.visibility_ms, state.last_lease, state.signature, state.callback_owed, state.ended_ms, state.id,
-        state.callback_url,
+        state.visibility_ms, state.last_lease, state.last_result, state.signature, state.callback_owed,
+        state.ended_ms, state.id, state.callback_url,
     ]
     return _HEADER.pack(Kind.STATE, partition, *state.version) + ormsgpack.packb([*key, *values])
 
--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -230,9 +230,12 @@
         """The jobs whose leases a quorum knows; the others are given back."""
         jobs = []
         for host, grant in taken:
-            if grant.proposal is None or await self._committed(grant.proposal):
+            committed = grant.proposal is None or await self._committed(grant.proposal)
+            if host.primary is None:
+                continue
+            if committed and host.primary.holds(grant):
                 jobs.append(grant.job)
-            elif host.primary is not None:
+            else:
                 host.primary.give_back(grant, self._now(), self._wall_ms())
                 self._after(host)
         return jobs
--- a/tests/message_store.py
+++ b/tests/message_store.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, cast
 
 import attrs
 import orjson
@@ -12,7 +12,16 @@
 from hollowusher.configuration.boot import Bounds, BootSettings, FaultTolerance
 from hollowusher.coordination.cluster_state import CONFIGURATION, PLACEMENT, VIEW, ClusterState
 from hollowusher.messages.service import StoreService
-from hollowusher.protocol.control import Done, Item, LearnerReady, Member, PartitionPlacement, Placement, View, Voter
+from hollowusher.protocol.control import (
+    Done,
+    Item,
+    LearnerReady,
+    Member,
+    PartitionPlacement,
+    Placement,
+    View,
+    Voter,
+)
 from hollowusher.protocol.store import (
     Finish,
     Job,
@@ -41,7 +50,7 @@
     plain = NewMessage(
         id=message_id, route="r", service="s", method="POST", path="/x/1", host="a.example",
         body=message_id.encode(), max_attempts=3, retention_ms=60_000, timeout_ms=1_000)
-    return attrs.evolve(plain, **changes)
+    return attrs.evolve(cast(Any, plain), **changes)  # type: ignore[no-any-return]
 
 
 def configuration(generation: int, routes: list[dict[str, Any]] | None = None, **rates: float) -> bytes:
@@ -83,7 +92,8 @@
         self.state = ClusterState()
         cluster.tell(self.state)
         settings = BootSettings(
-            self.name, "storage", fault_tolerance=FaultTolerance(cluster.tolerated), bounds=Bounds(status_s=60))
+            self.name, "storage", fault_tolerance=FaultTolerance(cluster.tolerated),
+            bounds=Bounds(status_s=60))
         self.service = StoreService(
             self.member(), self.store_id, transport, self.log, self.state, settings, cluster.chance.random,
             cluster.wall_ms)
@@ -197,8 +207,8 @@
         assert answer.status == "stored", answer
         return answer.reference
 
-    async def lease(self, store: int = 0, most: int = 1, wait_ms: int = 0, service: str = "s", pull: bool = False,
-                    visibility_ms: int = 0, incarnation: int = 1) -> list[Job]:
+    async def lease(self, store: int = 0, most: int = 1, wait_ms: int = 0, service: str = "s",
+                    pull: bool = False, visibility_ms: int = 0, incarnation: int = 1) -> list[Job]:
         request = LeaseRequest("edge-1", incarnation, service, most, wait_ms, pull, visibility_ms)
         answer = await self.call(store, request, timeout=wait_ms / 1000 + 10)
         assert isinstance(answer, Leased)
--- /dev/null
+++ b/tests/test_partition.py
@@ -0,0 +1,810 @@
+"""The primary of a partition: ends, attempts, leases, call-backs, retention; compared with a plain model."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+import attrs
+import pytest
+
+from hollowusher.configuration.model import read_document
+from hollowusher.messages import records
+from hollowusher.messages.primary import CALLBACK_LEASE_S, Grant, PartitionPrimary, callback_service
+from hollowusher.messages.proposal import Proposal
+from hollowusher.messages.records import Key, LeaseId, State, Status
+from hollowusher.messages.table import PartitionTable, RecordCache
+from hollowusher.protocol.store import (
+    Finish,
+    LeaseAnswer,
+    LeaseRequest,
+    NewMessage,
+    PutAnswer,
+    StatusAnswer,
+)
+from hollowusher.storage.memory import MemoryLog
+from tests.message_store import EPOCH_MS, configuration, message
+
+URL = "http://10.9.0.1:8080/done"
+CALLBACKS = "callback:10.9.0.1:8080"
+
+
+def new_table(cache_bytes: int = 1_000_000) -> PartitionTable:
+    return PartitionTable(0, MemoryLog(segments=256), RecordCache(cache_bytes), 60_000)
+
+
+class Partition:
+    """One partition at its primary; every proposal is committed at once unless `hold` is set."""
+
+    def __init__(self, table: PartitionTable | None = None, epoch: int = 1, now: float = 100.0) -> None:
+        self.now = now
+        self.hold = False
+        self.table = table or new_table()
+        self.held: list[Proposal] = []
+        self.primary = PartitionPrimary(
+            self.table, epoch, read_document(configuration(1)), 3_000, lambda: 0.5, now, self.wall_ms)
+
+    @property
+    def wall_ms(self) -> int:
+        return EPOCH_MS + int(self.now * 1000)
+
+    def commit(self) -> None:
+        """Commit all that was proposed."""
+        while self.held or self.primary.outbox:
+            proposals, self.held, self.primary.outbox = self.held + self.primary.outbox, [], []
+            for proposal in proposals:
+                self.primary.commit(proposal, self.now, self.wall_ms)
+
+    def stepped(self) -> None:
+        if not self.hold:
+            self.commit()
+
+    def put(self, new: NewMessage) -> Key:
+        kept = self.primary.put(new, self.now, self.wall_ms)
+        self.stepped()
+        if isinstance(kept, Proposal):
+            return kept.key
+        parsed = records.parse_reference(kept.reference)
+        assert parsed is not None
+        return parsed[1]
+
+    def lease(self, most: int = 1, service: str = "s", pull: bool = False,
+              dispatcher: str = "e") -> list[Grant]:
+        request = LeaseRequest(dispatcher, 1, service, most, 0, pull, 3_000 if pull else 0)
+        grants = self.primary.lease(request, most, self.now, self.wall_ms)
+        self.stepped()
+        return grants
+
+    def finish(self, grant: Grant, result: str, signature: str = "", retry_ms: int = 0) -> str:
+        finish = Finish(grant.job.lease, result, signature, retry_ms)
+        answer = self.primary.finish(lease_of(grant), finish, self.now, self.wall_ms)
+        self.stepped()
+        return answer.status if isinstance(answer, LeaseAnswer) else "taken"
+
+    def extend(self, grant: Grant) -> str:
+        answer = self.primary.extend(lease_of(grant), self.now, self.wall_ms)
+        self.stepped()
+        return answer.status if isinstance(answer, LeaseAnswer) else "taken"
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass, event by event."""
+        until = self.now + seconds
+        while (due := self.primary.next_time()) is not None and due <= until:
+            self.now = max(self.now, due)
+            self.primary.advance(self.now, self.wall_ms)
+            self.stepped()
+        self.now = until
+
+    def release_dispatchers(self, alive: Callable[[str, int], bool]) -> None:
+        self.primary.release_dispatchers(alive, self.now, self.wall_ms)
+        self.stepped()
+
+    def configure(self, document: bytes) -> None:
+        self.primary.configure(read_document(document), self.now, self.wall_ms)
+        self.stepped()
+
+    def status(self, key: Key, body: bool = False) -> StatusAnswer:
+        return self.primary.status(key, body)
+
+    def taken_over(self) -> Partition:
+        """The next primary, which holds what this one's table holds."""
+        return Partition(self.table, self.primary.epoch + 1, self.now)
+
+
+def lease_of(grant: Grant) -> LeaseId:
+    lease = records.parse_lease_id(grant.job.lease)
+    assert lease is not None
+    return lease
+
+
+class TestEnds:
+    def test_success_completes_with_its_signature(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1"))
+        [grant] = partition.lease()
+        assert partition.finish(grant, "success", "sig") == "taken"
+        assert partition.status(key, body=True) == StatusAnswer("completed", "sig", None)
+
+    def test_a_refused_message_is_dead_and_keeps_its_body(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1"))
+        [grant] = partition.lease()
+        partition.finish(grant, "refused")
+        assert partition.status(key, body=True) == StatusAnswer("dead_letter", "", b"m1")
+
+    def test_attempts_count_failures_alone(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1", max_attempts=2))
+        for result in ("not_run", "unknown", "not_run", "failed", "unknown", "not_run", "failed"):
+            assert partition.status(key).state == "queued"
+            [grant] = partition.lease()
+            partition.finish(grant, result)
+            partition.sleep(3.0)
+        assert partition.status(key).state == "dead_letter"
+        assert partition.lease() == []
+
+    def test_attempts_outlive_the_primary(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1", max_attempts=2))
+        partition.finish(partition.lease()[0], "failed")
+        partition = partition.taken_over()
+        partition.sleep(3.0)
+        [grant] = partition.lease()
+        assert grant.job.attempt == 1
+        partition.finish(grant, "failed")
+        assert partition.status(key).state == "dead_letter"
+
+    def test_retention_ends_a_waiting_message(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1", delay_ms=90_000, retention_ms=60_000))
+        partition.sleep(59.9)
+        assert partition.status(key).state == "queued"
+        partition.sleep(0.2)
+        assert partition.status(key).state == "dead_letter"
+        partition.sleep(60)
+        assert partition.lease() == []
+
+    def test_retention_waits_for_the_lease(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1", retention_ms=2_000))
+        [grant] = partition.lease(pull=True)
+        partition.sleep(2.5)
+        assert partition.status(key).state == "queued"
+        assert partition.finish(grant, "success", "sig") == "taken"
+        assert partition.status(key).state == "completed"
+
+    def test_retention_passed_during_a_failed_lease(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1", retention_ms=2_000))
+        [grant] = partition.lease()
+        partition.sleep(2.5)
+        partition.finish(grant, "not_run")
+        assert partition.status(key).state == "dead_letter"
+
+    def test_retention_after_a_takeover_is_never_early(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1", retention_ms=10_000))
+        partition.sleep(5.0)
+        partition = partition.taken_over()
+        partition.sleep(5.5)
+        assert partition.status(key).state == "queued"
+        partition.sleep(10.0)
+        assert partition.status(key).state == "dead_letter"
+
+    def test_no_end_before_its_commit(self) -> None:
+        partition = Partition()
+        partition.put(message("m1", ordering_key="k", callback_url=URL))
+        partition.put(message("m2", ordering_key="k"))
+        [grant] = partition.lease()
+        partition.hold = True
+        partition.finish(grant, "success")
+        assert partition.lease(most=5) == []
+        assert partition.lease(service=CALLBACKS) == []
+        partition.commit()
+        assert [grant.job.message.id for grant in partition.lease(most=5)] == ["m2"]
+        assert len(partition.lease(service=CALLBACKS)) == 1
+
+
+class TestDroppedRoutes:
+    def test_a_newer_configuration_without_the_route_ends_the_message(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1", generation=1))
+        partition.configure(configuration(2, routes=[]))
+        assert partition.status(key, body=True) == StatusAnswer("dead_letter", "", b"m1")
+
+    def test_a_message_of_a_newer_configuration_stays(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1", route="new", generation=2))
+        partition.configure(configuration(1))
+        assert partition.status(key).state == "queued"
+        assert len(partition.lease()) == 1
+
+    def test_a_leased_message_ends_with_its_lease(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1"))
+        [grant] = partition.lease()
+        partition.configure(configuration(2, routes=[]))
+        assert partition.status(key).state == "queued"
+        partition.finish(grant, "unknown")
+        assert partition.status(key).state == "dead_letter"
+
+    def test_a_service_that_is_gone_gives_its_messages_to_the_routes_new_one(self) -> None:
+        partition = Partition()
+        partition.put(message("m1", service="old", ordering_key="k"))
+        partition.configure(configuration(2))
+        assert [grant.job.message.id for grant in partition.lease(service="s")] == ["m1"]
+
+
+class TestLeases:
+    def test_a_push_lease_runs_out_after_the_time_of_a_delivery(self) -> None:
+        partition = Partition()
+        partition.put(message("m1", timeout_ms=1_000))
+        [grant] = partition.lease()
+        partition.sleep(5.4)
+        assert partition.lease() == []
+        partition.sleep(0.2)
+        [again] = partition.lease()
+        assert partition.finish(grant, "success") == "gone"
+        assert partition.finish(again, "success") == "taken"
+
+    def test_a_pull_lease_runs_from_the_last_word(self) -> None:
+        partition = Partition()
+        partition.put(message("m1"))
+        [grant] = partition.lease(pull=True)
+        for _ in range(5):
+            partition.sleep(2.0)
+            assert partition.extend(grant) == "taken"
+        partition.sleep(3.2)
+        assert partition.lease() == []
+        partition.sleep(0.2)
+        assert len(partition.lease()) == 1
+        assert partition.extend(grant) == "gone"
+
+    def test_the_end_of_an_expired_lease_is_taken_while_nobody_else_has_the_job(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1"))
+        [grant] = partition.lease(pull=True)
+        partition.sleep(4.0)
+        assert partition.finish(grant, "success", "sig") == "taken"
+        assert partition.status(key).state == "completed"
+        assert partition.lease() == []
+
+    def test_an_older_end_is_gone_once_a_later_lease_has_ended(self) -> None:
+        partition = Partition()
+        partition.put(message("m1"))
+        [first] = partition.lease(pull=True)
+        partition.sleep(4.0)
+        [second] = partition.lease(pull=True)
+        assert partition.finish(second, "failed") == "taken"
+        assert partition.finish(first, "success") == "gone"
+        assert partition.finish(second, "failed") == "taken"
+        assert partition.extend(first) == "gone"
+
+    def test_a_success_after_a_mistaken_return_is_taken(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1"))
+        [grant] = partition.lease(pull=True)
+        assert partition.finish(grant, "not_run") == "taken"
+        assert partition.finish(grant, "success", "sig") == "taken"
+        assert partition.status(key) == StatusAnswer("completed", "sig")
+        assert partition.finish(grant, "not_run") == "gone"
+        partition.sleep(5.0)
+        assert partition.lease() == []
+
+    def test_a_lost_lease_record_is_believed(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1"))
+        bare = new_table()
+        for record in partition.table.records_beyond(partition.table.entries[key], None):
+            bare.apply(record, partition.wall_ms)
+        [grant] = partition.lease(pull=True)
+        after = Partition(bare, epoch=2, now=partition.now)
+        assert after.extend(grant) == "taken"
+        assert after.lease() == []
+        after.sleep(2.0)
+        assert after.extend(grant) == "taken"
+        assert after.finish(grant, "success", "sig") == "taken"
+        assert after.status(key).state == "completed"
+
+    def test_a_lease_is_honoured_by_the_next_primary(self) -> None:
+        partition = Partition()
+        partition.put(message("m1"))
+        [grant] = partition.lease(pull=True)
+        partition = partition.taken_over()
+        partition.sleep(3.0)
+        assert partition.lease() == []
+        assert partition.extend(grant) == "taken"
+        assert partition.finish(grant, "not_run") == "taken"
+        assert partition.finish(grant, "not_run") == "taken"
+
+    def test_lease_numbers_never_repeat_after_a_restart(self) -> None:
+        partition = Partition()
+        partition.put(message("m1"))
+        bare = new_table()
+        for entry in partition.table.entries.values():
+            for record in partition.table.records_beyond(entry, None):
+                bare.apply(record, partition.wall_ms)
+        [first] = partition.lease(pull=True)
+        after = Partition(bare, epoch=1, now=partition.now + 0.5)
+        [second] = after.lease(pull=True)
+        assert first.job.lease != second.job.lease
+        assert after.finish(first, "success") == "gone"
+
+    def test_only_the_leases_of_gone_dispatchers_return(self) -> None:
+        partition = Partition()
+        for name in ("m1", "m2", "m3"):
+            partition.put(message(name))
+        partition.lease(dispatcher="gone")
+        partition.lease(dispatcher="there")
+        partition.lease(dispatcher="gone", pull=True)
+        partition.release_dispatchers(lambda name, _: name != "gone")
+        assert [grant.job.message.id for grant in partition.lease(most=5)] == ["m1"]
+
+    def test_waits_grow(self) -> None:
+        partition = Partition()
+        partition.put(message("m1", max_attempts=20))
+
+        def wait_after(result: str) -> float:
+            begun = partition.now
+            while not (grants := partition.lease()):
+                partition.sleep(0.01)
+            took = partition.now - begun
+            partition.finish(grants[0], result)
+            return took
+
+        failed = [wait_after("failed") for _ in range(9)][1:]
+        assert failed == sorted(failed)
+        assert failed[0] == pytest.approx(0.1, abs=0.02)
+        assert failed[-1] == pytest.approx(2.0, abs=0.02)
+        partition.sleep(5.0)
+        not_run = [wait_after("not_run") for _ in range(12)][1:]
+        assert not_run[0] == pytest.approx(0.05, abs=0.02)
+        assert not_run[-1] == pytest.approx(1.0, abs=0.02)
+        assert [wait_after("unknown") for _ in range(3)][2] == pytest.approx(0.2, abs=0.02)
+
+    def test_a_wait_that_was_asked_for_is_kept(self) -> None:
+        partition = Partition()
+        partition.put(message("m1"))
+        partition.finish(partition.lease()[0], "not_run", retry_ms=4_000)
+        partition.sleep(3.9)
+        assert partition.lease() == []
+        partition.sleep(0.2)
+        assert len(partition.lease()) == 1
+
+
+class TestPutting:
+    def test_the_same_id_is_kept_once_at_all_primaries(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1"))
+        assert partition.put(message("m1")) == key
+        partition = partition.taken_over()
+        assert partition.put(message("m1")) == key
+        partition.finish(partition.lease()[0], "success")
+        partition = partition.taken_over()
+        assert partition.put(message("m1")) == key
+        assert partition.lease(most=5) == []
+
+    def test_a_repeat_waits_for_the_same_commit(self) -> None:
+        partition = Partition()
+        partition.hold = True
+        first = partition.primary.put(message("m1"), partition.now, partition.wall_ms)
+        second = partition.primary.put(message("m1"), partition.now, partition.wall_ms)
+        assert first is second
+        assert partition.lease() == []
+        partition.commit()
+        third = partition.primary.put(message("m1"), partition.now, partition.wall_ms)
+        assert isinstance(third, PutAnswer) and third.status == "stored"
+
+    def test_a_message_that_turns_up_twice_runs_once(self) -> None:
+        old = Partition()
+        old.hold = True
+        hidden = old.put(message("m1"))
+        after = Partition(epoch=2)
+        kept = after.put(message("m1"))
+        for record in old.table.records_beyond(old.table.entries[hidden], None):
+            after.table.apply(record, after.wall_ms)
+        after.primary.adopt(hidden, after.now, after.wall_ms)
+        after.commit()
+        assert [lease_of(grant).key for grant in after.lease(most=5)] == [kept]
+
+    def test_a_delayed_message_is_not_early_after_a_takeover(self) -> None:
+        partition = Partition()
+        partition.put(message("m1", delay_ms=5_000))
+        partition.sleep(2.0)
+        partition = partition.taken_over()
+        partition.sleep(2.9)
+        assert partition.lease() == []
+        partition.sleep(0.2)
+        assert len(partition.lease()) == 1
+
+    def test_bodies_beyond_the_cache_come_from_the_log(self) -> None:
+        partition = Partition(new_table(cache_bytes=10))
+        key = partition.put(message("m1", body=b"x" * 1000))
+        assert partition.table.entries[key].put_record is None
+        assert partition.status(key, body=True).body == b"x" * 1000
+        assert partition.lease()[0].job.message.body == b"x" * 1000
+
+
+class TestCeiling:
+    def test_starts_empty_and_spreads(self) -> None:
+        partition = Partition()
+        partition.configure(configuration(2, s=10.0))
+        for number in range(50):
+            partition.put(message(f"m{number}"))
+        assert partition.lease(most=50) == []
+        assert not partition.primary.has_ready("s", partition.now)
+        assert partition.primary.next_token_time("s", partition.now) == pytest.approx(partition.now + 1 / 9.7)
+        partition.sleep(1.0)
+        assert len(partition.lease(most=50)) == 1  # the burst is small
+        assert len(partition.lease(most=50)) == 0
+
+    def test_no_ceiling_no_wait(self) -> None:
+        partition = Partition()
+        partition.put(message("m1"))
+        assert partition.primary.next_token_time("s", partition.now) is None
+        assert partition.primary.has_ready("s", partition.now)
+
+
+class TestCallBacks:
+    def test_its_lease_runs_out(self) -> None:
+        partition = Partition()
+        partition.put(message("m1", callback_url=URL))
+        partition.finish(partition.lease()[0], "success")
+        [owed] = partition.lease(service=CALLBACKS)
+        partition.sleep(CALLBACK_LEASE_S - 0.1)
+        assert partition.lease(service=CALLBACKS) == []
+        partition.sleep(0.2)
+        [again] = partition.lease(service=CALLBACKS)
+        assert partition.finish(owed, "failed") == "gone"
+        assert partition.finish(again, "success") == "taken"
+        assert partition.finish(again, "success") == "taken"
+
+    def test_a_success_by_an_old_lease_counts(self) -> None:
+        partition = Partition()
+        partition.put(message("m1", callback_url=URL))
+        partition.finish(partition.lease()[0], "success")
+        [owed] = partition.lease(service=CALLBACKS)
+        partition = partition.taken_over()
+        assert partition.finish(owed, "success") == "taken"
+        assert partition.lease(service=CALLBACKS) == []
+        assert partition.taken_over().lease(service=CALLBACKS) == []
+
+    def test_a_dead_dispatcher_gives_it_back(self) -> None:
+        partition = Partition()
+        partition.put(message("m1", callback_url=URL))
+        partition.finish(partition.lease()[0], "success")
+        partition.lease(service=CALLBACKS, dispatcher="gone")
+        partition.release_dispatchers(lambda *_: False)
+        assert len(partition.lease(service=CALLBACKS)) == 1
+
+    def test_waits_grow(self) -> None:
+        partition = Partition()
+        partition.put(message("m1", callback_url=URL))
+        partition.finish(partition.lease()[0], "success")
+        waits = []
+        for _ in range(6):
+            begun = partition.now
+            while not (owed := partition.lease(service=CALLBACKS)):
+                partition.sleep(0.01)
+            waits.append(partition.now - begun)
+            partition.finish(owed[0], "failed")
+        assert waits == pytest.approx([0.0, 0.3, 0.6, 1.2, 2.4, 3.0], abs=0.02)
+
+    def test_addresses(self) -> None:
+        assert callback_service("http://10.0.0.4:8080/path") == "callback:10.0.0.4:8080"
+        assert callback_service("http://10.0.0.4/path") == "callback:10.0.0.4:80"
+        assert callback_service("nonsense") == callback_service("http://h:x/") == ""
+
+
+class TestForgetting:
+    def test_ended_messages_are_kept_and_then_forgotten(self) -> None:
+        partition = Partition()
+        log = partition.table._log
+        assert isinstance(log, MemoryLog)
+        empty = log.free_bytes()
+        done, dead = partition.put(message("m1")), partition.put(message("m2"))
+        waiting = partition.put(message("m3", delay_ms=100_000, retention_ms=900_000))
+        first, second = partition.lease(most=2)
+        partition.finish(first, "success")
+        partition.finish(second, "refused")
+        partition.sleep(59.0)
+        assert partition.table.forget_expired(partition.wall_ms) == []
+        partition.sleep(2.0)
+        forgotten = partition.table.forget_expired(partition.wall_ms)
+        partition.primary.forgotten(forgotten)
+        assert sorted(forgotten) == [done, dead]
+        states = [partition.status(key).state for key in (done, dead, waiting)]
+        assert states == ["unknown", "unknown", "queued"]
+        assert partition.put(message("m1")) != done
+        log.release(partition.table.entries[waiting].put_position)  # type: ignore[arg-type]
+        assert empty - log.free_bytes() < 300  # one record of the new m1
+
+    def test_an_end_whose_call_back_is_owed_is_kept(self) -> None:
+        partition = Partition()
+        key = partition.put(message("m1", callback_url=URL))
+        partition.finish(partition.lease()[0], "success")
+        partition.sleep(100.0)
+        assert partition.table.forget_expired(partition.wall_ms) == []
+        assert partition.status(key).state == "completed"
+        [owed] = partition.lease(service=CALLBACKS)
+        partition.finish(owed, "success")
+        assert partition.table.forget_expired(partition.wall_ms) == [key]
+
+
+class TestRecords:
+    def test_put_and_state_survive_packing(self) -> None:
+        put = records.Put(5, 6, 7, message("m1", headers=[["a", "b"]], body=bytes(range(256))))
+        record = records.pack_put(3, (9, 1 << 60), put)
+        assert records.header_of(record) == (records.Kind.PUT, 3, 9, 1 << 60)
+        assert records.unpack_put(record) == put
+        state = State((4, 5), Status.DEAD_LETTER, 2, 7, "e", 1, True, 3, 4, "failed", "", True, 9, "m1", URL)
+        record = records.pack_state(3, (1, 2), state)
+        assert records.unpack_state(record, records.header_of(record).version) == ((1, 2), state)
+
+    def test_names(self) -> None:
+        assert records.parse_reference(records.reference_of(3, (1, 2))) == (3, (1, 2))
+        for nonsense in ("", "1-2", "1-2-x", "1-2-3-4", "-1-2-3", "1-2-³"):
+            assert records.parse_reference(nonsense) is None
+        for callback in (False, True):
+            lease = records.lease_id_of(3, (1, 2), 4, callback)
+            assert records.parse_lease_id(lease) == LeaseId(3, (1, 2), 4, callback)
+        for nonsense in ("", "1-2-3", "1-2-3-", "1-2-3-d4", "1-2-3-c"):
+            assert records.parse_lease_id(nonsense) is None
+        assert len(records.reference_of(4095, (10**6, 1 << 62))) <= 64
+
+
+# Random plays against a plain model
+
+
+@attrs.define(eq=False)
+class ModelMessage:
+    """What a plain observer knows of one message."""
+
+    new: NewMessage
+    key: Key
+    due: float
+    stored: bool = False  # its put was acknowledged
+    ended: bool = False  # an end of it was sent
+    taken_success: set[str] = attrs.Factory(set)  # leases whose success was taken
+    failures_sent: int = 0
+    failures_taken: int = 0  # of those, how many were acknowledged
+    refused: bool = False  # a worker refused it
+    refusal_taken: bool = False  # and that was acknowledged
+    holder: str = ""  # the lease that nobody else may get
+    held_until: float = 0.0
+
+
+class ModelPlay:
+    """Three replicas, a primary on one of them, and a plain record of all that was said."""
+
+    VISIBILITY_S = 3.0
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.now = 100.0
+        self.epoch = 0
+        self.tables = [new_table() for _ in range(3)]
+        self.messages: dict[Key, ModelMessage] = {}
+        self.leases: dict[str, ModelMessage] = {}
+        self.in_flight: list[tuple[int, Proposal, int]] = []  # epoch, proposal, replica that lacks it
+        self.home = 0
+        self.primary = self.take_over(0)
+        self.grants = 0
+
+    @property
+    def wall_ms(self) -> int:
+        return EPOCH_MS + int(self.now * 1000)
+
+    def take_over(self, home: int) -> PartitionPrimary:
+        """A new primary merges with one other replica, both ways; the third is out of reach."""
+        self.epoch += 1
+        other = self.chance.choice([number for number in range(3) if number != home])
+        one, two = self.tables[home], self.tables[other]
+        for source, target in ((two, one), (one, two)):
+            found, _ = source.newer_than(target.versions(range(64)))
+            for record in found:
+                target.apply(record, self.wall_ms)
+        assert one.digests() == two.digests()
+        for _, proposal, _ in self.in_flight:
+            proposal.answer(False)
+        self.in_flight.clear()
+        self.home = home
+        return PartitionPrimary(
+            one, self.epoch, read_document(configuration(1)), 3_000, self.chance.random, self.now,
+            self.wall_ms)
+
+    def collect(self) -> None:
+        """Send what was proposed."""
+        for proposal in self.primary.outbox:
+            for replica in range(3):
+                if replica != self.home:
+                    self.in_flight.append((self.epoch, proposal, replica))
+        self.primary.outbox = []
+
+    def deliver(self, share: float) -> None:
+        """Some records arrive; the first replica besides the primary commits."""
+        waiting, self.in_flight = self.in_flight, []
+        self.chance.shuffle(waiting)
+        for entry in waiting:
+            _, proposal, replica = entry
+            if self.chance.random() > share:
+                self.in_flight.append(entry)
+                continue
+            if proposal.record:
+                self.tables[replica].apply(proposal.record, self.wall_ms)
+            if not proposal.committed:
+                self.primary.commit(proposal, self.now, self.wall_ms)
+                self.collect()
+
+    def put(self) -> None:
+        number = len(self.messages)
+        known = [entry.new for entry in self.messages.values()]
+        if known and self.chance.random() < 0.1:
+            new = self.chance.choice(known)
+        else:
+            new = message(
+                f"m{number}", ordering_key=self.chance.choice(["", "", "a", "b"]), max_attempts=2,
+                delay_ms=self.chance.choice([0, 0, 0, 500]), priority=self.chance.randrange(2),
+                retention_ms=10_000_000)
+        kept = self.primary.put(new, self.now, self.wall_ms)
+        if isinstance(kept, PutAnswer):
+            parsed = records.parse_reference(kept.reference)
+            assert parsed is not None and parsed[1] in self.messages
+            return
+        entry = self.messages.setdefault(
+            kept.key, ModelMessage(new, kept.key, self.now + new.delay_ms / 1000))
+        kept.wait(lambda committed: setattr(entry, "stored", entry.stored or committed))
+        self.collect()
+
+    def lease(self) -> None:
+        request = LeaseRequest("e", 1, "s", 3, 0, True, 3_000)
+        for grant in self.primary.lease(request, self.chance.randint(1, 3), self.now, self.wall_ms):
+            assert grant.proposal is not None
+            grant.proposal.wait(self.handing_out(grant))
+        self.collect()
+
+    def handing_out(self, grant: Grant) -> Callable[[bool], None]:
+        def hand_out(committed: bool) -> None:
+            if committed and self.primary.holds(grant):
+                self.granted(grant)
+
+        return hand_out
+
+    def granted(self, grant: Grant) -> None:
+        """A worker gets the job: nobody else may have it, nothing older of its key may be open."""
+        entry = self.messages[lease_of(grant).key]
+        self.grants += 1
+        assert grant.job.message == entry.new
+        assert not entry.taken_success and not entry.refusal_taken
+        assert self.now >= entry.due
+        assert not entry.holder or self.now >= entry.held_until, "a second lease"
+        assert entry.failures_taken <= grant.job.attempt <= entry.failures_sent
+        if entry.new.ordering_key:
+            older = [other for other in self.messages.values()
+                     if other.new.ordering_key == entry.new.ordering_key and other.key < entry.key]
+            assert all(other.ended for other in older if other.stored), "out of order"
+        entry.holder = grant.job.lease
+        entry.held_until = self.now + self.VISIBILITY_S
+        self.leases[grant.job.lease] = entry
+
+    def finish(self) -> None:
+        if not self.leases:
+            return
+        lease = self.chance.choice(list(self.leases)[-12:])
+        entry = self.leases[lease]
+        result = self.chance.choice(["success", "success", "failed", "refused", "not_run", "unknown"])
+        parsed = records.parse_lease_id(lease)
+        assert parsed is not None
+        answer = self.primary.finish(parsed, Finish(lease, result, f"sig {lease}"), self.now, self.wall_ms)
+        self.collect()
+        if isinstance(answer, LeaseAnswer) and answer.status == "gone":
+            return
+        last = entry.failures_sent + 1 >= entry.new.max_attempts
+        entry.ended |= result in ("success", "refused") or (result == "failed" and last)
+        entry.refused |= result == "refused"
+        entry.failures_sent += result == "failed"
+        if entry.holder == lease:
+            entry.holder = ""
+        if isinstance(answer, Proposal):
+            answer.wait(lambda committed: self.took(entry, lease, result) if committed else None)
+
+    def took(self, entry: ModelMessage, lease: str, result: str) -> None:
+        """An end was acknowledged."""
+        entry.failures_taken += result == "failed"
+        entry.refusal_taken |= result == "refused"
+        if result == "success":
+            entry.taken_success.add(f"sig {lease}")
+        assert len(entry.taken_success) <= 1, "two leases both taken"
+
+    def extend(self) -> None:
+        if not self.leases:
+            return
+        lease = self.chance.choice(list(self.leases)[-6:])
+        entry = self.leases[lease]
+        parsed = records.parse_lease_id(lease)
+        assert parsed is not None
+        answer = self.primary.extend(parsed, self.now, self.wall_ms)
+        self.collect()
+        if answer == LeaseAnswer("taken"):
+            entry.holder, entry.held_until = lease, self.now + self.VISIBILITY_S
+
+    def pass_time(self) -> None:
+        self.now += self.chance.choice([0.01, 0.05, 0.3, 1.0])
+        self.primary.advance(self.now, self.wall_ms)
+        self.collect()
+
+    def change_primary(self) -> None:
+        self.primary = self.take_over(self.chance.randrange(3))
+        self.collect()
+
+    def check_kept(self) -> None:
+        """Every stored message is there, and reported as ended only if it has ended."""
+        for entry in self.messages.values():
+            if not entry.stored:
+                continue
+            answer = self.primary.status(entry.key, want_body=True)
+            assert answer.state != "unknown", "lost"
+            if answer.state == "queued":
+                assert answer.body == entry.new.body
+                assert not entry.taken_success
+            elif answer.state == "completed":
+                assert answer.signature.startswith("sig ")
+                assert not entry.taken_success or answer.signature in entry.taken_success
+            else:
+                assert entry.refused or entry.failures_sent >= entry.new.max_attempts
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_random_plays_break_no_promise(seed: int) -> None:
+    play = ModelPlay(seed)
+    steps = [play.put, play.lease, play.finish] * 2 + [play.extend, play.pass_time]
+    for number in range(1_500):
+        play.chance.choice(steps)()
+        play.deliver(0.7)
+        if number % 150 == 149 and play.chance.random() < 0.7:
+            play.change_primary()
+        if number % 50 == 0:
+            play.check_kept()
+    play.deliver(1.0)
+    play.check_kept()
+    assert play.grants > 100
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_agrees_with_a_plain_partition_while_all_is_calm(seed: int) -> None:
+    """What is leased next is what a search of a plain list finds."""
+    chance = random.Random(seed)
+    partition = Partition()
+    plain: dict[Key, ModelMessage] = {}
+    out: list[Grant] = []
+    for number in range(800):
+        partition.sleep(chance.random() * 0.05)
+        step = chance.random()
+        if step < 0.4:
+            new = message(
+                f"m{number}", priority=chance.randrange(3), max_attempts=99, retention_ms=10_000_000,
+                ordering_key=chance.choice(["", "a", "b"]), delay_ms=chance.choice([0, 0, 200]),
+                timeout_ms=10_000_000)
+            key = partition.put(new)
+            due_ms = partition.wall_ms + new.delay_ms
+            plain[key] = ModelMessage(new, key, partition.now + new.delay_ms / 1000, held_until=due_ms)
+        elif step < 0.7:
+            free = [entry for entry in plain.values()
+                    if not entry.holder and entry.due <= partition.now and not any(
+                        other.key < entry.key and entry.new.ordering_key
+                        and other.new.ordering_key == entry.new.ordering_key for other in plain.values())]
+            free.sort(key=lambda entry: (entry.new.priority, entry.held_until, entry.key))
+            grants = partition.lease()
+            assert [lease_of(grant).key for grant in grants] == [entry.key for entry in free[:1]]
+            for grant in grants:
+                plain[lease_of(grant).key].holder = grant.job.lease
+            out += grants
+        elif out:
+            grant = out.pop(chance.randrange(len(out)))
+            entry = plain[lease_of(grant).key]
+            result = chance.choice(["success", "refused", "not_run"])
+            assert partition.finish(grant, result, retry_ms=1_500) == "taken"
+            if result == "not_run":
+                entry.holder, entry.due = "", partition.now + 1.5
+            else:
+                del plain[entry.key]
--- /dev/null
+++ b/tests/test_queue.py
@@ -0,0 +1,230 @@
+"""The order in which messages leave: priorities, delays, ordering keys, ceilings."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import pytest
+
+from hollowusher.messages.queue import MessageQueue, QueuedMessage, Stage, TokenBucket
+
+
+def queued(number: int, priority: int = 0, due_ms: int = 0, key: str = "",
+           service: str = "s") -> QueuedMessage:
+    return QueuedMessage((1, number), service, priority, due_ms, key)
+
+
+def add(queue: MessageQueue, message: QueuedMessage, ready_at: float = 0.0,
+        now: float = 0.0) -> QueuedMessage:
+    queue.add(message)
+    queue.release(message, ready_at, now)
+    return message
+
+
+class TestOrder:
+    def test_by_priority_then_due_time_then_acceptance(self) -> None:
+        queue = MessageQueue()
+        for message in (queued(1, 1), queued(2, 0, 20), queued(3, 0, 10), queued(4, 0, 10)):
+            add(queue, message)
+        assert [queue.take("s").key[1] for _ in range(4)] == [3, 4, 2, 1]  # type: ignore[union-attr]
+        assert queue.take("s") is None
+
+    def test_a_message_given_back_goes_before_later_ones(self) -> None:
+        queue = MessageQueue()
+        first = add(queue, queued(1, due_ms=1))
+        add(queue, queued(2, due_ms=2))
+        assert queue.take("s") is first
+        queue.release(first, 0.0, 0.0)
+        assert queue.take("s") is first
+
+    def test_services_do_not_mix(self) -> None:
+        queue = MessageQueue()
+        add(queue, queued(1, service="a"))
+        assert queue.take("b") is None
+        assert queue.ready_services() == ["a"]
+
+    def test_uncommitted_messages_do_not_leave(self) -> None:
+        queue = MessageQueue()
+        message = queued(1)
+        queue.add(message)
+        assert queue.take("s") is None
+        queue.release(message, 0.0, 0.0)
+        assert queue.take("s") is message
+
+    def test_a_held_message_does_not_leave(self) -> None:
+        queue = MessageQueue()
+        message = add(queue, queued(1))
+        queue.hold(message)
+        assert queue.take("s") is None
+
+
+class TestDelay:
+    def test_never_before_its_time(self) -> None:
+        queue = MessageQueue()
+        message = add(queue, queued(1), ready_at=5.0)
+        queue.advance(4.999)
+        assert queue.take("s") is None
+        assert queue.next_time() == 5.0
+        queue.advance(5.0)
+        assert queue.gained == {"s"}
+        assert queue.take("s") is message
+
+    def test_a_removed_message_leaves_no_timer(self) -> None:
+        queue = MessageQueue()
+        message = add(queue, queued(1), ready_at=5.0)
+        queue.remove(message, 0.0)
+        assert queue.next_time() is None
+        queue.advance(6.0)
+        assert queue.take("s") is None
+
+
+class TestOrderingKeys:
+    def test_one_at_a_time_in_the_order_of_acceptance(self) -> None:
+        queue = MessageQueue()
+        messages = [add(queue, queued(number, key="k")) for number in range(3)]
+        for message in messages:
+            assert queue.take("s") is message
+            assert queue.take("s") is None
+            queue.remove(message, 0.0)
+
+    def test_a_delayed_one_holds_back_the_later_ones(self) -> None:
+        queue = MessageQueue()
+        first = add(queue, queued(1, key="k"), ready_at=5.0)
+        second = add(queue, queued(2, key="k"))
+        assert queue.take("s") is None
+        queue.advance(5.0)
+        assert queue.take("s") is first
+        queue.release(first, 9.0, 5.0)  # failed: it waits again, and so does the second
+        assert queue.take("s") is None
+        queue.advance(9.0)
+        assert queue.take("s") is first
+        queue.remove(first, 9.0)
+        assert queue.take("s") is second
+
+    def test_a_later_delay_counts_after_the_first_has_ended(self) -> None:
+        queue = MessageQueue()
+        first = add(queue, queued(1, key="k"))
+        second = add(queue, queued(2, key="k"), ready_at=5.0)
+        queue.take("s")
+        queue.remove(first, 1.0)
+        assert queue.take("s") is None
+        queue.advance(5.0)
+        assert queue.take("s") is second
+
+    def test_an_uncommitted_one_holds_back_the_later_ones(self) -> None:
+        queue = MessageQueue()
+        first = queued(1, key="k")
+        queue.add(first)
+        add(queue, queued(2, key="k"))
+        assert queue.take("s") is None
+        queue.release(first, 0.0, 0.0)
+        assert queue.take("s") is first
+
+    def test_an_older_one_that_turns_up_late_goes_first(self) -> None:
+        queue = MessageQueue()
+        later = add(queue, queued(5, key="k"))
+        older = add(queue, queued(2, key="k"))
+        assert queue.take("s") is older
+        assert queue.take("s") is None
+        queue.remove(older, 0.0)
+        assert queue.take("s") is later
+
+    def test_keys_of_other_services_and_other_keys_are_free(self) -> None:
+        queue = MessageQueue()
+        add(queue, queued(1, key="k"), ready_at=9.0)
+        other = add(queue, queued(2, key="l"))
+        foreign = add(queue, queued(3, key="k", service="t"))
+        assert queue.take("s") is other
+        assert queue.take("t") is foreign
+
+
+class PlainQueue:
+    """The same rules without any index: a list that is searched each time."""
+
+    def __init__(self) -> None:
+        self.messages: list[dict[str, Any]] = []
+
+    def candidates(self, now: float) -> list[dict[str, Any]]:
+        free = []
+        for entry in self.messages:
+            blocked = entry["key"] and any(
+                other["key"] == entry["key"] and other["number"] < entry["number"] for other in self.messages)
+            if entry["stage"] == "queued" and entry["ready_at"] <= now and not blocked:
+                free.append(entry)
+        return sorted(free, key=lambda entry: (entry["priority"], entry["due"], entry["number"]))
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_agrees_with_a_plain_queue(seed: int) -> None:
+    chance = random.Random(seed)
+    queue, plain = MessageQueue(), PlainQueue()
+    real: dict[int, QueuedMessage] = {}
+    now = 0.0
+    for number in range(1_500):
+        now += chance.random() * 0.1
+        queue.advance(now)
+        step = chance.random()
+        if step < 0.4:
+            entry: dict[str, Any] = {
+                "number": number, "priority": chance.randrange(3), "due": chance.randrange(50),
+                "key": chance.choice(["", "", "a", "b", "c"]), "stage": "queued",
+                "ready_at": now + chance.choice([0.0, 0.0, chance.random()])}
+            plain.messages.append(entry)
+            real[number] = queued(number, entry["priority"], entry["due"], entry["key"])
+            add(queue, real[number], entry["ready_at"], now)
+        elif step < 0.7:
+            expected = plain.candidates(now)
+            taken = queue.take("s")
+            assert (taken.key[1] if taken else None) == (expected[0]["number"] if expected else None)
+            if taken is not None:
+                expected[0]["stage"] = "leased"
+        else:
+            leased = [entry for entry in plain.messages if entry["stage"] == "leased"]
+            if not leased:
+                continue
+            entry = chance.choice(leased)
+            if chance.random() < 0.6:
+                plain.messages.remove(entry)
+                queue.remove(real[entry["number"]], now)
+            else:
+                entry["stage"], entry["ready_at"] = "queued", now + chance.random() * 0.3
+                queue.release(real[entry["number"]], entry["ready_at"], now)
+    assert sum(message.stage is not Stage.REMOVED for message in real.values()) == len(plain.messages)
+
+
+class TestTokenBucket:
+    def test_starts_empty(self) -> None:
+        assert TokenBucket(100.0, 0.0).available(0.0) == 0
+
+    def test_grants_a_little_under_the_rate_in_any_window(self) -> None:
+        chance = random.Random(3)
+        bucket = TokenBucket(19.5, 0.0)
+        grants: list[float] = []
+        now = 0.0
+        while now < 60.0:
+            now += chance.expovariate(30.0) if chance.random() < 0.99 else 3.0
+            for _ in range(bucket.available(now)):
+                bucket.take()
+                grants.append(now)
+        for start in grants:
+            assert sum(start <= grant < start + 5.0 for grant in grants) <= 19.5 * 5.0
+
+    def test_is_used_nearly_whole(self) -> None:
+        bucket, now, grants = TokenBucket(10.0, 0.0), 0.0, 0
+        while now < 100.0:
+            now = bucket.next_time(now)
+            assert bucket.available(now) >= 1
+            bucket.take()
+            grants += 1
+        assert grants >= 960
+
+    def test_a_slow_service_gets_its_single_grant(self) -> None:
+        bucket = TokenBucket(0.5, 0.0)
+        assert bucket.next_time(0.0) == pytest.approx(1 / 0.485)
+        assert bucket.available(2.1) == 1
+
+    def test_another_rate_counts_from_then_on(self) -> None:
+        bucket = TokenBucket(1.0, 0.0)
+        bucket.change_rate(100.0, 0.0)
+        assert bucket.available(0.1) == 9
--- a/tests/test_store_service.py
+++ b/tests/test_store_service.py
@@ -1,4 +1,4 @@
-"""The store's service over a simulated network: the life of a message, quorums, takeovers, waiting requests."""
+"""The store's service over a simulated network: life of a message, quorums, takeovers, waiting requests."""
 
 from __future__ import annotations
 
@@ -316,7 +316,7 @@
             cluster.configure(configuration(2, s=20.0))
             for number in range(120):
                 await cluster.stored(message(f"m{number}"))
-            times = []
+            times: list[float] = []
             while len(times) < 110:
                 jobs = await cluster.lease(most=50, wait_ms=1_000)
                 times += [cluster.loop.time()] * len(jobs)
