Test the cluster client in virtual time; readers give lost members' states back

A death published by a controller that ended before another had pulled it stayed with its readers alone, who then never took the member's own lower state.

--- a/hollowusher/coordination/client.py
+++ b/hollowusher/coordination/client.py
@@ -13,6 +13,7 @@
 import random
 from collections.abc import Callable
 from contextlib import suppress
+from functools import partial
 from typing import Any
 
 from hollowusher.configuration.boot import BootSettings
@@ -26,7 +27,7 @@
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control import (
     ControlState, Done, Heartbeat, Item, Leaving, Member, PullUpdates, ReadState, ReadView, Register,
-    Registered, StateAnswer, Updates, ViewAnswer, Voter,
+    Registered, Repair, StateAnswer, Updates, ViewAnswer, Voter,
 )
 from hollowusher.transport.interface import PeerError, Transport
 
@@ -64,7 +65,7 @@
 class ClusterClient:
     """One process's access to the cluster.  `me` is its present registration."""
 
-    MESSAGES: tuple[type, ...] = (Heartbeat, ReadView, PullUpdates)
+    MESSAGES: tuple[type, ...] = (Heartbeat, ReadView, PullUpdates, Repair)
 
     def __init__(
         self,
@@ -159,6 +160,8 @@
             return ViewAnswer(self.state.view)
         elif isinstance(message, PullUpdates) and self._long_poll is not None:
             return await self._long_poll.answer(message)
+        elif isinstance(message, Repair):
+            self._take_repair(message)
         return None
 
     # ---- finding the controllers
@@ -230,7 +233,7 @@
             address = voters[0].address
             try:
                 await self._register_at(address)
-                await self._pull(address, dict(self.state.have), self._take)
+                await self._pull(address, dict(self.state.have), partial(self._take, address))
                 backoff.reset()
             except PeerError:
                 self._controller = ""
@@ -264,8 +267,12 @@
         self._contact = self._now()
         self._failed_at.pop(address, None)
 
-    def _take(self, updates: Updates) -> list[str]:
-        return self.state.apply(updates.items, updates.have)
+    def _take(self, address: str, updates: Updates) -> list[str]:
+        changed = self.state.apply(updates.items, updates.have)
+        lacking = self.state.lacking(updates.have)
+        if lacking:
+            self._transport.send(address, Repair(lacking))
+        return changed
 
     # ---- a controller follows all others
 
@@ -287,7 +294,7 @@
         backoff = Backoff(self._chance)
         while True:
             try:
-                await self._pull(address, self._have_of(address), lambda answer: self._merge(address, answer))
+                await self._pull(address, self._have_of(address), partial(self._merge, address))
                 backoff.reset()
             except PeerError:
                 self._failed_at[address] = self._now()
@@ -309,6 +316,13 @@
         self._peer_have[address] = updates.have
         return self._feed.merge(updates)
 
+    def _take_repair(self, repair: Repair) -> None:
+        """Publish members' states that the controllers have lost; nothing else may come from a reader."""
+        if self._feed is not None:
+            for item in repair.items:
+                if item.key.startswith(MEMBER_PREFIX):
+                    self._feed.publish(item.key, item.version, item.value)
+
     def _publish(self, member: Member) -> None:
         assert self._feed is not None
         self.me = member
--- a/hollowusher/coordination/cluster_state.py
+++ b/hollowusher/coordination/cluster_state.py
@@ -26,6 +26,7 @@
     def __init__(self) -> None:
         self.have: dict[str, int] = {}
         self.versions: dict[str, list[int]] = {}
+        self._sources: dict[str, tuple[str, int]] = {}  # key -> origin and counter of the item
         self.configuration: Configuration | None = None
         self.placement: Placement | None = None
         self.view: View | None = None
@@ -50,9 +51,13 @@
 
     def _apply(self, item: Item) -> bool:
         known = self.versions.get(item.key)
-        if known is not None and list(item.version) <= known:
+        version = list(item.version)
+        if known is not None and version < known:
             return False
-        self.versions[item.key] = list(item.version)
+        self._sources[item.key] = (item.origin, item.counter)
+        if version == known:
+            return False
+        self.versions[item.key] = version
         self._set(item.key, item.value)
         return True
 
@@ -69,6 +74,16 @@
         elif key.startswith(MEMBER_PREFIX):
             self.members[key.removeprefix(MEMBER_PREFIX)] = value
 
+    def lacking(self, have: dict[str, int]) -> list[Item]:
+        """The members' items known here that the holder of a version vector has not seen."""
+        found = []
+        for name, member in self.members.items():
+            key = MEMBER_PREFIX + name
+            origin, counter = self._sources[key]
+            if counter > have.get(origin, 0):
+                found.append(Item(key, self.versions[key], origin, counter, member))
+        return found
+
     def alive(self, role: str | None = None) -> list[Member]:
         """The members that are there, of one role or all, by name."""
         return [member for _, member in sorted(self.members.items())
--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -394,3 +394,11 @@
     partition: int
     epoch: int
     store_id: str
+
+
+@message(46)
+class Repair:
+    """One-way, from a reader to the controller it pulls from: items that the controller lacks, because the
+    one that published them ended before any other had pulled them."""
+
+    items: list[Item]
--- /dev/null
+++ b/tests/test_cluster_client.py
@@ -0,0 +1,767 @@
+"""A whole cluster of clients, feeds and head's duties in virtual time, over a simulated network.
+
+The control chain is a stand-in: one committed state that all controllers share, with a head that tests set.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import random
+from collections.abc import Callable, Coroutine
+from functools import partial
+from typing import Any
+
+from hollowusher.configuration.boot import BootSettings, FaultTolerance
+from hollowusher.coordination.client import ClusterClient
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.coordination.directory import Directory
+from hollowusher.coordination.duties import HeadDuties, Update
+from hollowusher.coordination.monitor import monitors_of
+from hollowusher.coordination.placement import PARTITIONS
+from hollowusher.coordination.platform_list import PlatformError
+from hollowusher.coordination.updates import Feed
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import (
+    ControlState, Heartbeat, LearnerReady, Member, OperatorAnswer, ReadState, ReadView, Retire, StateAnswer,
+    View, ViewAnswer, Voter, Worker, WorkerList,
+)
+from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
+from hollowusher.simulation.network import Network
+
+DOCUMENT = b'{"generation":%d,"routes":[],"upstreams":[]}'
+
+
+class Chain:
+    """The control chain of the whole system, as one value."""
+
+    def __init__(self) -> None:
+        self.view: View | None = None
+        self.state = ControlState(0, 0, b"", [])
+        self.head = ""
+        self.confirms = True  # whether reads are answered
+        self.nodes: list[Node] = []
+        self.lists: list[WorkerList | None] = []
+        self.readings: list[float] = []
+
+    def decide(self, view: View) -> None:
+        self.view, self.head = view, view.head
+        for node in self.nodes:
+            if node.duties is not None and node.process.alive:
+                node.duties.publish_view(view)
+
+    def commit(self, state: ControlState) -> None:
+        self.state = evolve(state, sequence=self.state.sequence + 1)
+        for node in self.nodes:
+            if node.duties is not None and node.process.alive:
+                node.duties.publish_state(self.state)
+
+
+class ChainAccess:
+    """One controller's access to the chain."""
+
+    def __init__(self, chain: Chain, name: str) -> None:
+        self.chain, self.name = chain, name
+
+    @property
+    def is_head(self) -> bool:
+        return self.chain.head == self.name
+
+    @property
+    def view(self) -> View | None:
+        return self.chain.view
+
+    @property
+    def state(self) -> ControlState | None:
+        return self.chain.state
+
+    async def change(self, update: Update) -> bool:
+        await asyncio.sleep(0.02)
+        wanted = update(self.chain.state)
+        if wanted is not None:
+            self.chain.commit(wanted)
+        return True
+
+    async def read(self) -> WorkerList | None:
+        """The platform's list, as a stand-in of its reader."""
+        self.chain.readings.append(asyncio.get_running_loop().time())
+        if not self.chain.lists:
+            raise PlatformError("read the list", "platform", "nothing to read")
+        return self.chain.lists[0] if len(self.chain.lists) == 1 else self.chain.lists.pop(0)
+
+
+class Node:
+    """One process: its client, and a controller's parts where it is one."""
+
+    def __init__(self, cluster: Cluster, name: str, role: str, host: str, zone: str, incarnation: int,
+                 controller: bool, disk_id: str) -> None:
+        self.cluster, self.name = cluster, name
+        self.host = host
+        self.address = f"{host}:7780"
+        self.process = SimulatedProcess(name, incarnation)
+        self.me = Member(name, role, self.address, zone, "r", incarnation, disk_id, counts=bool(disk_id),
+                         controller=controller)
+        self.state = ClusterState()
+        self.feed: Feed | None = None
+        self.duties: HeadDuties | None = None
+        self.transport = cluster.network.transport(self.process, self.address)
+        self.client: ClusterClient
+        self.controller = controller
+
+    def build(self) -> None:
+        settings = BootSettings(
+            node_name=self.name, machine_class="edge", ip=self.host, internal_ports=[7780, 7795],
+            seed_nodes=[f"{host}:8064" for host in self.cluster.seeds],
+            fault_tolerance=FaultTolerance(machines=1))
+        clock = self.cluster.loop.time
+        if self.controller:
+            self.feed = Feed(f"{self.name}/{self.me.incarnation}")
+            access = ChainAccess(self.cluster.chain, self.name)
+            self.duties = HeadDuties(self.me, access, self.feed, Directory(clock()), settings, access,
+                                     self.transport, clock)
+        self.client = ClusterClient(self.me, self.transport, settings, self.state, self.feed,
+                                    random.Random(self.name))
+        if self.duties is not None and self.cluster.chain.view is not None:
+            self.duties.publish_view(self.cluster.chain.view)
+            self.duties.publish_state(self.cluster.chain.state)
+
+    async def run(self) -> None:
+        self.build()
+        await self.transport.start(self.handle)
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.client.run())
+            if self.duties is not None:
+                tasks.create_task(self.duties.run())
+
+    async def handle(self, message: Any) -> Any:
+        if isinstance(message, ReadState):
+            return StateAnswer(self.cluster.chain.state if self.cluster.chain.confirms else None)
+        if isinstance(message, ReadView) and self.controller:
+            return ViewAnswer(self.cluster.chain.view)
+        if self.duties is not None and isinstance(message, HeadDuties.MESSAGES):
+            return await self.duties.handle(message)
+        if isinstance(message, ClusterClient.MESSAGES):
+            return await self.client.handle(message)
+        raise TypeError(f"{type(message).__name__} is for nobody here")
+
+    def sees(self, name: str) -> tuple[int, int] | None:
+        found = self.state.members.get(name)
+        return None if found is None else (found.incarnation, found.status)
+
+
+class Cluster:
+    """Three zones: in each a controller, an edge process without a disk, and stores."""
+
+    def __init__(self, loop: VirtualLoop, stores: int = 3) -> None:
+        self.loop = loop
+        self.network = Network(loop, random.Random(5))
+        self.chain = Chain()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.nodes: dict[str, Node] = {}
+        self.seeds = tuple(f"10.{zone}.0.1" for zone in range(3))
+        for zone in range(3):
+            self.add(f"core{zone}", "edge", f"10.{zone}.0.1", f"z{zone}", 1, True, f"core-disk{zone}")
+            self.add(f"edge{zone}", "edge", f"10.{zone}.0.2", f"z{zone}", 1, False, "")
+        for number in range(stores):
+            zone = number % 3
+            self.add(f"store{number}", "store", f"10.{zone}.0.{10 + number}", f"z{zone}", 1, False,
+                     f"disk{number}")
+
+    def add(self, name: str, role: str, host: str, zone: str, incarnation: int, controller: bool,
+            disk_id: str) -> Node:
+        node = Node(self, name, role, host, zone, incarnation, controller, disk_id)
+        self.nodes[name] = node
+        self.chain.nodes.append(node)
+        self.network.power_on(host)
+        self.tasks.append(node.process.run(node.run()))
+        return node
+
+    def view(self, epoch: int, chain: tuple[str, ...] = ("core0", "core1", "core2")) -> View:
+        voters = [Voter(f"core{zone}", f"core-disk{zone}", f"10.{zone}.0.1:7780") for zone in range(3)]
+        return View(epoch, voters, list(chain))
+
+    def kill(self, name: str) -> None:
+        self.nodes[name].process.kill()
+        self.network.process_ended(self.nodes[name].process)
+
+    def power_off(self, name: str) -> None:
+        self.network.power_off(self.nodes[name].host)
+        self.kill(name)
+
+    def restart(self, name: str, disk_id: str | None = None, incarnation: int | None = None) -> Node:
+        old = self.nodes[name].me
+        if self.nodes[name].process.alive:
+            self.kill(name)
+        return self.add(name, old.role, self.nodes[name].host, old.zone,
+                        old.incarnation + 1 if incarnation is None else incarnation, old.controller,
+                        old.disk_id if disk_id is None else disk_id)
+
+    def living(self) -> list[Node]:
+        return [node for node in self.nodes.values() if node.process.alive]
+
+    def all_see(self, name: str, version: tuple[int, int]) -> bool:
+        return all(node.sees(name) == version for node in self.living())
+
+    def all_have(self, what: Callable[[ClusterState], bool]) -> bool:
+        return all(what(node.state) for node in self.living())
+
+    async def until(self, condition: Callable[[], bool], within: float) -> float:
+        """Seconds until a condition holds; fails after `within`."""
+        started = self.loop.time()
+        while not condition():
+            assert self.loop.time() - started < within, "not in time"
+            await asyncio.sleep(0.01)
+        return self.loop.time() - started
+
+    async def calm(self) -> None:
+        """Begin: the view is decided, everyone knows everyone and the placement."""
+        await asyncio.sleep(0.5)
+        self.chain.decide(self.view(1))
+        names = list(self.nodes)
+        await self.until(lambda: all(self.all_see(name, (1, 0)) for name in names), 3.0)
+        await self.until(lambda: self.all_have(lambda state: state.placement is not None), 10.0)
+
+
+def play(work: Callable[[Cluster], Coroutine[Any, Any, None]], **options: Any) -> None:
+    """Run a test in virtual time; nothing may have failed unseen."""
+    loop = VirtualLoop()
+    try:
+        async def main() -> None:
+            cluster = Cluster(loop, **options)
+            await work(cluster)
+            for task in cluster.tasks:
+                if task.done() and not task.cancelled():
+                    task.result()
+            assert cluster.network.handler_failures == [] and loop.failures == []
+
+        loop.play(main())
+    finally:
+        loop.shut()
+
+
+# ---- start
+
+
+def test_everyone_learns_of_everyone_and_of_the_first_placement() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        placement = cluster.chain.state.placement
+        assert placement is not None and len(placement.partitions) == PARTITIONS
+        assert {len(entry.replicas) for entry in placement.partitions} == {3}
+        assert cluster.all_have(lambda state: state.placement == placement and state.view == cluster.view(1))
+        now = cluster.loop.time()
+        assert all(node.client.seconds_since_contact(now) < 2.0 for node in cluster.living())
+
+    play(work)
+
+
+def test_before_any_answer_there_has_been_no_contact() -> None:
+    async def work(cluster: Cluster) -> None:
+        await asyncio.sleep(0.3)
+        now = cluster.loop.time()
+        assert all(node.client.seconds_since_contact(now) == math.inf for node in cluster.living())
+
+    play(work)
+
+
+def test_seeds_without_a_disk_help_to_find_the_view() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        cluster.seeds = ("10.0.0.2",)
+        late = cluster.add("late", "edge", "10.1.0.9", "z1", 1, False, "")
+        await cluster.until(lambda: cluster.all_see("late", (1, 0)), 2.0)
+        assert late.state.view == cluster.view(1)
+
+    play(work)
+
+
+def test_confirmed_start_waits_for_the_committed_state_and_applies_it() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        cluster.chain.confirms = False
+        cluster.chain.commit(evolve(cluster.chain.state, generation=7, document=DOCUMENT % 7))
+        for zone in range(3):
+            cluster.network.cut("10.1.0.2", f"10.{zone}.0.1")
+        node = cluster.restart("edge1")
+        await asyncio.sleep(0.1)
+        task = node.process.run(node.client.confirmed_start())
+        await asyncio.sleep(2.0)
+        assert not task.done() and node.state.configuration is None
+        cluster.network.join_all()
+        await asyncio.sleep(1.0)
+        assert not task.done()  # the chain cannot confirm yet
+        cluster.chain.confirms = True
+        await asyncio.wait_for(task, 2.0)
+        assert node.state.configuration is not None and node.state.configuration.generation == 7
+        assert node.state.placement == cluster.chain.state.placement
+
+    play(work)
+
+
+def test_confirmed_start_of_a_controller_feeds_others() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        cluster.chain.state = evolve(cluster.chain.state, generation=9, document=DOCUMENT % 9)
+        core = cluster.nodes["core1"]
+        await asyncio.wait_for(core.process.run(core.client.confirmed_start()), 2.0)
+        await cluster.until(lambda: cluster.all_have(
+            lambda state: state.configuration is not None and state.configuration.generation == 9), 1.0)
+
+    play(work)
+
+
+def test_a_clock_that_went_back_is_made_up_for_at_the_start() -> None:
+    async def work(cluster: Cluster) -> None:
+        cluster.nodes["edge0"].me = evolve(cluster.nodes["edge0"].me, incarnation=50)
+        await asyncio.sleep(0.5)
+        cluster.chain.decide(cluster.view(1))
+        await cluster.until(lambda: cluster.all_see("edge0", (50, 0)), 3.0)
+        node = cluster.restart("edge0", incarnation=20)
+        await cluster.until(lambda: cluster.all_see("edge0", (51, 0)), 3.0)
+        assert node.client.me.incarnation == 51
+
+    play(work)
+
+
+# ---- distribution
+
+
+def test_a_configuration_reaches_everyone_soon() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        cluster.chain.commit(evolve(cluster.chain.state, generation=3, document=DOCUMENT % 3))
+        took = await cluster.until(lambda: cluster.all_have(
+            lambda state: state.configuration is not None and state.configuration.generation == 3), 1.0)
+        assert took < 0.1
+
+    play(work)
+
+
+def test_readers_choose_a_controller_in_their_zone() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        await asyncio.sleep(2.0)
+        pulls: set[tuple[str, str]] = set()
+
+        def watch(source: str, target: str, message: Any) -> None:
+            if type(message).__name__ == "PullUpdates" and not source.endswith(".0.1:7780"):
+                pulls.add((source, target))
+
+        cluster.network.watch = watch
+        await asyncio.sleep(3.0)
+        assert pulls and all(source.split(".")[1] == target.split(".")[1] for source, target in pulls)
+
+    play(work)
+
+
+def test_after_a_controller_falls_silent_its_readers_go_on_with_another() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        await asyncio.sleep(1.5)
+        cluster.power_off("core1")
+        await asyncio.sleep(2.5)
+        cluster.chain.commit(evolve(cluster.chain.state, generation=4, document=DOCUMENT % 4))
+        took = await cluster.until(lambda: cluster.all_have(
+            lambda state: state.configuration is not None and state.configuration.generation == 4), 1.0)
+        assert took < 0.2
+
+    play(work)
+
+
+def test_readers_leave_a_controller_that_has_lost_the_others() -> None:
+    """The controller of zone 1 is cut off from the other two, but not from the processes of its zone."""
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        await asyncio.sleep(1.5)
+        for other in (0, 2):
+            cluster.network.cut("10.1.0.1", f"10.{other}.0.1")
+        await asyncio.sleep(4.0)
+        cluster.chain.state = evolve(cluster.chain.state, generation=5, document=DOCUMENT % 5)
+        for name in ("core0", "core2"):
+            duties = cluster.nodes[name].duties
+            assert duties is not None
+            duties.publish_state(cluster.chain.state)
+        await cluster.until(lambda: all(
+            node.state.configuration is not None and node.state.configuration.generation == 5
+            for node in cluster.living() if node.name != "core1"), 0.3)
+        now = cluster.loop.time()
+        assert cluster.nodes["core1"].client.seconds_since_contact(now) > 3.0
+        assert cluster.nodes["edge1"].client.seconds_since_contact(now) < 2.0
+        cluster.network.join_all()
+        await cluster.until(lambda: cluster.nodes["core1"].state.configuration is not None, 3.0)
+
+    play(work)
+
+
+def test_processes_find_controllers_again_after_all_have_been_replaced_meanwhile() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        for zone in range(3):
+            cluster.kill(f"core{zone}")
+        await asyncio.sleep(3.0)
+        for zone in range(3):
+            cluster.restart(f"core{zone}")
+        await asyncio.sleep(0.1)
+        cluster.chain.decide(cluster.view(2))
+        names = [node.name for node in cluster.living()]
+        await cluster.until(lambda: all(
+            cluster.nodes[f"core{zone}"].sees(name) is not None
+            for zone in range(3) for name in names), 3.0)
+        assert cluster.nodes["core0"].sees("store1") == (1, 0)
+
+    play(work)
+
+
+# ---- members
+
+
+def test_a_process_that_stops_is_known_to_be_gone_at_once() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        for name in ("edge0", "store1", "core2"):
+            node = cluster.nodes[name]
+            await asyncio.wait_for(node.process.run(node.client.leave()), 1.0)
+            await cluster.until(lambda name=name: cluster.all_see(name, (1, 1)), 0.3)  # type: ignore[misc]
+        await asyncio.sleep(3.0)  # they still run, and do not come back
+        assert all(cluster.all_see(name, (1, 1)) for name in ("edge0", "store1", "core2"))
+
+    play(work)
+
+
+def test_a_killed_process_is_dead_soon_and_alive_after_its_restart() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        cluster.kill("store0")
+        took = await cluster.until(lambda: cluster.all_see("store0", (1, 1)), 3.0)
+        assert 0.8 < took < 2.0
+        cluster.restart("store0")
+        await cluster.until(lambda: cluster.all_see("store0", (2, 0)), 1.0)
+
+    play(work)
+
+
+def test_a_quick_restart_ends_the_old_life_without_any_death() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        cluster.restart("store0")
+        took = await cluster.until(lambda: cluster.all_see("store0", (2, 0)), 1.0)
+        assert took < 0.5
+
+    play(work)
+
+
+def test_a_frozen_process_is_dead_and_says_otherwise_once_it_is_thawed() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        node = cluster.nodes["edge2"]
+        cluster.loop.freeze(node.process)
+        others = [other for other in cluster.living() if other is not node]
+        await cluster.until(lambda: all(other.sees("edge2") == (1, 1) for other in others), 3.0)
+        await asyncio.sleep(2.0)
+        cluster.loop.thaw(node.process)
+        await cluster.until(lambda: cluster.all_see("edge2", (1, 2)), 3.0)
+        await asyncio.sleep(2.0)
+        assert all(cluster.all_see(name, (1, 0)) for name in cluster.nodes if name != "edge2")
+
+    play(work)
+
+
+def test_a_whole_zone_lost_is_judged_dead() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        for name in ("core1", "edge1", "store1"):
+            cluster.power_off(name)
+        await cluster.until(lambda: all(
+            cluster.all_see(name, (1, 1)) for name in ("core1", "edge1", "store1")), 5.0)
+        await asyncio.sleep(3.0)
+        for name in ("core0", "edge0", "store0", "core2", "edge2", "store2"):
+            assert cluster.all_see(name, (1, 0))
+
+    play(work)
+
+
+def test_a_member_that_one_monitor_does_not_hear_stays_alive() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        edges = [name for name in cluster.nodes if not name.startswith("store")]
+        deaf = next(name for name in monitors_of("store1", edges) if not name.startswith("core0"))
+        cluster.network.cut(cluster.nodes["store1"].host, cluster.nodes[deaf].host, both=False)
+        probes: list[str] = []
+
+        def watch(source: str, target: str, message: Any) -> None:
+            if isinstance(message, ReadView) and target == cluster.nodes["store1"].address:
+                probes.append(source)
+
+        cluster.network.watch = watch
+        await asyncio.sleep(12.0)
+        assert cluster.nodes["core0"].sees("store1") == (1, 0)
+        assert 3 <= len(probes) <= 12 and set(probes) == {cluster.nodes["core0"].address}
+
+    play(work)
+
+
+def test_after_any_course_of_trouble_everyone_agrees_again() -> None:
+    for seed in range(3):
+        play(partial(trouble, seed))
+
+
+async def trouble(seed: int, cluster: Cluster) -> None:
+    """Kills, restarts, freezes and cuts for half a minute, then calm: all see the truth, and meanwhile no
+    process has seen any value go back."""
+    chance = random.Random(seed)
+    await cluster.calm()
+    seen: dict[tuple[SimulatedProcess, str], list[int]] = {}
+    for step in range(60):
+        name = chance.choice(list(cluster.nodes))
+        node = cluster.nodes[name]
+        event = chance.choice(["kill", "restart", "freeze", "thaw", "cut", "join", "configure", "view",
+                               "power", "disk"])
+        if event == "kill" and len(cluster.living()) > 5:
+            cluster.kill(name)
+        elif event == "power" and len(cluster.living()) > 5:
+            cluster.power_off(name)
+        elif event in ("restart", "kill", "power"):
+            cluster.restart(name)
+        elif event == "disk" and node.me.role == "store":
+            cluster.restart(name, disk_id=f"disk-{step}")
+        elif event == "freeze":
+            cluster.loop.freeze(node.process)
+        elif event == "thaw":
+            cluster.loop.thaw(node.process)
+        elif event == "cut":
+            target = chance.choice(list(cluster.nodes.values()))
+            cluster.network.cut(node.host, target.host, both=chance.random() < 0.7)
+        elif event == "join":
+            cluster.network.join_all()
+        elif event == "configure" or event == "disk":
+            generation = cluster.chain.state.generation + 1
+            cluster.chain.commit(
+                evolve(cluster.chain.state, generation=generation, document=DOCUMENT % generation))
+        else:
+            assert cluster.chain.view is not None
+            heads = ["core0", "core1", "core2"]
+            chance.shuffle(heads)
+            cluster.chain.decide(cluster.view(cluster.chain.view.epoch + 1, tuple(heads)))
+        await asyncio.sleep(0.5)
+        for other in cluster.living():
+            for key, version in other.state.versions.items():
+                assert version >= seen.get((other.process, key), []), (seed, step, other.name, key)
+                seen[other.process, key] = list(version)
+    cluster.network.join_all()
+    for node in cluster.living():
+        cluster.loop.thaw(node.process)
+    for zone in range(3):
+        if not cluster.nodes[f"core{zone}"].process.alive:
+            cluster.restart(f"core{zone}")
+    await asyncio.sleep(12.0)
+    for node in cluster.living():
+        assert node.state.view == cluster.chain.view, (seed, node.name)
+        generation = node.state.configuration.generation if node.state.configuration else 0
+        assert generation == cluster.chain.state.generation, (seed, node.name)
+        assert node.state.placement == cluster.chain.state.placement, (seed, node.name)
+        assert node.client.seconds_since_contact(cluster.loop.time()) < 2.5, (seed, node.name)
+        for name, other in cluster.nodes.items():
+            member = node.state.members.get(name)
+            assert (member is not None and member.alive) == other.process.alive, (seed, node.name, name)
+
+
+def test_calm_hours_bring_no_death_and_few_messages() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        heartbeats: list[str] = []
+
+        def watch(source: str, target: str, message: Any) -> None:
+            if isinstance(message, Heartbeat):
+                heartbeats.append(message.name)
+
+        before = cluster.network.messages
+        cluster.network.watch = watch
+        await asyncio.sleep(30.0)
+        assert all(cluster.all_see(name, (1, 0)) for name in cluster.nodes)
+        each = {name: heartbeats.count(name) for name in cluster.nodes}
+        assert set(each) == set(cluster.nodes) and all(270 <= count <= 303 for count in each.values())
+        assert (cluster.network.messages - before) / 30 / len(cluster.nodes) < 15
+
+    play(work)
+
+
+# ---- placement
+
+
+def primaries(cluster: Cluster) -> set[str]:
+    placement = cluster.chain.state.placement
+    assert placement is not None
+    return {entry.primary for entry in placement.partitions}
+
+
+def test_a_dead_stores_partitions_get_other_primaries_and_drift_back_later() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        cluster.kill("store0")
+        took = await cluster.until(lambda: "store0/disk0" not in primaries(cluster), 3.0)
+        assert took < 2.0
+        cluster.restart("store0")
+        await asyncio.sleep(5.0)
+        assert "store0/disk0" not in primaries(cluster)
+        await asyncio.sleep(10.0)
+        placement = cluster.chain.state.placement
+        assert placement is not None
+        counts = [sum(entry.primary == f"store{number}/disk{number}" for entry in placement.partitions)
+                  for number in range(3)]
+        assert max(counts) - min(counts) <= 1
+        assert cluster.all_have(lambda state: state.placement == placement)
+
+    play(work)
+
+
+def test_a_stopping_store_hands_over_at_once() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        node = cluster.nodes["store2"]
+        await node.process.run(node.client.leave())
+        await cluster.until(lambda: "store2/disk2" not in primaries(cluster), 0.4)
+
+    play(work)
+
+
+async def report_learners(cluster: Cluster) -> None:
+    """What primaries would do: say that each learner has caught up."""
+    placement = cluster.chain.state.placement
+    duties = cluster.nodes[cluster.chain.head].duties
+    assert placement is not None and duties is not None
+    for entry in placement.partitions:
+        for learner in entry.learners:
+            await duties.handle(LearnerReady(entry.partition, entry.epoch, learner))
+
+
+def test_a_lost_disk_is_refilled_by_learning() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        cluster.restart("store1", disk_id="new")
+        await asyncio.sleep(1.0)
+        for _ in range(4):
+            await report_learners(cluster)
+            await asyncio.sleep(1.0)
+        placement = cluster.chain.state.placement
+        assert placement is not None
+        assert all(sorted(entry.replicas) == ["store0/disk0", "store1/new", "store2/disk2"]
+                   and entry.learners == [] for entry in placement.partitions)
+
+    play(work)
+
+
+async def retire(cluster: Cluster, name: str, duration_s: float | None = 10.0) -> tuple[int, bytes]:
+    duties = cluster.nodes[cluster.chain.head].duties
+    assert duties is not None
+    answer = await duties.handle(Retire(name, duration_s))
+    assert isinstance(answer, OperatorAnswer)
+    return answer.status, answer.body
+
+
+def test_retirement_from_order_to_completion() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        assert (await retire(cluster, "store9"))[0] == 404
+        assert (await retire(cluster, "edge0"))[0] == 404
+        assert (await retire(cluster, "store0", None))[0] == 404
+        for _ in range(2):  # idempotent
+            assert await retire(cluster, "store0") == (200, b'{"state":"running"}')
+        assert (await retire(cluster, "store1"))[0] == 409  # three stores remain, all needed
+        for _ in range(40):
+            await asyncio.sleep(0.5)
+            if (await retire(cluster, "store0", None)) == (200, b'{"state":"completed"}'):
+                break
+            placement = cluster.chain.state.placement
+            assert placement is not None
+            await report_learners(cluster)
+        else:
+            raise AssertionError("the machine is never emptied")
+        placement = cluster.chain.state.placement
+        assert placement is not None
+        assert all("store0/disk0" not in (*entry.replicas, *entry.learners) and len(entry.replicas) == 3
+                   for entry in placement.partitions)
+        assert await retire(cluster, "store0") == (200, b'{"state":"completed"}')
+
+    play(work, stores=4)
+
+
+def test_only_the_head_takes_orders() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        duties = cluster.nodes["core1"].duties
+        assert duties is not None
+        answer = await duties.handle(Retire("store0", 1.0))
+        assert answer == OperatorAnswer(503)
+        assert cluster.chain.state.retiring == {}
+
+    play(work, stores=4)
+
+
+def test_three_stores_with_one_tolerated_loss_cannot_spare_any() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        assert (await retire(cluster, "store0"))[0] == 409
+
+    play(work)
+
+
+# ---- the platform's list
+
+
+def worker(identifier: str, state: str = "ready", warm_in_ms: int = 0) -> Worker:
+    return Worker(identifier, "service", "10.9.0.1:80", "z0", 4, state, warm_in_ms)
+
+
+def listed(cluster: Cluster) -> list[Worker] | None:
+    found = cluster.nodes["edge2"].state.workers
+    return None if found is None else found.workers
+
+
+def test_the_list_is_read_once_a_second_and_sent_only_when_it_says_something_new() -> None:
+    async def work(cluster: Cluster) -> None:
+        cluster.chain.lists = [WorkerList([worker("a", warm_in_ms=9000)])]
+        await cluster.calm()
+        await cluster.until(lambda: listed(cluster) == [worker("a", warm_in_ms=9000)], 3.0)
+        cluster.chain.readings.clear()
+        version = cluster.nodes["edge2"].state.versions["workers"]
+        cluster.chain.lists = [WorkerList([worker("a", warm_in_ms=5000)])]
+        await asyncio.sleep(10.0)
+        assert 9 <= len(cluster.chain.readings) <= 11
+        assert cluster.nodes["edge2"].state.versions["workers"] == version
+        cluster.chain.lists = [WorkerList([worker("a", "draining")])]
+        await cluster.until(lambda: cluster.all_have(
+            lambda state: state.workers == WorkerList([worker("a", "draining")])), 1.2)
+        cluster.chain.lists = []  # the platform is down: the last list stays
+        await asyncio.sleep(5.0)
+        assert listed(cluster) == [worker("a", "draining")]
+
+    play(work)
+
+
+def test_a_new_head_reads_soon_and_its_list_counts() -> None:
+    async def work(cluster: Cluster) -> None:
+        cluster.chain.lists = [WorkerList([worker("a")])]
+        await cluster.calm()
+        await cluster.until(lambda: listed(cluster) == [worker("a")], 3.0)
+        cluster.kill("core0")
+        cluster.chain.lists = [WorkerList([worker("b")])]
+        cluster.chain.readings.clear()
+        cluster.chain.decide(cluster.view(2, ("core1", "core2")))
+        await cluster.until(lambda: listed(cluster) == [worker("b")], 0.6)
+        assert len(cluster.chain.readings) == 1
+
+    play(work)
+
+
+def test_a_head_that_restarts_in_its_epoch_is_believed_again() -> None:
+    async def work(cluster: Cluster) -> None:
+        cluster.chain.lists = [WorkerList([worker("a")])]
+        await cluster.calm()
+        for identifier in ("b", "c"):
+            cluster.chain.lists = [WorkerList([worker(identifier)])]
+            await cluster.until(lambda wanted=identifier: listed(cluster) == [worker(wanted)], 2.0)  # type: ignore[misc]
+        cluster.restart("core0")
+        cluster.chain.lists = [WorkerList([worker("d")])]
+        await cluster.until(lambda: listed(cluster) == [worker("d")], 3.0)
+
+    play(work)
