--- a/hollowusher/roles/edge.py
+++ b/hollowusher/roles/edge.py
@@ -61,7 +61,8 @@
         feed: Feed | None = None
         if me.controller and process.folder is not None:
             feed = Feed(f"{me.name}/{me.incarnation}")
-            view_slot, state_slot = SlotFile(process.folder / VIEW_SLOT), SlotFile(process.folder / STATE_SLOT)
+            view_slot = SlotFile(process.folder / VIEW_SLOT)
+            state_slot = SlotFile(process.folder / STATE_SLOT)
             self.controller = Controller(
                 me, transport, settings, view_slot, state_slot, process.chance,
                 self._publish_view, self._publish_state)
