Erase old segments in order, survive failed syncs, and test storage on a simulated disk

Files were taken at the roll, so after a failed write newer records could be erased before older ones. They are now taken when their first write is planned.

--- a/hollowusher/storage/files.py
+++ b/hollowusher/storage/files.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import errno
 import os
 from pathlib import Path
 from typing import Protocol
 
+NO_SPACE = frozenset({errno.ENOSPC, errno.EFBIG, errno.EDQUOT})  # errors that end when room is made
+
 
 class Files(Protocol):
     """File operations; each raises `OSError` on failure."""
--- a/hollowusher/storage/ring_log.py
+++ b/hollowusher/storage/ring_log.py
@@ -9,16 +9,17 @@
 * A torn write can only hit the batch under way, at the end of the newest segment.  A started process never
   appends to an old segment, so a torn end never stands before newer records.
 * A file is used again only if its segment was the oldest, nothing in it was live, and everything appended
-  up to then is durable.
+  up to then is durable.  Files are taken and their old headers erased in that order, one synced before the
+  next is touched: old records vanish at once, and never the replacement of a record before the record.
 * After a failed sync the batch counts as unwritten, whatever the file shows: the segment goes on in another
   file (a new part) from its last durable offset, so that positions given out stay valid.
-* What a replay reads is synced first: it may stand in the system's cache alone after a kill.
+* What a replay reads at the end of the newest segment is written and synced again: after a kill, or after a
+  failed sync, it may stand in the system's cache alone.
 """
 
 from __future__ import annotations
 
 import asyncio
-import errno
 import re
 from collections import deque
 from collections.abc import Iterator
@@ -29,7 +30,7 @@
 from random import Random, SystemRandom
 from typing import NamedTuple
 
-from hollowusher.storage.files import Files, SystemFiles
+from hollowusher.storage.files import NO_SPACE, Files, SystemFiles
 from hollowusher.storage.interface import MoveRecord, Position, StorageError
 from hollowusher.storage.segment_format import (
     FRAME_BYTES,
@@ -54,7 +55,6 @@
 TRIES_PER_SYNC = 2
 MEBIBYTE = 1024 * 1024
 LEAST_SEGMENT_BYTES = MEBIBYTE // 2
-NO_SPACE = frozenset({errno.ENOSPC, errno.EFBIG, errno.EDQUOT})
 
 
 class RingSize(NamedTuple):
@@ -73,11 +73,13 @@
 
 @dataclass(slots=True)
 class _RingFile:
-    """One file of the ring.  The writing thread opens it; -1: not open yet."""
+    """One file of the ring.  The writing thread opens it and makes it ready."""
 
     path: Path
-    descriptor: int = -1
+    descriptor: int = -1  # -1: not open yet
     size: int = 0
+    listed: bool = False  # its name is durable
+    ready: bool = False  # of full length, and without the header of an earlier use
 
 
 @dataclass(slots=True)
@@ -87,7 +89,7 @@
     number: int
     base: int
     nonce: int
-    file: _RingFile
+    file: _RingFile | None = None  # taken when its first write is planned
 
 
 @dataclass(slots=True)
@@ -106,7 +108,7 @@
         for part in reversed(self.parts):
             if part.base <= offset:
                 return part
-        raise StorageError("read", str(self.parts[0].file.path), f"no part holds offset {offset}")
+        raise StorageError("read", f"segment {self.sequence}", f"no part holds offset {offset}")
 
 
 @dataclass(slots=True)
@@ -115,6 +117,7 @@
 
     segment: _Segment
     part: _Part
+    file: _RingFile
     offset: int  # the segment's offset of the first record
     end: int
     positions: list[Position]
@@ -137,8 +140,8 @@
 class RingLog:
     """A `Log` in the files `ring-NNNN.log` of `folder`.
 
-    `files`, `executor` and `chance` are there for tests; processes with other syncs pass their one executor
-    thread.  Counters: `syncs`, `failed_batches`, `moved_records`, `damaged_records`."""
+    `executor` has one thread: a process passes the one that all its syncs share.  `files` and `chance` are
+    there for tests.  Counters: `syncs`, `failed_batches`, `moved_records`, `damaged_records`."""
 
     def __init__(self, folder: Path, segment_bytes: int = 4 * MEBIBYTE, segments: int = 16,
                  stall_s: float = 2.0, files: Files | None = None, executor: Executor | None = None,
@@ -165,13 +168,15 @@
         self._live_bytes = 0
         # Files and segments
         self._all_files: list[_RingFile] = []
-        self._free: deque[_RingFile] = deque()  # in the order in which they became free
+        self._free: deque[_RingFile] = deque()  # oldest contents first
         self._retired: deque[tuple[int, list[_RingFile]]] = deque()  # free once so much is synced
         self._segments: dict[int, _Segment] = {}  # by sequence, oldest first
         self._active: _Segment | None = None
         self._last_sequence = 0
         self._last_end = UNKNOWN_END
-        self._preparing = False
+        self._without_file = 0  # parts that wait for theirs
+        self._preparing: _RingFile | None = None  # not among the free ones meanwhile
+        self._prepare_running = False
         # Records that are not durable yet
         self._buffered: dict[Position, bytes] = {}
         self._writing: dict[Position, bytes] = {}  # the batch under way, or one that failed
@@ -197,8 +202,8 @@
         if self._replay_begun:
             raise RuntimeError("the log was replayed before")
         self._replay_begun = True
+        self._erase_free()
         try:
-            self._sync_newest()
             for segment in list(self._segments.values()):
                 yield from self._replay_segment(segment)
         except OSError as error:
@@ -214,7 +219,7 @@
         for name in sorted(self._io.names(self._folder)):
             if FILE_NAME.fullmatch(name) is None:
                 continue
-            file = _RingFile(self._folder / name)
+            file = _RingFile(self._folder / name, listed=True)
             file.descriptor = self._io.open(file.path, create=False)
             file.size = self._io.size(file.descriptor)
             self._all_files.append(file)
@@ -237,10 +242,12 @@
         segment.parts.append(_Part(header.part, header.base, header.nonce, file))
         self._last_sequence = header.sequence
 
-    def _sync_newest(self) -> None:
-        if self._segments:
-            for part in self._segments[self._last_sequence].parts:
-                self._io.sync(part.file.descriptor)
+    def _erase_free(self) -> None:
+        """Erase the headers of free files again: after a kill, or after a failed sync, that may stand in the
+        system's cache alone, and old records would come back when the power goes."""
+        for file in self._free:
+            with suppress(OSError):  # it is done before the file is written
+                self._make_ready(file)
 
     def _replay_segment(self, segment: _Segment) -> Iterator[tuple[Position, bytes]]:
         following = self._segments.get(segment.sequence + 1)
@@ -250,13 +257,14 @@
             if later and min(later) <= part.base:
                 continue  # a later part took its place
             end = min(later) if later else known_end
-            yield from self._replay_part(segment, part, None if end == UNKNOWN_END else end)
+            assert part.file is not None
+            yield from self._replay_part(segment, part, part.file, None if end == UNKNOWN_END else end)
 
-    def _replay_part(self, segment: _Segment, part: _Part,
+    def _replay_part(self, segment: _Segment, part: _Part, file: _RingFile,
                      end: int | None) -> Iterator[tuple[Position, bytes]]:
-        data = self._io.read(part.file.descriptor, part.file.size, 0)[HEADER_BYTES:]
+        data = self._io.read(file.descriptor, file.size, 0)
         header = SegmentHeader(segment.sequence, part.number, part.base, part.nonce, segment.previous_end)
-        scan = RecordScan(data, header, end)
+        scan = RecordScan(data[HEADER_BYTES:], header, end)
         for offset, record in scan.records():
             position = Position(segment.sequence, offset, len(record))
             segment.live[offset] = len(record)
@@ -264,6 +272,17 @@
             yield position, record
         self.damaged_records += scan.damaged
         segment.end = segment.synced = scan.position
+        if end is None:
+            self._write_again(file, data[:HEADER_BYTES + scan.position - part.base])
+
+    def _write_again(self, file: _RingFile, data: bytes) -> None:
+        """Make durable what was read.  On a full disk the sync alone has to do."""
+        try:
+            self._io.write(file.descriptor, data, 0)
+        except OSError as error:
+            if error.errno not in NO_SPACE:
+                raise
+        self._io.sync(file.descriptor)
 
     # --- appending ----------------------------------------------------------------------------------
 
@@ -306,14 +325,15 @@
         if size > capacity:
             raise self._error("append", f"a record of {size} bytes is larger than a segment")
         extra = EXTRA_FILES if self._moving else 0
-        file = self._take_file(self._segments_allowed + extra)
-        if file is None:
+        self._free_retired()
+        if self._files_left(self._segments_allowed + extra) <= 0:
             self._clean_in_background()
             raise self._error("append", "no segment is free yet")
         if self._active is not None:
             self._last_end = self._active.end
         self._last_sequence += 1
-        part = _Part(0, 0, self._new_nonce(), file)
+        part = _Part(0, 0, self._new_nonce())
+        self._without_file += 1
         segment = _Segment(self._last_sequence, capacity, self._last_end, [part])
         self._segments[segment.sequence] = segment
         self._active = segment
@@ -323,9 +343,17 @@
     def _new_nonce(self) -> int:
         return self._chance.getrandbits(64)
 
+    def _files_left(self, most_files: int) -> int:
+        """How many further parts can get a file while there may be `most_files` in all."""
+        prepared = 0 if self._preparing is None else 1
+        to_create = max(0, most_files - len(self._all_files))
+        return len(self._free) + prepared + to_create - self._without_file
+
     def _take_file(self, most_files: int) -> _RingFile | None:
-        """A file to write a part in: a free one, or a new one while there are fewer than `most_files`."""
-        self._free_retired()
+        """The next file to write a part in: the free one with the oldest contents, or a new one."""
+        if self._preparing is not None:  # older than the free ones; the thread makes it ready first
+            file, self._preparing = self._preparing, None
+            return file
         if self._free:
             return self._free.popleft()
         if len(self._all_files) >= most_files:
@@ -368,8 +396,9 @@
         self._writing.update(self._buffered)
         self._buffered = {}
         try:
-            self._batch_writes = self._plan_writes()
+            self._plan_writes()
         except StorageError as error:
+            self._return_files(self._batch_writes)
             self._fail_waiters(error)
             return
         self._batch_started = self._loop.time()
@@ -377,48 +406,58 @@
         self._batch = batch
         batch.add_done_callback(self._finish_batch)
 
-    def _plan_writes(self) -> list[_Write]:
-        writes: list[_Write] = []
+    def _plan_writes(self) -> None:
+        self._batch_writes = []
         write: _Write | None = None
         for position, record in self._writing.items():
             if write is None or write.segment.sequence != position.segment:
                 write = self._plan_write(self._segments[position.segment], position.offset)
-                writes.append(write)
+                self._batch_writes.append(write)
             write.chunks.append(encode_frame(record, write.part.nonce, position.offset))
             write.chunks.append(record)
             write.positions.append(position)
             write.end = position.offset + FRAME_BYTES + position.length
-        return writes
 
     def _plan_write(self, segment: _Segment, offset: int) -> _Write:
         if segment.part_failed:
             self._replace_part(segment)
         part = segment.parts[-1]
-        write = _Write(segment, part, offset, offset, [], [])
+        if part.file is None:
+            part.file = self._take_file(self._segments_allowed + EXTRA_FILES)
+            if part.file is None:
+                raise self._error("sync", "no segment is free for what a failed sync left unwritten")
+            self._without_file -= 1
+        write = _Write(segment, part, part.file, offset, offset, [], [])
         if offset == part.base:
             header = SegmentHeader(segment.sequence, part.number, part.base, part.nonce, segment.previous_end)
             write.chunks.append(header.encode())
         return write
 
     def _replace_part(self, segment: _Segment) -> None:
-        """Go on in another file after a failed sync; a file with nothing durable in it is written anew, with
-        another nonce."""
+        """Go on in another part after a failed sync, from the last durable offset."""
         last = segment.parts[-1]
         if last.base == segment.synced:
-            segment.parts.pop()
-            file: _RingFile | None = last.file
+            segment.parts.pop()  # nothing durable in it; its file was returned
         else:
-            file = self._take_file(self._segments_allowed + EXTRA_FILES)
-        if file is None:
-            raise self._error("sync", "no segment is free for what a failed sync left unwritten")
-        segment.parts.append(_Part(last.number + 1, segment.synced, self._new_nonce(), file))
+            self._without_file += 1
+        segment.parts.append(_Part(last.number + 1, segment.synced, self._new_nonce()))
         segment.part_failed = False
 
+    def _return_files(self, unwritten: list[_Write]) -> None:
+        """Give back the files of parts in which nothing is durable; the next batch takes them again, in the
+        same order."""
+        for write in reversed(unwritten):
+            if write.offset == write.part.base:
+                write.file.ready = False
+                self._free.appendleft(write.file)
+                write.part.file = None
+                self._without_file += 1
+
     def _perform(self, writes: list[_Write]) -> _Outcome:
         """In the writing thread: write and sync, one file after the other."""
         for index, write in enumerate(writes):
             step = "open"
-            file = write.part.file
+            file = write.file
             try:
                 self._make_ready(file)
                 step = "write"
@@ -432,14 +471,20 @@
         return _Outcome(len(writes), None)
 
     def _make_ready(self, file: _RingFile) -> None:
-        """Open a file, creating it if it is new, and give it its full length."""
+        """Open a file, creating it if it is new, give it its full length, and erase its old header."""
+        if file.ready:
+            return
         if file.descriptor < 0:
             file.descriptor = self._io.open(file.path, create=True)
-            file.size = self._io.size(file.descriptor)
-            self._io.sync_folder(self._folder)
-        if file.size < self._segment_bytes:
+        if self._io.size(file.descriptor) != self._segment_bytes:
             self._io.set_size(file.descriptor, self._segment_bytes)
-            file.size = self._segment_bytes
+        file.size = self._segment_bytes
+        self._io.write(file.descriptor, bytes(HEADER_BYTES), 0)
+        self._io.sync(file.descriptor)
+        if not file.listed:
+            self._io.sync_folder(self._folder)
+            file.listed = True
+        file.ready = True
 
     def _finish_batch(self, batch: asyncio.Future[_Outcome]) -> None:
         """Take the writing thread's result, answer those who wait, and go on."""
@@ -458,6 +503,7 @@
             self._tries = 0
             self._clean_after_batch()
         else:
+            self._return_files(failed)
             self._take_failure(outcome.failure, failed[0])
         if self._batch is None and self._waiters:
             self._start_batch()
@@ -505,29 +551,31 @@
         self._waiters = waiting
 
     def _prepare_file(self) -> None:
-        """Create the next file ahead of its use."""
+        """Make the next file ready ahead of its use."""
         active = self._active
-        if self._preparing or self._free or active is None or active.end * 2 < active.capacity:
+        if self._prepare_running or active is None or active.end * 2 < active.capacity:
             return
-        if len(self._all_files) >= self._segments_allowed:
+        if self._free and self._free[0].ready:
+            return
+        file = self._take_file(self._segments_allowed)
+        if file is None:
             return
         assert self._loop is not None
-        file = self._new_file()
-        self._preparing = True
+        self._preparing = file
+        self._prepare_running = True
         prepared = self._loop.run_in_executor(self._executor, self._prepare, file)
-        prepared.add_done_callback(lambda _: self._take_prepared(file))
+        prepared.add_done_callback(self._take_prepared)
 
     def _prepare(self, file: _RingFile) -> None:
         """In the writing thread.  A file that fails here is made ready when it is written."""
-        try:
+        with suppress(OSError):
             self._make_ready(file)
-            self._io.sync(file.descriptor)
-        except OSError:
-            return
 
-    def _take_prepared(self, file: _RingFile) -> None:
-        self._preparing = False
-        self._free.append(file)
+    def _take_prepared(self, _: asyncio.Future[None]) -> None:
+        self._prepare_running = False
+        if self._preparing is not None:
+            self._free.appendleft(self._preparing)
+            self._preparing = None
         if self._closed:
             self._close_when_idle()
 
@@ -550,6 +598,7 @@
         if segment is None or position.offset >= segment.synced:
             raise self._error("read", f"no record at {position}")
         part = segment.part_at(position.offset)
+        assert part.file is not None
         start = HEADER_BYTES + position.offset - part.base
         try:
             data = self._io.read(part.file.descriptor, FRAME_BYTES + position.length, start)
@@ -578,8 +627,7 @@
 
     def _segments_left(self) -> int:
         """Segments that can still be begun, those included that wait for a sync."""
-        to_create = max(0, self._segments_allowed - len(self._all_files))
-        return len(self._free) + len(self._retired) + to_create
+        return self._files_left(self._segments_allowed) + len(self._retired)
 
     def _retire_empty(self) -> None:
         """Set aside the oldest segments as long as nothing in them is live."""
@@ -590,12 +638,14 @@
             if oldest is self._active or oldest.live or oldest.synced < oldest.end:
                 return
             del self._segments[oldest.sequence]
-            self._retired.append((self._appended, [part.file for part in oldest.parts]))
+            self._retired.append((self._appended, [part.file for part in oldest.parts if part.file]))
 
     def _free_retired(self) -> None:
         """Files whose records' replacements are durable may be written again."""
         while self._retired and self._retired[0][0] <= self._synced:
-            self._free.extend(self._retired.popleft()[1])
+            for file in self._retired.popleft()[1]:
+                file.ready = False
+                self._free.append(file)
 
     def _clean(self, budget: int) -> bool:
         """Have about `budget` bytes of live records of the oldest segments moved; whether any were."""
@@ -667,7 +717,7 @@
         self._waiters = []
 
     def _close_when_idle(self) -> None:
-        if self._batch is not None or self._preparing:
+        if self._batch is not None or self._prepare_running:
             return
         for file in self._all_files:
             if file.descriptor >= 0:
--- a/hollowusher/storage/slots.py
+++ b/hollowusher/storage/slots.py
@@ -13,7 +13,7 @@
 
 import xxhash
 
-from hollowusher.storage.files import Files, SystemFiles
+from hollowusher.storage.files import NO_SPACE, Files, SystemFiles
 from hollowusher.storage.interface import StorageError
 
 MAGIC = b"HWSLOT01"
@@ -96,15 +96,27 @@
         self._io.make_folder(self._path.parent)
         descriptors = [self._io.open(self._side_path(side), create=True) for side in SIDES]
         for descriptor in descriptors:
-            self._io.sync(descriptor)  # what a killed process wrote may stand in the system's cache alone
+            self._io.sync(descriptor)
         self._io.sync_folder(self._path.parent)
         for side, descriptor in enumerate(descriptors):
             found = decode_value(self._io.read(descriptor, self._io.size(descriptor), 0))
             if found is not None and found[0] > self._sequence:
                 self._sequence, self._value = found
                 self._newest_side = side
+        if self._value is not None:
+            self._write_again(descriptors[self._newest_side], encode_value(self._sequence, self._value))
         self._descriptors = descriptors
 
+    def _write_again(self, descriptor: int, data: bytes) -> None:
+        """Make the value that was read durable: after a kill, or after a failed sync, it may stand in the
+        system's cache alone.  On a full disk the sync alone has to do."""
+        try:
+            self._io.write(descriptor, data, 0)
+        except OSError as error:
+            if error.errno not in NO_SPACE:
+                raise
+        self._io.sync(descriptor)
+
     def _side_path(self, side: str) -> Path:
         return self._path.with_name(self._path.name + side)
 
--- /dev/null
+++ b/tests/simulated_disk.py
@@ -0,0 +1,209 @@
+"""A disk in memory with the terms of docs on power loss: what was not synced is present, missing or torn.
+
+It stands in for `hollowusher.storage.files.SystemFiles`.  Faults are switched on by its fields.
+"""
+
+from __future__ import annotations
+
+import errno
+from collections.abc import Callable
+from concurrent.futures import Executor, Future
+from pathlib import Path
+from random import Random
+from typing import Any
+
+
+class SimulatedFile:
+    """One file: what a reader sees, what is durable, and the changes in between."""
+
+    def __init__(self) -> None:
+        self.current = bytearray()
+        self.durable = bytearray()
+        self.pending: list[tuple[int, bytes]] = []  # offset and data; offset -1: a length was set
+        self.lasting = False  # whether its name survives a power loss
+
+    def write(self, data: bytes, offset: int) -> None:
+        overwrite(self.current, data, offset)
+        self.pending.append((offset, bytes(data)))
+
+    def set_size(self, size: int) -> None:
+        resize(self.current, size)
+        self.pending.append((-1, size.to_bytes(8, "big")))
+
+    def sync(self) -> None:
+        for offset, data in self.pending:
+            apply_change(self.durable, offset, data)
+        self.pending.clear()
+        self.lasting = True
+
+    def after_power_loss(self, chance: Random) -> SimulatedFile | None:
+        """What is left, None where the file itself is gone."""
+        if not self.lasting and chance.random() < 0.5:
+            return None
+        left = SimulatedFile()
+        left.durable = bytearray(self.durable)
+        left.lasting = True
+        nothing_remains = chance.random() < 0.25
+        for offset, data in self.pending:
+            fate = 2 if nothing_remains else chance.randrange(3)
+            if fate == 0:
+                apply_change(left.durable, offset, data)
+            elif fate == 1 and offset >= 0:
+                tear(left.durable, data, offset, chance)
+        left.current = bytearray(left.durable)
+        return left
+
+
+def resize(content: bytearray, size: int) -> None:
+    del content[size:]
+    content.extend(bytes(size - len(content)))
+
+
+def overwrite(content: bytearray, data: bytes, offset: int) -> None:
+    if len(content) < offset:
+        resize(content, offset)
+    content[offset:offset + len(data)] = data
+
+
+def apply_change(content: bytearray, offset: int, data: bytes) -> None:
+    if offset < 0:
+        resize(content, int.from_bytes(data, "big"))
+    else:
+        overwrite(content, data, offset)
+
+
+def tear(content: bytearray, data: bytes, offset: int, chance: Random) -> None:
+    """Write some stretches of the data and leave out others."""
+    start = 0
+    while start < len(data):
+        end = start + chance.randint(1, max(1, len(data) // 2))
+        if chance.random() < 0.5:
+            overwrite(content, data[start:end], offset + start)
+        start = end
+
+
+class SimulatedDisk:
+    """All files of one machine.  `on_change` is called after each change, also of what is durable."""
+
+    def __init__(self) -> None:
+        self.files: dict[Path, SimulatedFile] = {}
+        self.open_files: dict[int, SimulatedFile] = {}
+        self.removed: dict[Path, SimulatedFile] = {}  # former names that a power loss may bring back
+        self.renamed: set[Path] = set()  # new names that a power loss may take away
+        self.on_change: Callable[[], None] | None = None
+        self.failing_syncs = 0  # how many of the next syncs fail
+        self.failing_writes = 0
+        self.full = False
+        self.syncs = 0
+        self._next_descriptor = 100
+
+    def power_loss(self, chance: Random) -> SimulatedDisk:
+        """The disk that a loss of power at this moment leaves."""
+        left = SimulatedDisk()
+        names = [(path, file, True) for path, file in self.removed.items()]
+        names += [(path, file, path in self.renamed) for path, file in self.files.items()]
+        for path, file, uncertain in names:
+            survivor = file.after_power_loss(chance)
+            if survivor is not None and not (uncertain and chance.random() < 0.5):
+                left.files[path] = survivor
+        return left
+
+    def kill(self) -> None:
+        """End the process: the files stay as they are."""
+        self.open_files.clear()
+        self.on_change = None
+        self.failing_syncs = self.failing_writes = 0
+
+    def make_folder(self, folder: Path) -> None:
+        return None
+
+    def names(self, folder: Path) -> list[str]:
+        return [path.name for path in self.files if path.parent == folder]
+
+    def open(self, path: Path, create: bool) -> int:
+        if path not in self.files:
+            if not create:
+                raise FileNotFoundError(errno.ENOENT, "No such file", str(path))
+            self.files[path] = SimulatedFile()
+            self._changed()
+        self._next_descriptor += 1
+        self.open_files[self._next_descriptor] = self.files[path]
+        return self._next_descriptor
+
+    def size(self, descriptor: int) -> int:
+        return len(self.open_files[descriptor].current)
+
+    def set_size(self, descriptor: int, size: int) -> None:
+        self._check_space()
+        self.open_files[descriptor].set_size(size)
+        self._changed()
+
+    def read(self, descriptor: int, length: int, offset: int) -> bytes:
+        return bytes(self.open_files[descriptor].current[offset:offset + length])
+
+    def write(self, descriptor: int, data: bytes, offset: int) -> None:
+        self._check_space()
+        if self.failing_writes:
+            self.failing_writes -= 1
+            self.open_files[descriptor].write(data[:len(data) // 2], offset)
+            raise OSError(errno.EIO, "Input/output error")
+        self.open_files[descriptor].write(data, offset)
+        self._changed()
+
+    def sync(self, descriptor: int) -> None:
+        file = self.open_files[descriptor]
+        if self.failing_syncs:
+            self.failing_syncs -= 1
+            file.pending.clear()  # still readable, but no later sync makes these writes durable
+            raise OSError(errno.EIO, "Input/output error")
+        file.sync()
+        self.syncs += 1
+        self._changed()
+
+    def rename(self, old: Path, new: Path) -> None:
+        self.removed[old] = self.files[old]
+        if new in self.files:
+            self.removed[new] = self.files[new]
+        self.files[new] = self.files.pop(old)
+        self.renamed.add(new)
+        self._changed()
+
+    def sync_folder(self, folder: Path) -> None:
+        self.removed = {path: file for path, file in self.removed.items() if path.parent != folder}
+        self.renamed = {path for path in self.renamed if path.parent != folder}
+        self._changed()
+
+    def close(self, descriptor: int) -> None:
+        del self.open_files[descriptor]
+
+    def _check_space(self) -> None:
+        if self.full:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+    def _changed(self) -> None:
+        if self.on_change is not None:
+            self.on_change()
+
+
+class InlineExecutor(Executor):
+    """Runs each job at once; while `held`, jobs wait for `run_next`."""
+
+    def __init__(self) -> None:
+        self.held = False
+        self.waiting: list[Callable[[], None]] = []
+
+    def submit(self, function: Callable[..., Any], /, *args: Any, **kwargs: Any) -> Future[Any]:
+        future: Future[Any] = Future()
+
+        def run() -> None:
+            future.set_result(function(*args, **kwargs))
+
+        if self.held:
+            self.waiting.append(run)
+        else:
+            run()
+        return future
+
+    def run_next(self) -> None:
+        """Run the oldest job that waits."""
+        self.waiting.pop(0)()
--- /dev/null
+++ b/tests/test_ring_log.py
@@ -0,0 +1,775 @@
+"""The ring log against a plain list of what was appended, over a simulated disk and over real files."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from bisect import insort
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hollowusher.storage.interface import Log, Position, StorageError
+from hollowusher.storage.memory import MemoryLog
+from hollowusher.storage.ring_log import RingLog, ring_size
+from hollowusher.storage.segment_format import (
+    FRAME_BYTES,
+    HEADER_BYTES,
+    RecordScan,
+    SegmentHeader,
+    decode_header,
+    encode_frame,
+)
+from tests.simulated_disk import InlineExecutor, SimulatedDisk
+
+FOLDER = Path("/disk")
+SEGMENT_BYTES = 400
+SEGMENTS = 10
+
+
+def open_log(disk: SimulatedDisk, chance: Random | None = None, executor: InlineExecutor | None = None,
+             segment_bytes: int = SEGMENT_BYTES, segments: int = SEGMENTS) -> RingLog:
+    return RingLog(FOLDER, segment_bytes, segments, files=disk, executor=executor or InlineExecutor(),
+                   chance=chance or Random(7))
+
+
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    async def wrapped() -> None:
+        await scenario()
+
+    asyncio.run(wrapped())
+
+
+async def settle() -> None:
+    """Let callbacks of finished jobs run."""
+    for _ in range(6):
+        await asyncio.sleep(0)
+
+
+class PlainModel:
+    """The slow plain model: a list of all records in order, which of them are live, how many durable.
+
+    It owns the log as a state machine would: records carry a key, and a moved one is appended anew."""
+
+    def __init__(self, log: Log) -> None:
+        self.log = log
+        self.written: list[tuple[Position, bytes]] = []
+        self.live: dict[Position, bytes] = {}
+        self.once_durable: set[bytes] = set()
+        self.durable = 0  # how many of `written` a sync has confirmed
+        log.set_move(self.move)
+
+    def replay(self, forgotten: set[bytes]) -> None:
+        """Read a log as its owner does: of each record the newest place counts, released ones go again."""
+        newest: dict[bytes, Position] = {}
+        for position, record in self.log.replay():
+            self.written.append((position, record))
+            if record in newest:
+                self.log.release(newest[record])
+            newest[record] = position
+        for record, position in newest.items():
+            if record in forgotten:
+                self.log.release(position)
+            else:
+                self.live[position] = record
+        self.confirm(len(self.written))
+
+    def append(self, record: bytes) -> Position:
+        position = self.log.append(record)
+        insort(self.written, (position, record))  # records moved by this append stand after it
+        self.live[position] = record
+        return position
+
+    def move(self, position: Position, record: bytes) -> None:
+        assert self.live[position] == record
+        moved = self.log.append(record)
+        self.written.append((moved, record))
+        del self.live[position]
+        self.live[moved] = record
+
+    def release(self, position: Position) -> bytes:
+        self.log.release(position)
+        return self.live.pop(position)
+
+    async def sync(self) -> None:
+        appended = len(self.written)
+        await self.log.sync()
+        self.confirm(appended)
+
+    def confirm(self, appended: int) -> None:
+        self.once_durable.update(record for _, record in self.written[self.durable:appended])
+        self.durable = max(self.durable, appended)
+
+    def check(self, replayed: list[tuple[Position, bytes]]) -> None:
+        """What a replay after a crash at this moment may yield: one stretch of what was appended, in order,
+        with everything that is durable and live."""
+        places = {position: index for index, (position, _) in enumerate(self.written)}
+        indexes = [places[position] for position, _ in replayed]
+        if indexes:
+            assert indexes == list(range(indexes[0], indexes[-1] + 1))
+            assert all(self.written[index][1] == record
+                       for index, (_, record) in zip(indexes, replayed, strict=True))
+            assert indexes[-1] >= self.durable - 1
+        survived = {record for _, record in replayed}
+        assert {record for record in self.live.values() if record in self.once_durable} <= survived
+
+    def check_reads(self) -> None:
+        for position, record in self.live.items():
+            assert self.log.read(position) == record
+
+
+def check_power_loss(disk: SimulatedDisk, model: PlainModel, chance: Random) -> None:
+    left = open_log(disk.power_loss(chance))
+    model.check(list(left.replay()))
+    assert left.damaged_records == 0
+
+
+class RandomUse:
+    """A random sequence of uses and faults of one log, over several lives of its process."""
+
+    def __init__(self, seed: int, check_each_change: bool) -> None:
+        self.chance = Random(seed)
+        self.check_each_change = check_each_change
+        self.disk = SimulatedDisk()
+        self.forgotten: set[bytes] = set()
+        self.count = 0
+        self.lives = 0
+        self.moved = 0
+        self.failed = 0
+        self.tasks: list[asyncio.Task[None]] = []
+        self.failures: list[AssertionError] = []
+        self.start()
+
+    def start(self) -> None:
+        self.lives += 1
+        self.executor = InlineExecutor()
+        self.log = open_log(self.disk, self.chance, self.executor)
+        self.model = PlainModel(self.log)
+        self.model.replay(self.forgotten)
+        assert self.log.damaged_records == 0
+        if self.check_each_change:
+            self.disk.on_change = self.check_change
+
+    def check_change(self) -> None:
+        try:
+            check_power_loss(self.disk, self.model, self.chance)
+        except AssertionError as error:  # raised here, it would end in the event loop's log
+            self.failures.append(error)
+
+    async def step(self) -> None:
+        actions = [self.append] * 6 + [self.release] * 4 + [self.sync] * 3 + [self.hold, self.work, self.work]
+        actions += [self.fail] if self.chance.random() < 0.3 else []
+        actions += [self.crash] if self.chance.random() < 0.2 else []
+        await self.chance.choice(actions)()
+        for failure in self.failures:
+            raise failure
+
+    async def append(self) -> None:
+        for _ in range(self.chance.randint(1, 5)):
+            self.count += 1
+            record = b"%d:" % self.count + bytes(self.chance.randint(0, 70))
+            try:
+                self.model.append(record)
+            except StorageError:
+                return
+
+    async def release(self) -> None:
+        long_lived = self.chance.randint(0, 8)  # the oldest ones stay, so that they have to be moved
+        for position in list(self.model.live)[long_lived:]:
+            if self.chance.random() < 0.5:
+                self.forgotten.add(self.model.release(position))
+
+    async def sync(self) -> None:
+        self.tasks += [asyncio.ensure_future(self._sync()) for _ in range(self.chance.randint(1, 3))]
+        await settle()
+
+    async def _sync(self) -> None:
+        try:
+            await self.model.sync()
+        except StorageError:
+            return
+        self.model.check_reads()
+
+    async def hold(self) -> None:
+        self.executor.held = True
+
+    async def work(self) -> None:
+        while self.executor.waiting:
+            self.executor.run_next()
+            await settle()
+        self.executor.held = self.chance.random() < 0.5
+        self.disk.full = self.disk.full and self.chance.random() < 0.5
+
+    async def fail(self) -> None:
+        kind = self.chance.randrange(4)
+        if kind == 0:
+            self.disk.failing_syncs = self.chance.randint(1, 3)
+        elif kind == 1:
+            self.disk.failing_writes = self.chance.randint(1, 3)
+        else:
+            self.disk.full = True
+
+    async def crash(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await settle()
+        self.tasks = []
+        self.moved += self.log.moved_records
+        self.failed += self.log.failed_batches
+        if self.chance.random() < 0.5:
+            self.disk = self.disk.power_loss(self.chance)
+        self.disk.kill()
+        self.disk.full = False
+        model = self.model
+        self.start()
+        model.check(self.model.written)
+
+
+async def use_at_random(seed: int, steps: int, check_each_change: bool) -> RandomUse:
+    use = RandomUse(seed, check_each_change)
+    for _ in range(steps):
+        await use.step()
+    await use.crash()
+    use.model.check_reads()
+    return use
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_power_loss_after_any_change_of_the_disk_loses_nothing_synced(seed: int) -> None:
+    asyncio.run(use_at_random(seed, steps=120, check_each_change=True))
+
+
+@settings(max_examples=25, deadline=None)
+@given(seed=st.integers(0, 2**32))
+def test_random_uses_faults_and_crashes_agree_with_the_plain_model(seed: int) -> None:
+    asyncio.run(use_at_random(seed, steps=150, check_each_change=False))
+
+
+def test_random_uses_reach_crashes_moves_and_failures() -> None:
+    uses = [asyncio.run(use_at_random(seed, steps=200, check_each_change=False)) for seed in range(8)]
+    assert sum(use.lives for use in uses) > 8
+    assert sum(use.moved for use in uses) > 50
+    assert sum(use.failed for use in uses) > 20
+
+
+def test_the_ring_wraps_with_long_lived_records_and_refuses_none() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        log = open_log(disk)
+        model = PlainModel(log)
+        kept = [model.append(b"kept %d" % number) for number in range(20)]
+        for number in range(1500):
+            position = model.append(b"passing %d" % number)
+            if number % 3 == 0:
+                await model.sync()
+            model.release(position)
+        await model.sync()
+        assert set(model.live.values()) == {b"kept %d" % number for number in range(20)}
+        assert not set(kept) & set(model.live)
+        assert log.moved_records >= 20
+        assert len(disk.files) <= SEGMENTS + 3
+        check_power_loss(disk, model, Random(1))
+
+    run(scenario)
+
+
+def test_as_much_as_may_be_live_can_be_replaced_again_and_again() -> None:
+    async def scenario() -> None:
+        log = open_log(SimulatedDisk())
+        model = PlainModel(log)
+        while log.free_bytes() > 200:
+            model.append(b"first %04d" % len(model.written))
+        chance = Random(3)
+        for number in range(600):
+            model.release(chance.choice(list(model.live)))
+            model.append(b"again %04d" % number)
+            await model.sync()
+            await settle()
+        model.check_reads()
+        assert log.moved_records > 100
+
+    run(scenario)
+
+
+def test_a_ring_full_of_live_records_refuses_and_recovers() -> None:
+    async def scenario() -> None:
+        log = open_log(SimulatedDisk())
+        model = PlainModel(log)
+        with pytest.raises(StorageError, match="full"):
+            while True:
+                model.append(bytes(60))
+        await model.sync()
+        model.check_reads()
+        for position in list(model.live)[:10]:
+            model.release(position)
+        model.append(bytes(60))
+        await model.sync()
+
+    run(scenario)
+
+
+def test_a_record_larger_than_a_segment_is_refused() -> None:
+    log = open_log(SimulatedDisk(), segment_bytes=100)
+    with pytest.raises(StorageError, match="larger than a segment"):
+        log.append(bytes(100))
+
+
+def test_one_sync_serves_all_that_wait_for_it() -> None:
+    async def scenario() -> None:
+        disk, executor = SimulatedDisk(), InlineExecutor()
+        log = open_log(disk, executor=executor)
+        log.append(b"creates the file")
+        await log.sync()
+        executor.held = True
+        before = log.syncs
+        log.append(b"first")
+        first = asyncio.ensure_future(log.sync())
+        await settle()
+        later = []
+        for number in range(20):
+            log.append(b"%d" % number)
+            later.append(asyncio.ensure_future(log.sync()))
+        await settle()
+        assert len(executor.waiting) == 1
+        executor.run_next()
+        await settle()
+        assert first.done() and not any(task.done() for task in later)
+        assert len(executor.waiting) == 1
+        executor.run_next()
+        await settle()
+        assert all(task.done() for task in later)
+        assert log.syncs == before + 2
+
+    run(scenario)
+
+
+def test_a_cancelled_wait_leaves_the_records_to_the_others() -> None:
+    async def scenario() -> None:
+        disk, executor = SimulatedDisk(), InlineExecutor()
+        log = open_log(disk, executor=executor)
+        executor.held = True
+        log.append(b"one")
+        cancelled, waits = asyncio.ensure_future(log.sync()), asyncio.ensure_future(log.sync())
+        await settle()
+        cancelled.cancel()
+        executor.run_next()
+        await settle()
+        assert cancelled.cancelled() and waits.done()
+
+    run(scenario)
+
+
+def test_a_slow_disk_is_reported_and_keeps_order() -> None:
+    async def scenario() -> None:
+        disk, executor = SimulatedDisk(), InlineExecutor()
+        log = open_log(disk, executor=executor)
+        now = asyncio.get_running_loop().time()
+        assert not log.stalled(now + 100)
+        executor.held = True
+        log.append(b"one")
+        waits = asyncio.ensure_future(log.sync())
+        await settle()
+        assert not log.stalled(now + 1)
+        assert log.stalled(now + 100)
+        log.append(b"two")
+        assert log.read(log.append(b"three")) == b"three"
+        executor.run_next()
+        executor.held = False
+        await waits
+        await log.sync()
+        assert not log.stalled(now + 100)
+        again = open_log(disk.power_loss(Random(1)))
+        assert [record for _, record in again.replay()] == [b"one", b"two", b"three"]
+
+    run(scenario)
+
+
+def test_after_a_failed_sync_the_same_bytes_go_to_another_file() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        log = open_log(disk)
+        model = PlainModel(log)
+        model.append(b"before")
+        await model.sync()
+        disk.failing_syncs = 1
+        position = model.append(b"rewritten")
+        await model.sync()
+        assert log.failed_batches == 1
+        assert len(disk.files) == 2
+        model.append(b"after")
+        await model.sync()
+        assert log.read(position) == b"rewritten"
+        for seed in range(10):
+            check_power_loss(disk, model, Random(seed))
+        again = open_log(disk.power_loss(Random(1)))
+        assert [record for _, record in again.replay()] == [b"before", b"rewritten", b"after"]
+
+    run(scenario)
+
+
+def test_syncs_that_keep_failing_are_told_and_a_later_one_writes_all() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        log = open_log(disk)
+        model = PlainModel(log)
+        model.append(b"before")
+        await model.sync()
+        disk.failing_syncs = 6
+        for number in range(3):
+            model.append(b"failing %d" % number)
+            with pytest.raises(StorageError, match="Input/output"):
+                await model.sync()
+        model.check_reads()
+        await model.sync()
+        assert len(disk.files) == 2
+        for seed in range(10):
+            check_power_loss(disk, model, Random(seed))
+
+    run(scenario)
+
+
+def test_what_a_failed_sync_left_in_the_cache_is_made_durable_at_the_next_start() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        log = open_log(disk)
+        log.append(b"before")
+        await log.sync()
+        disk.failing_syncs = 2
+        log.append(b"only cached")
+        with pytest.raises(StorageError):
+            await log.sync()
+        disk.kill()
+        seen = [record for _, record in open_log(disk).replay()]
+        after = open_log(disk.power_loss(Random(2)))
+        assert [record for _, record in after.replay()] == seen
+
+    run(scenario)
+
+
+def test_a_full_disk_is_told_and_all_is_written_when_there_is_room() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        log = open_log(disk)
+        model = PlainModel(log)
+        model.append(b"before")
+        await model.sync()
+        disk.full = True
+        for number in range(3):
+            model.append(b"waits %d" % number)
+            with pytest.raises(StorageError, match="No space"):
+                await model.sync()
+        check_power_loss(disk, model, Random(1))
+        disk.full = False
+        await model.sync()
+        model.check_reads()
+        assert len(disk.files) == 1
+        check_power_loss(disk, model, Random(1))
+
+    run(scenario)
+
+
+def test_a_disk_full_from_the_start_recovers() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        disk.full = True
+        log = open_log(disk)
+        model = PlainModel(log)
+        model.append(b"waits")
+        with pytest.raises(StorageError, match="No space"):
+            await model.sync()
+        disk.full = False
+        await model.sync()
+        check_power_loss(disk, model, Random(1))
+
+    run(scenario)
+
+
+def test_too_much_unsynced_is_refused() -> None:
+    log = open_log(SimulatedDisk(), segment_bytes=4 * 1024 * 1024, segments=40)
+    with pytest.raises(StorageError, match="waits for the disk"):
+        for _ in range(20):
+            log.append(bytes(1024 * 1024))
+
+
+def test_stale_bytes_of_an_earlier_use_never_read_as_records() -> None:
+    header = SegmentHeader(sequence=5, part=0, base=0, nonce=111, previous_end=0)
+    stale = encode_frame(b"old", 222, 0) + b"old"
+    assert list(RecordScan(stale + bytes(50), header, None).records()) == []
+    own = encode_frame(b"new", 111, 0) + b"new"
+    shifted = own + own  # the same record once more, at another offset
+    assert list(RecordScan(shifted, header, None).records()) == [(0, b"new")]
+
+
+def test_a_damaged_record_in_a_synced_region_is_counted_and_skipped() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        log = open_log(disk)
+        positions = [log.append(b"%03d" % number + bytes(60)) for number in range(8)]
+        await log.sync()
+        damaged = positions[1]
+        assert positions[-1].segment > damaged.segment
+        file = disk.files[FOLDER / "ring-0000.log"]
+        file.current[HEADER_BYTES + damaged.offset + FRAME_BYTES] ^= 0xFF
+        with pytest.raises(StorageError, match="does not check"):
+            log.read(damaged)
+        disk.kill()
+        again = open_log(disk)
+        survived = [position for position, _ in again.replay()]
+        assert survived == positions[:1] + positions[2:]
+        assert again.damaged_records == 1
+
+    run(scenario)
+
+
+def test_a_damaged_record_does_not_hold_up_the_reuse_of_its_segment() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        log = open_log(disk)
+        model = PlainModel(log)
+        damaged = model.append(b"damaged")
+        await model.sync()
+        disk.files[FOLDER / "ring-0000.log"].current[HEADER_BYTES + damaged.offset + FRAME_BYTES] ^= 0xFF
+        for number in range(300):
+            model.release(model.append(b"%d" % number))
+            await model.sync()
+        assert log.damaged_records == 1
+        assert log.read(model.append(b"works")) == b"works"
+
+    run(scenario)
+
+
+def test_a_torn_header_is_no_header() -> None:
+    data = SegmentHeader(sequence=5, part=0, base=0, nonce=111, previous_end=9).encode()
+    assert decode_header(data) == SegmentHeader(5, 0, 0, 111, 9)
+    for length in range(HEADER_BYTES):
+        assert decode_header(data[:length]) is None
+        assert decode_header(data[:length] + bytes(HEADER_BYTES - length)) is None
+
+
+def test_a_file_with_a_torn_header_is_used_again() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        log = open_log(disk)
+        log.append(b"one")
+        await log.sync()
+        disk.kill()
+        disk.files[FOLDER / "ring-0000.log"].current[3] ^= 0xFF
+        again = open_log(disk)
+        assert list(again.replay()) == []
+        again.append(b"two")
+        await again.sync()
+        assert len(disk.files) == 1
+
+    run(scenario)
+
+
+def test_records_released_before_their_replacements_are_durable_survive() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        log = open_log(disk)
+        model = PlainModel(log)
+        old = model.append(b"old")
+        await model.sync()
+        model.release(old)
+        for number in range(20):
+            model.append(b"%d" % number + bytes(50))
+        left = open_log(disk.power_loss(Random(1)))
+        assert b"old" in {record for _, record in left.replay()}
+
+    run(scenario)
+
+
+def test_a_started_process_never_appends_to_an_old_segment() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        segments = set()
+        for _ in range(40):
+            log = open_log(disk)
+            model = PlainModel(log)
+            model.replay({b"x"})
+            segments.add(model.append(b"x").segment)
+            await model.sync()
+            disk.kill()
+        assert len(segments) == 40
+        assert len(disk.files) <= SEGMENTS + 3
+
+    run(scenario)
+
+
+def test_restarts_with_live_records_do_not_use_up_the_ring() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        for life in range(60):
+            model = PlainModel(open_log(disk))
+            model.replay(set())
+            assert set(model.live.values()) == {b"%d" % number for number in range(life)}
+            model.append(b"%d" % life)
+            await model.sync()
+            disk.kill()
+
+    run(scenario)
+
+
+def test_an_append_before_the_replay_is_refused() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        log = open_log(disk)
+        log.append(b"one")
+        await log.sync()
+        disk.kill()
+        with pytest.raises(RuntimeError):
+            open_log(disk).append(b"two")
+
+    run(scenario)
+
+
+def test_a_release_is_taken_once() -> None:
+    log = open_log(SimulatedDisk())
+    before = log.free_bytes()
+    position = log.append(b"one")
+    log.release(position)
+    log.release(position)
+    log.release(Position(99, 0, 3))
+    assert log.free_bytes() == before
+
+
+def test_closing_fails_those_who_wait_and_waits_for_the_thread() -> None:
+    async def scenario() -> None:
+        disk, executor = SimulatedDisk(), InlineExecutor()
+        log = open_log(disk, executor=executor)
+        log.append(b"one")
+        executor.held = True
+        waits = asyncio.ensure_future(log.sync())
+        await settle()
+        log.close()
+        with pytest.raises(StorageError, match="closed"):
+            await waits
+        executor.run_next()
+        await settle()
+        assert disk.open_files == {}
+        with pytest.raises(StorageError, match="closed"):
+            log.append(b"two")
+
+    run(scenario)
+
+
+def test_real_files_with_the_real_thread(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        (tmp_path / "ring-0000.log.old").write_bytes(b"foreign")
+        (tmp_path / "notes.txt").write_bytes(b"foreign")
+        log = RingLog(tmp_path / "log", 4096, 8)
+        assert list(log.replay()) == []
+        model = PlainModel(log)
+        for number in range(400):
+            model.append(b"record %d" % number)
+            if number % 10 == 0:
+                await model.sync()
+            if number >= 20:
+                model.release(next(iter(model.live)))
+        await model.sync()
+        model.check_reads()
+        log.close()
+        again = RingLog(tmp_path / "log", 4096, 8)
+        model.check(list(again.replay()))
+        again.close()
+        assert (tmp_path / "notes.txt").read_bytes() == b"foreign"
+
+    run(scenario)
+
+
+def test_foreign_files_in_the_folder_are_ignored(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        for name in ("ring-1.log", "ring-0000.log.old", "notes.txt"):
+            (tmp_path / name).write_bytes(b"foreign")
+        (tmp_path / "ring-0000.log").write_bytes(b"of the right name, without a header")
+        log = RingLog(tmp_path, 4096, 8)
+        assert list(log.replay()) == []
+        log.append(b"one")
+        await log.sync()
+        log.close()
+        for name in ("ring-1.log", "ring-0000.log.old", "notes.txt"):
+            assert (tmp_path / name).read_bytes() == b"foreign"
+        assert len(list(tmp_path.iterdir())) == 4
+        assert (tmp_path / "ring-0000.log").stat().st_size == 4096
+
+    run(scenario)
+
+
+def test_a_folder_that_cannot_be_used_is_a_storage_error(tmp_path: Path) -> None:
+    (tmp_path / "file").write_bytes(b"")
+    with pytest.raises(StorageError) as raised:
+        RingLog(tmp_path / "file" / "log", 4096, 8)
+    assert raised.value.step == "open"
+
+
+@pytest.mark.parametrize("disk_mb", [8, 32, 64, 500, 2000])
+def test_a_ring_fits_its_share_of_the_disk(disk_mb: int) -> None:
+    size = ring_size(disk_mb)
+    assert (size.segments + 3) * size.segment_bytes <= disk_mb * 1024 * 1024 * 0.6
+    assert (size.segments + 3) * size.segment_bytes >= disk_mb * 1024 * 1024 * 0.5
+    assert size.segments >= 6
+
+
+def test_errors_name_step_file_and_reason() -> None:
+    async def scenario() -> None:
+        disk = SimulatedDisk()
+        disk.failing_writes = 2
+        log = open_log(disk)
+        log.append(b"one")
+        with pytest.raises(StorageError) as raised:
+            await log.sync()
+        assert (raised.value.step, raised.value.file) == ("open", str(FOLDER / "ring-0000.log"))
+        assert raised.value.reason == OSError(errno.EIO, "Input/output error").strerror
+
+    run(scenario)
+
+
+@settings(max_examples=40, deadline=None)
+@given(seed=st.integers(0, 2**32), in_order=st.booleans())
+def test_the_log_in_memory_keeps_what_was_synced(seed: int, in_order: bool) -> None:
+    async def scenario() -> None:
+        chance = Random(seed)
+        log = MemoryLog(segment_bytes=300, segments=10)
+        model = PlainModel(log)
+        for number in range(150):
+            try:
+                model.append(b"%d" % number + bytes(chance.randint(0, 40)))
+            except StorageError:
+                assert log.free_bytes() < 100
+            if chance.random() < 0.7:
+                model.release(chance.choice(list(model.live)))
+            if chance.random() < 0.3:
+                await model.sync()
+        after = log.crash(chance, in_order)
+        replayed = list(after.replay())
+        survived = {record for _, record in replayed}
+        assert {record for record in model.live.values() if record in model.once_durable} <= survived
+        assert replayed == [entry for entry in model.written if entry in set(replayed)]
+        if in_order:
+            model.check(replayed)
+
+    run(scenario)
+
+
+def test_the_log_in_memory_fails_stalls_and_recovers() -> None:
+    async def scenario() -> None:
+        log = MemoryLog()
+        log.append(b"one")
+        log.failing = "no disk"
+        with pytest.raises(StorageError, match="no disk"):
+            await log.sync()
+        with pytest.raises(StorageError, match="no disk"):
+            log.append(b"two")
+        log.failing = ""
+        waits = asyncio.ensure_future(log.sync())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert log.stalled(asyncio.get_running_loop().time() + 100)
+        await waits
+        assert [record for _, record in log.crash(Random(1)).replay()] == [b"one"]
+
+    run(scenario)
