--- a/hollowusher/dispatch/dispatcher.py
+++ b/hollowusher/dispatch/dispatcher.py
@@ -22,7 +22,7 @@
 from hollowusher.delivery.pull import LeasingPullDesk
 from hollowusher.delivery.reports import EndReporter, FinishClient
 from hollowusher.delivery.worker_client import Endpoint, WorkerClient
-from hollowusher.dispatch.ownership import Destination, assign, fixed_destination, worker_destination
+from hollowusher.dispatch.ownership import Destination, assign, fixed_destination, owner, worker_destination
 from hollowusher.dispatch.service_dispatch import DispatchContext, ServiceDispatch, WorkerSpec
 from hollowusher.protocol.control import Member, Worker
 from hollowusher.protocol.store import CALLBACK_PREFIX, JobsWaiting
@@ -101,8 +101,7 @@
         return self._routes.get(name)
 
     def _owns_receiver(self, service: str) -> bool:
-        owners = assign([Destination(service)], self._state.alive(EDGE))
-        return owners.get(service) == self._me.name
+        return owner(Destination(service), self._state.alive(EDGE)) == self._me.name
 
     def _changed(self, key: str) -> None:
         if key == WORKERS:
