--- /dev/null
+++ b/tests/test_chain.py
@@ -0,0 +1,392 @@
+"""The control chain, and the views that change it: cases, and random runs against a plain set of commits."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+import pytest
+
+from hollowusher.coordination.chain import EMPTY_STATE, ChainMember, dump_write
+from hollowusher.coordination.reconfiguration import (
+    Presence,
+    VoterHealth,
+    choose_candidate,
+    lost_member,
+    plan_chain,
+    plan_voters,
+    presence,
+    proposal_rank,
+)
+from hollowusher.coordination.view import first_view, majority, shortest_chain
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import ChainWrite, ControlState, Pong, View, Voter
+
+
+def voters(names: str) -> list[Voter]:
+    return [Voter(name, f"disk-{name}", f"10.0.0.{ord(name)}:1") for name in names]
+
+
+def chain_of(names: str) -> tuple[View, dict[str, ChainMember]]:
+    view = first_view(voters(names))
+    members = {name: ChainMember(name, f"disk-{name}") for name in names}
+    for member in members.values():
+        member.install(view)
+    return view, members
+
+
+def written(state: ControlState, word: str) -> ControlState:
+    return evolve(state, history=[*state.history, [1, word]])
+
+
+def words(state: ControlState) -> set[str]:
+    return {word for _, word in state.history}
+
+
+def everyone(view: View, alive: str) -> Presence:
+    """All these voters hear each other and are complete."""
+    names = frozenset(alive)
+    return Presence(names, names & frozenset(view.chain), dict.fromkeys(alive, names))
+
+
+# -- the members -------------------------------------------------------------------------------------------
+
+
+def test_head_and_tail_follow_from_the_view() -> None:
+    _, members = chain_of("abc")
+    assert [members[name].is_head for name in "abc"] == [True, False, False]
+    assert [members[name].is_tail for name in "abc"] == [False, False, True]
+    assert [members[name].next_name() for name in "abc"] == ["b", "c", None]
+
+
+def test_a_state_goes_down_the_chain_and_is_committed_at_the_tail() -> None:
+    _, members = chain_of("abc")
+    write = members["a"].begin(written(members["a"].state, "x"))
+    members["a"].keep(write)
+    for name in "bc":
+        assert members[name].accepts(write)
+        members[name].keep(write)
+    assert not members["c"].readable
+    assert members["c"].commit(write) is write.state and members["c"].readable
+    assert members["a"].commit(write) is write.state and members["a"].settled
+    assert members["a"].commit(write) is None  # known already
+    assert members["b"].committed is None
+
+
+def test_writes_of_other_epochs_and_older_ones_are_refused() -> None:
+    view, members = chain_of("abc")
+    tail = members["c"]
+    tail.keep(ChainWrite(1, evolve(EMPTY_STATE, sequence=5)))
+    assert not tail.accepts(ChainWrite(1, evolve(EMPTY_STATE, sequence=4)))
+    assert tail.accepts(ChainWrite(1, evolve(EMPTY_STATE, sequence=5)))
+    assert not tail.accepts(ChainWrite(2, evolve(EMPTY_STATE, sequence=9)))
+    tail.install(View(2, view.voters, ["b", "c"], {"b": 1, "c": 1}))
+    assert not tail.accepts(ChainWrite(1, evolve(EMPTY_STATE, sequence=9)))
+    assert tail.accepts(ChainWrite(2, evolve(EMPTY_STATE, sequence=4)))  # of a later epoch: it counts
+    assert not members["a"].accepts(ChainWrite(1, evolve(EMPTY_STATE, sequence=9)))  # the head
+
+
+def test_a_later_epoch_replaces_what_was_never_committed() -> None:
+    view, members = chain_of("abc")
+    members["a"].keep(members["a"].begin(written(EMPTY_STATE, "lost")))
+    second = View(2, view.voters, ["b", "c"], {"b": 1, "c": 1})
+    third = View(3, view.voters, ["b", "c", "a"], {"b": 1, "c": 1, "a": 3})
+    members["b"].install(second)
+    write = members["b"].begin()
+    members["b"].keep(write)
+    members["b"].install(third)
+    members["a"].install(third)
+    write = members["b"].begin()
+    assert write.state.sequence < members["a"].state.sequence
+    assert members["a"].accepts(write)
+    members["a"].keep(write)
+    assert members["a"].state.history == []
+
+
+def test_a_member_that_joined_is_complete_after_its_first_state() -> None:
+    view, members = chain_of("abc")
+    joined = View(3, view.voters, ["a", "b", "c"], {"a": 1, "b": 1, "c": 3})
+    for member in members.values():
+        member.install(joined)
+    assert members["b"].complete and not members["c"].complete
+    members["c"].keep(ChainWrite(3, evolve(EMPTY_STATE, sequence=1)))
+    assert members["c"].complete
+    members["c"].install(View(4, view.voters, ["c", "b"], {"b": 1, "c": 3}))
+    assert members["c"].complete
+    members["c"].install(View(9, view.voters, ["b", "c"], {"b": 1, "c": 8}))
+    assert not members["c"].complete  # it has been out of the chain in between
+
+
+def test_a_head_that_may_lack_commits_writes_nothing() -> None:
+    view, members = chain_of("abc")
+    members["c"].install(View(3, view.voters, ["c", "a"], {"a": 1, "c": 3}))
+    with pytest.raises(ValueError, match="not a head"):
+        members["c"].begin()
+    with pytest.raises(ValueError, match="not a head"):
+        members["b"].begin()
+
+
+def test_another_disk_is_no_member() -> None:
+    view, _ = chain_of("abc")
+    wiped = ChainMember("a", "another-disk")
+    wiped.install(view)
+    assert not (wiped.in_chain or wiped.is_head or wiped.complete)
+
+
+def test_a_member_is_the_same_after_a_crash() -> None:
+    view, _ = chain_of("abc")
+    write = ChainWrite(1, evolve(EMPTY_STATE, sequence=5, generation=7, document=b"{}"))
+    again = ChainMember("c", "disk-c", dump_write(write))
+    assert (again.state_epoch, again.state) == (1, write.state)
+    again.install(view)
+    assert again.committed == write.state and again.readable  # what the tail saved is committed
+
+
+def test_a_tail_answers_nothing_before_its_epoch_is_in_force() -> None:
+    view, members = chain_of("abc")
+    write = ChainWrite(1, evolve(EMPTY_STATE, sequence=1))
+    members["b"].keep(write)
+    members["b"].commit(write)
+    second = View(2, view.voters, ["a", "b"], {"a": 1, "b": 1})
+    members["b"].install(second)
+    assert not members["b"].readable
+    later = ChainWrite(2, evolve(EMPTY_STATE, sequence=3))
+    members["b"].keep(later)
+    assert not members["b"].readable
+    members["b"].commit(later)
+    assert members["b"].readable and members["b"].committed == later.state
+
+
+# -- the next view -----------------------------------------------------------------------------------------
+
+
+def test_the_chain_keeps_its_order_and_others_join_behind() -> None:
+    view = View(4, voters("abcde"), ["c", "a", "e"], {"c": 1, "a": 1, "e": 2})
+    planned = plan_chain(view, everyone(view, "abde"))
+    assert planned is not None and planned.chain == ["a", "e", "b", "d"]
+    assert planned.since == {"a": 1, "e": 2, "b": 5, "d": 5} and planned.epoch == 5
+
+
+def test_members_that_may_lack_commits_come_after_those_that_hold_all() -> None:
+    view = View(4, voters("abc"), ["a", "b", "c"], {"a": 4, "b": 1, "c": 1})
+    present = attrs.evolve(everyone(view, "abc"), complete=frozenset("b"))
+    planned = plan_chain(view, present)
+    assert planned is not None and planned.chain == ["b", "a", "c"]
+    nobody = attrs.evolve(present, complete=frozenset())
+    assert plan_chain(view, nobody) is None
+
+
+def test_no_chain_shorter_than_allowed_and_none_without_need() -> None:
+    view = first_view(voters("abc"))
+    assert plan_chain(view, everyone(view, "abc")) is None
+    assert plan_chain(view, everyone(view, "a")) is None
+    planned = plan_chain(view, everyone(view, "ab"))
+    assert planned is not None and planned.chain == ["a", "b"]
+    leaving = plan_chain(view, everyone(view, "abc"), leave="a")
+    assert leaving is not None and leaving.chain == ["b", "c"]
+
+
+def test_who_cannot_reach_the_tail_does_not_join() -> None:
+    view = View(2, voters("abc"), ["a", "b"], {"a": 1, "b": 1})
+    heard = {"a": frozenset("bc"), "b": frozenset("a"), "c": frozenset("a")}
+    assert plan_chain(view, Presence(frozenset("abc"), frozenset("ab"), heard)) is None
+
+
+def test_a_new_disk_takes_the_place_of_the_old_one_at_the_tail() -> None:
+    view = first_view(voters("abc"))
+    planned = plan_voters(view, Voter("b", "new", "10.0.0.98:1"), "b")
+    assert planned is not None and planned.chain == ["a", "c", "b"]
+    assert planned.since == {"a": 1, "c": 1, "b": 2}
+    assert {voter.disk_id for voter in planned.voters} == {"disk-a", "disk-c", "new"}
+    assert plan_voters(view, Voter("a", "new", ""), "a") is None  # the head would be lost
+    assert plan_voters(view, view.voters[1], "b") is None  # nothing new
+
+
+def test_who_is_made_a_voter() -> None:
+    view = first_view(voters("abc"))
+    health = VoterHealth("a", 0.0)
+    health.track("abc", 0.0)
+    new, wiped = Voter("n", "disk-n", ""), Voter("b", "new", "")
+    pong(health, "b", 10.0)
+    pong(health, "c", 10.0)
+    assert choose_candidate(view, [view.voters[0], new], health, 10.0) == (new, None)
+    assert choose_candidate(view, [wiped], health, 10.0) == (wiped, "b")
+    pong(health, "b", 14.0)
+    assert choose_candidate(view, [new], health, 14.0) == (new, "c")
+    full = first_view(voters("abcde"))
+    assert choose_candidate(full, [new], VoterHealth("a", 14.0), 14.0) is None
+
+
+# -- who is there ------------------------------------------------------------------------------------------
+
+
+def pong(health: VoterHealth, name: str, now: float, stalled: bool = False, leaving: bool = False) -> None:
+    health.answered(Pong(name, f"disk-{name}", 1, True, ["a", "b", "c"], leaving, stalled), now)
+
+
+def test_a_voter_is_dead_after_silence_or_two_refusals() -> None:
+    health = VoterHealth("a", 0.0)
+    health.track("abc", 0.0)
+    assert not health.dead("b", 1.1) and not health.hears("b", 1.1)  # it may yet be starting
+    assert health.dead("b", 1.3)
+    pong(health, "b", 2.0)
+    assert health.hears("b", 3.1) and not health.hears("b", 3.3)
+    pong(health, "b", 4.0)
+    health.refused("b")
+    assert health.hears("b", 4.1)
+    health.refused("b")
+    assert health.dead("b", 4.2)
+    pong(health, "b", 4.4)
+    assert health.hears("b", 4.4)
+    pong(health, "b", 4.6, stalled=True)
+    assert health.dead("b", 4.6)
+
+
+def test_refusals_mean_little_right_after_the_start() -> None:
+    health = VoterHealth("a", 0.0)
+    health.track("ab", 0.0)
+    health.refused("b")
+    health.refused("b")
+    assert not health.dead("b", 0.5) and health.dead("b", 1.3)
+
+
+def test_a_member_out_of_reach_of_its_neighbour_is_avoided_for_a_while() -> None:
+    health = VoterHealth("a", 0.0)
+    health.track("ab", 0.0)
+    pong(health, "b", 1.0)
+    health.avoid("b", 2.0)
+    assert health.dead("b", 1.5)
+    pong(health, "b", 2.1)
+    assert health.hears("b", 2.1)
+
+
+def test_presence_leaves_out_the_leaving_and_ranks_the_rest() -> None:
+    view = first_view(voters("abc"))
+    health = VoterHealth("b", 0.0)
+    health.track("abc", 0.0)
+    pong(health, "c", 5.0)
+    assert health.hears_majority(view, 5.0) and lost_member(view, health, 5.0)
+    present = presence(health, view, True, 5.0)
+    assert present.alive == {"b", "c"} and present.complete == {"b", "c"}
+    assert proposal_rank(view, present, "b") == 0 and proposal_rank(view, present, "c") == 1
+    pong(health, "a", 5.0, leaving=True)
+    assert presence(health, view, True, 5.0).alive == {"b", "c"}
+    assert proposal_rank(View(2, view.voters, ["a", "c"]), present, "b") is None
+
+
+# -- random runs -------------------------------------------------------------------------------------------
+
+
+class ChainModel:
+    """Members, writes on their way in any order, views decided by majorities and learned late; next to it
+    the plain set of all that was committed."""
+
+    def __init__(self, names: str, chance: random.Random) -> None:
+        self.chance = chance
+        view, self.members = chain_of(names)
+        self.views = [view]
+        self.under_way: list[tuple[str, ChainWrite]] = []  # receiver, write
+        self.committed: set[str] = set()
+        self.words = 0
+        self.accepted: dict[str, int] = dict.fromkeys(names, 1)  # the newest epoch each has accepted
+        self.reads = 0
+
+    def step(self) -> None:
+        action = self.chance.choices(
+            (self.write, self.deliver, self.learn, self.change_view, self.crash, self.read),
+            weights=(4, 20, 8, 1, 1, 3))[0]
+        action()
+
+    def write(self) -> None:
+        member = self._any_member()
+        if not (member.is_head and member.complete):
+            return
+        fresh = None
+        if member.state_epoch == member.epoch:
+            self.words += 1
+            fresh = written(member.state, str(self.words))
+        write = member.begin(fresh)
+        member.keep(write)
+        self._pass_on(member, write)
+
+    def deliver(self) -> None:
+        if not self.under_way:
+            return
+        place = self.chance.randrange(len(self.under_way))
+        receiver, write = self.under_way.pop(place)
+        member = self.members[receiver]
+        if self.chance.random() < 0.1 or not member.accepts(write):
+            return
+        member.keep(write)
+        self._pass_on(member, write)
+
+    def _pass_on(self, member: ChainMember, write: ChainWrite) -> None:
+        following = member.next_name()
+        if following is not None:
+            self.under_way.append((following, write))
+            return
+        member.commit(write)
+        self.committed |= words(write.state)
+
+    def learn(self) -> None:
+        newest = self.chance.random() < 0.7
+        self._any_member().install(self.views[-1] if newest else self.chance.choice(self.views))
+
+    def change_view(self) -> None:
+        view = self.views[-1]
+        count = self.chance.randint(majority(view), len(self.members))
+        alive = self.chance.sample(sorted(self.members), count)
+        informed = [name for name in alive if self.members[name].epoch == view.epoch]
+        proposers = [name for name in informed if name in view.chain]
+        if not proposers:
+            return
+        complete = frozenset(name for name in informed if self.members[name].complete)
+        heard = dict.fromkeys(alive, frozenset(alive))
+        planned = plan_chain(view, Presence(frozenset(alive), complete, heard))
+        if planned is None:
+            return
+        self.views.append(planned)
+        for name in alive:
+            self.accepted[name] = planned.epoch
+        self.members[self.chance.choice(proposers)].install(planned)
+
+    def crash(self) -> None:
+        name = self.chance.choice(sorted(self.members))
+        old = self.members[name]
+        saved = dump_write(ChainWrite(old.state_epoch, old.state))
+        self.members[name] = ChainMember(name, old.disk_id, saved)
+        if old.view is not None:
+            self.members[name].install(old.view)
+
+    def read(self) -> None:
+        """A tail that a majority confirms knows every commit."""
+        member = self._any_member()
+        confirming = [name for name, epoch in self.accepted.items() if epoch <= member.epoch]
+        if member.readable and len(confirming) >= majority(self.views[0]):
+            assert member.committed is not None
+            assert self.committed <= words(member.committed)
+            self.reads += 1
+
+    def check(self) -> None:
+        view = self.views[-1]
+        assert len(view.chain) >= shortest_chain(view)
+        for member in self.members.values():
+            if member.view == view and member.is_head and member.complete:
+                assert self.committed <= words(member.state), "a commit is lost"
+
+    def _any_member(self) -> ChainMember:
+        return self.members[self.chance.choice(sorted(self.members))]
+
+
+@pytest.mark.parametrize("names", ["abc", "abcd", "abcde"])
+def test_no_commit_is_lost_in_random_runs(names: str) -> None:
+    commits = views = reads = 0
+    for seed in range(300):
+        model = ChainModel(names, random.Random(f"{names} {seed}"))
+        for _ in range(250):
+            model.step()
+            model.check()
+        commits += len(model.committed)
+        views += len(model.views)
+        reads += model.reads
+    assert commits > 300 and views > 1_000 and reads > 300
--- a/tests/test_controller_role.py
+++ b/tests/test_controller_role.py
@@ -397,7 +397,7 @@
             return False
         work = asyncio.ensure_future(self.chance.choice(up).put(generation, built_on))
         done, _ = await asyncio.wait({work}, timeout=1.0)
-        if not done:
+        if not done or work.cancelled():  # cancelled: the machine was killed meanwhile
             return False
         status = work.result()
         if status == 200:
