--- /dev/null
+++ b/hollowusher/console/status_api.py
@@ -0,0 +1,88 @@
+"""`GET /status` and `GET /messages/REFERENCE` on an edge process's admin address.
+
+Answers come from what the process knows, without a call to another one (a message's state is asked of its
+partition's primary).  The report's module is loaded at the first question, so that a start need not.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+import orjson
+from aiohttp import web
+
+from hollowusher.coordination.cluster_state import WORKERS, ClusterState
+from hollowusher.protocol.control import Member
+from hollowusher.protocol.store import StatusAnswer
+
+STATUS_PATH = "/status"
+MESSAGE_PATH = "/messages/{reference}"
+MESSAGE_TIMEOUT_S = 1.8
+Figures = Callable[[], Mapping[str, Mapping[str, int]]]
+
+
+class MessageStates(Protocol):
+    """What is needed of the stores' client."""
+
+    async def status(self, reference: str, want_body: bool, deadline: float) -> StatusAnswer:
+        """Read the state of a message."""
+
+
+class StatusApi:
+    """The handlers of one process.  `me` gives its present registration, `clock` the event loop's time."""
+
+    def __init__(self, me: Callable[[], Member], state: ClusterState, messages: MessageStates,
+                 ready: Callable[[], bool], figures: Figures, clock: Callable[[], float]) -> None:
+        self._me = me
+        self._state = state
+        self._messages = messages
+        self._ready = ready
+        self._figures = figures
+        self._clock = clock
+        self._started = self._workers_changed = clock()
+        state.listen(self._on_change)
+
+    def add_routes(self, application: web.Application) -> None:
+        """Serve the paths from an application."""
+        application.router.add_get(STATUS_PATH, self._status)
+        application.router.add_get(MESSAGE_PATH, self._message)
+
+    def _on_change(self, key: str) -> None:
+        if key == WORKERS:
+            self._workers_changed = self._clock()
+
+    async def _status(self, request: web.Request) -> web.Response:
+        from hollowusher.console.report import ProcessReport, status_report
+
+        me, now, configuration = self._me(), self._clock(), self._state.configuration
+        process = ProcessReport(
+            me.name, me.zone, me.incarnation, me.controller, self._ready(),
+            0 if configuration is None else configuration.generation, round(now - self._started, 1))
+        report = status_report(
+            process, self._state, round(now - self._workers_changed, 1), self._figures())
+        return _json(200, report)
+
+    async def _message(self, request: web.Request) -> web.Response:
+        reference = request.match_info["reference"]
+        answer = await self._messages.status(reference, False, self._clock() + MESSAGE_TIMEOUT_S)
+        if answer.state == "unknown":
+            return _json(404, {"error": f"{reference}: no such message"})
+        if answer.state in ("unavailable", "not_primary"):
+            return _json(503, {"error": f"{reference}: its partition gave no answer in time"})
+        return _json(200, {
+            "reference": reference, "state": answer.state, "signature": answer.signature,
+            **self._place(reference)})
+
+    def _place(self, reference: str) -> dict[str, object]:
+        """The partition that keeps a message, as far as it is known here."""
+        number = reference.partition("-")[0]
+        entry = self._state.partition(int(number)) if number.isascii() and number.isdigit() else None
+        if entry is None:
+            return {}
+        return {"partition": entry.partition, "epoch": entry.epoch,
+                "primary": entry.primary.partition("/")[0]}
+
+
+def _json(status: int, value: object) -> web.Response:
+    return web.Response(status=status, body=orjson.dumps(value), content_type="application/json")
--- a/hollowusher/roles/edge.py
+++ b/hollowusher/roles/edge.py
@@ -10,10 +10,12 @@
 from contextlib import suppress
 from typing import Any
 
+import attrs
 from aiohttp import web
 
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.configuration.orders import MOST_BODY_BYTES
+from hollowusher.console.status_api import StatusApi
 from hollowusher.coordination.client import ClusterClient
 from hollowusher.coordination.controller import Controller
 from hollowusher.coordination.directory import Directory
@@ -147,12 +149,30 @@
     async def _serve_operator(self) -> web.AppRunner:
         application = web.Application(client_max_size=MOST_BODY_BYTES + 1)
         OperatorApi(self._forward).add_routes(application)
+        self._status_api().add_routes(application)
         runner = web.AppRunner(application, access_log=None)
         await runner.setup()
         host, port = split_address(self.process.settings.bind.admin)
         await web.TCPSite(runner, host, port).start()
         return runner
 
+    def _status_api(self) -> StatusApi:
+        clock = asyncio.get_running_loop().time
+        return StatusApi(lambda: self.client.me, self.process.state, self.store_client, self.ready,
+                         self._figures, clock)
+
+    def _figures(self) -> dict[str, dict[str, int]]:
+        """What the parts of this process have counted since it started."""
+        transport = self.process.transport
+        return {
+            "intake": attrs.asdict(self.intake.figures),
+            "delivery": attrs.asdict(self.dispatcher.figures),
+            "transport": {"connections_accepted": len(transport.accepted),
+                          "failed_handlers": transport.failed_handlers},
+            "settings": {"refused": self.process.watch.refused},
+            "platform_list": {"calls": 0 if self.reader is None else self.reader.calls},
+        }
+
     async def _forward(self, message: Any) -> OperatorAnswer:
         """Bring an operator's order to the chain's head, a question to its tail."""
         view = self.process.state.view
