--- a/hollowusher/configuration/orders.py
+++ b/hollowusher/configuration/orders.py
@@ -74,7 +74,11 @@
         return Error(Refusal(400, "body", "is not an object"))
     if method not in (PUT, PATCH):
         return Error(Refusal(405, "method", f"{method} is none of PUT and PATCH"))
-    return Ok(Order(method, if_match, content, order_digest(method, if_match, content)))
+    try:
+        digest = order_digest(method, if_match, content)
+    except orjson.JSONEncodeError as error:  # it cannot be written again: nested too deep
+        return Error(Refusal(400, "body", f"cannot be kept: {error}"))
+    return Ok(Order(method, if_match, content, digest))
 
 
 def order_digest(method: str, if_match: int | None, content: Document) -> bytes:
--- a/hollowusher/coordination/bootstrap.py
+++ b/hollowusher/coordination/bootstrap.py
@@ -86,6 +86,8 @@
 class SeedService:
     """An edge process as a seed: it tells the newest view it knows, and makes the first one."""
 
+    MESSAGES: tuple[type, ...] = (Announce, Decided, ReadView)
+
     def __init__(self, settings: BootSettings, transport: Transport) -> None:
         self._settings = settings
         self._transport = transport
--- a/tests/test_controller_role.py
+++ b/tests/test_controller_role.py
@@ -183,6 +183,30 @@
     assert cluster["a"].states[-1].generation == 5
 
 
+@pytest.mark.parametrize("wiped", ["ab", "ce", "de"])
+def test_two_of_five_lose_their_disks(wiped: str) -> None:
+    @virtual
+    async def check() -> None:
+        cluster = Cluster("abcde")
+        await cluster.first_start()
+        assert await cluster["a"].put(4, 0) == 200
+        for node in cluster.nodes.values():
+            await node.kill()
+        for name in wiped:
+            cluster[name].wipe()
+        for node in cluster.nodes.values():
+            await node.start()
+        assert await cluster.put_somewhere(5, 4) < 3.0
+        left = next(name for name in "abcde" if name not in wiped)
+        await cluster.until(lambda: len(_chain(cluster, left)) == 5, 8.0)
+        await asyncio.sleep(0.5)
+        for node in cluster.nodes.values():
+            assert await node.read() == (200, 5)
+        await cluster[left].kill()
+        assert await cluster.put_somewhere(6, 5) < 2.5
+    check()
+
+
 @virtual
 async def test_a_wiped_voter_does_not_vote() -> None:
     cluster = Cluster("abc")
@@ -380,7 +404,11 @@
         up = [node for node in self.cluster.nodes.values() if node.controller is not None]
         if not up:
             return
-        status, current = await self.chance.choice(up).read()
+        work = asyncio.ensure_future(self.chance.choice(up).read())
+        await asyncio.wait({work})
+        if work.cancelled():  # the machine was killed meanwhile
+            return
+        status, current = work.result()
         if status not in (200, 404):
             return
         newest = max(self.acknowledged, default=0)
--- /dev/null
+++ b/tests/test_operator_api.py
@@ -0,0 +1,133 @@
+"""The operator's HTTP interface, with a stand-in for those who decide."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import orjson
+import pytest
+from aiohttp import web
+from aiohttp.test_utils import TestClient, TestServer
+
+from hollowusher.configuration.orders import MOST_BODY_BYTES
+from hollowusher.coordination import operator_api
+from hollowusher.coordination.operator_api import OperatorApi
+from hollowusher.protocol.control import ChangeConfiguration, OperatorAnswer, ReadConfiguration, Retire
+from hollowusher.transport.interface import PeerError
+
+Client = TestClient[web.Request, web.Application]
+
+
+class Deciders:
+    """Remembers what came, and answers as told."""
+
+    def __init__(self, answer: OperatorAnswer | Exception | None) -> None:
+        self.answer = answer
+        self.messages: list[Any] = []
+        self.finished = 0
+
+    async def forward(self, message: Any) -> OperatorAnswer:
+        self.messages.append(message)
+        if isinstance(self.answer, Exception):
+            raise self.answer
+        if self.answer is None:
+            await asyncio.Event().wait()
+        self.finished += 1
+        assert self.answer is not None
+        return self.answer
+
+
+def talk(deciders: Deciders, conversation: Callable[[Client], Awaitable[None]]) -> None:
+    async def run() -> None:
+        application = web.Application(client_max_size=MOST_BODY_BYTES + 1)
+        OperatorApi(deciders.forward).add_routes(application)
+        async with TestClient(TestServer(application)) as client:
+            await conversation(client)
+    asyncio.run(run())
+
+
+def test_orders_become_messages_and_answers_come_back() -> None:
+    deciders = Deciders(OperatorAnswer(200, b'{"generation":7}'))
+
+    async def conversation(client: Client) -> None:
+        put = await client.put("/config", data=b"{}", headers={"If-Match": "5"})
+        assert put.status == 200 and await put.json() == {"generation": 7}
+        await client.patch("/config", data=b"[]", headers={"If-Match": '"6"'})
+        await client.put("/config", data=b"{}")
+        await client.get("/config")
+        await client.post("/retire/storage-a-1", json={"durationS": 10})
+        await client.get("/retire/storage-a-1")
+
+    talk(deciders, conversation)
+    assert deciders.messages == [
+        ChangeConfiguration("PUT", 5, b"{}"), ChangeConfiguration("PATCH", 6, b"[]"),
+        ChangeConfiguration("PUT", None, b"{}"), ReadConfiguration(), Retire("storage-a-1", 10.0),
+        Retire("storage-a-1", None)]
+
+
+@pytest.mark.parametrize("status", [400, 404, 409, 412])
+def test_refusals_pass_through(status: int) -> None:
+    async def conversation(client: Client) -> None:
+        answer = await client.post("/retire/n", json={"durationS": 0})
+        assert answer.status == status and await answer.json() == {"error": "why"}
+
+    talk(Deciders(OperatorAnswer(status, b'{"error":"why"}')), conversation)
+
+
+@pytest.mark.parametrize("answer", [
+    OperatorAnswer(503),
+    OperatorAnswer(503, b'{"error":"no majority"}'),
+    PeerError("call", "10.0.0.1:1", "gone"),
+])
+def test_nothing_known_is_a_503_that_says_when_to_come_again(answer: OperatorAnswer | Exception) -> None:
+    async def conversation(client: Client) -> None:
+        for method, path in (("PUT", "/config"), ("GET", "/config"), ("GET", "/retire/n")):
+            response = await client.request(method, path, data=b"{}")
+            assert response.status == 503 and response.headers["Retry-After"] == "1"
+            assert "error" in orjson.loads(await response.read())
+
+    talk(Deciders(answer), conversation)
+
+
+def test_nobody_is_kept_waiting(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert operator_api.QUESTION_TIMEOUT_S < 1.0 and operator_api.CHANGE_TIMEOUT_S <= 3.0
+    monkeypatch.setattr(operator_api, "QUESTION_TIMEOUT_S", 0.01)
+    monkeypatch.setattr(operator_api, "CHANGE_TIMEOUT_S", 0.02)
+
+    async def conversation(client: Client) -> None:
+        assert (await client.get("/config")).status == 503
+        assert (await client.put("/config", data=b"{}")).status == 503
+
+    talk(Deciders(None), conversation)
+
+
+def test_a_change_goes_on_after_its_caller_was_told_503(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operator_api, "CHANGE_TIMEOUT_S", 0.0)
+    deciders = Deciders(OperatorAnswer(200, b"{}"))
+
+    async def conversation(client: Client) -> None:
+        await client.put("/config", data=b"{}")
+        for _ in range(5):
+            await asyncio.sleep(0)
+        assert deciders.finished == 1
+
+    talk(deciders, conversation)
+
+
+def test_what_cannot_be_read_is_refused_here() -> None:
+    deciders = Deciders(OperatorAnswer(200))
+
+    async def conversation(client: Client) -> None:
+        for wrong in ("x", "-1", "5.0", "", "9" * 40):
+            assert (await client.put("/config", data=b"{}", headers={"If-Match": wrong})).status == 400
+        for wrong_body in (b"", b"{}", b'{"durationS":"10"}', b'{"durationS":-1}',
+                           b'{"durationS":true}', b"["):
+            assert (await client.post("/retire/n", data=wrong_body)).status == 400
+        assert (await client.post("/config", data=b"{}")).status == 405
+        large = await client.put("/config", data=b"x" * (MOST_BODY_BYTES + 1))
+        assert large.status == 413
+
+    talk(deciders, conversation)
+    assert deciders.messages == []
