Replace the running process by a second one beside it; operators' calls and bans by hand

Cause: the second process ended as the client address was taken, and the operators' address was not read at all. Change: SO_REUSEPORT; records under $TMPDIR (docs/operations-design.md), job ids claimed by both, the cold budget with one of them, descriptors halved; _ready, _vars, detach and attach on an address of their own; figures counted where jobs are answered and attempts written.

--- a/hazelweir/__init__.py
+++ b/hazelweir/__init__.py
@@ -4,6 +4,7 @@
 from hazelweir.interface import (
     Action,
     Arrival,
+    BudgetSpent,
     Cancel,
     ClientGone,
     Discovery,
@@ -43,6 +44,7 @@
     "Action",
     "Arrival",
     "Balancer",
+    "BudgetSpent",
     "Cancel",
     "ClientGone",
     "Discovery",
--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -15,9 +15,9 @@
 from dataclasses import replace
 
 from hazelweir.interface import (
-    FEW_BALANCERS, NS_PER_MS, Action, Arrival, Cancel, ClientGone, Discovery, Effect, Ended, Event, Fail,
-    Group, JobClass, Listed, ListKind, Log, Outcome, Probe, Probed, Progress, Reading, Refuse, Send, Settings,
-    Started, State, Streaming, Via, Wake, Watch, WorkerList, Woken,
+    FEW_BALANCERS, NS_PER_MS, Action, Arrival, BudgetSpent, Cancel, ClientGone, Discovery, Effect, Ended,
+    Event, Fail, Group, JobClass, Listed, ListKind, Log, Outcome, Probe, Probed, Progress, Reading, Refuse,
+    Send, Settings, Started, State, Streaming, Via, Wake, Watch, WorkerList, Woken,
 )
 
 SET_POINT = 0.98  # C*: the busy share each controller steers to; the rest is room for other nodes' surprises
@@ -316,7 +316,7 @@
         self.t_d = max(settings.tick_ns, min(c.aim_ns for c in settings.classes) // AIM_PARTS)
         self.gate = Gate(settings, now)
         self.ring: list[tuple[int, int]] = []  # the workers' t_d timers: (phase, worker), in order
-        self.fired, self.fruitless = now, 0  # until when timers were served; how many since the last send
+        self.fired, self.fruitless, self.seq = now, 0, 0  # until when timers were served; then since a send
         self.line: list[Request] | None = None  # the candidates, until one leaves or joins
         self.probe_cost = max(1.0 / PROBES_MOST, settings.prices.probe / PROBE_SPEND)  # in requests
         self.probe_credit = PROBE_BURST
@@ -337,7 +337,6 @@
         self.usual_pace = 1.0  # the median pace of the workers: above 1 when a shared cause slows all
         self.bearable_pace = math.inf  # the pace at which the most pressing class ends late without waiting
         self.timers: list[tuple[int, int, Callable[[int], None], Request | None]] = []
-        self.seq = 0
         self.wake_at: int | None = None
         self.actions: list[Action] = []
         self.calls = settings.list_calls
@@ -436,6 +435,8 @@
                 self.list_workers(now, event)
             case Probed():
                 self.probed(now, event)
+            case BudgetSpent():
+                self.gate.began = now  # as if this life began now
             case Woken():
                 if self.wake_at is not None and self.wake_at - now <= self.settings.tick_ns:
                     self.wake_at = None  # a coarse clock wakes early: to wait on for this wake is to hang
--- a/hazelweir/interface.py
+++ b/hazelweir/interface.py
@@ -386,7 +386,13 @@
     """Event: a time asked for with `Wake` has come."""
 
 
-Event = WorkerList | Arrival | Started | Progress | Streaming | Ended | ClientGone | Probed | Woken
+@dataclass(frozen=True, slots=True)
+class BudgetSpent:
+    """Event: somebody else may just have spent what this balancer may send to cold workers."""
+
+
+Event = (WorkerList | Arrival | Started | Progress | Streaming | Ended | ClientGone | Probed | Woken
+         | BudgetSpent)
 
 
 @dataclass(frozen=True, slots=True)
--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -15,6 +15,7 @@
 from hazelweir.interface import Discovery
 from hollowusher.config import Config, load
 from hollowusher.core.desk import DispatchDesk
+from hollowusher.core.figures import Figures
 from hollowusher.core.roster import Roster
 from hollowusher.floor import Floor
 from hollowusher.fronts.common import JobIds
@@ -22,17 +23,16 @@
 from hollowusher.fronts.platform.nodes import PlatformNodes
 from hollowusher.fronts.platform.clients import PlatformClients
 from hollowusher.log import Log
-from hollowusher.net.link import listen
+from hollowusher.net.link import bind
 from hollowusher.net.owner import DeskOwner
 from hollowusher.net.pool import Pool
 from hollowusher.net.ring import ring_bytes
+from hollowusher.operations import NODE_SHARE, SPARE_SOCKETS, Operations
 from hollowusher.parts import Part
 from hollowusher.reload import Reloads
 from hollowusher.rules.node_list import AskAgain
 from hollowusher.settings.model import ConfigError
 
-SPARE_SOCKETS = 48  # for the log, the list, the listeners and the loop itself
-NODE_SHARE = 0.45  # of the other sockets, for connections to nodes
 _READ = partial(load, again=True)
 
 
@@ -61,7 +61,8 @@
     to_nodes = int(sockets * NODE_SHARE)
     ring = ring_bytes(config.memory_mb, config.sockets)
     pool = Pool(config.connect_timeout_s, config.idle_close_s, to_nodes, ring)
-    roster = Roster()
+    roster, ids = Roster(), JobIds()
+    figures = Figures(c.name for c in config.settings.classes)
     floor = Floor(roster, pool, log)
     desk = DispatchDesk(config.settings, config.seed, time.monotonic_ns())
     gate, carry_out = None, floor.carry_out
@@ -83,11 +84,13 @@
         AskAgain(config.settings.rules.drain_grace_ns, random.Random(config.seed).random)
         if config.settings.discovery is Discovery.PUSH else None, config.known, config.settings.list_calls,
         random.Random(config.seed ^ 1).random)
-    parts: list[Part] = [watch]
+    operations = Operations(config, roster, ids, owner, watch, floor, figures, log)
+    parts: list[Part] = [watch, *operations.parts]
     if gate is not None:
         parts.append(copies)
     floor.post, floor.watch = post, watch.ask
-    http1 = floor.nodes["platform"] = PlatformNodes(roster, pool, config.meanings, post, log)
+    http1 = floor.nodes["platform"] = PlatformNodes(
+        roster, pool, config.meanings, post, log, figures)
     if config.http2.enabled:
         from hollowusher.fronts.platform.http2 import Http2Nodes
         from hollowusher.net.http2.streams import Carrier
@@ -95,9 +98,9 @@
         carrier = Carrier(config.http2, pool, log)
         parts.append(carrier)
         floor.nodes["http2"] = Http2Nodes(roster, carrier, http1, config.meanings, post, log)
-    classes, ids = {c.name: c for c in config.settings.classes}, JobIds()
-    clients = PlatformClients(
-        listen(config.listen), classes, sockets - to_nodes, ids, post, log, ring)
+    classes = {c.name: c for c in config.settings.classes}
+    clients = PlatformClients(bind(config.listen, operations.replacement is not None), classes,
+                              sockets - to_nodes, ids, post, log, ring, figures)
     if gate is not None:
         clients.copied = gate.copied
     if config.stomp.enabled:
@@ -130,6 +133,9 @@
 
         parts.append(Reports(config.reports, list(parts)))
 
+    operations.wire(clients, pool, sockets)
+    parts.extend(operations.server(parts))
+
     again = again or asyncio.Event()
     if stop is None:
         stop = asyncio.Event()
@@ -137,15 +143,20 @@
             asyncio.get_running_loop().add_signal_handler(number, event.set)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came meanwhile counts now
     reloads = Reloads(config, read, follow, log)
+    await operations.arrive()
     await watch.start()
-    tasks = [asyncio.create_task(work) for work in (
-        owner.run(), clients.accept(), floor.sweep(), reloads.follow(again))]
+    tasks = [asyncio.create_task(work) for work in (owner.run(), floor.sweep(), reloads.follow(again))]
     for part in parts[1:]:
         await part.start()
+    await operations.list_news()
+    clients.listen()
+    tasks.append(asyncio.create_task(clients.accept()))
+    operations.serves()
     log.notice("ready", "taking jobs", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}")
     await stop.wait()
     log.notice("stopping", "asked to stop; answering what is taken")
-    await asyncio.gather(clients.drain(tasks[1]), *(part.drain() for part in parts))
+    operations.leaves()
+    await asyncio.gather(clients.drain(tasks[-1]), *(part.drain() for part in parts))
     for part in parts[:0:-1]:
         told = {key: value for key, value in part.report().items() if key != "rows"}
         log.notice("part-figures", "as it ended", part=part.name, **told)
--- a/hollowusher/config.py
+++ b/hollowusher/config.py
@@ -53,6 +53,8 @@
     shared: SharedConfig = field(default_factory=SharedConfig)
     copies: CopiesConfig = field(default_factory=CopiesConfig)
     reports: tuple[str, int] | None = None
+    operators: tuple[str, int] | None = None  # where operators call, if anywhere
+    shared_directory: Path | None = None  # that another process of this scheduler would use as well
     # What the platform says of messages between schedulers; read and checked, used with [peers] `platform`.
     peer_listen: tuple[str, int] | None = None
     peer_all: tuple[str, int] | None = None
@@ -190,6 +192,9 @@
         shared=read_shared(sheet, peers.listen is not None),
         copies=read_copies(sheet, name, frozenset(c.name for c in settings.classes)),
         reports=read_reports(sheet),
+        operators=_maybe_address({"admin_addr": environ.get("PROXY_ADMIN_ADDR") or table.get("admin_addr")},
+                                 "admin_addr"),
+        shared_directory=Path(environ["TMPDIR"]) if environ.get("TMPDIR") else None,
         peer_listen=allowed.listen,
         peer_all=_maybe_address(table, "peers_all"),
         peer_addresses=allowed.addresses,
--- a/hollowusher/core/desk.py
+++ b/hollowusher/core/desk.py
@@ -11,14 +11,14 @@
 
 from hazelweir.balance import Balancer
 from hazelweir.interface import (
-    Action, Arrival, Cancel, ClientGone, Ended, Event, Fail, Log, Outcome, Probe, Probed, Progress, Refuse,
-    Send, Settings, Started, Wake, Watch, WorkerList, Woken,
+    Action, Arrival, BudgetSpent, Cancel, ClientGone, Ended, Event, Fail, Log, Outcome, Probe, Probed,
+    Progress, Refuse, Send, Settings, Started, State, Wake, Watch, WorkerList, Woken,
 )
 from hazelweir.shares import Shares
 from hollowusher.core.model import (
-    Answer, Attempt, AttemptEnded, AttemptProgress, AttemptStarted, DeskEvent, Dispatch, Job, JobTaken,
-    NodeListTold, NodeProbed, Order, ProbeNode, Remark, Reply, ClientLeft, TimeCame, Verdict, WakeDesk,
-    WatchNodeList, Withdraw,
+    Answer, Attempt, AttemptEnded, AttemptProgress, AttemptStarted, BudgetShared, DeskEvent, Dispatch, Job,
+    JobTaken, NodeListTold, NodeProbed, Order, ProbeNode, Remark, Reply, ClientLeft, TimeCame, Verdict,
+    WakeDesk, WatchNodeList, Withdraw,
 )
 
 
@@ -49,6 +49,11 @@
         """Jobs that are owed an answer."""
         return len(self._jobs)
 
+    def avoided(self) -> frozenset[int]:
+        """The workers that the module sends nothing to but trials, as far as they are in the list."""
+        return frozenset(w.id for w in self._module.workers.values()
+                         if w.suspect and w.entry.state is not State.GONE)
+
     def work(self, now: int, events: Iterable[DeskEvent]) -> list[Order]:
         """Take a batch of events in one step of the module; the orders that follow."""
         self._orders, self._now = [], now
@@ -85,6 +90,8 @@
                 return Probed(node, ok, reading)
             case TimeCame():
                 return Woken()
+            case BudgetShared():
+                return BudgetSpent()
         return None
 
     def _order(self, action: Action) -> None:
--- a/hollowusher/core/model.py
+++ b/hollowusher/core/model.py
@@ -129,9 +129,14 @@
     """Event: a time that the desk asked for has come."""
 
 
+@dataclass(frozen=True, slots=True)
+class BudgetShared:
+    """Event: another process of this scheduler may be sending to cold workers just now."""
+
+
 DeskEvent = (
     JobTaken | ClientLeft | AttemptStarted | AttemptProgress | AttemptEnded | NodeListTold | NodeProbed
-    | TimeCame
+    | TimeCame | BudgetShared
 )
 
 
--- a/hollowusher/core/roster.py
+++ b/hollowusher/core/roster.py
@@ -32,6 +32,7 @@
         self._numbers: dict[str, int] = {}
         self._nodes: dict[int, RouteNode] = {}
         self._fixed: set[int] = set()
+        self.detached: frozenset[str] = frozenset()  # the names of those that are out by hand
 
     def fix(self, node: RouteNode) -> None:
         """A node that our own file lists: no list from outside tells of it, nor of its end."""
@@ -60,7 +61,21 @@
     def serving(self, number: int) -> bool:
         """Whether new work may go to it as far as is known at this moment."""
         node = self._nodes.get(number)
-        return node is not None and node.entry.state is State.READY
+        return node is not None and self._shown(node).state is State.READY
+
+    def listed(self) -> list[RouteNode]:
+        """The nodes that a list from outside has told of, gone ones too."""
+        return [node for number, node in self._nodes.items() if number not in self._fixed]
+
+    def in_list(self) -> list[RouteNode]:
+        """All nodes that are not gone."""
+        return [node for node in self._nodes.values() if node.entry.state is not State.GONE]
+
+    def _shown(self, node: RouteNode) -> Listed:
+        """Its entry for the desk: to one that is out by hand nothing new goes, whatever the list says."""
+        if node.name in self.detached and node.entry.state is State.READY:
+            return replace(node.entry, state=State.DRAINING)
+        return node.entry
 
     def missing(self, nodes: Iterable[RouteNode]) -> list[RouteNode]:
         """The nodes that a whole list no longer names, as gone."""
@@ -80,11 +95,11 @@
         if len(self._nodes) > MOST_NODES:  # ids of machines long gone must not pile up
             for number in [n for n, node in self._nodes.items() if node.entry.state is State.GONE]:
                 self._numbers.pop(self._nodes.pop(number).name, None)
-        return NodeListTold(kind, tuple(n.entry for n in nodes))
+        return NodeListTold(kind, tuple(self._shown(n) for n in nodes))
 
     def held(self) -> NodeListTold:
         """The whole list as held, of the kind that is no news from the list's service."""
-        return NodeListTold(ListKind.CACHED, tuple(n.entry for n in self._nodes.values()))
+        return NodeListTold(ListKind.CACHED, tuple(self._shown(n) for n in self._nodes.values()))
 
     def amend(self, number: int, **changes: State | int) -> NodeListTold | None:
         """Take what a fixed node tells of itself.  The event is the whole list as held, of the kind that is
--- a/hollowusher/floor.py
+++ b/hollowusher/floor.py
@@ -107,6 +107,11 @@
         if node.entry.state is not State.READY or (old is not None and old.address != node.address):
             self.nodes[node.front].leaving(node.entry.worker)
 
+    def leaving(self, number: int) -> None:
+        """Nothing new may go to a node from now on: its idle connections are of no use."""
+        if (node := self._roster.node(number)) is not None:
+            self.nodes[node.front].leaving(number)
+
     async def sweep(self) -> None:
         """Close connections that have been idle for too long, until cancelled."""
         while True:
--- a/hollowusher/fronts/common.py
+++ b/hollowusher/fronts/common.py
@@ -4,7 +4,7 @@
 
 import json
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from hazelweir.interface import Outcome, Reading
@@ -37,18 +37,33 @@
         self._open: set[str] = set()
         self._closed: dict[str, None] = {}  # the latest last
         self._most_closed = most_closed
+        self.elsewhere: Callable[[str], bool] | None = None  # False: another process has or had this id
 
     def claim(self, job_id: str, again: bool = False) -> bool:
         """Take an id; False where another job has it open, or had it and ids do not come `again`: those of
         a named client do, when it was refused and when two clients number alike."""
         if job_id in self._open or (job_id in self._closed and not again):
             return False
+        if self.elsewhere is not None and not again and not self.elsewhere(job_id):
+            return False
         self._open.add(job_id)
         return True
 
+    def known(self) -> list[str]:
+        """All ids that are open or were lately, the latest last."""
+        return [*self._closed, *self._open]
+
+    def remember(self, job_ids: Iterable[str]) -> None:
+        """Another process has or had these ids."""
+        for job_id in job_ids:
+            self._close(job_id)
+
     def free(self, job_id: str) -> None:
         """The job has its answer, or nobody waits for it."""
         self._open.discard(job_id)
+        self._close(job_id)
+
+    def _close(self, job_id: str) -> None:
         self._closed[job_id] = None
         if len(self._closed) > self._most_closed:
             del self._closed[next(iter(self._closed))]
--- a/hollowusher/fronts/platform/clients.py
+++ b/hollowusher/fronts/platform/clients.py
@@ -18,8 +18,9 @@
     FIRST_S, MOST_NAME, REQUEST_S, TRAVEL_NS, JobIds, printable, read_budget_ns,
 )
 from hollowusher.fronts.platform.http import BadInput, Request, RequestReader, answer_head
+from hollowusher.core.figures import Figures
 from hollowusher.log import Log
-from hollowusher.net.link import Link
+from hollowusher.net.link import BACKLOG, Link
 from hollowusher.net.ring import MOST_BYTES
 
 IDLE_S = 300.0  # an idle connection is kept, since opening one costs the client time
@@ -270,7 +271,7 @@
         """Answer one request; whether the connection goes on."""
         keep = request.keep_alive
         if request.target == "/-/ready" and request.method == "GET":
-            status = 503 if self._front.last_answer_ns is not None else 200
+            status = 200 if self._front.ready else 503
             await self._send(answer_head(status, 0, close=not keep))
             return keep
         answered: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
@@ -282,23 +283,33 @@
         job = read_job(
             request, self._front.classes, time.monotonic_ns(), answer_to, self._front.last_answer_ns)
         job.gone = self.gone
+        self._front.figures.in_flight += 1
+        try:
+            answer = await self._run(job, answered)
+            if answer is None:
+                return False
+            self._front.used(self)
+            close = self._front.closing or not keep
+            await self._send(*write_answer(answer, close))
+            self._front.figures.answered(job.job_class, answer.verdict)
+            return not close
+        finally:
+            self._front.figures.in_flight -= 1
+
+    async def _run(self, job: Job, answered: asyncio.Future[Answer]) -> Answer | None:
+        """Hand the desk a job; its answer, or None when its client goes first."""
         kept = self._front.copied(job)  # such a job may come again, and is known by its id
         if not kept and not self._front.ids.claim(job.job_id):
+            self._front.figures.answered(job.job_class, Verdict.FAILED)
             raise BadInput(409, "another request has or had this X-Call-Id")
         try:
             self._front.post(JobTaken(job))
-            answer = await self._wait(answered)
+            return await self._wait(answered)
         finally:
             if not kept:
                 self._front.ids.free(job.job_id)
             if not answered.done():  # its client has gone, or its next bytes show that it was no job
                 self._front.post(ClientLeft(job))
-        if answer is None:
-            return False
-        self._front.used(self)
-        close = self._front.closing or not keep
-        await self._send(*write_answer(answer, close))
-        return not close
 
     async def _wait(self, answered: asyncio.Future[Answer]) -> Answer | None:
         """The job's answer, or None when its client goes first.
@@ -334,8 +345,11 @@
 
     def __init__(
         self, listener: socket.socket, classes: Mapping[str, JobClass], most: int, ids: JobIds,
-        post: Callable[[DeskEvent], None], log: Log, ring: int = MOST_BYTES,
+        post: Callable[[DeskEvent], None], log: Log, ring: int = MOST_BYTES, figures: Figures | None = None,
     ) -> None:
+        """The listener is bound; clients can connect once it listens."""
+        self.figures = figures or Figures(classes)
+        self.replaced = asyncio.Event()  # while another process of this scheduler serves
         self._listener, self._most, self.ids, self._ring = listener, most, ids, ring
         self.classes, self.post, self.log = classes, post, log
         self.copied: Callable[[Job], bool] = lambda job: False  # whether others hold it as well
@@ -344,6 +358,21 @@
         self.drain_times, self.linger_s = DrainTimes.of(classes.values()), LINGER_S
         self._sessions: dict[ClientSession, None] = {}  # the longest idle first
 
+    @property
+    def ready(self) -> bool:
+        """Whether this scheduler takes clients, be it by another of its processes."""
+        return self.last_answer_ns is None or self.replaced.is_set()
+
+    def limit(self, most: int) -> None:
+        """Hold no more connections than so many from now on, as far as some can be spared."""
+        self._most = most
+        while len(self._sessions) > most and self._make_room():
+            pass
+
+    def listen(self) -> None:
+        """Let clients connect from now on."""
+        self._listener.listen(BACKLOG)
+
     async def accept(self) -> None:
         """Accept until cancelled."""
         loop = asyncio.get_running_loop()
@@ -357,6 +386,13 @@
                 continue
             self._admit(sock)
 
+    def _stop_listening(self, accepting: asyncio.Task[None]) -> None:
+        accepting.cancel()
+        with contextlib.suppress(BlockingIOError):
+            while True:  # those that the kernel has accepted for us are ours
+                self._admit(self._listener.accept()[0])
+        self._listener.close()
+
     def _admit(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         if len(self._sessions) >= self._most and not self._make_room():
@@ -396,17 +432,19 @@
         """Serve on for a moment, then take no more; return when all that was taken is answered.
 
         Clients go on using their connections for as long as these stay open.  Closed at once, they would
-        have nowhere to go while the scheduler that was restarted before this one is not yet back."""
-        times = self.drain_times
+        have nowhere to go while the scheduler that was restarted before this one is not yet back.  Where
+        another process has taken over, new connections are all its own, and what is idle stays open for as
+        long, so that no request crosses a close."""
+        times, loop = self.drain_times, asyncio.get_running_loop()
         self.last_answer_ns = time.monotonic_ns() + round(times.answer_s * 1e9)
-        await asyncio.sleep(times.serve_s)
+        serves_until = loop.time() + times.serve_s
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(times.serve_s):
+                await self.replaced.wait()
         self.closing, self.linger_s = True, times.linger_s
-        accepting.cancel()
-        with contextlib.suppress(BlockingIOError):
-            while True:  # those that the kernel has accepted for us are ours
-                self._admit(self._listener.accept()[0])
-        self._listener.close()
-        await asyncio.sleep(DRAIN_LAST_S)  # what is written on the last of them is read first
+        self._stop_listening(accepting)
+        # What is written on the last of them is read first.
+        await asyncio.sleep(max(DRAIN_LAST_S, serves_until - loop.time()))
         for session in self._sessions:
             session.end()
         while tasks := [s.task for s in self._sessions if s.task is not None]:
--- a/hollowusher/fronts/platform/discovery.py
+++ b/hollowusher/fronts/platform/discovery.py
@@ -47,9 +47,29 @@
         self._version = 0
         self._opening: asyncio.Task[None] | None = None
         self._standing: asyncio.Task[None] | None = None
+        self._handed: tuple[int, list[RouteNode]] | None = None
+        self.heard = asyncio.Event()  # whether the service has told something
 
     async def start(self) -> None:
         """Begin with the list as it was last held; it may be old."""
+        if self._handed is not None:
+            self._version, nodes = self._handed
+            self._post(self._roster.told(ListKind.CACHED, nodes))
+        else:
+            self._begin_with_known()
+        if self._again is not None:
+            self.ask()
+
+    def hand(self, version: int, nodes: list[RouteNode]) -> None:
+        """Begin with a list that another process of this scheduler held a moment ago."""
+        self._handed = (version, nodes)
+
+    @property
+    def version(self) -> int:
+        """Of the list held."""
+        return self._version
+
+    def _begin_with_known(self) -> None:
         try:
             read = self._read(dict(self._known) or {"servers": []})
         except ValueError as wrong:
@@ -57,8 +77,6 @@
             read = ListRead(0, True)
         self._version = read.version
         self._post(self._roster.told(ListKind.CACHED, read.nodes))
-        if self._again is not None:
-            self.ask()
 
     def _read(self, told: object) -> ListRead:
         read = read_list(told, self._roster, time.monotonic_ns(), time.time() * 1000, self._front)
@@ -172,6 +190,7 @@
         told = lines.feed(line)
         if not line.strip():
             if address == self._address:  # nothing has changed: what is held is good until now
+                self.heard.set()
                 self._post(NodeListTold(ListKind.CHANGES))
             return
         for each in told:
@@ -187,6 +206,7 @@
                 self._log.warning("list-odd", "an older version than is held", version=read.version)
                 return
             self._version = read.version
+            self.heard.set()
         if read.full and not read.nodes:
             self._log.warning("list-odd", "the whole list names no node")
         for node in [*read.nodes, *(self._roster.missing(read.nodes) if read.full else ())]:
--- a/hollowusher/fronts/platform/nodes.py
+++ b/hollowusher/fronts/platform/nodes.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Mapping
 
 from hazelweir.interface import Outcome
+from hollowusher.core.figures import Figures
 from hollowusher.core.model import AttemptEnded, DeskEvent, Dispatch, NodeProbed
 from hollowusher.core.roster import Roster, RouteNode
 from hollowusher.fronts.common import PROBE_TIMEOUT_S, Ending, read_load
@@ -36,9 +37,10 @@
 
     def __init__(
         self, roster: Roster, pool: Pool, meanings: Mapping[str, str], post: Callable[[DeskEvent], None],
-        log: Log,
+        log: Log, figures: Figures | None = None,
     ) -> None:
         self._roster, self._pool, self._meanings, self._post, self._log = roster, pool, meanings, post, log
+        self._figures = figures or Figures()
 
     async def attempt(self, order: Dispatch, node: RouteNode) -> None:
         """One attempt from its connection to its ending, which the desk is told in every case."""
@@ -132,6 +134,7 @@
             return Outcome.TIMEOUT
         except OSError:
             return Outcome.UNREACHABLE
+        self._figures.written(job.job_class)
         return None
 
     async def _read(self, link: Link, reader: AnswerReader, order: Dispatch) -> Ending:
--- a/hollowusher/net/accept.py
+++ b/hollowusher/net/accept.py
@@ -16,11 +16,12 @@
 
     def __init__(
         self, address: tuple[str, int], serve: Callable[[Link], Coroutine[None, None, None]], most: int,
-        ring: int = MOST_BYTES,
+        ring: int = MOST_BYTES, make_room: bool = False,
     ) -> None:
-        """At most so many at a time; more are closed at once."""
+        """At most so many at a time; more are closed at once, or the oldest is, to `make_room`."""
         self._address, self._serve, self._most, self._ring = address, serve, most, ring
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._make_room = make_room
+        self._tasks: dict[asyncio.Task[None], None] = {}  # the oldest first
         self._accepting: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -45,9 +46,13 @@
                 await asyncio.sleep(AGAIN_S)
                 continue
             if len(self._tasks) >= self._most:
-                sock.close()
-                continue
+                if not self._make_room:
+                    sock.close()
+                    continue
+                oldest = next(iter(self._tasks))
+                oldest.cancel()
+                self._tasks.pop(oldest)
             sock.setblocking(False)
             task = asyncio.create_task(self._serve(Link(sock, self._ring)))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks[task] = None
+            task.add_done_callback(lambda done: self._tasks.pop(done, None))
--- a/hollowusher/net/link.py
+++ b/hollowusher/net/link.py
@@ -11,6 +11,7 @@
 
 from hollowusher.net.ring import MOST_BYTES, RingBuffer
 
+BACKLOG = 512  # connections that the kernel accepts ahead of us
 LINGER_PACE_S = 0.001  # between two receives of bytes that nobody wants
 _DROPPED = memoryview(bytearray(256 * 1024))  # where all connections receive what is thrown away
 
@@ -140,11 +141,20 @@
         raise
 
 
-def listen(address: tuple[str, int]) -> socket.socket:
-    """A listening socket on this address and no other."""
+def bind(address: tuple[str, int], shared: bool = False) -> socket.socket:
+    """A socket on this address and no other, on which `listen` is still to be called.  Another process of
+    this scheduler may listen there as well where it is `shared`."""
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if shared:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     sock.bind(address)
-    sock.listen(512)
     sock.setblocking(False)
     return sock
+
+
+def listen(address: tuple[str, int]) -> socket.socket:
+    """A listening socket on this address and no other."""
+    sock = bind(address)
+    sock.listen(BACKLOG)
+    return sock
--- a/hollowusher/net/owner.py
+++ b/hollowusher/net/owner.py
@@ -28,6 +28,11 @@
             tap(event)
         self._queue.put_nowait(event)
 
+    @property
+    def avoided(self) -> frozenset[int]:
+        """The workers in the list that the decision module avoids."""
+        return self._desk.avoided()
+
     @property
     def busy(self) -> bool:
         """Whether jobs are open or events wait."""
--- a/hollowusher/net/pool.py
+++ b/hollowusher/net/pool.py
@@ -76,6 +76,12 @@
         """How long a connection may stand idle: well less than the node gives it."""
         return self._idle_s
 
+    def limit(self, most: int) -> None:
+        """Hold no more than so many from now on; those in use beyond it end in their own time."""
+        self._most = most
+        if self._held > most:
+            self.sweep(everything=True)
+
     def forget(self, node: int) -> None:
         """Close what is idle towards a node: it is gone, or came back as a new process."""
         for link in self._idle.pop(node, []):
--- a/hollowusher/net/reports/listener.py
+++ b/hollowusher/net/reports/listener.py
@@ -22,7 +22,7 @@
     name = "reports"
 
     def __init__(self, address: tuple[str, int], parts: Iterable[Part]) -> None:
-        self._parts = {part.name: part for part in parts}
+        self._parts = list(parts)
         self._acceptor = Acceptor(address, self._serve, MOST_ASKERS, _RING)
 
     async def start(self) -> None:
@@ -35,7 +35,7 @@
 
     def report(self) -> Mapping[str, object]:
         """The names of the parts that can be asked."""
-        return {"parts": sorted(self._parts)}
+        return {"parts": sorted(part.name for part in self._parts)}
 
     async def _serve(self, link: Link) -> None:
         heard = bytearray()
@@ -50,11 +50,15 @@
             link.close()
 
     def _answer(self, heard: bytearray) -> Mapping[str, object]:
-        asked = bytes(heard.partition(b"\n")[0]).decode("latin-1").strip()
-        part = self._parts.get(asked)
-        if part is None:
-            return {"fault": f"{asked[:MOST_QUESTION]!r} is no part that runs here", **self.report()}
-        return part.report()
+        return report_of(self._parts, bytes(heard.partition(b"\n")[0]).decode("latin-1").strip())
+
+
+def report_of(parts: Iterable[Part], name: str) -> Mapping[str, object]:
+    """What the part of this name tells of itself; a fault and the names where there is none."""
+    by_name = {part.name: part for part in parts}
+    if name in by_name:
+        return by_name[name].report()
+    return {"fault": f"{name[:MOST_QUESTION]!r} is no part that runs here", "parts": sorted(by_name)}
 
 
 async def ask(address: tuple[str, int], name: str) -> dict[str, object]:
--- /dev/null
+++ b/hollowusher/operations.py
@@ -0,0 +1,133 @@
+"""What daily operations need of one process, put together: replacement, workers out by hand, figures.
+
+What the platform does not ask for is not imported either.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Iterable, Iterator
+from typing import TYPE_CHECKING
+
+from hollowusher.config import Config
+from hollowusher.core.figures import Figures
+from hollowusher.core.roster import Roster
+from hollowusher.floor import Floor
+from hollowusher.fronts.common import JobIds
+from hollowusher.fronts.platform.clients import PlatformClients
+from hollowusher.fronts.platform.discovery import NodeListWatch
+from hollowusher.log import Log
+from hollowusher.net.owner import DeskOwner
+from hollowusher.net.pool import Pool
+from hollowusher.parts import Part
+
+if TYPE_CHECKING:
+    from hollowusher.operators.detached import DetachedWorkers
+    from hollowusher.replacement.directory import SharedDirectory
+    from hollowusher.replacement.process import Replacement
+
+SPARE_SOCKETS = 72  # for the log, the list, operators, the listeners and the loop itself
+NODE_SHARE = 0.45  # of the other sockets, for connections to nodes
+LEAST_SOCKETS = 16
+LIST_NEWS_S = 1.5  # how long a process that replaces another waits for the list before it takes clients
+
+
+class Operations:
+    """One process beside another, and what operators call."""
+
+    def __init__(
+        self, config: Config, roster: Roster, ids: JobIds, owner: DeskOwner, watch: NodeListWatch,
+        floor: Floor, figures: Figures, log: Log,
+    ) -> None:
+        self._config, self._roster, self._ids, self._owner = config, roster, ids, owner
+        self._watch, self._floor, self._figures, self._log = watch, floor, figures, log
+        self._accepting = False
+        self._directory: SharedDirectory | None = None
+        self.replacement: Replacement | None = None
+        self._detached: DetachedWorkers | None = None
+        if config.shared_directory is not None:
+            from hollowusher.replacement.directory import SharedDirectory
+            from hollowusher.replacement.process import Replacement
+
+            self._directory = SharedDirectory(config.shared_directory, config.listen)
+            self.replacement = Replacement(
+                self._directory, roster, ids, owner.post, lambda: watch.version, log)
+
+    @property
+    def parts(self) -> list[Part]:
+        """What starts and stops with the program."""
+        return [self.replacement] if self.replacement is not None else []
+
+    def wire(self, clients: PlatformClients, pool: Pool, sockets: int) -> None:
+        """Two processes have the descriptors of one, and clients hear of the younger one."""
+        self._clients = clients
+        if self.replacement is None:
+            return
+
+        def share(shared: bool) -> None:
+            whole = max(LEAST_SOCKETS, (sockets - SPARE_SOCKETS) // 2) if shared else sockets
+            to_nodes = int(whole * NODE_SHARE)
+            pool.limit(to_nodes)
+            clients.limit(whole - to_nodes)
+
+        clients.replaced = self.replacement.replaced
+        self.replacement.shared = share
+
+    def server(self, parts: Iterable[Part]) -> Iterator[Part]:
+        """The part that answers operators, where the configuration has an address for it."""
+        if self._config.operators is None:
+            return
+        from hollowusher.operators.detached import DetachedWorkers
+        from hollowusher.operators.figures import lines
+        from hollowusher.operators.server import OperatorsServer
+
+        self._detached = DetachedWorkers(
+            self._roster, self._directory, self._owner.post, self._floor.leaving, self._log)
+        server = OperatorsServer(
+            self._config.operators, lambda: lines(self._figures, self._known, self._excluded),
+            self._detached, parts)
+        server.ready = lambda: self._accepting and self._clients.last_answer_ns is None
+        yield server
+
+    def _known(self) -> int:
+        return len(self._roster.in_list())
+
+    def _excluded(self) -> int:
+        avoided = self._owner.avoided
+        return sum(worker.name in self._roster.detached or worker.entry.worker in avoided
+                   for worker in self._roster.in_list())
+
+    async def arrive(self) -> None:
+        """Take over what another process of this scheduler hands over, if one runs."""
+        if self.replacement is None:
+            return
+        from hollowusher.replacement.workers import from_records
+
+        handover = await self.replacement.arrive()
+        if handover is not None:
+            try:
+                self._watch.hand(handover.list_version, from_records(handover.workers, self._roster))
+            except ValueError as wrong:
+                self._log.warning("handover-unreadable", str(wrong))
+        if self._detached is not None:
+            self._detached.refresh()
+            self.replacement.looked.append(self._detached.refresh)
+
+    async def list_news(self) -> None:
+        """A process that replaces another knows the list before it takes clients, if it comes in time."""
+        if self.replacement is not None and self.replacement.beside_another:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(LIST_NEWS_S):
+                    await self._watch.heard.wait()
+
+    def serves(self) -> None:
+        """Clients are taken from now on."""
+        self._accepting = True
+        if self.replacement is not None:
+            self.replacement.serves()
+
+    def leaves(self) -> None:
+        """A stop has been asked for."""
+        if self.replacement is not None:
+            self.replacement.leaves()
--- /dev/null
+++ b/hollowusher/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators ask of a running scheduler, and tell it."""
--- /dev/null
+++ b/hollowusher/operators/figures.py
@@ -0,0 +1,21 @@
+"""The figures as operators read them: lines of `name:value|kind`, c for a count and g for a gauge."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from hollowusher.core.figures import Figures
+
+PREFIX = "proxy"
+
+
+def lines(figures: Figures, known: Callable[[], int], excluded: Callable[[], int]) -> Iterator[str]:
+    """All figures as they are now; `known` and `excluded` count workers."""
+    for name, counts in figures.classes.items():
+        for kind in ("served", "refused", "failed", "attempts"):
+            yield f"{PREFIX}.requests.{name}.{kind}:{getattr(counts, kind)}|c"
+    yield f"{PREFIX}.in_flight:{figures.in_flight}|g"
+    yield f"{PREFIX}.workers_known:{known()}|g"
+    yield f"{PREFIX}.workers_excluded:{excluded()}|g"
+    yield f"{PREFIX}.reloads_ok:{figures.reloads_ok}|c"
+    yield f"{PREFIX}.reloads_failed:{figures.reloads_failed}|c"
--- /dev/null
+++ b/hollowusher/replacement/workers.py
@@ -0,0 +1,31 @@
+"""The worker list as it is handed over from one process to another."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from hazelweir.interface import Listed, State
+from hollowusher.core.roster import Roster, RouteNode
+from hollowusher.replacement.records import WorkerRecord
+
+
+def to_records(roster: Roster) -> list[WorkerRecord]:
+    """All workers that the roster holds from a list, as the list has them."""
+    return [_record(worker) for worker in roster.listed() if worker.entry.state is not State.GONE]
+
+
+def _record(worker: RouteNode) -> WorkerRecord:
+    entry, (host, port) = worker.entry, worker.address
+    return WorkerRecord(
+        worker.name, host, port, entry.zone, entry.kind, entry.cell, entry.state.value, entry.size,
+        entry.started_ns, worker.front,
+    )
+
+
+def from_records(records: Iterable[WorkerRecord], roster: Roster) -> list[RouteNode]:
+    """The workers of a handover; ValueError where one cannot be."""
+    return [RouteNode(
+        r.name, (r.host, r.port),
+        Listed(roster.number(r.name), r.zone, r.kind, r.cell, State(r.state), r.size, r.started_ns),
+        r.front,
+    ) for r in records]
