--- a/hollowusher/__main__.py
+++ b/hollowusher/__main__.py
@@ -5,6 +5,7 @@
 import sys
 
 ROLES = ("edge", "store")
+CONSOLE = ("local", "system")  # the whole service's commands
 
 
 def main(words: list[str] | None = None) -> int:
@@ -19,7 +20,10 @@
 
         return run_role(given[0])
     try:
-        from hollowusher.cli import cli
+        if given[0] in CONSOLE:
+            from hollowusher.console.commands import cli
+        else:
+            from hollowusher.cli import cli
     except ModuleNotFoundError as missing:
         print(f"hollowusher: {missing.name} is not installed: the command line needs what "
               "requirements-tools.txt lists", file=sys.stderr)
--- /dev/null
+++ b/hollowusher/console/client.py
@@ -0,0 +1,105 @@
+"""Calls to the admin addresses of a running system, for the command line."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+import aiohttp
+import attrs
+import orjson
+from expression import Error, Ok, Result
+
+CALL_TIMEOUT_S = 4.0
+FIRST_PAUSE_S = 0.2
+LONGEST_PAUSE_S = 1.0
+RETRIED = (408, 429)  # besides every 5xx: another process may give a clear answer
+
+
+@attrs.frozen
+class CallError:
+    """No clear answer: the step that was under way, the last peer asked, and the reason."""
+
+    step: str
+    peer: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.step} at {self.peer}: {self.reason}"
+
+
+@attrs.frozen
+class Answer:
+    """A clear answer: the process that gave it, its HTTP status and its body."""
+
+    peer: str
+    status: int
+    body: bytes
+
+    @property
+    def taken(self) -> bool:
+        """Whether what was asked for was done."""
+        return 200 <= self.status < 300
+
+    def document(self) -> Any:
+        """The body's JSON value, None where it is none."""
+        try:
+            return orjson.loads(self.body)
+        except orjson.JSONDecodeError:
+            return None
+
+    @property
+    def reason(self) -> str:
+        """Why it was refused, in the system's words."""
+        document = self.document()
+        if isinstance(document, dict) and isinstance(document.get("error"), str):
+            return str(document["error"])
+        return self.body.decode(errors="replace").strip() or f"status {self.status}"
+
+
+class AdminClient:
+    """The admin addresses ("host:port") of a system, asked in turn until one gives a clear answer."""
+
+    def __init__(self, session: aiohttp.ClientSession, addresses: Sequence[str]) -> None:
+        self._session = session
+        self._addresses = list(addresses)
+
+    async def ask(self, method: str, path: str, *, body: bytes | None = None,
+                  headers: Mapping[str, str] | None = None, within_s: float = CALL_TIMEOUT_S,
+                  ) -> Result[Answer, CallError]:
+        """The first clear answer; the same request is sent again, to the next address, until then."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + within_s
+        step = f"{method} {path}"
+        pause = FIRST_PAUSE_S
+        while True:
+            for address in self._addresses:
+                result = await self._call(step, address, body, headers, deadline - loop.time())
+                if result.is_ok():
+                    return result
+            if loop.time() + pause >= deadline:
+                return result
+            await asyncio.sleep(pause)
+            pause = min(LONGEST_PAUSE_S, 2 * pause)
+
+    async def ask_one(self, address: str, path: str, timeout_s: float) -> Result[Answer, CallError]:
+        """One process's answer to one GET."""
+        return await self._call(f"GET {path}", address, None, None, timeout_s)
+
+    async def _call(self, step: str, address: str, body: bytes | None, headers: Mapping[str, str] | None,
+                    left_s: float) -> Result[Answer, CallError]:
+        method, _, path = step.partition(" ")
+        url = f"http://{address}{path}"
+        timeout = aiohttp.ClientTimeout(total=min(CALL_TIMEOUT_S, max(0.1, left_s)))
+        try:
+            async with self._session.request(
+                    method, url, data=body, headers=headers, timeout=timeout) as response:
+                answer = Answer(address, response.status, await response.read())
+        except TimeoutError:
+            return Error(CallError(step, address, "no answer in time"))
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            return Error(CallError(step, address, str(error) or type(error).__name__))
+        if answer.status >= 500 or answer.status in RETRIED:
+            return Error(CallError(step, address, f"status {answer.status}: {answer.reason}"))
+        return Ok(answer)
--- /dev/null
+++ b/hollowusher/console/local/command.py
@@ -0,0 +1,218 @@
+"""`python -m hollowusher local`: start a small whole system, send messages through it, show their ends."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import shutil
+import signal
+import tempfile
+import time
+from collections.abc import Awaitable
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import TypeVar
+
+import aiohttp
+import click
+import orjson
+
+from hollowusher.console.client import AdminClient, CallError
+from hollowusher.console.local.layout import EDGE, Layout, LayoutError, make_layout, write_settings
+from hollowusher.console.local.processes import LocalProcesses, ProcessEnded
+from hollowusher.console.local.standins import (
+    CallbackReceiver, Ledger, ListedWorker, PlatformList, PullWorker, PushWorker,
+)
+from hollowusher.console.local.traffic import KINDS, Traffic, configuration, each, faults, plan, summary
+
+START_WITHIN_S = 40.0
+END_WITHIN_S = 60.0
+POLL_S = 0.1
+PUSH_WORKERS = 3
+PULL_WORKERS = 4
+CAPACITY = 4
+FAILED = 1
+Value = TypeVar("Value")
+
+
+class LocalError(Exception):
+    """The local system could not be brought to serve, or did not do what it should; the text says why."""
+
+
+@click.command("local")
+@click.option("--edges", type=click.IntRange(3, 9), default=3, show_default=True, help="Edge processes.")
+@click.option("--stores", type=click.IntRange(3, 9), default=3, show_default=True, help="Store processes.")
+@click.option("--messages", type=click.IntRange(1, 10_000), default=50, show_default=True)
+@click.option("--each", "show_each", is_flag=True, help="Show a line for each message.")
+@click.option("--keep", is_flag=True, help="Leave the system running until Ctrl-C.")
+def local(edges: int, stores: int, messages: int, show_each: bool, keep: bool) -> None:
+    """Start a small whole system on loopback, send messages through it and show their ends.
+
+    Real processes of both roles, with stand-ins for the platform's list, the workers and a call-back
+    receiver inside this command.  All files lie in a folder that is removed at the end (kept after a
+    failure)."""
+    folder = Path(tempfile.mkdtemp(prefix="hollowusher-local-"))
+    try:
+        asyncio.run(_run(folder, edges, stores, messages, show_each, keep))
+    except (LocalError, LayoutError, ProcessEnded) as failure:
+        click.echo(f"failed: {failure}", err=True)
+        click.echo(f"logs and settings: {folder}", err=True)
+        raise SystemExit(FAILED) from None
+    shutil.rmtree(folder)
+
+
+async def _run(folder: Path, edges: int, stores: int, messages: int, show_each: bool, keep: bool) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop.set)
+    work = loop.create_task(_play(folder, edges, stores, messages, show_each, stop if keep else None))
+    stopped = loop.create_task(stop.wait())
+    await asyncio.wait({work, stopped}, return_when=asyncio.FIRST_COMPLETED)
+    if not work.done() and not keep:
+        work.cancel()
+    stopped.cancel()
+    try:
+        await work
+    except asyncio.CancelledError:
+        raise LocalError("stopped") from None
+
+
+async def _play(folder: Path, edges: int, stores: int, messages: int, show_each: bool,
+                keep_until: asyncio.Event | None) -> None:
+    """One whole run; with `keep_until` the system then serves until that is set."""
+    chance = random.Random()
+    progress = Progress()
+    layout = make_layout(edges, stores, chance)
+    async with AsyncExitStack() as stack:
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        outside = StandIns(layout, session, chance)
+        stack.push_async_callback(outside.stop)
+        await outside.start()
+        settings = write_settings(layout, folder, outside.platform.address)
+        processes = LocalProcesses(layout, folder, settings)
+        stack.push_async_callback(_stop_processes, processes, progress)
+        processes.start()
+        progress.tell(f"{edges} edge and {stores} store processes started, files in {folder}")
+        await _configure(layout, session, processes, outside)
+        progress.tell(f"configuration taken: {len(KINDS)} routes")
+        await _wait_ready(layout, session, processes)
+        progress.tell("every edge process is ready")
+        sent = plan(messages, outside.receiver.address)
+        traffic = Traffic(session, outside.entries, chance)
+        await _beside(processes, traffic.send(sent))
+        progress.tell(f"{messages} messages sent")
+        await _beside(processes, traffic.follow(sent, outside.receiver, END_WITHIN_S))
+        progress.tell("ends asked for")
+        if show_each:
+            click.echo(each(sent, outside.ledger) + "\n")
+        click.echo(summary(sent))
+        found = faults(sent, outside.ledger, outside.receiver)
+        if keep_until is not None:
+            _tell_how_to_ask(layout)
+            await keep_until.wait()
+    if found:
+        raise LocalError("\n".join(found))
+
+
+class Progress:
+    """Lines on standard error with the seconds since the start."""
+
+    def __init__(self) -> None:
+        self._started = time.monotonic()
+
+    def tell(self, text: str) -> None:
+        """One line."""
+        click.echo(f"{time.monotonic() - self._started:6.1f} s  {text}", err=True)
+
+
+class StandIns:
+    """Everything outside the system."""
+
+    def __init__(self, layout: Layout, session: aiohttp.ClientSession, chance: random.Random) -> None:
+        ip = layout.stand_in_ip
+        push, pull, fixed = (kind.service for kind in KINDS)
+        self.ledger = Ledger()
+        self.platform = PlatformList(ip)
+        self.receiver = CallbackReceiver(ip)
+        self.fixed = PushWorker(ip, f"{fixed}-1", self.ledger)
+        self.entries = [machine.address("frontend") for machine in layout.of_role(EDGE)]
+        self._push = [PushWorker(ip, f"{push}-{number}", self.ledger)
+                      for number in range(1, PUSH_WORKERS + 1)]
+        self._pull = [PullWorker(f"{pull}-{number}", pull, self.entries, self.ledger, session, chance)
+                      for number in range(1, PULL_WORKERS + 1)]
+        self._service = push
+        self._zones = [machine.zone for machine in layout.machines]
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start all but the pull workers' calls."""
+        for server in (self.platform, self.receiver, self.fixed, *self._push):
+            await server.start()
+        self.platform.workers = [
+            ListedWorker(worker.name, self._service, worker.address, zone, CAPACITY)
+            for worker, zone in zip(self._push, self._zones, strict=False)]
+        self._tasks = [asyncio.get_running_loop().create_task(worker.run()) for worker in self._pull]
+
+    async def stop(self) -> None:
+        """Stop all."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in (*self._push, self.fixed, self.receiver, self.platform):
+            await server.stop()
+
+
+async def _configure(layout: Layout, session: aiohttp.ClientSession, processes: LocalProcesses,
+                     outside: StandIns) -> None:
+    """Put the configuration, again until the system takes it."""
+    client = AdminClient(session, [machine.address("admin") for machine in layout.of_role(EDGE)])
+    body = orjson.dumps(configuration(outside.fixed.address))
+    result = await _beside(processes, client.ask(
+        "PUT", "/config", body=body, headers={"If-Match": "0"}, within_s=START_WITHIN_S))
+    if result.is_error():
+        failure: CallError = result.error
+        raise LocalError(f"the configuration was not taken: {failure}")
+    if not result.ok.taken:
+        raise LocalError(f"the configuration was refused: {result.ok.reason}")
+
+
+async def _wait_ready(layout: Layout, session: aiohttp.ClientSession, processes: LocalProcesses) -> None:
+    """Wait until every edge process says that it can serve."""
+    client = AdminClient(session, [])
+    deadline = asyncio.get_running_loop().time() + START_WITHIN_S
+    for machine in layout.of_role(EDGE):
+        while True:
+            processes.check()
+            answer = await client.ask_one(machine.address("readiness"), "/readyz", 1.0)
+            if answer.is_ok() and answer.ok.taken:
+                break
+            if asyncio.get_running_loop().time() > deadline:
+                raise LocalError(f"{machine.name} is not ready within {START_WITHIN_S:g} s")
+            await asyncio.sleep(POLL_S)
+
+
+async def _beside(processes: LocalProcesses, work: Awaitable[Value]) -> Value:
+    """Do some work; a process that ends meanwhile breaks it off."""
+    task = asyncio.ensure_future(work)
+    try:
+        while not task.done():
+            processes.check()
+            await asyncio.wait({task}, timeout=POLL_S)
+    finally:
+        task.cancel()
+    return task.result()
+
+
+async def _stop_processes(processes: LocalProcesses, progress: Progress) -> None:
+    untidy = await asyncio.to_thread(processes.stop)
+    progress.tell("all processes have ended" + (f", in disorder: {', '.join(untidy)}" if untidy else ""))
+
+
+def _tell_how_to_ask(layout: Layout) -> None:
+    admin = layout.of_role(EDGE)[0].address("admin")
+    click.echo(f"\nThe system runs on; Ctrl-C ends it.  In another terminal:\n"
+               f"    export HOLLOWUSHER_AT={admin}\n"
+               f"    python -m hollowusher system status")
+
+
--- /dev/null
+++ b/hollowusher/console/local/processes.py
@@ -0,0 +1,76 @@
+"""The processes of a local system: started, watched and ended by their own handles."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Mapping
+from contextlib import suppress
+from pathlib import Path
+
+import hollowusher
+from hollowusher.console.local.layout import GRACE_S, Layout
+
+SETTINGS_VARIABLE = "HOLLOWUSHER_CONFIG"
+END_MARGIN_S = 3.0  # given beyond the grace before a process is killed
+LOG_LINES_SHOWN = 5
+ROOT = Path(hollowusher.__file__).resolve().parent.parent
+
+
+class ProcessEnded(Exception):
+    """A process has ended by itself; the text holds its last log lines."""
+
+
+class LocalProcesses:
+    """The processes of one layout; each one's log is `NAME/log` in the folder."""
+
+    def __init__(self, layout: Layout, folder: Path, settings: Mapping[str, Path]) -> None:
+        self._layout = layout
+        self._folder = folder
+        self._settings = settings
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self) -> None:
+        """Start all of them."""
+        for machine in self._layout.machines:
+            environment = dict(os.environ, PYTHONPATH=str(ROOT))
+            environment[SETTINGS_VARIABLE] = str(self._settings[machine.name])
+            with self._log(machine.name).open("wb") as log:
+                self._running[machine.name] = subprocess.Popen(
+                    [sys.executable, "-m", "hollowusher", machine.role], cwd=self._folder, env=environment,
+                    stdin=subprocess.DEVNULL, stdout=log, stderr=subprocess.STDOUT)
+
+    def check(self) -> None:
+        """Raise `ProcessEnded` if one has ended."""
+        for name, process in self._running.items():
+            code = process.poll()
+            if code is not None:
+                raise ProcessEnded(f"{name} has ended with code {code}:\n{self._last_lines(name)}")
+
+    def stop(self) -> list[str]:
+        """End all of them in order; the names of those that had to be killed or ended with a failure."""
+        for process in self._running.values():
+            with suppress(ProcessLookupError):
+                process.terminate()
+        deadline = time.monotonic() + GRACE_S + END_MARGIN_S
+        untidy = [name for name, process in self._running.items() if not _ended(process, deadline)]
+        self._running.clear()
+        return untidy
+
+    def _log(self, name: str) -> Path:
+        return self._folder / name / "log"
+
+    def _last_lines(self, name: str) -> str:
+        return "\n".join(self._log(name).read_text(errors="replace").splitlines()[-LOG_LINES_SHOWN:])
+
+
+def _ended(process: subprocess.Popen[bytes], deadline: float) -> bool:
+    """Wait for a process until the deadline, then kill it; whether it ended by itself and well."""
+    try:
+        return process.wait(max(0.0, deadline - time.monotonic())) == 0
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
+        return False
