--- a/hollowusher/console/client.py
+++ b/hollowusher/console/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections.abc import Mapping, Sequence
 from typing import Any
 
@@ -98,6 +99,8 @@
                 answer = Answer(address, response.status, await response.read())
         except TimeoutError:
             return Error(CallError(step, address, "no answer in time"))
+        except aiohttp.ClientConnectorError as error:
+            return Error(CallError(step, address, f"no connection: {os.strerror(error.errno or 0)}"))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Error(CallError(step, address, str(error) or type(error).__name__))
         if answer.status >= 500 or answer.status in RETRIED:
--- a/hollowusher/console/commands.py
+++ b/hollowusher/console/commands.py
@@ -5,6 +5,7 @@
 import click
 
 from hollowusher.console.local.command import local
+from hollowusher.console.system import system
 
 
 @click.group()
@@ -13,3 +14,4 @@
 
 
 cli.add_command(local)
+cli.add_command(system)
--- /dev/null
+++ b/hollowusher/console/system.py
@@ -0,0 +1,231 @@
+"""`python -m hollowusher system ...`: operate a running system over any edge process's admin address.
+
+Exit codes: 0 done, 1 refused (or a configuration file at fault), 2 wrong usage, 3 no clear answer, 4 `status
+--check` found something lacking.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, NoReturn, TypeVar
+from urllib.parse import quote
+
+import aiohttp
+import click
+import orjson
+from expression import Error, Ok, Result
+
+from hollowusher.configuration.checks import check_document, is_host_port
+from hollowusher.console.client import AdminClient, Answer, CallError
+from hollowusher.console.survey import Survey, take_survey
+from hollowusher.console.views import (
+    configuration_tables, lacks, members_table, message_table, status_tables, survey_document,
+)
+
+REFUSED, USAGE, NO_ANSWER, LACKING = 1, 2, 3, 4
+ADDRESS_VARIABLE = "HOLLOWUSHER_AT"
+CHANGE_WITHIN_S = 15.0
+RETIRE_POLL_S = 1.0
+DEFAULT_DURATION_S = 30.0
+Value = TypeVar("Value")
+Work = Callable[[AdminClient], Awaitable[Value]]
+
+
+def _read_addresses(context: click.Context, option: click.Parameter, value: tuple[str, ...]) -> list[str]:
+    addresses = [address for text in value for address in text.replace(",", " ").split()]
+    for address in addresses:
+        if not is_host_port(address):
+            raise click.BadParameter(f"{address!r} is not HOST:PORT")
+    return addresses
+
+
+_at = click.option("--at", "addresses", multiple=True, required=True, envvar=ADDRESS_VARIABLE,
+                   callback=_read_addresses, metavar="HOST:PORT",
+                   help=f"Admin address of an edge process; several are tried in turn [{ADDRESS_VARIABLE}].")
+_as_json = click.option("--json", "as_json", is_flag=True, help="Print JSON instead of tables.")
+_file = click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+
+
+@click.group()
+def system() -> None:
+    """Operate a running system over any edge process's admin address."""
+
+
+@system.command()
+@_at
+@_as_json
+@click.option("--all", "everyone", is_flag=True, help="Ask every edge process, however many there are.")
+@click.option("--check", is_flag=True, help=f"Exit with {LACKING} if something lacks.")
+def status(addresses: list[str], as_json: bool, everyone: bool, check: bool) -> None:
+    """Show the view, the chain, the placement, the processes and what they serve."""
+    survey = _surveyed(addresses, everyone)
+    _show(survey_document(survey) if as_json else status_tables(survey))
+    if check and lacks(survey):
+        raise SystemExit(LACKING)
+
+
+@system.command()
+@_at
+@_as_json
+def members(addresses: list[str], as_json: bool) -> None:
+    """Show the processes of the system."""
+    survey = _surveyed(addresses, False)
+    _show(survey.report.members if as_json else members_table(survey.report))
+
+
+@system.group()
+def config() -> None:
+    """Read, check and change the configuration."""
+
+
+@config.command("get")
+@_at
+@_as_json
+def get_config(addresses: list[str], as_json: bool) -> None:
+    """Show the configuration in force; with --json the document itself."""
+    answer = _ask(addresses, lambda client: client.ask("GET", "/config"))
+    if not answer.taken:
+        _refuse(answer)
+    if as_json:
+        click.echo(answer.body)
+    else:
+        _show(configuration_tables(answer.document()))
+
+
+@config.command("put")
+@_file
+@_at
+@_as_json
+@click.option("--if-match", type=click.IntRange(0), help="The version it builds on [the one in force].")
+@click.option("--patch", is_flag=True, help="FILE holds `upsert` and `delete` only.")
+def put_config(file: Path, addresses: list[str], as_json: bool, if_match: int | None, patch: bool) -> None:
+    """Put the configuration in FILE in force."""
+    body = file.read_bytes()
+
+    async def put(client: AdminClient) -> Result[Answer, CallError]:
+        version = Ok(if_match) if if_match is not None else await _version_in_force(client)
+        if version.is_error():
+            return Error(version.error)
+        return await client.ask("PATCH" if patch else "PUT", "/config", body=body,
+                                headers={"If-Match": str(version.ok)}, within_s=CHANGE_WITHIN_S)
+
+    answer = _ask(addresses, put)
+    if not answer.taken:
+        _refuse(answer)
+    _show(answer.document() if as_json else f"generation {answer.document()['generation']} is in force")
+
+
+@config.command("check")
+@_file
+@_as_json
+def check_config(file: Path, as_json: bool) -> None:
+    """Check the whole configuration in FILE, without a system."""
+    try:
+        document = orjson.loads(file.read_bytes())
+    except orjson.JSONDecodeError as error:
+        _fail(REFUSED, f"{file.name}: not JSON: {error}")
+    if not isinstance(document, dict):
+        _fail(REFUSED, f"{file.name}: not an object")
+    checked = check_document(document)
+    if checked.is_error():
+        _fail(REFUSED, f"{file.name}: {checked.error}")
+    found = checked.ok
+    counts = {"generation": found.generation, "routes": len(found.routes), "services": len(found.upstreams)}
+    _show(counts if as_json else
+          f"{file.name}: in order: generation {found.generation}, {len(found.routes)} routes, "
+          f"{len(found.upstreams)} services")
+
+
+@system.group()
+def message() -> None:
+    """Look at single messages."""
+
+
+@message.command("show")
+@click.argument("reference")
+@_at
+@_as_json
+def show_message(reference: str, addresses: list[str], as_json: bool) -> None:
+    """Show the state of the message REFERENCE (the X-Message-Ref of its 202)."""
+    answer = _ask(addresses, lambda client: client.ask("GET", f"/messages/{quote(reference, safe='')}"))
+    if not answer.taken:
+        _refuse(answer)
+    _show(answer.document() if as_json else message_table(answer.document()))
+
+
+@system.command()
+@click.argument("node")
+@_at
+@_as_json
+@click.option("--duration", type=click.FloatRange(0), default=DEFAULT_DURATION_S, show_default=True,
+              help="Seconds that it may take.")
+@click.option("--wait", is_flag=True, help="Wait until the machine is empty.")
+def retire(node: str, addresses: list[str], as_json: bool, duration: float, wait: bool) -> None:
+    """Empty the store machine NODE, so that it can be removed with its disk."""
+    path = f"/retire/{quote(node, safe='')}"
+    body = orjson.dumps({"durationS": duration})
+
+    async def order(client: AdminClient) -> Result[Answer, CallError]:
+        result = await client.ask("POST", path, body=body, within_s=CHANGE_WITHIN_S)
+        while wait and result.is_ok() and result.ok.taken and _progress(result.ok) != "completed":
+            await asyncio.sleep(RETIRE_POLL_S)
+            result = await client.ask("GET", path, within_s=CHANGE_WITHIN_S)
+        return result
+
+    answer = _ask(addresses, order)
+    if not answer.taken:
+        _refuse(answer)
+    _show(answer.document() if as_json else f"{node}: {_progress(answer)}")
+
+
+def _progress(answer: Answer) -> str:
+    document = answer.document()
+    return str(document.get("state")) if isinstance(document, dict) else ""
+
+
+async def _version_in_force(client: AdminClient) -> Result[int, CallError]:
+    """The generation in force, 0 where there is none yet."""
+    result = await client.ask("GET", "/config")
+    if result.is_error():
+        return Error(result.error)
+    document = result.ok.document()
+    return Ok(int(document["generation"]) if result.ok.taken and isinstance(document, dict) else 0)
+
+
+def _surveyed(addresses: list[str], everyone: bool) -> Survey:
+    result = _run(addresses, lambda client: take_survey(client, everyone))
+    if result.is_error():
+        _fail(NO_ANSWER, str(result.error))
+    return result.ok
+
+
+def _ask(addresses: list[str], work: Work[Result[Answer, CallError]]) -> Answer:
+    """The clear answer that some work ends with; without any, the end of the command."""
+    result = _run(addresses, work)
+    if result.is_error():
+        _fail(NO_ANSWER, str(result.error))
+    return result.ok
+
+
+def _run(addresses: list[str], work: Work[Value]) -> Value:
+    async def run() -> Value:
+        async with aiohttp.ClientSession() as session:
+            return await work(AdminClient(session, addresses))
+
+    return asyncio.run(run())
+
+
+def _show(value: Any) -> None:
+    """Print text as it is, anything else as JSON."""
+    click.echo(value if isinstance(value, str) else orjson.dumps(value, option=orjson.OPT_INDENT_2))
+
+
+def _refuse(answer: Answer) -> NoReturn:
+    _fail(REFUSED, f"refused ({answer.status}) by {answer.peer}: {answer.reason}")
+
+
+def _fail(code: int, text: str) -> NoReturn:
+    click.echo(f"hollowusher: {text}", err=True)
+    raise SystemExit(code)
