--- a/hollowusher/messages/hosting.py
+++ b/hollowusher/messages/hosting.py
@@ -37,7 +37,7 @@
         self.outstanding: dict[Proposal, None] = {}  # in the order they were made
         self.drop_at = 0.0  # when the table is to be dropped, 0: not at all
         self.required: dict[str, float] = {}  # learners reported ready, and when: each commit needs them
-        self._tolerated = 0
+        self.commit_quorum = 1  # how many replicas, this one among them, must have a record
 
     # Placement
 
@@ -47,7 +47,7 @@
             self.former_replicas = [replica for replica in self.placement.replicas
                                     if replica not in placement.replicas]
         self.placement = placement
-        self._tolerated = tolerated
+        self.commit_quorum = min(tolerated + 1, max(1, len(placement.replicas)))
 
     def lead(self, epoch: int) -> None:
         """Start to be the primary for an epoch: all others have to be compared with first."""
@@ -95,11 +95,6 @@
 
     # Quorums
 
-    @property
-    def commit_quorum(self) -> int:
-        """How many replicas, this one among them, must have a record."""
-        return min(self._tolerated + 1, max(1, len(self.replicas)))
-
     @property
     def takeover_quorum(self) -> int:
         """How many replicas, this one among them, must have been compared before this one serves: any commit
@@ -140,7 +135,7 @@
         return sum(store_id in replicas for store_id in proposal.acknowledged)
 
     def _settle(self, proposal: Proposal) -> bool:
-        if self._count(proposal) < self.commit_quorum:
+        if len(proposal.acknowledged) < self.commit_quorum or self._count(proposal) < self.commit_quorum:
             return False
         if any(learner not in proposal.acknowledged for learner in self.required):
             return False
--- a/hollowusher/messages/replication.py
+++ b/hollowusher/messages/replication.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
@@ -19,7 +20,9 @@
 MOST_IN_FLIGHT = 2
 MOST_BATCH_BYTES = 1024 * 1024
 MOST_QUEUED_BYTES = 8 * 1024 * 1024
-LINGER_S = 0.02  # replicas beyond the quorum get their records a little later, in fewer batches
+GATHER_S = 0.002  # records that somebody waits for are gathered for so long
+LINGER_S = 0.03  # those for replicas beyond the quorum longer: fewer batches
+SLOW_S = 0.025  # a batch under way for longer: the peer is not the quickest any more
 
 
 class Outgoing(NamedTuple):
@@ -57,9 +60,10 @@
     def __init__(self, durable: bool) -> None:
         self.durable = durable
         self.queue: list[Outgoing] = []
-        self.in_flight = 0
+        self.in_flight: dict[int, float] = {}  # batch number -> when it was sent
         self.timer: asyncio.Handle | None = None
         self.timer_at = 0.0
+        self.lingers = False  # nobody waits for what is queued
 
 
 class ReplicationStream:
@@ -75,6 +79,7 @@
         self._run = run
         self._lanes = {durable: _Lane(durable) for durable in (True, False)}
         self._queued_bytes = 0
+        self._numbers = itertools.count()
 
     def enqueue(self, outgoing: Outgoing, linger: bool) -> None:
         """Send a record with the next batch; `linger` lets it wait a little for others."""
@@ -83,8 +88,14 @@
         self._queued_bytes += len(outgoing.proposal.record)
         if self._queued_bytes > MOST_QUEUED_BYTES:
             self._lose()
-        elif lane.in_flight < MOST_IN_FLIGHT:
-            self._schedule(lane, LINGER_S if linger else 0.0)
+        elif len(lane.in_flight) < MOST_IN_FLIGHT:
+            self._schedule(lane, LINGER_S if linger else GATHER_S)
+
+    def expected_s(self, now: float) -> float:
+        """How long the peer is expected to take: the usual time, or more where it is late already."""
+        oldest = min((sent_at for lane in self._lanes.values() for sent_at in lane.in_flight.values()),
+                     default=now)
+        return now - oldest if now - oldest > SLOW_S else self.latency_s
 
     def close(self) -> None:
         """Send nothing more."""
@@ -98,19 +109,28 @@
                 return
             lane.timer.cancel()
         lane.timer_at = due
-        if delay_s:
-            lane.timer = loop.call_later(delay_s, self._flush, lane)
-        else:
-            lane.timer = loop.call_soon(self._flush, lane)
+        lane.lingers = delay_s == LINGER_S
+        lane.timer = loop.call_later(delay_s, self._flush, lane)
 
     def _flush(self, lane: _Lane) -> None:
         if lane.timer is not None:
             lane.timer.cancel()
             lane.timer = None
-        while lane.queue and lane.in_flight < MOST_IN_FLIGHT:
-            batch = self._next_batch(lane)
-            lane.in_flight += 1
-            self._run(self._send(lane, batch))
+        if lane.durable:
+            self._take_along(lane)
+        while lane.queue and len(lane.in_flight) < MOST_IN_FLIGHT:
+            number = next(self._numbers)
+            lane.in_flight[number] = asyncio.get_running_loop().time()
+            self._run(self._send(lane, number, self._next_batch(lane)))
+
+    def _take_along(self, durable: _Lane) -> None:
+        """Records that only wait for company travel with the durable ones."""
+        memory = self._lanes[False]
+        if memory.queue and memory.lingers and memory.timer is not None:
+            durable.queue += memory.queue
+            memory.queue = []
+            memory.timer.cancel()
+            memory.timer = None
 
     def _next_batch(self, lane: _Lane) -> list[Outgoing]:
         size = count = 0
@@ -123,8 +143,8 @@
         self._queued_bytes -= size
         return batch
 
-    async def _send(self, lane: _Lane, batch: list[Outgoing]) -> None:
-        sent_at = asyncio.get_running_loop().time()
+    async def _send(self, lane: _Lane, number: int, batch: list[Outgoing]) -> None:
+        sent_at = lane.in_flight[number]
         epochs = {partition: self._owner.epoch_of(partition) for partition, _ in batch}
         current = [outgoing for outgoing in batch if epochs[outgoing.partition]]
         try:
@@ -133,7 +153,7 @@
             self._lose()
             return
         finally:
-            lane.in_flight -= 1
+            del lane.in_flight[number]
         self._measure(asyncio.get_running_loop().time() - sent_at)
         for partition, epoch in answer.refused.items():
             self._owner.refused(self.peer, partition, epoch)
--- a/hollowusher/messages/replicator.py
+++ b/hollowusher/messages/replicator.py
@@ -15,7 +15,7 @@
 from hollowusher.messages.comparing import answer_summary
 from hollowusher.messages.hosting import PartitionHost, PeerLink
 from hollowusher.messages.proposal import Proposal
-from hollowusher.messages.replication import Outgoing, ReplicationStream, StreamOwner
+from hollowusher.messages.replication import GATHER_S, Outgoing, ReplicationStream, StreamOwner
 from hollowusher.messages.table import PartitionTable, RecordCache
 from hollowusher.protocol.control import PartitionPlacement
 from hollowusher.protocol.store import Difference, Replicate, Replicated, Summary
@@ -41,6 +41,7 @@
         self.stepped: Callable[[PartitionHost], None] = lambda host: None
         self.took_over: Callable[[PartitionHost], None] = lambda host: None
         self.recover: Callable[[], None] = lambda: None
+        self.clock: Callable[[], float] = lambda: asyncio.get_running_loop().time()
         self.wall_ms = wall_ms
         self._tolerated = tolerated
         self._status_ms = status_ms
@@ -54,6 +55,7 @@
 
     def replay(self) -> None:
         """Read the log."""
+        self.clock = asyncio.get_running_loop().time
         self.log.set_move(self._move)
         wall_ms = self.wall_ms()
         for position, record in self.log.replay():
@@ -79,7 +81,7 @@
 
     def now(self) -> float:
         """The steady clock."""
-        return asyncio.get_running_loop().time()
+        return self.clock()
 
     def host(self, partition: int) -> PartitionHost:
         """The host of a partition, made where there is none yet."""
@@ -126,7 +128,8 @@
         needed = host.commit_quorum - 1
         counting = [peer for peer in joined if peer in host.replicas]
         if len(counting) > needed:
-            counting.sort(key=lambda peer: (not host.links[peer].complete, self.stream(peer).latency_s))
+            now = self.now()
+            counting.sort(key=lambda peer: (not host.links[peer].complete, self.stream(peer).expected_s(now)))
         return [*counting[:needed], *host.required]
 
     def _commit(self, host: PartitionHost, proposal: Proposal) -> None:
@@ -137,6 +140,7 @@
     async def _sync(self) -> None:
         try:
             while self._unsynced:
+                await asyncio.sleep(GATHER_S)
                 synced, self._unsynced = self._unsynced, []
                 await self.log.sync()
                 self._acknowledge(self.store_id, synced)
--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -385,9 +385,8 @@
                 host.primary.advance(now, wall_ms)
                 self._after(host)
 
-    @staticmethod
-    def _now() -> float:
-        return asyncio.get_running_loop().time()
+    def _now(self) -> float:
+        return self._replicator.clock()
 
 
 def _resolve(future: asyncio.Future[bool], committed: bool) -> None:
