--- a/hollowusher/messages/primary.py
+++ b/hollowusher/messages/primary.py
@@ -9,6 +9,7 @@
 import heapq
 import itertools
 from collections.abc import Callable
+from contextlib import suppress
 from functools import partial
 from typing import NamedTuple
 from urllib.parse import urlsplit
@@ -31,6 +32,7 @@
     PutAnswer,
     StatusAnswer,
 )
+from hollowusher.storage.interface import StorageError
 
 START_WITHIN_MS = 500
 PULL_GRACE_S = 0.3
@@ -40,6 +42,7 @@
 FAILED_FIRST_S, FAILED_MOST_S = 0.1, 2.0
 NOT_RUN_FIRST_S, NOT_RUN_MOST_S = 0.05, 1.0
 UNKNOWN_S = 0.2
+STORAGE_RETRY_S = 1.0  # when the disk took no record
 CALLBACK_FIRST_S, CALLBACK_MOST_S = 0.3, 3.0
 MOST_DOUBLINGS = 16
 
@@ -212,7 +215,11 @@
             if message is None:
                 break
             assert isinstance(message, ActiveMessage)
-            grant = self._grant(message, request, now, wall_ms)
+            try:
+                grant = self._grant(message, request, now, wall_ms)
+            except StorageError:
+                self.queue.release(message, now + STORAGE_RETRY_S, now)
+                break
             if grant is None:
                 continue
             if bucket is not None:
@@ -262,7 +269,8 @@
         lease = records.parse_lease_id(grant.job.lease)
         active = self._leased.get(lease.key) if lease is not None else None
         if active is not None and lease is not None and active.lease == lease.number:
-            self._requeue(active, now, now, wall_ms)
+            with suppress(StorageError):  # then the lease runs out
+                self._requeue(active, now, now, wall_ms)
 
     def extend(self, lease: LeaseId, now: float, wall_ms: int) -> Proposal | LeaseAnswer:
         """A pull worker needs longer."""
@@ -295,7 +303,7 @@
         while self._retentions and self._retentions[0].until <= now:
             message = heapq.heappop(self._retentions).message
             if message.stage in (Stage.WAITING, Stage.READY):
-                self._end(message, Status.DEAD_LETTER, now, wall_ms)
+                self._end_unless_full(message, now, wall_ms)
         self.queue.advance(now)
 
     def postpone_leases(self, seconds: float) -> None:
@@ -308,10 +316,10 @@
     def release_dispatchers(self, alive: Callable[[str, int], bool], now: float, wall_ms: int) -> None:
         """Requeue the push leases of dispatchers that are gone."""
         for active in list(self._leased.values()):
-            entry = self.table.entries[active.key]
-            state = entry.state
+            state = self.table.entries[active.key].state
             if state is not None and not state.pull and not alive(state.dispatcher, state.incarnation):
-                self._requeue(active, now, now, wall_ms)
+                with suppress(StorageError):  # then the lease runs out
+                    self._requeue(active, now, now, wall_ms)
         for callback in self._callbacks.values():
             if callback.lease and not alive(callback.dispatcher, callback.incarnation):
                 self._requeue_callback(callback, 0.0, now)
@@ -336,7 +344,7 @@
             if active.stage not in (Stage.WAITING, Stage.READY):
                 continue
             if self._dropped(active):
-                self._end(active, Status.DEAD_LETTER, now, wall_ms)
+                self._end_unless_full(active, now, wall_ms)
             elif self._service_for(active.route, active.service) != active.service:
                 self._change_service(active, active.ready_at, now)
 
@@ -457,7 +465,7 @@
         if active.stage not in (Stage.HELD, Stage.LEASED) or active.ending:
             return
         if active.retained_until <= now or self._dropped(active):
-            self._end(active, Status.DEAD_LETTER, now, wall_ms)
+            self._end_unless_full(active, now, wall_ms)
         elif self._service_for(active.route, active.service) != active.service:
             self._change_service(active, ready_at, now)
         else:
@@ -555,6 +563,17 @@
             self.queue.hold(active)
         return proposal
 
+    def _end_unless_full(self, active: ActiveMessage, now: float, wall_ms: int) -> None:
+        """End a message whose time is up or whose route is gone; later, where the disk takes nothing now."""
+        try:
+            self._end(active, Status.DEAD_LETTER, now, wall_ms)
+        except StorageError:
+            self.queue.hold(active)
+            retry = _Retention(now + STORAGE_RETRY_S, next(self._numbers), active)
+            active.retained_until = now
+            heapq.heappush(self._retentions, retry)
+            self.queue.release(active, now + 2 * STORAGE_RETRY_S, now)
+
     def _ended(self, active: ActiveMessage, now: float, wall_ms: int) -> None:
         """The end of a message is committed."""
         self._active.pop(active.key, None)
@@ -583,7 +602,11 @@
         elif isinstance(message, CallbackJob):
             self._requeue_callback(message, 0.0, now)
         else:
-            self._requeue(message, now, now, wall_ms)
+            try:
+                self._requeue(message, now, now, wall_ms)
+            except StorageError:
+                message.expires_at = now + STORAGE_RETRY_S
+                self._start_expiry(message, message.expires_at)
 
     def _dropped(self, active: ActiveMessage) -> bool:
         """Whether a configuration newer than the one that accepted the message has no such route."""
--- a/hollowusher/messages/replication.py
+++ b/hollowusher/messages/replication.py
@@ -21,7 +21,7 @@
 MOST_BATCH_BYTES = 1024 * 1024
 MOST_QUEUED_BYTES = 8 * 1024 * 1024
 GATHER_S = 0.002  # records that somebody waits for are gathered for so long
-LINGER_S = 0.03  # those for replicas beyond the quorum longer: fewer batches
+LINGER_S = {True: 0.03, False: 0.25}  # those for replicas beyond the quorum longer, by lane: fewer batches
 SLOW_S = 0.025  # a batch under way for longer: the peer is not the quickest any more
 
 
@@ -89,13 +89,15 @@
         if self._queued_bytes > MOST_QUEUED_BYTES:
             self._lose()
         elif len(lane.in_flight) < MOST_IN_FLIGHT:
-            self._schedule(lane, LINGER_S if linger else GATHER_S)
+            self._schedule(lane, LINGER_S[lane.durable] if linger else GATHER_S)
 
     def expected_s(self, now: float) -> float:
         """How long the peer is expected to take: the usual time, or more where it is late already."""
-        oldest = min((sent_at for lane in self._lanes.values() for sent_at in lane.in_flight.values()),
-                     default=now)
-        return now - oldest if now - oldest > SLOW_S else self.latency_s
+        waited_s = 0.0
+        for lane in self._lanes.values():
+            for sent_at in lane.in_flight.values():
+                waited_s = max(waited_s, now - sent_at)
+        return waited_s if waited_s > SLOW_S else self.latency_s
 
     def close(self) -> None:
         """Send nothing more."""
@@ -109,7 +111,7 @@
                 return
             lane.timer.cancel()
         lane.timer_at = due
-        lane.lingers = delay_s == LINGER_S
+        lane.lingers = delay_s != GATHER_S
         lane.timer = loop.call_later(delay_s, self._flush, lane)
 
     def _flush(self, lane: _Lane) -> None:
--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -165,7 +165,10 @@
         primary = await self._primary(lease.partition)
         if primary is None:
             return LeaseAnswer(self._why_not(lease.partition))
-        taken = primary.finish(lease, finish, self._now(), self._wall_ms())
+        try:
+            taken = primary.finish(lease, finish, self._now(), self._wall_ms())
+        except StorageError:
+            return UNAVAILABLE
         self._after(self._hosts[lease.partition])
         return await self._lease_answer(taken)
 
@@ -177,7 +180,10 @@
         if primary is None:
             return LeaseAnswer(self._why_not(lease.partition))
         host = self._hosts[lease.partition]
-        taken = primary.extend(lease, self._now(), self._wall_ms())
+        try:
+            taken = primary.extend(lease, self._now(), self._wall_ms())
+        except StorageError:
+            return UNAVAILABLE
         confirmed = host.confirmed_since(self._now(), CONFIRMED_WITHIN_S)
         confirmation = None if confirmed else primary.confirmation(self._now())
         self._after(host)
@@ -220,8 +226,9 @@
             primary = host.primary
             if primary is None or len(taken) >= request.most or primary.queue.first(request.service) is None:
                 continue
-            grants = primary.lease(request, request.most - len(taken), now, wall_ms)
-            taken += [LeasedHere(host, grant) for grant in grants]
+            with suppress(StorageError):
+                grants = primary.lease(request, request.most - len(taken), now, wall_ms)
+                taken += [LeasedHere(host, grant) for grant in grants]
             self._after(host)
         self._waiters.wake(request.service)
         return taken
@@ -325,11 +332,10 @@
                     self._after(host)
 
     def _may_live(self, name: str, incarnation: int) -> bool:
-        """False only where a dispatcher is known to be gone."""
+        """False only where a dispatcher's life is certain to be over: a later one has begun.  One that counts
+        as dead may be leaving, and then ends its deliveries itself; else its leases run out."""
         member = self._state.members.get(name)
-        if member is None or member.incarnation < incarnation:
-            return True
-        return member.incarnation == incarnation and member.alive
+        return member is None or member.incarnation <= incarnation
 
     # Time
 
--- a/hollowusher/messages/table.py
+++ b/hollowusher/messages/table.py
@@ -17,6 +17,7 @@
 from hollowusher.storage.interface import Log, Position
 
 BUCKETS = 64
+CLOCK_MARGIN_MS = 15_000  # wall clocks may be stepped: nothing is forgotten too early
 CALLBACK_KEPT_MS = 3_600_000  # an end whose call-back was never taken is forgotten after this
 DIFFERENCE_BYTES = 512 * 1024  # most bytes of records in one answer
 
@@ -69,7 +70,7 @@
         self.greatest_sequence = 0
         self._log = log
         self._cache = cache
-        self._status_ms = status_ms
+        self._kept_ms = status_ms + CLOCK_MARGIN_MS
         self._epoch_position: Position | None = None
 
     # Merging
@@ -104,7 +105,7 @@
             put = self.put(entry)
             if put is None or put.message.retention_ms <= 0:
                 continue
-            if put.accepted_ms + put.message.retention_ms + self._status_ms < wall_ms:
+            if put.accepted_ms + put.message.retention_ms + self._kept_ms < wall_ms:
                 self._forget(entry.key)
 
     def promise(self, epoch: int) -> None:
@@ -211,7 +212,7 @@
     def _expired(self, state: State, wall_ms: int) -> bool:
         if not state.status.ended:
             return False
-        kept_ms = CALLBACK_KEPT_MS if state.callback_owed else self._status_ms
+        kept_ms = CALLBACK_KEPT_MS if state.callback_owed else self._kept_ms
         return state.ended_ms + kept_ms < wall_ms
 
     def _forget(self, key: Key) -> None:
