Choose controllers by how they have answered; tell two ages of what is known

With most controllers down, readers kept trying the dead ones every three seconds and heard the living one late.

--- a/hollowusher/coordination/client.py
+++ b/hollowusher/coordination/client.py
@@ -20,9 +20,9 @@
 from hollowusher.coordination.cluster_state import (
     CONFIGURATION, MEMBER_PREFIX, PLACEMENT, VIEW, ClusterState,
 )
+from hollowusher.coordination.controller_choice import ControllerChoice
 from hollowusher.coordination.directory import version_of
 from hollowusher.coordination.monitor import Monitor
-from hollowusher.coordination.rendezvous import rank
 from hollowusher.coordination.updates import Feed, LongPoll
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control import (
@@ -34,11 +34,11 @@
 PULL_WAIT_MS = 1_000
 PULL_MARGIN_S = 0.7  # how much longer than its wait a pull may take
 CALL_TIMEOUT_S = 0.6
+STATE_TIMEOUT_S = 1.0  # the chain's tail asks a majority before it answers
 LEAVE_TIMEOUT_S = 0.5
 BEAT_S = 0.15  # how often the failure detector runs
 FIRST_PAUSE_S = 0.1
 MOST_PAUSE_S = 0.5
-AVOID_S = 3.0  # a controller that has failed is not chosen for this long, if there is another one
 IDLE_PAUSE_S = 0.1  # after an answer that came at once and brought nothing
 CONNECTED_S = 2.5  # a controller that has not heard most of the others for this long says so
 MOST_HELPERS = 3  # living members asked for the view besides the seeds and the voters
@@ -87,9 +87,9 @@
         self._registered_at: set[str] = set()  # the controllers that know this registration
         self._registration_seen = False  # the cluster has this life of this process
         self._leaving = False
-        self._failed_at: dict[str, float] = {}
-        self._contact = -math.inf  # last answer of a connected controller
-        self._heard_at: dict[str, float] = {}  # controllers: last answer of each other one
+        self._choice = ControllerChoice(me.name, me.zone)
+        self._heard_at: dict[str, float] = {}  # address -> last answer to a pull
+        self._connected_at = -math.inf  # last answer of a controller that hears most of the others
         self._peers: dict[str, asyncio.Task[None]] = {}
         self._peer_have: dict[str, dict[str, int]] = {}
         self._view_changed = asyncio.Event()
@@ -117,7 +117,7 @@
             if self.state.view is None:
                 await self._find_view()
             for voter in self._readers():
-                answer = await self._try_call(voter.address, ReadState())
+                answer = await self._try_call(voter.address, ReadState(), STATE_TIMEOUT_S)
                 if isinstance(answer, StateAnswer) and answer.state is not None:
                     self._apply_state(answer.state)
                     return
@@ -127,19 +127,27 @@
     async def leave(self) -> None:
         """Tell a controller that this process is about to stop."""
         self._leaving = True
+        message = Leaving(self.me.name, self.me.incarnation)
         if self._feed is not None:
             self._publish(evolve(self.me, status=self.me.status + 1))
-            return
-        message = Leaving(self.me.name, self.me.incarnation)
         for voter in self._voters_by_preference():
+            if voter.address == self.me.address:
+                continue
             if isinstance(await self._try_call(voter.address, message, LEAVE_TIMEOUT_S), Done):
                 return
 
     def seconds_since_contact(self, now: float) -> float:
-        """How long ago a controller in touch with most of the others answered a pull; for a controller, how
-        long ago most of them, itself counted, answered.  Infinite before the first time."""
+        """How long ago any controller last answered a pull; infinite before the first answer, 0 for a
+        controller that has no others to ask."""
+        if self._feed is not None and self._voters() and not self._other_voters():
+            return 0.0
+        return now - max(self._heard_at.values(), default=-math.inf)
+
+    def seconds_since_majority(self, now: float) -> float:
+        """How old the newest values known here may be: how long ago a controller in touch with most of the
+        others answered; for a controller, how long ago most of them, itself counted, answered."""
         if self._feed is None:
-            return now - self._contact
+            return now - self._connected_at
         voters = self._voters()
         if not voters:
             return math.inf
@@ -150,7 +158,7 @@
         return now if voter.address == self.me.address else self._heard_at.get(voter.address, -math.inf)
 
     def _is_connected(self) -> bool:
-        return self.seconds_since_contact(self._now()) <= CONNECTED_S
+        return self.seconds_since_majority(self._now()) <= CONNECTED_S
 
     async def handle(self, message: Any) -> Any:
         """Answer one of `MESSAGES`."""
@@ -176,10 +184,13 @@
             await backoff.wait()
 
     async def _ask_for_view(self) -> None:
-        answers = await asyncio.gather(
-            *(self._try_call(address, ReadView()) for address in self._view_sources()))
-        for answer in answers:
-            if isinstance(answer, ViewAnswer) and answer.view is not None:
+        sources = self._view_sources()
+        answers = await asyncio.gather(*(self._try_call(address, ReadView()) for address in sources))
+        for address, answer in zip(sources, answers, strict=True):
+            if not isinstance(answer, ViewAnswer):
+                continue
+            self._choice.health(address).reached()
+            if answer.view is not None:
                 self._apply([Item(VIEW, [answer.view.epoch], SOLICITED, 0, answer.view)])
 
     def _view_sources(self) -> list[str]:
@@ -205,24 +216,7 @@
         return sorted(self._voters(), key=lambda voter: voter.name != tail)
 
     def _voters_by_preference(self) -> list[Voter]:
-        """Those that have not failed lately, then those alive, in the own zone, by rendezvous."""
-        by_name = {voter.name: voter for voter in self._voters()}
-        ranked = rank(f"controller/{self.me.name}", by_name)
-        order = sorted(ranked, key=lambda name: (
-            self._failed_lately(by_name[name].address), self._is_dead(name), not self._in_my_zone(name)))
-        return [by_name[name] for name in order]
-
-    def _failed_lately(self, address: str) -> bool:
-        failed_at = self._failed_at.get(address)
-        return failed_at is not None and self._now() - failed_at < AVOID_S
-
-    def _is_dead(self, name: str) -> bool:
-        member = self.state.members.get(name)
-        return member is not None and not member.alive
-
-    def _in_my_zone(self, name: str) -> bool:
-        member = self.state.members.get(name)
-        return member is not None and member.zone == self.me.zone
+        return self._choice.order(self._voters(), self.state.members, self._now())
 
     # ---- following one controller
 
@@ -234,17 +228,23 @@
                 await self._find_view()
                 continue
             address = voters[0].address
+            last_choice = len(voters) == 1 or self._choice.health(address).avoided(self._now())
             try:
                 await self._register_at(address)
-                await self._pull(address, dict(self.state.have), partial(self._take, address))
+                connected = await self._pull(address, dict(self.state.have), partial(self._take, address))
                 backoff.reset()
             except PeerError:
-                self._registered_at.discard(address)
-                every_one_failed = self._failed_lately(address)
-                self._failed_at[address] = self._now()
-                if every_one_failed or len(voters) == 1:
-                    await backoff.wait()
-                    await self._ask_for_view()
+                self._failed(address)
+                if not last_choice:
+                    continue
+                await backoff.wait()
+                connected = False
+            if not connected:
+                await self._ask_for_view()
+
+    def _failed(self, address: str) -> None:
+        self._registered_at.discard(address)
+        self._choice.health(address).failed(self._now())
 
     async def _register_at(self, address: str) -> None:
         if address in self._registered_at or self._leaving:
@@ -256,21 +256,23 @@
         if registration is self.me:
             self._registered_at.add(address)
 
-    async def _pull(self, address: str, have: dict[str, int], take: Callable[[Updates], list[str]]) -> None:
-        """One long poll; `PeerError` where it fails or the controller there has lost the others."""
+    async def _pull(self, address: str, have: dict[str, int], take: Callable[[Updates], list[str]]) -> bool:
+        """One long poll; False where the controller has lost most of the others, `PeerError` where none
+        answers."""
         started = self._now()
         request = PullUpdates(self.me.name, have, PULL_WAIT_MS)
         answer = await self._transport.call(address, request, PULL_WAIT_MS / 1000 + PULL_MARGIN_S)
         if not isinstance(answer, Updates):
             raise PeerError("PullUpdates", address, "no updates there")
         changed = take(answer)
-        self._heard_at[address] = self._now()
-        if not changed and self._now() - started < IDLE_PAUSE_S:
+        now = self._now()
+        self._heard_at[address] = now
+        self._choice.health(address).answered(now, answer.connected)
+        if answer.connected:
+            self._connected_at = now
+        if not changed and now - started < IDLE_PAUSE_S:
             await asyncio.sleep(IDLE_PAUSE_S)
-        if self._feed is None and not answer.connected:
-            raise PeerError("PullUpdates", address, "it has lost most of the other controllers")
-        self._contact = self._now()
-        self._failed_at.pop(address, None)
+        return answer.connected
 
     def _take(self, address: str, updates: Updates) -> list[str]:
         changed = self.state.apply(updates.items, updates.have)
@@ -306,10 +308,10 @@
                 await self._pull(address, self._have_of(address), partial(self._merge, address))
                 backoff.reset()
             except PeerError:
-                self._registered_at.discard(address)
-                self._failed_at[address] = self._now()
+                self._failed(address)
                 await backoff.wait()
-                if all(self._failed_lately(voter.address) for voter in self._other_voters()):
+                now = self._now()
+                if all(self._choice.health(voter.address).avoided(now) for voter in self._other_voters()):
                     await self._ask_for_view()
 
     def _have_of(self, address: str) -> dict[str, int]:
--- a/tests/test_cluster_client.py
+++ b/tests/test_cluster_client.py
@@ -260,6 +260,7 @@
         await asyncio.sleep(0.3)
         now = cluster.loop.time()
         assert all(node.client.seconds_since_contact(now) == math.inf for node in cluster.living())
+        assert all(node.client.seconds_since_majority(now) == math.inf for node in cluster.living())
 
     play(work)
 
@@ -386,7 +387,9 @@
             for node in cluster.living() if node.name != "core1"), 0.3)
         now = cluster.loop.time()
         assert cluster.nodes["core1"].client.seconds_since_contact(now) > 3.0
+        assert cluster.nodes["core1"].client.seconds_since_majority(now) > 3.0
         assert cluster.nodes["edge1"].client.seconds_since_contact(now) < 2.0
+        assert cluster.nodes["edge1"].client.seconds_since_majority(now) < 2.0
         cluster.network.join_all()
         await cluster.until(lambda: cluster.nodes["core1"].state.configuration is not None, 3.0)
 
@@ -466,6 +469,39 @@
     play(work)
 
 
+def test_the_only_controller_that_returns_is_found_soon() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        for zone in range(3):
+            cluster.power_off(f"core{zone}")
+        await asyncio.sleep(20.0)
+        cluster.restart("core2")
+        readers = [node for node in cluster.living() if not node.controller]
+        core = cluster.nodes["core2"]
+        await cluster.until(lambda: all(core.sees(node.name) == (1, 0) for node in readers), 3.5)
+
+    play(work)
+
+
+def test_when_most_controllers_are_down_the_last_one_is_still_listened_to() -> None:
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        await asyncio.sleep(1.5)
+        for name in ("core0", "core1"):
+            cluster.power_off(name)
+        await asyncio.sleep(6.0)
+        duties = cluster.nodes["core2"].duties
+        assert duties is not None
+        await duties.handle(Leaving("edge0", 1))
+        await cluster.until(lambda: cluster.nodes["store0"].sees("edge0") == (1, 1), 2.0)
+        now = cluster.loop.time()
+        for node in cluster.living():
+            assert node.client.seconds_since_majority(now) > 3.0
+            assert node.controller or node.client.seconds_since_contact(now) < 2.5
+
+    play(work)
+
+
 # ---- members
 
 
@@ -615,6 +651,7 @@
         assert generation == cluster.chain.state.generation, (seed, node.name)
         assert node.state.placement == cluster.chain.state.placement, (seed, node.name)
         assert node.client.seconds_since_contact(cluster.loop.time()) < 2.5, (seed, node.name)
+        assert node.client.seconds_since_majority(cluster.loop.time()) < 2.5, (seed, node.name)
         for name, other in cluster.nodes.items():
             member = node.state.members.get(name)
             assert (member is not None and member.alive) == other.process.alive, (seed, node.name, name)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -7,12 +7,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from hollowusher.coordination.controller_choice import AVOID_S, MOST_AVOID_S, ControllerChoice
 from hollowusher.coordination.directory import Directory
 from hollowusher.coordination.monitor import (
     HEARTBEAT_S, REPEAT_S, SILENCE_S, Monitor, monitors_of,
 )
 from hollowusher.protocol.codec import evolve
-from hollowusher.protocol.control import Heartbeat, Leaving, Member, Suspicion
+from hollowusher.protocol.control import Heartbeat, Leaving, Member, Suspicion, Voter
 
 
 def edge(name: str, incarnation: int = 1, status: int = 0) -> Member:
@@ -246,3 +247,53 @@
     sent = [now / 100 for now in range(0, 150, 15) if monitor.heartbeat_due(now / 100)]
     assert sent == [0.0, 0.3, 0.6, 0.9, 1.2]
     assert HEARTBEAT_S == 0.3
+
+
+# ---- choosing a controller
+
+VOTERS = [Voter(f"c{number}", "d", f"c{number}:1") for number in range(3)]
+MEMBERS = {voter.name: Member(voter.name, "edge", voter.address, f"z{number}", "r", 1)
+           for number, voter in enumerate(VOTERS)}
+
+
+def first(choice: ControllerChoice, now: float = 0.0, members: dict[str, Member] = MEMBERS) -> str:
+    return choice.order(VOTERS, members, now)[0].name
+
+
+def test_the_own_zone_goes_first_among_controllers_without_trouble() -> None:
+    assert [first(ControllerChoice("x", f"z{number}")) for number in range(3)] == ["c0", "c1", "c2"]
+    spread = {first(ControllerChoice(f"x{number}", "far")) for number in range(30)}
+    assert spread == {"c0", "c1", "c2"}
+    assert first(ControllerChoice("x", "z1"), members={}) == first(ControllerChoice("x", "far"))
+
+
+def test_a_dead_controller_goes_last_and_one_that_lags_after_those_that_do_not() -> None:
+    dead = {**MEMBERS, "c0": evolve(MEMBERS["c0"], status=1)}
+    assert first(ControllerChoice("x", "z0"), members=dead) != "c0"
+    choice = ControllerChoice("x", "z0")
+    choice.health("c0:1").answered(1.0, connected=False)
+    assert first(choice, 1.0) != "c0" and first(choice, 1.0 + AVOID_S) == "c0"
+
+
+def test_a_failed_controller_is_avoided_for_growing_times_until_it_answers() -> None:
+    choice, now, times = ControllerChoice("x", "z0"), 0.0, []
+    health = choice.health("c0:1")
+    for _ in range(5):
+        health.failed(now)
+        assert first(choice, now) != "c0"
+        times.append(health.avoid_until - now)
+        now = health.avoid_until
+        assert first(choice, now) == "c0"
+    assert times == [AVOID_S, 2 * AVOID_S, 4 * AVOID_S, MOST_AVOID_S, MOST_AVOID_S]
+    health.failed(now)
+    health.reached()
+    assert first(choice, now) == "c0"
+
+
+def test_where_all_have_failed_each_gets_its_turn() -> None:
+    choice, tried = ControllerChoice("x", "z0"), []
+    for step in range(6):
+        name = first(choice, step * 0.5)
+        choice.health(f"{name}:1").failed(step * 0.5)
+        tried.append(name)
+    assert sorted(tried[:3]) == sorted(tried[3:]) == ["c0", "c1", "c2"]
