A state counts as settled only once it is committed in the present epoch

A head whose first push in a new epoch failed took the epoch for in force, because the state itself had been committed before; the chain then answered 503 until the next change. Found by random schedules with varying delays, which the tests now have too.

--- a/hollowusher/coordination/chain.py
+++ b/hollowusher/coordination/chain.py
@@ -62,19 +62,19 @@
         return since == FIRST_EPOCH or self.state_epoch >= since
 
     @property
-    def synchronised(self) -> bool:
-        """Whether it has a state of its view's own epoch."""
-        return self.in_chain and self.state_epoch == self.epoch
+    def in_force(self) -> bool:
+        """Whether it knows of a state committed in its view's own epoch."""
+        return self.in_chain and self.committed_epoch == self.epoch
 
     @property
     def readable(self) -> bool:
-        """Whether it is the tail and has committed a state in this epoch: `committed` is then the newest."""
-        return self.is_tail and self.committed_epoch == self.epoch
+        """Whether it is the tail and `committed` is the newest committed state of the chain."""
+        return self.is_tail and self.in_force
 
     @property
     def settled(self) -> bool:
         """Whether the newest state it holds is known to be committed in this epoch."""
-        return self.synchronised and self.committed is self.state
+        return self.in_force and self.committed is self.state
 
     def next_name(self) -> str | None:
         """The member after this one, None for the tail."""
@@ -88,7 +88,7 @@
         if view.epoch <= self.epoch:
             return False
         self.view = view
-        if self.is_tail and self.synchronised:
+        if self.is_tail and self.state_epoch == view.epoch:
             self.committed = self.state
             self.committed_epoch = view.epoch
         return True
--- a/hollowusher/coordination/controller.py
+++ b/hollowusher/coordination/controller.py
@@ -93,7 +93,7 @@
     @property
     def is_head(self) -> bool:
         """Whether this is the chain's head, has brought its epoch into force and hears a majority."""
-        return self._leads() and self._member.synchronised and self._member.committed is not None
+        return self._leads() and self._member.in_force
 
     async def change(self, update: Update) -> bool:
         """Head: commit what `update` makes of the newest state (None: leave it).  True once the result is
--- a/tests/controller_cluster.py
+++ b/tests/controller_cluster.py
@@ -62,9 +62,11 @@
 
 
 class Network:
-    """Which process listens where, and the links that are cut."""
+    """Which process listens where, the links that are cut, and how long messages and syncs take."""
 
-    def __init__(self) -> None:
+    def __init__(self, seed: int) -> None:
+        self.slowest_s = 0.0  # messages and syncs may take this much longer than usual, each by chance
+        self._chance = random.Random(f"network {seed}")
         self.listening: dict[str, VirtualTransport] = {}
         self.cuts: set[frozenset[str]] = set()
 
@@ -74,6 +76,10 @@
     def join(self, one: str, other: str) -> None:
         self.cuts.discard(frozenset((one, other)))
 
+    async def wait(self, usual_s: float) -> None:
+        """Wait as long as a message or a sync takes."""
+        await asyncio.sleep(usual_s + self._chance.uniform(0.0, self.slowest_s))
+
     def passes(self, one: str, other: str) -> bool:
         return frozenset((one, other)) not in self.cuts
 
@@ -101,7 +107,7 @@
         step = type(message).__name__
         data = encode(message)
         deadline = asyncio.get_running_loop().time() + timeout
-        await asyncio.sleep(LINK_DELAY_S)
+        await self.network.wait(LINK_DELAY_S)
         if not self.network.passes(self.address, address):
             await self._silence(deadline)
             raise PeerError(step, address, "no answer in time")
@@ -123,7 +129,7 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _send(self, address: str, data: bytes) -> None:
-        await asyncio.sleep(LINK_DELAY_S)
+        await self.network.wait(LINK_DELAY_S)
         peer = self.network.listening.get(address)
         if peer is not None and self.network.passes(self.address, address):
             peer.take(data)
@@ -148,7 +154,8 @@
 class VirtualSlot:
     """A `Slot` on a virtual disk."""
 
-    def __init__(self, files: dict[str, bytes], name: str) -> None:
+    def __init__(self, network: Network, files: dict[str, bytes], name: str) -> None:
+        self._network = network
         self._files = files
         self._name = name
 
@@ -156,7 +163,7 @@
         return self._files.get(self._name)
 
     async def save(self, value: bytes) -> None:
-        await asyncio.sleep(SYNC_S)
+        await self._network.wait(SYNC_S)
         while self._files.get(STUCK):
             await asyncio.sleep(SYNC_S)
         self._files[self._name] = value
@@ -187,9 +194,10 @@
                                 seed_nodes=self.cluster.seeds, bootstrap=bootstrap, bind=Bind())
         member = Member(self.name, "edge", self.address, "z", "r", 1, self.disk_id, True, True)
         self.transport = VirtualTransport(self.cluster.network, self.address)
+        network = self.cluster.network
         self.controller = Controller(
-            member, self.transport, settings, VirtualSlot(self.files, "view"),
-            VirtualSlot(self.files, "state"), random.Random(f"{self.cluster.seed} {self.name}"),
+            member, self.transport, settings, VirtualSlot(network, self.files, "view"),
+            VirtualSlot(network, self.files, "state"), random.Random(f"{self.cluster.seed} {self.name}"),
             self.views.append, self.states.append)
         await self.transport.start(self.controller.handle)
         await self.controller.start()
@@ -237,7 +245,7 @@
 
     def __init__(self, names: str = "abc", seed: int = 0, seeds: list[str] | None = None) -> None:
         self.seed = seed
-        self.network = Network()
+        self.network = Network(seed)
         self.nodes: dict[str, Node] = {}
         for name in names:
             self.add(name)
--- a/tests/test_chain.py
+++ b/tests/test_chain.py
@@ -142,6 +142,21 @@
     assert again.committed == write.state and again.readable  # what the tail saved is committed
 
 
+def test_a_state_of_an_earlier_epoch_is_not_settled_before_the_chain_has_it_again() -> None:
+    view, members = chain_of("ab")
+    head = members["a"]
+    write = head.begin()
+    head.keep(write)
+    head.commit(write)
+    assert head.settled
+    head.install(View(2, view.voters, ["a", "b"], {"a": 1, "b": 1}))
+    again = head.begin()
+    head.keep(again)
+    assert not head.settled
+    head.commit(again)
+    assert head.settled
+
+
 def test_a_tail_answers_nothing_before_its_epoch_is_in_force() -> None:
     view, members = chain_of("abc")
     write = ChainWrite(1, evolve(EMPTY_STATE, sequence=1))
--- a/tests/test_controller_role.py
+++ b/tests/test_controller_role.py
@@ -443,6 +443,7 @@
     async def check() -> None:
         chance = random.Random(seed)
         cluster = Cluster("abc" if seed % 3 else "abcde", seed=seed)
+        cluster.network.slowest_s = chance.choice((0.0, 0.01, 0.05))
         await cluster.first_start()
         loop = asyncio.get_running_loop()
         operators = Operators(cluster, chance)
