Honour a report about a learner only while it is repeated; bound the farewell

A report that came while too many replicas were missing was honoured seconds later, when its primary no longer held commits back for the learner. Leaving gives up after one second in all.

--- a/hollowusher/coordination/client.py
+++ b/hollowusher/coordination/client.py
@@ -36,6 +36,7 @@
 CALL_TIMEOUT_S = 0.6
 STATE_TIMEOUT_S = 1.0  # the chain's tail asks a majority before it answers
 LEAVE_TIMEOUT_S = 0.5
+LEAVE_S = 1.0
 BEAT_S = 0.15  # how often the failure detector runs
 FIRST_PAUSE_S = 0.1
 MOST_PAUSE_S = 0.5
@@ -125,11 +126,15 @@
             await self._find_view()
 
     async def leave(self) -> None:
-        """Tell a controller that this process is about to stop."""
+        """Tell a controller that this process is about to stop; gives up after `LEAVE_S`."""
         self._leaving = True
-        message = Leaving(self.me.name, self.me.incarnation)
         if self._feed is not None:
             self._publish(evolve(self.me, status=self.me.status + 1))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(LEAVE_S):
+                await self._send_leaving(Leaving(self.me.name, self.me.incarnation))
+
+    async def _send_leaving(self, message: Leaving) -> None:
         for voter in self._voters_by_preference():
             if voter.address == self.me.address:
                 continue
--- a/hollowusher/coordination/duties.py
+++ b/hollowusher/coordination/duties.py
@@ -37,6 +37,7 @@
 READ_S = 1.0
 FIRST_READ_S = 0.15
 PROBE_TIMEOUT_S = 0.6
+REPORT_COUNTS_S = 2.5  # a primary repeats its report about a learner more often than this
 EMPTIED_S = 1.0  # a machine counts as emptied once no placement has named it for this long
 RUNNING = "running"
 COMPLETED = "completed"
@@ -93,7 +94,7 @@
         self._reader = reader
         self._transport = transport
         self._clock = clock
-        self._caught_up: set[CAUGHT_UP] = set()
+        self._caught_up: dict[CAUGHT_UP, float] = {}  # report -> when it came last
         self._probing: set[str] = set()
         self._planned_for = (-1, -1)  # changes of the directory and sequence of the state at the last plan
         self._planned_at = 0.0
@@ -139,7 +140,7 @@
             self._directory.suspect(message, self._clock())
             return None
         if isinstance(message, LearnerReady):
-            self._caught_up.add((message.partition, message.epoch, message.store_id))
+            self._caught_up[message.partition, message.epoch, message.store_id] = self._clock()
             self._planned_for = (-1, -1)
             return Done()
         if isinstance(message, Retire):
@@ -204,7 +205,7 @@
         if seen == self._planned_for and now - self._planned_at < REPLAN_S:
             return
         self._planned_at = now
-        self._forget_old_reports(state)
+        self._forget_old_reports()
         may_move = now - self._moved_at >= MOVE_S
         if self._replanned(state, may_move) is None:
             self._planned_for = seen
@@ -213,11 +214,11 @@
             self._moved_at = now
         await self._controller.change(lambda newest: self._replanned(newest, may_move))
 
-    def _forget_old_reports(self, state: ControlState) -> None:
-        """Drop reports about learners in epochs that have passed."""
-        entries = [] if state.placement is None else state.placement.partitions
-        epochs = {entry.partition: entry.epoch for entry in entries}
-        self._caught_up = {report for report in self._caught_up if report[1] >= epochs.get(report[0], 0)}
+    def _forget_old_reports(self) -> None:
+        """Drop reports that are no longer repeated: their primary has lost the learner or the partition."""
+        now = self._clock()
+        self._caught_up = {report: came for report, came in self._caught_up.items()
+                           if now - came <= REPORT_COUNTS_S}
 
     def _replanned(self, state: ControlState, may_move: bool) -> ControlState | None:
         """The state with the placement and the emptied machines as they should be; None where they are."""
--- a/tests/test_cluster_client.py
+++ b/tests/test_cluster_client.py
@@ -747,6 +747,32 @@
     play(work)
 
 
+def test_an_old_report_about_a_learner_does_not_count() -> None:
+    """It came when too many replicas were missing; when they return, the primary no longer vouches for it."""
+    async def work(cluster: Cluster) -> None:
+        await cluster.calm()
+        cluster.restart("store1", disk_id="new")
+        await asyncio.sleep(1.0)
+        for name in ("store0", "store2"):
+            cluster.kill(name)
+        await cluster.until(lambda: all(
+            cluster.nodes["core0"].sees(name) == (1, 1) for name in ("store0", "store2")), 3.0)
+        await report_learners(cluster)
+        await asyncio.sleep(4.0)
+        cluster.restart("store0")
+        await asyncio.sleep(2.0)
+        placement = cluster.chain.state.placement
+        assert placement is not None
+        assert all("store1/new" not in entry.replicas for entry in placement.partitions)
+        await report_learners(cluster)
+        await asyncio.sleep(1.0)
+        placement = cluster.chain.state.placement
+        assert placement is not None
+        assert all("store1/new" in entry.replicas for entry in placement.partitions)
+
+    play(work)
+
+
 async def retire(cluster: Cluster, name: str, duration_s: float | None = 10.0) -> tuple[int, bytes]:
     duties = cluster.nodes[cluster.chain.head].duties
     assert duties is not None
