--- a/hollowusher/messages/hosting.py
+++ b/hollowusher/messages/hosting.py
@@ -9,6 +9,8 @@
 from hollowusher.messages.table import PartitionTable
 from hollowusher.protocol.control import PartitionPlacement
 
+FORMER_WAIT_S = 1.0
+
 
 @attrs.define(slots=True, eq=False)
 class PeerLink:
@@ -37,6 +39,7 @@
         self.outstanding: dict[Proposal, None] = {}  # in the order they were made
         self.drop_at = 0.0  # when the table is to be dropped, 0: not at all
         self.required: dict[str, float] = {}  # learners reported ready, and when: each commit needs them
+        self._leads_since = 0.0
         self.commit_quorum = 1  # how many replicas, this one among them, must have a record
 
     # Placement
@@ -49,10 +52,11 @@
         self.placement = placement
         self.commit_quorum = min(tolerated + 1, max(1, len(placement.replicas)))
 
-    def lead(self, epoch: int) -> None:
+    def lead(self, epoch: int, now: float) -> None:
         """Start to be the primary for an epoch: all others have to be compared with first."""
         self.resign()
         self.epoch = epoch
+        self._leads_since = now
         self.promised = False
         self.refresh_links()
 
@@ -101,10 +105,13 @@
         is known to one of them, and everything they know is committed afterwards."""
         return max(self.commit_quorum, len(self.replicas) - self.commit_quorum + 1)
 
-    def may_serve(self) -> bool:
-        """Whether enough replicas have been compared."""
+    def may_serve(self, now: float) -> bool:
+        """Whether enough replicas have been compared; former ones are waited for a little."""
         if not self.promised:
             return False
+        former = [self.links[replica] for replica in self.former_replicas if replica in self.links]
+        if now < self._leads_since + FORMER_WAIT_S and not all(link.complete for link in former):
+            return False
         complete = sum(self.links[replica].complete for replica in self.replicas if replica in self.links)
         return complete + 1 >= self.takeover_quorum
 
--- a/hollowusher/messages/replicator.py
+++ b/hollowusher/messages/replicator.py
@@ -288,7 +288,7 @@
             host.table.promise(entry.epoch)
             self.settle(host)
         elif host.epoch != entry.epoch:
-            host.lead(entry.epoch)
+            host.lead(entry.epoch, self.now())
             self.run(self._take_over(host, entry.epoch))
 
     async def _take_over(self, host: PartitionHost, epoch: int) -> None:
@@ -306,5 +306,5 @@
 
     def serve_if_complete(self, host: PartitionHost) -> None:
         """Begin to serve once enough replicas have been compared."""
-        if host.primary is None and host.epoch and host.may_serve():
+        if host.primary is None and host.epoch and host.may_serve(self.now()):
             self.took_over(host)
--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -347,6 +347,8 @@
             self._last_tick = now
             self._replicator.give_up_waiting(now, COMMIT_TIMEOUT_S, LEASE_COMMIT_TIMEOUT_S)
             self._recovery.look_after_learners(now)
+            for host in self._hosts.values():
+                self._replicator.serve_if_complete(host)
             if now >= self._next_recover:
                 self._next_recover = now + RECOVER_EVERY_S
                 self._recovery.recover_all()
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -327,6 +327,47 @@
         play(work)
 
 
+class TestTakeover:
+    def test_what_one_replica_alone_knew_reaches_all_at_once(self) -> None:
+        async def work(cluster: StoreCluster) -> None:
+            await cluster.start()
+            reference = await cluster.stored(message("m0"))
+            await asyncio.sleep(0.1)
+            key = records.parse_reference(reference)
+            assert key is not None
+            for store, sequence in ((1, 1), (2, 2), (3, 3)):
+                host(cluster, store).table.apply(put_record(sequence), cluster.wall_ms())
+            newer = state_record(key[1], (1, key[1][1] + 50), Status.LEASED)
+            host(cluster, 4).table.apply(newer, cluster.wall_ms())
+            cluster.place([cluster.entry(0, 2, 2)])
+            await asyncio.sleep(0.5)
+            held = content(cluster, 2)
+            assert len(held) == 4
+            assert held[key[1]] == [1, key[1][1] + 50, 1]
+            assert all(content(cluster, store) == held for store in range(5))
+
+        play(work, stores=5, tolerated=2)
+
+    def test_records_refused_for_an_old_epoch_are_sent_again(self) -> None:
+        """The primary stays the same, but a replica hears of the new epoch before the records come."""
+        async def work(cluster: StoreCluster) -> None:
+            await cluster.start()
+            await cluster.stored(message("m0"))
+            await asyncio.sleep(0.1)
+            stream = cluster.stores[0].service._replicator.stream("store-2/d1")
+            put = asyncio.create_task(cluster.put(message("m1")))
+            while not any(lane.in_flight for lane in stream._lanes.values()):
+                await asyncio.sleep(0.0001)
+            for store in (1, 2):
+                host(cluster, store).table.promise(2)
+            cluster.place([cluster.entry(0, 2, 0)])
+            assert (await put).status == "stored"
+            await asyncio.sleep(1.0)
+            assert content(cluster, 0) == content(cluster, 1) == content(cluster, 2)
+
+        play(work)
+
+
 class TestMovingReplicas:
     def test_a_learner_is_filled_and_reported(self) -> None:
         async def work(cluster: StoreCluster) -> None:
@@ -394,11 +435,23 @@
             reference = await cluster.stored(message("m1"))
             cluster.stores[0].kill()
             cluster.place([cluster.entry(0, 3, 1, replicas=[0, 1, 3])])
-            await asyncio.sleep(2.0)
+            await asyncio.sleep(0.01)
             assert (await cluster.status(reference, store=1)).state == "queued"
 
         play(work, stores=4)
 
+    def test_replaced_replicas_that_are_gone_are_not_waited_for_long(self) -> None:
+        async def work(cluster: StoreCluster) -> None:
+            await cluster.start()
+            cluster.place([cluster.entry(0, 2, 0, replicas=[0, 1, 2])])
+            await asyncio.sleep(0.5)
+            cluster.stores[2].kill()
+            cluster.place([cluster.entry(0, 3, 1, replicas=[0, 1, 3])])
+            await asyncio.sleep(1.5)
+            await cluster.stored(message("m1"), store=1)
+
+        play(work, stores=4)
+
     def test_a_partition_that_moved_away_is_dropped_later(self) -> None:
         async def work(cluster: StoreCluster) -> None:
             await cluster.start()
