--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -14,11 +14,13 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from hazelweir.attempt import Attempt
 from hazelweir.interface import (
     FEW_BALANCERS, NS_PER_MS, Action, Arrival, BudgetSpent, Cancel, ClientGone, Discovery, Effect, Ended,
-    Event, Fail, Group, JobClass, Listed, ListKind, Log, Outcome, Probe, Probed, Progress, Reading, Refuse,
-    Send, Settings, Started, State, Streaming, Via, Wake, Watch, WorkerList, Woken,
+    Event, Fail, Group, JobClass, Limits, Listed, ListKind, Log, Outcome, Probe, Probed, Progress, Reading,
+    Refuse, Send, Settings, SettingsChanged, Started, State, Streaming, Via, Wake, Watch, WorkerList, Woken,
 )
+from hazelweir.pace import Pace
 
 SET_POINT = 0.98  # C*: the busy share each controller steers to; the rest is room for other nodes' surprises
 SAMPLE_NS = 500 * NS_PER_MS  # t_s: a worker whose reading is older is asked by probe when its timer fires
@@ -45,8 +47,6 @@
 MOST_RATE = 2.0  # N at most, in jobs that the worker can do in t_d: above it, one full reading takes all away
 CARRIED = 3.0  # jobs of credit a worker keeps while it is full: without them, it gets less than N on average
 HOPE_SHARE = 0.65  # a job that has waited this share of what it may is taken after those that have not
-PACE_PRIOR = 3.0  # jobs of ordinary pace that a worker is taken to have done before it has shown any
-PACE_MOST = 4.0  # expected times that one job counts at most: a heavy job is no slow worker
 CROWDED_PARTS = 2  # a queue whose head has waited this many t_d is crowded
 FAIR_MEMORY = 0.02  # weight of one job in its class's share of jobs that start in time
 FIRES_MOST = 16  # timers a step serves: in a large fleet one is always due, and a node's CPU is small
@@ -82,21 +82,12 @@
         self.credit = min(max(CARRIED, self.bundle), self.credit + times * self.bundle)
 
 
-class Attempt:
-    """One send of a request."""
-
-    def __init__(self, request: Request, worker: Worker, now: int, expected: float) -> None:
-        self.request, self.number, self.worker, self.sent = request, len(request.attempts), worker, now
-        self.expected = max(1.0, expected)  # its running time on a usual worker
-        self.started: int | None = None
-        self.outcome: Outcome | None = None
-
-
 class Request:
     """A client's request and what its attempts allow."""
 
-    def __init__(self, event: Arrival, cls: JobClass, now: int, seq: int, past: int = 0) -> None:
-        self.id, self.cls, self.arrived, self.seq = event.request, cls, now - past, seq
+    def __init__(self, event: Arrival, cls: JobClass, limits: Limits, now: int, seq: int, past: int) -> None:
+        self.id, self.cls, self.limits = event.request, cls, limits  # it keeps both if settings change
+        self.arrived, self.seq = now - past, seq
         self.deadline = now + event.left_ns
         self.hint, self.slots, self.memory = event.hint_ns, max(event.slots, 0.0), max(event.memory, 0.0)
         self.over_share = event.over_share
@@ -114,10 +105,10 @@
             return None
         return ran[0].sent + self.cls.window_ns - now if self.cls.effect is Effect.KEYED else 0
 
-    def repeatable(self, worker: Worker, now: int, settings: Settings) -> bool:
+    def repeatable(self, worker: Worker, now: int) -> bool:
         """The one predicate of rule 2 for a send: would it be harmless on this worker, now?"""
-        alone = settings.limits.second_copies or not any(a.outcome is None for a in self.attempts)
-        if len(self.attempts) >= settings.limits.max_attempts or not alone:
+        alone = self.limits.second_copies or not any(a.outcome is None for a in self.attempts)
+        if len(self.attempts) >= self.limits.max_attempts or not alone:
             return False
         left = self.window_left(now)
         return left is None or (left > LAST_BYTE_NS and self.may_have_run()[0].worker.entry.shares_keys(
@@ -148,7 +139,7 @@
         self.seen_at = due - SAMPLE_NS  # when the last reading came, fresh or a repeat
         self.asked_at = -PROBE_LOST_NS  # when a probe was sent last
         self.run: float | None = None  # mean running time of its jobs
-        self.pace_time = self.pace_jobs = 0.0  # expected times that its latest jobs took, and their count
+        self.shown = Pace()
         self.note_delay: int | None = None  # the quickest start note seen
         self.news_at = due  # the latest sign of a job's life
         self.sends: list[tuple[int, float]] = []  # when, and what they cost, while it is cold
@@ -210,20 +201,13 @@
         return first is not None and min(quiet, now - first.sent) > min(SILENT_RUNS * run, notes / 3)
 
     def pace(self, now: int) -> float:
-        """How many times the expected time its jobs take: time run, also by those not finished, over jobs."""
-        started = [(now - a.started) / a.expected for a in self.out.values() if a.started is not None]
-        # Finished jobs are forgotten: without a like weight, the times of many that run would count alone.
-        weight = min(1.0, (PACE_PRIOR + self.pace_jobs) / max(1, len(started)))
-        time = self.pace_time + weight * sum(min(PACE_MOST, ratio) for ratio in started)
-        return (PACE_PRIOR + time) / (PACE_PRIOR + self.pace_jobs)
+        """How many times the expected time its jobs take."""
+        return self.shown.now(now, self.out.values())
 
     def finished(self, run: float, expected: float) -> None:
         """A job's running time enters the mean and the pace."""
         self.run = run if self.run is None else self.run + LEARN * (run - self.run)
-        # Of many that began together the short ones end first: what is kept must reach back over all of them.
-        keep = 1.0 - min(LEARN, 1.0 / (1.0 + self.running))
-        self.pace_time = keep * self.pace_time + min(PACE_MOST, run / expected)
-        self.pace_jobs = keep * self.pace_jobs + 1.0
+        self.shown.finished(run / expected, self.running)
 
     def level(self, now: int) -> float:
         """The least part of its full capacity that it has by now: a worker that has just started is cold."""
@@ -270,7 +254,7 @@
             return False
         self.good, self.trial_at, self.suspect = self.good + 1, 0, self.good + 1 < GOOD_TRIALS
         if not self.suspect:
-            self.pace_time = self.pace_jobs = 0.0
+            self.shown = Pace()
         return not self.suspect
 
 
@@ -303,47 +287,58 @@
             return False
         # What a life before this one sent to a cold worker is forgotten, and lies within a span of it.
         if 0 < worker.entry.started_ns < self.began and now - self.began < self.settings.rules.fall_span_ns:
-            return worker.level(now) >= 1.0 and request.repeatable(worker, now, self.settings)
-        return request.repeatable(worker, now, self.settings) and worker.cold_allows(now, *costs, self.use)
+            return worker.level(now) >= 1.0 and request.repeatable(worker, now)
+        return request.repeatable(worker, now) and worker.cold_allows(now, *costs, self.use)
 
 
 class Balancer:
     """The queue, the timers and the dispatch of one node."""
 
     def __init__(self, settings: Settings, seed: int, now: int) -> None:
-        self.settings, self.rng = settings, random.Random(seed)
-        self.classes = {c.name: c for c in settings.classes}
+        self.rng, self.classes = random.Random(seed), dict[str, JobClass]()
         self.t_d = max(settings.tick_ns, min(c.aim_ns for c in settings.classes) // AIM_PARTS)
         self.gate = Gate(settings, now)
         self.ring: list[tuple[int, int]] = []  # the workers' t_d timers: (phase, worker), in order
         self.fired, self.fruitless, self.seq = now, 0, 0  # until when timers were served; then since a send
         self.line: list[Request] | None = None  # the candidates, until one leaves or joins
-        self.probe_cost = max(1.0 / PROBES_MOST, settings.prices.probe / PROBE_SPEND)  # in requests
         self.probe_credit = PROBE_BURST
         self.asked, self.answered = set[int](), list[Worker]()  # whose readings jobs wait for, and have now
-        self.asks = settings.limits.probes and settings.readings is not Via.NONE
-        # Few schedulers have readings enough to choose by; of many, none knows which worker is free.
-        limits = settings.limits
-        self.copies = limits.second_copies and limits.cancel and settings.balancers > FEW_BALANCERS
         self.joined = self.checking = False  # whether a job joined in this step; a check of workers is due
         self.workers, self.requests = dict[int, Worker](), dict[str, Request]()
         self.queue, self.late = list[Request](), list[Request]()  # late: waited too long to be in time
         self.runs, self.hints = dict[str, float](), dict[str, float]()  # a class's mean running time and hint
-        self.in_time = dict.fromkeys(self.classes, 1.0)  # share of jobs started before they were late
-        self.came = dict.fromkeys(self.classes, 1)  # jobs of a class that came, and one more
+        self.in_time = dict[str, float]()  # by class: share of jobs started before they were late
+        self.came = dict[str, int]()  # by class: jobs that came, and one more
         self.began = now
-        self.lefts = dict.fromkeys(self.classes, 0)  # the most time that one of them had left
+        self.lefts = dict[str, int]()  # by class: the most time that one of them had left
         self.alike: dict[tuple[str, float], float] = {}  # most free slots seen on like workers
         self.usual_pace = 1.0  # the median pace of the workers: above 1 when a shared cause slows all
         self.bearable_pace = math.inf  # the pace at which the most pressing class ends late without waiting
         self.timers: list[tuple[int, int, Callable[[int], None], Request | None]] = []
         self.wake_at: int | None = None
         self.actions: list[Action] = []
-        self.calls = settings.list_calls
+        self.follow(settings)
         first = round(self.calls.spread_ns * self.rng.random()) if self.calls.spread_ns else 0
         self.watch_failures, self.watch_at = 0, now + first
         self.at(self.watch_at, self.watch)
 
+    def follow(self, settings: Settings) -> None:
+        """From now on these settings hold; open requests keep the class and limits that they came with."""
+        self.settings = self.gate.settings = settings
+        kept = {r.cls.name: r.cls for r in self.requests.values()}
+        self.classes = kept | {c.name: c for c in settings.classes}
+        self.probe_cost = max(1.0 / PROBES_MOST, settings.prices.probe / PROBE_SPEND)  # in requests
+        self.asks = settings.limits.probes and settings.readings is not Via.NONE
+        # Few schedulers have readings enough to choose by; of many, none knows which worker is free.
+        limits = settings.limits
+        self.copies = limits.second_copies and limits.cancel and settings.balancers > FEW_BALANCERS
+        self.calls = settings.list_calls
+        self.in_time = dict.fromkeys(self.classes, 1.0) | self.in_time
+        self.came = dict.fromkeys(self.classes, 1) | self.came
+        self.lefts = dict.fromkeys(self.classes, 0) | self.lefts
+        for worker in self.workers.values():
+            worker.settings = settings
+
     def step(self, now: int, events: list[Event]) -> list[Action]:
         """Take what has come in, do what is due, and return what to do."""
         self.actions, self.line, self.answered = [], None, []
@@ -437,6 +432,8 @@
                 self.probed(now, event)
             case BudgetSpent():
                 self.gate.began = now  # as if this life began now
+            case SettingsChanged(settings):
+                self.follow(settings)
             case Woken():
                 if self.wake_at is not None and self.wake_at - now <= self.settings.tick_ns:
                     self.wake_at = None  # a coarse clock wakes early: to wait on for this wake is to hang
@@ -450,7 +447,7 @@
         # A client's time runs over all its tries: what a first one has left and this one has not, is past.
         self.lefts[cls.name] = max(event.left_ns, self.lefts[cls.name])
         past = self.lefts[cls.name] - event.left_ns if event.retry else 0
-        request = Request(event, cls, now, self.seq, past)
+        request = Request(event, cls, self.settings.limits, now, self.seq, past)
         self.came[cls.name] += 1
         rate = sum(self.came.values()) / max(1, now - self.began)
         self.gate.use = 1.0 - math.exp(-rate * self.settings.rules.fall_span_ns / 2)
@@ -529,7 +526,7 @@
         if event.final:
             self.close(request)
         elif not any(a.outcome is None for a in request.attempts):
-            if any(request.repeatable(w, now, self.settings) for w in self.workers.values()):
+            if any(request.repeatable(w, now) for w in self.workers.values()):
                 self.enqueue(request)
                 if (left := request.window_left(now)) is not None:  # after it, it could go nowhere any more
                     self.at(now + left, lambda then: self.expire(then, request), request)
@@ -641,7 +638,7 @@
 
     def check(self, now: int) -> None:
         """Notice silence and crawling, while jobs are out."""
-        shown = sorted(w.pace(now) for w in self.workers.values() if w.out or w.pace_jobs)
+        shown = sorted(w.pace(now) for w in self.workers.values() if w.out or w.shown.jobs)
         self.usual_pace = max(1.0, shown[len(shown) // 2]) if shown else 1.0
         self.bearable_pace = min(c.stretch + c.aim_ns / self.mean_run(c) for c in self.settings.classes)
         busy = [w for w in self.workers.values() if w.out]
@@ -795,9 +792,9 @@
     def rates(self) -> dict[str, float]:
         """What a class's jobs earn for a worker's time: its worth, more if it is seldom in time, and what the
         goal gives the worst class, which is cheap to help if it asks for little."""
-        s, shares = self.settings, {name: max(LEARN, share) for name, share in self.in_time.items()}
-        work = {c.name: self.came[c.name] * self.mean_run(c) for c in s.classes}
-        rate = {c.name: c.worth / (1.0 if s.worth_by_work else self.mean_run(c)) for c in s.classes}
+        s, shares = self.settings, {name: max(LEARN, self.in_time[name]) for name in self.classes}
+        work = {n: self.came[n] * self.mean_run(c) for n, c in self.classes.items()}
+        rate = {n: c.worth / (1.0 if s.worth_by_work else self.mean_run(c)) for n, c in self.classes.items()}
         worst = s.goal.worst_class / s.goal.whole / sum(share**-WORST_POWER for share in shares.values())
         mean = sum(work[name] * rate[name] for name in work) or 1.0
         return {n: rate[n] / mean / t**2 + worst * t**-WORST_POWER / work[n] for n, t in shares.items()}
--- a/hazelweir/interface.py
+++ b/hazelweir/interface.py
@@ -391,8 +391,15 @@
     """Event: somebody else may just have spent what this balancer may send to cold workers."""
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """Event: these settings hold from now on; open requests keep the class that they came with."""
+
+    settings: Settings
+
+
 Event = (WorkerList | Arrival | Started | Progress | Streaming | Ended | ClientGone | Probed | Woken
-         | BudgetSpent)
+         | BudgetSpent | SettingsChanged)
 
 
 @dataclass(frozen=True, slots=True)
--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -7,12 +7,12 @@
 import resource
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 
 import uvloop
 
-from hazelweir.interface import Discovery
+from hazelweir.interface import Discovery, JobClass
 from hollowusher.config import Config, load
 from hollowusher.core.desk import DispatchDesk
 from hollowusher.core.figures import Figures
@@ -30,6 +30,7 @@
 from hollowusher.operations import NODE_SHARE, SPARE_SOCKETS, Operations
 from hollowusher.parts import Part
 from hollowusher.reload import Reloads
+from hollowusher.retune import Retuning
 from hollowusher.rules.node_list import AskAgain
 from hollowusher.settings.model import ConfigError
 
@@ -101,13 +102,21 @@
     classes = {c.name: c for c in config.settings.classes}
     clients = PlatformClients(bind(config.listen, operations.replacement is not None), classes,
                               sockets - to_nodes, ids, post, log, ring, figures)
+    fronts: list[Callable[[Mapping[str, JobClass]], None]] = [clients.follow]
     if gate is not None:
         clients.copied = gate.copied
     if config.stomp.enabled:
         from hollowusher.fronts.stomp.front import StompFront
 
-        parts.append(StompFront(config, roster, floor, ids, post, log))
-    follow = {"discovery": lambda new: watch.move(new.discovery)}
+        stomp = StompFront(config, roster, floor, ids, post, log)
+        fronts.append(stomp.follow)
+        parts.append(stomp)
+    retuning = Retuning(config.settings, owner.post, fronts, log)
+    follow: dict[str, Callable[[Config], None]] = {
+        "discovery": lambda new: watch.move(new.discovery),
+        "settings": lambda new: retuning.follow(new.settings),
+        "meanings": lambda new: http1.follow(new.meanings),
+    }
     if (peers := config.peers).listen is not None:
         from hollowusher.net.peers.node import PeerNode
         from hollowusher.net.peers.words import tell
@@ -142,7 +151,7 @@
         for number, event in ((signal.SIGTERM, stop), (signal.SIGINT, stop), (signal.SIGHUP, again)):
             asyncio.get_running_loop().add_signal_handler(number, event.set)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})  # one that came meanwhile counts now
-    reloads = Reloads(config, read, follow, log)
+    reloads = Reloads(config, read, follow, log, figures)
     await operations.arrive()
     await watch.start()
     tasks = [asyncio.create_task(work) for work in (owner.run(), floor.sweep(), reloads.follow(again))]
--- a/hollowusher/config.py
+++ b/hollowusher/config.py
@@ -55,6 +55,8 @@
     reports: tuple[str, int] | None = None
     operators: tuple[str, int] | None = None  # where operators call, if anywhere
     shared_directory: Path | None = None  # that another process of this scheduler would use as well
+    # The file as it was read: one that is read again must not lack what this one has.
+    table: Mapping[str, Any] = field(default_factory=dict, compare=False, repr=False)
     # What the platform says of messages between schedulers; read and checked, used with [peers] `platform`.
     peer_listen: tuple[str, int] | None = None
     peer_all: tuple[str, int] | None = None
@@ -192,6 +194,7 @@
         shared=read_shared(sheet, peers.listen is not None),
         copies=read_copies(sheet, name, frozenset(c.name for c in settings.classes)),
         reports=read_reports(sheet),
+        table=table,
         operators=_maybe_address({"admin_addr": environ.get("PROXY_ADMIN_ADDR") or table.get("admin_addr")},
                                  "admin_addr"),
         shared_directory=Path(environ["TMPDIR"]) if environ.get("TMPDIR") else None,
--- a/hollowusher/core/desk.py
+++ b/hollowusher/core/desk.py
@@ -12,13 +12,13 @@
 from hazelweir.balance import Balancer
 from hazelweir.interface import (
     Action, Arrival, BudgetSpent, Cancel, ClientGone, Ended, Event, Fail, Log, Outcome, Probe, Probed,
-    Progress, Refuse, Send, Settings, Started, State, Wake, Watch, WorkerList, Woken,
+    Progress, Refuse, Send, Settings, SettingsChanged, Started, State, Wake, Watch, WorkerList, Woken,
 )
 from hazelweir.shares import Shares
 from hollowusher.core.model import (
     Answer, Attempt, AttemptEnded, AttemptProgress, AttemptStarted, BudgetShared, DeskEvent, Dispatch, Job,
-    JobTaken, NodeListTold, NodeProbed, Order, ProbeNode, Remark, Reply, ClientLeft, TimeCame, Verdict,
-    WakeDesk, WatchNodeList, Withdraw,
+    JobTaken, NodeListTold, NodeProbed, Order, ProbeNode, Remark, Reply, ClientLeft, SettingsTold, TimeCame,
+    Verdict, WakeDesk, WatchNodeList, Withdraw,
 )
 
 
@@ -37,8 +37,8 @@
     """One module, its open jobs and its open attempts."""
 
     def __init__(self, settings: Settings, seed: int, now: int) -> None:
-        self._module, self._shares = Balancer(settings, seed, now), Shares(settings, now)
-        self._max_wait = settings.limits.max_retry_after_ns if settings.limits.retry_after else 0
+        self._module = Balancer(settings, seed, now)
+        self._follow(settings, now)
         self._jobs: dict[str, _Open] = {}
         self._open: dict[tuple[str, int], Attempt] = {}
         self._count = 0
@@ -92,8 +92,15 @@
                 return Woken()
             case BudgetShared():
                 return BudgetSpent()
+            case SettingsTold(settings):
+                self._follow(settings, now)
+                return SettingsChanged(settings)
         return None
 
+    def _follow(self, settings: Settings, now: int) -> None:
+        self._shares = Shares(settings, now)
+        self._max_wait = settings.limits.max_retry_after_ns if settings.limits.retry_after else 0
+
     def _order(self, action: Action) -> None:
         match action:
             case Send(ticket, node, timeout, within):
--- a/hollowusher/core/model.py
+++ b/hollowusher/core/model.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from hazelweir.interface import Listed, ListKind, Outcome, Reading
+from hazelweir.interface import Listed, ListKind, Outcome, Reading, Settings
 
 
 class Verdict(Enum):
@@ -134,9 +134,16 @@
     """Event: another process of this scheduler may be sending to cold workers just now."""
 
 
+@dataclass(frozen=True, slots=True)
+class SettingsTold:
+    """Event: these settings hold from now on, for jobs that are not open yet."""
+
+    settings: Settings
+
+
 DeskEvent = (
     JobTaken | ClientLeft | AttemptStarted | AttemptProgress | AttemptEnded | NodeListTold | NodeProbed
-    | TimeCame | BudgetShared
+    | TimeCame | BudgetShared | SettingsTold
 )
 
 
--- a/hollowusher/fronts/platform/clients.py
+++ b/hollowusher/fronts/platform/clients.py
@@ -363,6 +363,11 @@
         """Whether this scheduler takes clients, be it by another of its processes."""
         return self.last_answer_ns is None or self.replaced.is_set()
 
+    def follow(self, classes: Mapping[str, JobClass]) -> None:
+        """These classes are taken from now on; jobs that are open keep theirs."""
+        self.classes, self.drain_times = classes, DrainTimes.of(classes.values())
+        self.figures.follow(classes)
+
     def limit(self, most: int) -> None:
         """Hold no more connections than so many from now on, as far as some can be spared."""
         self._most = most
--- a/hollowusher/fronts/platform/nodes.py
+++ b/hollowusher/fronts/platform/nodes.py
@@ -42,6 +42,10 @@
         self._roster, self._pool, self._meanings, self._post, self._log = roster, pool, meanings, post, log
         self._figures = figures or Figures()
 
+    def follow(self, meanings: Mapping[str, str]) -> None:
+        """Load reports mean this from now on."""
+        self._meanings = meanings
+
     async def attempt(self, order: Dispatch, node: RouteNode) -> None:
         """One attempt from its connection to its ending, which the desk is told in every case."""
         attempt, begun = order.attempt, False
--- a/hollowusher/fronts/stomp/front.py
+++ b/hollowusher/fronts/stomp/front.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-from hazelweir.interface import Listed
+from hazelweir.interface import JobClass, Listed
 from hollowusher.config import Config
 from hollowusher.core.model import DeskEvent
 from hollowusher.core.roster import Roster, RouteNode
@@ -41,6 +41,10 @@
         max_wait_ns = limits.max_retry_after_ns if limits.retry_after else 0
         self.clients = StompClients(listen(stomp.listen), classes, stomp, max_wait_ns, ids, post, log)
 
+    def follow(self, classes: Mapping[str, JobClass]) -> None:
+        """These classes are taken from now on; jobs that are open keep theirs."""
+        self.clients.classes = classes
+
     async def start(self) -> None:
         """Connect to the nodes and accept clients."""
         self.nodes.start(self._listed)
--- a/hollowusher/operations.py
+++ b/hollowusher/operations.py
@@ -30,7 +30,7 @@
 SPARE_SOCKETS = 72  # for the log, the list, operators, the listeners and the loop itself
 NODE_SHARE = 0.45  # of the other sockets, for connections to nodes
 LEAST_SOCKETS = 16
-LIST_NEWS_S = 1.5  # how long a process that replaces another waits for the list before it takes clients
+LIST_NEWS_S = 1.0  # how long a process that replaces another waits for the list before it takes clients
 
 
 class Operations:
--- a/hollowusher/reload.py
+++ b/hollowusher/reload.py
@@ -7,10 +7,12 @@
 from dataclasses import fields
 
 from hollowusher.config import Config
-from hollowusher.settings.model import ConfigError
+from hollowusher.core.figures import Figures
 from hollowusher.log import Log
+from hollowusher.settings.model import ConfigError
+from hollowusher.settings.platform import lost_keys
 
-TOLD_ONCE = ("known", "seed")  # news at a start only: a running scheduler knows better
+TOLD_ONCE = ("known", "seed", "table")  # news at a start only: a running scheduler knows better
 
 
 class Reloads:
@@ -21,10 +23,11 @@
 
     def __init__(
         self, config: Config, read: Callable[[], Config],
-        follow: Mapping[str, Callable[[Config], None]], log: Log,
+        follow: Mapping[str, Callable[[Config], None]], log: Log, figures: Figures | None = None,
     ) -> None:
         """`follow`: what is done about a key that changed; the others need a restart."""
         self._config, self._read, self._follow, self._log = config, read, follow, log
+        self._figures = figures or Figures()
 
     async def follow(self, again: asyncio.Event) -> None:
         """Read it each time `again` is set, until cancelled; asked twice while it reads, it reads twice."""
@@ -32,12 +35,19 @@
             await again.wait()
             again.clear()
             try:
-                self._take(self._read())
-            except ConfigError as wrong:
+                new = self._read()
+                for key in lost_keys(self._config.table, new.table):  # the first of them
+                    raise ConfigError(f"{key}: is missing, and was there before")
+            except (ConfigError, ValueError, RecursionError) as wrong:
+                self._figures.reloads_failed += 1
                 self._log.error("reload-refused", f"{wrong}; the configuration stays as it was")
+                continue
+            self._take(new)
+            self._figures.reloads_ok += 1
 
     def _take(self, new: Config) -> None:
-        changed = [f.name for f in fields(new) if getattr(new, f.name) != getattr(self._config, f.name)]
+        changed = [f.name for f in fields(new)
+                   if f.compare and getattr(new, f.name) != getattr(self._config, f.name)]
         restart = [name for name in changed if name not in (*self._follow, *TOLD_ONCE)]
         if restart:
             self._log.warning("reload-partly", "some new values need a restart", keys=" ".join(restart))
--- a/hollowusher/replacement/process.py
+++ b/hollowusher/replacement/process.py
@@ -15,7 +15,7 @@
 from hollowusher.parts import Plain
 
 POLL_S = 0.05  # between two looks at the shared directory
-HANDOVER_S = 3.0  # how long a process that starts waits for what an older one hands over
+HANDOVER_S = 2.0  # how long a process that starts waits for what an older one hands over
 HANDOVER_POLL_S = 0.01
 CLAIMS_KEPT_S = 60.0  # how long job ids that were taken while two lived are still refused
 
--- a/hollowusher/settings/platform.py
+++ b/hollowusher/settings/platform.py
@@ -112,6 +112,28 @@
         yield from _rows("customers", index, customer, CUSTOMER)
 
 
+def lost_keys(before: Mapping[str, Any], now: Mapping[str, Any], path: str = "") -> Iterator[str]:
+    """The keys that a file had before and lacks now: it was not written whole.  Of a list's rows, each has to
+    have the keys that all rows had before."""
+    for key, value in before.items():
+        at = f"{path}{key}"
+        if key not in now:
+            yield at
+        elif isinstance(value, Mapping):
+            found = now[key]
+            yield from lost_keys(value, found, f"{at}.") if isinstance(found, Mapping) else (at,)
+        elif isinstance(value, list) and isinstance(now[key], list):
+            yield from _lost_in_rows(value, now[key], at)
+
+
+def _lost_in_rows(before: list[Any], now: list[Any], path: str) -> Iterator[str]:
+    rows = [set(row) for row in before if isinstance(row, Mapping)]
+    common = set.intersection(*rows) if rows else set[str]()
+    for index, row in enumerate(now):
+        if isinstance(row, Mapping):
+            yield from (f"{path}.{index}.{key}" for key in sorted(common - set(row)))
+
+
 def _class_faults(at: str, index: int, grade: Mapping[str, Any], names: set[str]) -> Iterator[str]:
     """What a class's keys are to each other and to other classes."""
     if grade.get("effect") == "dedup":
