--- a/hollowusher/simulation/programs.py
+++ b/hollowusher/simulation/programs.py
@@ -87,10 +87,10 @@
 
     def __init__(self, seams: Seams) -> None:
         self._seams = seams
+        seams.transport.process.context.run(_seams.set, seams)
 
     async def run(self) -> None:
         """Serve until told to stop."""
-        _seams.set(self._seams)
         settings = self._seams.settings
         if settings.serves == ["storage"]:
             await store_module.serve_store(settings, "")
