--- a/hollowusher/console/views.py
+++ b/hollowusher/console/views.py
@@ -54,9 +54,9 @@
         return ["no placement is known"]
     found = []
     if placement.copies_lacking:
-        found.append(f"{placement.copies_lacking} copies of partitions are not there")
+        found.append(f"copies of partitions that are not there: {placement.copies_lacking}")
     if placement.without_primary:
-        found.append(f"{placement.without_primary} partitions have no primary")
+        found.append(f"partitions without a primary: {placement.without_primary}")
     return found
 
 
--- /dev/null
+++ b/tests/test_console.py
@@ -0,0 +1,489 @@
+"""The operators' command line: what it shows, its exit codes, and the status that an edge process tells."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from aiohttp import web
+from click.testing import CliRunner, Result
+from syrupy.assertion import SnapshotAssertion
+
+from hollowusher.console.client import Answer, CallError
+from hollowusher.console.commands import cli
+from hollowusher.console.local import traffic
+from hollowusher.console.local.standins import CallbackReceiver, Ledger
+from hollowusher.console.report import (
+    DEAD,
+    MOST_MEMBERS,
+    MOST_PARTITIONS,
+    OTHER_DISK,
+    PRESENT,
+    UNKNOWN,
+    ProcessReport,
+    StatusReport,
+    status_report,
+)
+from hollowusher.console.status_api import StatusApi
+from hollowusher.console.survey import Survey, read_report
+from hollowusher.console.tables import table
+from hollowusher.console.views import configuration_tables, lacks, members_table, message_table, status_tables
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.protocol.control import (
+    Item,
+    Member,
+    PartitionPlacement,
+    Placement,
+    View,
+    Voter,
+    Worker,
+    WorkerList,
+)
+from hollowusher.protocol.store import StatusAnswer
+
+CONFIGURATION = traffic.configuration("127.0.0.9:8080") | {"generation": 7}
+DOCUMENT = orjson.dumps(CONFIGURATION)
+EDGES = ("edge-1", "edge-2", "edge-3")
+STORES = ("store-1", "store-2", "store-3")
+
+
+def member(name: str, number: int, **changes: Any) -> Member:
+    role = name.partition("-")[0]
+    facts: dict[str, Any] = {
+        "disk_id": f"disk-{name}",
+        "counts": True,
+        "controller": role == "edge",
+        "admin": f"127.0.0.{number}:8064" if role == "edge" else "",
+    }
+    zone = f"zone-{'abc'[number % 3]}"
+    return Member(name, role, f"127.0.0.{number}:7780", zone, "region", 1000 + number, **(facts | changes))
+
+
+def members(**changes: Any) -> list[Member]:
+    names = EDGES + STORES
+    return [member(name, number, **changes.get(name, {})) for number, name in enumerate(names, start=1)]
+
+
+def store_id(name: str, disk: str = "") -> str:
+    return f"{name}/{disk or f'disk-{name}'}"
+
+
+def placement(partitions: int = 4) -> Placement:
+    entries = []
+    for number in range(partitions):
+        primary = store_id(STORES[number % 3])
+        entries.append(PartitionPlacement(number, 1, primary, [store_id(name) for name in STORES]))
+    return Placement(3, entries)
+
+
+def known(*items: tuple[str, Any]) -> ClusterState:
+    state = ClusterState()
+    state.apply([Item(key, [1], "test", 1, value) for key, value in items], {})
+    return state
+
+
+def whole_state(listed: list[Member], placed: Placement) -> ClusterState:
+    view = View(2, [Voter(name, "d", "a") for name in EDGES], ["edge-2", "edge-1", "edge-3"])
+    workers = [
+        Worker(f"w-{n}", "confirmations", f"10.0.0.{n}:80", "z", 4, "ready" if n else "draining")
+        for n in range(3)
+    ]
+    return known(
+        ("view", view),
+        ("configuration", DOCUMENT),
+        ("placement", placed),
+        ("workers", WorkerList(workers)),
+        *((f"member/{each.name}", each) for each in listed),
+    )
+
+
+def process(name: str = "edge-1", **changes: Any) -> ProcessReport:
+    facts = {"ready": True, "generation": 7, "up_s": 61.4} | changes
+    return ProcessReport(name, "zone-b", 1001, True, **facts)
+
+
+def report(state: ClusterState, own: ProcessReport | None = None) -> StatusReport:
+    """A status report as the command line gets it: written and read again."""
+    figures = {"intake": {"accepted": 12, "no_route": 0}, "transport": {"failed_handlers": 1}}
+    made = status_report(own or process(), state, 4.2, figures)
+    read = read_report(Answer("127.0.0.1:8064", 200, orjson.dumps(made)))
+    assert read.is_ok(), read
+    told: StatusReport = read.ok
+    assert told == made
+    return told
+
+
+def survey(told: StatusReport, **others: ProcessReport | CallError) -> Survey:
+    processes = {told.process.name: told.process}
+    return Survey(told, processes | {name.replace("_", "-"): each for name, each in others.items()})
+
+
+def test_the_status_of_a_whole_system(snapshot: SnapshotAssertion) -> None:
+    told = report(whole_state(members(), placement()))
+    whole = survey(told, edge_2=process("edge-2"), edge_3=process("edge-3"))
+    assert lacks(whole) == []
+    assert status_tables(whole) == snapshot
+
+
+def test_the_status_names_everything_that_lacks(snapshot: SnapshotAssertion) -> None:
+    listed = members(**{"store-2": {"status": 1}, "store-3": {"disk_id": "new"}})
+    placed = placement()
+    placed.partitions[1].learners.append(store_id("store-3", "new"))
+    placed.partitions[2].replicas[2] = store_id("store-9")
+    silent = CallError("GET /status", "127.0.0.2:8064", "no answer in time")
+    told = report(whole_state(listed, placed), process(generation=6))
+    wounded = survey(told, edge_2=silent, edge_3=process("edge-3", ready=False))
+    text = status_tables(wounded)
+    assert text == snapshot
+    for line in lacks(wounded):
+        assert line in text
+
+
+def test_the_status_of_a_process_that_knows_nothing(snapshot: SnapshotAssertion) -> None:
+    told = report(ClusterState(), process(ready=False, generation=0))
+    assert status_tables(survey(told)) == snapshot
+
+
+def test_copies_are_told_apart() -> None:
+    listed = members(**{"store-2": {"status": 1}, "store-3": {"disk_id": "new"}})
+    placed = Placement(1, [PartitionPlacement(0, 1, store_id("store-2"), [store_id(n) for n in STORES])])
+    placed.partitions[0].replicas.append(store_id("store-4"))
+    told = report(whole_state(listed, placed)).placement
+    assert told is not None
+    assert [copy.state for copy in told.partitions[0].copies] == [PRESENT, DEAD, OTHER_DISK, UNKNOWN]
+    assert (told.copies_lacking, told.without_primary) == (3, 1)
+
+
+def test_a_report_of_a_large_system_is_bounded_and_its_totals_are_whole() -> None:
+    many = [member(f"edge-{n}", n, status=n % 2) for n in range(2 * MOST_MEMBERS)]
+    placed = placement(2 * MOST_PARTITIONS)
+    last = placed.partitions[-1]
+    last.replicas.append(store_id("store-9"))
+    told = report(whole_state([*many, *members()], placed))
+    assert told.placement is not None
+    assert len(told.members.entries) == MOST_MEMBERS
+    assert told.members.total == 2 * MOST_MEMBERS + len(STORES)
+    assert told.placement.total == 2 * MOST_PARTITIONS
+    assert len(told.placement.partitions) == MOST_PARTITIONS
+    assert told.placement.partitions[0].partition == last.partition  # what lacks is shown first
+
+
+def test_an_answer_that_is_no_report_is_an_error_with_step_and_peer() -> None:
+    for body in (b"", b"[]", b'{"process":{"name":3}}'):
+        read = read_report(Answer("127.0.0.1:8064", 200, body))
+        assert read.is_error()
+        assert str(read.error).startswith("read the status at 127.0.0.1:8064: ")
+
+
+def test_members(snapshot: SnapshotAssertion) -> None:
+    listed = members(**{"store-2": {"status": 1}, "edge-3": {"controller": False, "counts": False}})
+    assert members_table(report(whole_state(listed, placement()))) == snapshot
+
+
+def test_a_configuration(snapshot: SnapshotAssertion) -> None:
+    assert configuration_tables(CONFIGURATION) == snapshot
+
+
+def test_a_message(snapshot: SnapshotAssertion) -> None:
+    document = {
+        "reference": "3-1-17",
+        "state": "queued",
+        "signature": "",
+        "partition": 3,
+        "primary": "store-1",
+    }
+    assert message_table(document) == snapshot
+
+
+def test_tables_put_numbers_to_the_right() -> None:
+    lines = table(["name", "count"], [["a", 5], ["long name", 1234]]).splitlines()
+    assert lines == ["NAME       COUNT", "a              5", "long name   1234"]
+    assert table(["name"], []) == "NAME"
+
+
+# ---- the messages of a local system
+
+
+def ended_messages() -> tuple[list[traffic.Sent], Ledger, CallbackReceiver]:
+    messages = traffic.plan(31, "127.0.0.9:9000")
+    ledger, receiver = Ledger(), CallbackReceiver("127.0.0.9")
+    for message in messages:
+        message.id, message.answer, message.answer_ms = (
+            f"local-{message.number}-1",
+            202,
+            10.0 + message.number,
+        )
+        message.reference = f"{message.number % 4}-1-{message.number}"
+        for _ in range(2):
+            status, message.signature = ledger.run("worker-1", message.id, message.body)
+            if status != 500:
+                break
+        message.state = "completed" if status == 200 else "dead_letter"
+        if message.callback_url:
+            message.told = True
+            receiver.told[message.id] = (message.state, message.signature)
+    return messages, ledger, receiver
+
+
+def test_messages_and_their_ends(snapshot: SnapshotAssertion) -> None:
+    messages, ledger, receiver = ended_messages()
+    assert traffic.faults(messages, ledger, receiver) == []
+    assert {message.state for message in messages} == {"completed", "dead_letter"}
+    assert max(ledger.deliveries.values()) == 2
+    assert traffic.summary(messages) == snapshot
+    assert traffic.each(messages[:6], ledger) == snapshot
+
+
+def test_every_wrong_end_is_found(snapshot: SnapshotAssertion) -> None:
+    messages, ledger, receiver = ended_messages()
+    messages[0].answer = 504
+    messages[1].state = "queued"
+    messages[4].signature = "another's"
+    del receiver.told[messages[5].id]
+    receiver.told[messages[8].id] = ("dead_letter", "")
+    assert traffic.faults(messages, ledger, receiver) == snapshot
+
+
+# ---- the commands
+
+
+class Admin:
+    """An edge process's admin address: the real status handlers, and canned answers to orders."""
+
+    def __init__(self) -> None:
+        self.state = whole_state([member("edge-1", 1), *members()[3:]], placement())
+        self.orders: list[tuple[str, str, str | None, bytes]] = []
+        self.answers: dict[tuple[str, str], list[tuple[int, bytes]]] = {}
+        self.address = ""
+        self.now = 100.0
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+
+    async def status(self, reference: str, want_body: bool, deadline: float) -> StatusAnswer:
+        """The states of two messages."""
+        known_states = {
+            "3-1-17": StatusAnswer("completed", "w.1"),
+            "2-1-1": StatusAnswer("unavailable"),
+            "17": StatusAnswer("queued"),
+        }
+        return known_states.get(reference, StatusAnswer("unknown"))
+
+    def last_order(self) -> tuple[str, str, str | None, bytes]:
+        """The method, path, If-Match and body of the last order."""
+        return self.orders[-1]
+
+    async def _order(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        self.orders.append((request.method, request.path, request.headers.get("If-Match"), body))
+        answers = self.answers.get((request.method, request.path), [(404, b"")])
+        status, content = answers[0] if len(answers) == 1 else answers.pop(0)
+        return web.Response(status=status, body=content, content_type="application/json")
+
+    async def _serve(self) -> web.AppRunner:
+        application = web.Application()
+        own = member("edge-1", 1)
+        StatusApi(
+            lambda: own, self.state, self, lambda: True, lambda: {"intake": {"accepted": 3}}, lambda: self.now
+        ).add_routes(application)
+        application.router.add_route("*", "/{path:.*}", self._order)
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        return runner
+
+    def start(self) -> None:
+        """Serve in a thread of its own, as the commands run event loops of theirs."""
+        self._thread.start()
+        self._runner = asyncio.run_coroutine_threadsafe(self._serve(), self._loop).result(10)
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Serve no more."""
+        asyncio.run_coroutine_threadsafe(self._runner.cleanup(), self._loop).result(10)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(10)
+        self._loop.close()
+
+
+@pytest.fixture
+def admin() -> Iterator[Admin]:
+    served = Admin()
+    served.start()
+    yield served
+    served.stop()
+
+
+@pytest.fixture
+def run(admin: Admin) -> Callable[..., Result]:
+    def invoke(*words: str) -> Result:
+        return CliRunner().invoke(cli, ["system", *words], env={"HOLLOWUSHER_AT": admin.address})
+
+    return invoke
+
+
+def test_status_shows_the_process_asked_and_the_time_since_the_list_changed(
+    admin: Admin, run: Callable[..., Result]
+) -> None:
+    admin.now = 130.0
+    admin.state.apply([Item("workers", [2], "test", 2, WorkerList([]))], {})
+    admin.now = 133.0
+    shown = run("status", "--check")
+    assert shown.exit_code == 0, shown.output
+    assert "0 listed, last change 3 s ago" in shown.output
+    assert "edge-1, up 33 s" in shown.output
+    told = orjson.loads(run("status", "--json").output)
+    assert told["report"]["process"]["generation"] == 7
+    assert told["report"]["figures"] == {"intake": {"accepted": 3}}
+    assert told["lacks"] == []
+
+
+def test_status_can_fail_where_something_lacks(admin: Admin, run: Callable[..., Result]) -> None:
+    dead = member("store-2", 5, status=1)
+    admin.state.apply([Item("member/store-2", [2], "test", 2, dead)], {})
+    assert run("status").exit_code == 0
+    checked = run("status", "--check")
+    assert checked.exit_code == 4
+    assert "store-2 is not there" in checked.output
+
+
+def test_members_as_json(run: Callable[..., Result]) -> None:
+    told = orjson.loads(run("members", "--json").output)
+    assert told["total"] == told["alive"] == 4
+    assert [entry["name"] for entry in told["entries"]] == ["edge-1", *STORES]
+
+
+def test_a_message_is_shown_with_its_place(run: Callable[..., Result]) -> None:
+    told = orjson.loads(run("message", "show", "3-1-17", "--json").output)
+    assert told == {
+        "reference": "3-1-17",
+        "state": "completed",
+        "signature": "w.1",
+        "partition": 3,
+        "epoch": 1,
+        "primary": "store-1",
+    }
+    assert "state      queued" in run("message", "show", "17").output
+    absent = run("message", "show", "9/../9")
+    assert absent.exit_code == 1
+    assert "9/../9: no such message" in absent.output
+
+
+def test_no_clear_answer_is_tried_again_and_then_exit_code_3(
+    admin: Admin, run: Callable[..., Result], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("hollowusher.console.client.FIRST_PAUSE_S", 0.001)
+    monkeypatch.setattr("hollowusher.console.client.LONGEST_PAUSE_S", 0.001)
+    admin.answers["GET", "/config"] = [(503, b""), (429, b""), (200, DOCUMENT)]
+    assert run("config", "get").exit_code == 0
+    assert len(admin.orders) == 3
+    monkeypatch.setattr("hollowusher.console.client.FIRST_PAUSE_S", 60.0)
+    silent = run("message", "show", "2-1-1")
+    assert silent.exit_code == 3
+    assert f"GET /messages/2-1-1 at {admin.address}: status 503" in silent.output
+    nobody = run("status", "--at", "127.0.0.1:1")
+    assert nobody.exit_code == 3
+    assert "GET /status at 127.0.0.1:1: no connection: Connection refused" in nobody.output
+
+
+def test_another_address_is_tried(admin: Admin, run: Callable[..., Result]) -> None:
+    shown = run("members", "--at", f"127.0.0.1:1,{admin.address}", "--json")
+    assert shown.exit_code == 0
+
+
+def test_config_get_gives_the_document_as_it_is(admin: Admin, run: Callable[..., Result]) -> None:
+    admin.answers["GET", "/config"] = [(200, DOCUMENT)]
+    assert run("config", "get", "--json").output.strip().encode() == DOCUMENT
+    assert run("config", "get").output.startswith("generation 7\n")
+
+
+def test_config_put_builds_on_the_version_in_force(
+    admin: Admin, run: Callable[..., Result], tmp_path: Path
+) -> None:
+    file = tmp_path / "new.json"
+    file.write_bytes(b'{"generation":9}')
+    admin.answers["GET", "/config"] = [(200, DOCUMENT)]
+    admin.answers["PUT", "/config"] = [(200, b'{"generation":9}')]
+    assert run("config", "put", str(file)).output == "generation 9 is in force\n"
+    assert admin.last_order() == ("PUT", "/config", "7", b'{"generation":9}')
+    admin.answers["GET", "/config"] = [(404, b'{"error":"there is no configuration yet"}')]
+    run("config", "put", str(file))
+    assert admin.last_order()[2] == "0"
+    admin.answers["PATCH", "/config"] = [(412, b'{"error":"If-Match: the current version is 8"}')]
+    refused = run("config", "put", "--patch", "--if-match", "5", str(file))
+    assert refused.exit_code == 1
+    assert refused.output == (
+        f"hollowusher: refused (412) by {admin.address}: If-Match: the current version is 8\n"
+    )
+    assert admin.last_order()[:3] == ("PATCH", "/config", "5")
+
+
+def test_retire_waits_until_the_machine_is_empty(
+    admin: Admin, run: Callable[..., Result], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("hollowusher.console.system.RETIRE_POLL_S", 0.001)
+    admin.answers["POST", "/retire/store-1"] = [(200, b'{"state":"running"}')]
+    admin.answers["GET", "/retire/store-1"] = [(200, b'{"state":"running"}'), (200, b'{"state":"completed"}')]
+    assert run("retire", "store-1").output == "store-1: running\n"
+    assert run("retire", "store-1", "--duration", "5", "--wait").output == "store-1: completed\n"
+    assert admin.orders[1][3] == b'{"durationS":5.0}'
+    admin.answers["POST", "/retire/store-1"] = [(409, b'{"error":"too few storage machines would remain"}')]
+    refused = run("retire", "store-1", "--wait")
+    assert refused.exit_code == 1
+    assert "refused (409)" in refused.output
+
+
+def test_wrong_usage(snapshot: SnapshotAssertion) -> None:
+    said = {}
+    for words in ("status", "status --at here", "status --at 127.0.0.1:99999", "config put nowhere.json"):
+        result = CliRunner().invoke(cli, ["system", *words.split()], env={"HOLLOWUSHER_AT": ""})
+        said[words] = (result.exit_code, result.output.splitlines()[-1])
+    assert said == snapshot
+
+
+def changed(section: str, number: int, **changes: Any) -> dict[str, Any]:
+    document: dict[str, Any] = orjson.loads(DOCUMENT)
+    document[section][number] |= changes
+    return document
+
+
+REFUSED: dict[str, Any] = {
+    "no JSON": b"{",
+    "a list": [],
+    "no generation": {},
+    "generation 0": CONFIGURATION | {"generation": 0},
+    "no routes": {"generation": 1, "upstreams": [], "limits": {}},
+    "unknown service": changed("routes", 0, upstream="nobody"),
+    "time-out 0": changed("routes", 1, timeoutMs=0),
+    "prefix twice": changed("routes", 1, pathPrefix="/confirm/"),
+    "prefix without /": changed("routes", 1, pathPrefix="confirm"),
+    "attempts as text": changed("routes", 2, maxAttempts="3"),
+    "name twice": changed("routes", 2, name="r-confirmations"),
+    "fixed without port": changed("upstreams", 2, fixed="127.0.0.1"),
+    "negative rate": changed("upstreams", 2, ratePerS=-1),
+    "limits as a list": CONFIGURATION | {"limits": []},
+}
+
+
+def test_config_check_needs_no_system_and_says_what_is_wrong(
+    tmp_path: Path, snapshot: SnapshotAssertion
+) -> None:
+    file = tmp_path / "new.json"
+
+    def check(content: Any) -> Result:
+        file.write_bytes(content if isinstance(content, bytes) else orjson.dumps(content))
+        return CliRunner().invoke(cli, ["system", "config", "check", str(file)])
+
+    good = check(CONFIGURATION)
+    assert (good.exit_code, good.output) == (
+        0,
+        "new.json: in order: generation 7, 3 routes, 3 services\n",
+    )
+    results = {name: check(content) for name, content in REFUSED.items()}
+    assert {result.exit_code for result in results.values()} == {1}
+    assert {name: result.output.strip() for name, result in results.items()} == snapshot
