--- a/hollowusher/__main__.py
+++ b/hollowusher/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
 ROLES = ("edge", "store")
@@ -12,6 +13,8 @@
     """The exit code.  With words it is the command line, which is not even imported without."""
     given = sys.argv[1:] if words is None else words
     if not given:
+        # A SIGHUP that comes while the rest is imported, or as the program ends, must wait and not end it.
+        signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
         from hollowusher.app import run  # the scheduler in service
 
         return run()
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -219,6 +219,37 @@
             await hears(ListKind.SILENT)  # which tells nothing of the service
 
 
+SLOW_IMPORT = """
+import sys, time
+
+class Slow:
+    def find_spec(self, name, path=None, target=None):
+        if name == "uvloop":
+            open({mark!r}, "w").close()
+            time.sleep(0.5)
+
+sys.meta_path.insert(0, Slow())
+"""
+
+
+class Starting(Process):
+    async def test_a_reload_asked_for_while_the_program_is_imported_waits(self) -> None:
+        self.write()
+        folder = self.path.parent
+        mark = folder / "importing"
+        (folder / "sitecustomize.py").write_text(SLOW_IMPORT.format(mark=str(mark)))
+        self.process = process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "hollowusher", stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "PROXY_CONFIG": str(self.path), "PYTHONPATH": str(folder)})
+        self.addAsyncCleanup(self.end, process)
+        async with asyncio.timeout(10.0):
+            while not mark.exists():
+                await asyncio.sleep(0.01)
+        process.send_signal(signal.SIGHUP)
+        await self.logged("taking jobs")
+        await self.logged("read again")
+
+
 class Stopping(Process):
     async def test_open_connections_serve_on_for_a_moment_and_in_time(self) -> None:
         process = await self.start()
