--- a/hollowusher/coordination/client.py
+++ b/hollowusher/coordination/client.py
@@ -37,7 +37,7 @@
 STATE_TIMEOUT_S = 1.0  # the chain's tail asks a majority before it answers
 LEAVE_TIMEOUT_S = 0.5
 LEAVE_S = 1.0
-BEAT_S = 0.15  # how often the failure detector runs
+BEAT_S = 0.1  # how often the failure detector runs
 FIRST_PAUSE_S = 0.1
 MOST_PAUSE_S = 0.5
 IDLE_PAUSE_S = 0.1  # after an answer that came at once and brought nothing
@@ -129,7 +129,7 @@
         """Tell a controller that this process is about to stop; gives up after `LEAVE_S`."""
         self._leaving = True
         if self._feed is not None:
-            self._publish(evolve(self.me, status=self.me.status + 1))
+            self._publish(evolve(self.me, status=self.me.status + 1, leaving=True))
         with suppress(TimeoutError):
             async with asyncio.timeout(LEAVE_S):
                 await self._send_leaving(Leaving(self.me.name, self.me.incarnation))
--- a/hollowusher/coordination/directory.py
+++ b/hollowusher/coordination/directory.py
@@ -84,7 +84,8 @@
 
     def left(self, leaving: Leaving) -> Member | None:
         """The state to publish for a member that stops; None if that life is no longer present."""
-        return self._dead(leaving.name, leaving.incarnation)
+        dead = self._dead(leaving.name, leaving.incarnation)
+        return None if dead is None else evolve(dead, leaving=True)
 
     def suspect(self, suspicion: Suspicion, now: float) -> None:
         """Note that a monitor has not heard of a member."""
--- a/hollowusher/coordination/monitor.py
+++ b/hollowusher/coordination/monitor.py
@@ -17,9 +17,9 @@
 from hollowusher.protocol.control import Heartbeat, Member, Suspicion
 
 MONITORS = 3
-HEARTBEAT_S = 0.3
-SILENCE_S = 1.1
-REPEAT_S = 0.5
+HEARTBEAT_S = 0.2
+SILENCE_S = 0.7
+REPEAT_S = 0.4
 PAUSE_S = 0.4  # a monitor that did not run for this long judges nobody by what it missed
 EDGE = "edge"
 
--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -332,10 +332,12 @@
                     self._after(host)
 
     def _may_live(self, name: str, incarnation: int) -> bool:
-        """False only where a dispatcher's life is certain to be over: a later one has begun.  One that counts
-        as dead may be leaving, and then ends its deliveries itself; else its leases run out."""
+        """Whether a dispatcher may still end its leases: not after a later life has begun, nor once it was
+        judged dead.  One that leaves ends its deliveries itself."""
         member = self._state.members.get(name)
-        return member is None or member.incarnation <= incarnation
+        if member is None or member.incarnation < incarnation:
+            return True
+        return member.incarnation == incarnation and (member.alive or member.leaving)
 
     # Time
 
--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -30,6 +30,7 @@
     controller: bool = False  # takes part in the control chain: serves control_plane, has a disk
     admin: str = ""  # operator address "ip:port"
     status: int = 0
+    leaving: bool = False  # not alive because it stops: it ends its own work
 
     @property
     def alive(self) -> bool:
--- a/tests/test_store_service.py
+++ b/tests/test_store_service.py
@@ -354,6 +354,18 @@
 
         play(work)
 
+    def test_push_leases_of_a_dispatcher_judged_dead_return_but_not_those_of_one_that_leaves(self) -> None:
+        async def work(cluster: StoreCluster) -> None:
+            await cluster.start()
+            await cluster.stored(message("m1"))
+            await cluster.lease()
+            cluster.announce(Member("edge-1", "edge", EDGE_ADDRESS, "z", "r", 1, status=1, leaving=True))
+            assert await cluster.lease(wait_ms=200) == []
+            cluster.announce(Member("edge-1", "edge", EDGE_ADDRESS, "z", "r", 1, status=3))
+            assert len(await cluster.lease(wait_ms=200)) == 1
+
+        play(work)
+
     def test_pull_leases_outlive_their_dispatcher_until_the_last_word_is_old(self) -> None:
         async def work(cluster: StoreCluster) -> None:
             await cluster.start()
