--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,268 @@
+"""Calls and one-way messages between processes over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from hollowusher.protocol.codec import encode
+from hollowusher.protocol.control import Done, ReadState, ReadView, Registered
+from hollowusher.transport import tcp
+from hollowusher.transport.interface import Handler, PeerError
+from hollowusher.transport.tcp import ANSWER, LENGTH, ONE_WAY, REQUEST, TcpTransport, split_address
+from tests.standins import free_port
+
+WITHIN_S = 20.0  # only a test that hangs takes this long
+SHORT_S = 0.05
+
+
+class Pair:
+    """Two processes: `client` calls, `server` answers with its handler."""
+
+    def __init__(self) -> None:
+        self.server = TcpTransport(f"127.0.0.1:{free_port()}")
+        self.client = TcpTransport(f"127.0.0.1:{free_port()}")
+        self.failures: list[tuple[str, str]] = []
+        self.server.on_failure = lambda message, error: self.failures.append(
+            (type(message).__name__, str(error))
+        )
+
+    async def call(self, message: Any, timeout: float = WITHIN_S) -> Any:
+        return await self.client.call(self.server.address, message, timeout)
+
+    async def raw(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """A connection of somebody who may say anything."""
+        return await asyncio.open_connection(*split_address(self.server.address))
+
+
+def play(handler: Handler, scene: Callable[[Pair], Awaitable[None]]) -> None:
+    """Run a scene with two processes, and end both."""
+
+    async def run() -> None:
+        pair = Pair()
+        await pair.server.start(handler)
+        try:
+            async with asyncio.timeout(WITHIN_S):
+                await scene(pair)
+        finally:
+            await pair.client.close()
+            await pair.server.close()
+
+    asyncio.run(run())
+
+
+async def echo(message: Any) -> Any:
+    return message
+
+
+async def error_of(work: Awaitable[Any]) -> PeerError:
+    with pytest.raises(PeerError) as caught:
+        await work
+    return caught.value
+
+
+def frame(number: int, kind: int, message: Any) -> bytes:
+    data = encode([number, kind, message])
+    return LENGTH.pack(len(data)) + data
+
+
+async def ended(reader: asyncio.StreamReader) -> bool:
+    """Whether the peer has ended the connection without a byte."""
+    try:
+        return await reader.read() == b""
+    except ConnectionResetError:
+        return True
+
+
+def test_calls_share_a_connection_and_get_their_own_answers() -> None:
+    async def scene(pair: Pair) -> None:
+        answers = await asyncio.gather(*(pair.call(Registered(number)) for number in range(50)))
+        assert answers == [Registered(number) for number in range(50)]
+        assert len(pair.server.accepted) == 1
+        assert pair.client.connected(pair.server.address)
+
+    play(echo, scene)
+
+
+def test_an_answer_does_not_wait_for_an_earlier_call() -> None:
+    async def scene(pair: Pair) -> None:
+        slow = asyncio.ensure_future(pair.call(Registered(1)))
+        assert await pair.call(Registered(2)) == Registered(2)
+        assert not slow.done()
+        release.set()
+        assert await slow == Registered(1)
+
+    async def handler(message: Any) -> Any:
+        if message == Registered(1):
+            await release.wait()
+        return message
+
+    release = asyncio.Event()
+    play(handler, scene)
+
+
+def test_large_messages_come_whole() -> None:
+    async def scene(pair: Pair) -> None:
+        body = bytes(3 * 1024 * 1024)
+        assert await pair.call([Registered(1), body]) == [Registered(1), body]
+
+    play(echo, scene)
+
+
+def test_a_handler_that_fails_is_told_to_both_sides() -> None:
+    async def handler(message: Any) -> Any:
+        raise RuntimeError("out of order")
+
+    async def scene(pair: Pair) -> None:
+        error = await error_of(pair.call(ReadView()))
+        assert (error.step, error.peer, error.sent) == ("ReadView", pair.server.address, True)
+        assert "RuntimeError: out of order" in error.reason
+        assert pair.failures == [("ReadView", "out of order")]
+        assert pair.server.failed_handlers == 1
+
+    play(handler, scene)
+
+
+def test_one_way_messages_come_and_get_no_answer() -> None:
+    async def scene(pair: Pair) -> None:
+        pair.client.send(pair.server.address, Registered(1))
+        assert await came.get() == Registered(1)
+        pair.client.send(pair.server.address, Registered(2))
+        assert await came.get() == Registered(2)
+        pair.client.send("127.0.0.1:1", Registered(3))  # nobody is there: nothing happens
+
+    async def handler(message: Any) -> Any:
+        came.put_nowait(message)
+
+    came: asyncio.Queue[Any] = asyncio.Queue()
+    play(handler, scene)
+
+
+def test_nobody_there_is_known_never_to_have_seen_the_call() -> None:
+    async def scene(pair: Pair) -> None:
+        error = await error_of(pair.client.call(f"127.0.0.1:{free_port()}", ReadView(), WITHIN_S))
+        assert not error.sent
+        assert error.reason.startswith("no connection")
+
+    play(echo, scene)
+
+
+async def silent_to_read_view(message: Any) -> Any:
+    if message == ReadView():
+        await asyncio.Event().wait()
+    return message
+
+
+def test_a_silent_peers_connection_is_given_up() -> None:
+    async def scene(pair: Pair) -> None:
+        error = await error_of(pair.call(ReadView(), SHORT_S))
+        assert error.sent
+        assert error.reason == "no answer in 0.05 s"
+        while pair.client.connected(pair.server.address):
+            await asyncio.sleep(0)
+        assert await pair.call(Done()) == Done()
+
+    play(silent_to_read_view, scene)
+
+
+def test_a_call_right_after_one_that_was_given_up_opens_another_connection() -> None:
+    async def scene(pair: Pair) -> None:
+        await error_of(pair.call(ReadView(), SHORT_S))
+        assert await pair.call(Done()) == Done()
+
+    play(silent_to_read_view, scene)
+
+
+def test_a_connection_on_which_other_answers_come_stays() -> None:
+    async def scene(pair: Pair) -> None:
+        await pair.call(Done())
+        (connection,) = pair.server.accepted
+        late = asyncio.ensure_future(pair.call(ReadView(), 2 * SHORT_S))
+        await asyncio.sleep(0)
+        assert await pair.call(Done()) == Done()
+        await error_of(late)
+        assert pair.server.accepted == {connection}
+
+    play(silent_to_read_view, scene)
+
+
+def test_a_peer_that_goes_ends_its_calls_at_once() -> None:
+    async def scene(pair: Pair) -> None:
+        waiting = [asyncio.ensure_future(pair.call(message)) for message in (ReadView(), ReadState())]
+        await reached.wait()
+        await pair.server.close()
+        for call in waiting:
+            error = await error_of(call)
+            assert (error.reason, error.sent) == ("connection lost", True)
+
+    async def handler(message: Any) -> Any:
+        if message == ReadState():
+            reached.set()
+        await asyncio.Event().wait()
+
+    reached = asyncio.Event()
+    play(handler, scene)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        LENGTH.pack(tcp.MOST_FRAME_BYTES + 1),
+        LENGTH.pack(1) + b"\xc1",
+        LENGTH.pack(0),
+        LENGTH.pack(1) + encode(7),
+        LENGTH.pack(len(encode([1, 1]))) + encode([1, 1]),
+        b"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+    ],
+    ids=["too long", "unreadable", "empty", "a number", "too few", "HTTP"],
+)
+def test_a_bad_frame_ends_its_connection_and_touches_nobody_else(data: bytes) -> None:
+    async def scene(pair: Pair) -> None:
+        assert await pair.call(Registered(1)) == Registered(1)
+        reader, writer = await pair.raw()
+        writer.write(data)
+        assert await ended(reader)
+        writer.close()
+        assert await pair.call(Registered(2)) == Registered(2)
+        assert len(pair.server.accepted) == 1
+
+    play(echo, scene)
+
+
+def test_frames_may_come_byte_by_byte_and_several_at_once() -> None:
+    async def scene(pair: Pair) -> None:
+        reader, writer = await pair.raw()
+        first, others = frame(1, REQUEST, Registered(1)), frame(2, REQUEST, Registered(2)) * 2
+        for place in range(len(first)):
+            writer.write(first[place : place + 1])
+            await writer.drain()
+        writer.write(frame(9, ONE_WAY, Registered(9)) + others)
+        wanted = frame(1, ANSWER, Registered(1)) + frame(2, ANSWER, Registered(2)) * 2
+        assert await reader.readexactly(len(wanted)) == wanted
+        writer.close()
+
+    play(echo, scene)
+
+
+def test_an_answer_nobody_asked_for_is_nothing() -> None:
+    async def scene(pair: Pair) -> None:
+        reader, writer = await pair.raw()
+        writer.write(frame(1, ANSWER, Done()) + frame(2, 77, Done()) + frame(3, REQUEST, Done()))
+        wanted = frame(3, ANSWER, Done())
+        assert await reader.readexactly(len(wanted)) == wanted
+        writer.close()
+
+    play(echo, scene)
+
+
+def test_a_peer_that_does_not_read_is_not_written_to_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scene(pair: Pair) -> None:
+        await pair.call(Done())
+        monkeypatch.setattr(tcp, "MOST_UNSENT_BYTES", -1)
+        error = await error_of(pair.call(Done()))
+        assert (error.reason, error.sent) == ("too much unsent", False)
+
+    play(echo, scene)
