Hand over what the decision module has learnt; trust a worker that has restarted

Cause: a process that takes over learnt which worker fails anew, by failed jobs, and a worker restarted while it was out by hand stayed suspect for 7 s after its call back (followed in the log: silence at 11 s, attached at 19.5 s, trusted at 26.9 s). Change: hazelweir/memory.py copies means, slots, paces and suspicions through the handover; a new start told by the list ends suspicion.

--- a/hazelweir/balance.py
+++ b/hazelweir/balance.py
@@ -295,7 +295,7 @@
     """The queue, the timers and the dispatch of one node."""
 
     def __init__(self, settings: Settings, seed: int, now: int) -> None:
-        self.rng, self.classes = random.Random(seed), dict[str, JobClass]()
+        self.rng, self.began, self.classes = random.Random(seed), now, dict[str, JobClass]()
         self.t_d = max(settings.tick_ns, min(c.aim_ns for c in settings.classes) // AIM_PARTS)
         self.gate = Gate(settings, now)
         self.ring: list[tuple[int, int]] = []  # the workers' t_d timers: (phase, worker), in order
@@ -309,7 +309,6 @@
         self.runs, self.hints = dict[str, float](), dict[str, float]()  # a class's mean running time and hint
         self.in_time = dict[str, float]()  # by class: share of jobs started before they were late
         self.came = dict[str, int]()  # by class: jobs that came, and one more
-        self.began = now
         self.lefts = dict[str, int]()  # by class: the most time that one of them had left
         self.alike: dict[tuple[str, float], float] = {}  # most free slots seen on like workers
         self.usual_pace = 1.0  # the median pace of the workers: above 1 when a shared cause slows all
@@ -330,9 +329,8 @@
         self.probe_cost = max(1.0 / PROBES_MOST, settings.prices.probe / PROBE_SPEND)  # in requests
         self.asks = settings.limits.probes and settings.readings is not Via.NONE
         # Few schedulers have readings enough to choose by; of many, none knows which worker is free.
-        limits = settings.limits
+        limits, self.calls = settings.limits, settings.list_calls
         self.copies = limits.second_copies and limits.cancel and settings.balancers > FEW_BALANCERS
-        self.calls = settings.list_calls
         self.in_time = dict.fromkeys(self.classes, 1.0) | self.in_time
         self.came = dict.fromkeys(self.classes, 1) | self.came
         self.lefts = dict.fromkeys(self.classes, 0) | self.lefts
@@ -614,6 +612,8 @@
                 self.workers[entry.worker] = Worker(entry, self.settings, self.t_d, due)
                 insort(self.ring, (due % self.t_d, entry.worker))
             else:
+                if not worker.entry.same_process(entry.started_ns):  # what is held against it was another's
+                    worker.suspect, worker.dead, worker.strikes = False, False, 0
                 worker.entry = entry
         if event.kind is not ListKind.CHANGES:
             named = {entry.worker for entry in event.entries}
--- a/hazelweir/interface.py
+++ b/hazelweir/interface.py
@@ -11,6 +11,7 @@
 
 NS_PER_MS = 1_000_000
 NS_PER_S = 1_000_000_000
+START_SLACK_NS = 100 * NS_PER_MS  # between two tellings of one start
 LIST_CALL_NS = 200 * NS_PER_MS  # room that each balancer leaves the others' calls at the one list service
 LIST_FIRST_NS = 250 * NS_PER_MS  # wait before the first call after a failure, where few ask
 FEW_BALANCERS = 4  # whose calls at once the list service bears, and whose readings tell enough to choose by
@@ -293,6 +294,10 @@
     size: float = 1.0
     started_ns: int = 0
 
+    def same_process(self, started_ns: int) -> bool:
+        """Whether a start told is the one known: clocks are compared anew each time, and differ a little."""
+        return abs(self.started_ns - started_ns) < START_SLACK_NS
+
     def shares_keys(self, other: Listed, group: Group) -> bool:
         """Whether the two workers drop each other's repeats of a keyed request with this group."""
         if group is Group.CELL:
--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -154,6 +154,7 @@
     reloads = Reloads(config, read, follow, log, figures)
     await operations.arrive()
     await watch.start()
+    operations.list_begun()
     tasks = [asyncio.create_task(work) for work in (owner.run(), floor.sweep(), reloads.follow(again))]
     for part in parts[1:]:
         await part.start()
--- a/hollowusher/core/desk.py
+++ b/hollowusher/core/desk.py
@@ -14,11 +14,12 @@
     Action, Arrival, BudgetSpent, Cancel, ClientGone, Ended, Event, Fail, Log, Outcome, Probe, Probed,
     Progress, Refuse, Send, Settings, SettingsChanged, Started, State, Wake, Watch, WorkerList, Woken,
 )
+from hazelweir.memory import Memory, remember, restore
 from hazelweir.shares import Shares
 from hollowusher.core.model import (
     Answer, Attempt, AttemptEnded, AttemptProgress, AttemptStarted, BudgetShared, DeskEvent, Dispatch, Job,
-    JobTaken, NodeListTold, NodeProbed, Order, ProbeNode, Remark, Reply, ClientLeft, SettingsTold, TimeCame,
-    Verdict, WakeDesk, WatchNodeList, Withdraw,
+    JobTaken, MemoryHanded, NodeListTold, NodeProbed, Order, ProbeNode, Remark, Reply, ClientLeft,
+    SettingsTold, TimeCame, Verdict, WakeDesk, WatchNodeList, Withdraw,
 )
 
 
@@ -49,6 +50,14 @@
         """Jobs that are owed an answer."""
         return len(self._jobs)
 
+    def remember(self) -> Memory:
+        """What the module has learnt."""
+        return remember(self._module)
+
+    def restore(self, memory: Memory, now: int) -> None:
+        """Begin with what another module has learnt, once the list is known."""
+        restore(self._module, memory, now)
+
     def avoided(self) -> frozenset[int]:
         """The workers that the module sends nothing to but trials, as far as they are in the list."""
         return frozenset(w.id for w in self._module.workers.values()
@@ -57,10 +66,20 @@
     def work(self, now: int, events: Iterable[DeskEvent]) -> list[Order]:
         """Take a batch of events in one step of the module; the orders that follow."""
         self._orders, self._now = [], now
-        told = [event for each in events if (event := self._tell(now, each)) is not None]
+        told: list[Event] = []
+        for each in events:
+            if isinstance(each, MemoryHanded):  # it concerns workers that the list before it names
+                self._step(now, told)
+                told = []
+                self.restore(each.memory, now)
+            elif (event := self._tell(now, each)) is not None:
+                told.append(event)
+        self._step(now, told)
+        return self._orders
+
+    def _step(self, now: int, told: list[Event]) -> None:
         for action in self._module.step(now, told):
             self._order(action)
-        return self._orders
 
     def _tell(self, now: int, event: DeskEvent) -> Event | None:
         """The module's event for one of ours; None where it concerns nothing that is open."""
--- a/hollowusher/core/model.py
+++ b/hollowusher/core/model.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from hazelweir.memory import Memory
 from hazelweir.interface import Listed, ListKind, Outcome, Reading, Settings
 
 
@@ -141,9 +142,16 @@
     settings: Settings
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryHanded:
+    """Event: what another process of this scheduler has learnt; after the list that it held."""
+
+    memory: Memory
+
+
 DeskEvent = (
     JobTaken | ClientLeft | AttemptStarted | AttemptProgress | AttemptEnded | NodeListTold | NodeProbed
-    | TimeCame | BudgetShared | SettingsTold
+    | TimeCame | BudgetShared | SettingsTold | MemoryHanded
 )
 
 
--- a/hollowusher/net/owner.py
+++ b/hollowusher/net/owner.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 
+from hazelweir.memory import Memory
 from hollowusher.core.desk import DispatchDesk
 from hollowusher.core.model import DeskEvent, Order, TimeCame, WakeDesk
 from hollowusher.log import Log
@@ -28,6 +29,10 @@
             tap(event)
         self._queue.put_nowait(event)
 
+    def remember(self) -> Memory:
+        """What the decision module has learnt."""
+        return self._desk.remember()
+
     @property
     def avoided(self) -> frozenset[int]:
         """The workers in the list that the decision module avoids."""
--- a/hollowusher/operations.py
+++ b/hollowusher/operations.py
@@ -10,8 +10,10 @@
 from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
+from hazelweir.memory import Memory
 from hollowusher.config import Config
 from hollowusher.core.figures import Figures
+from hollowusher.core.model import MemoryHanded
 from hollowusher.core.roster import Roster
 from hollowusher.floor import Floor
 from hollowusher.fronts.common import JobIds
@@ -43,6 +45,7 @@
         self._config, self._roster, self._ids, self._owner = config, roster, ids, owner
         self._watch, self._floor, self._figures, self._log = watch, floor, figures, log
         self._accepting = False
+        self._memory: Memory | None = None
         self._directory: SharedDirectory | None = None
         self.replacement: Replacement | None = None
         self._detached: DetachedWorkers | None = None
@@ -52,7 +55,7 @@
 
             self._directory = SharedDirectory(config.shared_directory, config.listen)
             self.replacement = Replacement(
-                self._directory, roster, ids, owner.post, lambda: watch.version, log)
+                self._directory, roster, ids, owner.post, lambda: watch.version, owner.remember, log)
 
     @property
     def parts(self) -> list[Part]:
@@ -108,12 +111,18 @@
         if handover is not None:
             try:
                 self._watch.hand(handover.list_version, from_records(handover.workers, self._roster))
+                self._memory = handover.memory
             except ValueError as wrong:
                 self._log.warning("handover-unreadable", str(wrong))
         if self._detached is not None:
             self._detached.refresh()
             self.replacement.looked.append(self._detached.refresh)
 
+    def list_begun(self) -> None:
+        """The list that was held is known: what was learnt of its workers counts."""
+        if self._memory is not None:
+            self._owner.post(MemoryHanded(self._memory))
+
     async def list_news(self) -> None:
         """A process that replaces another knows the list before it takes clients, if it comes in time."""
         if self.replacement is not None and self.replacement.beside_another:
--- a/hollowusher/replacement/process.py
+++ b/hollowusher/replacement/process.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
+from hazelweir.memory import Memory
 from hollowusher.core.model import BudgetShared, DeskEvent
 from hollowusher.core.roster import Roster
 from hollowusher.fronts.common import JobIds
@@ -27,10 +28,11 @@
 
     def __init__(
         self, directory: SharedDirectory, roster: Roster, ids: JobIds, post: Callable[[DeskEvent], None],
-        list_version: Callable[[], int], log: Log,
+        list_version: Callable[[], int], remember: Callable[[], Memory], log: Log,
     ) -> None:
+        """`list_version` and `remember` tell what is handed over beside the job ids and the list."""
         self._directory, self._roster, self._ids = directory, roster, ids
-        self._post, self._list_version, self._log = post, list_version, log
+        self._post, self._list_version, self._remember, self._log = post, list_version, remember, log
         self.looked: list[Callable[[], None]] = []  # called after each look, for what else is shared
         self.shared: Callable[[bool], None] = lambda shared: None  # whether descriptors are now
         self.replaced = asyncio.Event()  # while a younger process serves
@@ -142,7 +144,8 @@
         self._handed_over.add(other.token)
         self._ids.elsewhere = self._directory.claim
         self._directory.hand_over(other.token, Handover(
-            self._directory.listen, self._ids.known(), self._list_version(), to_records(self._roster)))
+            self._directory.listen, self._ids.known(), self._list_version(),
+            to_records(self._roster), self._remember()))
         self._log.notice("handed-over", "to another process of this scheduler", process=other.token)
 
     def _count_together(self) -> None:
--- a/hollowusher/replacement/records.py
+++ b/hollowusher/replacement/records.py
@@ -11,6 +11,8 @@
 import msgspec
 import xxhash
 
+from hazelweir.memory import Memory
+
 VERSION = 1
 MOST_BYTES = 8 * 1024 * 1024
 _MAGIC = b"hwop"
@@ -61,6 +63,7 @@
     job_ids: list[str]
     list_version: int
     workers: list[WorkerRecord]
+    memory: Memory | None = None
 
 
 def write_record(path: Path, record: msgspec.Struct) -> None:
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -10,7 +10,8 @@
 import unittest
 from pathlib import Path
 
-from hazelweir import BudgetSpent, Listed, Send
+from hazelweir import BudgetSpent, Listed, ListKind, Send
+from hazelweir.memory import remember, restore
 from hollowusher.fronts.common import JobIds
 from hollowusher.operators.server import call
 from hollowusher.replacement.directory import SharedDirectory
@@ -18,7 +19,7 @@
     Handover, Phase, ProcessRecord, RecordError, read_record, write_record,
 )
 from tests.standins import free_port, post, read_http
-from tests.support import MS, S, SITE, Node, sends, site
+from tests.support import MS, SITE, Crew, Node, S, sends, site, workers
 from tests.test_reload import Process
 
 HERE = ("127.0.0.1", 7)
@@ -111,6 +112,42 @@
         self.assertTrue(sent("after", 100 * MS))
 
 
+class Learnt(unittest.TestCase):
+    def test_what_was_learnt_is_handed_over_but_not_of_a_worker_that_has_started_anew(self) -> None:
+        node = Node(SITE, workers(1, 2, 3))
+        crew = Crew(node)
+        crew.failing.add(2)
+        crew.slow[3] = 3.0
+        crew.play(4 * S)
+        memory = remember(node.balancer)
+        self.assertTrue(memory.runs and memory.alike)
+        self.assertEqual([w.worker for w in memory.workers if w.suspect], [2])
+        with tempfile.TemporaryDirectory() as folder:
+            handover = Handover("127.0.0.1:7", ["a"], 3, [], memory)
+            write_record(Path(folder) / "x", handover)
+            self.assertEqual(read_record(Path(folder) / "x", Handover), handover)
+        after = Node(SITE, workers(1, 2, 3))
+        after.now = node.now
+        restore(after.balancer, memory, node.now)
+        self.assertEqual(remember(after.balancer), memory)
+        anew = Node(SITE, workers(1, 3) + workers(2, started_ns=node.now))
+        restore(anew.balancer, memory, node.now)
+        self.assertFalse(anew.balancer.workers[2].suspect)
+
+    def test_a_worker_that_comes_back_as_a_new_process_is_trusted(self) -> None:
+        node = Node(SITE, workers(1, 2))
+        crew = Crew(node)
+        crew.failing.add(2)
+        crew.play(2 * S)
+        suspect = node.balancer.workers[2]
+        self.assertTrue(suspect.suspect)
+        for slack in (0, 5 * MS):  # the same start, told by another clock
+            node.listing(ListKind.CHANGES, *workers(2, started_ns=slack))
+            self.assertTrue(suspect.suspect)
+        node.listing(ListKind.CHANGES, *workers(2, started_ns=node.now - S))
+        self.assertFalse(suspect.suspect)
+
+
 class Beside(Process):
     """Two processes of one scheduler."""
 
