Keep unordered messages in the zone where they came in, and dispatch them there first

Ruled out: compression (bodies are random; a trial with zlib grew them). Messages also carry the generation they were accepted under.

--- a/hollowusher/delivery/leasing.py
+++ b/hollowusher/delivery/leasing.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from hollowusher.configuration.model import Configuration
 from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.delivery.figures import DeliveryFigures
 from hollowusher.protocol.control import Member, Placement
@@ -74,7 +75,7 @@
         self._has_home = has_home
         self._visibility_ms = visibility_ms  # above 0: leases for pull workers
         self._home: str | None = None
-        self._placement: Placement | None = None  # the one that the home was taken from
+        self._home_of: tuple[Placement | None, Configuration | None] = (None, None)  # what it follows from
         self._sources: dict[str, asyncio.Task[None]] = {}
         self._stopping = False
         self._woken = asyncio.Event()
@@ -88,9 +89,11 @@
         """Follow the placement: ask the home store of now."""
         if not self._has_home or self._stopping:
             return
-        placement = self._network.state.placement
-        if placement is not self._placement or self._home is None:
-            self._placement = placement
+        state = self._network.state
+        placement, configuration = self._home_of
+        changed = state.placement is not placement or state.configuration is not configuration
+        if changed or self._home is None:
+            self._home_of = (state.placement, state.configuration)
             self._home = self._network.home_store(self.service)
         if self._home is not None:
             self._ensure(self._home)
--- a/hollowusher/intake/admission.py
+++ b/hollowusher/intake/admission.py
@@ -10,6 +10,7 @@
 import attrs
 
 from hollowusher.configuration.model import Configuration, Route, Service
+from hollowusher.coordination.zone_homes import needs_one_home
 from hollowusher.protocol.store import NewMessage
 
 ATTEMPT_ID = "X-Attempt-Id"
@@ -79,8 +80,9 @@
             self._routes.setdefault(route.hostname, []).append(route)
         for routes in self._routes.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
-        self.home_only = {service.name for service in configuration.upstreams if service.rate_per_s > 0}
-        self.home_only.update(route.upstream for route in configuration.routes if route.ordered)
+        self.generation = configuration.generation
+        self.home_only = {service.name for service in configuration.upstreams
+                          if needs_one_home(service.name, configuration)}
 
     def find(self, host: str, target: str) -> Route | None:
         """The route of this host with the longest prefix that the target starts with."""
@@ -172,6 +174,7 @@
         timeout_ms=route.timeout_ms,
         priority=route.priority,
         target_start_ms=route.target_start_ms,
+        generation=index.generation,
     )
     return Admission(message, service.name in index.home_only, wait_s)
 
--- a/hollowusher/intake/intake.py
+++ b/hollowusher/intake/intake.py
@@ -16,7 +16,7 @@
 import attrs
 import orjson
 
-from hollowusher.configuration.model import RequestLimits
+from hollowusher.configuration.model import Configuration, RequestLimits
 from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.intake.admission import (
     ATTEMPT_ID,
@@ -47,6 +47,7 @@
     store_lease_id,
     worker_lease_id,
 )
+from hollowusher.protocol.control import Placement
 from hollowusher.protocol.store import Extend, Finish, Job, LeaseAnswer
 
 SPARE_S = 0.05  # an answer leaves this long before its client gives up
@@ -121,7 +122,8 @@
         self._draining = False
         self._index: RouteIndex | None = None
         self._candidates: dict[str, list[int]] = {}
-        self._candidates_of: Any = None  # the placement that `_candidates` were computed for
+        # the placement and configuration that `_candidates` were computed for
+        self._candidates_of: tuple[Placement | None, Configuration | None] = (None, None)
         self._tasks: set[asyncio.Task[Any]] = set()
 
     @property
@@ -212,10 +214,10 @@
         return IntakeAnswer(refusal.status, refusal.text.encode(), headers=headers)
 
     def _candidates_for(self, admission: Admission) -> list[int]:
-        placement = self._state.placement
-        if placement is not self._candidates_of:
+        placement, configuration = self._candidates_of
+        if self._state.placement is not placement or self._state.configuration is not configuration:
             self._candidates.clear()
-            self._candidates_of = placement
+            self._candidates_of = (self._state.placement, self._state.configuration)
         service = admission.message.service
         ranking = self._candidates.get(service)
         if ranking is None:
--- a/hollowusher/roles/edge.py
+++ b/hollowusher/roles/edge.py
@@ -23,9 +23,9 @@
 from hollowusher.coordination.directory import Directory
 from hollowusher.coordination.duties import HeadDuties
 from hollowusher.coordination.operator_api import OperatorApi
-from hollowusher.coordination.placement import homes
 from hollowusher.coordination.platform_list import PlatformReader
 from hollowusher.coordination.updates import Feed
+from hollowusher.coordination.zone_homes import ZoneHomes
 from hollowusher.delivery.worker_client import HttpWorkerClient
 from hollowusher.dispatch.dispatcher import Dispatcher
 from hollowusher.intake.intake import Intake
@@ -79,8 +79,10 @@
             self.seed = SeedService(settings, transport)
         self.client = ClusterClient(me, transport, settings, state, feed, process.chance)
         self.store_client = StoreClient(transport, state, loop.time)
+        homes = ZoneHomes(state, settings.zone)
         self.dispatcher = Dispatcher(
-            me, transport, state, self.store_client, settings, HttpWorkerClient(), process.chance)
+            me, transport, state, self.store_client, settings, HttpWorkerClient(), process.chance,
+            homes=homes)
         self.intake = Intake(state, self.store_client, self.dispatcher.pull_desk, homes, loop.time)
         self.frontend = EdgeFrontend(
             self.intake, settings.bind.frontend, settings.bind.readiness, self.ready, self._report)
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -89,7 +89,7 @@
         assert found.message == NewMessage(
             id="id1", route="short", service="plain", method="POST", path="/a/1?q=2", host=HOST, body=b"body",
             content_type="text/csv", delay_ms=21, max_attempts=3, retention_ms=90_500, timeout_ms=1500,
-            priority=2, target_start_ms=1200)
+            priority=2, target_start_ms=1200, generation=4)
 
     @pytest.mark.parametrize("target, name", [
         ("/a/", "short"), ("/a/b", "short"), ("/a/b/", "long"), ("/a/b/c?x", "long"), ("/a/../o/", "short"),
--- /dev/null
+++ b/tests/test_zone_homes.py
@@ -0,0 +1,69 @@
+"""Where messages are put and looked for, as seen from a zone."""
+
+from __future__ import annotations
+
+from hollowusher.configuration.model import Configuration, Route, Service
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.coordination.placement import homes
+from hollowusher.coordination.zone_homes import ZoneHomes, needs_one_home
+from hollowusher.protocol.control import Item, Member, PartitionPlacement, Placement
+
+ZONES = {"s1": "a", "s2": "b", "s3": "b", "s4": "c"}
+
+
+def state_of(configuration: Configuration | None, zones: dict[str, str] = ZONES) -> ClusterState:
+    """A cluster with a store in each of some zones and 16 partitions dealt out in turn."""
+    state = ClusterState()
+    members = [Member(name, "store", f"{name}:1", zone, "r", 1, "d") for name, zone in zones.items()]
+    stores = sorted(member.store_id for member in members)
+    placement = Placement(1, [
+        PartitionPlacement(number, 1, stores[number % len(stores)], stores) for number in range(16)])
+    items = [Item(f"member/{member.name}", [1, 0], "", 0, member) for member in members]
+    state.apply([*items, Item("placement", [1], "", 0, placement)], {})
+    state.configuration = configuration
+    return state
+
+
+def configuration(ordered: bool = False, rate: float = 0.0) -> Configuration:
+    route = Route(name="r", hostname="h", path_prefix="/", upstream="jobs", ordered=ordered)
+    return Configuration(1, [route], [Service(name="jobs", rate_per_s=rate)])
+
+
+def zones_of(state: ClusterState, ranking: list[int]) -> list[str]:
+    found = []
+    for number in ranking:
+        entry = state.partition(number)
+        assert entry is not None
+        found.append(ZONES[entry.primary.partition("/")[0]])
+    return found
+
+
+def test_one_partition_of_each_store_those_of_the_own_zone_first() -> None:
+    state = state_of(configuration())
+    ranking = ZoneHomes(state, "b")("jobs", state.partitions())
+    assert len(ranking) == len(ZONES)
+    assert zones_of(state, ranking)[:2] == ["b", "b"]
+
+
+def test_intake_and_dispatch_of_a_zone_agree() -> None:
+    state, other = state_of(configuration()), state_of(configuration())
+    first = ZoneHomes(state, "a")("jobs", state.partitions())
+    assert first == ZoneHomes(other, "a")("jobs", list(reversed(other.partitions())))
+
+
+def test_services_with_order_or_a_ceiling_have_the_same_home_everywhere() -> None:
+    for settings in (configuration(ordered=True), configuration(rate=2.0)):
+        state = state_of(settings)
+        for zone in "abc":
+            assert ZoneHomes(state, zone)("jobs", state.partitions()) == homes("jobs", range(16))
+
+
+def test_what_is_not_known_has_one_home() -> None:
+    assert needs_one_home("jobs", None)
+    assert needs_one_home("other", configuration())
+    assert not needs_one_home("jobs", configuration())
+
+
+def test_a_zone_without_a_store_uses_the_others() -> None:
+    state = state_of(configuration())
+    assert len(ZoneHomes(state, "z")("jobs", state.partitions())) == len(ZONES)
