Log deaths, views, placements and the partitions a store leads

Need: an incident must be readable from the logs; so far they told only starts and stops. The head tells what concerns all, each store what it leads.

--- a/hollowusher/roles/edge.py
+++ b/hollowusher/roles/edge.py
@@ -35,6 +35,7 @@
     ControlState, Member, OperatorAnswer, ReadConfiguration, View, Voter,
 )
 from hollowusher.protocol.store import JobsWaiting
+from hollowusher.roles.change_log import ChangeLog
 from hollowusher.roles.logs import log
 from hollowusher.roles.process import Process, describe
 from hollowusher.storage.slots import SlotFile
@@ -87,6 +88,11 @@
         self.frontend = EdgeFrontend(
             self.intake, settings.bind.frontend, settings.bind.readiness, self.ready, self._report)
         self.confirmed = False
+        if self.controller is not None:
+            ChangeLog(state, "", self._is_head)
+
+    def _is_head(self) -> bool:
+        return self.controller is not None and self.controller.is_head
 
     def ready(self) -> bool:
         """Whether this process can serve clients."""
--- a/hollowusher/roles/store.py
+++ b/hollowusher/roles/store.py
@@ -8,6 +8,7 @@
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.client import ClusterClient
 from hollowusher.messages.service import StoreService
+from hollowusher.roles.change_log import ChangeLog
 from hollowusher.roles.logs import log
 from hollowusher.roles.process import Process, wall_ms
 from hollowusher.storage.ring_log import RingLog, ring_size
@@ -29,6 +30,8 @@
     service = StoreService(
         me, me.store_id, process.transport, ring_log, process.state, settings, process.chance.random, wall_ms)
 
+    ChangeLog(process.state, me.store_id, lambda: False)
+
     async def handle(message: Any) -> Any:
         if service.handles(message):
             return await service.handle(message)
--- /dev/null
+++ b/tests/test_change_log.py
@@ -0,0 +1,65 @@
+"""What the logs tell of changes of the cluster."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.protocol.control import Item, Member, PartitionPlacement, Placement, View, Voter
+from hollowusher.roles import change_log
+from hollowusher.roles.change_log import ChangeLog
+
+
+@pytest.fixture
+def lines(monkeypatch: pytest.MonkeyPatch) -> list[dict[str, Any]]:
+    """The lines logged, as dictionaries."""
+    logged: list[dict[str, Any]] = []
+    monkeypatch.setattr(change_log, "log", lambda event, **fields: logged.append({"event": event, **fields}))
+    return logged
+
+
+def member(status: int, leaving: bool = False) -> Item:
+    value = Member("m", "store", "m:1", "z", "r", 7, "d", status=status, leaving=leaving)
+    return Item("member/m", [7, status], "", 0, value)
+
+
+def placement(version: int, primary: str) -> Item:
+    value = Placement(version, [PartitionPlacement(3, version, primary, ["a/1", "b/1"])])
+    return Item("placement", [version], "", 0, value)
+
+
+def test_the_head_tells_of_members_views_and_placements(lines: list[dict[str, Any]]) -> None:
+    state = ClusterState()
+    ChangeLog(state, "", lambda: True)
+    view = View(4, [Voter("a", "1", "a:1")], ["a"])
+    state.apply([member(0), member(1), member(3, leaving=True), Item("view", [4], "", 0, view),
+                 placement(1, "a/1"), placement(2, "b/1"), placement(3, "b/1")], {})
+    told = [(line["event"], line.get("condition") or line.get("moved") or line.get("chain")) for line in lines]
+    assert ("member", "leaving") in told
+    assert ("view", ["a"]) in told
+
+
+def test_each_change_is_told_as_it_comes(lines: list[dict[str, Any]]) -> None:
+    state = ClusterState()
+    ChangeLog(state, "", lambda: True)
+    for item in (member(0), member(1), placement(1, "a/1"), placement(2, "b/1")):
+        state.apply([item], {})
+    assert [line.get("condition") for line in lines[:2]] == ["alive", "dead"]
+    assert [line["moved"] for line in lines[2:]] == [{"3": "a/1"}, {"3": "b/1"}]
+
+
+def test_others_than_the_head_are_silent(lines: list[dict[str, Any]]) -> None:
+    state = ClusterState()
+    ChangeLog(state, "", lambda: False)
+    state.apply([member(0), placement(1, "a/1")], {})
+    assert lines == []
+
+
+def test_a_store_tells_what_it_leads(lines: list[dict[str, Any]]) -> None:
+    state = ClusterState()
+    ChangeLog(state, "b/1", lambda: False)
+    for item in (placement(1, "a/1"), placement(2, "b/1"), placement(3, "b/1"), placement(4, "a/1")):
+        state.apply([item], {})
+    assert [line["partitions"] for line in lines] == [[3], []]
