--- a/hollowusher/__main__.py
+++ b/hollowusher/__main__.py
@@ -22,14 +22,15 @@
         from hollowusher.roles.main import run_role
 
         return run_role(given[0])
+    needs = "requirements-system.txt" if given[0] in CONSOLE else "requirements-tools.txt"
     try:
         if given[0] in CONSOLE:
             from hollowusher.console.commands import cli
         else:
             from hollowusher.cli import cli
     except ModuleNotFoundError as missing:
-        print(f"hollowusher: {missing.name} is not installed: the command line needs what "
-              "requirements-tools.txt lists", file=sys.stderr)
+        print(f"hollowusher: {missing.name} is not installed: the command line needs what {needs} lists",
+              file=sys.stderr)
         return 2
     return int(cli(words, prog_name="hollowusher") or 0)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -17,7 +17,7 @@
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 WITHOUT, ONLY = "without", "only"
 
-LONGEST = (  # the longest first; the first five play scripts in real time
+LONGEST = (  # the longest first; the first four play scripts in real time
     "test_shared_process.py::Shared::test_what_fails_is_known_to_all_and_a_cut_condemns_nobody",
     "test_faults_process.py::ShortSet::test_they_hold_with_faults_between_processes",
     "test_copies_process.py::Copies::test_nothing_runs_twice_and_all_have_one_answer_while_processes_die",
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import subprocess
+import sys
 import threading
 from collections.abc import Callable, Iterator
 from pathlib import Path
@@ -48,6 +50,7 @@
 
 CONFIGURATION = traffic.configuration("127.0.0.9:8080") | {"generation": 7}
 DOCUMENT = orjson.dumps(CONFIGURATION)
+ROOT = Path(__file__).parent.parent
 EDGES = ("edge-1", "edge-2", "edge-3")
 STORES = ("store-1", "store-2", "store-3")
 
@@ -446,6 +449,19 @@
     assert said == snapshot
 
 
+def test_the_commands_load_neither_the_old_command_line_nor_its_tools() -> None:
+    heavy = ("hollowusher.cli", "hollowusher.app", "matplotlib", "scipy", "numpy", "uvloop", "h2")
+    code = (
+        "import sys\n"
+        "from hollowusher.__main__ import main\n"
+        "try:\n    main(['system', '--help'])\n"
+        f"finally:\n    print('loaded', [name for name in {heavy!r} if name in sys.modules])"
+    )
+    told = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert "retire" in told.stdout
+    assert told.stdout.splitlines()[-1] == "loaded []"
+
+
 def changed(section: str, number: int, **changes: Any) -> dict[str, Any]:
     document: dict[str, Any] = orjson.loads(DOCUMENT)
     document[section][number] |= changes
