--- a/hollowusher/simulation/day.py
+++ b/hollowusher/simulation/day.py
@@ -231,7 +231,11 @@
             if len(listed) < 3:
                 continue
             worker = chance.choice(listed)
-            if chance.random() < 0.5:
+            drawn = chance.random()
+            if drawn < 0.1:
+                await asyncio.gather(*(self._crash_worker(each, chance, down_s=chance.uniform(1.0, 12.0))
+                                       for each in listed))
+            elif drawn < 0.5:
                 await self._crash_worker(worker, chance)
             else:
                 await self._release_worker(worker, chance)
@@ -254,11 +258,11 @@
                 endpoint.alive = True
                 endpoint.start()
 
-    async def _crash_worker(self, worker: PushWorker, chance: random.Random) -> None:
+    async def _crash_worker(self, worker: PushWorker, chance: random.Random, down_s: float = 0.0) -> None:
         worker.crash()
         await asyncio.sleep(chance.uniform(0.5, 3.0))
         self._list.remove(worker.name)
-        await asyncio.sleep(chance.uniform(0.0, 2.0))
+        await asyncio.sleep(down_s + chance.uniform(0.0, 2.0))
         self._start_push_worker(worker.address)
 
     async def _release_worker(self, worker: PushWorker, chance: random.Random) -> None:
--- a/hollowusher/simulation/programs.py
+++ b/hollowusher/simulation/programs.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import contextvars
+import sys
 from collections.abc import Callable
 from typing import Any
 
@@ -14,6 +15,7 @@
 from hollowusher.delivery.callbacks import CallbackDelivery
 from hollowusher.dispatch import dispatcher as dispatcher_module
 from hollowusher.roles import edge as edge_module
+from hollowusher.roles import logs as logs_module
 from hollowusher.roles import store as store_module
 from hollowusher.simulation.stand_ins import (
     ProcessParts,
@@ -63,7 +65,6 @@
         seams.http, seams.host, address, rate_per_s))
     _instead(edge_module, "EdgeFrontend", lambda seams, intake, frontend, readiness, ready, report:
              SimulatedFrontend(seams, intake, frontend, readiness, ready))
-    _instead(edge_module, "log", _log)
     real_operator = edge_module.EdgeProcess._serve_operator
     edge_module.EdgeProcess._serve_operator = (  # type: ignore[method-assign]
         lambda edge: _serve_operator(edge, real_operator))  # type: ignore[assignment]
@@ -75,11 +76,19 @@
     _instead(store_module, "Process", lambda seams, settings, path, role: ProcessParts(seams, settings, role))
     _instead(store_module, "RingLog", lambda seams, folder, segment_bytes, segments: seams.disk.log())
     _instead(store_module, "wall_ms", lambda seams: seams.wall_ms())
-    _instead(store_module, "log", _log)
+
+
+def _join_logs() -> None:
+    """Every module that logs: failures are noted, the rest is dropped."""
+    real = logs_module.log
+    for name, module in list(sys.modules.items()):
+        if name.startswith("hollowusher.") and getattr(module, "log", None) is real:
+            _instead(module, "log", _log)
 
 
 _join_edge()
 _join_store()
+_join_logs()
 
 
 class RoleProgram:
