--- a/hollowusher/configuration/boot.py
+++ b/hollowusher/configuration/boot.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import tomllib
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from pathlib import Path
 from typing import Any
 
@@ -116,20 +116,24 @@
         return [f"{seed.rpartition(':')[0]}:{self.internal_ports[0]}" for seed in self.seed_nodes]
 
 
+_FIELD_TYPES: dict[str, type[Any]] = {"str": str, "list": list}
+_SECTIONS: dict[str, type[Any]] = {
+    section.__name__: section for section in (Bind, ResourceLimits, FaultTolerance, Bounds, CloudApi)}
+
+
 def parse_settings(text: str, source: str) -> BootSettings:
     """The settings of a file's text; `source` names it in errors."""
     try:
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"{source}: not TOML: {error}") from None
+    wrong = _wrong_type(BootSettings, document)
+    if wrong:
+        raise SettingsError(f"{source}: {wrong}")
     try:
         settings = BootSettings.from_dict(document)
-    except MissingField as error:
-        raise SettingsError(f"{source}: {_alias(error.field_name, error.holder_class)} is missing") from None
-    except InvalidFieldValue as error:
-        key = _alias(error.field_name, error.holder_class)
-        wanted = f"{error.field_value!r} is not {error.field_type_name}"
-        raise SettingsError(f"{source}: {key}: {wanted}") from None
+    except (MissingField, InvalidFieldValue) as error:
+        raise SettingsError(f"{source}: {_fault(error)}") from None
     _check(settings, source)
     return settings
 
@@ -143,6 +147,38 @@
     return parse_settings(text, path)
 
 
+def _fault(error: BaseException) -> str:
+    """The fault with the path of its key: an error inside a section is the context of the section's."""
+    path: list[str] = []
+    innermost = error
+    while isinstance(error, MissingField | InvalidFieldValue):
+        path.append(_alias(error.field_name, error.holder_class))
+        innermost = error
+        nested = error.__cause__ or error.__context__
+        if nested is None:
+            break
+        error = nested
+    key = ".".join(path)
+    if isinstance(innermost, InvalidFieldValue):
+        return f"{key}: {innermost.field_value!r} is not {innermost.field_type_name}"
+    return f"{key} is missing"
+
+
+def _wrong_type(section: type[Any], values: dict[str, Any]) -> str:
+    """The first text or list of a section that is something else: the reader would make one of it."""
+    for item in fields(section):
+        key = item.metadata.get("alias", item.name)
+        value = values.get(key)
+        kind = _FIELD_TYPES.get(str(item.type).partition("[")[0])
+        if isinstance(value, dict) and kind is None and str(item.type) in _SECTIONS:
+            nested = _wrong_type(_SECTIONS[str(item.type)], value)
+            if nested:
+                return f"{key}.{nested}"
+        elif value is not None and kind is not None and not isinstance(value, kind):
+            return f"{key}: {value!r} is not {item.type}"
+    return ""
+
+
 def _alias(name: str, holder: Any) -> str:
     """The key in the file for a field's name."""
     found = holder.__dataclass_fields__.get(name)
--- a/hollowusher/roles/store.py
+++ b/hollowusher/roles/store.py
@@ -44,9 +44,12 @@
     log("started", incarnation=me.incarnation, disk=me.disk_id)
     await process.stopping.wait()
     log("stopping")
-    async with asyncio.timeout(max(1.0, settings.bounds.grace_s - STOP_MARGIN_S)):
-        await client.leave()
-        await service.stop()
+    try:
+        async with asyncio.timeout(max(1.0, settings.bounds.grace_s - STOP_MARGIN_S)):
+            await client.leave()
+            await service.stop()
+    except TimeoutError:
+        log("stop_cut_short", grace_s=settings.bounds.grace_s)
     await process.close()
     ring_log.close()
     log("stopped")
--- a/hollowusher/transport/tcp.py
+++ b/hollowusher/transport/tcp.py
@@ -76,6 +76,11 @@
         data = encode([number, kind, message])
         transport.write(LENGTH.pack(len(data)) + data)
 
+    @property
+    def usable(self) -> bool:
+        """Whether the connection stands and is not being closed."""
+        return self.transport is not None and not self.transport.is_closing()
+
     def _drop(self) -> None:
         if self.transport is not None:
             self.transport.abort()
@@ -123,6 +128,10 @@
         self.peer = peer
         self.waiting: dict[int, asyncio.Future[Any]] = {}
 
+    def give_up(self) -> None:
+        """The peer is silent: no further call is to use this connection."""
+        self._drop()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         for future in self.waiting.values():
@@ -189,7 +198,7 @@
     def connected(self, address: str) -> bool:
         """Whether a connection to the peer stands."""
         connection = self._connections.get(address)
-        return connection is not None and connection.transport is not None
+        return connection is not None and connection.usable
 
     async def call(self, address: str, message: Any, timeout: float) -> Any:
         """The answer of the process at `address`; `PeerError` where none came in time."""
@@ -197,7 +206,7 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
         connection = self._connections.get(address)
-        if connection is None or connection.transport is None:
+        if connection is None or not connection.usable:
             connection = await self._connect(address, step, timeout)
         if connection.transport is None:
             raise PeerError(step, address, "connection lost", sent=False)
@@ -212,8 +221,8 @@
             async with asyncio.timeout_at(deadline):
                 return await future
         except TimeoutError:
-            if connection.bytes_received == received and connection.transport is not None:
-                connection.transport.abort()
+            if connection.bytes_received == received:
+                connection.give_up()
             raise PeerError(step, address, f"no answer in {timeout:.3g} s") from None
         except PeerError as error:
             raise PeerError(step, address, error.reason) from None
@@ -223,7 +232,7 @@
     def send(self, address: str, message: Any) -> None:
         """Send without an answer; lost where the peer cannot be reached."""
         connection = self._connections.get(address)
-        if connection is not None and connection.transport is not None:
+        if connection is not None and connection.usable:
             connection.write_frame(0, ONE_WAY, message)
             return
         self.run(self._send_later(address, message))
