--- a/hollowusher/app.py
+++ b/hollowusher/app.py
@@ -23,7 +23,6 @@
 from hollowusher.fronts.platform.nodes import PlatformNodes
 from hollowusher.fronts.platform.clients import PlatformClients
 from hollowusher.log import Log
-from hollowusher.net.link import bind
 from hollowusher.net.owner import DeskOwner
 from hollowusher.net.pool import Pool
 from hollowusher.net.ring import ring_bytes
@@ -100,7 +99,7 @@
         parts.append(carrier)
         floor.nodes["http2"] = Http2Nodes(roster, carrier, http1, config.meanings, post, log)
     classes = {c.name: c for c in config.settings.classes}
-    clients = PlatformClients(bind(config.listen, operations.replacement is not None), classes,
+    clients = PlatformClients(operations.listener(), classes,
                               sockets - to_nodes, ids, post, log, ring, figures)
     fronts: list[Callable[[Mapping[str, JobClass]], None]] = [clients.follow]
     if gate is not None:
--- a/hollowusher/cli.py
+++ b/hollowusher/cli.py
@@ -22,6 +22,7 @@
 from hollowusher.emulator.script import Script, read, stage
 from hollowusher.emulator.virtual import COUNTS, Rehearsal, Report
 from hollowusher.net.http2.settings import read_http2
+from hollowusher.operators.commands import attach, detach, figures, ready
 from hollowusher.settings.model import ConfigError
 from hollowusher.settings.reader import read_file
 
@@ -40,6 +41,8 @@
 cli.add_command(members)
 cli.add_command(copies)
 cli.add_command(shared)
+for command in (ready, figures, detach, attach):
+    cli.add_command(command)
 
 @cli.command()
 def run() -> None:
--- a/hollowusher/operations.py
+++ b/hollowusher/operations.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import Iterable, Iterator
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,7 @@
 from hollowusher.fronts.platform.clients import PlatformClients
 from hollowusher.fronts.platform.discovery import NodeListWatch
 from hollowusher.log import Log
+from hollowusher.net.link import bind
 from hollowusher.net.owner import DeskOwner
 from hollowusher.net.pool import Pool
 from hollowusher.parts import Part
@@ -53,9 +55,25 @@
             from hollowusher.replacement.directory import SharedDirectory
             from hollowusher.replacement.process import Replacement
 
-            self._directory = SharedDirectory(config.shared_directory, config.listen)
+            directory = SharedDirectory(config.shared_directory, config.listen)
+            try:
+                directory.enter()
+            except OSError as wrong:  # it runs all the same, and cannot be replaced while it does
+                log.error("shared-directory", str(wrong))
+                return
+            self._directory = directory
             self.replacement = Replacement(
-                self._directory, roster, ids, owner.post, lambda: watch.version, owner.remember, log)
+                directory, roster, ids, owner.post, lambda: watch.version, owner.remember, log)
+
+    def listener(self) -> socket.socket:
+        """The socket for clients.  It is shared with processes of this scheduler alone: where none lives,
+        the address must be free."""
+        address = self._config.listen
+        if self._directory is None:
+            return bind(address)
+        if not self._directory.others():
+            bind(address).close()
+        return bind(address, shared=True)
 
     @property
     def parts(self) -> list[Part]:
--- a/hollowusher/replacement/process.py
+++ b/hollowusher/replacement/process.py
@@ -44,8 +44,7 @@
         self._polling: asyncio.Task[None] | None = None
 
     async def arrive(self) -> Handover | None:
-        """Show that this process starts; what an older one hands over, if one lives and does so in time."""
-        self._directory.enter()
+        """What an older process hands over, if one lives and does so in time."""
         self._look()
         if not self._older():
             return None
--- a/tests/test_replacement.py
+++ b/tests/test_replacement.py
@@ -227,6 +227,18 @@
         await self.within(old.wait())
         await self.answered("beside", "409")
 
+    async def test_a_strangers_address_is_not_shared_and_a_bad_directory_stops_nobody(self) -> None:
+        await self.beside()
+        self.shared = self.shared / "other"  # another scheduler's: the address is taken
+        self.shared.mkdir()
+        stranger, _ = await self.beside(wait=False)
+        self.assertNotEqual(await self.within(stranger.wait()), 0)
+        self.shared = self.shared / "file"
+        self.shared.touch()
+        self.port = free_port()
+        self.write()
+        await self.beside()
+
     async def test_either_may_be_killed_at_any_moment(self) -> None:
         old, old_address = await self.beside()
         self.node.go.set()
