--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -518,6 +518,17 @@
         self.read(seen, seen.orders[0])
         assert self.broken(seen) == ["CONFIG"]
 
+    def test_a_message_ends_when_its_route_is_dropped(self) -> None:
+        seen = self.seen()
+        self.sent(seen, "a", at=4.2)
+        seen.states.append(StateAnswer("a", 40.0, 200, "dead_letter", body=b"body", final=True))
+        seen.orders += [self.order(1, 0, 2, 3.0), self.order(2, 2, 4, None, routes=())]
+        self.read(seen, seen.orders[1])
+        assert self.broken(seen) == []
+        seen.orders[1].refused_at = 6.0
+        self.read(seen, seen.orders[0])
+        assert {"LOST", "MIXED"} <= set(self.broken(seen))
+
     def test_configuration_never_goes_back_in_a_life(self) -> None:
         seen = self.seen()
         seen.generations += [GenerationSeen("edge-1", 1, 4, 5.0), GenerationSeen("edge-1", 2, 2, 6.0)]
