Load the controller and the operator's site only where and when they are needed

Change: roles/control.py and roles/operator_site.py, loaded by those with a disk and after service has begun; a starting process asks again after 30 ms.

--- a/hollowusher/coordination/client.py
+++ b/hollowusher/coordination/client.py
@@ -39,6 +39,7 @@
 LEAVE_S = 1.0
 BEAT_S = 0.1  # how often the failure detector runs
 FIRST_PAUSE_S = 0.1
+START_PAUSE_S = 0.03  # of a process that starts: all wait for the same controllers
 MOST_PAUSE_S = 0.5
 IDLE_PAUSE_S = 0.1  # after an answer that came at once and brought nothing
 CONNECTED_S = 2.5  # a controller that has not heard most of the others for this long says so
@@ -49,8 +50,9 @@
 class Backoff:
     """Growing pauses between tries, with some chance so that processes do not try in step."""
 
-    def __init__(self, chance: random.Random) -> None:
+    def __init__(self, chance: random.Random, first_s: float = FIRST_PAUSE_S) -> None:
         self._chance = chance
+        self._first_s = first_s
         self._pause = 0.0
 
     def reset(self) -> None:
@@ -59,7 +61,7 @@
 
     async def wait(self) -> None:
         """Pause after a failed try."""
-        self._pause = min(MOST_PAUSE_S, max(FIRST_PAUSE_S, 1.5 * self._pause))
+        self._pause = min(MOST_PAUSE_S, max(self._first_s, 1.5 * self._pause))
         await asyncio.sleep(self._pause * self._chance.uniform(0.7, 1.0))
 
 
@@ -113,7 +115,7 @@
     async def confirmed_start(self) -> None:
         """Wait until the control chain has told its committed state, and apply it: after that, nothing
         older than what was acknowledged before this start is served."""
-        backoff = Backoff(self._chance)
+        backoff = Backoff(self._chance, START_PAUSE_S)
         while True:
             if self.state.view is None:
                 await self._find_view()
@@ -181,7 +183,7 @@
 
     async def _find_view(self) -> None:
         """Ask for a newer view than the known one; without any, go on until there is one."""
-        backoff = Backoff(self._chance)
+        backoff = Backoff(self._chance, START_PAUSE_S)
         while True:
             await self._ask_for_view()
             if self.state.view is not None:
--- /dev/null
+++ b/hollowusher/roles/control.py
@@ -0,0 +1,69 @@
+"""The part of an edge process that makes it a controller; only those with a disk load it."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+from hollowusher.coordination.controller import Controller
+from hollowusher.coordination.directory import Directory
+from hollowusher.coordination.duties import HeadDuties
+from hollowusher.coordination.platform_list import PlatformReader
+from hollowusher.coordination.updates import Feed
+from hollowusher.protocol.control import ControlState, Member, View
+from hollowusher.roles.change_log import ChangeLog
+from hollowusher.roles.process import Process
+from hollowusher.storage.slots import SlotFile
+
+VIEW_SLOT = "view"
+STATE_SLOT = "control-state"
+MESSAGES = (*HeadDuties.MESSAGES, *Controller.MESSAGES)
+
+
+class ControlPart:
+    """The controller of a process, the feed that it distributes by, and the duties of a chain's head."""
+
+    def __init__(self, process: Process, me: Member, folder: Path) -> None:
+        settings = process.settings
+        clock = asyncio.get_running_loop().time
+        self._process = process
+        self.feed = Feed(f"{me.name}/{me.incarnation}")
+        self.controller = Controller(
+            me, process.transport, settings, SlotFile(folder / VIEW_SLOT), SlotFile(folder / STATE_SLOT),
+            process.chance, self._publish_view, self._publish_state)
+        self.reader = PlatformReader(settings.cloud_api.address, settings.cloud_api.rate_per_s)
+        self.duties = HeadDuties(
+            me, self.controller, self.feed, Directory(clock()), settings, self.reader, process.transport,
+            clock)
+        ChangeLog(process.state, "", lambda: self.controller.is_head)
+
+    async def start(self) -> None:
+        """Take part in views and chain, and be ready for the head's duties."""
+        await self.controller.start()
+        self._process.spawn(self.duties.run())
+
+    async def stop(self) -> None:
+        """Leave the chain in order."""
+        await self.controller.stop()
+        await self.reader.close()
+
+    def learn(self, view: View) -> None:
+        """A decided view became known."""
+        self._process.spawn(self.controller.learn(view))
+
+    def handles(self, message: Any) -> bool:
+        """Whether a message is for this part."""
+        return isinstance(message, MESSAGES)
+
+    async def handle(self, message: Any) -> Any:
+        """Answer such a message."""
+        if isinstance(message, HeadDuties.MESSAGES):
+            return await self.duties.handle(message)
+        return await self.controller.handle(message)
+
+    def _publish_view(self, view: View) -> None:
+        self.duties.publish_view(view)
+
+    def _publish_state(self, state: ControlState) -> None:
+        self.duties.publish_state(state)
--- /dev/null
+++ b/hollowusher/roles/operator_site.py
@@ -0,0 +1,68 @@
+"""The operator's HTTP address of an edge process: configuration, emptying of stores, status.
+
+It is loaded after the process has begun to serve clients, for a start should not wait for it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+
+from hollowusher.configuration.orders import MOST_BODY_BYTES
+from hollowusher.console.status_api import StatusApi
+from hollowusher.coordination.operator_api import OperatorApi
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.protocol.control import OperatorAnswer, ReadConfiguration, View, Voter
+from hollowusher.transport.interface import PeerError, Transport
+from hollowusher.transport.tcp import split_address
+
+FORWARD_TIMEOUT_S = 2.8
+QUESTION_TIMEOUT_S = 0.8
+UNAVAILABLE = OperatorAnswer(503)
+
+
+class OperatorForward:
+    """Brings an operator's order to the chain's head, a question to its tail.  `handle` answers here."""
+
+    def __init__(self, name: str, state: ClusterState, transport: Transport,
+                 handle: Callable[[Any], Awaitable[Any]]) -> None:
+        self._name = name
+        self._state = state
+        self._transport = transport
+        self._handle = handle
+
+    async def __call__(self, message: Any) -> OperatorAnswer:
+        """The answer of whoever decides on the message."""
+        view = self._state.view
+        if view is None:
+            return UNAVAILABLE
+        question = isinstance(message, ReadConfiguration)
+        wanted = _voter(view, view.tail if question else view.head)
+        if wanted is None:
+            return UNAVAILABLE
+        if wanted.name == self._name:
+            answer = await self._handle(message)
+        else:
+            timeout = QUESTION_TIMEOUT_S if question else FORWARD_TIMEOUT_S
+            answer = await self._transport.call(wanted.address, message, timeout)
+        if not isinstance(answer, OperatorAnswer):
+            raise PeerError(type(message).__name__, wanted.address, "no answer for an operator")
+        return answer
+
+
+def _voter(view: View, name: str) -> Voter | None:
+    return next((voter for voter in view.voters if voter.name == name), None)
+
+
+async def serve_operator(address: str, forward: OperatorForward, status: StatusApi) -> web.AppRunner:
+    """Listen at the operator's address; to be cleaned up at the end."""
+    application = web.Application(client_max_size=MOST_BODY_BYTES + 1)
+    OperatorApi(forward).add_routes(application)
+    status.add_routes(application)
+    runner = web.AppRunner(application, access_log=None)
+    await runner.setup()
+    host, port = split_address(address)
+    await web.TCPSite(runner, host, port).start()
+    return runner
--- a/hollowusher/simulation/programs.py
+++ b/hollowusher/simulation/programs.py
@@ -14,9 +14,11 @@
 from hollowusher.coordination.operator_api import OperatorApi
 from hollowusher.delivery.callbacks import CallbackDelivery
 from hollowusher.dispatch import dispatcher as dispatcher_module
+from hollowusher.roles import control as control_module
 from hollowusher.roles import edge as edge_module
 from hollowusher.roles import logs as logs_module
 from hollowusher.roles import store as store_module
+from hollowusher.roles.operator_site import OperatorForward
 from hollowusher.simulation.stand_ins import (
     ProcessParts,
     SimulatedCallbackClient,
@@ -47,21 +49,24 @@
         seams.note(f"{event} {fields}")
 
 
-async def _serve_operator(edge: edge_module.EdgeProcess, real: Any) -> Any:
+async def _serve_operator(edge: edge_module.EdgeProcess, real: Any) -> None:
     seams = _seams.get(None)
     if seams is None:
-        return await real(edge)
-    site = SimulatedOperatorSite(seams, OperatorApi(edge._forward))
+        await real(edge)
+        return
+    process = edge.process
+    forward = OperatorForward(edge.me.name, process.state, process.transport, edge.handle)
+    site = SimulatedOperatorSite(seams, OperatorApi(forward))
     await site.start()
     seams.edge = edge
-    return site
+    edge._operator_site = site  # type: ignore[assignment]
 
 
 def _join_edge() -> None:
     _instead(edge_module, "Process", lambda seams, settings, path, role: ProcessParts(seams, settings, role))
-    _instead(edge_module, "SlotFile", lambda seams, path: seams.disk.slot(path.name))
+    _instead(control_module, "SlotFile", lambda seams, path: seams.disk.slot(path.name))
     _instead(edge_module, "HttpWorkerClient", lambda seams: SimulatedWorkerClient(seams.http, seams.host))
-    _instead(edge_module, "PlatformReader", lambda seams, address, rate_per_s: SimulatedPlatformReader(
+    _instead(control_module, "PlatformReader", lambda seams, address, rate_per_s: SimulatedPlatformReader(
         seams.http, seams.host, address, rate_per_s))
     _instead(edge_module, "EdgeFrontend", lambda seams, intake, frontend, readiness, ready, report:
              SimulatedFrontend(seams, intake, frontend, readiness, ready))
