--- a/hollowusher/configuration/boot.py
+++ b/hollowusher/configuration/boot.py
@@ -118,7 +118,8 @@
 
 _FIELD_TYPES: dict[str, type[Any]] = {"str": str, "list": list}
 _SECTIONS: dict[str, type[Any]] = {
-    section.__name__: section for section in (Bind, ResourceLimits, FaultTolerance, Bounds, CloudApi)}
+    section.__name__: section for section in (Bind, ResourceLimits, FaultTolerance, Bounds, CloudApi)
+}
 
 
 def parse_settings(text: str, source: str) -> BootSettings:
--- a/hollowusher/configuration/checks.py
+++ b/hollowusher/configuration/checks.py
@@ -178,5 +178,9 @@
 
 
 _CHECKS: tuple[Check, ...] = (
-    _check_generation_of, _check_lists, _check_limits, _check_upstreams_known, _check_prefixes,
+    _check_generation_of,
+    _check_lists,
+    _check_limits,
+    _check_upstreams_known,
+    _check_prefixes,
 )
--- a/hollowusher/configuration/orders.py
+++ b/hollowusher/configuration/orders.py
@@ -168,7 +168,10 @@
     for section in LISTS:
         dropped = set(patch.get("delete", {}).get(section, ()))
         altered = {item["name"]: item for item in patch.get("upsert", {}).get(section, ())}
-        kept = [altered.pop(item["name"], item) for item in document.get(section, ())
-                if item["name"] not in dropped or item["name"] in altered]
+        kept = [
+            altered.pop(item["name"], item)
+            for item in document.get(section, ())
+            if item["name"] not in dropped or item["name"] in altered
+        ]
         document[section] = [*kept, *altered.values()]
     return document
--- a/hollowusher/coordination/agreement.py
+++ b/hollowusher/coordination/agreement.py
@@ -37,8 +37,14 @@
 class Agreement:
     """One controller's share in deciding views.  `on_view` is called with each newer decided view."""
 
-    def __init__(self, me: Voter, transport: Transport, slot: Slot, chance: random.Random,
-                 on_view: Callable[[View], None]) -> None:
+    def __init__(
+        self,
+        me: Voter,
+        transport: Transport,
+        slot: Slot,
+        chance: random.Random,
+        on_view: Callable[[View], None],
+    ) -> None:
         self._me = me
         self._transport = transport
         self._slot = slot
@@ -145,8 +151,7 @@
         for address in sorted(addresses):
             self._transport.send(address, Decided(view))
 
-    async def _ask(self, view: View, message: Any, take: Callable[[str, Any], bool],
-                   timeout: float) -> bool:
+    async def _ask(self, view: View, message: Any, take: Callable[[str, Any], bool], timeout: float) -> bool:
         """Ask all voters at once; True as soon as `take` returns True for an answer."""
         pending = set()
         for voter in view.voters:
@@ -158,7 +163,8 @@
         deadline = loop.time() + timeout + LOCAL_MARGIN_S
         while pending and loop.time() < deadline:
             done, pending = await asyncio.wait(
-                pending, timeout=deadline - loop.time(), return_when=asyncio.FIRST_COMPLETED)
+                pending, timeout=deadline - loop.time(), return_when=asyncio.FIRST_COMPLETED
+            )
             for task in done:
                 name, answer = task.result()
                 if answer is not None and take(name, answer):
--- a/hollowusher/coordination/chain_owner.py
+++ b/hollowusher/coordination/chain_owner.py
@@ -19,8 +19,13 @@
     """Commits changes while `leads` says that this controller is the head.  `on_unreachable` is called with
     the name of a chain member that gives no answer."""
 
-    def __init__(self, member: ChainMember, replicator: Replicator, leads: Callable[[], bool],
-                 on_unreachable: Callable[[str], None]) -> None:
+    def __init__(
+        self,
+        member: ChainMember,
+        replicator: Replicator,
+        leads: Callable[[], bool],
+        on_unreachable: Callable[[str], None],
+    ) -> None:
         self._member = member
         self._replicator = replicator
         self._leads = leads
--- a/hollowusher/coordination/client.py
+++ b/hollowusher/coordination/client.py
@@ -18,7 +18,11 @@
 
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.cluster_state import (
-    CONFIGURATION, MEMBER_PREFIX, PLACEMENT, VIEW, ClusterState,
+    CONFIGURATION,
+    MEMBER_PREFIX,
+    PLACEMENT,
+    VIEW,
+    ClusterState,
 )
 from hollowusher.coordination.controller_choice import ControllerChoice
 from hollowusher.coordination.directory import version_of
@@ -26,8 +30,22 @@
 from hollowusher.coordination.updates import Feed, LongPoll
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control import (
-    ControlState, Done, Heartbeat, Item, Leaving, Member, PullUpdates, ReadState, ReadView, Register,
-    Registered, Repair, StateAnswer, Updates, ViewAnswer, Voter,
+    ControlState,
+    Done,
+    Heartbeat,
+    Item,
+    Leaving,
+    Member,
+    PullUpdates,
+    ReadState,
+    ReadView,
+    Register,
+    Registered,
+    Repair,
+    StateAnswer,
+    Updates,
+    ViewAnswer,
+    Voter,
 )
 from hollowusher.transport.interface import PeerError, Transport
 
--- a/hollowusher/coordination/cluster_state.py
+++ b/hollowusher/coordination/cluster_state.py
@@ -86,8 +86,11 @@
 
     def alive(self, role: str | None = None) -> list[Member]:
         """The members that are there, of one role or all, by name."""
-        return [member for _, member in sorted(self.members.items())
-                if member.alive and role in (None, member.role)]
+        return [
+            member
+            for _, member in sorted(self.members.items())
+            if member.alive and role in (None, member.role)
+        ]
 
     def partition(self, number: int) -> PartitionPlacement | None:
         """Where a partition is kept."""
--- a/hollowusher/coordination/controller.py
+++ b/hollowusher/coordination/controller.py
@@ -54,13 +54,31 @@
     with each state that becomes known to be committed."""
 
     MESSAGES: tuple[type, ...] = (
-        Accept, Announce, ChainWrite, ChangeConfiguration, ConfirmEpoch, Decided, Ping, Prepare,
-        ProposeFirst, ReadConfiguration, ReadState, ReadView,
+        Accept,
+        Announce,
+        ChainWrite,
+        ChangeConfiguration,
+        ConfirmEpoch,
+        Decided,
+        Ping,
+        Prepare,
+        ProposeFirst,
+        ReadConfiguration,
+        ReadState,
+        ReadView,
     )
 
-    def __init__(self, me: Member, transport: Transport, settings: BootSettings, view_slot: Slot,
-                 state_slot: Slot, chance: random.Random, on_view: Callable[[View], None],
-                 on_state: Callable[[ControlState], None]) -> None:
+    def __init__(
+        self,
+        me: Member,
+        transport: Transport,
+        settings: BootSettings,
+        view_slot: Slot,
+        state_slot: Slot,
+        chance: random.Random,
+        on_view: Callable[[View], None],
+        on_state: Callable[[ControlState], None],
+    ) -> None:
         voter = Voter(me.name, me.disk_id, me.address)
         self._me = voter
         self._transport = transport
@@ -71,12 +89,12 @@
         self._agreement = Agreement(voter, transport, view_slot, chance, self._install)
         self._member = ChainMember(me.name, me.disk_id, state_slot.load())
         self._replicator = Replicator(self._member, transport, state_slot, on_state)
-        self._group = VoterGroup(voter, transport, self._agreement, self._member, chance, self._spawn,
-                                 self._replicator.stalled)
+        self._group = VoterGroup(
+            voter, transport, self._agreement, self._member, chance, self._spawn, self._replicator.stalled
+        )
         self._owner = ChainOwner(self._member, self._replicator, self._leads, self._group.avoid)
         self._seeker = ViewSeeker(voter, settings, transport, self._agreement, self._seed)
-        self._states = StateService(
-            voter, transport, self._agreement, self._member, self._owner, self._group)
+        self._states = StateService(voter, transport, self._agreement, self._member, self._owner, self._group)
 
     # -- what the process asks -------------------------------------------------------------------------
 
@@ -158,8 +176,13 @@
     def _leads(self) -> bool:
         """Whether this is the head and the others can be reached."""
         view = self._member.view
-        return (self._running and view is not None and self._member.is_head and self._member.complete
-                and self._group.hears_majority(view))
+        return (
+            self._running
+            and view is not None
+            and self._member.is_head
+            and self._member.complete
+            and self._group.hears_majority(view)
+        )
 
     def _flush(self) -> None:
         if self._owner.needs_flush and self._leads():
--- a/hollowusher/coordination/directory.py
+++ b/hollowusher/coordination/directory.py
@@ -142,8 +142,9 @@
         """The condition of all stores, and of those `named` elsewhere though never seen here."""
         names = {name for name, member in self.members.items() if member.role == STORE}
         names.update(named)
-        return {name: StoreCondition(self.members.get(name), now - self.since(name))
-                for name in sorted(names)}
+        return {
+            name: StoreCondition(self.members.get(name), now - self.since(name)) for name in sorted(names)
+        }
 
     def _dead(self, name: str, incarnation: int) -> Member | None:
         member = self.members.get(name)
--- a/hollowusher/coordination/duties.py
+++ b/hollowusher/coordination/duties.py
@@ -18,14 +18,34 @@
 from hollowusher.coordination.cluster_state import CONFIGURATION, MEMBER_PREFIX, PLACEMENT, VIEW, WORKERS
 from hollowusher.coordination.directory import STORE, Directory, version_of
 from hollowusher.coordination.placement import (
-    CAUGHT_UP, PARTITIONS, enough_would_remain, initial_placement, is_named, replan, store_name,
+    CAUGHT_UP,
+    PARTITIONS,
+    enough_would_remain,
+    initial_placement,
+    is_named,
+    replan,
+    store_name,
 )
 from hollowusher.coordination.platform_list import PlatformError
 from hollowusher.coordination.updates import Feed
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control import (
-    ControlState, Done, Item, LearnerReady, Leaving, Member, OperatorAnswer, Placement, ReadView, Register,
-    Registered, Retire, Suspicion, View, Worker, WorkerList,
+    ControlState,
+    Done,
+    Item,
+    LearnerReady,
+    Leaving,
+    Member,
+    OperatorAnswer,
+    Placement,
+    ReadView,
+    Register,
+    Registered,
+    Retire,
+    Suspicion,
+    View,
+    Worker,
+    WorkerList,
 )
 from hollowusher.transport.interface import PeerError, Transport
 
@@ -217,8 +237,9 @@
     def _forget_old_reports(self) -> None:
         """Drop reports that are no longer repeated: their primary has lost the learner or the partition."""
         now = self._clock()
-        self._caught_up = {report: came for report, came in self._caught_up.items()
-                           if now - came <= REPORT_COUNTS_S}
+        self._caught_up = {
+            report: came for report, came in self._caught_up.items() if now - came <= REPORT_COUNTS_S
+        }
 
     def _replanned(self, state: ControlState, may_move: bool) -> ControlState | None:
         """The state with the placement and the emptied machines as they should be; None where they are."""
@@ -228,11 +249,15 @@
                 return None
             placement = initial_placement(stores, self._tolerance, PARTITIONS)
             return evolve(state, placement=placement)
-        named = {store_name(store_id) for entry in state.placement.partitions
-                 for store_id in (entry.primary, *entry.replicas, *entry.learners)}
+        named = {
+            store_name(store_id)
+            for entry in state.placement.partitions
+            for store_id in (entry.primary, *entry.replicas, *entry.learners)
+        }
         conditions = self._directory.stores(named, self._clock())
         changed = replan(
-            state.placement, conditions, self._tolerance, state.retiring, self._caught_up, may_move)
+            state.placement, conditions, self._tolerance, state.retiring, self._caught_up, may_move
+        )
         placement = changed or state.placement
         retiring = self._progress(state, placement)
         if changed is None and retiring == state.retiring:
--- a/hollowusher/coordination/monitor.py
+++ b/hollowusher/coordination/monitor.py
@@ -98,8 +98,11 @@
             for watched in self._watched.values():
                 watched.heard = now
             return []
-        return [Suspicion(name, watched.incarnation, self.name)
-                for name, watched in sorted(self._watched.items()) if self._report(watched, now)]
+        return [
+            Suspicion(name, watched.incarnation, self.name)
+            for name, watched in sorted(self._watched.items())
+            if self._report(watched, now)
+        ]
 
     @staticmethod
     def _report(watched: _Watched, now: float) -> bool:
--- a/hollowusher/coordination/operator_api.py
+++ b/hollowusher/coordination/operator_api.py
@@ -120,5 +120,9 @@
 
 
 def _unavailable(reason: str, body: bytes = b"") -> web.Response:
-    return web.Response(status=503, body=body or orjson.dumps({"error": reason}),
-                        content_type="application/json", headers={"Retry-After": str(RETRY_AFTER_S)})
+    return web.Response(
+        status=503,
+        body=body or orjson.dumps({"error": reason}),
+        content_type="application/json",
+        headers={"Retry-After": str(RETRY_AFTER_S)},
+    )
--- a/hollowusher/coordination/placement.py
+++ b/hollowusher/coordination/placement.py
@@ -51,8 +51,10 @@
         replicas[number] = chosen
     primaries = balanced_primaries(replicas, -(-partitions // len(stores)))
     incarnations = {store.store_id: store.incarnation for store in stores}
-    entries = [PartitionPlacement(number, 1, primaries[number], chosen, [], incarnations[primaries[number]])
-               for number, chosen in replicas.items()]
+    entries = [
+        PartitionPlacement(number, 1, primaries[number], chosen, [], incarnations[primaries[number]])
+        for number, chosen in replicas.items()
+    ]
     return Placement(1, entries)
 
 
@@ -64,8 +66,10 @@
     chosen: list[str] = []
     while len(chosen) < size:
         zones = Counter(by_id[store_id].zone for store_id in chosen)
-        best = min((store_id for store_id in by_id if store_id not in chosen), key=lambda store_id: (
-            zones[by_id[store_id].zone], load.get(store_id, 0), order[store_id]))
+        best = min(
+            (store_id for store_id in by_id if store_id not in chosen),
+            key=lambda store_id: (zones[by_id[store_id].zone], load.get(store_id, 0), order[store_id]),
+        )
         chosen.append(best)
     return chosen
 
@@ -148,8 +152,13 @@
 class _Planner:
     """One run over a placement; `entries` holds the new one."""
 
-    def __init__(self, placement: Placement, stores: Mapping[str, StoreCondition], tolerance: int,
-                 retiring: Collection[str]) -> None:
+    def __init__(
+        self,
+        placement: Placement,
+        stores: Mapping[str, StoreCondition],
+        tolerance: int,
+        retiring: Collection[str],
+    ) -> None:
         self.entries = {entry.partition: entry for entry in placement.partitions}
         self._stores = stores
         self._tolerance = tolerance
@@ -157,8 +166,9 @@
         self._living = {condition.store_id: condition for condition in stores.values() if condition.living}
         self._usable = {store_id for store_id in self._living if store_name(store_id) not in retiring}
         self._primaries = Counter(entry.primary for entry in placement.partitions)
-        self._copies = Counter(store_id for entry in placement.partitions
-                               for store_id in (*entry.replicas, *entry.learners))
+        self._copies = Counter(
+            store_id for entry in placement.partitions for store_id in (*entry.replicas, *entry.learners)
+        )
 
     # -- conditions of a store id
 
@@ -211,20 +221,32 @@
 
     def _best_primary(self, entry: PartitionPlacement, candidates: Sequence[str]) -> str:
         key = f"primary/{entry.partition}"
-        return min(candidates, key=lambda store_id: (
-            store_id not in self._usable, not self._steady(store_id), self._primaries[store_id],
-            weight(key, store_id)))
+        return min(
+            candidates,
+            key=lambda store_id: (
+                store_id not in self._usable,
+                not self._steady(store_id),
+                self._primaries[store_id],
+                weight(key, store_id),
+            ),
+        )
 
     def _set_primary(self, entry: PartitionPlacement, primary: str) -> None:
         self._primaries[entry.primary] -= 1
         self._primaries[primary] += 1
         self.entries[entry.partition] = evolve(
-            entry, epoch=entry.epoch + 1, primary=primary, primary_incarnation=self._incarnation(primary))
+            entry, epoch=entry.epoch + 1, primary=primary, primary_incarnation=self._incarnation(primary)
+        )
 
     def move_one_primary(self) -> None:
         """Move one primary off a machine that is being emptied, or else towards balance."""
-        moves = [(gain, -entry.partition, replica) for entry in self.entries.values() if self._calm(entry)
-                 for replica in entry.replicas if (gain := self._gain(entry, replica)) > 0]
+        moves = [
+            (gain, -entry.partition, replica)
+            for entry in self.entries.values()
+            if self._calm(entry)
+            for replica in entry.replicas
+            if (gain := self._gain(entry, replica)) > 0
+        ]
         if moves:
             _, number, replica = max(moves)
             self._set_primary(self.entries[-number], replica)
@@ -253,8 +275,11 @@
                 return  # the epoch has changed: further learners are reported anew
 
     def _promote(self, entry: PartitionPlacement, learner: str) -> None:
-        victims = [replica for replica in entry.replicas
-                   if replica != entry.primary and self._must_be_replaced(replica)]
+        victims = [
+            replica
+            for replica in entry.replicas
+            if replica != entry.primary and self._must_be_replaced(replica)
+        ]
         replicas = list(entry.replicas)
         if victims:
             victim = min(victims, key=lambda replica: self._victim_rank(replica, learner))
@@ -267,13 +292,17 @@
             return
         learners = [other for other in entry.learners if other != learner]
         self.entries[entry.partition] = evolve(
-            entry, epoch=entry.epoch + 1, replicas=replicas, learners=learners)
+            entry, epoch=entry.epoch + 1, replicas=replicas, learners=learners
+        )
 
     def _victim_rank(self, replica: str, learner: str) -> tuple[bool, bool, bool]:
         """The order in which replicas give way to a learner: its own lost disk, lost disks, stores that are
         gone, machines being emptied."""
-        return (store_name(replica) != store_name(learner), not self._disk_lost(replica),
-                not self._gone(replica))
+        return (
+            store_name(replica) != store_name(learner),
+            not self._disk_lost(replica),
+            not self._gone(replica),
+        )
 
     def _target(self) -> int:
         """How many replicas a partition should have."""
@@ -303,9 +332,16 @@
         staying = [replica for replica in taken if replica not in wanted]
         zones = Counter(self._zone(store_id) for store_id in staying)
         key = f"partition/{entry.partition}"
-        return min(free, default=None, key=lambda store_id: (
-            store_name(store_id) not in returned, zones[self._zone(store_id)], self._copies[store_id],
-            -weight(key, store_id)))
+        return min(
+            free,
+            default=None,
+            key=lambda store_id: (
+                store_name(store_id) not in returned,
+                zones[self._zone(store_id)],
+                self._copies[store_id],
+                -weight(key, store_id),
+            ),
+        )
 
     def _zone(self, store_id: str) -> str:
         condition = self._stores.get(store_name(store_id))
@@ -323,12 +359,18 @@
     f+1 stores would keep every record on f+1 disks and so lose nothing.  But a record is committed on f+1
     replicas: with fewer than 2f+1, the f losses that the deployment tolerates would stop every write, and
     the emptied machine's removal does not count among them.  So an order that leaves fewer is refused."""
-    remaining = [other for other, condition in stores.items()
-                 if other != name and condition.living and other not in retiring]
+    remaining = [
+        other
+        for other, condition in stores.items()
+        if other != name and condition.living and other not in retiring
+    ]
     return len(remaining) >= 2 * tolerance + 1
 
 
 def is_named(placement: Placement, name: str) -> bool:
     """Whether the placement still needs a machine."""
-    return any(store_name(store_id) == name for entry in placement.partitions
-               for store_id in (entry.primary, *entry.replicas, *entry.learners))
+    return any(
+        store_name(store_id) == name
+        for entry in placement.partitions
+        for store_id in (entry.primary, *entry.replicas, *entry.learners)
+    )
--- a/hollowusher/coordination/platform_list.py
+++ b/hollowusher/coordination/platform_list.py
@@ -195,7 +195,8 @@
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=30.0)
             self._session = aiohttp.ClientSession(
-                connector=connector, timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S))
+                connector=connector, timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+            )
         query = "" if token is None else f"?pageToken={quote(token, safe='')}"
         async with self._session.get(f"http://{self.address}/instances{query}") as response:
             body = await response.read()
--- a/hollowusher/coordination/reconfiguration.py
+++ b/hollowusher/coordination/reconfiguration.py
@@ -75,8 +75,7 @@
         if peer is None:
             return 0.0
         silence = now - peer.last_sign
-        refused = (peer.refusals >= REFUSALS_OF_A_DEAD_PROCESS
-                   and now - self._started > SUSPECT_AFTER_S)
+        refused = peer.refusals >= REFUSALS_OF_A_DEAD_PROCESS and now - self._started > SUSPECT_AFTER_S
         stalled = peer.pong is not None and peer.pong.stalled
         dead = silence > SUSPECT_AFTER_S or refused or stalled or now < peer.avoid_until
         return max(silence, 0.001) if dead else 0.0
@@ -182,8 +181,9 @@
     return members.index(name) if name in members else None
 
 
-def choose_candidate(view: View, candidates: Collection[Voter], health: VoterHealth,
-                     now: float) -> tuple[Voter, str | None] | None:
+def choose_candidate(
+    view: View, candidates: Collection[Voter], health: VoterHealth, now: float
+) -> tuple[Voter, str | None] | None:
     """The controller to be made a voter next, and the voter whose place it takes."""
     for candidate in candidates:
         held = find_voter(view, candidate.name)
@@ -191,8 +191,7 @@
             continue
         if held is not None:
             return candidate, held.name
-        dead = [voter.name for voter in view.voters
-                if health.silent_for(voter.name, now) > REPLACE_AFTER_S]
+        dead = [voter.name for voter in view.voters if health.silent_for(voter.name, now) > REPLACE_AFTER_S]
         if dead:
             return candidate, dead[0]
         if len(view.voters) < MOST_VOTERS:
--- a/hollowusher/coordination/replicator.py
+++ b/hollowusher/coordination/replicator.py
@@ -19,8 +19,9 @@
 class Replicator:
     """One controller's place in the chain.  `on_state` is called with each newly committed state."""
 
-    def __init__(self, member: ChainMember, transport: Transport, slot: Slot,
-                 on_state: Callable[[ControlState], None]) -> None:
+    def __init__(
+        self, member: ChainMember, transport: Transport, slot: Slot, on_state: Callable[[ControlState], None]
+    ) -> None:
         self.member = member
         self._transport = transport
         self._slot = slot
--- a/hollowusher/coordination/state_service.py
+++ b/hollowusher/coordination/state_service.py
@@ -32,8 +32,15 @@
 class StateService:
     """One controller's answers about the control state."""
 
-    def __init__(self, me: Voter, transport: Transport, agreement: Agreement, member: ChainMember,
-                 owner: ChainOwner, group: VoterGroup) -> None:
+    def __init__(
+        self,
+        me: Voter,
+        transport: Transport,
+        agreement: Agreement,
+        member: ChainMember,
+        owner: ChainOwner,
+        group: VoterGroup,
+    ) -> None:
         self._me = me
         self._transport = transport
         self._agreement = agreement
--- a/hollowusher/coordination/view.py
+++ b/hollowusher/coordination/view.py
@@ -75,8 +75,9 @@
     def votes(self, epoch: int) -> bool:
         """Whether it may vote on the view of this epoch."""
         decided = self.decided
-        return (decided is not None and epoch == decided.epoch + 1
-                and is_voter(decided, self.name, self.disk_id))
+        return (
+            decided is not None and epoch == decided.epoch + 1 and is_voter(decided, self.name, self.disk_id)
+        )
 
     def confirms(self, epoch: int) -> bool:
         """Whether it votes in view `epoch` and has accepted no later one."""
--- a/hollowusher/coordination/view_seeker.py
+++ b/hollowusher/coordination/view_seeker.py
@@ -21,8 +21,9 @@
 class ViewSeeker:
     """Asks the seeds and the known voters, on the first start with the wish to be in the first view."""
 
-    def __init__(self, me: Voter, settings: BootSettings, transport: Transport, agreement: Agreement,
-                 seed: SeedService) -> None:
+    def __init__(
+        self, me: Voter, settings: BootSettings, transport: Transport, agreement: Agreement, seed: SeedService
+    ) -> None:
         self._me = me
         self._settings = settings
         self._transport = transport
--- a/hollowusher/coordination/voter_group.py
+++ b/hollowusher/coordination/voter_group.py
@@ -41,8 +41,16 @@
     """This controller among the voters.  `spawn` runs a coroutine for as long as the controller lives;
     `is_stalled` tells whether its disk does not answer."""
 
-    def __init__(self, me: Voter, transport: Transport, agreement: Agreement, member: ChainMember,
-                 chance: random.Random, spawn: Spawn, is_stalled: Callable[[float], bool]) -> None:
+    def __init__(
+        self,
+        me: Voter,
+        transport: Transport,
+        agreement: Agreement,
+        member: ChainMember,
+        chance: random.Random,
+        spawn: Spawn,
+        is_stalled: Callable[[float], bool],
+    ) -> None:
         self._me = me
         self._transport = transport
         self._agreement = agreement
@@ -109,8 +117,15 @@
         if view is not None and sender is not None and ping.epoch > view.epoch:
             self._spawn(self._catch_up(sender.address))
         epoch = view.epoch if view is not None else 0
-        return Pong(self._me.name, self._me.disk_id, epoch, self._member.complete,
-                    self._health.heard(_now()), self._leaving, self._is_stalled(_now()))
+        return Pong(
+            self._me.name,
+            self._me.disk_id,
+            epoch,
+            self._member.complete,
+            self._health.heard(_now()),
+            self._leaving,
+            self._is_stalled(_now()),
+        )
 
     def _ping_voters(self, view: View) -> None:
         if _now() < self._next_ping:
--- a/hollowusher/delivery/callbacks.py
+++ b/hollowusher/delivery/callbacks.py
@@ -65,8 +65,10 @@
         path += f"?{parts.query}"
     content = {"id": job.message.id, "state": job.state, "signature": job.signature or None}
     body = orjson.dumps(content)
-    head = (f"POST {path} HTTP/1.1\r\nHost: {parts.netloc}\r\nContent-Type: application/json\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n")
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {parts.netloc}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
     return head.encode("utf-8", "surrogateescape") + body
 
 
@@ -85,8 +87,13 @@
 class CallbackDelivery:
     """Leases the call-backs owed to receivers that this process owns, and sends them."""
 
-    def __init__(self, network: LeaseNetwork, reporter: EndReporter, owns: Callable[[str], bool],
-                 client_of: Callable[[str], CallbackClient] = HttpCallbackClient) -> None:
+    def __init__(
+        self,
+        network: LeaseNetwork,
+        reporter: EndReporter,
+        owns: Callable[[str], bool],
+        client_of: Callable[[str], CallbackClient] = HttpCallbackClient,
+    ) -> None:
         self._network = network
         self._reporter = reporter
         self._owns = owns
@@ -123,8 +130,12 @@
         address = service.partition(":")[2]
         if ":" not in address:
             address = f"{address}:{DEFAULT_PORT}"
-        demand = Demand(lambda: self._wanted(service), lambda jobs: self._take(service, jobs),
-                        self._give_back, lambda: RECHECK_S)
+        demand = Demand(
+            lambda: self._wanted(service),
+            lambda jobs: self._take(service, jobs),
+            self._give_back,
+            lambda: RECHECK_S,
+        )
         leases = LeaseGroup(service, self._network, demand, keep_empty_s=SOURCE_KEPT_S, has_home=False)
         return _Receiver(leases, self._client_of(address))
 
@@ -172,7 +183,7 @@
             receiver.failures = 0
         else:
             figures.callbacks_failed += 1
-            pause = min(LONGEST_PAUSE_S, PAUSE_S * 2**min(receiver.failures, 8))
+            pause = min(LONGEST_PAUSE_S, PAUSE_S * 2 ** min(receiver.failures, 8))
             receiver.failures += 1
             receiver.rest_until = asyncio.get_running_loop().time() + pause
         self._reporter.report_later(Finish(job.lease, result))
--- a/hollowusher/delivery/connection.py
+++ b/hollowusher/delivery/connection.py
@@ -30,8 +30,16 @@
     `sent`: bytes may have reached the peer.  `answered`: bytes of an answer had come back.
     `reused`: the connection had carried a request before."""
 
-    def __init__(self, step: str, address: str, reason: str, *, sent: bool, answered: bool = False,
-                 reused: bool = False) -> None:
+    def __init__(
+        self,
+        step: str,
+        address: str,
+        reason: str,
+        *,
+        sent: bool,
+        answered: bool = False,
+        reused: bool = False,
+    ) -> None:
         super().__init__(f"{step} at {address}: {reason}")
         self.step = step
         self.address = address
@@ -182,14 +190,29 @@
     def _fail(self, reason: str) -> None:
         waiting, self._waiting = self._waiting, None
         if waiting is not None and not waiting.done():
-            waiting.set_exception(ExchangeError("answer", self.address, reason, sent=True,
-                                                answered=self._bytes_in > 0, reused=self.requests > 1))
+            waiting.set_exception(
+                ExchangeError(
+                    "answer",
+                    self.address,
+                    reason,
+                    sent=True,
+                    answered=self._bytes_in > 0,
+                    reused=self.requests > 1,
+                )
+            )
         self.close()
 
 
 def _new_parser(loop: asyncio.AbstractEventLoop) -> Any:
-    return HttpResponseParser(BaseProtocol(loop), loop, READ_LIMIT, max_line_size=MOST_HEADER_BYTES,
-                              max_field_size=MOST_HEADER_BYTES, auto_decompress=False, read_until_eof=True)
+    return HttpResponseParser(
+        BaseProtocol(loop),
+        loop,
+        READ_LIMIT,
+        max_line_size=MOST_HEADER_BYTES,
+        max_field_size=MOST_HEADER_BYTES,
+        auto_decompress=False,
+        read_until_eof=True,
+    )
 
 
 def _idle_seconds(told: str) -> float | None:
--- a/hollowusher/delivery/leasing.py
+++ b/hollowusher/delivery/leasing.py
@@ -66,8 +66,16 @@
 class LeaseGroup:
     """The sources of one service's jobs: its home store, and stores that said that jobs wait there."""
 
-    def __init__(self, service: str, network: LeaseNetwork, demand: Demand, *, keep_empty_s: float,
-                 has_home: bool = True, visibility_ms: int = 0) -> None:
+    def __init__(
+        self,
+        service: str,
+        network: LeaseNetwork,
+        demand: Demand,
+        *,
+        keep_empty_s: float,
+        has_home: bool = True,
+        visibility_ms: int = 0,
+    ) -> None:
         self.service = service
         self._network = network
         self._demand = demand
@@ -171,8 +179,15 @@
         if address is None:
             return None
         me = self._network.me
-        request = LeaseRequest(me.name, me.incarnation, self.service, most, round(POLL_S * 1000),
-                               pull=self._visibility_ms > 0, visibility_ms=self._visibility_ms)
+        request = LeaseRequest(
+            me.name,
+            me.incarnation,
+            self.service,
+            most,
+            round(POLL_S * 1000),
+            pull=self._visibility_ms > 0,
+            visibility_ms=self._visibility_ms,
+        )
         try:
             answer = await self._network.transport.call(address, request, POLL_S + ANSWER_S)
         except PeerError:
--- a/hollowusher/delivery/pool.py
+++ b/hollowusher/delivery/pool.py
@@ -37,8 +37,9 @@
         """Whether a request is under way."""
         return self.open_count > len(self._idle)
 
-    async def exchange(self, request: bytes, accepts: Accepts, deadline: float,
-                       may_repeat: bool = False) -> Answer:
+    async def exchange(
+        self, request: bytes, accepts: Accepts, deadline: float, may_repeat: bool = False
+    ) -> Answer:
         """The answer to one request; `ExchangeError` where none came.
 
         `may_repeat`: the request may run twice.  Then it is sent once more, on a new connection, when a kept
@@ -65,8 +66,9 @@
         for connection in list(self._idle):
             connection.close()
 
-    async def _exchange_on(self, connection: Connection, request: bytes, accepts: Accepts,
-                           deadline: float) -> Answer:
+    async def _exchange_on(
+        self, connection: Connection, request: bytes, accepts: Accepts, deadline: float
+    ) -> Answer:
         answer = await connection.exchange(request, accepts, deadline)
         if connection.usable and not self.retired:
             self._idle.append(connection)
@@ -91,12 +93,14 @@
         try:
             async with asyncio.timeout_at(min(deadline, loop.time() + CONNECT_TIMEOUT_S)):
                 _, connection = await loop.create_connection(
-                    lambda: Connection(self.address, self._lost), host, port)
+                    lambda: Connection(self.address, self._lost), host, port
+                )
         except TimeoutError:
             raise ExchangeError("connect", self.address, "no connection in time", sent=may_have_run) from None
         except OSError as error:
-            raise ExchangeError("connect", self.address, f"no connection: {error}",
-                                sent=may_have_run) from None
+            raise ExchangeError(
+                "connect", self.address, f"no connection: {error}", sent=may_have_run
+            ) from None
         finally:
             self._connecting -= 1
         self.opened += 1
--- a/hollowusher/delivery/pull.py
+++ b/hollowusher/delivery/pull.py
@@ -88,10 +88,15 @@
     def _desk(self, service: str) -> _ServiceDesk:
         desk = self._desks.get(service)
         if desk is None:
-            demand = Demand(lambda: self._wanted(service), lambda jobs: self._take(service, jobs),
-                            self._give_back, lambda: None)
-            leases = LeaseGroup(service, self._network, demand, keep_empty_s=SOURCE_KEPT_S,
-                                visibility_ms=self._visibility_ms)
+            demand = Demand(
+                lambda: self._wanted(service),
+                lambda jobs: self._take(service, jobs),
+                self._give_back,
+                lambda: None,
+            )
+            leases = LeaseGroup(
+                service, self._network, demand, keep_empty_s=SOURCE_KEPT_S, visibility_ms=self._visibility_ms
+            )
             desk = self._desks[service] = _ServiceDesk(leases)
         return desk
 
--- a/hollowusher/delivery/worker_client.py
+++ b/hollowusher/delivery/worker_client.py
@@ -19,10 +19,19 @@
 MALFORMED_RETRY_MS = 1_000
 CLOSED_AFTER_S = 60.0  # pools without a request for so long are closed
 SWEEP_EVERY = 500  # deliveries between two looks for such pools
-OWN_HEADERS = frozenset((
-    "host", "content-length", "content-type", "transfer-encoding", "connection", "x-attempt-id",
-    "x-ordering-key", "x-deadline-ms", "x-target-instance",
-))
+OWN_HEADERS = frozenset(
+    (
+        "host",
+        "content-length",
+        "content-type",
+        "transfer-encoding",
+        "connection",
+        "x-attempt-id",
+        "x-ordering-key",
+        "x-deadline-ms",
+        "x-target-instance",
+    )
+)
 
 
 @attrs.frozen
@@ -81,8 +90,12 @@
         identifier = job.message.id
         pool = self._pool(endpoint)
         try:
-            answer = await pool.exchange(request, lambda answer: belongs(answer, identifier),
-                                         began + timeout_s + LATE_ANSWER_S, endpoint.idempotent)
+            answer = await pool.exchange(
+                request,
+                lambda answer: belongs(answer, identifier),
+                began + timeout_s + LATE_ANSWER_S,
+                endpoint.idempotent,
+            )
         except ExchangeError as error:
             took = loop.time() - began
             if error.sent:
@@ -90,8 +103,15 @@
             ending = Ending.NEUTRAL if isinstance(error, NoFreeConnection) else Ending.UNREACHABLE
             return DeliveryOutcome("not_run", ending, retry_ms=FULL_RETRY_MS, took=took, reason=str(error))
         verdict = judge(answer)
-        return DeliveryOutcome(verdict.result, verdict.ending, verdict.signature, verdict.retry_ms, began,
-                               loop.time() - began, verdict.reason)
+        return DeliveryOutcome(
+            verdict.result,
+            verdict.ending,
+            verdict.signature,
+            verdict.retry_ms,
+            began,
+            loop.time() - began,
+            verdict.reason,
+        )
 
     def forget(self, endpoint: Endpoint) -> None:
         """End the connections of a worker that is not to be used any more: now, or after their answer."""
--- a/hollowusher/dispatch/dispatcher.py
+++ b/hollowusher/dispatch/dispatcher.py
@@ -37,17 +37,28 @@
     """Delivers the jobs of pushed workers and call-backs that this process owns; `pull_desk` leases those
     of the pull workers that call here."""
 
-    def __init__(self, me: Member, transport: Transport, state: ClusterState, store_client: FinishClient,
-                 settings: BootSettings, worker_client: WorkerClient, chance: random.Random, *,
-                 homes: Homes = homes, figures: DeliveryFigures | None = None) -> None:
+    def __init__(
+        self,
+        me: Member,
+        transport: Transport,
+        state: ClusterState,
+        store_client: FinishClient,
+        settings: BootSettings,
+        worker_client: WorkerClient,
+        chance: random.Random,
+        *,
+        homes: Homes = homes,
+        figures: DeliveryFigures | None = None,
+    ) -> None:
         self.figures = figures or DeliveryFigures()
         self._me = me
         self._state = state
         self._client = worker_client
         self._reporter = EndReporter(store_client, self.figures)
         self._network = LeaseNetwork(me, transport, state, homes, self.figures)
-        self._context = DispatchContext(self._network, worker_client, self._reporter, self.figures, chance,
-                                        self._route)
+        self._context = DispatchContext(
+            self._network, worker_client, self._reporter, self.figures, chance, self._route
+        )
         self._callbacks = CallbackDelivery(self._network, self._reporter, self._owns_receiver)
         self.pull_desk = LeasingPullDesk(self._network, self._reporter, settings.bounds.visibility_ms)
         self._services: dict[str, ServiceDispatch] = {}
@@ -160,8 +171,9 @@
     def _listed(self, pushed: dict[str, Service]) -> Sequence[Worker]:
         workers = self._state.workers
         listed = workers.workers if workers is not None else []
-        return [worker for worker in listed
-                if worker.service in pushed and pushed[worker.service].fixed is None]
+        return [
+            worker for worker in listed if worker.service in pushed and pushed[worker.service].fixed is None
+        ]
 
     def _listed_spec(self, service: Service, worker: Worker) -> WorkerSpec:
         endpoint = Endpoint(worker.address, worker.id, service.max_connections, service.idempotent)
@@ -175,8 +187,9 @@
 
 def _destinations(services: Iterable[Service], workers: Iterable[Worker]) -> list[Destination]:
     """All destinations: every process counts the same ones, draining workers too, so that they agree."""
-    fixed = [fixed_destination(service.name, service.fixed) for service in services
-             if service.fixed is not None]
+    fixed = [
+        fixed_destination(service.name, service.fixed) for service in services if service.fixed is not None
+    ]
     return fixed + [_destination(worker) for worker in workers]
 
 
--- a/hollowusher/dispatch/service_dispatch.py
+++ b/hollowusher/dispatch/service_dispatch.py
@@ -183,8 +183,9 @@
         taking = self._taking()
         return 2 * sum(worker.control.suspect for worker in taking) <= len(taking)
 
-    def _choose(self, waiting: WaitingJob, taking: list[OwnedWorker], now: float,
-                isolate: bool) -> OwnedWorker | None:
+    def _choose(
+        self, waiting: WaitingJob, taking: list[OwnedWorker], now: float, isolate: bool
+    ) -> OwnedWorker | None:
         """The least busy worker that may have a job now; one due for a trial goes first, one that has refused
         this job last."""
         ready = [worker for worker in taking if worker.control.allowed(now, isolate) > 0]
@@ -193,9 +194,15 @@
         if len(ready) == 1:
             return ready[0]
         self._turn += 1
-        ready = ready[self._turn % len(ready):] + ready[:self._turn % len(ready)]
-        return min(ready, key=lambda worker: (worker.key in waiting.refused_by, not worker.control.suspect,
-                                              worker.control.busy_share()))
+        ready = ready[self._turn % len(ready) :] + ready[: self._turn % len(ready)]
+        return min(
+            ready,
+            key=lambda worker: (
+                worker.key in waiting.refused_by,
+                not worker.control.suspect,
+                worker.control.busy_share(),
+            ),
+        )
 
     def _hand_over(self, worker: OwnedWorker, waiting: WaitingJob, now: float) -> None:
         message = waiting.job.message
--- a/hollowusher/dispatch/worker_control.py
+++ b/hollowusher/dispatch/worker_control.py
@@ -42,8 +42,9 @@
 class WorkerControl:
     """One worker as its owner sees it."""
 
-    def __init__(self, now: float, capacity: int | None = None, balancers: int = 1,
-                 phase: float = 0.0) -> None:
+    def __init__(
+        self, now: float, capacity: int | None = None, balancers: int = 1, phase: float = 0.0
+    ) -> None:
         self._controller = Controller(round(TIMER_S * NS_PER_S), balancers)
         self._balancers = balancers
         self.capacity = capacity or 0  # what the list tells, 0: nothing
@@ -237,11 +238,11 @@
         self._grow_at = now + GROWTH_PAUSE_S
         self._bound_seen = True
         self._controller.credit = min(self._controller.credit, 1.0)
-        self._full_until = now + min(REFUSAL_PAUSE_MOST_S, REFUSAL_PAUSE_S * 2**min(self._refusals, 8))
+        self._full_until = now + min(REFUSAL_PAUSE_MOST_S, REFUSAL_PAUSE_S * 2 ** min(self._refusals, 8))
         self._refusals += 1
 
     def _unreachable(self, now: float, jitter: float) -> bool:
-        pause = min(UNREACHABLE_PAUSE_MOST_S, UNREACHABLE_PAUSE_S * 2**min(self._connect_failures, 8))
+        pause = min(UNREACHABLE_PAUSE_MOST_S, UNREACHABLE_PAUSE_S * 2 ** min(self._connect_failures, 8))
         self._connect_failures += 1
         self._hold_until = now + pause
         return self._strike(now, jitter)
@@ -252,7 +253,7 @@
             self._strikes += 1
         self.suspect = True
         self._good_trials = 0
-        wait = TRIAL_FIRST_S * 2**min(self._strikes - 1, TRIAL_DOUBLINGS)
+        wait = TRIAL_FIRST_S * 2 ** min(self._strikes - 1, TRIAL_DOUBLINGS)
         self._trial_at = now + wait * jitter
         return new
 
--- a/hollowusher/intake/admission.py
+++ b/hollowusher/intake/admission.py
@@ -81,8 +81,9 @@
         for routes in self._routes.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
         self.generation = configuration.generation
-        self.home_only = {service.name for service in configuration.upstreams
-                          if needs_one_home(service.name, configuration)}
+        self.home_only = {
+            service.name for service in configuration.upstreams if needs_one_home(service.name, configuration)
+        }
 
     def find(self, host: str, target: str) -> Route | None:
         """The route of this host with the longest prefix that the target starts with."""
--- a/hollowusher/intake/intake.py
+++ b/hollowusher/intake/intake.py
@@ -107,8 +107,15 @@
 class Intake:
     """The clients' side of one process.  `clock` is the event loop's time."""
 
-    def __init__(self, state: ClusterState, store: MessageStore, pull_desk: PullDesk | None, homes: Homes,
-                 clock: Callable[[], float], limits: IntakeLimits | None = None) -> None:
+    def __init__(
+        self,
+        state: ClusterState,
+        store: MessageStore,
+        pull_desk: PullDesk | None,
+        homes: Homes,
+        clock: Callable[[], float],
+        limits: IntakeLimits | None = None,
+    ) -> None:
         limits = limits or IntakeLimits()
         self.figures = IntakeFigures()
         self.gate = LoadGate(limits.most_puts, limits.most_bytes)
@@ -186,9 +193,11 @@
             now = self._clock()
             candidates = self._candidates_for(admission)
             answer = await self._store.put(
-                admission.message, candidates,
+                admission.message,
+                candidates,
                 deadline=now + max(wait_s - SPARE_S, wait_s / 2),
-                refuse_at=now + wait_s * REFUSE_AFTER_SHARE)
+                refuse_at=now + wait_s * REFUSE_AFTER_SHARE,
+            )
         finally:
             self.gate.leave(size)
         if answer.status == "stored":
@@ -270,8 +279,9 @@
             return False
         return index.find(host_name(request.headers.get("Host", "")), request.target) is None
 
-    async def _worker_call(self, request: IntakeRequest, index: RouteIndex,
-                           gone: Callable[[], bool]) -> IntakeAnswer:
+    async def _worker_call(
+        self, request: IntakeRequest, index: RouteIndex, gone: Callable[[], bool]
+    ) -> IntakeAnswer:
         target = request.target
         if target.startswith(PULL_PREFIX):
             return await self._pull(request, target.removeprefix(PULL_PREFIX), index, gone)
@@ -279,8 +289,9 @@
             return await self._extend(request, target.removeprefix(EXTEND_PREFIX))
         return await self._end(request, target.removeprefix(END_PREFIX))
 
-    async def _pull(self, request: IntakeRequest, name: str, index: RouteIndex,
-                    gone: Callable[[], bool]) -> IntakeAnswer:
+    async def _pull(
+        self, request: IntakeRequest, name: str, index: RouteIndex, gone: Callable[[], bool]
+    ) -> IntakeAnswer:
         service = index.services.get(name)
         if service is None or not service.pull:
             self.figures.no_route += 1
--- a/hollowusher/intake/server.py
+++ b/hollowusher/intake/server.py
@@ -50,8 +50,9 @@
 class FrontendServer:
     """Clients and pull workers on one address ("ip:port").  `report` is told of errors in this program."""
 
-    def __init__(self, intake: Intake, address: str,
-                 report: Callable[[Exception], None] | None = None) -> None:
+    def __init__(
+        self, intake: Intake, address: str, report: Callable[[Exception], None] | None = None
+    ) -> None:
         self._intake = intake
         self._address = address
         self._report = report
@@ -264,8 +265,14 @@
 class EdgeFrontend:
     """Both servers of an edge process, drained and stopped together."""
 
-    def __init__(self, intake: Intake, frontend: str, readiness: str, ready: Callable[[], bool],
-                 report: Callable[[Exception], None] | None = None) -> None:
+    def __init__(
+        self,
+        intake: Intake,
+        frontend: str,
+        readiness: str,
+        ready: Callable[[], bool],
+        report: Callable[[Exception], None] | None = None,
+    ) -> None:
         self.frontend = FrontendServer(intake, frontend, report)
         self.readiness = ReadinessServer(readiness, lambda: not self._draining and ready())
         self._draining = False
--- a/hollowusher/intake/store_client.py
+++ b/hollowusher/intake/store_client.py
@@ -39,8 +39,9 @@
 class MessageStore(Protocol):
     """What the clients' side needs of the stores; `StoreClient` is the one over the network."""
 
-    async def put(self, message: NewMessage, candidates: Sequence[int], deadline: float,
-                  refuse_at: float | None = None) -> PutAnswer:
+    async def put(
+        self, message: NewMessage, candidates: Sequence[int], deadline: float, refuse_at: float | None = None
+    ) -> PutAnswer:
         """Keep a message."""
 
     async def finish(self, request: Finish, deadline: float) -> LeaseAnswer:
@@ -101,8 +102,9 @@
         self._incarnations = {name: member.incarnation for name, member in state.members.items()}
         state.listen(self._on_change)
 
-    async def put(self, message: NewMessage, candidates: Sequence[int], deadline: float,
-                  refuse_at: float | None = None) -> PutAnswer:
+    async def put(
+        self, message: NewMessage, candidates: Sequence[int], deadline: float, refuse_at: float | None = None
+    ) -> PutAnswer:
         """Keep a message in the first usable candidate partition.
 
         "stored"; "unavailable" where it is certain that it is not kept (given at `refuse_at` if that comes
@@ -140,26 +142,41 @@
 
     async def finish(self, request: Finish, deadline: float) -> LeaseAnswer:
         """End a lease; "unavailable" where the deadline came first (it may have been ended)."""
-        return await self._ask(request.lease, request, deadline,
-                               LeaseAnswer("gone"), LeaseAnswer("unavailable"), _lease_settled)
+        return await self._ask(
+            request.lease, request, deadline, LeaseAnswer("gone"), LeaseAnswer("unavailable"), _lease_settled
+        )
 
     async def extend(self, request: Extend, deadline: float) -> LeaseAnswer:
         """Prolong a lease; "unavailable" where the deadline came first."""
-        return await self._ask(request.lease, request, deadline,
-                               LeaseAnswer("gone"), LeaseAnswer("unavailable"), _lease_settled)
+        return await self._ask(
+            request.lease, request, deadline, LeaseAnswer("gone"), LeaseAnswer("unavailable"), _lease_settled
+        )
 
     async def status(self, reference: str, want_body: bool, deadline: float) -> StatusAnswer:
         """The state of a message; "unavailable" where the deadline came first."""
-        return await self._ask(reference, StatusRequest(reference, want_body), deadline,
-                               StatusAnswer("unknown"), StatusAnswer("unavailable"), _status_settled)
+        return await self._ask(
+            reference,
+            StatusRequest(reference, want_body),
+            deadline,
+            StatusAnswer("unknown"),
+            StatusAnswer("unavailable"),
+            _status_settled,
+        )
 
     def suspect(self, address: str) -> bool:
         """Whether the store at this address is to be avoided at present."""
         health = self._health.get(address)
         return health is not None and health.suspect(self._clock())
 
-    async def _ask(self, identifier: str, request: Any, deadline: float, absent: AnswerType,
-                   unavailable: AnswerType, settled: Callable[[AnswerType], bool]) -> AnswerType:
+    async def _ask(
+        self,
+        identifier: str,
+        request: Any,
+        deadline: float,
+        absent: AnswerType,
+        unavailable: AnswerType,
+        settled: Callable[[AnswerType], bool],
+    ) -> AnswerType:
         """Ask the primary of the partition that the identifier names until an answer settles it."""
         partition = partition_of(identifier)
         if partition is None:
@@ -210,7 +227,8 @@
         try:
             async with scope:
                 answer = await self._transport.call(
-                    target.address, request, min(deadline - now, CALL_TIMEOUT_S))
+                    target.address, request, min(deadline - now, CALL_TIMEOUT_S)
+                )
             health.answered(number, self._clock())
             return answer
         except PeerError:
--- a/hollowusher/messages/comparing.py
+++ b/hollowusher/messages/comparing.py
@@ -29,8 +29,17 @@
 class Comparison:
     """One comparison: fetches what the peer knows better and sends it what it lacks."""
 
-    def __init__(self, table: PartitionTable, epoch: int, me: str, address: str, transport: Transport,
-                 log: Log, wall_ms: Callable[[], int], paced: bool) -> None:
+    def __init__(
+        self,
+        table: PartitionTable,
+        epoch: int,
+        me: str,
+        address: str,
+        transport: Transport,
+        log: Log,
+        wall_ms: Callable[[], int],
+        paced: bool,
+    ) -> None:
         self.changed: list[Key] = []  # messages about which the peer knew better
         self._table = table
         self._epoch = epoch
@@ -47,7 +56,7 @@
         answer = await self._ask(Summary(table.partition, self._epoch, self._me, table.digests(), fence=True))
         buckets = answer.buckets
         for start in range(0, len(buckets), BUCKETS_AT_ONCE):
-            await self._settle(buckets[start:start + BUCKETS_AT_ONCE])
+            await self._settle(buckets[start : start + BUCKETS_AT_ONCE])
 
     async def _settle(self, buckets: list[int]) -> None:
         while True:
@@ -77,7 +86,8 @@
         for chunk in _chunks(found):
             batch = Records(self._table.partition, self._epoch, chunk)
             answer = await self._transport.call(
-                self._address, Replicate(self._me, [batch], True), ANSWER_TIMEOUT_S)
+                self._address, Replicate(self._me, [batch], True), ANSWER_TIMEOUT_S
+            )
             if not isinstance(answer, Replicated):
                 raise PeerError("Replicate", self._address, f"answered {type(answer).__name__}")
             if answer.refused:
--- a/hollowusher/messages/hosting.py
+++ b/hollowusher/messages/hosting.py
@@ -47,8 +47,9 @@
     def place(self, placement: PartitionPlacement, tolerated: int) -> None:
         """Take a newer placement."""
         if self.placement is not None and set(self.placement.replicas) != set(placement.replicas):
-            self.former_replicas = [replica for replica in self.placement.replicas
-                                    if replica not in placement.replicas]
+            self.former_replicas = [
+                replica for replica in self.placement.replicas if replica not in placement.replicas
+            ]
         self.placement = placement
         self.commit_quorum = min(tolerated + 1, max(1, len(placement.replicas)))
 
--- a/hollowusher/messages/primary.py
+++ b/hollowusher/messages/primary.py
@@ -159,8 +159,16 @@
 class PartitionPrimary:
     """The queue and the leases of one partition, for one epoch or several in a row."""
 
-    def __init__(self, table: PartitionTable, epoch: int, configuration: Configuration | None,
-                 visibility_ms: int, chance: Callable[[], float], now: float, wall_ms: int) -> None:
+    def __init__(
+        self,
+        table: PartitionTable,
+        epoch: int,
+        configuration: Configuration | None,
+        visibility_ms: int,
+        chance: Callable[[], float],
+        now: float,
+        wall_ms: int,
+    ) -> None:
         self.table = table
         self.partition = table.partition
         self.epoch = epoch
@@ -336,8 +344,9 @@
         self._routes = frozenset(route.name for route in configuration.routes)
         self._upstreams = {route.name: route.upstream for route in configuration.routes}
         self._services = frozenset(service.name for service in configuration.upstreams)
-        rates = {service.name: service.rate_per_s for service in configuration.upstreams
-                 if service.rate_per_s > 0}
+        rates = {
+            service.name: service.rate_per_s for service in configuration.upstreams if service.rate_per_s > 0
+        }
         for service in [name for name in self._buckets if name not in rates]:
             del self._buckets[service]
         for service, rate in rates.items():
@@ -427,15 +436,28 @@
         self._sequence += 1
         return self.epoch, self._sequence
 
-    def _propose(self, key: Key, record: bytes, durable: bool, now: float,
-                 on_commit: Callable[[float, int], None] | None = None) -> Proposal:
+    def _propose(
+        self,
+        key: Key,
+        record: bytes,
+        durable: bool,
+        now: float,
+        on_commit: Callable[[float, int], None] | None = None,
+    ) -> Proposal:
         proposal = Proposal(key, record, durable, now, on_commit)
         self.pending[key] = proposal
         self.outbox.append(proposal)
         return proposal
 
-    def _propose_state(self, key: Key, state: State, durable: bool, now: float, wall_ms: int,
-                       on_commit: Callable[[float, int], None] | None = None) -> Proposal:
+    def _propose_state(
+        self,
+        key: Key,
+        state: State,
+        durable: bool,
+        now: float,
+        wall_ms: int,
+        on_commit: Callable[[float, int], None] | None = None,
+    ) -> Proposal:
         record = records.pack_state(self.partition, key, state)
         self.table.apply(record, wall_ms)
         return self._propose(key, record, durable, now, on_commit)
@@ -447,17 +469,33 @@
         if state is None:
             return State(version)
         return attrs.evolve(
-            state, version=version, status=Status.QUEUED, lease=0, dispatcher="", incarnation=0, pull=False,
-            visibility_ms=0)
+            state,
+            version=version,
+            status=Status.QUEUED,
+            lease=0,
+            dispatcher="",
+            incarnation=0,
+            pull=False,
+            visibility_ms=0,
+        )
 
     def _activate(self, key: Key, put: Put, retained_until: float) -> ActiveMessage:
         message = put.message
         active = ActiveMessage(
-            key=key, service=self._service_for(message.route, message.service), priority=message.priority,
-            due_ms=put.due_ms, ordering_key=message.ordering_key, start_aim_s=_start_aim_s(message),
-            id=message.id, route=message.route,
-            generation=put.generation, max_attempts=message.max_attempts, timeout_ms=message.timeout_ms,
-            callback_url=message.callback_url, retained_until=retained_until)
+            key=key,
+            service=self._service_for(message.route, message.service),
+            priority=message.priority,
+            due_ms=put.due_ms,
+            ordering_key=message.ordering_key,
+            start_aim_s=_start_aim_s(message),
+            id=message.id,
+            route=message.route,
+            generation=put.generation,
+            max_attempts=message.max_attempts,
+            timeout_ms=message.timeout_ms,
+            callback_url=message.callback_url,
+            retained_until=retained_until,
+        )
         self._active[key] = active
         self._ids[message.id] = key
         self.queue.add(active)
@@ -490,7 +528,8 @@
         state.pull, state.visibility_ms = request.pull, request.visibility_ms
         lasts_s = self._lease_seconds(active, state)
         proposal = self._propose_state(
-            active.key, state, False, now, wall_ms, partial(self._granted, active, state.lease, lasts_s))
+            active.key, state, False, now, wall_ms, partial(self._granted, active, state.lease, lasts_s)
+        )
         active.lease = state.lease
         self._leased[active.key] = active
         self._start_expiry(active, now + lasts_s)
@@ -516,8 +555,15 @@
             return active.lease == number
         return number >= last_lease_of(entry) and active.stage in (Stage.WAITING, Stage.READY)
 
-    def _take_result(self, active: ActiveMessage, entry: Entry, end: LeaseEnd, least_wait_s: float,
-                     now: float, wall_ms: int) -> Proposal:
+    def _take_result(
+        self,
+        active: ActiveMessage,
+        entry: Entry,
+        end: LeaseEnd,
+        least_wait_s: float,
+        now: float,
+        wall_ms: int,
+    ) -> Proposal:
         if end.result == "success":
             return self._end(active, Status.COMPLETED, now, wall_ms, end)
         if end.result == "refused":
@@ -541,8 +587,9 @@
             return min(FAILED_MOST_S, FAILED_FIRST_S * 2.0 ** min(attempts - 1, MOST_DOUBLINGS)) * jitter
         return UNKNOWN_S * jitter
 
-    def _requeue(self, active: ActiveMessage, ready_at: float, now: float, wall_ms: int,
-                 end: LeaseEnd | None = None) -> Proposal:
+    def _requeue(
+        self, active: ActiveMessage, ready_at: float, now: float, wall_ms: int, end: LeaseEnd | None = None
+    ) -> Proposal:
         state = self._changed_state(active.key)
         if end is not None:
             end.enter(state)
@@ -553,8 +600,9 @@
         self._release(active, ready_at, now, wall_ms)
         return self.pending.get(active.key, proposal)
 
-    def _end(self, active: ActiveMessage, status: Status, now: float, wall_ms: int,
-             end: LeaseEnd | None = None) -> Proposal:
+    def _end(
+        self, active: ActiveMessage, status: Status, now: float, wall_ms: int, end: LeaseEnd | None = None
+    ) -> Proposal:
         state = self._changed_state(active.key)
         state.status = status
         if end is not None:
@@ -618,8 +666,11 @@
     def _dropped(self, active: ActiveMessage) -> bool:
         """Whether a configuration newer than the one that accepted the message has no such route."""
         configuration = self._configuration
-        return (configuration is not None and configuration.generation > active.generation
-                and active.route not in self._routes)
+        return (
+            configuration is not None
+            and configuration.generation > active.generation
+            and active.route not in self._routes
+        )
 
     def _service_for(self, route: str, service: str) -> str:
         """The service of a message: as accepted, or the route's present one where that is gone."""
@@ -657,8 +708,9 @@
         self._leased[active.key] = active
         self._start_expiry(active, now + self._lease_seconds(active, state))
 
-    def _adopt_lease(self, active: ActiveMessage, entry: Entry, number: int, now: float,
-                     wall_ms: int) -> Proposal:
+    def _adopt_lease(
+        self, active: ActiveMessage, entry: Entry, number: int, now: float, wall_ms: int
+    ) -> Proposal:
         """Believe a pull worker that holds a lease whose record was lost."""
         state = self._changed_state(active.key)
         state.status = Status.LEASED
@@ -694,8 +746,15 @@
         if key in self._callbacks or not service:
             return
         callback = CallbackJob(
-            key=key, service=service, priority=0, due_ms=state.ended_ms, id=state.id,
-            callback_url=state.callback_url, status=state.status, signature=state.signature)
+            key=key,
+            service=service,
+            priority=0,
+            due_ms=state.ended_ms,
+            id=state.id,
+            callback_url=state.callback_url,
+            status=state.status,
+            signature=state.signature,
+        )
         self._callbacks[key] = callback
         self.queue.add(callback)
         self.queue.release(callback, now, now)
@@ -715,14 +774,28 @@
 
     def _callback_job(self, callback: CallbackJob) -> Job:
         message = NewMessage(
-            id=callback.id, route="", service=callback.service, method="POST", path="", host="", body=b"",
-            callback_url=callback.callback_url)
+            id=callback.id,
+            route="",
+            service=callback.service,
+            method="POST",
+            path="",
+            host="",
+            body=b"",
+            callback_url=callback.callback_url,
+        )
         lease = records.lease_id_of(self.partition, callback.key, callback.lease, callback=True)
-        return Job(lease, message, callback.failures, START_WITHIN_MS, STATE_NAMES[callback.status],
-                   callback.signature)
-
-    def _finish_callback(self, lease: LeaseId, finish: Finish, now: float,
-                         wall_ms: int) -> Proposal | LeaseAnswer:
+        return Job(
+            lease,
+            message,
+            callback.failures,
+            START_WITHIN_MS,
+            STATE_NAMES[callback.status],
+            callback.signature,
+        )
+
+    def _finish_callback(
+        self, lease: LeaseId, finish: Finish, now: float, wall_ms: int
+    ) -> Proposal | LeaseAnswer:
         entry = self.table.entries.get(lease.key)
         if entry is None or entry.state is None or not entry.state.callback_owed:
             return self.pending.get(lease.key) or TAKEN
@@ -733,14 +806,15 @@
                 self.queue.remove(callback, now)
                 del self._callbacks[lease.key]
             state = attrs.evolve(
-                entry.state, version=self._next_version(), callback_owed=False, callback_url="")
+                entry.state, version=self._next_version(), callback_owed=False, callback_url=""
+            )
             return self._propose_state(lease.key, state, False, now, wall_ms)
         if callback is None or callback.lease != lease.number:
             return GONE
         if finish.result != "not_run":
             callback.failures += 1
         doublings = min(max(callback.failures - 1, 0), MOST_DOUBLINGS)
-        wait_s = min(CALLBACK_MOST_S, CALLBACK_FIRST_S * 2.0 ** doublings)
+        wait_s = min(CALLBACK_MOST_S, CALLBACK_FIRST_S * 2.0**doublings)
         self._requeue_callback(callback, max(wait_s, finish.retry_ms / 1000), now)
         return TAKEN
 
--- a/hollowusher/messages/records.py
+++ b/hollowusher/messages/records.py
@@ -103,28 +103,40 @@
     message = put.message
     values = [getattr(message, name) for name in _NEW_MESSAGE_FIELDS]
     return _HEADER.pack(Kind.PUT, partition, *key) + ormsgpack.packb(
-        [put.accepted_ms, put.due_ms, put.generation, values])
+        [put.accepted_ms, put.due_ms, put.generation, values]
+    )
 
 
 def unpack_put(record: bytes) -> Put:
     """The content of a PUT record."""
-    accepted_ms, due_ms, generation, values = ormsgpack.unpackb(memoryview(record)[_HEADER.size:])
+    accepted_ms, due_ms, generation, values = ormsgpack.unpackb(memoryview(record)[_HEADER.size :])
     return Put(accepted_ms, due_ms, generation, NewMessage(*values))
 
 
 def pack_state(partition: int, key: Key, state: State) -> bytes:
     """A STATE record of the message `key`."""
     values = [
-        state.status.value, state.attempts, state.lease, state.dispatcher, state.incarnation, state.pull,
-        state.visibility_ms, state.last_lease, state.last_result, state.signature, state.callback_owed,
-        state.ended_ms, state.id, state.callback_url,
+        state.status.value,
+        state.attempts,
+        state.lease,
+        state.dispatcher,
+        state.incarnation,
+        state.pull,
+        state.visibility_ms,
+        state.last_lease,
+        state.last_result,
+        state.signature,
+        state.callback_owed,
+        state.ended_ms,
+        state.id,
+        state.callback_url,
     ]
     return _HEADER.pack(Kind.STATE, partition, *state.version) + ormsgpack.packb([*key, *values])
 
 
 def unpack_state(record: bytes, version: Version) -> tuple[Key, State]:
     """The message and the content of a STATE record with this version."""
-    epoch, sequence, status, *values = ormsgpack.unpackb(memoryview(record)[_HEADER.size:])
+    epoch, sequence, status, *values = ormsgpack.unpackb(memoryview(record)[_HEADER.size :])
     return (epoch, sequence), State(version, Status(status), *values)
 
 
@@ -168,7 +180,7 @@
     reference, _, number = lease.rpartition("-")
     parsed = parse_reference(reference)
     callback = number.startswith(CALLBACK_LEASE)
-    digits = number[len(CALLBACK_LEASE):] if callback else number
+    digits = number[len(CALLBACK_LEASE) :] if callback else number
     if parsed is None or not (digits.isascii() and digits.isdigit()):
         return None
     return LeaseId(parsed[0], parsed[1], int(digits), callback)
--- a/hollowusher/messages/recovery.py
+++ b/hollowusher/messages/recovery.py
@@ -34,8 +34,13 @@
 
     def recover_all(self) -> None:
         """Start on each peer that lacks records and is not being worked on."""
-        peers = {peer for host in self._replicator.hosts.values() if host.epoch and host.promised
-                 for peer, link in host.links.items() if not link.complete}
+        peers = {
+            peer
+            for host in self._replicator.hosts.values()
+            if host.epoch and host.promised
+            for peer, link in host.links.items()
+            if not link.complete
+        }
         for peer in sorted(peers - self._recovering):
             self._recovering.add(peer)
             self._replicator.run(self._recover(peer))
@@ -59,8 +64,11 @@
     async def _probe(self, peer: str, address: str) -> bool:
         """Ask with empty batches whether the peer is there; it learns the epochs by that."""
         replicator = self._replicator
-        batches = [Records(host.partition, host.epoch, []) for host in replicator.hosts.values()
-                   if host.epoch and host.promised and peer in host.links]
+        batches = [
+            Records(host.partition, host.epoch, [])
+            for host in replicator.hosts.values()
+            if host.epoch and host.promised and peer in host.links
+        ]
         message = Replicate(replicator.store_id, batches, True)
         answer = await replicator.transport.call(address, message, PROBE_TIMEOUT_S)
         if not isinstance(answer, Replicated):
@@ -89,8 +97,15 @@
         replicator = self._replicator
         epoch = host.epoch
         comparison = Comparison(
-            host.table, epoch, replicator.store_id, address, replicator.transport, replicator.log,
-            replicator.wall_ms, paced)
+            host.table,
+            epoch,
+            replicator.store_id,
+            address,
+            replicator.transport,
+            replicator.log,
+            replicator.wall_ms,
+            paced,
+        )
         try:
             await comparison.run()
         except StaleEpoch as stale:
@@ -116,8 +131,12 @@
     async def scrub(self) -> None:
         """Compare one partition with one of its replicas."""
         replicator = self._replicator
-        pairs = [(host, peer) for host in replicator.serving()
-                 for peer, link in host.links.items() if link.complete]
+        pairs = [
+            (host, peer)
+            for host in replicator.serving()
+            for peer, link in host.links.items()
+            if link.complete
+        ]
         if not pairs:
             return
         host, peer = pairs[int(self._chance() * len(pairs)) % len(pairs)]
--- a/hollowusher/messages/replication.py
+++ b/hollowusher/messages/replication.py
@@ -69,8 +69,9 @@
 class ReplicationStream:
     """Batches to one peer."""
 
-    def __init__(self, me: str, peer: str, owner: StreamOwner, transport: Transport,
-                 run: Callable[..., None]) -> None:
+    def __init__(
+        self, me: str, peer: str, owner: StreamOwner, transport: Transport, run: Callable[..., None]
+    ) -> None:
         self.peer = peer
         self.latency_s = 0.0  # smoothed
         self._me = me
@@ -173,8 +174,9 @@
             records = by_partition.setdefault(partition, [])
             if proposal.record:
                 records.append(proposal.record)
-        batches = [Records(partition, epochs[partition], records)
-                   for partition, records in by_partition.items()]
+        batches = [
+            Records(partition, epochs[partition], records) for partition, records in by_partition.items()
+        ]
         answer = await self._transport.call(address, Replicate(self._me, batches, durable), ANSWER_TIMEOUT_S)
         if not isinstance(answer, Replicated):
             raise PeerError("Replicate", address, f"answered {type(answer).__name__}")
--- a/hollowusher/messages/replicator.py
+++ b/hollowusher/messages/replicator.py
@@ -30,8 +30,16 @@
     """The partitions of one store and their replication.  The owner sets `stepped` (called after a primary
     has changed), `took_over` (a primary is to be made) and `recover` (peers lack records)."""
 
-    def __init__(self, store_id: str, transport: Transport, log: Log, state: ClusterState, tolerated: int,
-                 status_ms: int, wall_ms: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        store_id: str,
+        transport: Transport,
+        log: Log,
+        state: ClusterState,
+        tolerated: int,
+        status_ms: int,
+        wall_ms: Callable[[], int],
+    ) -> None:
         self.store_id = store_id
         self.transport = transport
         self.log = log
--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -65,8 +65,17 @@
 class StoreService:
     """All partitions of one store, as the other processes see them."""
 
-    def __init__(self, me: Member, store_id: str, transport: Transport, log: Log, state: ClusterState,
-                 settings: BootSettings, chance: Callable[[], float], wall_ms: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        me: Member,
+        store_id: str,
+        transport: Transport,
+        log: Log,
+        state: ClusterState,
+        settings: BootSettings,
+        chance: Callable[[], float],
+        wall_ms: Callable[[], int],
+    ) -> None:
         self.me = me
         self.store_id = store_id
         self._log = log
@@ -77,7 +86,8 @@
         self._log_reserve = min(LOG_RESERVE_BYTES, log.free_bytes() // 8)
         status_ms = int(settings.bounds.status_s * 1000)
         self._replicator = Replicator(
-            store_id, transport, log, state, settings.fault_tolerance.machines, status_ms, wall_ms)
+            store_id, transport, log, state, settings.fault_tolerance.machines, status_ms, wall_ms
+        )
         self._recovery = Recovery(self._replicator, chance)
         self._replicator.stepped = self._after
         self._replicator.took_over = self._begin
@@ -90,8 +100,12 @@
         self._last_tick = 0.0
         self._next_recover = self._next_forget = self._next_scrub = 0.0
         self._handlers: dict[type, Callable[[Any], Awaitable[Any]]] = {
-            Put: self._put, LeaseRequest: self._lease, Finish: self._finish, Extend: self._extend,
-            StatusRequest: self._status, Replicate: self._replicator.replicate,
+            Put: self._put,
+            LeaseRequest: self._lease,
+            Finish: self._finish,
+            Extend: self._extend,
+            StatusRequest: self._status,
+            Replicate: self._replicator.replicate,
             Summary: self._replicator.summary,
         }
 
@@ -291,8 +305,8 @@
         """Enough replicas have been compared: serve."""
         now, wall_ms = self._now(), self._wall_ms()
         host.primary = PartitionPrimary(
-            host.table, host.epoch, self._state.configuration, self._visibility_ms, self._chance, now,
-            wall_ms)
+            host.table, host.epoch, self._state.configuration, self._visibility_ms, self._chance, now, wall_ms
+        )
         host.primary.release_dispatchers(self._may_live, now, wall_ms)
         self._after(host)
         self._serving_changed.set()
--- a/hollowusher/messages/table.py
+++ b/hollowusher/messages/table.py
@@ -145,8 +145,9 @@
             self._cache_record(entry, record)
         return key
 
-    def _merge_state(self, record: bytes, version: Version, wall_ms: int,
-                     position: Position | None) -> Key | None:
+    def _merge_state(
+        self, record: bytes, version: Version, wall_ms: int, position: Position | None
+    ) -> Key | None:
         key, state = records.unpack_state(record, version)
         entry = self.entries.get(key)
         if entry is None:
@@ -195,8 +196,11 @@
 
     def forget_expired(self, wall_ms: int) -> list[Key]:
         """Drop the messages that ended long enough ago; their keys."""
-        expired = [entry.key for entry in self.entries.values()
-                   if entry.state is not None and self._expired(entry.state, wall_ms)]
+        expired = [
+            entry.key
+            for entry in self.entries.values()
+            if entry.state is not None and self._expired(entry.state, wall_ms)
+        ]
         for key in expired:
             self._forget(key)
         return expired
@@ -250,8 +254,11 @@
 
     def differing(self, digests: list[int]) -> list[int]:
         """The buckets whose content is not that of the digests."""
-        return [bucket for bucket, (mine, other) in enumerate(zip(self.digests(), digests, strict=True))
-                if mine != other]
+        return [
+            bucket
+            for bucket, (mine, other) in enumerate(zip(self.digests(), digests, strict=True))
+            if mine != other
+        ]
 
     def versions(self, buckets: Iterable[int]) -> dict[int, dict[str, list[int]]]:
         """What is held in some buckets: bucket -> reference -> summary."""
--- a/hollowusher/messages/waiting.py
+++ b/hollowusher/messages/waiting.py
@@ -20,8 +20,9 @@
 class JobWaiters:
     """Waiting lease requests by service, oldest first.  `has_ready` tells whether a job could go now."""
 
-    def __init__(self, store_id: str, transport: Transport, state: ClusterState,
-                 has_ready: Callable[[str], bool]) -> None:
+    def __init__(
+        self, store_id: str, transport: Transport, state: ClusterState, has_ready: Callable[[str], bool]
+    ) -> None:
         self._store_id = store_id
         self._transport = transport
         self._state = state
--- a/hollowusher/roles/change_log.py
+++ b/hollowusher/roles/change_log.py
@@ -9,7 +9,11 @@
 from collections.abc import Callable
 
 from hollowusher.coordination.cluster_state import (
-    CONFIGURATION, MEMBER_PREFIX, PLACEMENT, VIEW, ClusterState,
+    CONFIGURATION,
+    MEMBER_PREFIX,
+    PLACEMENT,
+    VIEW,
+    ClusterState,
 )
 from hollowusher.protocol.control import Placement
 from hollowusher.roles.logs import log
@@ -50,8 +54,11 @@
                 log("primary_of", partitions=sorted(led), version=placement.version)
             self._led = led
         elif self._is_head():
-            moved = {str(number): primary for number, primary in primaries.items()
-                     if self._primaries.get(number) != primary}
+            moved = {
+                str(number): primary
+                for number, primary in primaries.items()
+                if self._primaries.get(number) != primary
+            }
             learning = sum(1 for entry in placement.partitions if entry.learners)
             log("placement", version=placement.version, moved=moved, with_learners=learning)
         self._primaries = primaries
--- a/hollowusher/roles/control.py
+++ b/hollowusher/roles/control.py
@@ -30,12 +30,26 @@
         self._process = process
         self.feed = Feed(f"{me.name}/{me.incarnation}")
         self.controller = Controller(
-            me, process.transport, settings, SlotFile(folder / VIEW_SLOT), SlotFile(folder / STATE_SLOT),
-            process.chance, self._publish_view, self._publish_state)
+            me,
+            process.transport,
+            settings,
+            SlotFile(folder / VIEW_SLOT),
+            SlotFile(folder / STATE_SLOT),
+            process.chance,
+            self._publish_view,
+            self._publish_state,
+        )
         self.reader = PlatformReader(settings.cloud_api.address, settings.cloud_api.rate_per_s)
         self.duties = HeadDuties(
-            me, self.controller, self.feed, Directory(clock()), settings, self.reader, process.transport,
-            clock)
+            me,
+            self.controller,
+            self.feed,
+            Directory(clock()),
+            settings,
+            self.reader,
+            process.transport,
+            clock,
+        )
         ChangeLog(process.state, "", lambda: self.controller.is_head)
 
     async def start(self) -> None:
--- a/hollowusher/roles/edge.py
+++ b/hollowusher/roles/edge.py
@@ -60,11 +60,12 @@
         self.store_client = StoreClient(transport, state, loop.time)
         homes = ZoneHomes(state, settings.zone)
         self.dispatcher = Dispatcher(
-            me, transport, state, self.store_client, settings, HttpWorkerClient(), process.chance,
-            homes=homes)
+            me, transport, state, self.store_client, settings, HttpWorkerClient(), process.chance, homes=homes
+        )
         self.intake = Intake(state, self.store_client, self.dispatcher.pull_desk, homes, loop.time)
         self.frontend = EdgeFrontend(
-            self.intake, settings.bind.frontend, settings.bind.readiness, self.ready, self._report)
+            self.intake, settings.bind.frontend, settings.bind.readiness, self.ready, self._report
+        )
         self.serving = asyncio.Event()
         self._operator_site: web.AppRunner | None = None
 
@@ -141,8 +142,9 @@
         process = self.process
         forward = OperatorForward(self.me.name, process.state, process.transport, self.handle)
         clock = asyncio.get_running_loop().time
-        status = StatusApi(lambda: self.client.me, process.state, self.store_client, self.ready,
-                           self._figures, clock)
+        status = StatusApi(
+            lambda: self.client.me, process.state, self.store_client, self.ready, self._figures, clock
+        )
         self._operator_site = await serve_operator(process.settings.bind.admin, forward, status)
 
     def _figures(self) -> dict[str, dict[str, int]]:
@@ -151,8 +153,10 @@
         return {
             "intake": attrs.asdict(self.intake.figures),
             "delivery": attrs.asdict(self.dispatcher.figures),
-            "transport": {"connections_accepted": len(transport.accepted),
-                          "failed_handlers": transport.failed_handlers},
+            "transport": {
+                "connections_accepted": len(transport.accepted),
+                "failed_handlers": transport.failed_handlers,
+            },
             "settings": {"refused": self.process.watch.refused},
             "platform_list": {"calls": 0 if self.control is None else self.control.reader.calls},
         }
@@ -175,7 +179,8 @@
     """Run an edge process until it is stopped; the exit code."""
     process = Process(settings, path, "edge")
     controller = bool(
-        process.folder is not None and settings.counts_for_quorum and CONTROL_PLANE in settings.serves)
+        process.folder is not None and settings.counts_for_quorum and CONTROL_PLANE in settings.serves
+    )
     me = await process.identify(controller)
     await EdgeProcess(process, me).run()
     return 0
--- a/hollowusher/roles/operator_site.py
+++ b/hollowusher/roles/operator_site.py
@@ -26,8 +26,9 @@
 class OperatorForward:
     """Brings an operator's order to the chain's head, a question to its tail.  `handle` answers here."""
 
-    def __init__(self, name: str, state: ClusterState, transport: Transport,
-                 handle: Callable[[Any], Awaitable[Any]]) -> None:
+    def __init__(
+        self, name: str, state: ClusterState, transport: Transport, handle: Callable[[Any], Awaitable[Any]]
+    ) -> None:
         self._name = name
         self._state = state
         self._transport = transport
--- a/hollowusher/roles/process.py
+++ b/hollowusher/roles/process.py
@@ -52,8 +52,17 @@
         else:
             incarnation = next_incarnation(wall_ms(), None, self.chance)
         return Member(
-            settings.node_name, self.role, settings.internal_address, settings.zone, settings.region,
-            incarnation, disk_id, settings.counts_for_quorum, controller, settings.bind.admin)
+            settings.node_name,
+            self.role,
+            settings.internal_address,
+            settings.zone,
+            settings.region,
+            incarnation,
+            disk_id,
+            settings.counts_for_quorum,
+            controller,
+            settings.bind.admin,
+        )
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
         """Run a part beside the others; its failure is logged and ends the process."""
--- a/hollowusher/roles/store.py
+++ b/hollowusher/roles/store.py
@@ -28,7 +28,8 @@
     ring_log = RingLog(process.folder / RING_FOLDER, ring.segment_bytes, ring.segments)
     client = ClusterClient(me, process.transport, settings, process.state, None, process.chance)
     service = StoreService(
-        me, me.store_id, process.transport, ring_log, process.state, settings, process.chance.random, wall_ms)
+        me, me.store_id, process.transport, ring_log, process.state, settings, process.chance.random, wall_ms
+    )
 
     ChangeLog(process.state, me.store_id, lambda: False)
 
--- a/hollowusher/storage/memory.py
+++ b/hollowusher/storage/memory.py
@@ -25,8 +25,9 @@
 class MemoryLog:
     """A log in memory.  `sync_s` is how long a sync takes; `failing` makes syncs and appends fail."""
 
-    def __init__(self, segment_bytes: int = 64 * 1024, segments: int = 64, sync_s: float = 0.0,
-                 stall_s: float = 2.0) -> None:
+    def __init__(
+        self, segment_bytes: int = 64 * 1024, segments: int = 64, sync_s: float = 0.0, stall_s: float = 2.0
+    ) -> None:
         self.sync_s = sync_s
         self.failing = ""  # the reason, empty: works
         self.syncs = 0
@@ -118,8 +119,11 @@
         lost = self._lost_records(chance, in_order)
         after._segments = {}
         for segment in self._segments.values():
-            records = {offset: record for offset, record in segment.records.items()
-                       if (segment.sequence, offset) not in lost}
+            records = {
+                offset: record
+                for offset, record in segment.records.items()
+                if (segment.sequence, offset) not in lost
+            }
             after._adopt(_Segment(segment.sequence, records, end=segment.end))
         after._adopt(_Segment(max(self._segments) + 1))  # a torn tail never stands before newer records
         return after
@@ -127,7 +131,7 @@
     def _lost_records(self, chance: Random, in_order: bool) -> set[tuple[int, int]]:
         unsynced = [(position.segment, position.offset) for position in self._unsynced]
         if in_order:
-            return set(unsynced[chance.randint(0, len(unsynced)):])
+            return set(unsynced[chance.randint(0, len(unsynced)) :])
         return {key for key in unsynced if chance.random() < 0.5}
 
     def _adopt(self, segment: _Segment) -> None:
--- a/hollowusher/storage/ring_log.py
+++ b/hollowusher/storage/ring_log.py
@@ -129,9 +129,16 @@
     `files`, `worker` and `chance` are there for tests.  Counters: `syncs`, `failed_batches`,
     `moved_records`, `damaged_records`."""
 
-    def __init__(self, folder: Path, segment_bytes: int = 4 * MEBIBYTE, segments: int = 16,
-                 stall_s: float = 2.0, files: Files | None = None, worker: DiskWorker | None = None,
-                 chance: Random | None = None) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        segment_bytes: int = 4 * MEBIBYTE,
+        segments: int = 16,
+        stall_s: float = 2.0,
+        files: Files | None = None,
+        worker: DiskWorker | None = None,
+        chance: Random | None = None,
+    ) -> None:
         if segments < LEAST_SEGMENTS:
             raise ValueError(f"a ring needs at least {LEAST_SEGMENTS} segments, not {segments}")
         self.syncs = 0
@@ -211,12 +218,13 @@
         following = self._segments.get(segment.sequence + 1)
         known_end = following.previous_end if following is not None else UNKNOWN_END
         for index, part in enumerate(segment.parts):
-            end = min((later.base for later in segment.parts[index + 1:]), default=known_end)
+            end = min((later.base for later in segment.parts[index + 1 :]), default=known_end)
             assert part.file is not None
             yield from self._replay_part(segment, part, part.file, None if end == UNKNOWN_END else end)
 
-    def _replay_part(self, segment: _Segment, part: _Part, file: SegmentFile,
-                     end: int | None) -> Iterator[tuple[Position, bytes]]:
+    def _replay_part(
+        self, segment: _Segment, part: _Part, file: SegmentFile, end: int | None
+    ) -> Iterator[tuple[Position, bytes]]:
         data = self._io.read(file.descriptor, file.size, 0)
         header = SegmentHeader(segment.sequence, part.number, part.base, part.nonce, segment.previous_end)
         scan = RecordScan(memoryview(data)[HEADER_BYTES:], header, end)
@@ -228,7 +236,7 @@
         self.damaged_records += scan.damaged
         segment.end = segment.synced = scan.position
         if end is None:
-            self._write_again(file, data[:HEADER_BYTES + scan.position - part.base])
+            self._write_again(file, data[: HEADER_BYTES + scan.position - part.base])
 
     def _write_again(self, file: SegmentFile, data: bytes) -> None:
         """Make durable what was read.  On a full disk the sync alone has to do."""
@@ -398,9 +406,9 @@
         if self._closed:
             self._files.close()
             return
-        for write in self._batch_writes[:outcome.written]:
+        for write in self._batch_writes[: outcome.written]:
             self._take_written(write)
-        self._batch_writes, failed = [], self._batch_writes[outcome.written:]
+        self._batch_writes, failed = [], self._batch_writes[outcome.written :]
         self._files.free_retired(self._synced)
         self._answer_waiters()
         if outcome.failure is None:
--- a/hollowusher/storage/segment_format.py
+++ b/hollowusher/storage/segment_format.py
@@ -39,8 +39,9 @@
 
     def encode(self) -> bytes:
         """The header's bytes."""
-        data = _HEADER.pack(MAGIC, FORMAT_VERSION, self.part, self.sequence, self.nonce, self.base,
-                            self.previous_end)
+        data = _HEADER.pack(
+            MAGIC, FORMAT_VERSION, self.part, self.sequence, self.nonce, self.base, self.previous_end
+        )
         return data + _CHECKSUM.pack(xxhash.xxh64_intdigest(data))
 
 
@@ -48,7 +49,7 @@
     """The header in a file's first bytes, None where there is no valid one."""
     if len(data) < HEADER_BYTES:
         return None
-    fields = data[:_HEADER.size]
+    fields = data[: _HEADER.size]
     (checksum,) = _CHECKSUM.unpack_from(data, _HEADER.size)
     if xxhash.xxh64_intdigest(fields) != checksum:
         return None
@@ -100,7 +101,7 @@
             start = offset - base + FRAME_BYTES
             length, checksum = _FRAME.unpack_from(view, offset - base)
             fits = offset + FRAME_BYTES + length <= limit
-            payload = view[start:start + length] if fits else b""
+            payload = view[start : start + length] if fits else b""
             if fits and xxhash.xxh64_intdigest(payload, (nonce + offset) & MASK_64) == checksum:
                 self.position = offset + FRAME_BYTES + length
                 yield offset, bytes(payload)
--- a/hollowusher/storage/slots.py
+++ b/hollowusher/storage/slots.py
@@ -32,7 +32,7 @@
     if len(data) < _HEADER.size:
         return None
     magic, sequence, length, checksum = _HEADER.unpack_from(data)
-    value = data[_HEADER.size:_HEADER.size + length]
+    value = data[_HEADER.size : _HEADER.size + length]
     if magic != MAGIC or len(value) != length or xxhash.xxh64_intdigest(value, sequence) != checksum:
         return None
     return sequence, value
--- a/hollowusher/transport/tcp.py
+++ b/hollowusher/transport/tcp.py
@@ -56,7 +56,7 @@
             if len(buffer) < end:
                 break
             try:
-                number, kind, message = decode(bytes(buffer[start + LENGTH.size:end]))
+                number, kind, message = decode(bytes(buffer[start + LENGTH.size : end]))
             except (DecodeError, TypeError, ValueError):
                 self._drop()
                 return
@@ -264,7 +264,8 @@
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
         _, connection = await asyncio.wait_for(
-            loop.create_connection(lambda: _ClientConnection(address), host, port), CONNECT_TIMEOUT_S)
+            loop.create_connection(lambda: _ClientConnection(address), host, port), CONNECT_TIMEOUT_S
+        )
         return connection
 
 
