--- a/hollowusher/dispatch/worker_control.py
+++ b/hollowusher/dispatch/worker_control.py
@@ -122,7 +122,7 @@
             return 0
         self._notice_silence(now)
         if self.suspect and isolate:
-            return 1 if now >= self._trial_at and not self._sent else 0
+            return 1 if self._may_try(now) else 0
         return max(0, math.floor(self.usable_slots(now) + 0.5) - self.out)
 
     def allowed(self, now: float, isolate: bool = True) -> int:
@@ -134,8 +134,15 @@
         whole = int(self._controller.credit)
         if whole == 0:
             self._controller.wanted = True
+            if self._may_try(now):
+                return 1
         return min(room, whole)
 
+    def _may_try(self, now: float) -> bool:
+        """Whether a suspect worker is due a trial.  Its bundle does not grow while it is suspect: one that
+        became so before it had earned any, and is not isolated, would else never be tried again."""
+        return self.suspect and now >= self._trial_at and not self._sent
+
     def soon(self, now: float, isolate: bool = True) -> int:
         """How many jobs it may be handed within about two t_d: what is worth leasing for it now."""
         room = self.room(now, isolate)
--- a/tests/test_delivery.py
+++ b/tests/test_delivery.py
@@ -263,7 +263,8 @@
     @pytest.mark.parametrize(
         "sent",
         [
-            b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\nX-Attempt-Id: m1\r\nX-Server-Signature: s\r\n\r\nshort",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\nX-Attempt-Id: m1\r\n"
+            b"X-Server-Signature: s\r\n\r\nshort",
             b"HTTP/1.1 200 OK\r\nContent-Le",
             b"garbage that is no answer\r\n\r\n",
             b"",
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -722,3 +722,27 @@
             assert loop.time() - stopped <= 4
 
         play(work)
+
+
+def test_a_sole_worker_that_was_down_at_first_is_tried_until_it_is_back() -> None:
+    """Seed 403 of the simulation, m000510: an endpoint that is down when its owner begins."""
+    control = WorkerControl(0.0)
+    now = 0.0
+    assert control.allowed(now, isolate=False) >= 1
+    control.handed(now, "first")
+    control.ended(now, "first", Ending.UNREACHABLE)
+    for number in range(40):  # more failures than any credit that it began with
+        now += 1.0
+        if control.allowed(now, isolate=False):
+            control.handed(now, f"down-{number}")
+            control.ended(now, f"down-{number}", Ending.UNREACHABLE)
+    assert control.suspect
+    tries = 0
+    for number in range(40):
+        now += 1.0
+        if control.allowed(now, isolate=False):
+            tries += 1
+            control.handed(now, f"up-{number}")
+            control.ended(now + 0.01, f"up-{number}", Ending.DONE)
+    assert not control.suspect
+    assert tries >= 20
