--- a/hollowusher/simulation/__main__.py
+++ b/hollowusher/simulation/__main__.py
@@ -26,13 +26,29 @@
 @click.option("--go-on", is_flag=True, help="Do not stop at the first seed with a break.")
 @click.option("--verbose", is_flag=True, help="Print all breaks and troubles of each seed.")
 @click.option("--planted", "planted_names", default="", help="Planted faults to be found: names, or all.")
-def main(seeds: str, minutes: float, traffic_s: float, calm_s: float, rate: float, kinds: str,
-         quiet_days: bool, go_on: bool, verbose: bool, planted_names: str) -> None:
+def main(
+    seeds: str,
+    minutes: float,
+    traffic_s: float,
+    calm_s: float,
+    rate: float,
+    kinds: str,
+    quiet_days: bool,
+    go_on: bool,
+    verbose: bool,
+    planted_names: str,
+) -> None:
     """Play seeds and judge them; the exit code is 1 if any rule was broken, or a planted fault not found."""
     from hollowusher.simulation.day import DayPlan
 
-    plan = DayPlan(traffic_s=traffic_s, calm_s=calm_s, rate=rate, troubles=not quiet_days,
-                   worker_troubles=not quiet_days, kinds=tuple(kinds.split(",")) if kinds else None)
+    plan = DayPlan(
+        traffic_s=traffic_s,
+        calm_s=calm_s,
+        rate=rate,
+        troubles=not quiet_days,
+        worker_troubles=not quiet_days,
+        kinds=tuple(kinds.split(",")) if kinds else None,
+    )
     first, _, last = seeds.partition("-")
     numbers = range(int(first), int(last or first) + 1)
     if planted_names:
--- a/hollowusher/simulation/actors.py
+++ b/hollowusher/simulation/actors.py
@@ -77,8 +77,17 @@
 
     process = None
 
-    def __init__(self, outside: Outside, service: str, name: str, address: str, capacity: int,
-                 behaviour: Behaviour, table: SharedTable | None = None, rate: float = 0.0) -> None:
+    def __init__(
+        self,
+        outside: Outside,
+        service: str,
+        name: str,
+        address: str,
+        capacity: int,
+        behaviour: Behaviour,
+        table: SharedTable | None = None,
+        rate: float = 0.0,
+    ) -> None:
         self.outside = outside
         self.service = service
         self.name = name
@@ -201,8 +210,17 @@
 class PullWorker:
     """A worker that asks for jobs through the entry, a loop for each slot."""
 
-    def __init__(self, outside: Outside, service: str, name: str, host: str, slots: int, behaviour: Behaviour,
-                 choose_edge: object, visibility_s: float) -> None:
+    def __init__(
+        self,
+        outside: Outside,
+        service: str,
+        name: str,
+        host: str,
+        slots: int,
+        behaviour: Behaviour,
+        choose_edge: object,
+        visibility_s: float,
+    ) -> None:
         self.outside = outside
         self.service = service
         self.name = name
@@ -326,8 +344,14 @@
         told = orjson.loads(request.body)
         status = 503 if self.failing or chance.random() < 0.05 else 200
         url = f"http://{self.address}{request.target}"
-        call = CallbackCall(told.get("id", ""), url, told.get("state", ""), told.get("signature", ""),
-                            self.outside.now(), status)
+        call = CallbackCall(
+            told.get("id", ""),
+            url,
+            told.get("state", ""),
+            told.get("signature", ""),
+            self.outside.now(),
+            status,
+        )
         self.outside.seen.callbacks.append(call)
         if chance.random() < 0.02:
             return None
--- a/hollowusher/simulation/clients.py
+++ b/hollowusher/simulation/clients.py
@@ -47,8 +47,15 @@
 class Clients:
     """All clients of the day."""
 
-    def __init__(self, http: HttpNetwork, seen: Observations, chance: random.Random, host: str,
-                 choose_edge: Callable[[], EdgeAddress], noted: Callable[[EdgeAddress, float], None]) -> None:
+    def __init__(
+        self,
+        http: HttpNetwork,
+        seen: Observations,
+        chance: random.Random,
+        host: str,
+        choose_edge: Callable[[], EdgeAddress],
+        noted: Callable[[EdgeAddress, float], None],
+    ) -> None:
         self.http = http
         self.seen = seen
         self.chance = chance
@@ -107,8 +114,19 @@
         if stream.callback_hosts:
             callback = f"http://{self.chance.choice(stream.callback_hosts)}/done"
         body = self._body(stream, identifier)
-        message = SentMessage(identifier, stream.route, stream.service, body, key, delay_s, callback,
-                              edge.name, edge.life, self._now(), reference=identifier)
+        message = SentMessage(
+            identifier,
+            stream.route,
+            stream.service,
+            body,
+            key,
+            delay_s,
+            callback,
+            edge.name,
+            edge.life,
+            self._now(),
+            reference=identifier,
+        )
         self.seen.messages[identifier] = message
         await self._exchange(stream, message, edge, left)
         return message
--- a/hollowusher/simulation/day.py
+++ b/hollowusher/simulation/day.py
@@ -83,18 +83,47 @@
         return self.failures[0] if self.failures else ""
 
 
-def _route(name: str, prefix: str, service: str, attempts: int, retention_s: float, ordered: bool,
-           callback: bool, timeout_ms: int = 2000) -> dict[str, Any]:
-    return {"name": name, "hostname": "client.example", "pathPrefix": prefix, "type": "async",
-            "timeoutMs": timeout_ms, "targetLatencyMs": 150, "priority": 1, "upstream": service,
-            "maxAttempts": attempts, "ordered": ordered, "retentionS": retention_s, "callbackUrl": callback,
-            "targetStartMs": 1200}
+def _route(
+    name: str,
+    prefix: str,
+    service: str,
+    attempts: int,
+    retention_s: float,
+    ordered: bool,
+    callback: bool,
+    timeout_ms: int = 2000,
+) -> dict[str, Any]:
+    return {
+        "name": name,
+        "hostname": "client.example",
+        "pathPrefix": prefix,
+        "type": "async",
+        "timeoutMs": timeout_ms,
+        "targetLatencyMs": 150,
+        "priority": 1,
+        "upstream": service,
+        "maxAttempts": attempts,
+        "ordered": ordered,
+        "retentionS": retention_s,
+        "callbackUrl": callback,
+        "targetStartMs": 1200,
+    }
 
 
-def _service(name: str, rate: float = 0.0, idempotent: bool = False, pull: bool = False,
-             fixed: str | None = None) -> dict[str, Any]:
-    return {"name": name, "healthCheck": "/healthz", "maxConnections": 64, "protocol": "h1", "tls": False,
-            "ratePerS": rate, "idempotent": idempotent, "pull": pull, "fixed": fixed}
+def _service(
+    name: str, rate: float = 0.0, idempotent: bool = False, pull: bool = False, fixed: str | None = None
+) -> dict[str, Any]:
+    return {
+        "name": name,
+        "healthCheck": "/healthz",
+        "maxConnections": 64,
+        "protocol": "h1",
+        "tls": False,
+        "ratePerS": rate,
+        "idempotent": idempotent,
+        "pull": pull,
+        "fixed": fixed,
+    }
 
 
 def first_configuration() -> dict[str, Any]:
@@ -108,18 +137,33 @@
             _route("pull", "/pulled/", PULL, 6, 300.0, ordered=False, callback=True),
             _route("ordered", "/ordered/", FIXED, 4, 300.0, ordered=True, callback=True),
         ],
-        "upstreams": [_service(PUSH), _service(PULL, pull=True),
-                      _service(FIXED, rate=FIXED_RATE, idempotent=True, fixed=FIXED_ADDRESS)],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
-                   "idleTimeoutMs": 15000},
+        "upstreams": [
+            _service(PUSH),
+            _service(PULL, pull=True),
+            _service(FIXED, rate=FIXED_RATE, idempotent=True, fixed=FIXED_ADDRESS),
+        ],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 262144,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
     }
 
 
 def route_rules(document: dict[str, Any]) -> dict[str, model.RouteRules]:
     """The rules' figures of each route of a configuration."""
-    return {route["name"]: model.RouteRules(
-        route["name"], route["upstream"], route["maxAttempts"], route["retentionS"],
-        route["timeoutMs"] / 1000, route["ordered"]) for route in document["routes"]}
+    return {
+        route["name"]: model.RouteRules(
+            route["name"],
+            route["upstream"],
+            route["maxAttempts"],
+            route["retentionS"],
+            route["timeoutMs"] / 1000,
+            route["ordered"],
+        )
+        for route in document["routes"]
+    }
 
 
 class Day:
@@ -140,10 +184,17 @@
         self._newest = 0  # the newest generation known to the operator
         self._outside = Outside(self.world.http, self.seen, Stamps(), self.world.random("outside"))
         self._list = WorkerListServer(self.world.http, LIST_ADDRESS, LIST_LAG_S, 50.0)
-        self._clients = Clients(self.world.http, self.seen, self.world.random("clients"), CLIENT_HOST,
-                                self._choose_edge, self._note_generation)
-        self._operator = Operator(self.world.http, self.seen, self.world.random("operator"), OPERATOR_HOST,
-                                  self._admins)
+        self._clients = Clients(
+            self.world.http,
+            self.seen,
+            self.world.random("clients"),
+            CLIENT_HOST,
+            self._choose_edge,
+            self._note_generation,
+        )
+        self._operator = Operator(
+            self.world.http, self.seen, self.world.random("operator"), OPERATOR_HOST, self._admins
+        )
         self._edge_chance = self.world.random("edges")
 
     # ---- the platform's part
@@ -200,12 +251,21 @@
         for number in range(4):
             self._start_push_worker(f"10.128.0.{number + 1}:8080")
         for number in range(3):
-            worker = PullWorker(self._outside, PULL, f"pull-{number}", f"10.129.0.{number + 1}", 4, behaviour,
-                                self._pull_address, VISIBILITY_S)
+            worker = PullWorker(
+                self._outside,
+                PULL,
+                f"pull-{number}",
+                f"10.129.0.{number + 1}",
+                4,
+                behaviour,
+                self._pull_address,
+                VISIBILITY_S,
+            )
             worker.start()
             self.pull_workers.append(worker)
-        fixed = PushWorker(self._outside, FIXED, "fixed-1", FIXED_ADDRESS, 40, behaviour, SharedTable(),
-                           FIXED_RATE)
+        fixed = PushWorker(
+            self._outside, FIXED, "fixed-1", FIXED_ADDRESS, 40, behaviour, SharedTable(), FIXED_RATE
+        )
         fixed.start()
         self.push_workers[fixed.name] = fixed
         for address in RECEIVERS:
@@ -226,15 +286,19 @@
             await asyncio.sleep(chance.uniform(1.0, 6.0))
             if self.loop.time() >= until:
                 return
-            listed = [worker for worker in self.push_workers.values()
-                      if worker.alive and worker.service == PUSH and not worker.draining]
+            listed = [
+                worker
+                for worker in self.push_workers.values()
+                if worker.alive and worker.service == PUSH and not worker.draining
+            ]
             if len(listed) < 3:
                 continue
             worker = chance.choice(listed)
             drawn = chance.random()
             if drawn < 0.1:
-                await asyncio.gather(*(self._crash_worker(each, chance, down_s=chance.uniform(1.0, 12.0))
-                                       for each in listed))
+                await asyncio.gather(
+                    *(self._crash_worker(each, chance, down_s=chance.uniform(1.0, 12.0)) for each in listed)
+                )
             elif drawn < 0.5:
                 await self._crash_worker(worker, chance)
             else:
@@ -330,8 +394,12 @@
         for order in orders:
             self.rules.update(route_rules(order.document))
         requests = [patch_request(order, patch) for order, (patch, _) in zip(orders, made, strict=True)]
-        taken = await asyncio.gather(*(self._operator.send(order, request, until + 25.0)
-                                       for order, request in zip(orders, requests, strict=True)))
+        taken = await asyncio.gather(
+            *(
+                self._operator.send(order, request, until + 25.0)
+                for order, request in zip(orders, requests, strict=True)
+            )
+        )
         winners = [order for order, won in zip(orders, taken, strict=True) if won]
         if winners:
             self._take(winners[0])
@@ -371,8 +439,10 @@
 
     async def play(self) -> None:
         """The whole day."""
-        background = [asyncio.get_running_loop().create_task(work)
-                      for work in (self._watch_readiness(), self._sample_generations())]
+        background = [
+            asyncio.get_running_loop().create_task(work)
+            for work in (self._watch_readiness(), self._sample_generations())
+        ]
         await self._begin()
         until = self.loop.time() + self.plan.traffic_s
         work = [self._clients.play(stream, until) for stream in self._streams()]
@@ -444,13 +514,20 @@
         statuses = [message.status for message in messages]
         successes = {run.id for run in self.seen.runs if run.result == "success"}
         return {
-            "messages": len(statuses), "accepted": statuses.count(202), "503": statuses.count(503),
-            "504": statuses.count(504), "404": statuses.count(404), "unanswered": statuses.count(None),
-            "runs": len(self.seen.runs), "succeeded": len(successes),
+            "messages": len(statuses),
+            "accepted": statuses.count(202),
+            "503": statuses.count(503),
+            "504": statuses.count(504),
+            "404": statuses.count(404),
+            "unanswered": statuses.count(None),
+            "runs": len(self.seen.runs),
+            "succeeded": len(successes),
             "run again": len([run for run in self.seen.runs if run.result == "success"]) - len(successes),
-            "call-backs": len(self.seen.callbacks), "orders": len(self.seen.orders),
+            "call-backs": len(self.seen.callbacks),
+            "orders": len(self.seen.orders),
             "acknowledged": len([o for o in self.seen.orders if o.acknowledged_at is not None]),
-            "internal messages": self.world.network.messages, "exchanges": self.world.http.exchanges,
+            "internal messages": self.world.network.messages,
+            "exchanges": self.world.http.exchanges,
             "callbacks of the loop": self.loop.callbacks,
             "virtual s": self.loop.time() - 1000.0,
         }
--- a/hollowusher/simulation/faults.py
+++ b/hollowusher/simulation/faults.py
@@ -50,13 +50,24 @@
 
     async def _play_one(self) -> None:
         events: dict[str, tuple[float, Callable[[Machine], Awaitable[None]]]] = {
-            "kill": (3, self.kill), "power": (3, self.power), "freeze": (2, self.freeze),
-            "cut": (2, self.cut), "cut_one_way": (2, self.cut_one_way), "cut_pair": (1, self.cut_pair),
-            "disk": (2, self.disk), "stop": (2, self.stop), "reset": (1, self.reset),
-            "herd_kill": (0.7, self.herd_kill), "herd_power": (0.7, self.herd_power),
-            "roll": (0.7, self.roll), "herd_disk": (0.7, self.herd_disk), "slow": (1, self.slow),
-            "resets": (1, self.resets), "double": (1, self.double),
-            "split": (1.5, self.split), "lag_kill": (1, self.lag_kill),
+            "kill": (3, self.kill),
+            "power": (3, self.power),
+            "freeze": (2, self.freeze),
+            "cut": (2, self.cut),
+            "cut_one_way": (2, self.cut_one_way),
+            "cut_pair": (1, self.cut_pair),
+            "disk": (2, self.disk),
+            "stop": (2, self.stop),
+            "reset": (1, self.reset),
+            "herd_kill": (0.7, self.herd_kill),
+            "herd_power": (0.7, self.herd_power),
+            "roll": (0.7, self.roll),
+            "herd_disk": (0.7, self.herd_disk),
+            "slow": (1, self.slow),
+            "resets": (1, self.resets),
+            "double": (1, self.double),
+            "split": (1.5, self.split),
+            "lag_kill": (1, self.lag_kill),
             "store_alone": (1.5, self.store_alone),
         }
         names = [name for name in events if self._kinds is None or name in self._kinds]
@@ -209,8 +220,11 @@
 
     async def herd_disk(self, machine: Machine) -> None:
         """One machine loses its disk while all others that count lose power."""
-        await self._herd("herd_disk", lambda each: self.world.lose_disk(each) if each is machine
-                         else self.world.power_off(each), (0.5, 3.0))
+        await self._herd(
+            "herd_disk",
+            lambda each: self.world.lose_disk(each) if each is machine else self.world.power_off(each),
+            (0.5, 3.0),
+        )
         await asyncio.sleep(CATCH_UP_S)
 
     async def slow(self, machine: Machine) -> None:
--- a/hollowusher/simulation/http.py
+++ b/hollowusher/simulation/http.py
@@ -161,16 +161,18 @@
         else:
             network.loop.call_outside(0.0, _spawn, network.loop, work)
 
-    async def _serve(self, exchange: Exchange, server: Server, host: str,
-                     future: asyncio.Future[HttpAnswer]) -> None:
+    async def _serve(
+        self, exchange: Exchange, server: Server, host: str, future: asyncio.Future[HttpAnswer]
+    ) -> None:
         try:
             answer = await server.serve(exchange)
         except SilentServer:
             return
         self.network.loop.call_outside(self.network.delay(), self._return, exchange, host, answer, future)
 
-    def _return(self, exchange: Exchange, host: str, answer: HttpAnswer | None,
-                future: asyncio.Future[HttpAnswer]) -> None:
+    def _return(
+        self, exchange: Exchange, host: str, answer: HttpAnswer | None, future: asyncio.Future[HttpAnswer]
+    ) -> None:
         if future.done() or exchange.closed.is_set():
             return
         if not self.network.reaches(host, exchange.source):
--- a/hollowusher/simulation/invariants.py
+++ b/hollowusher/simulation/invariants.py
@@ -56,8 +56,9 @@
                 yield Broken("LOST", message.id, f"reported {answer.state} without an end", answer.at)
         if not any(answer.body == message.body for answer in finals):
             said = ", ".join(f"{answer.status} {answer.state}" for answer in finals) or "nothing"
-            yield Broken("LOST", message.id, f"accepted, not ended, body not back; last answers: {said}",
-                         seen.ended_at)
+            yield Broken(
+                "LOST", message.id, f"accepted, not ended, body not back; last answers: {said}", seen.ended_at
+            )
 
 
 def check_order(seen: Observations, rules: Rules) -> Iterator[Broken]:
@@ -73,14 +74,20 @@
                 yield from _overtaken(family, ends, later, run)
 
 
-def _overtaken(family: list[SentMessage], ends: dict[str, float], later: SentMessage,
-               run: Run) -> Iterator[Broken]:
+def _overtaken(
+    family: list[SentMessage], ends: dict[str, float], later: SentMessage, run: Run
+) -> Iterator[Broken]:
     for earlier in family:
-        accepted_before = earlier.accepted and earlier.answered_at is not None \
-            and earlier.answered_at < later.sent_at
+        accepted_before = (
+            earlier.accepted and earlier.answered_at is not None and earlier.answered_at < later.sent_at
+        )
         if accepted_before and ends[earlier.id] > run.started_at:
-            yield Broken("ORDER", later.id, f"started before {earlier.id} (key {later.ordering_key}) ended",
-                         run.started_at)
+            yield Broken(
+                "ORDER",
+                later.id,
+                f"started before {earlier.id} (key {later.ordering_key}) ended",
+                run.started_at,
+            )
 
 
 def check_twice(seen: Observations, rules: Rules) -> Iterator[Broken]:
@@ -95,8 +102,12 @@
         for again in model.runs_of(seen, run.id):
             after = again.started_at > run.read_at
             if after and not model.troubled(seen, run.started_at, again.started_at, CONTACT_S):
-                yield Broken("TWICE", run.id, f"ran again at {again.worker} after its success was read",
-                             again.started_at)
+                yield Broken(
+                    "TWICE",
+                    run.id,
+                    f"ran again at {again.worker} after its success was read",
+                    again.started_at,
+                )
     leases: dict[str, set[str]] = defaultdict(set)
     for end in seen.lease_ends:
         if end.result not in (200, 422):
@@ -111,8 +122,12 @@
     for message in seen.messages.values():
         if message.status in (408, 421, 429, 503):
             for run in model.runs_of(seen, message.id):
-                yield Broken("REFUSED", message.id, f"answered {message.status}, yet ran at {run.worker}",
-                             run.started_at)
+                yield Broken(
+                    "REFUSED",
+                    message.id,
+                    f"answered {message.status}, yet ran at {run.worker}",
+                    run.started_at,
+                )
 
 
 def check_unasked(seen: Observations, rules: Rules) -> Iterator[Broken]:
@@ -152,8 +167,9 @@
         yield from _told(seen, rules, known, call.state, call.signature, call.at, "call-back")
 
 
-def _told(seen: Observations, rules: Rules, message: SentMessage, state: str, signature: str, at: float,
-          where: str) -> Iterator[Broken]:
+def _told(
+    seen: Observations, rules: Rules, message: SentMessage, state: str, signature: str, at: float, where: str
+) -> Iterator[Broken]:
     if state == "completed" and signature not in model.stamps(seen, message.id):
         yield Broken("MIXED", message.id, f"{where}: completed with stamp {signature!r}", at)
     if state == "dead_letter" and not model.may_be_dead(seen, message, rules.routes[message.route], at):
@@ -203,8 +219,12 @@
     for message in _accepted(seen):
         route = rules.routes[message.route]
         if model.ended_at(seen, message, route) > seen.ended_at:
-            yield Broken("UNSERVED", message.id, f"{message.route}: accepted, not ended by the calm end",
-                         message.sent_at)
+            yield Broken(
+                "UNSERVED",
+                message.id,
+                f"{message.route}: accepted, not ended by the calm end",
+                message.sent_at,
+            )
 
 
 def check_stale(seen: Observations, rules: Rules) -> Iterator[Broken]:
@@ -239,8 +259,12 @@
         if order.acknowledged_at is None:
             continue
         if not order.valid:
-            yield Broken("CONFIG", f"order {order.number}", "an invalid configuration was acknowledged",
-                         order.acknowledged_at)
+            yield Broken(
+                "CONFIG",
+                f"order {order.number}",
+                "an invalid configuration was acknowledged",
+                order.acknowledged_at,
+            )
         other = taken.setdefault(order.if_match, order)
         if other is not order and model.canonical(other.document) != model.canonical(order.document):
             text = f"acknowledged on version {order.if_match}, as was order {other.number}"
@@ -256,8 +280,9 @@
     first_answer = min(order.acknowledged_at, order.refused_at)
     between = [other for other in others if first_answer < other.first_sent_at < order.refused_at]
     if not between:
-        yield Broken("CONFIG", f"order {number}", "acknowledged and refused, nothing sent in between",
-                     order.refused_at)
+        yield Broken(
+            "CONFIG", f"order {number}", "acknowledged and refused, nothing sent in between", order.refused_at
+        )
 
 
 def check_configuration_reads(seen: Observations, rules: Rules) -> Iterator[Broken]:
@@ -268,21 +293,27 @@
     for read in seen.reads:
         generation = read.document["generation"]
         sent = [order for order in seen.orders if order.generation == generation and order.first_sent_at > 0]
-        same = [order for order in sent
-                if model.canonical(order.document) == model.canonical(read.document)]
+        same = [order for order in sent if model.canonical(order.document) == model.canonical(read.document)]
         if not same and generation:
             yield Broken("CONFIG", f"version {generation}", "differs from what was sent", read.at)
         elif same and all(order.refused_at is not None and order.acknowledged_at is None for order in same):
             yield Broken("CONFIG", f"version {generation}", "is in force though it was refused", read.at)
     for read in seen.reads:
-        known = max((order.generation for order in seen.orders if order.acknowledged_at is not None
-                     and order.acknowledged_at < read.asked_at), default=0)
+        known = max(
+            (
+                order.generation
+                for order in seen.orders
+                if order.acknowledged_at is not None and order.acknowledged_at < read.asked_at
+            ),
+            default=0,
+        )
         if read.document["generation"] < known:
             text = f"version {read.document['generation']} was read, {known} had been acknowledged before"
             yield Broken("CONFIG", "read", text, read.at)
     for read in finals:
-        newest = max((order.generation for order in seen.orders if order.acknowledged_at is not None),
-                     default=0)
+        newest = max(
+            (order.generation for order in seen.orders if order.acknowledged_at is not None), default=0
+        )
         if read.document["generation"] < newest:
             text = f"version {read.document['generation']} came, {newest} was acknowledged"
             yield Broken("LOST", "configuration", text, read.at)
@@ -294,16 +325,30 @@
     for view in sorted(seen.generations, key=lambda view: view.at):
         key = (view.edge, view.life)
         if view.generation < newest.get(key, 0):
-            yield Broken("CONFIG", f"{view.edge}#{view.life}",
-                         f"went back from {newest[key]} to {view.generation}", view.at)
+            yield Broken(
+                "CONFIG",
+                f"{view.edge}#{view.life}",
+                f"went back from {newest[key]} to {view.generation}",
+                view.at,
+            )
         newest[key] = max(view.generation, newest.get(key, 0))
     for view in seen.generations:
-        due = max((order.generation for order in seen.orders if order.acknowledged_at is not None
-                   and order.acknowledged_at + CONFIG_APPLY_S < view.at), default=0)
+        due = max(
+            (
+                order.generation
+                for order in seen.orders
+                if order.acknowledged_at is not None and order.acknowledged_at + CONFIG_APPLY_S < view.at
+            ),
+            default=0,
+        )
         calm = not model.disturbed(seen, view.at, view.at, CONTACT_S + CONFIG_APPLY_S)
         if calm and view.generation < due:
-            yield Broken("CONFIG", f"{view.edge}#{view.life}",
-                         f"works with {view.generation}, {due} was acknowledged long ago", view.at)
+            yield Broken(
+                "CONFIG",
+                f"{view.edge}#{view.life}",
+                f"works with {view.generation}, {due} was acknowledged long ago",
+                view.at,
+            )
 
 
 def _accepted(seen: Observations) -> list[SentMessage]:
@@ -311,9 +356,22 @@
 
 
 CHECKS: tuple[Check, ...] = (
-    check_unasked, check_route, check_refused, check_order, check_twice, check_mixed, check_changed_end,
-    check_ceiling, check_early, check_configuration_writes, check_configuration_reads,
-    check_configuration_order, check_lost, check_unserved, check_stale, check_untold,
+    check_unasked,
+    check_route,
+    check_refused,
+    check_order,
+    check_twice,
+    check_mixed,
+    check_changed_end,
+    check_ceiling,
+    check_early,
+    check_configuration_writes,
+    check_configuration_reads,
+    check_configuration_order,
+    check_lost,
+    check_unserved,
+    check_stale,
+    check_untold,
 )
 
 
--- a/hollowusher/simulation/loop.py
+++ b/hollowusher/simulation/loop.py
@@ -151,15 +151,24 @@
         """A future of this loop."""
         return _VirtualFuture(loop=self)
 
-    def call_soon(self, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
-                  context: Any = None) -> asyncio.Handle:
+    def call_soon(  # type: ignore[override]
+        self,
+        callback: Callable[..., Any],
+        *args: Any,
+        context: Any = None,
+    ) -> asyncio.Handle:
         """Run a callback at the present virtual time, after those already ready."""
         handle = asyncio.Handle(callback, args, self, context)
         self._runnable.append(handle)
         return handle
 
-    def call_at(self, when: float, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
-                context: Any = None) -> asyncio.TimerHandle:
+    def call_at(  # type: ignore[override]
+        self,
+        when: float,
+        callback: Callable[..., Any],
+        *args: Any,
+        context: Any = None,
+    ) -> asyncio.TimerHandle:
         """Run a callback at a virtual time; equal times run in the order of the calls.  A timer takes
         `LEAST_TIMER_S` at the least, so that timers alone cannot make time stand."""
         when = max(when, self._now + LEAST_TIMER_S)
@@ -167,8 +176,13 @@
         heapq.heappush(self._due, (when, next(self._numbers), timer))
         return timer
 
-    def call_later(self, delay: float, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
-                   context: Any = None) -> asyncio.TimerHandle:
+    def call_later(  # type: ignore[override]
+        self,
+        delay: float,
+        callback: Callable[..., Any],
+        *args: Any,
+        context: Any = None,
+    ) -> asyncio.TimerHandle:
         """Run a callback after a virtual delay."""
         return self.call_at(self._now + delay, callback, *args, context=context)
 
@@ -176,13 +190,21 @@
         """Run a callback that belongs to no process (the network, the platform)."""
         return self.call_at(self._now + delay, callback, *args, context=_outside.copy())
 
-    def call_soon_threadsafe(self, callback: Callable[..., Any], *args: Any,  # type: ignore[override]
-                             context: Any = None) -> asyncio.Handle:
+    def call_soon_threadsafe(  # type: ignore[override]
+        self,
+        callback: Callable[..., Any],
+        *args: Any,
+        context: Any = None,
+    ) -> asyncio.Handle:
         """Refused: a simulation has no threads."""
         raise RuntimeError("no threads in virtual time")
 
-    def run_in_executor(self, executor: Any, func: Callable[..., Any],  # type: ignore[override]
-                        *args: Any) -> Any:
+    def run_in_executor(  # type: ignore[override]
+        self,
+        executor: Any,
+        func: Callable[..., Any],
+        *args: Any,
+    ) -> Any:
         """Refused: a simulation has no threads."""
         raise RuntimeError("no threads in virtual time")
 
--- a/hollowusher/simulation/network.py
+++ b/hollowusher/simulation/network.py
@@ -125,8 +125,9 @@
 class _Direction:
     """Frames on their way from one end of a connection to the other, in order."""
 
-    def __init__(self, connection: Connection, source: str, target: str,
-                 deliver: Callable[[bytes], None]) -> None:
+    def __init__(
+        self, connection: Connection, source: str, target: str, deliver: Callable[[bytes], None]
+    ) -> None:
         self.connection = connection
         self.source = source
         self.target = target
--- a/hollowusher/simulation/operators.py
+++ b/hollowusher/simulation/operators.py
@@ -25,8 +25,15 @@
 class Operator:
     """Sends orders to any scheduler that serves the control plane; answers may be lost on their way."""
 
-    def __init__(self, http: HttpNetwork, seen: Observations, chance: random.Random, host: str,
-                 admins: Callable[[], list[str]], lost_answers: float = 0.1) -> None:
+    def __init__(
+        self,
+        http: HttpNetwork,
+        seen: Observations,
+        chance: random.Random,
+        host: str,
+        admins: Callable[[], list[str]],
+        lost_answers: float = 0.1,
+    ) -> None:
         self.http = http
         self.seen = seen
         self.host = host
@@ -136,8 +143,13 @@
     def _new_route(self) -> dict[str, Any]:
         self._extra += 1
         route = copy.deepcopy(self.base["routes"][0])
-        route.update(name=f"extra-{self._extra}", pathPrefix=f"/extra/{self._extra}/",
-                     upstream=self._extra_service, ordered=False, callbackUrl=False)
+        route.update(
+            name=f"extra-{self._extra}",
+            pathPrefix=f"/extra/{self._extra}/",
+            upstream=self._extra_service,
+            ordered=False,
+            callbackUrl=False,
+        )
         return dict(route)
 
     def invalid(self, generation: int) -> dict[str, Any]:
--- a/hollowusher/simulation/plain_model.py
+++ b/hollowusher/simulation/plain_model.py
@@ -47,8 +47,11 @@
     added = min((order.generation for order in orders if route in route_names(order)), default=None)
     if added is None:
         return NEVER
-    times = [order.first_sent_at for order in orders
-             if order.generation > added and route not in route_names(order)]
+    times = [
+        order.first_sent_at
+        for order in orders
+        if order.generation > added and route not in route_names(order)
+    ]
     return max(since, min(times, default=NEVER))
 
 
@@ -83,16 +86,20 @@
 
 def troubled(seen: Observations, begin: float, end: float, contact_s: float) -> bool:
     """Whether unplanned trouble touched the span, or the `contact_s` before it."""
-    return any(not trouble.planned and trouble.begun_at <= end
-               and (trouble.ended_at is None or trouble.ended_at >= begin - contact_s)
-               for trouble in seen.troubles)
+    return any(
+        not trouble.planned
+        and trouble.begun_at <= end
+        and (trouble.ended_at is None or trouble.ended_at >= begin - contact_s)
+        for trouble in seen.troubles
+    )
 
 
 def disturbed(seen: Observations, begin: float, end: float, contact_s: float) -> bool:
     """Whether any trouble, planned or not, touched the span or the `contact_s` before it."""
-    return any(trouble.begun_at <= end
-               and (trouble.ended_at is None or trouble.ended_at >= begin - contact_s)
-               for trouble in seen.troubles)
+    return any(
+        trouble.begun_at <= end and (trouble.ended_at is None or trouble.ended_at >= begin - contact_s)
+        for trouble in seen.troubles
+    )
 
 
 def effective_document(base: dict[str, Any], patch: dict[str, Any]) -> dict[str, Any]:
@@ -108,6 +115,9 @@
 
 def canonical(document: dict[str, Any]) -> dict[str, Any]:
     """A configuration as a value that is equal however its lists are ordered."""
-    return {"generation": document["generation"], "limits": document["limits"],
-            "routes": sorted(document["routes"], key=lambda item: str(item["name"])),
-            "upstreams": sorted(document["upstreams"], key=lambda item: str(item["name"]))}
+    return {
+        "generation": document["generation"],
+        "limits": document["limits"],
+        "routes": sorted(document["routes"], key=lambda item: str(item["name"])),
+        "upstreams": sorted(document["upstreams"], key=lambda item: str(item["name"])),
+    }
--- a/hollowusher/simulation/planted.py
+++ b/hollowusher/simulation/planted.py
@@ -360,8 +360,9 @@
 
 @planted("MIXED", "LOST")
 def _lost_answer_taken_for_success(patches: Patches) -> None:
-    _on_finish(patches, lambda end: evolve(end, result="success", signature="")
-               if end.result == "unknown" else end)
+    _on_finish(
+        patches, lambda end: evolve(end, result="success", signature="") if end.result == "unknown" else end
+    )
 
 
 @planted("STALE")
@@ -387,8 +388,12 @@
 
     def activate(primary: PartitionPrimary, key: Any, put: Any, retained_until: float) -> ActiveMessage:
         short = evolve(put.message, retention_ms=min(put.message.retention_ms, 2_000))
-        return real(primary, key, put._replace(message=short) if hasattr(put, "_replace")
-                    else attrs.evolve(put, message=short), min(retained_until, retained_until - 6.0))
+        return real(
+            primary,
+            key,
+            put._replace(message=short) if hasattr(put, "_replace") else attrs.evolve(put, message=short),
+            min(retained_until, retained_until - 6.0),
+        )
 
     patches.set(PartitionPrimary, "_activate", activate)
 
--- a/hollowusher/simulation/platform.py
+++ b/hollowusher/simulation/platform.py
@@ -28,9 +28,16 @@
 
     def document(self) -> dict[str, object]:
         """As it stands on the wire."""
-        return {"id": self.id, "upstream": self.upstream, "address": self.address, "zone": self.zone,
-                "capacity": self.capacity, "state": self.state, "warmupLeftMs": self.warmup_left_ms,
-                "generation": self.generation}
+        return {
+            "id": self.id,
+            "upstream": self.upstream,
+            "address": self.address,
+            "zone": self.zone,
+            "capacity": self.capacity,
+            "state": self.state,
+            "warmupLeftMs": self.warmup_left_ms,
+            "generation": self.generation,
+        }
 
 
 class WorkerListServer:
@@ -95,6 +102,6 @@
         first = int(words.get("pageToken", "p-0").removeprefix("p-"))
         listed = [each for each in self.shown() if words.get("zone", each.zone) == each.zone]
         following = f"p-{first + PAGE}" if first + PAGE < len(listed) else None
-        page = [each.document() for each in listed[first:first + PAGE]]
+        page = [each.document() for each in listed[first : first + PAGE]]
         body = orjson.dumps({"instances": page, "nextPageToken": following})
         return HttpAnswer(200, {"Content-Type": "application/json"}, body)
--- a/hollowusher/simulation/programs.py
+++ b/hollowusher/simulation/programs.py
@@ -17,8 +17,8 @@
 from hollowusher.roles import control as control_module
 from hollowusher.roles import edge as edge_module
 from hollowusher.roles import logs as logs_module
+from hollowusher.roles import operator_site as operator_module
 from hollowusher.roles import store as store_module
-from hollowusher.roles.operator_site import OperatorForward
 from hollowusher.simulation.stand_ins import (
     ProcessParts,
     SimulatedCallbackClient,
@@ -49,32 +49,38 @@
         seams.note(f"{event} {fields}")
 
 
-async def _serve_operator(edge: edge_module.EdgeProcess, real: Any) -> None:
-    seams = _seams.get(None)
-    if seams is None:
-        await real(edge)
-        return
-    process = edge.process
-    forward = OperatorForward(edge.me.name, process.state, process.transport, edge.handle)
+async def _serve_operator(seams: Seams, address: str, forward: Any, status: Any) -> SimulatedOperatorSite:
     site = SimulatedOperatorSite(seams, OperatorApi(forward))
     await site.start()
-    seams.edge = edge
-    edge._operator_site = site  # type: ignore[assignment]
+    return site
+
+
+def _callbacks(seams: Seams, network: Any, reporter: Any, owns: Any) -> CallbackDelivery:
+    return CallbackDelivery(
+        network, reporter, owns, lambda address: SimulatedCallbackClient(seams.http, seams.host, address)
+    )
 
 
 def _join_edge() -> None:
     _instead(edge_module, "Process", lambda seams, settings, path, role: ProcessParts(seams, settings, role))
-    _instead(control_module, "SlotFile", lambda seams, path: seams.disk.slot(path.name))
     _instead(edge_module, "HttpWorkerClient", lambda seams: SimulatedWorkerClient(seams.http, seams.host))
-    _instead(control_module, "PlatformReader", lambda seams, address, rate_per_s: SimulatedPlatformReader(
-        seams.http, seams.host, address, rate_per_s))
-    _instead(edge_module, "EdgeFrontend", lambda seams, intake, frontend, readiness, ready, report:
-             SimulatedFrontend(seams, intake, frontend, readiness, ready))
-    real_operator = edge_module.EdgeProcess._serve_operator
-    edge_module.EdgeProcess._serve_operator = (  # type: ignore[method-assign]
-        lambda edge: _serve_operator(edge, real_operator))  # type: ignore[assignment]
-    _instead(dispatcher_module, "CallbackDelivery", lambda seams, network, reporter, owns: CallbackDelivery(
-        network, reporter, owns, lambda address: SimulatedCallbackClient(seams.http, seams.host, address)))
+    _instead(
+        edge_module,
+        "EdgeFrontend",
+        lambda seams, intake, frontend, readiness, ready, report: SimulatedFrontend(
+            seams, intake, frontend, readiness, ready
+        ),
+    )
+    _instead(control_module, "SlotFile", lambda seams, path: seams.disk.slot(path.name))
+    _instead(
+        control_module,
+        "PlatformReader",
+        lambda seams, address, rate_per_s: SimulatedPlatformReader(
+            seams.http, seams.host, address, rate_per_s
+        ),
+    )
+    _instead(operator_module, "serve_operator", _serve_operator)
+    _instead(dispatcher_module, "CallbackDelivery", _callbacks)
 
 
 def _join_store() -> None:
@@ -118,8 +124,8 @@
 
     def generation(self) -> int:
         """The configuration in force here."""
-        edge = self._seams.edge
-        configuration = None if edge is None else edge.process.state.configuration
+        parts = self._seams.parts
+        configuration = None if parts is None else parts.state.configuration
         return 0 if configuration is None else configuration.generation
 
 
--- a/hollowusher/simulation/stand_ins.py
+++ b/hollowusher/simulation/stand_ins.py
@@ -57,8 +57,9 @@
         began = loop.time()
         request = parse_request(request_bytes(job.message, endpoint, timeout_s))
         try:
-            answer = await self._http.exchange(self._host, endpoint.address, request,
-                                               timeout_s + LATE_ANSWER_S)
+            answer = await self._http.exchange(
+                self._host, endpoint.address, request, timeout_s + LATE_ANSWER_S
+            )
         except HttpFailure as failure:
             took = loop.time() - began
             if failure.sent:
@@ -120,8 +121,9 @@
 class _Listener:
     """An HTTP server of a process, while it listens."""
 
-    def __init__(self, seams: Seams, address: str,
-                 answer: Callable[[Exchange], Coroutine[Any, Any, HttpAnswer | None]]) -> None:
+    def __init__(
+        self, seams: Seams, address: str, answer: Callable[[Exchange], Coroutine[Any, Any, HttpAnswer | None]]
+    ) -> None:
         self.process = seams.transport.process
         self.busy = 0
         self._http = seams.http
@@ -152,8 +154,9 @@
 class SimulatedFrontend:
     """The servers for clients and for `/readyz` of an edge process."""
 
-    def __init__(self, seams: Seams, intake: Intake, address: str, readiness: str,
-                 ready: Callable[[], bool]) -> None:
+    def __init__(
+        self, seams: Seams, intake: Intake, address: str, readiness: str, ready: Callable[[], bool]
+    ) -> None:
         self.frontend = _Listener(seams, address, self._serve)
         self.readiness = _Listener(seams, readiness, self._readyz)
         self._intake = intake
@@ -248,8 +251,17 @@
         else:
             incarnation = next_incarnation(seams.wall_ms(), None, self.chance)
         return Member(
-            settings.node_name, self.role, settings.internal_address, settings.zone, settings.region,
-            incarnation, disk_id, settings.counts_for_quorum, controller, settings.bind.admin)
+            settings.node_name,
+            self.role,
+            settings.internal_address,
+            settings.zone,
+            settings.region,
+            incarnation,
+            disk_id,
+            settings.counts_for_quorum,
+            controller,
+            settings.bind.admin,
+        )
 
     async def _disk_id(self) -> str:
         assert self._seams.disk is not None
--- a/hollowusher/simulation/world.py
+++ b/hollowusher/simulation/world.py
@@ -79,7 +79,6 @@
     wall_ms: Callable[[], int]
     note: Callable[[str], None]  # of failures inside the program
     parts: Any = None  # what the program has made of itself
-    edge: Any = None
 
 
 class Program(Protocol):
@@ -177,8 +176,9 @@
             name = f"{role}-{number + 1}"
             disk = Disk(self.random(f"disk {name}"), self.size.sync_s) if with_disk else None
             clock_offset_s = chance.uniform(-1.0, 1.0) * self.size.clock_skew_s
-            self.machines[name] = Machine(name, role, f"10.0.0.{position + 1}", zones[number % len(zones)],
-                                          disk, clock_offset_s)
+            self.machines[name] = Machine(
+                name, role, f"10.0.0.{position + 1}", zones[number % len(zones)], disk, clock_offset_s
+            )
 
     def of(self, role: str) -> list[Machine]:
         """The machines of a role."""
@@ -192,16 +192,32 @@
         """The settings file of a machine as it is now."""
         seeds = [f"{each.ip}:{ADMIN_PORT}" for each in self.controllers()[:3]]
         edge = machine.role == "edge"
-        bind = Bind(f"{machine.ip}:{FRONTEND_PORT}", f"{machine.ip}:{READINESS_PORT}",
-                    f"{machine.ip}:{ADMIN_PORT}") if edge else Bind()
+        bind = (
+            Bind(
+                f"{machine.ip}:{FRONTEND_PORT}",
+                f"{machine.ip}:{READINESS_PORT}",
+                f"{machine.ip}:{ADMIN_PORT}",
+            )
+            if edge
+            else Bind()
+        )
         return BootSettings(
-            node_name=machine.name, machine_class="edge" if edge else "storage", ip=machine.ip,
-            zone=machine.zone, region=REGION, serves=["edge", "control_plane"] if edge else ["storage"],
-            internal_ports=[INTERNAL_PORT, INTERNAL_PORT + 15], seed_nodes=seeds,
-            bootstrap=not machine.started_once, counts_for_quorum=machine.counts,
-            data_dir=f"/data/{machine.role}" if machine.disk else "", bind=bind,
-            fault_tolerance=FaultTolerance(machines=self.size.faults), bounds=Bounds(),
-            cloud_api=CloudApi(LIST_ADDRESS, 50.0, 800))
+            node_name=machine.name,
+            machine_class="edge" if edge else "storage",
+            ip=machine.ip,
+            zone=machine.zone,
+            region=REGION,
+            serves=["edge", "control_plane"] if edge else ["storage"],
+            internal_ports=[INTERNAL_PORT, INTERNAL_PORT + 15],
+            seed_nodes=seeds,
+            bootstrap=not machine.started_once,
+            counts_for_quorum=machine.counts,
+            data_dir=f"/data/{machine.role}" if machine.disk else "",
+            bind=bind,
+            fault_tolerance=FaultTolerance(machines=self.size.faults),
+            bounds=Bounds(),
+            cloud_api=CloudApi(LIST_ADDRESS, 50.0, 800),
+        )
 
     # ---- lives
 
@@ -220,9 +236,16 @@
         machine.starts.append(self.loop.time())
         self.network.power_on(machine.ip)
         transport = self.network.transport(process, f"{machine.ip}:{INTERNAL_PORT}")
-        seams = Seams(settings, transport, machine.disk, self.http, machine.ip,
-                      self.random(f"{machine.name} {machine.life}"), lambda: self.wall_ms(machine),
-                      lambda text: self._note(process, text))
+        seams = Seams(
+            settings,
+            transport,
+            machine.disk,
+            self.http,
+            machine.ip,
+            self.random(f"{machine.name} {machine.life}"),
+            lambda: self.wall_ms(machine),
+            lambda text: self._note(process, text),
+        )
         machine.program = self._build(seams)
         process.run(self._live(machine, process, machine.program))
 
