--- a/hollowusher/cli.py
+++ b/hollowusher/cli.py
@@ -34,7 +34,10 @@
 
 @click.group()
 def cli() -> None:
-    """The job scheduler, and the tools around it."""
+    """The job scheduler, and the tools around it.
+
+    The whole service has words of its own, whose --help tells more: `edge` and `store` run a process of that
+    role, `local` starts a small system with stand-ins, `system` asks and orders a running one."""
 
 
 cli.add_command(faults)
