--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -332,17 +332,45 @@
         return Observations(calm_since=30.0, ended_at=end)
 
     @staticmethod
-    def sent(seen: Observations, identifier: str, route: str = "r", at: float = 1.0, status: int | None = 202,
-             key: str = "", delay_s: float = 0.0, callback: str = "") -> SentMessage:
+    def sent(
+        seen: Observations,
+        identifier: str,
+        route: str = "r",
+        at: float = 1.0,
+        status: int | None = 202,
+        key: str = "",
+        delay_s: float = 0.0,
+        callback: str = "",
+    ) -> SentMessage:
         service = TestInvariants.ROUTES[route].service
-        message = SentMessage(identifier, route, service, b"body", key, delay_s, callback, "edge-1", 1, at,
-                              status, at + 0.1, identifier)
+        message = SentMessage(
+            identifier,
+            route,
+            service,
+            b"body",
+            key,
+            delay_s,
+            callback,
+            "edge-1",
+            1,
+            at,
+            status,
+            at + 0.1,
+            identifier,
+        )
         seen.messages[identifier] = message
         return message
 
     @staticmethod
-    def ran(seen: Observations, identifier: str, at: float, result: str = "success", stamp: str = "s1",
-            read: bool = True, service: str = "push") -> None:
+    def ran(
+        seen: Observations,
+        identifier: str,
+        at: float,
+        result: str = "success",
+        stamp: str = "s1",
+        read: bool = True,
+        service: str = "push",
+    ) -> None:
         signature = stamp if result == "success" else ""
         run = Run(identifier, service, "w", at, b"body", at + 0.2, result, signature, at + 0.21)
         run.read_at = run.read_at if read else None
@@ -486,12 +514,23 @@
         assert self.broken(seen) == ["STALE", "UNTOLD"]
 
     @staticmethod
-    def order(number: int, base: int, generation: int, acknowledged: float | None,
-              refused: float | None = None, routes: tuple[str, ...] = ("r",)) -> ConfigurationOrder:
-        document = {"generation": generation, "limits": {}, "upstreams": [],
-                    "routes": [{"name": name} for name in routes]}
-        return ConfigurationOrder(number, base, generation, document, True, 1.0 + number, acknowledged,
-                                  refused)
+    def order(
+        number: int,
+        base: int,
+        generation: int,
+        acknowledged: float | None,
+        refused: float | None = None,
+        routes: tuple[str, ...] = ("r",),
+    ) -> ConfigurationOrder:
+        document = {
+            "generation": generation,
+            "limits": {},
+            "upstreams": [],
+            "routes": [{"name": name} for name in routes],
+        }
+        return ConfigurationOrder(
+            number, base, generation, document, True, 1.0 + number, acknowledged, refused
+        )
 
     def read(self, seen: Observations, order: ConfigurationOrder, at: float = 45.0) -> None:
         seen.reads.append(ConfigurationRead(at, at - 0.1, "edge-1", order.document, final=True))
@@ -559,8 +598,18 @@
 
     @staticmethod
     def play(*words: str) -> subprocess.CompletedProcess[str]:
-        command = [sys.executable, "-m", "hollowusher.simulation", "--traffic", "4", "--calm", "5",
-                   "--rate", "10", *words]
+        command = [
+            sys.executable,
+            "-m",
+            "hollowusher.simulation",
+            "--traffic",
+            "4",
+            "--calm",
+            "5",
+            "--rate",
+            "10",
+            *words,
+        ]
         environment = {**os.environ, "PYTHONHASHSEED": "0"}
         return subprocess.run(command, capture_output=True, text=True, env=environment, timeout=60)
 
