Look for strangers in KNOWN-RED.txt where its tests are run alone

The suite runs in two parts now, neither of which holds all entries; the run of the listed tests alone sees all, and still refuses names of no test.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -58,7 +58,7 @@
     if wanted is not None:
         listed = read_known_red(KNOWN_RED.read_text()) if KNOWN_RED.exists() else []
         strangers = unknown(listed, (item.nodeid for item in items))
-        if strangers:
+        if strangers and wanted == ONLY:  # the others are run in parts, which do not hold all entries
             raise pytest.UsageError(f"KNOWN-RED.txt names no test: {', '.join(strangers)}")
         items[:] = [item for item in items if is_listed(item.nodeid, listed) == (wanted == ONLY)]
     _put_in_order(items)
