Acknowledge no change that the head's own disk has not taken

Change: a push that leaves the state as it was is a failure; a member whose disk has just failed a save counts as stalled, so the others go on without it. The new test fails without the change (head's disk full, all killed after a 200).

--- a/hollowusher/coordination/chain_owner.py
+++ b/hollowusher/coordination/chain_owner.py
@@ -66,8 +66,11 @@
         wanted = update(self._member.state)
         if wanted is None:
             return True
+        before = self._member.state
         await self._push(wanted)
         written = self._member.state
+        if written is before:
+            return False  # the own disk has not taken it: what is in force is the state before
         settled = await self._settle(deadline)
         return settled and self._member.state is written
 
--- a/hollowusher/coordination/replicator.py
+++ b/hollowusher/coordination/replicator.py
@@ -13,6 +13,7 @@
 
 HOP_TIMEOUT_S = 0.4
 STALLED_AFTER_S = 0.8
+FAILED_COUNTS_S = 2.0  # after a save that failed, the others do without this member for so long
 BYTES_PER_S = 4_000_000  # slowest link and disk that a large state is to get through
 
 
@@ -28,6 +29,7 @@
         self._on_state = on_state
         self._lock = asyncio.Lock()
         self._saving_since: float | None = None
+        self._failed_at: float | None = None
 
     def install(self, view: View) -> None:
         """Use a decided view from now on."""
@@ -83,7 +85,9 @@
         return answer if isinstance(answer, ChainWritten) else ChainWritten(False, self.member.epoch)
 
     def stalled(self, now: float) -> bool:
-        """Whether the disk has been busy with one state for too long."""
+        """Whether the disk has been busy with one state for too long, or has just failed to take one."""
+        if self._failed_at is not None and now - self._failed_at < FAILED_COUNTS_S:
+            return True
         return self._saving_since is not None and now - self._saving_since > STALLED_AFTER_S
 
     async def _save(self, write: ChainWrite) -> bool:
@@ -91,6 +95,7 @@
         try:
             await self._slot.save(dump_write(write))
         except StorageError:
+            self._failed_at = asyncio.get_running_loop().time()
             return False
         finally:
             self._saving_since = None
--- a/tests/controller_cluster.py
+++ b/tests/controller_cluster.py
@@ -22,12 +22,14 @@
     ReadConfiguration,
     View,
 )
+from hollowusher.storage.interface import StorageError
 from hollowusher.transport.interface import Handler, PeerError
 
 T = TypeVar("T")
 LINK_DELAY_S = 0.001
 SYNC_S = 0.005
 STUCK = "stuck"  # a file of this name on a virtual disk: its syncs do not end
+FULL = "full"  # a file of this name on a virtual disk: it takes no more bytes
 
 
 class _JumpingSelector(selectors.SelectSelector):
@@ -166,6 +168,8 @@
         await self._network.wait(SYNC_S)
         while self._files.get(STUCK):
             await asyncio.sleep(SYNC_S)
+        if self._files.get(FULL):
+            raise StorageError("save", self._name, "no space left")
         self._files[self._name] = value
 
 
--- a/tests/test_controller_role.py
+++ b/tests/test_controller_role.py
@@ -22,7 +22,7 @@
     StateAnswer,
     Voter,
 )
-from tests.controller_cluster import STUCK, Cluster, run_virtual
+from tests.controller_cluster import FULL, STUCK, Cluster, run_virtual
 
 
 def virtual(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
@@ -331,6 +331,31 @@
     check()
 
 
+@pytest.mark.parametrize("victim", "abc")
+def test_a_full_disk_acknowledges_nothing_that_is_not_kept(victim: str) -> None:
+    @virtual
+    async def check() -> None:
+        cluster = Cluster("abc")
+        await cluster.first_start()
+        assert await cluster.put_somewhere(1, 0) < 1.0
+        cluster[victim].files[FULL] = b"yes"
+        answers = [await cluster[name].put(2, 1) for name in "abc"]
+        if 200 in answers:
+            for node in cluster.nodes.values():
+                await node.kill()
+            for node in cluster.nodes.values():
+                await node.start()
+        else:
+            assert await cluster.put_somewhere(2, 1) < 4.0
+        await cluster.until(lambda: any(node.running.is_head for node in cluster.nodes.values()), 6.0)
+        del cluster[victim].files[FULL]
+        others = [name for name in "abc" if name != victim]
+        assert await cluster.put_somewhere(3, 2) < 4.0
+        assert (200, 3) in [await cluster[name].read() for name in others]
+
+    check()
+
+
 @virtual
 async def test_one_controller_alone_is_a_whole_system() -> None:
     cluster = Cluster("a")
