Wait in two tests of the operators' calls until the list is known

A process is ready before it has read the list; a call to take out a worker that no list has named is owed a no, and on a busy machine it came first.

--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -24,6 +24,12 @@
         pairs = (line.split("|")[0].split(":") for line in body.decode().split())
         return {name.removeprefix("proxy."): int(value) for name, value in pairs}
 
+    async def until_known(self, address: tuple[str, int], workers: int = 1) -> None:
+        """A process says that it is ready before it has read the list: wait until it has."""
+        async with asyncio.timeout(10.0):
+            while (await self.figures(address))["workers_known"] < workers:
+                await asyncio.sleep(0.01)
+
     async def more_nodes(self, count: int) -> list[HttpNode]:
         nodes = [HttpNode("done") for _ in range(count)]
         await self.started(*nodes)
@@ -70,6 +76,7 @@
 
     async def test_a_call_that_is_cut_at_any_byte_is_answered_and_a_huge_one_is_not_kept(self) -> None:
         _, address = await self.beside()
+        await self.until_known(address)
         text = b"PUT /_workers/detach?name=s-1 HTTP/1.1\r\nHost: h\r\n\r\n"
         for cut in range(1, len(text), 7):
             reader, writer = await asyncio.open_connection(*address)
@@ -85,6 +92,7 @@
 
     async def test_commands_ask_and_tell_a_running_process(self) -> None:
         _, address = await self.beside()
+        await self.until_known(address)
 
         def say(port: int, *words: str) -> tuple[int, str]:
             done = CliRunner().invoke(cli, [*words, "--at", f"127.0.0.1:{port}"])
