--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -13,8 +13,8 @@
 
 from hollowusher.cli import cli
 from hollowusher.operators.server import MOST_CALLERS, call
-from tests.standins import HttpNode, post, read_http
-from tests.test_replacement import Beside, free_port
+from tests.standins import HttpNode, post, read_http, free_port
+from tests.test_replacement import Beside
 
 
 class Operators(Beside):
