--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -94,6 +94,7 @@
     name: str
     disk_id: str
     address: str
+    zone: str = ""
 
 
 @message(11)
@@ -104,6 +105,7 @@
     voters: list[Voter]
     chain: list[str]
     since: dict[str, int] = attrs.Factory(dict)  # chain member -> epoch from which on every chain holds it
+    cluster: str = ""  # drawn once with the first view: tells this system from every other one
 
     @property
     def head(self) -> str:
@@ -366,6 +368,7 @@
     heard: list[str]  # the voters that it hears
     leaving: bool = False  # about to stop: not to be taken into the chain
     stalled: bool = False  # its disk does not answer
+    state_version: list[int] = attrs.Factory(list)  # [epoch, sequence] of the newest state on its disk
 
 
 @message(41)
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -12,10 +12,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hollowusher.protocol import codec, control, store
+from hollowusher.protocol import codec, control, identity, status, store
 from hollowusher.protocol.codec import DecodeError, decode, encode, evolve, message
 
-FIRST_FREE_OF_CONTROL, FIRST_OF_STORE, LAST = 1, 50, 127
+TAGS = {  # the numbers that each module may give to its messages
+    control: [*range(1, 50), *range(100, 128)],
+    store: list(range(50, 80)),
+    status: list(range(80, 90)),
+    identity: list(range(90, 100)),
+}
 
 
 def messages_of(module: ModuleType) -> list[type]:
@@ -27,7 +32,7 @@
     ]
 
 
-ALL = messages_of(control) + messages_of(store)
+ALL = [kind for module in TAGS for kind in messages_of(module)]
 VALUES: dict[str, Any] = {
     "str": "text é",
     "int": 2**40,
@@ -85,10 +90,10 @@
 
 
 def test_numbers_of_messages_are_those_of_their_part() -> None:
-    for kind in messages_of(control):
-        assert FIRST_FREE_OF_CONTROL <= codec._tags[kind] < FIRST_OF_STORE
-    for kind in messages_of(store):
-        assert FIRST_OF_STORE <= codec._tags[kind] <= LAST
+    for module, tags in TAGS.items():
+        for kind in messages_of(module):
+            assert codec._tags[kind] in tags, kind.__name__
+    assert sum(len(tags) for tags in TAGS.values()) == len({tag for tags in TAGS.values() for tag in tags})
 
 
 def test_a_number_is_given_once() -> None:
