Split the primary of a partition by concern

Now: messages and leases as data (active), records and proposals (record_writer), leases and retentions that run out (deadlines), configuration and ceilings (routing), messages until they end (lifecycle), leases, call-backs, adoption of learnt records; PartitionPrimary puts them together. No behaviour changed; planted faults patch the same steps in their new places.

--- /dev/null
+++ b/hollowusher/messages/adoption.py
@@ -0,0 +1,88 @@
+"""Taking up messages whose records were learnt from another replica or from the log."""
+
+from __future__ import annotations
+
+from hollowusher.messages.callback_jobs import CallbackJobs
+from hollowusher.messages.leases import MessageLeases
+from hollowusher.messages.lifecycle import MessageLifecycle
+from hollowusher.messages.queue import Stage
+from hollowusher.messages.record_writer import RecordWriter
+from hollowusher.messages.records import Key, Put, Status
+from hollowusher.messages.table import Entry, PartitionTable
+
+RETENTION_MARGIN_S = 5.0  # wall clocks of machines differ: never too early after a takeover
+
+
+class Adoption:
+    """Brings the queue and the leases of one partition to what its records say."""
+
+    def __init__(
+        self,
+        table: PartitionTable,
+        writer: RecordWriter,
+        lifecycle: MessageLifecycle,
+        leases: MessageLeases,
+        callbacks: CallbackJobs,
+    ) -> None:
+        self._table = table
+        self._writer = writer
+        self._lifecycle = lifecycle
+        self._leases = leases
+        self._callbacks = callbacks
+
+    def adopt(self, key: Key, now: float, wall_ms: int) -> None:
+        """Take up a message by its records."""
+        entry = self._table.entries.get(key)
+        if entry is None:
+            return
+        if entry.status.ended:
+            self.adopt_ended(entry, now)
+            return
+        put = self._table.put(entry) if key not in self._lifecycle.active else None
+        if put is not None:
+            if self._is_duplicate(key, put.message.id, now, wall_ms):
+                return
+            self._lifecycle.activate(key, put, now + _retention_left_s(put, wall_ms))
+        active = self._lifecycle.active.get(key)
+        if active is None:
+            return
+        if entry.status is Status.LEASED:
+            self._leases.adopt(active, entry, now)
+        elif active.stage in (Stage.HELD, Stage.LEASED) and not active.ending:
+            self._lifecycle.clear_lease(active)
+            ready_at = now + max(0, active.due_ms - wall_ms) / 1000
+            self._lifecycle.release(active, ready_at, now, wall_ms)
+
+    def adopt_ended(self, entry: Entry, now: float) -> None:
+        """Take up a message that has ended: its id is known, and its call-back may be owed."""
+        state = entry.state
+        assert state is not None
+        if state.id:
+            self._lifecycle.keys_by_id.setdefault(state.id, entry.key)
+        active = self._lifecycle.active.get(entry.key)
+        if active is not None and not active.ending:
+            self._lifecycle.discard(active, now)
+        if state.callback_owed and (active is None or not active.ending):
+            self._callbacks.add(entry.key, state, now)
+
+    def _is_duplicate(self, key: Key, message_id: str, now: float, wall_ms: int) -> bool:
+        """Whether the message was also put under a later key: then nobody was ever told of this one."""
+        known = self._lifecycle.keys_by_id.get(message_id)
+        if known is None or known == key:
+            return False
+        older = min(known, key)
+        if older == key:
+            state = self._writer.changed_state(key)
+            state.status, state.ended_ms = Status.COMPLETED, wall_ms
+            self._writer.propose_state(key, state, True, now, wall_ms)
+            return True
+        active = self._lifecycle.active.get(older)
+        if active is not None and not active.ending:
+            active.callback_url = ""
+            active.id = ""
+            self._lifecycle.end(active, Status.COMPLETED, now, wall_ms)
+        return False
+
+
+def _retention_left_s(put: Put, wall_ms: int) -> float:
+    return (put.accepted_ms + put.message.retention_ms - wall_ms) / 1000 + RETENTION_MARGIN_S
--- /dev/null
+++ b/hollowusher/messages/callback_jobs.py
@@ -0,0 +1,150 @@
+"""Call-backs that are owed: jobs of a pseudo service of their receiver, leased until one was answered."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+
+import attrs
+
+from hollowusher.messages import records
+from hollowusher.messages.active import (
+    GONE,
+    START_WITHIN_MS,
+    STATE_NAMES,
+    TAKEN,
+    CallbackJob,
+    Grant,
+    callback_service,
+)
+from hollowusher.messages.deadlines import Deadlines
+from hollowusher.messages.proposal import Proposal
+from hollowusher.messages.queue import MessageQueue
+from hollowusher.messages.record_writer import RecordWriter
+from hollowusher.messages.records import Key, LeaseId, State
+from hollowusher.messages.table import PartitionTable
+from hollowusher.protocol.store import Finish, Job, LeaseAnswer, LeaseRequest, NewMessage
+
+CALLBACK_LEASE_S = 12.0
+CALLBACK_FIRST_S, CALLBACK_MOST_S = 0.3, 3.0
+MOST_DOUBLINGS = 16
+
+
+class CallbackJobs:
+    """The call-backs owed by one partition.  Their leases are known to the primary alone."""
+
+    def __init__(
+        self,
+        table: PartitionTable,
+        writer: RecordWriter,
+        queue: MessageQueue,
+        deadlines: Deadlines,
+        numbers: Iterator[int],
+    ) -> None:
+        self._table = table
+        self._writer = writer
+        self._queue = queue
+        self._deadlines = deadlines
+        self._numbers = numbers
+        self._jobs: dict[Key, CallbackJob] = {}
+
+    def add(self, key: Key, state: State, now: float) -> None:
+        """A message has ended that owes a call-back."""
+        service = callback_service(state.callback_url)
+        if key in self._jobs or not service:
+            return
+        callback = CallbackJob(
+            key=key,
+            service=service,
+            priority=0,
+            due_ms=state.ended_ms,
+            id=state.id,
+            callback_url=state.callback_url,
+            status=state.status,
+            signature=state.signature,
+        )
+        self._jobs[key] = callback
+        self._queue.add(callback)
+        self._queue.release(callback, now, now)
+
+    def lease(self, request: LeaseRequest, most: int, now: float) -> list[Grant]:
+        """Up to `most` call-backs of the receiver."""
+        grants: list[Grant] = []
+        while len(grants) < most:
+            callback = self._queue.take(request.service)
+            if callback is None:
+                break
+            assert isinstance(callback, CallbackJob)
+            callback.lease = next(self._numbers)
+            callback.dispatcher, callback.incarnation = request.dispatcher, request.incarnation
+            self._deadlines.watch_lease(callback, now + CALLBACK_LEASE_S)
+            grants.append(Grant(self._job(callback), None))
+        return grants
+
+    def finish(self, lease: LeaseId, finish: Finish, now: float, wall_ms: int) -> Proposal | LeaseAnswer:
+        """The end of a call-back's lease.  A proposal means: `taken` once it is committed."""
+        entry = self._table.entries.get(lease.key)
+        if entry is None or entry.state is None or not entry.state.callback_owed:
+            return self._writer.pending.get(lease.key) or TAKEN
+        if finish.result == "success":
+            self._remove(lease.key, now)
+            return self._record_told(lease.key, entry.state, now, wall_ms)
+        callback = self._jobs.get(lease.key)
+        if callback is None or callback.lease != lease.number:
+            return GONE
+        if finish.result != "not_run":
+            callback.failures += 1
+        doublings = min(max(callback.failures - 1, 0), MOST_DOUBLINGS)
+        wait_s = min(CALLBACK_MOST_S, CALLBACK_FIRST_S * 2.0**doublings)
+        self.requeue(callback, max(wait_s, finish.retry_ms / 1000), now)
+        return TAKEN
+
+    def requeue(self, callback: CallbackJob, wait_s: float, now: float) -> None:
+        """Have a call-back sent again."""
+        callback.lease = 0
+        callback.expires_at = 0.0
+        self._queue.release(callback, now + wait_s, now)
+
+    def postpone_leases(self, seconds: float) -> None:
+        """Let all leases run for longer."""
+        for callback in self._jobs.values():
+            if callback.lease:
+                callback.expires_at += seconds
+
+    def release_dispatchers(self, alive: Callable[[str, int], bool], now: float) -> None:
+        """Requeue the call-backs leased to dispatchers that are gone."""
+        for callback in self._jobs.values():
+            if callback.lease and not alive(callback.dispatcher, callback.incarnation):
+                self.requeue(callback, 0.0, now)
+
+    def forget(self, keys: Iterable[Key]) -> None:
+        """The table has dropped these messages."""
+        for key in keys:
+            callback = self._jobs.pop(key, None)
+            if callback is not None:
+                self._queue.remove(callback, 0.0)
+
+    def _remove(self, key: Key, now: float) -> None:
+        callback = self._jobs.pop(key, None)
+        if callback is not None:
+            callback.lease = 0
+            self._queue.remove(callback, now)
+
+    def _record_told(self, key: Key, state: State, now: float, wall_ms: int) -> Proposal:
+        version = self._writer.next_version()
+        told = attrs.evolve(state, version=version, callback_owed=False, callback_url="")
+        return self._writer.propose_state(key, told, False, now, wall_ms)
+
+    def _job(self, callback: CallbackJob) -> Job:
+        message = NewMessage(
+            id=callback.id,
+            route="",
+            service=callback.service,
+            method="POST",
+            path="",
+            host="",
+            body=b"",
+            callback_url=callback.callback_url,
+        )
+        lease = records.lease_id_of(self._table.partition, callback.key, callback.lease, callback=True)
+        state_name = STATE_NAMES[callback.status]
+        return Job(lease, message, callback.failures, START_WITHIN_MS, state_name, callback.signature)
--- /dev/null
+++ b/hollowusher/messages/deadlines.py
@@ -0,0 +1,66 @@
+"""When leases run out and messages have been retained for long enough, earliest first."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from hollowusher.messages.active import ActiveMessage, CallbackJob
+
+
+class _Expiry(NamedTuple):
+    expires_at: float
+    number: int
+    message: ActiveMessage | CallbackJob
+    lease: int
+
+
+class _Retention(NamedTuple):
+    until: float
+    number: int
+    message: ActiveMessage
+
+
+class Deadlines:
+    """The leases and retentions of one partition.  No clock of its own: times are passed in."""
+
+    def __init__(self, numbers: Iterator[int]) -> None:
+        self._numbers = numbers  # order of entries with the same time
+        self._expiries: list[_Expiry] = []
+        self._retentions: list[_Retention] = []
+
+    def watch_lease(self, message: ActiveMessage | CallbackJob, expires_at: float) -> None:
+        """Watch a new lease.  It keeps one heap entry; a later time is found when that one fires."""
+        message.expires_at = expires_at
+        self._push_expiry(message)
+
+    def watch_retention(self, message: ActiveMessage, until: float) -> None:
+        """Have a message's retention looked at when it ends."""
+        heapq.heappush(self._retentions, _Retention(until, next(self._numbers), message))
+
+    def next_time(self) -> float | None:
+        """When the next entry is due."""
+        times = [heap[0][0] for heap in (self._expiries, self._retentions) if heap]
+        return min(times, default=None)
+
+    def run_out(self, now: float) -> Iterator[ActiveMessage | CallbackJob]:
+        """Those whose current lease has run out, one after the other; new leases may be watched between."""
+        while self._expiries and self._expiries[0].expires_at <= now:
+            expiry = heapq.heappop(self._expiries)
+            message = expiry.message
+            if message.lease != expiry.lease:
+                continue
+            if message.expires_at > now:
+                self._push_expiry(message)
+            else:
+                yield message
+
+    def retained(self, now: float) -> Iterator[ActiveMessage]:
+        """The messages whose retention has ended, one after the other."""
+        while self._retentions and self._retentions[0].until <= now:
+            yield heapq.heappop(self._retentions).message
+
+    def _push_expiry(self, message: ActiveMessage | CallbackJob) -> None:
+        expiry = _Expiry(message.expires_at, next(self._numbers), message, message.lease)
+        heapq.heappush(self._expiries, expiry)
--- /dev/null
+++ b/hollowusher/messages/lifecycle.py
@@ -0,0 +1,183 @@
+"""The steps of a message at its primary: taken up, released, given back, ended."""
+
+from __future__ import annotations
+
+from functools import partial
+
+from hollowusher.messages.active import ActiveMessage, LeaseEnd, callback_service
+from hollowusher.messages.callback_jobs import CallbackJobs
+from hollowusher.messages.deadlines import Deadlines
+from hollowusher.messages.proposal import Proposal
+from hollowusher.messages.queue import NO_AIM, MessageQueue, Stage
+from hollowusher.messages.record_writer import RecordWriter
+from hollowusher.messages.records import Key, Put, Status
+from hollowusher.messages.routing import Routing
+from hollowusher.messages.table import PartitionTable
+from hollowusher.protocol.store import NewMessage
+from hollowusher.storage.interface import StorageError
+
+STORAGE_RETRY_S = 1.0  # when the disk took no record
+
+
+def _start_aim_s(message: NewMessage) -> float:
+    """How soon a message is to begin, without end where its route does not say."""
+    return message.target_start_ms / 1000 if message.target_start_ms > 0 else NO_AIM
+
+
+class MessageLifecycle:
+    """The messages of one partition that have not ended."""
+
+    def __init__(
+        self,
+        table: PartitionTable,
+        writer: RecordWriter,
+        queue: MessageQueue,
+        deadlines: Deadlines,
+        routing: Routing,
+        callbacks: CallbackJobs,
+    ) -> None:
+        self.active: dict[Key, ActiveMessage] = {}
+        self.leased: dict[Key, ActiveMessage] = {}
+        self.keys_by_id: dict[str, Key] = {}  # of ended messages, too, until the table drops them
+        self._table = table
+        self._writer = writer
+        self._queue = queue
+        self._deadlines = deadlines
+        self._routing = routing
+        self._callbacks = callbacks
+
+    def activate(self, key: Key, put: Put, retained_until: float) -> ActiveMessage:
+        """Take up a message; it stays held until it is released."""
+        message = put.message
+        active = ActiveMessage(
+            key=key,
+            service=self._routing.service_for(message.route, message.service),
+            priority=message.priority,
+            due_ms=put.due_ms,
+            ordering_key=message.ordering_key,
+            start_aim_s=_start_aim_s(message),
+            id=message.id,
+            route=message.route,
+            generation=put.generation,
+            max_attempts=message.max_attempts,
+            timeout_ms=message.timeout_ms,
+            callback_url=message.callback_url,
+            retained_until=retained_until,
+        )
+        self.active[key] = active
+        self.keys_by_id[message.id] = key
+        self._queue.add(active)
+        if message.retention_ms > 0:
+            self._deadlines.watch_retention(active, retained_until)
+        else:
+            active.retained_until = float("inf")
+        return active
+
+    def release(self, active: ActiveMessage, ready_at: float, now: float, wall_ms: int) -> None:
+        """Let a message leave from `ready_at` on, unless it has ended meanwhile."""
+        if active.stage not in (Stage.HELD, Stage.LEASED) or active.ending:
+            return
+        if active.retained_until <= now or self._routing.is_dropped(active):
+            self.end_unless_full(active, now, wall_ms)
+        elif self._routing.has_moved(active):
+            self._change_service(active, ready_at, now)
+        else:
+            self._queue.release(active, ready_at, now)
+
+    def requeue(
+        self, active: ActiveMessage, ready_at: float, now: float, wall_ms: int, end: LeaseEnd | None = None
+    ) -> Proposal:
+        """Take a message's lease away and let it leave again from `ready_at` on."""
+        state = self._writer.changed_state(active.key)
+        if end is not None:
+            end.enter(state)
+        proposal = self._writer.propose_state(active.key, state, False, now, wall_ms)
+        self.clear_lease(active)
+        if active.stage is not Stage.LEASED:
+            self._queue.hold(active)
+        self.release(active, ready_at, now, wall_ms)
+        return self._writer.pending.get(active.key, proposal)
+
+    def end(
+        self, active: ActiveMessage, status: Status, now: float, wall_ms: int, end: LeaseEnd | None = None
+    ) -> Proposal:
+        """End a message; it is gone from the queue once that is committed."""
+        state = self._writer.changed_state(active.key)
+        state.status = status
+        if end is not None:
+            end.enter(state)
+        state.ended_ms = wall_ms
+        state.id = active.id
+        state.callback_owed = bool(callback_service(active.callback_url)) if active.callback_url else False
+        state.callback_url = active.callback_url if state.callback_owed else ""
+        on_commit = partial(self._ended, active)
+        proposal = self._writer.propose_state(active.key, state, True, now, wall_ms, on_commit)
+        self.clear_lease(active)
+        active.ending = True
+        if active.stage is not Stage.LEASED:
+            self._queue.hold(active)
+        return proposal
+
+    def end_unless_full(self, active: ActiveMessage, now: float, wall_ms: int) -> None:
+        """End a message whose time is up or whose route is gone; later, where the disk takes nothing now."""
+        try:
+            self.end(active, Status.DEAD_LETTER, now, wall_ms)
+        except StorageError:
+            self._queue.hold(active)
+            active.retained_until = now
+            self._deadlines.watch_retention(active, now + STORAGE_RETRY_S)
+            self._queue.release(active, now + 2 * STORAGE_RETRY_S, now)
+
+    def end_retained(self, now: float, wall_ms: int) -> None:
+        """End the messages that nobody has and that have been retained for long enough."""
+        for message in self._deadlines.retained(now):
+            if message.stage in (Stage.WAITING, Stage.READY):
+                self.end_unless_full(message, now, wall_ms)
+
+    def apply_routing(self, now: float, wall_ms: int) -> None:
+        """After a change of the configuration: end what was dropped, move what goes to another service."""
+        for active in list(self.active.values()):
+            if active.stage not in (Stage.WAITING, Stage.READY):
+                continue
+            if self._routing.is_dropped(active):
+                self.end_unless_full(active, now, wall_ms)
+            elif self._routing.has_moved(active):
+                self._change_service(active, active.ready_at, now)
+
+    def mark_leased(self, active: ActiveMessage, number: int, expires_at: float) -> None:
+        """A message has a new lease."""
+        active.lease = number
+        self.leased[active.key] = active
+        self._deadlines.watch_lease(active, expires_at)
+
+    def clear_lease(self, active: ActiveMessage) -> None:
+        """A message has no lease."""
+        active.lease = 0
+        active.expires_at = 0.0
+        self.leased.pop(active.key, None)
+
+    def discard(self, active: ActiveMessage, now: float) -> None:
+        """A message has ended at another primary."""
+        del self.active[active.key]
+        self.clear_lease(active)
+        self._queue.remove(active, now)
+
+    def forget(self, keys: list[Key]) -> None:
+        """The table has dropped these messages."""
+        dropped = set(keys)
+        self.keys_by_id = {known: key for known, key in self.keys_by_id.items() if key not in dropped}
+
+    def _ended(self, active: ActiveMessage, now: float, wall_ms: int) -> None:
+        """The end of a message is committed."""
+        self.active.pop(active.key, None)
+        self._queue.remove(active, now)
+        entry = self._table.entries.get(active.key)
+        if entry is not None and entry.state is not None and entry.state.callback_owed:
+            self._callbacks.add(entry.key, entry.state, now)
+
+    def _change_service(self, active: ActiveMessage, ready_at: float, now: float) -> None:
+        self._queue.remove(active, now)
+        active.service = self._routing.service_for(active.route, active.service)
+        active.stage = Stage.HELD
+        self._queue.add(active)
+        self._queue.release(active, ready_at, now)
--- /dev/null
+++ b/hollowusher/messages/record_writer.py
@@ -0,0 +1,90 @@
+"""Making the records of one partition at its primary: versions, the table, and proposals to the replicas."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import attrs
+
+from hollowusher.messages import records
+from hollowusher.messages.proposal import NO_KEY, Proposal
+from hollowusher.messages.records import Key, Put, State, Status
+from hollowusher.messages.table import PartitionTable
+
+OnCommit = Callable[[float, int], None]  # called with steady and wall clock
+
+
+class RecordWriter:
+    """Writes records into the partition's table and keeps the proposals that wait for a quorum."""
+
+    def __init__(self, table: PartitionTable, epoch: int, wall_ms: int) -> None:
+        self.epoch = epoch
+        self.outbox: list[Proposal] = []  # in the order they were made; the owner replicates and clears them
+        self.pending: dict[Key, Proposal] = {}  # the newest uncommitted proposal of each message
+        self._table = table
+        self._sequence = max(table.greatest_sequence, wall_ms * 1000)
+
+    def next_version(self) -> records.Version:
+        """A version greater than all before."""
+        self._sequence += 1
+        return self.epoch, self._sequence
+
+    def propose_put(self, key: Key, put: Put, now: float, wall_ms: int) -> Proposal:
+        """Keep a new message in the table and propose its record."""
+        record = records.pack_put(self._table.partition, key, put)
+        self._table.apply(record, wall_ms)
+        return self._propose(key, record, True, now, None)
+
+    def propose_state(
+        self,
+        key: Key,
+        state: State,
+        durable: bool,
+        now: float,
+        wall_ms: int,
+        on_commit: OnCommit | None = None,
+    ) -> Proposal:
+        """Enter a message's new state into the table and propose its record."""
+        record = records.pack_state(self._table.partition, key, state)
+        self._table.apply(record, wall_ms)
+        return self._propose(key, record, durable, now, on_commit)
+
+    def changed_state(self, key: Key) -> State:
+        """A copy of a message's state with a new version, without a lease."""
+        state = self._table.entries[key].state
+        version = self.next_version()
+        if state is None:
+            return State(version)
+        return attrs.evolve(
+            state,
+            version=version,
+            status=Status.QUEUED,
+            lease=0,
+            dispatcher="",
+            incarnation=0,
+            pull=False,
+            visibility_ms=0,
+        )
+
+    def confirmation(self, now: float) -> Proposal:
+        """A proposal without a record: its commit shows that a quorum still follows this primary."""
+        proposal = Proposal(NO_KEY, b"", False, now)
+        self.outbox.append(proposal)
+        return proposal
+
+    def commit(self, proposal: Proposal, now: float, wall_ms: int) -> None:
+        """A quorum has the record."""
+        proposal.committed = True
+        if self.pending.get(proposal.key) is proposal:
+            del self.pending[proposal.key]
+        if proposal.on_commit is not None:
+            proposal.on_commit(now, wall_ms)
+        proposal.answer(True)
+
+    def _propose(
+        self, key: Key, record: bytes, durable: bool, now: float, on_commit: OnCommit | None
+    ) -> Proposal:
+        proposal = Proposal(key, record, durable, now, on_commit)
+        self.pending[key] = proposal
+        self.outbox.append(proposal)
+        return proposal
--- /dev/null
+++ b/hollowusher/messages/routing.py
@@ -0,0 +1,65 @@
+"""What the configuration says of the messages of one partition: routes, services and their ceilings."""
+
+from __future__ import annotations
+
+from hollowusher.configuration.model import Configuration
+from hollowusher.messages.active import ActiveMessage
+from hollowusher.messages.queue import TokenBucket
+
+
+class Routing:
+    """The configuration as a primary uses it; without one nothing is dropped, moved or held back."""
+
+    def __init__(self) -> None:
+        self._configuration: Configuration | None = None
+        self._routes: frozenset[str] = frozenset()
+        self._upstreams: dict[str, str] = {}  # service of each route
+        self._services: frozenset[str] = frozenset()
+        self._buckets: dict[str, TokenBucket] = {}
+
+    def configure(self, configuration: Configuration, now: float) -> None:
+        """Take a newer configuration."""
+        self._configuration = configuration
+        self._routes = frozenset(route.name for route in configuration.routes)
+        self._upstreams = {route.name: route.upstream for route in configuration.routes}
+        self._services = frozenset(service.name for service in configuration.upstreams)
+        rates = {
+            service.name: service.rate_per_s for service in configuration.upstreams if service.rate_per_s > 0
+        }
+        self._set_ceilings(rates, now)
+
+    @property
+    def generation(self) -> int:
+        """The generation of the configuration, 0 where there is none."""
+        return self._configuration.generation if self._configuration else 0
+
+    def bucket(self, service: str) -> TokenBucket | None:
+        """The grants of a service with a ceiling."""
+        return self._buckets.get(service)
+
+    def is_dropped(self, active: ActiveMessage) -> bool:
+        """Whether a configuration newer than the one that accepted the message has no such route."""
+        configuration = self._configuration
+        return (
+            configuration is not None
+            and configuration.generation > active.generation
+            and active.route not in self._routes
+        )
+
+    def service_for(self, route: str, service: str) -> str:
+        """The service of a message: as accepted, or the route's present one where that is gone."""
+        return service if service in self._services else self._upstreams.get(route, service)
+
+    def has_moved(self, active: ActiveMessage) -> bool:
+        """Whether the message now belongs to another service."""
+        return self.service_for(active.route, active.service) != active.service
+
+    def _set_ceilings(self, rates: dict[str, float], now: float) -> None:
+        for service in [name for name in self._buckets if name not in rates]:
+            del self._buckets[service]
+        for service, rate in rates.items():
+            bucket = self._buckets.get(service)
+            if bucket is None:
+                self._buckets[service] = TokenBucket(rate, now)
+            elif bucket.rate != rate * TokenBucket.RATE_SHARE:
+                bucket.change_rate(rate, now)
--- a/hollowusher/simulation/planted.py
+++ b/hollowusher/simulation/planted.py
@@ -16,7 +16,10 @@
 from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.intake import store_client
 from hollowusher.messages import records
+from hollowusher.messages.adoption import Adoption
 from hollowusher.messages.hosting import PartitionHost
+from hollowusher.messages.leases import MessageLeases
+from hollowusher.messages.lifecycle import MessageLifecycle
 from hollowusher.messages.primary import ActiveMessage, PartitionPrimary
 from hollowusher.messages.queue import MessageQueue, Stage, TokenBucket
 from hollowusher.messages.records import Status
@@ -250,7 +253,7 @@
     real = PartitionPrimary.put
 
     def put(primary: PartitionPrimary, message: Any, now: float, wall_ms: int) -> Any:
-        primary._ids.pop(message.id, None)
+        primary._lifecycle.keys_by_id.pop(message.id, None)
         return real(primary, message, now, wall_ms)
 
     patches.set(PartitionPrimary, "put", put)
@@ -303,14 +306,14 @@
 
 @planted("EARLY", kinds=MOVES)
 def _delay_lost_at_takeover(patches: Patches) -> None:
-    real = PartitionPrimary._activate
+    real = MessageLifecycle.activate
 
-    def activate(primary: PartitionPrimary, *arguments: Any) -> ActiveMessage:
-        active = real(primary, *arguments)
+    def activate(lifecycle: MessageLifecycle, *arguments: Any) -> ActiveMessage:
+        active = real(lifecycle, *arguments)
         active.due_ms = 0
         return active
 
-    patches.set(PartitionPrimary, "_activate", activate)
+    patches.set(MessageLifecycle, "activate", activate)
 
 
 # ---- leases and ends
@@ -318,12 +321,12 @@
 
 @planted("TWICE")
 def _lease_lapses_early(patches: Patches) -> None:
-    patches.set(PartitionPrimary, "_lease_seconds", lambda primary, active, state: 0.05)
+    patches.set(MessageLeases, "lease_seconds", lambda leases, active, state: 0.05)
 
 
 @planted("UNSERVED")
 def _lease_never_lapses(patches: Patches) -> None:
-    patches.set(PartitionPrimary, "_lease_seconds", lambda primary, active, state: NEVER_S)
+    patches.set(MessageLeases, "lease_seconds", lambda leases, active, state: NEVER_S)
 
 
 def _on_finish(patches: Patches, change: Callable[[Finish], Finish]) -> None:
@@ -338,7 +341,7 @@
 @planted("TWICE")
 def _every_end_taken(patches: Patches) -> None:
     real = PartitionPrimary.finish
-    patches.set(PartitionPrimary, "_lease_seconds", lambda primary, active, state: 0.05)
+    patches.set(MessageLeases, "lease_seconds", lambda leases, active, state: 0.05)
 
     def finish(primary: PartitionPrimary, lease: Any, request: Finish, now: float, wall_ms: int) -> Any:
         answer = real(primary, lease, request, now, wall_ms)
@@ -372,40 +375,40 @@
 
 @planted("MIXED", "LOST")
 def _one_attempt_too_few(patches: Patches) -> None:
-    real = PartitionPrimary._activate
+    real = MessageLifecycle.activate
 
-    def activate(primary: PartitionPrimary, *arguments: Any) -> ActiveMessage:
-        active = real(primary, *arguments)
+    def activate(lifecycle: MessageLifecycle, *arguments: Any) -> ActiveMessage:
+        active = real(lifecycle, *arguments)
         active.max_attempts = max(1, active.max_attempts - 1)
         return active
 
-    patches.set(PartitionPrimary, "_activate", activate)
+    patches.set(MessageLifecycle, "activate", activate)
 
 
 @planted("MIXED", "LOST")
 def _retention_too_short(patches: Patches) -> None:
-    real = PartitionPrimary._activate
+    real = MessageLifecycle.activate
 
-    def activate(primary: PartitionPrimary, key: Any, put: Any, retained_until: float) -> ActiveMessage:
+    def activate(lifecycle: MessageLifecycle, key: Any, put: Any, retained_until: float) -> ActiveMessage:
         short = evolve(put.message, retention_ms=min(put.message.retention_ms, 2_000))
         return real(
-            primary,
+            lifecycle,
             key,
             put._replace(message=short) if hasattr(put, "_replace") else attrs.evolve(put, message=short),
             min(retained_until, retained_until - 6.0),
         )
 
-    patches.set(PartitionPrimary, "_activate", activate)
+    patches.set(MessageLifecycle, "activate", activate)
 
 
 @planted("EXPIRED", "STALE")
 def _retention_ignored(patches: Patches) -> None:
-    real = PartitionPrimary._activate
+    real = MessageLifecycle.activate
 
-    def activate(primary: PartitionPrimary, key: Any, put: Any, retained_until: float) -> ActiveMessage:
-        return real(primary, key, put, NEVER_S)
+    def activate(lifecycle: MessageLifecycle, key: Any, put: Any, retained_until: float) -> ActiveMessage:
+        return real(lifecycle, key, put, NEVER_S)
 
-    patches.set(PartitionPrimary, "_activate", activate)
+    patches.set(MessageLifecycle, "activate", activate)
 
 
 @planted("MIXED")
@@ -432,7 +435,7 @@
 
 @planted("UNTOLD", kinds=MOVES)
 def _callback_forgotten_at_takeover(patches: Patches) -> None:
-    patches.set(PartitionPrimary, "_adopt_ended", lambda primary, entry, now: None)
+    patches.set(Adoption, "adopt_ended", lambda adoption, entry, now: None)
 
 
 # ---- the control plane
