Refuse messages of another cluster, and votes asked of another voter

Cause: a Decided, Prepare or Accept of another system's controllers, or one that reaches a process at an address which is by now another voter's, was judged by its epoch alone: it could bring in foreign views, or have one voter counted as two.

Change: the acceptor checks View.cluster (empty: data of older processes, taken), the view that a Prepare builds on, the epoch of the view in an Accept, and the voter that a request names ("name/disk id"). What does not fit is refused, counted in Acceptor.foreign, and changes nothing. A proposer carries the cluster's name on to the next view.

--- a/hollowusher/coordination/view.py
+++ b/hollowusher/coordination/view.py
@@ -1,16 +1,24 @@
 """Agreement on views: single-decree Paxos for each epoch, among the voters of the view before.
 
 Source: Lamport, "Paxos made simple" (2001).  The view of epoch e + 1 is decided once a majority of the voters
-of view e have accepted it under one ballot.  Nothing here does I/O: the owner saves `Acceptor.dump()`
-durably before an answer leaves.
+of view e have accepted it under one ballot.  Nothing here does I/O: `coordination.voting` says what has to be
+on disk before which answer or request leaves.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
-from hollowusher.protocol.codec import decode, encode
-from hollowusher.protocol.control import Accept, Accepted, Prepare, Promise, View, Voter
+from hollowusher.protocol.codec import decode, encode, evolve
+from hollowusher.protocol.control import (
+    Accept,
+    Accepted,
+    ConfirmEpoch,
+    Prepare,
+    Promise,
+    View,
+    Voter,
+)
 
 Ballot = tuple[int, str]  # round, name of the proposer
 NO_BALLOT: Ballot = (0, "")
@@ -38,11 +46,21 @@
     return voter is not None and voter.disk_id == disk_id
 
 
-def first_view(voters: Iterable[Voter]) -> View:
+def first_view(voters: Iterable[Voter], cluster: str = "") -> View:
     """View 1: all the given controllers vote and form the chain, in the order of their names."""
     ordered = sorted(voters, key=lambda voter: voter.name)
     names = [voter.name for voter in ordered]
-    return View(FIRST_EPOCH, ordered, names, dict.fromkeys(names, FIRST_EPOCH))
+    return View(FIRST_EPOCH, ordered, names, dict.fromkeys(names, FIRST_EPOCH), cluster)
+
+
+def same_cluster(one: str, other: str) -> bool:
+    """Whether two cluster names may be those of one system; data of older processes has none."""
+    return one == other or not one or not other
+
+
+def voter_id(voter: Voter) -> str:
+    """Name and disk, as a message to one voter names it: an address may by now be another process's."""
+    return f"{voter.name}/{voter.disk_id}"
 
 
 class Acceptor:
@@ -55,6 +73,7 @@
         self.promised = NO_BALLOT
         self.accepted_ballot = NO_BALLOT
         self.accepted: View | None = None  # of the epoch after `decided`
+        self.foreign = 0  # messages of another cluster, or meant for another voter: refused
         if saved is not None:
             self._load(saved)
 
@@ -83,9 +102,15 @@
         """Whether it votes in view `epoch` and has accepted no later one."""
         return self.epoch == epoch and self.accepted is None and self.votes(epoch + 1)
 
+    def confirm(self, message: ConfirmEpoch) -> bool:
+        """The answer to another voter's question whether its view is still the newest."""
+        if not self._meant_for_it(message.voter) or not self._of_its_cluster(message.cluster):
+            return False
+        return self.confirms(message.epoch)
+
     def learn(self, view: View) -> bool:
         """Take a decided view; whether it is a newer one."""
-        if view.epoch <= self.epoch:
+        if not self._fits(view) or view.epoch <= self.epoch:
             return False
         self.decided = view
         self.promised = NO_BALLOT
@@ -103,6 +128,8 @@
 
     def prepare(self, message: Prepare) -> Promise:
         """First phase; the base view that comes along has been learned before."""
+        if not self._meant_for_it(message.voter) or not self._fits(message.base):
+            return Promise(False, list(self.promised))
         ballot = as_ballot(message.ballot)
         if not self.votes(message.epoch) or ballot < self.promised:
             return Promise(False, list(self.promised), decided=self._newer(message.epoch))
@@ -112,14 +139,41 @@
 
     def accept(self, message: Accept) -> Accepted:
         """Second phase."""
+        if not self._meant_for_it(message.voter) or not self._fits(message.view):
+            return Accepted(False, list(self.promised))
         ballot = as_ballot(message.ballot)
-        if not self.votes(message.epoch) or ballot < self.promised:
+        follows = message.view.epoch == message.epoch
+        if not follows or not self.votes(message.epoch) or ballot < self.promised:
             return Accepted(False, list(self.promised), self._newer(message.epoch))
         self.promised = ballot
         self.accepted_ballot = ballot
         self.accepted = message.view
         return Accepted(True, list(ballot))
 
+    def _meant_for_it(self, addressee: str) -> bool:
+        """Whether a message was sent to this voter; older processes do not name the addressee."""
+        if addressee in ("", f"{self.name}/{self.disk_id}"):
+            return True
+        self.foreign += 1
+        return False
+
+    def _of_its_cluster(self, cluster: str) -> bool:
+        if self.decided is None or same_cluster(self.decided.cluster, cluster):
+            return True
+        self.foreign += 1
+        return False
+
+    def _fits(self, view: View | None) -> bool:
+        """Whether a view is of the own cluster; two decided views of one epoch cannot be of one cluster."""
+        if view is None or self.decided is None:
+            return True
+        if not self._of_its_cluster(view.cluster):
+            return False
+        if view.epoch == self.epoch and view != self.decided:
+            self.foreign += 1
+            return False
+        return True
+
     def _newer(self, epoch: int) -> View | None:
         return self.decided if self.epoch >= epoch else None
 
@@ -130,19 +184,21 @@
     def __init__(self, base: View, wanted: View, ballot: Ballot) -> None:
         self.base = base
         self.ballot = ballot
-        self.value = wanted
+        self.value = evolve(wanted, cluster=base.cluster)
         self.decided: View | None = None
         self.highest_round = ballot[0]  # for the next attempt
         self._promises: dict[str, Promise] = {}
         self._acceptances: set[str] = set()
 
-    def prepare(self) -> Prepare:
-        """What every voter of the base view is asked first."""
-        return Prepare(self.base.epoch + 1, list(self.ballot), self.base)
+    def prepare(self, voter: Voter | None = None) -> Prepare:
+        """What a voter of the base view is asked first."""
+        addressee = voter_id(voter) if voter is not None else ""
+        return Prepare(self.base.epoch + 1, list(self.ballot), self.base, addressee)
 
-    def accept(self) -> Accept:
-        """What every voter is asked once `on_promise` has returned True."""
-        return Accept(self.base.epoch + 1, list(self.ballot), self.value)
+    def accept(self, voter: Voter | None = None) -> Accept:
+        """What a voter is asked once `on_promise` has returned True."""
+        addressee = voter_id(voter) if voter is not None else ""
+        return Accept(self.base.epoch + 1, list(self.ballot), self.value, addressee)
 
     def on_promise(self, voter: str, answer: Promise) -> bool:
         """Take an answer; True once, when a majority has promised."""
--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -137,6 +137,7 @@
     epoch: int
     ballot: list[Any]  # [round, name]
     base: View | None = None  # the view before, for an acceptor that has not heard of it yet
+    voter: str = ""  # "name/disk id" of the voter asked: an address may by now be another process's
 
 
 @message(15)
@@ -157,6 +158,7 @@
     epoch: int
     ballot: list[Any]
     view: View
+    voter: str = ""  # as in `Prepare`
 
 
 @message(17)
@@ -376,6 +378,8 @@
     """The chain's tail or head asks the voters whether its view is still the newest."""
 
     epoch: int
+    cluster: str = ""
+    voter: str = ""  # as in `Prepare`
 
 
 @message(42)
--- /dev/null
+++ b/tests/control/test_agreement_cluster.py
@@ -0,0 +1,92 @@
+"""Messages of another cluster, and messages meant for another voter: refused, counted, nothing changed."""
+
+from __future__ import annotations
+
+import pytest
+
+from hollowusher.coordination.view import Acceptor, Proposer, first_view, same_cluster, voter_id
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import Accept, ConfirmEpoch, Prepare, View, Voter
+
+VOTERS = [Voter(name, f"disk-{name}", f"10.0.0.{number}:1") for number, name in enumerate("abc")]
+BASE = first_view(VOTERS, "cluster-1")
+FOREIGN = first_view(VOTERS, "cluster-2")
+
+
+def voter_of(base: View = BASE) -> Acceptor:
+    acceptor = Acceptor("a", "disk-a")
+    acceptor.learn(base)
+    return acceptor
+
+
+def next_view(base: View, epoch: int = 2) -> View:
+    return evolve(base, epoch=epoch, chain=["b", "c"], since={"b": 1, "c": 1})
+
+
+def test_names_of_clusters() -> None:
+    assert same_cluster("x", "x") and same_cluster("", "x") and same_cluster("x", "") and same_cluster("", "")
+    assert not same_cluster("x", "y")
+
+
+@pytest.mark.parametrize("epoch", [1, 2, 9])
+def test_a_decided_view_of_another_cluster_changes_nothing(epoch: int) -> None:
+    acceptor = voter_of()
+    saved = acceptor.dump()
+    assert not acceptor.learn(evolve(FOREIGN, epoch=epoch))
+    assert acceptor.dump() == saved and acceptor.foreign == 1
+
+
+@pytest.mark.parametrize(
+    "message", [Prepare(2, [1, "b"], FOREIGN), Prepare(3, [1, "b"], next_view(FOREIGN)), Prepare(2, [1, "b"],
+        evolve(FOREIGN, cluster="", chain=["c", "b", "a"]))]
+)  # fmt: skip
+def test_no_vote_for_a_proposer_of_another_cluster(message: Prepare) -> None:
+    acceptor = voter_of()
+    saved = acceptor.dump()
+    answer = acceptor.prepare(message)
+    assert not answer.granted and answer.decided is None
+    assert acceptor.dump() == saved and acceptor.foreign == 1
+
+
+def test_no_acceptance_of_a_view_of_another_cluster_or_epoch() -> None:
+    acceptor = voter_of()
+    saved = acceptor.dump()
+    assert not acceptor.accept(Accept(2, [1, "b"], next_view(FOREIGN))).granted
+    assert acceptor.foreign == 1
+    assert not acceptor.accept(Accept(2, [1, "b"], next_view(BASE, epoch=3))).granted
+    assert acceptor.dump() == saved
+
+
+def test_a_question_of_another_cluster_is_not_confirmed() -> None:
+    acceptor = voter_of()
+    assert acceptor.confirm(ConfirmEpoch(1)) and acceptor.confirm(ConfirmEpoch(1, "cluster-1"))
+    assert not acceptor.confirm(ConfirmEpoch(1, "cluster-2"))
+    assert acceptor.foreign == 1
+
+
+def test_views_of_older_processes_have_no_cluster_and_are_taken() -> None:
+    older = evolve(BASE, cluster="")
+    acceptor = voter_of(older)
+    assert acceptor.prepare(Prepare(2, [1, "b"], older)).granted
+    assert acceptor.accept(Accept(2, [1, "b"], next_view(BASE))).granted
+    assert acceptor.learn(next_view(BASE)) and acceptor.foreign == 0
+
+
+def test_a_message_to_another_voter_is_not_answered_with_a_vote() -> None:
+    """The address of a voter that has gone may by now be another voter's: one vote would count as two."""
+    acceptor = voter_of()
+    saved = acceptor.dump()
+    proposer = Proposer(BASE, next_view(BASE), (1, "b"))
+    other = VOTERS[2]
+    assert not acceptor.prepare(proposer.prepare(other)).granted
+    assert not acceptor.accept(proposer.accept(other)).granted
+    assert not acceptor.confirm(ConfirmEpoch(1, voter=voter_id(other)))
+    assert not acceptor.prepare(proposer.prepare(evolve(VOTERS[0], disk_id="older-disk"))).granted
+    assert acceptor.dump() == saved and acceptor.foreign == 4
+    assert acceptor.prepare(proposer.prepare(VOTERS[0])).granted
+    assert acceptor.accept(proposer.accept(VOTERS[0])).granted
+
+
+def test_each_later_view_carries_the_name_of_the_cluster_on() -> None:
+    planned = evolve(next_view(BASE), cluster="")
+    assert Proposer(BASE, planned, (1, "b")).accept().view.cluster == "cluster-1"
