Have a ballot and every vote on disk before anyone hears of it

Cause: Prepare and Accept were sent before the proposer's own promise was on disk, and the next round came from what the disk held. A proposer with a slow disk won promises with ballot (1, a), b accepted X, power went; back again it had Y decided with the same ballot (1, a) at a and c; the late Accept of X then decided X at b and c: two views of one epoch. Also: a first view whose save had failed was answered as held when it was offered again.

Change: coordination/voting.py, a state machine without I/O: messages, the time and the ends of saves go in, saves, answers and requests come out in order. A proposer asks others once its own promise is durable; an answer leaves once all that it tells is. Agreement only carries the outputs out.

--- a/hollowusher/coordination/agreement.py
+++ b/hollowusher/coordination/agreement.py
@@ -1,17 +1,17 @@
-"""Runs the agreement on views over the network: saves the acceptor's state, asks the other voters.
-
-Every change of the acceptor is saved before its answer leaves.
-"""
+"""Runs the agreement on views over the network: carries out what `VotingMachine` says, in its order."""
 
 from __future__ import annotations
 
 import asyncio
+import itertools
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Coroutine, Iterable
 from contextlib import suppress
 from typing import Any
 
-from hollowusher.coordination.view import Acceptor, Ballot, Proposer, majority
+from hollowusher.coordination import voting
+from hollowusher.coordination.view import Acceptor, majority, voter_id
+from hollowusher.coordination.voting import VotingMachine
 from hollowusher.protocol.control import (
     Accept,
     Accepted,
@@ -31,7 +31,6 @@
 VOTE_TIMEOUT_S = 0.5
 CONFIRM_TIMEOUT_S = 0.4
 MOST_BACKOFF_S = 0.2
-LOCAL_MARGIN_S = 0.05  # beyond the peers' time-out; the own disk may take longer than that
 
 
 class Agreement:
@@ -50,11 +49,18 @@
         self._slot = slot
         self._chance = chance
         self._on_view = on_view
-        self._lock = asyncio.Lock()
-        self._proposing = False
-        self._round = 0
+        self._machine = VotingMachine(me.name, me.disk_id, slot.load())
+        self._askers = itertools.count()
+        self._answers: dict[int, asyncio.Future[Any]] = {}
+        self._used_epoch = self.acceptor.epoch  # of the newest view that `on_view` has been told of
+        self._learning: list[tuple[int, asyncio.Future[None]]] = []
+        self._finished: asyncio.Future[bool] | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
-        self.acceptor = Acceptor(me.name, me.disk_id, slot.load())
+
+    @property
+    def acceptor(self) -> Acceptor:
+        """This controller's vote."""
+        return self._machine.acceptor
 
     @property
     def view(self) -> View | None:
@@ -62,88 +68,71 @@
         return self.acceptor.decided
 
     async def learn(self, view: View) -> bool:
-        """Take a decided view; whether it was a newer one."""
-        async with self._lock:
-            if not self.acceptor.learn(view):
-                return False
-            with suppress(StorageError):  # it can be learned again: only votes must not be forgotten
-                await self._save()
-            self._on_view(view)
-            return True
+        """Take a decided view; whether it was a newer one.  It is in use when this returns."""
+        newer = self._machine.learn(view)
+        self._perform()
+        if self._used_epoch < view.epoch <= self.acceptor.epoch:
+            used: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._learning.append((view.epoch, used))
+            await used
+        return newer
 
     async def take_first(self, message: ProposeFirst) -> FirstTaken:
         """Hold the first proposed view 1."""
-        async with self._lock:
-            held = self.acceptor.accepted
-            taken = self.acceptor.take_first(message.view)
-            if taken is not held:
-                await self._save()
-            return FirstTaken(taken, self.view)
+        answer: FirstTaken = await self._request(self._machine.take_first, message)
+        return answer
 
     async def prepare(self, message: Prepare) -> Promise:
         """Vote in the first phase."""
-        if message.base is not None:
-            await self.learn(message.base)
-        async with self._lock:
-            answer = self.acceptor.prepare(message)
-            if answer.granted:
-                await self._save()
-            return answer
+        answer: Promise = await self._request(self._machine.prepare, message)
+        return answer
 
     async def accept(self, message: Accept) -> Accepted:
         """Vote in the second phase."""
-        async with self._lock:
-            answer = self.acceptor.accept(message)
-            if answer.granted:
-                await self._save()
-            return answer
+        answer: Accepted = await self._request(self._machine.accept, message)
+        return answer
 
     def confirm(self, message: ConfirmEpoch) -> EpochConfirmed:
         """Whether this voter knows of no later view."""
-        return EpochConfirmed(self.acceptor.confirms(message.epoch), self.acceptor.epoch)
+        return EpochConfirmed(self.acceptor.confirm(message), self.acceptor.epoch)
 
     async def majority_confirms(self, epoch: int) -> bool:
         """Whether a majority of the voters of the view `epoch` has accepted no later one."""
         view = self.view
         if view is None or view.epoch != epoch:
             return False
-        confirmed: set[str] = set()
-
-        def take(voter: str, answer: Any) -> bool:
-            if isinstance(answer, EpochConfirmed) and answer.ok:
-                confirmed.add(voter)
-            return len(confirmed) >= majority(view)
-
-        return await self._ask(view, ConfirmEpoch(epoch), take, CONFIRM_TIMEOUT_S)
+        confirmed = {self._me.name} if self.acceptor.confirms(epoch) else set()
+        pending = {self._spawn(self._confirmed_by(voter, view)) for voter in view.voters}
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + CONFIRM_TIMEOUT_S
+        while len(confirmed) < majority(view) and pending and loop.time() < deadline:
+            done, pending = await asyncio.wait(
+                pending, timeout=deadline - loop.time(), return_when=asyncio.FIRST_COMPLETED
+            )
+            confirmed |= {task.result() for task in done} - {""}
+        return len(confirmed) >= majority(view)
 
     async def propose(self, wanted: Callable[[View], View | None]) -> bool:
         """Try once to have the view `wanted` makes of the present one decided; whether a newer view than
         the present one is known afterwards (it may be another's)."""
-        if self._proposing or self.view is None:
+        loop = asyncio.get_running_loop()
+        if not self._machine.propose(loop.time(), wanted):
             return False
-        self._proposing = True
+        finished: asyncio.Future[bool] = loop.create_future()
+        self._finished = finished
+        self._perform()
         try:
-            return await self._propose(self.view, wanted)
+            while not finished.done():
+                await asyncio.wait({finished}, timeout=self._left(loop.time()))
+                self._machine.tick(loop.time())
+                self._perform()
         finally:
-            self._proposing = False
-
-    async def _propose(self, base: View, wanted: Callable[[View], View | None]) -> bool:
-        value = wanted(base)
-        if value is None:
-            return False
-        self._round = max(self._round, self.acceptor.promised[0]) + 1
-        ballot: Ballot = (self._round, self._me.name)
-        proposer = Proposer(base, value, ballot)
-        promised = await self._ask(base, proposer.prepare(), proposer.on_promise, VOTE_TIMEOUT_S)
-        if promised:
-            await self._ask(base, proposer.accept(), proposer.on_accepted, VOTE_TIMEOUT_S)
-        self._round = proposer.highest_round
-        if proposer.decided is None:
+            if not finished.done():  # whoever wanted it has gone
+                self._machine.abandon()
+                self._perform()
+        if not finished.result():
             await asyncio.sleep(self._chance.uniform(0.0, MOST_BACKOFF_S))
-            return False
-        await self.learn(proposer.decided)
-        self.announce(proposer.decided, base.voters)
-        return True
+        return finished.result()
 
     def announce(self, view: View, further: Iterable[Voter] = ()) -> None:
         """Tell the voters of a decided view, and some others, about it."""
@@ -151,42 +140,85 @@
         for address in sorted(addresses):
             self._transport.send(address, Decided(view))
 
-    async def _ask(self, view: View, message: Any, take: Callable[[str, Any], bool], timeout: float) -> bool:
-        """Ask all voters at once; True as soon as `take` returns True for an answer."""
-        pending = set()
-        for voter in view.voters:
-            task = asyncio.get_running_loop().create_task(self._ask_one(voter, message, timeout))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            pending.add(task)
-        loop = asyncio.get_running_loop()
-        deadline = loop.time() + timeout + LOCAL_MARGIN_S
-        while pending and loop.time() < deadline:
-            done, pending = await asyncio.wait(
-                pending, timeout=deadline - loop.time(), return_when=asyncio.FIRST_COMPLETED
-            )
-            for task in done:
-                name, answer = task.result()
-                if answer is not None and take(name, answer):
-                    return True
-        return False
-
-    async def _ask_one(self, voter: Voter, message: Any, timeout: float) -> tuple[str, Any]:
-        """A voter's answer, None where there is none."""
+    def _left(self, now: float) -> float:
+        deadline = self._machine.deadline
+        return max(0.0, deadline - now) if deadline is not None else 0.0
+
+    async def _request(self, take: Callable[[int, Any], None], message: Any) -> Any:
+        """Have the machine answer a request; `StorageError` where the disk does not take the vote."""
+        asker = next(self._askers)
+        answer: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
+        self._answers[asker] = answer
+        take(asker, message)
+        self._perform()
+        return await answer
+
+    # -- the machine's outputs ---------------------------------------------------------------------------
+
+    def _perform(self) -> None:
+        """Carry out what the machine says, in its order."""
+        for output in self._machine.take_outputs():
+            if isinstance(output, voting.Save):
+                self._spawn(self._save(output.value))
+            elif isinstance(output, voting.Answer):
+                self._give_answer(output)
+            elif isinstance(output, voting.Ask):
+                self._spawn(self._ask(output))
+            elif isinstance(output, voting.Learned):
+                self._use(output.view)
+            elif isinstance(output, voting.Announce):
+                self.announce(output.view, output.base.voters)
+            elif self._finished is not None and not self._finished.done():
+                self._finished.set_result(output.newer)
+
+    def _give_answer(self, answer: voting.Answer) -> None:
+        future = self._answers.pop(answer.asker)
+        if future.done():  # whoever asked has gone
+            return
+        if answer.message is None:
+            future.set_exception(StorageError("save", "the vote", "the disk has not taken it"))
+        else:
+            future.set_result(answer.message)
+
+    def _use(self, view: View) -> None:
+        self._used_epoch = view.epoch
+        self._on_view(view)
+        used = [future for epoch, future in self._learning if epoch <= view.epoch]
+        self._learning = [entry for entry in self._learning if entry[0] > view.epoch]
+        for future in used:
+            if not future.done():
+                future.set_result(None)
+
+    async def _save(self, value: bytes) -> None:
+        try:
+            await self._slot.save(value)
+            taken = True
+        except StorageError:
+            taken = False
+        self._machine.saved(taken, asyncio.get_running_loop().time())
+        self._perform()
+
+    async def _ask(self, ask: voting.Ask) -> None:
+        """Ask another voter; None stands for no answer."""
+        answer = None
+        with suppress(PeerError):
+            answer = await self._transport.call(ask.voter.address, ask.message, VOTE_TIMEOUT_S)
+        self._machine.answered(ask, answer, asyncio.get_running_loop().time())
+        self._perform()
+
+    async def _confirmed_by(self, voter: Voter, view: View) -> str:
+        """The voter's name if it confirms the epoch, else nothing."""
+        if voter.name == self._me.name:
+            return ""
+        message = ConfirmEpoch(view.epoch, view.cluster, voter_id(voter))
         try:
-            if voter.name == self._me.name:
-                return voter.name, await self._answer(message)
-            return voter.name, await self._transport.call(voter.address, message, timeout)
-        except (PeerError, StorageError):
-            return voter.name, None
-
-    async def _answer(self, message: Any) -> Any:
-        """This controller's own vote."""
-        if isinstance(message, Prepare):
-            return await self.prepare(message)
-        if isinstance(message, Accept):
-            return await self.accept(message)
-        return self.confirm(message)
-
-    async def _save(self) -> None:
-        await self._slot.save(self.acceptor.dump())
+            answer = await self._transport.call(voter.address, message, CONFIRM_TIMEOUT_S)
+        except PeerError:
+            return ""
+        return voter.name if isinstance(answer, EpochConfirmed) and answer.ok else ""
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
--- /dev/null
+++ b/hollowusher/coordination/voting.py
@@ -0,0 +1,329 @@
+"""One voter's share in the agreement as a state machine: what is on disk before what leaves.
+
+The owner passes in messages, the time, and what became of a save; it carries out the outputs in their order.
+Three rules make the agreement of `coordination.view` hold through any loss of power:
+
+- An answer leaves once everything that it tells of the acceptor is on disk.
+- A ballot is used once: the proposer's own promise for it is on disk before another voter hears of it.  A
+  proposer whose promise did not get there takes a higher round after it has started again, or the same one
+  that nobody has heard of.
+- One save is under way at a time, and each holds the whole of the acceptor.  What a failed save held stays in
+  memory and goes with the next one; the answers that waited for it are not given.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from hollowusher.coordination.view import Acceptor, Ballot, Proposer
+from hollowusher.protocol.control import (
+    Accept,
+    Accepted,
+    FirstTaken,
+    Prepare,
+    Promise,
+    ProposeFirst,
+    View,
+    Voter,
+)
+
+PHASE_TIMEOUT_S = 0.55  # for each of: the own promise on disk, a majority's promises, its acceptances
+
+PlanView = Callable[[View], View | None]
+
+
+@attrs.frozen
+class Save:
+    """To be saved durably; `VotingMachine.saved` is called with the result."""
+
+    value: bytes
+
+
+@attrs.frozen
+class Answer:
+    """The answer to the request `asker`; None where the disk has not taken it: no answer is given."""
+
+    asker: int
+    message: Promise | Accepted | FirstTaken | None
+
+
+@attrs.frozen(eq=False)
+class Ask:
+    """To be asked of another voter; `VotingMachine.answered` is called with this and with its answer."""
+
+    voter: Voter
+    message: Prepare | Accept
+    ballot: Ballot
+
+
+@attrs.frozen
+class Learned:
+    """A newer decided view is to be used."""
+
+    view: View
+
+
+@attrs.frozen
+class Announce:
+    """The voters of a decided view and of the one before are to be told of it."""
+
+    view: View
+    base: View
+
+
+@attrs.frozen
+class Finished:
+    """The proposal under way has ended; `newer`: a newer view than its base is known."""
+
+    newer: bool
+
+
+Output = Save | Answer | Ask | Learned | Announce | Finished
+
+
+@attrs.frozen
+class _OwnVote:
+    """The proposer's own promise or acceptance."""
+
+    ballot: Ballot
+    message: Promise | Accepted
+
+
+@attrs.frozen
+class _Waiting:
+    """Something that leaves once the acceptor's change number `change` is on disk."""
+
+    change: int
+    output: Answer | Learned | _OwnVote
+
+
+@attrs.define
+class _Proposal:
+    """One ballot under way."""
+
+    proposer: Proposer
+    deadline: float
+    unanswered: set[Ask] = attrs.Factory(set)  # of this phase
+    own_vote: bool = True  # the own vote of this phase waits for the disk
+
+
+class VotingMachine:
+    """The acceptor of one controller, its disk, and its proposals.  No I/O, no clock."""
+
+    def __init__(self, name: str, disk_id: str, saved: bytes | None = None) -> None:
+        self.acceptor = Acceptor(name, disk_id, saved)
+        self._name = name
+        self._changes = 0
+        self._durable = 0  # the newest change that is on disk
+        self._saving: int | None = None  # the newest change that the save under way holds
+        self._waiting: list[_Waiting] = []
+        self._outputs: list[Output] = []
+        self._now = 0.0
+        self._highest_round = 0
+        self._proposal: _Proposal | None = None
+
+    @property
+    def proposing(self) -> bool:
+        """Whether a proposal is under way."""
+        return self._proposal is not None
+
+    @property
+    def deadline(self) -> float | None:
+        """When the present phase of the proposal under way ends without success."""
+        return self._proposal.deadline if self._proposal is not None else None
+
+    def take_outputs(self) -> list[Output]:
+        """What is to be done now, in this order."""
+        outputs, self._outputs = self._outputs, []
+        return outputs
+
+    # -- the acceptor --------------------------------------------------------------------------------------
+
+    def learn(self, view: View) -> bool:
+        """Take a decided view; whether it is a newer one.  It is used as soon as the disk has answered, also
+        if it has refused: a decided view can be learned again, only votes must not be forgotten."""
+        if not self.acceptor.learn(view):
+            return False
+        self._changed()
+        self._when_durable(Learned(view))
+        return True
+
+    def take_first(self, asker: int, message: ProposeFirst) -> None:
+        """Hold the first proposed view 1."""
+        held = self.acceptor.accepted
+        taken = self.acceptor.take_first(message.view)
+        if taken is not held:
+            self._changed()
+        self._when_durable(Answer(asker, FirstTaken(taken, self.acceptor.decided)))
+
+    def prepare(self, asker: int, message: Prepare) -> None:
+        """Vote in the first phase."""
+        promise = self._promise(message)
+        self._answer(asker, promise, promise.granted)
+
+    def accept(self, asker: int, message: Accept) -> None:
+        """Vote in the second phase."""
+        accepted = self._accept(message)
+        self._answer(asker, accepted, accepted.granted)
+
+    def _promise(self, message: Prepare) -> Promise:
+        if message.base is not None:
+            self.learn(message.base)
+        promise = self.acceptor.prepare(message)
+        if promise.granted:
+            self._changed()
+        return promise
+
+    def _accept(self, message: Accept) -> Accepted:
+        accepted = self.acceptor.accept(message)
+        if accepted.granted:
+            self._changed()
+        return accepted
+
+    def _answer(self, asker: int, message: Promise | Accepted, granted: bool) -> None:
+        """A refusal tells of nothing that must not be forgotten: it need not wait for the disk."""
+        if granted:
+            self._when_durable(Answer(asker, message))
+        else:
+            self._outputs.append(Answer(asker, message))
+
+    # -- the disk ------------------------------------------------------------------------------------------
+
+    def saved(self, taken: bool, now: float) -> None:
+        """The save under way has ended; whether the disk has taken it."""
+        assert self._saving is not None
+        self._now = now
+        change, self._saving = self._saving, None
+        if taken:
+            self._durable = change
+        held = [waiting for waiting in self._waiting if waiting.change <= change]
+        self._waiting = [waiting for waiting in self._waiting if waiting.change > change]
+        for waiting in held:
+            self._release(waiting.output, taken)
+        if self._waiting:
+            self._save()
+
+    def _changed(self) -> None:
+        self._changes += 1
+
+    def _when_durable(self, output: Answer | Learned | _OwnVote) -> None:
+        """Let this leave once the acceptor, as it is now, is on disk."""
+        if self._durable >= self._changes:
+            self._release(output, taken=True)
+            return
+        self._waiting.append(_Waiting(self._changes, output))
+        self._save()
+
+    def _save(self) -> None:
+        if self._saving is None:
+            self._saving = self._changes
+            self._outputs.append(Save(self.acceptor.dump()))
+
+    def _release(self, output: Answer | Learned | _OwnVote, taken: bool) -> None:
+        if isinstance(output, Learned):
+            self._outputs.append(output)
+        elif isinstance(output, Answer):
+            self._outputs.append(output if taken else Answer(output.asker, None))
+        else:
+            self._own_vote(output, taken)
+
+    # -- proposals -----------------------------------------------------------------------------------------
+
+    def propose(self, now: float, plan: PlanView) -> bool:
+        """Begin to have the view decided that `plan` makes of the present one; False where nothing begins,
+        else `Finished` follows."""
+        base = self.acceptor.decided
+        wanted = plan(base) if base is not None and not self.proposing else None
+        if base is None or wanted is None:
+            return False
+        self._highest_round = max(self._highest_round, self.acceptor.promised[0]) + 1
+        proposer = Proposer(base, wanted, (self._highest_round, self._name))
+        own = self.acceptor.prepare(proposer.prepare())
+        if not own.granted:  # no voter of this view, or none with this disk
+            return False
+        self._now = now
+        self._proposal = _Proposal(proposer, now + PHASE_TIMEOUT_S)
+        self._changed()
+        self._when_durable(_OwnVote(proposer.ballot, own))
+        return True
+
+    def answered(self, ask: Ask, message: Any, now: float) -> None:
+        """An asked voter's answer; anything else than a vote stands for silence."""
+        proposal = self._proposal
+        if proposal is None or proposal.proposer.ballot != ask.ballot:
+            return
+        self._now = now
+        proposal.unanswered.discard(ask)
+        self._count(proposal, ask.voter.name, message)
+
+    def tick(self, now: float) -> None:
+        """Give a proposal up that has got no majority in time."""
+        if self._proposal is not None and now >= self._proposal.deadline:
+            self._finish(newer=False)
+
+    def abandon(self) -> None:
+        """Give up the proposal under way."""
+        if self._proposal is not None:
+            self._finish(newer=False)
+
+    def _own_vote(self, vote: _OwnVote, taken: bool) -> None:
+        """The disk has answered: others hear of a ballot only once the own promise for it is durable."""
+        proposal = self._proposal
+        if proposal is None or proposal.proposer.ballot != vote.ballot:
+            return
+        proposal.own_vote = False
+        if isinstance(vote.message, Promise):
+            if not taken:
+                self._finish(newer=False)
+                return
+            proposal.deadline = self._now + PHASE_TIMEOUT_S
+            self._ask_others(proposal, proposal.proposer.prepare)
+        self._count(proposal, self._name, vote.message if taken else None)
+
+    def _count(self, proposal: _Proposal, voter: str, message: Any) -> None:
+        """Count a vote."""
+        proposer = proposal.proposer
+        majority_promised = False
+        if isinstance(message, Promise):
+            majority_promised = proposer.on_promise(voter, message)
+        elif isinstance(message, Accepted):
+            proposer.on_accepted(voter, message)
+        if proposer.decided is not None:
+            self._decided(proposer)
+        elif majority_promised:
+            self._ask_to_accept(proposal)
+        elif not proposal.unanswered and not proposal.own_vote:
+            self._finish(newer=False)
+
+    def _ask_to_accept(self, proposal: _Proposal) -> None:
+        """A majority has promised: the value is settled, and this ballot never proposes another one."""
+        proposer = proposal.proposer
+        proposal.deadline = self._now + PHASE_TIMEOUT_S
+        proposal.unanswered.clear()
+        self._ask_others(proposal, proposer.accept)
+        own = self._accept(proposer.accept())
+        proposal.own_vote = own.granted
+        if own.granted:
+            self._when_durable(_OwnVote(proposer.ballot, own))
+
+    def _ask_others(self, proposal: _Proposal, request: Callable[[Voter], Prepare | Accept]) -> None:
+        for voter in proposal.proposer.base.voters:
+            if voter.name != self._name:
+                ask = Ask(voter, request(voter), proposal.proposer.ballot)
+                proposal.unanswered.add(ask)
+                self._outputs.append(ask)
+
+    def _decided(self, proposer: Proposer) -> None:
+        assert proposer.decided is not None
+        self.learn(proposer.decided)
+        self._outputs.append(Announce(proposer.decided, proposer.base))
+        self._finish(newer=True)
+
+    def _finish(self, newer: bool) -> None:
+        assert self._proposal is not None
+        self._highest_round = max(self._highest_round, self._proposal.proposer.highest_round)
+        self._proposal = None
+        self._outputs.append(Finished(newer))
--- /dev/null
+++ b/tests/control/test_agreement.py
@@ -0,0 +1,327 @@
+"""The agreement over the network: what is on disk before what is sent, and what a lost disk may undo."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from hollowusher.coordination.agreement import Agreement
+from hollowusher.coordination.view import Acceptor, first_view
+from hollowusher.protocol.codec import decode, encode
+from hollowusher.protocol.control import (
+    Accept,
+    Accepted,
+    ConfirmEpoch,
+    Decided,
+    FirstTaken,
+    Prepare,
+    Promise,
+    ProposeFirst,
+    View,
+    Voter,
+)
+from hollowusher.storage.interface import StorageError
+from hollowusher.transport.interface import Handler, PeerError
+from tests.controller_cluster import run_virtual
+
+CLUSTER = "cluster-1"
+VOTERS = [Voter(name, f"disk-{name}", f"{name}:1") for name in "abc"]
+BASE = first_view(VOTERS, CLUSTER)
+
+
+def next_view(chain: str) -> View:
+    return View(2, VOTERS, list(chain), dict.fromkeys(chain, 1), CLUSTER)
+
+
+X = next_view("abc"[:2])
+Y = next_view("ac")
+
+
+class Disk:
+    """A slot whose saves wait while it is stuck, and fail while it is full."""
+
+    def __init__(self) -> None:
+        self.value: bytes | None = None
+        self.stuck = False
+        self.full = False
+        self.saves = 0
+
+    def load(self) -> bytes | None:
+        return self.value
+
+    async def save(self, value: bytes) -> None:
+        await asyncio.sleep(0.005)
+        while self.stuck:
+            await asyncio.sleep(0.005)
+        if self.full:
+            raise StorageError("save", "view", "no space left")
+        self.value = value
+        self.saves += 1
+
+
+@attrs.define
+class Post:
+    """All messages on their way.  `holds` tells which requests are kept back until they are released."""
+
+    voters: dict[str, Node] = attrs.Factory(dict)
+    sent: list[tuple[str, str, Any]] = attrs.Factory(list)  # sender, address, message
+    held: list[tuple[str, Any]] = attrs.Factory(list)
+    holds: Callable[[str, Any], bool] = lambda address, message: False
+    loses: Callable[[str, Any], bool] = lambda address, answer: False
+
+    async def deliver(self, address: str, message: Any) -> Any:
+        voter = self.voters[address]
+        if voter.agreement is None:
+            raise PeerError("call", address, "no connection: refused", sent=False)
+        work = asyncio.get_running_loop().create_task(voter.handle(decode(encode(message))))
+        voter.tasks.add(work)
+        return await work
+
+    async def release(self) -> None:
+        """Deliver all that was held back; whoever asked is long gone."""
+        held, self.held = self.held, []
+        for address, message in held:
+            await self.deliver(address, message)
+
+    def requests(self, sender: str, kind: type) -> list[Any]:
+        return [message for name, _, message in self.sent if name == sender and isinstance(message, kind)]
+
+
+class Line:
+    """The `Transport` of one voter."""
+
+    def __init__(self, post: Post, name: str) -> None:
+        self.post = post
+        self.name = name
+        self.address = f"{name}:1"
+
+    async def start(self, handler: Handler) -> None:
+        raise NotImplementedError
+
+    async def close(self) -> None:
+        raise NotImplementedError
+
+    async def call(self, address: str, message: Any, timeout: float) -> Any:
+        self.post.sent.append((self.name, address, message))
+        if self.post.holds(address, message):
+            self.post.held.append((address, message))
+            await asyncio.sleep(timeout)
+            raise PeerError("call", address, "no answer in time")
+        try:
+            async with asyncio.timeout(timeout):
+                answer = await self.post.deliver(address, message)
+        except (TimeoutError, StorageError):
+            raise PeerError("call", address, "no answer in time") from None
+        if self.post.loses(address, answer):
+            await asyncio.sleep(timeout)
+            raise PeerError("call", address, "no answer in time")
+        return answer
+
+    def send(self, address: str, message: Any) -> None:
+        self.post.sent.append((self.name, address, message))
+        if not self.post.holds(address, message):
+            task = asyncio.get_running_loop().create_task(self.post.deliver(address, message))
+            self.post.voters[address].tasks.add(task)
+
+
+class Node:
+    """One voter with its disk; it can lose power and start again."""
+
+    def __init__(self, post: Post, voter: Voter) -> None:
+        self.post = post
+        self.voter = voter
+        self.disk = Disk()
+        self.views: list[View] = []
+        self.tasks: set[asyncio.Task[Any]] = set()
+        self.agreement: Agreement | None = None
+        post.voters[voter.address] = self
+        acceptor = Acceptor(voter.name, voter.disk_id)
+        acceptor.learn(BASE)
+        self.disk.value = acceptor.dump()
+
+    @property
+    def running(self) -> Agreement:
+        assert self.agreement is not None
+        return self.agreement
+
+    def start(self) -> None:
+        self.agreement = Agreement(self.voter, Line(self.post, self.voter.name), self.disk,
+                                   random.Random(self.voter.name), self.views.append)  # fmt: skip
+
+    def lose_power(self) -> None:
+        for task in self.running._tasks | self.tasks:
+            task.cancel()
+        self.tasks.clear()
+        self.agreement = None
+
+    async def handle(self, message: Any) -> Any:
+        agreement = self.running
+        if isinstance(message, Prepare):
+            return await agreement.prepare(message)
+        if isinstance(message, Accept):
+            return await agreement.accept(message)
+        if isinstance(message, ProposeFirst):
+            return await agreement.take_first(message)
+        if isinstance(message, ConfirmEpoch):
+            return agreement.confirm(message)
+        if isinstance(message, Decided):
+            await agreement.learn(message.view)
+        return None
+
+
+def group() -> tuple[Post, dict[str, Node]]:
+    post = Post()
+    nodes = {voter.name: Node(post, voter) for voter in VOTERS}
+    for node in nodes.values():
+        node.start()
+    return post, nodes
+
+
+async def propose(node: Node, view: View) -> bool:
+    return await node.running.propose(lambda base: view if base.epoch + 1 == view.epoch else None)
+
+
+def test_nothing_is_sent_before_the_own_promise_is_on_disk() -> None:
+    async def check() -> None:
+        post, nodes = group()
+        nodes["a"].disk.stuck = True
+        work = asyncio.create_task(propose(nodes["a"], X))
+        await asyncio.sleep(2.0)
+        assert post.requests("a", Prepare) == []
+        nodes["a"].disk.stuck = False
+        await work
+        assert await propose(nodes["a"], X)
+        assert nodes["b"].running.view == X or nodes["c"].running.view == X
+
+    run_virtual(check())
+
+
+def test_a_ballot_is_not_used_again_after_a_loss_of_power() -> None:
+    async def check() -> None:
+        post, nodes = group()
+        nodes["a"].disk.stuck = True
+        post.holds = lambda address, message: isinstance(message, Accept) and address == "c:1"
+        post.loses = lambda address, answer: isinstance(answer, Accepted)
+        first = asyncio.create_task(propose(nodes["a"], X))
+        await asyncio.sleep(0.1)  # where Prepare went out, b has accepted X and its answer is lost
+        nodes["a"].lose_power()
+        first.cancel()
+        used = {tuple(message.ballot) for message in post.requests("a", Prepare)}
+
+        nodes["a"].disk.stuck = False
+        nodes["a"].start()
+        post.loses = lambda address, answer: False
+        post.holds = lambda address, message: address == "b:1"
+        assert await propose(nodes["a"], Y)  # decided by a and c
+        again = {tuple(message.ballot) for message in post.requests("a", Prepare)[len(used) * 2 :]}
+        assert not used & again
+        assert nodes["a"].running.view == Y
+
+    run_virtual(check())
+
+
+def test_a_late_accept_of_a_lost_proposal_does_not_decide_a_second_view() -> None:
+    async def check() -> None:
+        post, nodes = group()
+        nodes["a"].disk.stuck = True
+        post.holds = lambda address, message: isinstance(message, Accept) and address == "c:1"
+        post.loses = lambda address, answer: isinstance(answer, Accepted)
+        first = asyncio.create_task(propose(nodes["a"], X))
+        await asyncio.sleep(0.1)
+        nodes["a"].lose_power()
+        first.cancel()
+        late = list(post.held)
+
+        nodes["a"].disk.stuck = False
+        nodes["a"].start()
+        post.held = []
+        post.loses = lambda address, answer: False
+        post.holds = lambda address, message: address == "b:1" or isinstance(message, Decided)
+        assert await propose(nodes["a"], Y)
+
+        post.held = late
+        post.holds = lambda address, message: address == "a:1"  # a is cut off: b and c go on
+        await post.release()
+        for _ in range(5):
+            await propose(nodes["b"], next_view("bc"))
+            await propose(nodes["c"], next_view("bc"))
+        assert [node.running.view for node in nodes.values()] == [Y, Y, Y]
+
+    run_virtual(check())
+
+
+def test_a_proposal_whose_own_disk_refuses_is_not_made() -> None:
+    async def check() -> None:
+        post, nodes = group()
+        nodes["a"].disk.full = True
+        assert not await propose(nodes["a"], X)
+        assert post.requests("a", Prepare) == []
+        nodes["a"].disk.full = False
+        assert await propose(nodes["a"], X)
+
+    run_virtual(check())
+
+
+def test_a_first_view_is_on_disk_before_it_is_answered() -> None:
+    async def check() -> None:
+        post = Post()
+        node = Node(post, VOTERS[0])
+        node.disk.value = None
+        node.start()
+        node.disk.full = True
+        for _ in range(3):  # the second one finds the view in memory already
+            try:
+                answer = await node.running.take_first(ProposeFirst(BASE))
+            except StorageError:
+                continue
+            assert answer.taken is None, "answered though it is not on disk"
+        node.disk.full = False
+        assert await node.running.take_first(ProposeFirst(BASE)) == FirstTaken(BASE, None)
+        node.lose_power()
+        node.start()
+        other = first_view(VOTERS[:2], "cluster-2")
+        assert await node.running.take_first(ProposeFirst(other)) == FirstTaken(BASE, None)
+
+    run_virtual(check())
+
+
+def test_what_the_disk_did_not_take_is_not_answered() -> None:
+    async def check() -> None:
+        _, nodes = group()
+        disk = nodes["b"].disk
+        disk.full = True
+        for message in (Prepare(2, [1, "a"], BASE), Accept(2, [1, "a"], X)):
+            try:
+                answer = await nodes["b"].handle(message)
+            except StorageError:
+                continue
+            raise AssertionError(f"answered {answer}")
+        assert not nodes["b"].running.confirm(ConfirmEpoch(1)).ok  # it may have voted: it does not say no
+        disk.full = False
+        promise = await nodes["b"].handle(Prepare(2, [2, "c"], BASE))
+        assert isinstance(promise, Promise) and promise.granted and promise.accepted == X
+        nodes["b"].lose_power()
+        nodes["b"].start()
+        assert nodes["b"].running.acceptor.promised == (2, "c")
+        assert nodes["b"].running.acceptor.accepted == X
+
+    run_virtual(check())
+
+
+def test_a_decided_view_is_used_although_the_disk_is_full() -> None:
+    async def check() -> None:
+        _, nodes = group()
+        nodes["b"].disk.full = True
+        assert await nodes["b"].running.learn(X)
+        assert nodes["b"].views == [X]
+        nodes["b"].lose_power()
+        nodes["b"].start()
+        assert nodes["b"].running.view == BASE  # it can be learned again
+        nodes["b"].disk.full = False
+        assert await nodes["b"].running.learn(X)
+
+    run_virtual(check())
