Name the process that a call is meant for; another one at its address takes nothing

Addresses are used again after reuseAfterS, and a call said nothing of whom it was meant for: whatever process listened there took it, and its answer counted as the other's.

The first frame on a connection is now a Hello: who calls, which process is meant, of which cluster and with which disk, as the caller knows it from the view and the members' registrations; it is sent again before the next message once the caller has learnt another name. A process that is not the one meant does not hand the message on: it counts it, logs each pair once and says who it is. The caller gets a WrongPeer (sent=False) and gives the connection up; calls taken before are still answered. Reads of the view are for anybody. protocol/call_rules says for each message whom it is for and what makes a repeat harmless.

An answer belongs to the call of its number on its connection, and the number's low bits are the tag of the message asked. Answers that no call waits for go nowhere and are counted.

--- /dev/null
+++ b/hollowusher/coordination/peer_names.py
@@ -0,0 +1,21 @@
+"""The names of the processes at all addresses, as a transport needs them, from the distributed values."""
+
+from __future__ import annotations
+
+from hollowusher.coordination.cluster_state import MEMBER_PREFIX, VIEW, ClusterState
+from hollowusher.protocol.control import Member
+from hollowusher.protocol.identity import Identity
+from hollowusher.transport.peers import PeerDirectory
+
+
+def present(directory: PeerDirectory, me: Member, state: ClusterState) -> None:
+    """Say who this process is, and have the directory follow the view and the members' registrations."""
+    directory.identify(Identity("", me.name, me.incarnation, me.disk_id))
+
+    def learn(key: str) -> None:
+        if key == VIEW and state.view is not None:
+            directory.learn_view(state.view)
+        elif key.startswith(MEMBER_PREFIX):
+            directory.learn_member(state.members[key.removeprefix(MEMBER_PREFIX)])
+
+    state.listen(learn)
--- /dev/null
+++ b/hollowusher/protocol/call_rules.py
@@ -0,0 +1,95 @@
+"""For each message that is sent by itself: whom it is meant for, and whether it may be sent again.
+
+A message may be sent again after silence or a reset only where a second arrival does no harm: because it
+changes nothing, or because an id, a version, a ballot or an epoch in it makes the second arrival the same as
+the first.  `docs/control-safety/calls.md` tells who repeats which, and to whom.
+"""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+from hollowusher.protocol import control, status, store
+
+
+class Addressee(enum.Enum):
+    """How exactly the receiver has to be the process that is meant."""
+
+    ANYBODY = "whoever is there: the caller is still looking for the system"
+    VOTER = "the voter of that name"
+    VOTER_DISK = "the voter of that name, with the disk that votes"
+    MEMBER = "the member of that name"
+    STORE = "the store of that name, with the disk that holds the replicas"
+
+
+class Repeat(enum.Enum):
+    """What makes a second arrival of a message harmless."""
+
+    READ = "it changes nothing"
+    BY_ID = "an id in it: the second arrival finds the first one's result"
+    BY_VERSION = "a version, epoch or ballot in it: an older or equal one changes nothing"
+    LATEST = "it tells how things stand now: the second says the same, or is replaced by the next"
+    LEASED_TWICE = "what the lost answer granted runs out, or is taken back, by itself"
+    NEVER = "a second arrival may have another effect than the first: it is sent once"
+
+
+@attrs.frozen
+class CallRule:
+    """How one type of message may be sent."""
+
+    addressee: Addressee
+    repeat: Repeat
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the same message may be sent again where it is not known what became of it."""
+        return self.repeat is not Repeat.NEVER
+
+
+CALL_RULES: dict[type, CallRule] = {
+    # finding the system
+    control.ReadView: CallRule(Addressee.ANYBODY, Repeat.READ),
+    control.Announce: CallRule(Addressee.ANYBODY, Repeat.LATEST),
+    # agreement and chain
+    control.ProposeFirst: CallRule(Addressee.VOTER, Repeat.BY_VERSION),
+    control.Prepare: CallRule(Addressee.VOTER_DISK, Repeat.BY_VERSION),
+    control.Accept: CallRule(Addressee.VOTER_DISK, Repeat.BY_VERSION),
+    control.ConfirmEpoch: CallRule(Addressee.VOTER_DISK, Repeat.READ),
+    control.Decided: CallRule(Addressee.VOTER, Repeat.BY_VERSION),
+    control.Ping: CallRule(Addressee.VOTER, Repeat.READ),
+    control.ChainWrite: CallRule(Addressee.VOTER_DISK, Repeat.BY_VERSION),
+    # members and distributed values
+    control.Register: CallRule(Addressee.VOTER, Repeat.BY_VERSION),
+    control.Leaving: CallRule(Addressee.VOTER, Repeat.BY_VERSION),
+    control.Heartbeat: CallRule(Addressee.MEMBER, Repeat.LATEST),
+    control.Suspicion: CallRule(Addressee.VOTER, Repeat.LATEST),
+    control.ProbeLife: CallRule(Addressee.MEMBER, Repeat.READ),
+    control.PullUpdates: CallRule(Addressee.VOTER, Repeat.READ),
+    control.Repair: CallRule(Addressee.VOTER, Repeat.BY_VERSION),
+    control.ReadState: CallRule(Addressee.VOTER, Repeat.READ),
+    # the operator, forwarded
+    control.ChangeConfiguration: CallRule(Addressee.VOTER, Repeat.NEVER),
+    control.Retire: CallRule(Addressee.VOTER, Repeat.NEVER),
+    status.RecoverPartition: CallRule(Addressee.VOTER, Repeat.NEVER),
+    control.ReadConfiguration: CallRule(Addressee.VOTER, Repeat.READ),
+    status.ReadControlStatus: CallRule(Addressee.VOTER, Repeat.READ),
+    # messages
+    store.Put: CallRule(Addressee.STORE, Repeat.BY_ID),
+    store.LeaseRequest: CallRule(Addressee.STORE, Repeat.LEASED_TWICE),
+    store.Finish: CallRule(Addressee.STORE, Repeat.BY_ID),
+    store.Extend: CallRule(Addressee.STORE, Repeat.BY_ID),
+    store.StatusRequest: CallRule(Addressee.STORE, Repeat.READ),
+    store.JobsWaiting: CallRule(Addressee.MEMBER, Repeat.LATEST),
+    # replicas
+    store.Replicate: CallRule(Addressee.STORE, Repeat.BY_VERSION),
+    store.Summary: CallRule(Addressee.STORE, Repeat.BY_VERSION),
+    control.LearnerReady: CallRule(Addressee.VOTER, Repeat.LATEST),
+}
+STRICTEST = CallRule(Addressee.MEMBER, Repeat.NEVER)  # of a message that has no rule
+
+
+def rule_of(message: object) -> CallRule:
+    """The rule of a message."""
+    return CALL_RULES.get(type(message), STRICTEST)
--- a/hollowusher/protocol/codec.py
+++ b/hollowusher/protocol/codec.py
@@ -13,6 +13,8 @@
 import attrs
 import ormsgpack
 
+MOST_TAG = 127
+NO_TAG = 0  # of plain values
 _OPTIONS = ormsgpack.OPT_NON_STR_KEYS
 MessageType = TypeVar("MessageType", bound=type)
 Value = TypeVar("Value")
@@ -32,7 +34,7 @@
 
     def register(cls: MessageType) -> MessageType:
         made = attrs.frozen(cls)
-        if tag in _types or not 1 <= tag <= 127:
+        if tag in _types or not 1 <= tag <= MOST_TAG:
             raise ValueError(f"message tag {tag} of {cls.__name__} is taken or out of range")
         _types[tag] = made
         _tags[made] = tag
@@ -42,6 +44,16 @@
     return register
 
 
+def tag_of(value: Any) -> int:
+    """The number of a message's type, `NO_TAG` for a plain value."""
+    return _tags.get(type(value), NO_TAG)
+
+
+def registered_types() -> dict[int, type]:
+    """All message types that have been registered, by number."""
+    return dict(_types)
+
+
 def evolve(value: Value, **changes: Any) -> Value:
     """The same message with some fields changed."""
     changed: Value = attrs.evolve(value, **changes)  # type: ignore[misc]  # any message is an attrs class
--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -12,6 +12,7 @@
 import attrs
 
 from hollowusher.protocol.codec import message
+from hollowusher.protocol.identity import Identity
 
 
 @message(1)
@@ -410,3 +411,21 @@
     one that published them ended before any other had pulled them."""
 
     items: list[Item]
+
+
+@message(116)
+class Hello:
+    """The first frame on a connection, and again when the caller has learnt more: who calls, and whom it
+    means to reach.  Empty fields of `meant` are not known to the caller."""
+
+    caller: Identity
+    meant: Identity
+
+
+@message(117)
+class ProbeLife:
+    """Asks whether this very life of a process is there.  The answer is `Done`, and none from a later life;
+    another process at its address refuses the call."""
+
+    name: str
+    incarnation: int
--- a/hollowusher/roles/edge.py
+++ b/hollowusher/roles/edge.py
@@ -17,6 +17,7 @@
 from hollowusher.coordination.bootstrap import SeedService
 from hollowusher.coordination.client import ClusterClient
 from hollowusher.coordination.cluster_state import VIEW
+from hollowusher.coordination.peer_names import present
 from hollowusher.coordination.zone_homes import ZoneHomes
 from hollowusher.delivery.worker_client import HttpWorkerClient
 from hollowusher.dispatch.dispatcher import Dispatcher
@@ -156,6 +157,7 @@
             "transport": {
                 "connections_accepted": len(transport.accepted),
                 "failed_handlers": transport.failed_handlers,
+                **attrs.asdict(transport.peers.figures),
             },
             "settings": {"refused": self.process.watch.refused},
             "platform_list": {"calls": 0 if self.control is None else self.control.reader.calls},
@@ -182,5 +184,6 @@
         process.folder is not None and settings.counts_for_quorum and CONTROL_PLANE in settings.serves
     )
     me = await process.identify(controller)
+    present(process.transport.peers, me, process.state)
     await EdgeProcess(process, me).run()
     return 0
--- a/hollowusher/roles/process.py
+++ b/hollowusher/roles/process.py
@@ -12,6 +12,7 @@
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.protocol.control import Member
+from hollowusher.protocol.identity import Identity
 from hollowusher.roles.logs import log, start_logs
 from hollowusher.roles.signals import SettingsWatch, on_signals
 from hollowusher.storage.identity import claim_incarnation, disk_identity, next_incarnation
@@ -37,6 +38,7 @@
         self.stopping = asyncio.Event()
         self.transport = TcpTransport(settings.internal_address)
         self.transport.on_failure = self._handler_failed
+        self.transport.peers.on_refused = self._message_refused
         self.state = ClusterState()
         self.folder = Path(settings.data_dir) if settings.data_dir else None
         self.watch = SettingsWatch(path, settings, self._settings_changed)
@@ -95,6 +97,10 @@
     def _handler_failed(self, message: Any, error: Exception) -> None:
         log("handler_failed", message=type(message).__name__, error=describe(error))
 
+    @staticmethod
+    def _message_refused(caller: Identity, meant: Identity, reason: str) -> None:
+        log("message_refused", caller=caller.name, meant=meant.name, reason=reason)
+
     def _settings_changed(self, settings: BootSettings) -> None:
         self.settings = settings
 
--- a/hollowusher/roles/store.py
+++ b/hollowusher/roles/store.py
@@ -7,6 +7,7 @@
 
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.client import ClusterClient
+from hollowusher.coordination.peer_names import present
 from hollowusher.messages.service import StoreService
 from hollowusher.roles.change_log import ChangeLog
 from hollowusher.roles.logs import log
@@ -24,6 +25,7 @@
         log("settings_refused", reason="dataDir: a store needs a folder for its data")
         return 2
     me = await process.identify(controller=False)
+    present(process.transport.peers, me, process.state)
     ring = ring_size(settings.limits.disk_mb)
     ring_log = RingLog(process.folder / RING_FOLDER, ring.segment_bytes, ring.segments)
     client = ClusterClient(me, process.transport, settings, process.state, None, process.chance)
--- a/hollowusher/simulation/network.py
+++ b/hollowusher/simulation/network.py
@@ -15,13 +15,16 @@
 from dataclasses import dataclass
 from typing import Any
 
-from hollowusher.protocol.codec import decode, encode
+from hollowusher.protocol.codec import MOST_TAG, decode, encode, tag_of
+from hollowusher.protocol.control import Hello
+from hollowusher.protocol.identity import Identity
 from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
-from hollowusher.transport.interface import Handler, PeerError
+from hollowusher.transport.interface import Handler, PeerError, WrongPeer
+from hollowusher.transport.peers import PeerDirectory
 
 CONNECT_TIMEOUT_S = 1.0
 USER_TIMEOUT_S = 3.0
-ONE_WAY, REQUEST, ANSWER, FAILURE = range(4)
+ONE_WAY, REQUEST, ANSWER, FAILURE, REFUSED = range(5)
 
 
 @dataclass
@@ -202,21 +205,34 @@
         self.client_host = host_of(client.address)
         self.server_host = host_of(server.address)
         self.closed = False
+        self.misdirected = False  # another process than the one meant is there
         self.bytes_received = 0
         self.waiting: dict[int, asyncio.Future[Any]] = {}
         self._there = _Direction(self, self.client_host, self.server_host, self._to_server)
         self._back = _Direction(self, self.server_host, self.client_host, self._to_client)
         network.connections.append(self)
 
+    @property
+    def usable(self) -> bool:
+        """Whether the connection stands and leads to the process meant."""
+        return not self.closed and not self.misdirected
+
     def request(self, number: int, kind: int, message: Any) -> None:
-        """Send from the client's end."""
-        self._there.put(encode([number, kind, message]))
+        """Send from the client's end, with the greeting that is in force on the connection."""
+        peers = self.client.peers
+        hello = Hello(peers.own, peers.meant(self.server.address, message))
+        self._there.put(encode([number, kind, message, hello]))
 
     def _to_server(self, frame: bytes) -> None:
         if not self.server.process.alive or self.server.closed:
             self.reset()
             return
-        number, kind, message = decode(frame)
+        number, kind, message, hello = decode(frame)
+        reason = self.server.peers.refusal(hello, message)
+        if reason:
+            self.server.peers.refuse(hello, reason)
+            self._back.put(encode([number, REFUSED, self.server.peers.own]))
+            return
         if self.network.watch is not None:
             self.network.watch(self.client.address, self.server.address, message)
         self.server.process.run(self._handle(number, kind, message))
@@ -241,14 +257,28 @@
             return
         self.bytes_received += len(frame)
         number, kind, answer = decode(frame)
+        if kind == REFUSED:
+            self._refused(number, answer)
+            return
         future = self.waiting.pop(number, None)
         if future is None or future.done():
+            self.client.peers.figures.answers_dropped += 1
             return
         if kind == ANSWER:
             future.set_result(answer)
         else:
             future.set_exception(PeerError("call", self.server.address, f"peer failed: {answer}"))
 
+    def _refused(self, number: int, found: Identity) -> None:
+        """Another process is there; calls it has taken before may still be answered."""
+        self.client.peers.figures.misdirected += 1
+        self.misdirected = True
+        future = self.waiting.pop(number, None)
+        if future is not None and not future.done():
+            future.set_exception(WrongPeer("call", self.server.address, found))
+        if not self.waiting:
+            self.abort()
+
     def flush(self) -> None:
         """Go on with frames that a cut held up."""
         self._there.flush()
@@ -306,6 +336,7 @@
         self.network = network
         self.process = process
         self.address = address
+        self.peers = PeerDirectory()
         self.handler: Handler | None = None
         self.closed = False
         self._numbers = itertools.count(1)
@@ -331,7 +362,7 @@
     def connected(self, address: str) -> bool:
         """Whether a connection to the peer stands."""
         connection = self._connections.get(address)
-        return connection is not None and not connection.closed
+        return connection is not None and connection.usable
 
     async def call(self, address: str, message: Any, timeout: float) -> Any:
         """The answer of the process at `address`; `PeerError` where none came in time."""
@@ -339,7 +370,7 @@
         loop = self.network.loop
         deadline = loop.time() + timeout
         connection = await self._connection(address, step, timeout)
-        number = next(self._numbers)
+        number = next(self._numbers) * (MOST_TAG + 1) + tag_of(message)
         future: asyncio.Future[Any] = loop.create_future()
         connection.waiting[number] = future
         received = connection.bytes_received
@@ -351,6 +382,8 @@
             if connection.bytes_received == received and not connection.closed:
                 connection.reset()
             raise PeerError(step, address, f"no answer in {timeout:.3g} s") from None
+        except WrongPeer as error:
+            raise WrongPeer(step, address, error.found) from None
         except PeerError as error:
             raise PeerError(step, address, error.reason) from None
         finally:
@@ -360,7 +393,7 @@
         """Send without an answer; lost where the peer cannot be reached."""
         encode(message)  # a message that cannot be encoded is the sender's fault, found here
         connection = self._connections.get(address)
-        if connection is not None and not connection.closed:
+        if connection is not None and connection.usable:
             connection.request(0, ONE_WAY, message)
             return
         self.process.run(self._send_later(address, message))
@@ -374,7 +407,7 @@
 
     async def _connection(self, address: str, step: str, timeout: float) -> Connection:
         connection = self._connections.get(address)
-        if connection is not None and not connection.closed:
+        if connection is not None and connection.usable:
             return connection
         future = self._connecting.get(address)
         if future is None:
--- a/hollowusher/transport/interface.py
+++ b/hollowusher/transport/interface.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
+from hollowusher.protocol.identity import Identity
+
 Handler = Callable[[Any], Awaitable[Any]]  # takes a message; the answer, or None for one-way messages
 
 
@@ -21,6 +23,14 @@
         self.sent = sent
 
 
+class WrongPeer(PeerError):
+    """The process at the address is not the one that was meant; it has not taken the message."""
+
+    def __init__(self, step: str, peer: str, found: Identity) -> None:
+        super().__init__(step, peer, f"another process is there: {found.name or 'unknown'}", sent=False)
+        self.found = found
+
+
 class Transport(Protocol):
     """One process's access to the others, by internal address "ip:port"."""
 
--- a/hollowusher/transport/tcp.py
+++ b/hollowusher/transport/tcp.py
@@ -2,6 +2,13 @@
 
 One connection is opened to each peer that is called; the answers come back on it.  A connection on which a
 call ran out of time without any byte received is dropped, so that the next call tries a new one.
+
+The first frame on a connection is a `Hello`: who calls, and which process is meant.  It is sent again, before
+the next message, when the caller has learnt another name for the address.  What comes after a `Hello` that
+means another process is not handed on: the answer says so, and the caller gives the connection up.
+
+An answer belongs to the call of its number on its connection.  The number's low bits are the tag of the
+message asked, so that an answer to another kind of question belongs to none.
 """
 
 from __future__ import annotations
@@ -13,10 +20,13 @@
 from contextlib import suppress
 from typing import Any, cast
 
-from hollowusher.protocol.codec import DecodeError, decode, encode
-from hollowusher.transport.interface import Handler, PeerError
+from hollowusher.protocol.codec import MOST_TAG, DecodeError, decode, encode, tag_of
+from hollowusher.protocol.control import Hello
+from hollowusher.protocol.identity import Identity
+from hollowusher.transport.interface import Handler, PeerError, WrongPeer
+from hollowusher.transport.peers import PeerDirectory, names_exactly
 
-ONE_WAY, REQUEST, ANSWER, FAILURE = range(4)
+ONE_WAY, REQUEST, ANSWER, FAILURE, HELLO, REFUSED = range(6)
 LENGTH = struct.Struct(">I")
 MOST_FRAME_BYTES = 32 * 1024 * 1024
 MOST_UNSENT_BYTES = 16 * 1024 * 1024
@@ -92,6 +102,8 @@
     def __init__(self, owner: TcpTransport) -> None:
         super().__init__()
         self._owner = owner
+        self._hello: Hello | None = None  # None: the caller means whoever is here
+        self._meant_here: Identity | None = None  # this process's identity, where the greeting names just it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
@@ -101,9 +113,28 @@
         self._owner.accepted.discard(self)
 
     def frame_received(self, number: int, kind: int, message: Any) -> None:
-        if kind in (ONE_WAY, REQUEST):
+        if kind == HELLO:
+            if not isinstance(message, Hello):
+                self._drop()
+            else:
+                self._hello = message
+                own = self._owner.peers.own
+                self._meant_here = own if names_exactly(message.meant, own) else None
+        elif kind in (ONE_WAY, REQUEST) and not self._refuses(number, message):
             self._owner.run(self._handle(number, kind, message))
 
+    def _refuses(self, number: int, message: Any) -> bool:
+        """Whether a message is meant for another process; its caller is told."""
+        hello, peers = self._hello, self._owner.peers
+        if hello is None or self._meant_here is peers.own:
+            return False
+        reason = peers.refusal(hello, message)
+        if not reason:
+            return False
+        peers.refuse(hello, reason)
+        self.write_frame(number, REFUSED, peers.own)
+        return True
+
     async def _handle(self, number: int, kind: int, message: Any) -> None:
         handler = self._owner.handler
         if handler is None:
@@ -123,15 +154,39 @@
 class _ClientConnection(_FrameProtocol):
     """A connection to a peer, with the calls that wait for their answers."""
 
-    def __init__(self, peer: str) -> None:
+    def __init__(self, peer: str, directory: PeerDirectory) -> None:
         super().__init__()
         self.peer = peer
         self.waiting: dict[int, asyncio.Future[Any]] = {}
+        self.misdirected = False  # another process than the one meant is there
+        self._directory = directory
+        self._greeted: tuple[Identity, Identity] | None = None  # who greeted, and whom it meant
+
+    @property
+    def usable(self) -> bool:
+        """Whether the connection stands, is not being closed, and leads to the process meant."""
+        return super().usable and not self.misdirected
+
+    def send_message(self, number: int, kind: int, message: Any) -> None:
+        """Send a message, after a greeting where the peer does not know yet which process is meant."""
+        directory = self._directory
+        meant = directory.meant(self.peer, message)
+        greeted = self._greeted
+        if greeted is None or greeted[1] is not meant or greeted[0] is not directory.own:
+            self._greeted = (directory.own, meant)
+            self.write_frame(0, HELLO, Hello(directory.own, meant))
+        self.write_frame(number, kind, message)
 
     def give_up(self) -> None:
         """The peer is silent: no further call is to use this connection."""
         self._drop()
 
+    def call_ended(self, number: int) -> None:
+        """Nobody waits for this answer any more."""
+        self.waiting.pop(number, None)
+        if self.misdirected and not self.waiting:
+            self._drop()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         for future in self.waiting.values():
@@ -140,20 +195,34 @@
         self.waiting.clear()
 
     def frame_received(self, number: int, kind: int, message: Any) -> None:
+        if kind == REFUSED and isinstance(message, Identity):
+            self._refused(number, message)
+            return
         future = self.waiting.pop(number, None)
         if future is None or future.done():
-            return
-        if kind == ANSWER:
+            self._directory.figures.answers_dropped += 1
+        elif kind == ANSWER:
             future.set_result(message)
         else:
             future.set_exception(PeerError("call", self.peer, f"peer failed: {message}"))
 
+    def _refused(self, number: int, found: Identity) -> None:
+        """Another process is there; calls it has taken before may still be answered."""
+        self._directory.figures.misdirected += 1
+        self.misdirected = True
+        future = self.waiting.pop(number, None)
+        if future is not None and not future.done():
+            future.set_exception(WrongPeer("call", self.peer, found))
+        if not self.waiting:
+            self._drop()
+
 
 class TcpTransport:
     """The transport of one process, listening at `address` ("ip:port")."""
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.peers = PeerDirectory()
         self.handler: Handler | None = None
         self.accepted: set[_ServerConnection] = set()
         self.failed_handlers = 0
@@ -212,11 +281,11 @@
             raise PeerError(step, address, "connection lost", sent=False)
         if connection.transport.get_write_buffer_size() > MOST_UNSENT_BYTES:
             raise PeerError(step, address, "too much unsent", sent=False)
-        number = next(self._numbers)
+        number = next(self._numbers) * (MOST_TAG + 1) + tag_of(message)
         future: asyncio.Future[Any] = loop.create_future()
         connection.waiting[number] = future
         received = connection.bytes_received
-        connection.write_frame(number, REQUEST, message)
+        connection.send_message(number, REQUEST, message)
         try:
             async with asyncio.timeout_at(deadline):
                 return await future
@@ -224,23 +293,25 @@
             if connection.bytes_received == received:
                 connection.give_up()
             raise PeerError(step, address, f"no answer in {timeout:.3g} s") from None
+        except WrongPeer as error:
+            raise WrongPeer(step, address, error.found) from None
         except PeerError as error:
             raise PeerError(step, address, error.reason) from None
         finally:
-            connection.waiting.pop(number, None)
+            connection.call_ended(number)
 
     def send(self, address: str, message: Any) -> None:
         """Send without an answer; lost where the peer cannot be reached."""
         connection = self._connections.get(address)
         if connection is not None and connection.usable:
-            connection.write_frame(0, ONE_WAY, message)
+            connection.send_message(0, ONE_WAY, message)
             return
         self.run(self._send_later(address, message))
 
     async def _send_later(self, address: str, message: Any) -> None:
         with suppress(PeerError):
             connection = await self._connect(address, type(message).__name__, CONNECT_TIMEOUT_S)
-            connection.write_frame(0, ONE_WAY, message)
+            connection.send_message(0, ONE_WAY, message)
 
     async def _connect(self, address: str, step: str, timeout: float) -> _ClientConnection:
         task = self._connecting.get(address)
@@ -263,9 +334,8 @@
     async def _open(self, address: str) -> _ClientConnection:
         host, port = split_address(address)
         loop = asyncio.get_running_loop()
-        _, connection = await asyncio.wait_for(
-            loop.create_connection(lambda: _ClientConnection(address), host, port), CONNECT_TIMEOUT_S
-        )
+        opening = loop.create_connection(lambda: _ClientConnection(address, self.peers), host, port)
+        _, connection = await asyncio.wait_for(opening, CONNECT_TIMEOUT_S)
         return connection
 
 
--- /dev/null
+++ b/tests/control/call_support.py
@@ -0,0 +1,31 @@
+"""What the tests of calls share."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import Member
+from hollowusher.protocol.store import NewMessage
+
+
+def message(identifier: str, **changes: Any) -> NewMessage:
+    """A message with plain fields."""
+    plain = NewMessage(
+        id=identifier,
+        route="r",
+        service="s",
+        method="POST",
+        path="/x/1",
+        host="a.example",
+        body=identifier.encode(),
+        max_attempts=3,
+        retention_ms=60_000,
+        timeout_ms=1_000,
+    )
+    return evolve(plain, **changes)
+
+
+def store_member(name: str, address: str, incarnation: int, status: int = 0) -> Member:
+    """A store's registration."""
+    return Member(name, "store", address, "z", "r", incarnation, "d", status=status)
--- /dev/null
+++ b/tests/control/test_calls_identity.py
@@ -0,0 +1,307 @@
+"""Whom a call is meant for: another process at a reused address takes nothing, and says who it is."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.coordination.peer_names import present
+from hollowusher.protocol.codec import MOST_TAG, encode, evolve, tag_of
+from hollowusher.protocol.control import (
+    ConfirmEpoch,
+    Done,
+    Hello,
+    Item,
+    Member,
+    Ping,
+    ReadView,
+    Register,
+    View,
+    Voter,
+)
+from hollowusher.protocol.identity import Identity
+from hollowusher.protocol.store import Put, StatusRequest
+from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
+from hollowusher.simulation.network import Network
+from hollowusher.transport.interface import Handler, PeerError, WrongPeer
+from hollowusher.transport.peers import PeerDirectory
+from hollowusher.transport.tcp import ANSWER, LENGTH, TcpTransport
+from tests.control.call_support import message, store_member
+from tests.standins import free_port
+
+WITHIN_S = 20.0  # only a test that hangs takes this long
+OWN = Identity("c1", "store-2", 7, "d2")
+PUT = Put(0, message("m1"))
+
+
+def directory_of(own: Identity) -> PeerDirectory:
+    directory = PeerDirectory()
+    directory.identify(own)
+    return directory
+
+
+def hello_to(**meant: Any) -> Hello:
+    """A greeting to store-2 that differs in some fields."""
+    return Hello(Identity("c1", "edge-1", 1), evolve(Identity("c1", "store-2", 7), **meant))
+
+
+@pytest.mark.parametrize(
+    ("meant", "asked", "reason"),
+    [
+        ({}, PUT, ""),
+        ({"name": "store-1"}, PUT, "another process"),
+        ({"cluster": "c2"}, PUT, "another cluster"),
+        ({"cluster": ""}, PUT, ""),
+        ({"disk_id": "d1"}, PUT, "another disk"),
+        ({"disk_id": "d1"}, ConfirmEpoch(3), "another disk"),
+        ({"disk_id": "d1"}, Ping("x", 1), ""),
+        ({"disk_id": "d2"}, PUT, ""),
+        ({"name": ""}, PUT, ""),
+        ({"name": "store-1"}, ReadView(), ""),
+        ({"cluster": "c2"}, ReadView(), "another cluster"),
+    ],
+)
+def test_a_message_for_another_cluster_process_or_disk_is_refused(
+    meant: dict[str, Any], asked: Any, reason: str
+) -> None:
+    assert directory_of(OWN).refusal(hello_to(**meant), asked) == reason
+
+
+def test_a_refused_pair_is_reported_once_and_counted_each_time() -> None:
+    directory = directory_of(OWN)
+    told: list[tuple[str, str, str]] = []
+    directory.on_refused = lambda caller, meant, reason: told.append((caller.name, meant.name, reason))
+    for _ in range(3):
+        directory.refuse(hello_to(name="store-1"), "another process")
+    assert told == [("edge-1", "store-1", "another process")]
+    assert directory.figures.refused == 3
+
+
+def test_the_later_living_registration_of_an_address_counts() -> None:
+    directory = directory_of(OWN)
+    first = store_member("store-1", "10.0.0.1:7780", 5)
+    directory.learn_member(first)
+    directory.learn_member(store_member("store-9", "10.0.0.1:7780", 9))
+    directory.learn_member(store_member("store-1", "10.0.0.1:7780", 5, status=1))
+    assert directory.name_of("10.0.0.1:7780") == "store-9"
+    directory.learn_member(store_member("store-9", "10.0.0.4:7780", 10))
+    assert directory.name_of("10.0.0.4:7780") == "store-9"
+    assert directory.name_of("10.0.0.1:7780") == ""
+
+
+def test_a_vote_is_meant_for_the_voters_disk_and_a_put_for_the_members() -> None:
+    directory = directory_of(OWN)
+    address = "10.0.0.1:7780"
+    directory.learn_member(Member("a", "edge", address, "z", "r", 8, "new-disk"))
+    directory.learn_view(View(3, [Voter("a", "old-disk", address)], ["a"], cluster="c1"))
+    assert directory.meant(address, ConfirmEpoch(3)).disk_id == "old-disk"
+    assert directory.meant(address, PUT) == Identity("c1", "a", 8, "new-disk")
+
+
+def test_the_directory_follows_the_distributed_values() -> None:
+    state, directory = ClusterState(), PeerDirectory()
+    present(directory, Member("edge-1", "edge", "10.0.0.9:7780", "z", "r", 4, "d9"), state)
+    member = store_member("store-1", "10.0.0.1:7780", 5)
+    view = View(1, [Voter("a", "da", "10.0.0.3:7780")], ["a"], cluster="c1")
+    state.apply([Item("member/store-1", [5, 0], "a/1", 1, member), Item("view", [1], "a/1", 2, view)], {})
+    assert directory.own == Identity("c1", "edge-1", 4, "d9")
+    assert directory.meant(member.address, PUT) == Identity("c1", "store-1", 5, "d")
+    assert directory.name_of("10.0.0.3:7780") == "a"
+
+
+class Pair:
+    """A caller that believes `store-1` to be at the server's address, and the process that is there."""
+
+    def __init__(self, own: str) -> None:
+        self.server = TcpTransport(f"127.0.0.1:{free_port()}")
+        self.client = TcpTransport(f"127.0.0.1:{free_port()}")
+        self.server.peers.identify(Identity("c1", own, 1, "d"))
+        self.client.peers.identify(Identity("c1", "edge-1", 1))
+        self.believe("store-1", 1)
+
+    def believe(self, name: str, incarnation: int) -> None:
+        self.client.peers.learn_member(store_member(name, self.server.address, incarnation))
+
+    async def call(self, asked: Any, timeout: float = WITHIN_S) -> Any:
+        return await self.client.call(self.server.address, asked, timeout)
+
+
+def play(own: str, handler: Handler, scene: Callable[[Pair], Awaitable[None]]) -> None:
+    """Run a scene with two processes over sockets, and end both."""
+
+    async def run() -> None:
+        pair = Pair(own)
+        await pair.server.start(handler)
+        try:
+            async with asyncio.timeout(WITHIN_S):
+                await scene(pair)
+        finally:
+            await pair.client.close()
+            await pair.server.close()
+
+    asyncio.run(run())
+
+
+async def echo(asked: Any) -> Any:
+    return asked
+
+
+def test_a_process_at_a_reused_address_takes_no_call_for_the_one_before() -> None:
+    taken: list[Any] = []
+
+    async def handler(asked: Any) -> Any:
+        taken.append(asked)
+        return asked
+
+    async def scene(pair: Pair) -> None:
+        with pytest.raises(WrongPeer) as caught:
+            await pair.call(PUT)
+        assert (caught.value.sent, caught.value.found.name, caught.value.step) == (False, "store-9", "Put")
+        assert not pair.client.connected(pair.server.address)
+        assert taken == []
+        assert pair.server.peers.figures.refused == 1
+        assert pair.client.peers.figures.misdirected == 1
+        pair.believe("store-9", 2)  # the caller learns who is there
+        assert await pair.call(PUT) == PUT
+
+    play("store-9", handler, scene)
+
+
+def test_a_one_way_message_for_another_process_is_dropped_and_ends_the_connection() -> None:
+    taken: list[Any] = []
+
+    async def handler(asked: Any) -> None:
+        taken.append(asked)
+
+    async def scene(pair: Pair) -> None:
+        pair.client.send(pair.server.address, StatusRequest("0-1-1"))
+        while pair.client.peers.figures.misdirected == 0:
+            await asyncio.sleep(0)
+        assert not pair.client.connected(pair.server.address)
+        assert taken == []
+
+    play("store-9", handler, scene)
+
+
+def test_a_name_learnt_later_is_told_on_the_connection_that_stands() -> None:
+    async def scene(pair: Pair) -> None:
+        assert await pair.call(PUT) == PUT
+        (connection,) = pair.server.accepted
+        pair.believe("store-1", 2)  # the same process, a later life: nothing is wrong
+        assert await pair.call(PUT) == PUT
+        assert pair.server.accepted == {connection}
+        pair.client.peers.learn_member(store_member("store-7", pair.server.address, 3))
+        with pytest.raises(WrongPeer):
+            await pair.call(PUT)
+
+    play("store-1", echo, scene)
+
+
+def test_calls_that_the_process_has_taken_are_answered_after_a_refusal_on_their_connection() -> None:
+    async def handler(asked: Any) -> Any:
+        if isinstance(asked, Register):
+            await release.wait()
+        return Done()
+
+    async def scene(pair: Pair) -> None:
+        slow = asyncio.ensure_future(pair.call(Register(store_member("x", "10.0.0.5:7780", 1))))
+        await asyncio.sleep(0.01)
+        pair.believe("store-7", 3)
+        with pytest.raises(WrongPeer):
+            await pair.call(PUT)
+        release.set()
+        assert await slow == Done()
+
+    release = asyncio.Event()
+    play("store-1", handler, scene)
+
+
+def frame(number: int, kind: int, content: Any) -> bytes:
+    data = encode([number, kind, content])
+    return LENGTH.pack(len(data)) + data
+
+
+def test_answers_that_no_call_waits_for_go_nowhere_and_are_counted() -> None:
+    """A peer that answers the question before, another kind of question, twice, and too late."""
+
+    async def scene() -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(1 << 16)
+            number = (MOST_TAG + 1) + tag_of(PUT)  # of the first call, which is a put
+            other = (MOST_TAG + 1) + tag_of(StatusRequest(""))
+            writer.write(
+                frame(number - (MOST_TAG + 1), ANSWER, "before") + frame(other, ANSWER, "other kind")
+            )
+            writer.write(frame(number, ANSWER, "right") + frame(number, ANSWER, "again"))
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        client = TcpTransport(f"127.0.0.1:{free_port()}")
+        assert await client.call(f"{host}:{port}", PUT, WITHIN_S) == "right"
+        while client.peers.figures.answers_dropped < 3:
+            await asyncio.sleep(0)
+        await client.close()
+        server.close()
+
+    async def limited() -> None:
+        async with asyncio.timeout(WITHIN_S):
+            await scene()
+
+    asyncio.run(limited())
+
+
+def test_an_answer_after_the_time_out_goes_to_no_other_call() -> None:
+    async def handler(asked: Any) -> Any:
+        if isinstance(asked, StatusRequest):
+            await release.wait()
+        return asked
+
+    async def scene(pair: Pair) -> None:
+        late = asyncio.ensure_future(pair.call(StatusRequest("0-1-1"), 0.05))
+        await asyncio.sleep(0.01)
+        assert await pair.call(PUT) == PUT  # so the connection stays
+        with pytest.raises(PeerError):
+            await late
+        release.set()
+        assert await pair.call(PUT) == PUT
+        while pair.client.peers.figures.answers_dropped == 0:
+            await asyncio.sleep(0)
+
+    release = asyncio.Event()
+    play("store-1", handler, scene)
+
+
+def test_the_simulated_network_refuses_like_the_real_one() -> None:
+    loop = VirtualLoop()
+
+    async def scene() -> None:
+        network = Network(loop, random.Random(3))
+        for host in ("10.0.0.1", "10.0.0.2"):
+            network.power_on(host)
+        client = network.transport(SimulatedProcess("edge-1"), "10.0.0.1:7780")
+        server = network.transport(SimulatedProcess("store-9"), "10.0.0.2:7780")
+        client.peers.identify(Identity("c1", "edge-1", 1))
+        client.peers.learn_member(store_member("store-1", server.address, 1))
+        server.peers.identify(Identity("c1", "store-9", 1, "d"))
+        taken: list[Any] = []
+
+        async def handler(asked: Any) -> Any:
+            taken.append(asked)
+            return asked
+
+        await server.start(handler)
+        with pytest.raises(WrongPeer):
+            await client.call(server.address, PUT, 1.0)
+        assert taken == [] and not client.connected(server.address)
+        assert await client.call(server.address, ReadView(), 1.0) == ReadView()
+        client.peers.learn_member(store_member("store-9", server.address, 2))
+        assert await client.call(server.address, PUT, 1.0) == PUT
+
+    loop.run_until_complete(scene())
