Play replacements, emptied stores, 20 s cuts and losses at the edge in the simulation

The simulation played losses one at a time with a rest after each, on machines that never change, so none of the faults of a second loss, a replacement or a seed without a view could come up.

Machines are added and removed at run time, addresses are used again, the settings may name other seeds. `Tolerance` says when the next loss may come: the first moment that the deployment bears it. New kinds: replace, add, retire with and without a lost disk beside it, seed_turnover, dark (all power, any subset back late), cut_core, cut_both, cut_seeds, race, ack_lost, flood, hup, full, slow and stuck disks; garbled answers of workers, repeated job ends, addresses of workers given to another service. New checks: liveness 8 s after all is calm, ordering keys, BUDGET, DRAIN, early starts, forgotten messages, queued for no reason, missing call-backs, repeated ends, wrong refusals, stores emptied in time.

--- a/hollowusher/simulation/__main__.py
+++ b/hollowusher/simulation/__main__.py
@@ -5,6 +5,8 @@
 import os
 import sys
 import time
+from collections.abc import Sequence
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import click
@@ -25,6 +27,7 @@
 @click.option("--quiet-days", is_flag=True, help="Days without any trouble.")
 @click.option("--go-on", is_flag=True, help="Do not stop at the first seed with a break.")
 @click.option("--verbose", is_flag=True, help="Print all breaks and troubles of each seed.")
+@click.option("--script", "script_file", default="", help="Play the days of a script (a TOML file).")
 @click.option("--planted", "planted_names", default="", help="Planted faults to be found: names, or all.")
 def main(
     seeds: str,
@@ -36,6 +39,7 @@
     quiet_days: bool,
     go_on: bool,
     verbose: bool,
+    script_file: str,
     planted_names: str,
 ) -> None:
     """Play seeds and judge them; the exit code is 1 if any rule was broken, or a planted fault not found."""
@@ -53,11 +57,13 @@
     numbers = range(int(first), int(last or first) + 1)
     if planted_names:
         sys.exit(0 if find_planted(planted_names, numbers, plan) else 1)
+    if script_file:
+        sys.exit(0 if play_script(script_file, rate, go_on, verbose) else 1)
     until = time.monotonic() + 60 * minutes if minutes else float("inf")
     sys.exit(0 if play_seeds(numbers, plan, until, go_on, verbose) else 1)
 
 
-def play_seeds(numbers: range, plan: DayPlan, until: float, go_on: bool, verbose: bool) -> bool:
+def play_seeds(numbers: Sequence[int], plan: DayPlan, until: float, go_on: bool, verbose: bool) -> bool:
     """Whether all seeds kept all rules."""
     from hollowusher.simulation.day import play_day
     from hollowusher.simulation.programs import build_program
@@ -78,6 +84,15 @@
     return kept
 
 
+def play_script(file: str, rate: float, go_on: bool, verbose: bool) -> bool:
+    """Whether the days of a script kept all rules."""
+    from hollowusher.simulation.day import scripted
+    from hollowusher.simulation.troubles.script import read_script
+
+    script = read_script(Path(file))
+    return play_seeds(script.seeds, scripted(script, rate), float("inf"), go_on, verbose)
+
+
 def find_planted(names: str, numbers: range, plan: DayPlan) -> bool:
     """Whether each planted fault breaks one of its rules within the seeds."""
     from hollowusher.simulation.planted import PLANTED
--- a/hollowusher/simulation/actors.py
+++ b/hollowusher/simulation/actors.py
@@ -17,7 +17,14 @@
     SilentServer,
 )
 from hollowusher.simulation.network import host_of
-from hollowusher.simulation.observations import Arrival, CallbackCall, LeaseEnd, Observations, Run
+from hollowusher.simulation.observations import (
+    Arrival,
+    CallbackCall,
+    LeaseEnd,
+    Observations,
+    RepeatedEnd,
+    Run,
+)
 
 NOT_EXECUTED = "X-Not-Executed"
 ATTEMPT = "X-Attempt-Id"
@@ -37,6 +44,8 @@
     lost_answer_share: float = 0.02  # ran, but the connection breaks in place of the answer
     silent_share: float = 0.005  # ran, and nothing is ever heard
     reset_share: float = 0.01  # broken off under work
+    garbled_share: float = 0.01  # ran, and the answer is another message's, or lacks its stamp
+    repeated_end_share: float = 0.05  # of the job ends that were taken: sent again at once
 
 
 class Stamps:
@@ -104,6 +113,7 @@
         self._slots = asyncio.Semaphore(capacity)
         self._allowance = rate
         self._allowed_at = outside.now()
+        self._last_answer: HttpAnswer | None = None
 
     def start(self) -> None:
         """Listen."""
@@ -176,6 +186,7 @@
     async def _run(self, exchange: Exchange, identifier: str) -> HttpAnswer | None:
         outside, chance, behaviour = self.outside, self.outside.chance, self.behaviour
         run = Run(identifier, self.service, self.name, outside.now(), exchange.request.body)
+        run.ordering_key = exchange.request.header("X-Ordering-Key")
         outside.seen.runs.append(run)
         await asyncio.sleep(chance.uniform(*behaviour.work_s) * self.slow)
         if not self.alive or exchange.closed.is_set() or chance.random() < behaviour.reset_share:
@@ -186,8 +197,11 @@
         headers = {ATTEMPT: identifier}
         if status == 200:
             headers[SIGNATURE] = run.signature
-        exchange.on_read = lambda: setattr(run, "read_at", outside.now())
         drawn = chance.random()
+        if drawn > 1 - behaviour.garbled_share and self._last_answer is not None:
+            return self._last_answer  # of another message
+        exchange.on_read = lambda: setattr(run, "read_at", outside.now())
+        self._last_answer = HttpAnswer(status, headers)
         if drawn < behaviour.lost_answer_share:
             return None
         if drawn < behaviour.lost_answer_share + behaviour.silent_share:
@@ -309,10 +323,18 @@
                 if answer.status == 200:
                     seen = LeaseEnd(identifier, lease, status, self.outside.now())
                     self.outside.seen.lease_ends.append(seen)
+                    await self._repeat_end(identifier, lease, headers)
                 return answer.status == 200
             await asyncio.sleep(0.25)
         return False
 
+    async def _repeat_end(self, identifier: str, lease: str, headers: dict[str, str]) -> None:
+        if self.outside.chance.random() >= self.behaviour.repeated_end_share:
+            return
+        answer = await self._call(f"/job-end/{identifier}", headers, END_TIMEOUT_S)
+        status = None if answer is None else answer.status
+        self.outside.seen.repeated_ends.append(RepeatedEnd(identifier, lease, status, self.outside.now()))
+
 
 class Receiver:
     """A receiver of call-backs: few at a time, sometimes slow or failing."""
--- a/hollowusher/simulation/http.py
+++ b/hollowusher/simulation/http.py
@@ -146,6 +146,9 @@
             return
         network = self.network
         there = host_of(address)
+        if network.refuses(exchange.source, there):
+            network.loop.call_outside(network.delay(), _fail, future, "refused", False)
+            return
         if not (network.reaches(exchange.source, there) and network.reaches(there, exchange.source)):
             network.loop.call_outside(RESEND_S, self._arrive, exchange, address, future)
             return
--- a/hollowusher/simulation/invariants.py
+++ b/hollowusher/simulation/invariants.py
@@ -15,6 +15,14 @@
 CEILING_OVERSHOOT = 1.1
 CEILING_EXTRA = 5
 READ_MARGIN_S = 0.05
+EARLY_START_S = EARLY_S + 0.2
+KNOWN_AFTER_S = 2.0
+BUDGET_FACTOR = 3
+MOST_REFUSALS = 3
+STEADY_S = 6.0
+SILENT_S = 3.0
+DONE_BEFORE_S = 10.0
+MOST_UNTOLD = 3
 CONFIG_APPLY_S = 3.0
 EXPIRY_MARGIN_S = 6.0
 MOST_SKEW_S = 12.0
@@ -139,6 +147,9 @@
             yield Broken("UNASKED", run.id, "nobody sent this", run.started_at)
         elif run.body != message.body:
             yield Broken("UNASKED", run.id, "the body was changed", run.started_at)
+        elif run.ordering_key is not None and run.ordering_key != message.ordering_key:
+            text = f"the ordering key was {message.ordering_key!r} and became {run.ordering_key!r}"
+            yield Broken("UNASKED", run.id, text, run.started_at)
 
 
 def check_route(seen: Observations, rules: Rules) -> Iterator[Broken]:
@@ -213,6 +224,105 @@
             yield Broken("EARLY", run.id, f"ran {early:.3f} s before its delay was over", run.started_at)
 
 
+def check_started_early(seen: Observations, rules: Rules) -> Iterator[Broken]:
+    """ORDER: a message begins at a worker more than `earlyMs` + 200 ms before its delay is over."""
+    for run in seen.runs:
+        message = seen.messages.get(run.id)
+        if message is not None and run.started_at < message.sent_at + message.delay_s - EARLY_START_S:
+            early = message.sent_at + message.delay_s - run.started_at
+            yield Broken("ORDER", run.id, f"began {early:.3f} s before its delay was over", run.started_at)
+
+
+def check_budget(seen: Observations, rules: Rules) -> Iterator[Broken]:
+    """BUDGET: a run after three times the allowed failures, or after three refusals for good."""
+    for message in seen.messages.values():
+        most = BUDGET_FACTOR * rules.routes[message.route].max_attempts
+        runs = model.runs_of(seen, message.id)
+        for run in runs:
+            before = [each for each in runs if each.ended_at is not None and each.ended_at < run.started_at]
+            failed = sum(each.result == "failed" for each in before)
+            refused = sum(each.result == "refused" for each in before)
+            if failed >= most or refused >= MOST_REFUSALS:
+                text = f"ran again after {failed} failures and {refused} refusals"
+                yield Broken("BUDGET", message.id, text, run.started_at)
+                break
+
+
+def check_forgotten(seen: Observations, rules: Rules) -> Iterator[Broken]:
+    """LOST: 404 or 410 for the state of a message that was accepted over 2 s before, in calm times."""
+    for answer in seen.states:
+        message = seen.messages[answer.id]
+        if answer.status not in (404, 410) or not message.accepted or message.answered_at is None:
+            continue
+        late = answer.at > message.answered_at + KNOWN_AFTER_S
+        if late and not model.disturbed(seen, answer.at - KNOWN_AFTER_S, answer.at, CONTACT_S):
+            yield Broken("LOST", answer.id, f"answered {answer.status} though accepted", answer.at)
+
+
+def check_left_queued(seen: Observations, rules: Rules) -> Iterator[Broken]:
+    """LOST: queued at the end though its time has come, in steady state, while nothing is done at all."""
+    last_success = max((run.ended_at or 0.0 for run in seen.runs if run.result == "success"), default=0.0)
+    steady = seen.ended_at - seen.calm_since >= STEADY_S and last_success < seen.ended_at - SILENT_S
+    if not steady:
+        return
+    for answer in seen.states:
+        message = seen.messages[answer.id]
+        if not answer.final or answer.state != "queued" or answer.at < seen.ended_at - SILENT_S:
+            continue
+        due = message.sent_at + message.delay_s < answer.at - STEADY_S
+        ended = model.ended_at(seen, message, rules.routes[message.route]) <= answer.at
+        had = any(run.started_at >= answer.at - STEADY_S for run in model.runs_of(seen, message.id))
+        if due and not ended and not had:
+            yield Broken("LOST", message.id, "queued at the end though its time has come", answer.at)
+
+
+def check_silent_callbacks(seen: Observations, rules: Rules) -> Iterator[Broken]:
+    """LOST: in steady state at the end no call-back comes, and three are missing that are long owed."""
+    last = max((call.at for call in seen.callbacks), default=0.0)
+    if seen.ended_at - seen.calm_since < STEADY_S or last > seen.ended_at - SILENT_S:
+        return
+    called = {call.id for call in seen.callbacks}
+    missing = [
+        message.id
+        for message in _accepted(seen)
+        if message.callback_url
+        and message.id not in called
+        and model.ended_at(seen, message, rules.routes[message.route]) < seen.ended_at - DONE_BEFORE_S
+    ]
+    if len(missing) >= MOST_UNTOLD:
+        yield Broken("LOST", missing[0], f"{len(missing)} call-backs never came", seen.ended_at)
+
+
+def check_repeated_ends(seen: Observations, rules: Rules) -> Iterator[Broken]:
+    """MIXED: a job's end was taken with 200, came again at once, and was refused by a machine in touch."""
+    for end in seen.repeated_ends:
+        refused = end.status is not None and end.status != 200
+        if refused and not model.disturbed(seen, end.at, end.at, CONTACT_S):
+            yield Broken("MIXED", end.id, f"the repeated end got {end.status}", end.at)
+
+
+def check_drain(seen: Observations, rules: Rules) -> Iterator[Broken]:
+    """DRAIN: a machine that was told to stop still counts as ready seconds later."""
+    for stop in seen.stops:
+        if stop.still_ready:
+            yield Broken("DRAIN", stop.edge, "is still ready 4 s after SIGTERM", stop.told_at)
+
+
+def check_emptied(seen: Observations, rules: Rules) -> Iterator[Broken]:
+    """RETIRE (a duty): a store that was to be emptied is emptied in time."""
+    for order in seen.retirements:
+        took = order.ended_at - order.asked_at
+        if not order.completed or took > order.duration_s:
+            said = f"emptied after {took:.1f} s" if order.completed else f"not emptied within {took:.1f} s"
+            yield Broken("RETIRE", order.store, f"{said}, {order.duration_s:g} s given", order.ended_at)
+
+
+def check_liveness(seen: Observations, rules: Rules) -> Iterator[Broken]:
+    """LIVENESS: some seconds after all is calm, members have caught up and an order is taken."""
+    for found in seen.unwell:
+        yield Broken("LIVENESS", found.subject, found.text, found.at)
+
+
 def check_expired(seen: Observations, rules: Rules) -> Iterator[Broken]:
     """EXPIRED (not forbidden): a run long after the message's time had passed.  After a takeover the program
     allows for wall clocks that differ."""
@@ -299,6 +409,24 @@
         )
 
 
+def check_wrong_refusals(seen: Observations, rules: Rules) -> Iterator[Broken]:
+    """CONFIG: a valid order on the newest version is refused though no other change may be in force."""
+    for order in seen.orders:
+        if not order.valid or order.refused_at is None:
+            continue
+        others = [
+            other
+            for other in seen.orders
+            if other is not order
+            and other.valid
+            and other.generation > order.if_match
+            and 0 < other.first_sent_at < order.refused_at
+        ]
+        if not others:
+            text = f"refused on version {order.if_match}, which nothing has replaced"
+            yield Broken("CONFIG", f"order {order.number}", text, order.refused_at)
+
+
 def check_configuration_reads(seen: Observations, rules: Rules) -> Iterator[Broken]:
     """CONFIG and LOST: what is read back is the newest acknowledged version or a later one that was sent."""
     finals = [read for read in seen.reads if read.final]
@@ -379,6 +507,16 @@
     check_changed_end,
     check_ceiling,
     check_early,
+    check_started_early,
+    check_budget,
+    check_forgotten,
+    check_left_queued,
+    check_silent_callbacks,
+    check_repeated_ends,
+    check_drain,
+    check_emptied,
+    check_liveness,
+    check_wrong_refusals,
     check_configuration_writes,
     check_configuration_reads,
     check_configuration_order,
--- a/hollowusher/simulation/network.py
+++ b/hollowusher/simulation/network.py
@@ -58,23 +58,34 @@
         self.handler_failures: list[str] = []
         self.watch: Callable[[str, str, Any], None] | None = None  # (from, to, message) of each arrival
         self._cut: set[tuple[str, str]] = set()
+        self._refusing: set[tuple[str, str]] = set()  # cuts that answer with a reset in place of silence
 
-    def cut(self, source: str, target: str, both: bool = True) -> None:
-        """Nothing gets from one host to another."""
-        self._cut.add((source, target))
-        if both:
-            self._cut.add((target, source))
+    def cut(self, source: str, target: str, both: bool = True, refuse: bool = False) -> None:
+        """Nothing gets from one host to another; with `refuse` connections break, new ones are refused."""
+        pairs = {(source, target), (target, source)} if both else {(source, target)}
+        self._cut |= pairs
+        if not refuse:
+            return
+        self._refusing |= pairs
+        for connection in list(self.connections):
+            if {connection.client_host, connection.server_host} == {source, target}:
+                connection.reset()
+
+    def refuses(self, source: str, target: str) -> bool:
+        """Whether bytes from one host to the other are answered with a reset."""
+        return (source, target) in self._refusing or (target, source) in self._refusing
 
     def join(self, source: str, target: str, both: bool = True) -> None:
         """End a cut; what it held up goes on."""
-        self._cut.discard((source, target))
-        if both:
-            self._cut.discard((target, source))
+        pairs = {(source, target), (target, source)} if both else {(source, target)}
+        self._cut -= pairs
+        self._refusing -= pairs
         self._flush()
 
     def join_all(self) -> None:
         """End all cuts."""
         self._cut.clear()
+        self._refusing.clear()
         self._flush()
 
     def _flush(self) -> None:
@@ -429,6 +440,9 @@
     def _at_peer(self, address: str, future: asyncio.Future[Connection]) -> None:
         here, there = host_of(self.address), host_of(address)
         network = self.network
+        if network.refuses(here, there):
+            network.loop.call_outside(network.delay(), self._no_connection, address, future, "refused")
+            return
         if not (network.reaches(here, there) and network.reaches(there, here)):
             return
         listener = network.listeners.get(address)
--- a/hollowusher/simulation/observations.py
+++ b/hollowusher/simulation/observations.py
@@ -47,6 +47,7 @@
     result: str = ""
     signature: str = ""
     read_at: float | None = None  # when the whole answer was read by the sender
+    ordering_key: str | None = None  # as the worker saw it; None where it is not told
 
 
 @dataclass
@@ -68,6 +69,46 @@
     at: float
 
 
+@dataclass
+class RepeatedEnd:
+    """An end that was taken with 200 and came again at once; `status` is the second answer, None for none."""
+
+    id: str
+    lease: str
+    status: int | None
+    at: float
+
+
+@dataclass
+class StopSeen:
+    """An edge process that was ready was told to stop; whether it still counted as ready seconds later."""
+
+    edge: str
+    told_at: float
+    still_ready: bool
+
+
+@dataclass
+class Retirement:
+    """An order to empty a store."""
+
+    store: str
+    asked_at: float
+    ended_at: float
+    completed: bool
+    duration_s: float
+    wiped: bool  # another store lost its disk meanwhile
+
+
+@dataclass
+class Unwell:
+    """Something that is not in order though all has been calm for a while."""
+
+    subject: str
+    text: str
+    at: float
+
+
 @dataclass
 class StateAnswer:
     """Answer to `GET /message` and, with `body`, `GET /message-body`."""
@@ -154,6 +195,10 @@
     reads: list[ConfigurationRead] = field(default_factory=list)
     generations: list[GenerationSeen] = field(default_factory=list)
     troubles: list[Trouble] = field(default_factory=list)
+    repeated_ends: list[RepeatedEnd] = field(default_factory=list)
+    stops: list[StopSeen] = field(default_factory=list)
+    retirements: list[Retirement] = field(default_factory=list)
+    unwell: list[Unwell] = field(default_factory=list)
     calm_since: float = 0.0  # no disturbance after this
     traffic_ended_at: float = 0.0
     ended_at: float = 0.0
--- a/hollowusher/simulation/operators.py
+++ b/hollowusher/simulation/operators.py
@@ -20,6 +20,7 @@
 FINAL_ANSWERS = (400, 409, 412, 413, 422)
 MOST_OTHER_REFUSALS = 3
 MOST_REDIRECTS = 2
+RETIRE_POLL_S = 0.3
 
 
 class Operator:
@@ -46,9 +47,11 @@
     def _now(self) -> float:
         return self.http.network.loop.time()
 
-    async def _exchange(self, request: HttpRequest) -> tuple[HttpAnswer | None, str]:
-        """One call, with its redirects; None where no answer came (or it was lost)."""
-        address = self._chance.choice(self._admins())
+    async def _exchange(self, request: HttpRequest, asked: list[str]) -> tuple[HttpAnswer | None, str]:
+        """One call, with its redirects; None where no answer came (or it was lost).  Machines that were
+        `asked` before are asked again only after all others."""
+        admins = self._admins()
+        address = self._chance.choice([each for each in admins if each not in asked] or admins)
         for _ in range(MOST_REDIRECTS + 1):
             try:
                 answer = await self.http.exchange(self.host, address, request, SILENCE_S)
@@ -67,13 +70,18 @@
         self.seen.orders.append(made)
         return made
 
-    async def send(self, order: ConfigurationOrder, request: HttpRequest, give_up_at: float) -> bool | None:
-        """Send an order until it is answered: True taken, False refused, None unknown."""
+    async def send(
+        self, order: ConfigurationOrder, request: HttpRequest, give_up_at: float, first: str = ""
+    ) -> bool | None:
+        """Send an order until it is answered, at first to the address `first`: True taken, False refused,
+        None unknown."""
         pause, refusals = FIRST_PAUSE_S, 0
+        asked = [each for each in self._admins() if each != first] if first else []
         if not order.first_sent_at:
             order.first_sent_at = self._now()
         while self._now() < give_up_at:
-            answer, _ = await self._exchange(request)
+            answer, address = await self._exchange(request, asked)
+            asked = [address] if len(asked) + 1 >= len(self._admins()) else [*asked, address]
             status = None if answer is None else answer.status
             order.answers.append((self._now(), status))
             if status == 200:
@@ -94,7 +102,7 @@
         pause = FIRST_PAUSE_S
         while self._now() < give_up_at:
             asked_at = self._now()
-            answer, edge = await self._exchange(HttpRequest("GET", "/config"))
+            answer, edge = await self._exchange(HttpRequest("GET", "/config"), [])
             if answer is not None and answer.status == 200:
                 document: dict[str, Any] = orjson.loads(answer.body)
                 self.seen.reads.append(ConfigurationRead(self._now(), asked_at, edge, document, final))
@@ -103,6 +111,22 @@
             pause = min(pause * 2, LONGEST_PAUSE_S)
         return None
 
+    async def empty(self, name: str, duration_s: float, give_up_at: float) -> bool:
+        """Order a store to be emptied and ask until that is done; whether it was done in time."""
+        order = HttpRequest("POST", f"/retire/{name}", {}, orjson.dumps({"durationS": duration_s}))
+        question = HttpRequest("GET", f"/retire/{name}")
+        taken = False
+        while self._now() < give_up_at:
+            answer, _ = await self._exchange(question if taken else order, [])
+            if answer is not None and answer.status == 200:
+                taken = True
+                if orjson.loads(answer.body)["state"] == "completed":
+                    return True
+            elif answer is not None and answer.status in (400, 404) and not taken:
+                return False
+            await asyncio.sleep(RETIRE_POLL_S)
+        return False
+
 
 def put_request(order: ConfigurationOrder) -> HttpRequest:
     """A whole configuration."""
--- a/hollowusher/simulation/programs.py
+++ b/hollowusher/simulation/programs.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from hollowusher.configuration.boot import BootSettings
+from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.coordination.operator_api import OperatorApi
 from hollowusher.delivery.callbacks import CallbackDelivery
 from hollowusher.dispatch import dispatcher as dispatcher_module
@@ -20,6 +22,7 @@
 from hollowusher.roles import operator_site as operator_module
 from hollowusher.roles import store as store_module
 from hollowusher.simulation.stand_ins import (
+    DISK_ID_SLOT,
     ProcessParts,
     SimulatedCallbackClient,
     SimulatedFrontend,
@@ -122,12 +125,28 @@
         if self._seams.parts is not None:
             self._seams.parts.stopping.set()
 
+    def hang_up(self, settings: BootSettings) -> None:
+        """SIGHUP."""
+        if self._seams.parts is not None:
+            self._seams.parts.settings = settings
+
     def generation(self) -> int:
         """The configuration in force here."""
         parts = self._seams.parts
         configuration = None if parts is None else parts.state.configuration
         return 0 if configuration is None else configuration.generation
 
+    def knowledge(self) -> ClusterState | None:
+        """What it knows of the cluster."""
+        parts = self._seams.parts
+        return None if parts is None else parts.state
+
+    def disk_identity(self) -> str:
+        """The identity of its disk, empty where it has none yet."""
+        disk = self._seams.disk
+        held = None if disk is None else disk.slot(DISK_ID_SLOT).load()
+        return "" if held is None else held.decode()
+
 
 def build_program(seams: Seams) -> Program:
     """The program of a machine's role."""
--- a/hollowusher/simulation/stand_ins.py
+++ b/hollowusher/simulation/stand_ins.py
@@ -202,10 +202,11 @@
 
     async def _serve(self, exchange: Exchange) -> HttpAnswer | None:
         asked: Any = _OperatorRequest(exchange.request)
-        if exchange.request.method == "GET":
-            response = await self._api._read(asked)
+        read = exchange.request.method == "GET"
+        if asked.match_info["node"]:
+            response = await (self._api._retirement(asked) if read else self._api._retire(asked))
         else:
-            response = await self._api._change(asked)
+            response = await (self._api._read(asked) if read else self._api._change(asked))
         body = response.body if isinstance(response.body, bytes) else b""
         return HttpAnswer(response.status, dict(response.headers), body)
 
@@ -217,6 +218,7 @@
         self.method = request.method
         self.headers = CIMultiDict(request.headers)
         self.content_length = len(request.body)
+        self.match_info = {"node": request.target.partition("/retire/")[2]}
         self._body = request.body
 
     async def read(self) -> bytes:
--- /dev/null
+++ b/hollowusher/simulation/troubles/__init__.py
@@ -0,0 +1,1 @@
+"""The troubles of a simulated day, by concern: processes, power, disks, links, machines, orders, workers."""
--- /dev/null
+++ b/hollowusher/simulation/troubles/orders.py
@@ -0,0 +1,50 @@
+"""Troubles that the operators make: races, many changes, answers that are lost."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hollowusher.simulation.troubles import disks, processes
+from hollowusher.simulation.troubles.stage import Stage, Wanted, trouble
+
+
+@trouble("race", 1)
+async def race(stage: Stage, wanted: Wanted) -> None:
+    """Two operators change the configuration at once, some times in a row."""
+    if stage.operator is None:
+        return
+    noted = stage.begin("race", "operators", planned=True)
+    stage.end(noted)
+    for _ in range(wanted.count or 3):
+        await stage.operator.race()
+
+
+@trouble("ack_lost", 1)
+async def ack_lost(stage: Stage, wanted: Wanted) -> None:
+    """Most answers to the operator are lost; it sends the same again, to other machines first."""
+    if stage.operator is None:
+        return
+    noted = stage.begin("ack_lost", "operator", planned=True)
+    stage.end(noted)
+    stage.operator.lose_answers(0.7)
+    if stage.chance.random() < 0.5:
+        await asyncio.gather(stage.operator.change(), processes.kill(stage, Wanted("kill")))
+    else:
+        await stage.operator.race()
+    await stage.wait(wanted, 2.0)
+    stage.operator.lose_answers(0.1)
+
+
+@trouble("flood", 0.7)
+async def flood(stage: Stage, wanted: Wanted) -> None:
+    """Many changes, and a machine that is lost, or loses its disk, in their midst."""
+    if stage.operator is None:
+        return
+    noted = stage.begin("flood", "operator", planned=True)
+    stage.end(noted)
+    changing = asyncio.ensure_future(stage.operator.change_often(wanted.count or 60))
+    await asyncio.sleep(stage.chance.uniform(0.1, 2.0))
+    lost = stage.chance.choice((disks.lose, processes.kill, processes.freeze))
+    controller = stage.chance.choice(stage.counting("edge"))
+    await lost(stage, Wanted("flood", controller.name))
+    await changing
--- a/hollowusher/simulation/world.py
+++ b/hollowusher/simulation/world.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from random import Random
 from typing import Any, Protocol
 
 from hollowusher.configuration.boot import Bind, Bounds, BootSettings, CloudApi, FaultTolerance
+from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.simulation.http import HttpNetwork
 from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
 from hollowusher.simulation.network import Network, SimulatedTransport
@@ -24,16 +25,22 @@
 WALL_CLOCK_ORIGIN_S = 1_700_000_000.0
 LIST_ADDRESS = "10.200.0.70:8065"
 REGION = "region-a"
+ZONES = ("zone-a", "zone-b", "zone-c", "zone-d")
 RESTART_S = 0.5  # after a process has ended by itself
 STOP_POLL_S = 0.05
+CATCH_UP_S = 4.2
+CONTACT_S = 4.0
+REUSE_AFTER_S = 2.0  # an address may be given to another machine after this
+SEEDS = 3
 
 
 class Disk:
     """A machine's disk: logs and slots by name, which outlive processes."""
 
-    def __init__(self, chance: random.Random, sync_s: float) -> None:
+    def __init__(self, chance: Random, sync_s: float) -> None:
         self._chance = chance
         self._sync_s = sync_s
+        self._failing = ""
         self._logs: dict[str, MemoryLog] = {}
         self._slots: dict[str, MemorySlot] = {}
 
@@ -41,14 +48,32 @@
         """The log of a name, new where there was none."""
         if name not in self._logs:
             self._logs[name] = MemoryLog(segment_bytes=256 * 1024, segments=64, sync_s=self._sync_s)
+            self._logs[name].failing = self._failing
         return self._logs[name]
 
     def slot(self, name: str) -> MemorySlot:
         """The slot of a name, new where there was none."""
         if name not in self._slots:
             self._slots[name] = MemorySlot(save_s=self._sync_s)
+            self._slots[name].failing = self._failing
         return self._slots[name]
 
+    def fail(self, reason: str) -> None:
+        """Whatever is written fails from now on; nothing does with an empty reason."""
+        self._failing = reason
+        for log in self._logs.values():
+            log.failing = reason
+        for slot in self._slots.values():
+            slot.failing = reason
+
+    def set_sync_time(self, seconds: float) -> None:
+        """How long each sync that begins from now on takes."""
+        self._sync_s = seconds
+        for log in self._logs.values():
+            log.sync_s = seconds
+        for slot in self._slots.values():
+            slot.save_s = seconds
+
     def process_ended(self) -> None:
         """Files stay as they were; what the process had not yet written is gone."""
         self._crash(in_order=True)
@@ -75,7 +100,7 @@
     disk: Disk | None
     http: HttpNetwork
     host: str
-    chance: random.Random
+    chance: Random
     wall_ms: Callable[[], int]
     note: Callable[[str], None]  # of failures inside the program
     parts: Any = None  # what the program has made of itself
@@ -90,16 +115,25 @@
     def stop(self) -> None:
         """End in order (SIGTERM)."""
 
+    def hang_up(self, settings: BootSettings) -> None:
+        """The settings file has changed (SIGHUP)."""
+
     def generation(self) -> int:
         """The configuration in force here, 0 for none."""
 
+    def knowledge(self) -> ClusterState | None:
+        """What it knows of the cluster."""
+
+    def disk_identity(self) -> str:
+        """The identity of its disk, empty where it has none yet."""
+
 
 Builder = Callable[[Seams], Program]
 
 
 @dataclass
 class Machine:
-    """A machine and the present life of its process."""
+    """A machine and the present life of its process.  `bootstrap`: it belongs to the system's first start."""
 
     name: str
     role: str
@@ -107,6 +141,7 @@
     zone: str
     disk: Disk | None
     clock_offset_s: float = 0.0
+    bootstrap: bool = True
     powered: bool = False
     frozen: bool = False
     started_once: bool = False
@@ -128,6 +163,11 @@
         """Whether it takes part in the control chain."""
         return self.role == "edge" and self.disk is not None
 
+    @property
+    def admin(self) -> str:
+        """Its address for the operator."""
+        return f"{self.ip}:{ADMIN_PORT}"
+
 
 async def _call(function: Callable[[], None]) -> None:
     function()
@@ -157,28 +197,82 @@
         self.http = HttpNetwork(self.network)
         self.machines: dict[str, Machine] = {}
         self.program_failures: list[str] = []
+        self.added = 0  # machines beyond those of the start and their successors
+        self.seeds: list[str] = []  # the admin addresses that the settings name
         self._build = build
+        self._freed: list[tuple[float, str]] = []  # addresses of machines that are gone, and since when
+        self._numbers = {"edge": 0, "store": 0}
+        self._addresses = 0
+        self._chance = self.random("new machines")
         self._make_machines()
 
-    def random(self, purpose: str) -> random.Random:
+    def random(self, purpose: str) -> Random:
         """A source of randomness of its own for each purpose."""
-        return random.Random(f"{self.seed}/{purpose}")
+        return Random(f"{self.seed}/{purpose}")
 
     def _make_machines(self) -> None:
         chance = self.random("machines")
-        zones = ("zone-a", "zone-b", "zone-c", "zone-d")
         kinds = [("edge", True)] * self.size.controllers + [("edge", False)] * self.size.plain_edges
         kinds += [("store", True)] * self.size.stores
-        numbers = {"edge": 0, "store": 0}
-        for position, (role, with_disk) in enumerate(kinds):
-            number = numbers[role]
-            numbers[role] += 1
-            name = f"{role}-{number + 1}"
-            disk = Disk(self.random(f"disk {name}"), self.size.sync_s) if with_disk else None
-            clock_offset_s = chance.uniform(-1.0, 1.0) * self.size.clock_skew_s
-            self.machines[name] = Machine(
-                name, role, f"10.0.0.{position + 1}", zones[number % len(zones)], disk, clock_offset_s
-            )
+        for role, with_disk in kinds:
+            zone = ZONES[self._numbers[role] % len(ZONES)]
+            self._make_machine(role, zone, with_disk, chance, bootstrap=True)
+        self.seeds = [machine.admin for machine in self.controllers()[:SEEDS]]
+
+    def _make_machine(
+        self, role: str, zone: str, with_disk: bool, chance: Random, bootstrap: bool, ip: str = ""
+    ) -> Machine:
+        self._numbers[role] += 1
+        name = f"{role}-{self._numbers[role]}"
+        if not ip:
+            self._addresses += 1
+            ip = f"10.0.0.{self._addresses}"
+        disk = Disk(self.random(f"disk {name}"), self.size.sync_s) if with_disk else None
+        clock_offset_s = chance.uniform(-1.0, 1.0) * self.size.clock_skew_s
+        machine = Machine(name, role, ip, zone, disk, clock_offset_s, bootstrap)
+        self.machines[name] = machine
+        return machine
+
+    def add_machine(self, role: str, zone: str, with_disk: bool) -> Machine:
+        """A new machine with an empty disk; at times it gets the address of one that is gone."""
+        ip = ""
+        free = [address for since, address in self._freed if self.loop.time() - since >= REUSE_AFTER_S]
+        if free and self._chance.random() < 0.5:
+            ip = self._chance.choice(free)
+            self._freed = [entry for entry in self._freed if entry[1] != ip]
+        return self._make_machine(role, zone, with_disk, self._chance, bootstrap=False, ip=ip)
+
+    def remove(self, machine: Machine) -> None:
+        """A machine without power is gone for good; new settings do not name it."""
+        del self.machines[machine.name]
+        self._freed.append((self.loop.time(), machine.ip))
+        if machine.admin in self.seeds:
+            others = [each.admin for each in self.controllers() if each.admin not in self.seeds]
+            others += [each.admin for each in self.of("edge") if each.admin not in [*self.seeds, *others]]
+            kept = [seed for seed in self.seeds if seed != machine.admin]
+            self.seeds = [*kept, *others[:1]]
+
+    def choose_seeds(self, chance: Random, first: Machine | None = None, plain: bool = False) -> None:
+        """Name other seeds in the settings: `first` before others, or machines without a disk if there are
+        enough; a process reads them when it starts."""
+        edges = [machine for machine in self.of("edge") if machine is not first]
+        chance.shuffle(edges)
+        if plain:
+            edges.sort(key=lambda machine: machine.counts)
+        chosen = edges if first is None else [first, *edges]
+        self.seeds = [machine.admin for machine in chosen[:SEEDS]]
+
+    def zones(self) -> list[str]:
+        """The zones that have machines."""
+        return sorted({machine.zone for machine in self.machines.values()})
+
+    def disturbed_lately(self) -> bool:
+        """Whether an unplanned trouble is under way or was, within the time of contact."""
+        since = self.loop.time() - CONTACT_S
+        return any(
+            not trouble.planned and (trouble.ended_at is None or trouble.ended_at >= since)
+            for trouble in self.seen.troubles
+        )
 
     def of(self, role: str) -> list[Machine]:
         """The machines of a role."""
@@ -190,7 +284,6 @@
 
     def settings(self, machine: Machine) -> BootSettings:
         """The settings file of a machine as it is now."""
-        seeds = [f"{each.ip}:{ADMIN_PORT}" for each in self.controllers()[:3]]
         edge = machine.role == "edge"
         bind = (
             Bind(
@@ -209,8 +302,8 @@
             region=REGION,
             serves=["edge", "control_plane"] if edge else ["storage"],
             internal_ports=[INTERNAL_PORT, INTERNAL_PORT + 15],
-            seed_nodes=seeds,
-            bootstrap=not machine.started_once,
+            seed_nodes=list(self.seeds),
+            bootstrap=machine.bootstrap and not machine.started_once,
             counts_for_quorum=machine.counts,
             data_dir=f"/data/{machine.role}" if machine.disk else "",
             bind=bind,
@@ -321,6 +414,13 @@
             machine.frozen = True
             self.loop.freeze(machine.process)
 
+    def hang_up(self, machine: Machine) -> None:
+        """SIGHUP: the process reads its settings again."""
+        process, program = machine.process, machine.program
+        if process is not None and program is not None and machine.running:
+            settings = self.settings(machine)
+            process.run(_call(lambda: program.hang_up(settings)))
+
     def thaw(self, machine: Machine) -> None:
         """Its process goes on."""
         if machine.process is not None and machine.frozen:
