Have a store tell only what a quorum stands behind: states, gone leases, call-backs

Cause: a deposed primary that had not heard of its successor answered GET of a state from its own table, told ends that were not committed, said 'no such message' of what its successor had accepted, 'gone' of a lease whose end the successor had taken, and handed out call-backs anew. After a pause of under 1.25 s nothing was asked about again.

Change: a committed end is told as it stands; 'queued' needs a quorum that followed within 0.5 s and since the last pause; 'unknown' and 'gone' one that follows after the question; call-backs are confirmed as other grants are. A pause is noticed by whichever comes first, a message or a timer (PauseDetector), and each lease is postponed by its whole length. Bodies never change and are given without a quorum.

tests/test_store_service.py: without a quorum the state was told as 'queued', which a primary alone cannot know; now 'unavailable' (503), the body still comes, and the state is told again once a quorum is back.

--- /dev/null
+++ b/hollowusher/coordination/pause_detector.py
@@ -0,0 +1,32 @@
+"""Noticing that this process did not run for a while.  No I/O, no clock.
+
+A process that was frozen, or starved of the processor, goes on with what it had before: leases, lists,
+answers that lay unread.  Nothing of that may be used before it has been asked about again.  Whoever acts on
+such things calls `step` with the steady clock, regularly and before each act; whichever comes first after
+a pause notices it.
+"""
+
+from __future__ import annotations
+
+import math
+
+
+class PauseDetector:
+    """Steps further apart than `longest_s` are a pause."""
+
+    def __init__(self, longest_s: float) -> None:
+        self._longest_s = longest_s
+        self._last_step: float | None = None
+        self._ended_at = -math.inf
+
+    def step(self, now: float) -> float:
+        """Note that the process runs; the length of the pause that has just ended, 0 where there was none."""
+        last, self._last_step = self._last_step, now
+        if last is None or now - last <= self._longest_s:
+            return 0.0
+        self._ended_at = now
+        return now - last
+
+    def paused_since(self, moment: float) -> bool:
+        """Whether a pause has been noticed at or after that moment."""
+        return self._ended_at >= moment
--- a/hollowusher/messages/primary.py
+++ b/hollowusher/messages/primary.py
@@ -120,6 +120,10 @@
         """A proposal without a record: its commit shows that a quorum still follows this primary."""
         return self._writer.confirmation(now)
 
+    def uncommitted(self, key: Key) -> Proposal | None:
+        """The newest record of a message, where no quorum has it yet."""
+        return self._writer.pending.get(key)
+
     def adopt(self, key: Key, now: float, wall_ms: int) -> None:
         """Take up a message whose records were learnt from another replica or from the log."""
         self._adoption.adopt(key, now, wall_ms)
--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -14,6 +14,7 @@
 
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.cluster_state import CONFIGURATION, MEMBER_PREFIX, PLACEMENT, ClusterState
+from hollowusher.coordination.pause_detector import PauseDetector
 from hollowusher.messages import records
 from hollowusher.messages.hosting import PartitionHost
 from hollowusher.messages.primary import Grant, PartitionPrimary
@@ -40,19 +41,21 @@
 from hollowusher.transport.interface import Transport
 
 TICK_S = 0.25
-PAUSE_S = 1.0  # a tick that is later by more: this process did not run
+LONGEST_STEP_S = TICK_S + 0.15  # a longer one: this process did not run
 COMMIT_TIMEOUT_S = 3.0
 LEASE_COMMIT_TIMEOUT_S = 1.0
 SERVING_WAIT_S = 1.0  # how long a call waits for a takeover to finish
 RECOVER_EVERY_S = 0.5
 FORGET_EVERY_S = 5.0
 SCRUB_EVERY_S = 20.0
-CONFIRMED_WITHIN_S = 0.5  # a lease is extended only if a quorum has followed within so long
+CONFIRMED_WITHIN_S = 0.5  # a lease is extended, a state told, only if a quorum has followed within so long
 STOP_TIMEOUT_S = 4.0
 STOP_POLL_S = 0.05
 LOG_RESERVE_BYTES = 4 * 1024 * 1024  # new messages are refused before states lack room
 
 UNAVAILABLE = LeaseAnswer("unavailable")
+GONE = LeaseAnswer("gone")
+ENDED_STATES = ("completed", "dead_letter")
 
 
 class LeasedHere(NamedTuple):
@@ -97,7 +100,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
         self._started = False
-        self._last_tick = 0.0
+        self._pauses = PauseDetector(LONGEST_STEP_S)
+        self._running_since = 0.0  # steady clock; the end of the last pause
         self._next_recover = self._next_forget = self._next_scrub = 0.0
         self._handlers: dict[type, Callable[[Any], Awaitable[Any]]] = {
             Put: self._put,
@@ -115,7 +119,8 @@
         """Read the log, and take up what the placement says."""
         self._replicator.replay()
         now = self._now()
-        self._last_tick = now
+        self._pauses.step(now)
+        self._running_since = now
         self._next_forget, self._next_scrub = now + FORGET_EVERY_S, now + SCRUB_EVERY_S
         self._started = True
         self._state.listen(self._changed)
@@ -128,6 +133,7 @@
 
     async def handle(self, message: Any) -> Any:
         """Answer one message; KeyError for a type that is not for stores."""
+        self._notice_pause(self._now())
         return await self._handlers[type(message)](message)
 
     async def stop(self) -> None:
@@ -175,21 +181,22 @@
     async def _finish(self, finish: Finish) -> LeaseAnswer:
         lease = records.parse_lease_id(finish.lease)
         if lease is None:
-            return LeaseAnswer("gone")
+            return GONE
         primary = await self._primary(lease.partition)
         if primary is None:
             return LeaseAnswer(self._why_not(lease.partition))
+        host = self._hosts[lease.partition]
         try:
             taken = primary.finish(lease, finish, self._now(), self._wall_ms())
         except StorageError:
             return UNAVAILABLE
-        self._after(self._hosts[lease.partition])
-        return await self._lease_answer(taken)
+        self._after(host)
+        return await self._lease_answer(host, primary, taken)
 
     async def _extend(self, extend: Extend) -> LeaseAnswer:
         lease = records.parse_lease_id(extend.lease)
         if lease is None:
-            return LeaseAnswer("gone")
+            return GONE
         primary = await self._primary(lease.partition)
         if primary is None:
             return LeaseAnswer(self._why_not(lease.partition))
@@ -198,17 +205,21 @@
             taken = primary.extend(lease, self._now(), self._wall_ms())
         except StorageError:
             return UNAVAILABLE
-        confirmed = host.confirmed_since(self._now(), CONFIRMED_WITHIN_S)
-        confirmation = None if confirmed else primary.confirmation(self._now())
         self._after(host)
-        if confirmation is not None and not await self._committed(confirmation):
+        if not await self._is_followed(host, primary):
             return UNAVAILABLE
-        return await self._lease_answer(taken)
-
-    async def _lease_answer(self, taken: Proposal | LeaseAnswer) -> LeaseAnswer:
-        if isinstance(taken, LeaseAnswer):
-            return taken
-        return LeaseAnswer("taken") if await self._committed(taken) else UNAVAILABLE
+        return await self._lease_answer(host, primary, taken)
+
+    async def _lease_answer(
+        self, host: PartitionHost, primary: PartitionPrimary, taken: Proposal | LeaseAnswer
+    ) -> LeaseAnswer:
+        """The answer once it is certain: what was proposed is committed, and a lease is gone only if this
+        was the primary still when it was asked about it."""
+        if isinstance(taken, Proposal):
+            return LeaseAnswer("taken") if await self._committed(taken) else UNAVAILABLE
+        if taken.status == GONE.status and not await self._is_followed(host, primary, from_now=True):
+            return UNAVAILABLE
+        return taken
 
     async def _status(self, request: StatusRequest) -> StatusAnswer:
         parsed = records.parse_reference(request.reference)
@@ -218,7 +229,37 @@
         primary = await self._primary(partition)
         if primary is None:
             return StatusAnswer(self._why_not(partition))
-        return primary.status(key, request.want_body)
+        answer = primary.status(key, request.want_body)
+        if await self._is_certain(answer, partition, key, primary):
+            return answer
+        return StatusAnswer("unavailable")
+
+    async def _is_certain(
+        self, answer: StatusAnswer, partition: int, key: records.Key, primary: PartitionPrimary
+    ) -> bool:
+        """Whether an answer about a message may be given.  The bytes of a message never change, a committed
+        end stands for ever; that a message has not ended needs a quorum that followed lately, that there is
+        none one that follows now."""
+        if answer.body is not None:
+            return True
+        host = self._hosts[partition]
+        if answer.state in ENDED_STATES:
+            ending = primary.uncommitted(key)
+            return ending is None or await self._committed(ending)
+        return await self._is_followed(host, primary, from_now=answer.state == "unknown")
+
+    async def _is_followed(
+        self, host: PartitionHost, primary: PartitionPrimary, *, from_now: bool = False
+    ) -> bool:
+        """Whether a quorum has followed this primary within `CONFIRMED_WITHIN_S` and since the last pause of
+        this process; `from_now`: whether it does so after this call."""
+        now = self._now()
+        within_s = min(CONFIRMED_WITHIN_S, now - self._running_since)
+        if not from_now and host.confirmed_since(now, within_s):
+            return True
+        confirmation = primary.confirmation(now)
+        self._after(host)
+        return await self._committed(confirmation)
 
     async def _lease(self, request: LeaseRequest) -> Leased:
         service = request.service
@@ -251,16 +292,31 @@
         """The jobs whose leases a quorum knows; the others are given back."""
         jobs = []
         for host, grant in taken:
-            committed = grant.proposal is None or await self._committed(grant.proposal)
+            committed = await self._is_committed(host, grant)
             if host.primary is None:
                 continue
             if committed and host.primary.holds(grant):
                 jobs.append(grant.job)
             else:
-                host.primary.give_back(grant, self._now(), self._wall_ms())
-                self._after(host)
+                self._take_back(host, host.primary, grant)
         return jobs
 
+    def _take_back(self, host: PartitionHost, primary: PartitionPrimary, grant: Grant) -> None:
+        """A grant that does not go out; a call-back is offered again after a pause."""
+        now, wall_ms = self._now(), self._wall_ms()
+        lease = records.parse_lease_id(grant.job.lease)
+        if lease is not None and lease.callback:
+            primary.finish(lease, Finish(grant.job.lease, "not_run"), now, wall_ms)
+        else:
+            primary.give_back(grant, now, wall_ms)
+        self._after(host)
+
+    async def _is_committed(self, host: PartitionHost, grant: Grant) -> bool:
+        """Whether a quorum knows a lease; for one without a record (a call-back's), follows its primary."""
+        if grant.proposal is not None:
+            return await self._committed(grant.proposal)
+        return host.primary is not None and await self._is_followed(host, host.primary)
+
     def _has_ready(self, service: str) -> bool:
         now = self._now()
         return any(host.primary.has_ready(service, now) for host in self._hosts.values() if host.primary)
@@ -360,7 +416,6 @@
             await asyncio.sleep(TICK_S)
             now = self._now()
             self._notice_pause(now)
-            self._last_tick = now
             self._replicator.give_up_waiting(now, COMMIT_TIMEOUT_S, LEASE_COMMIT_TIMEOUT_S)
             self._recovery.look_after_learners(now)
             for host in self._hosts.values():
@@ -376,13 +431,15 @@
                 self._replicator.run(self._recovery.scrub())
 
     def _notice_pause(self, now: float) -> None:
-        """While this process did not run, words of lease holders may have come that are still unread."""
-        gap = now - self._last_tick - TICK_S
-        if gap > PAUSE_S:
-            self._last_tick = now
-            for host in self._replicator.serving():
-                if host.primary is not None:
-                    host.primary.postpone_leases(gap)
+        """While this process did not run, words of lease holders may have come that are still unread, and
+        another primary may have begun."""
+        pause_s = self._pauses.step(now)
+        if not pause_s:
+            return
+        self._running_since = now
+        for host in self._replicator.serving():
+            if host.primary is not None:
+                host.primary.postpone_leases(pause_s)
 
     def _forget(self, now: float) -> None:
         for host in self._hosts.values():
--- a/tests/test_store_service.py
+++ b/tests/test_store_service.py
@@ -114,9 +114,11 @@
                 store.kill()
             assert (await cluster.put(message("m1"))).status == "unknown"
             assert await cluster.lease(most=1) == []
-            assert (await cluster.status(reference)).state == "queued"
+            assert (await cluster.status(reference)).state == "unavailable"
+            assert (await cluster.status(reference, body=True)).body == b"m0"
             await cluster.stores[1].start()
             await asyncio.sleep(2.0)
+            assert (await cluster.status(reference)).state == "queued"
             assert (await cluster.put(message("m1"))).status == "stored"
             assert {job.message.id for job in await cluster.lease(most=5)} == {"m0", "m1"}
 
