Replace a store in time for the next loss; balance replicas; bind epochs to one life

A store was replaced 8 s after it was gone, but the deployment counts the removed one for only 4.2 s after its successor's start: the next lost disk left one replica of three, messages were lost and the partition had no way back. An added store got no replica until another was lost.

- A copy is begun 1.5 s after a replica is away, at once where a store with few replicas has come; it takes the replica's place 2.5 s after that was away, at once for a lost disk, a leaving machine or one being emptied.
Four partitions are compared at a time with one peer.
A store that stops waits for such copies.
- While all is calm one replica at a time moves to a store that holds fewer by two or more.
- A primary that let go of a learner it had reported ready could commit without it while the head still counted on the report.
- A restarted primary led the epoch of its earlier life again, and could give a key to a second message.
An epoch is led by the life it names, and once.
- A machine that is emptied hands its primaries over while no more than f replicas are missing, five a second.
- RecoverPartition makes a placement of what is left of a partition; lost ones are logged by the head.

--- /dev/null
+++ b/hollowusher/coordination/placement_duty.py
@@ -0,0 +1,313 @@
+"""The head's duty to keep the placement: primaries, replicas and learners follow the stores; machines are
+emptied, and partitions without a majority are shown and recovered, by an operator's order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+import orjson
+
+from hollowusher.coordination.directory import STORE, Directory, StoreCondition
+from hollowusher.coordination.first_placement import PARTITIONS, initial_placement
+from hollowusher.coordination.partition_recovery import (
+    RecoveryRefused,
+    is_lost,
+    living_ids,
+    partition_statuses,
+    recovered_placement,
+)
+from hollowusher.coordination.placement import CAUGHT_UP, enough_would_remain, is_named, replan
+from hollowusher.coordination.store_states import store_name
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import (
+    ControlState,
+    Done,
+    LearnerLost,
+    LearnerReady,
+    Member,
+    OperatorAnswer,
+    Placement,
+    Retire,
+    View,
+)
+from hollowusher.protocol.status import PartitionStatus, RecoverPartition
+
+TICK_S = 0.1
+REPLAN_S = 0.5  # the placement is looked at this often even when no member has changed
+MOVE_S = 1.0  # at most one primary and one replica are moved for balance in this time
+EMPTYING_MOVE_S = 0.2  # ... and one primary leaves a machine that is being emptied in this time
+STABLE_S = 1.0  # the first placement waits until no store has come for this long
+FEW_STORES_S = 5.0  # ... and with fewer than 2f+1 stores, this long
+REPORT_COUNTS_S = 2.5  # a primary repeats its report about a learner more often than this
+EMPTIED_S = 1.0  # a machine counts as emptied once no placement has named it for this long
+RUNNING = "running"
+COMPLETED = "completed"
+Update = Callable[[ControlState], ControlState | None]
+LogLine = Callable[..., None]
+
+
+class ControlChain(Protocol):
+    """What the duties need of this process's controller."""
+
+    @property
+    def is_head(self) -> bool:
+        """Whether this process is the chain's head and may write."""
+
+    @property
+    def view(self) -> View | None:
+        """The newest decided view."""
+
+    @property
+    def state(self) -> ControlState | None:
+        """The newest committed state."""
+
+    async def change(self, update: Update) -> bool:
+        """Commit what `update` makes of the newest state (None: leave it); True once that is committed."""
+
+
+def no_log(event: str, **fields: Any) -> None:
+    """Where no log is wanted."""
+
+
+class PlacementDuty:
+    """The placement's part of one controller's duties; it acts while its process is the chain's head."""
+
+    MESSAGES: tuple[type, ...] = (Retire, LearnerReady, LearnerLost, RecoverPartition)
+
+    def __init__(
+        self,
+        controller: ControlChain,
+        directory: Directory,
+        tolerance: int,
+        clock: Callable[[], float],
+        log: LogLine = no_log,
+    ) -> None:
+        self._controller = controller
+        self._directory = directory
+        self._tolerance = tolerance
+        self._clock = clock
+        self._log = log
+        self._caught_up: dict[CAUGHT_UP, float] = {}  # report -> when it came last
+        self._lost_learners: dict[CAUGHT_UP, float] = {}
+        self._planned_for = (-1, -1)  # changes of the directory and sequence of the state at the last plan
+        self._planned_at = 0.0
+        self._moved_at = 0.0
+        self._duty_since: float | None = None
+        self._unnamed_since: dict[str, float] = {}
+        self._told_lost: set[int] = set()
+
+    # ---- messages
+
+    async def handle(self, message: Any) -> Any:
+        """Answer one of `MESSAGES`."""
+        if isinstance(message, LearnerReady | LearnerLost):
+            self._take_report(message)
+            return Done()
+        if isinstance(message, Retire):
+            return await self._retire(message)
+        if isinstance(message, RecoverPartition):
+            return await self._recover_partition(message)
+        return None
+
+    def _take_report(self, report: LearnerReady | LearnerLost) -> None:
+        key = (report.partition, report.epoch, report.store_id)
+        ready = isinstance(report, LearnerReady)
+        taken, other = (
+            (self._caught_up, self._lost_learners) if ready else (self._lost_learners, self._caught_up)
+        )
+        other.pop(key, None)
+        taken[key] = self._clock()
+        self._planned_for = (-1, -1)
+
+    # ---- the loop
+
+    async def run(self) -> None:
+        """Keep the placement whenever this process is the head; runs until cancelled."""
+        while True:
+            if not self._controller.is_head:
+                self._duty_since = None
+                self._caught_up.clear()
+                self._lost_learners.clear()
+            else:
+                if self._duty_since is None:
+                    self._duty_since = self._clock()
+                await self._keep_placement()
+            await asyncio.sleep(TICK_S)
+
+    async def _keep_placement(self) -> None:
+        state = self._controller.state
+        now = self._clock()
+        if state is None:
+            return
+        seen = (self._directory.changes, state.sequence)
+        if seen == self._planned_for and now - self._planned_at < REPLAN_S:
+            return
+        self._planned_at = now
+        self._forget_old_reports()
+        self._tell_lost_partitions(state)
+        may_move = now - self._moved_at >= (EMPTYING_MOVE_S if _is_emptying(state) else MOVE_S)
+        if self._replanned(state, may_move) is None:
+            self._planned_for = seen
+            return
+        if may_move:
+            self._moved_at = now
+        await self._controller.change(lambda newest: self._replanned(newest, may_move))
+
+    def _forget_old_reports(self) -> None:
+        """Drop reports that are no longer repeated: their primary has lost the learner or the partition."""
+        oldest = self._clock() - REPORT_COUNTS_S
+        self._caught_up = {report: came for report, came in self._caught_up.items() if came >= oldest}
+        self._lost_learners = {report: came for report, came in self._lost_learners.items() if came >= oldest}
+
+    def _replanned(self, state: ControlState, may_move: bool) -> ControlState | None:
+        """The state with the placement and the emptied machines as they should be; None where they are."""
+        if state.placement is None:
+            stores = self._first_stores()
+            if not stores:
+                return None
+            placement = initial_placement(stores, self._tolerance, PARTITIONS)
+            return evolve(state, placement=placement)
+        changed = replan(
+            state.placement,
+            self._conditions(state.placement),
+            self._tolerance,
+            state.retiring,
+            self._caught_up,
+            may_move,
+            self._lost_learners,
+        )
+        placement = changed or state.placement
+        retiring = self._progress(state, placement)
+        if changed is None and retiring == state.retiring:
+            return None
+        return evolve(state, placement=placement, retiring=retiring)
+
+    def _conditions(self, placement: Placement | None) -> Mapping[str, StoreCondition]:
+        """The conditions of all stores known, and of those that the placement names."""
+        entries = placement.partitions if placement is not None else []
+        named = {
+            store_name(store_id)
+            for entry in entries
+            for store_id in (entry.primary, *entry.replicas, *entry.learners)
+        }
+        return self._directory.stores(named, self._clock())
+
+    def _first_stores(self) -> list[Member]:
+        """The stores for the first placement, none while more may come."""
+        now = self._clock()
+        stores = self._directory.alive(STORE)
+        if not stores or self._duty_since is None:
+            return []
+        newest = max(self._directory.since(store.name) for store in stores)
+        enough = len(stores) >= 2 * self._tolerance + 1 or now - self._duty_since >= FEW_STORES_S
+        return stores if enough and now - newest >= STABLE_S else []
+
+    # ---- partitions without enough replicas
+
+    def partition_statuses(self) -> list[PartitionStatus]:
+        """How each partition stands, as this controller knows it."""
+        state = self._controller.state
+        if state is None or state.placement is None:
+            return []
+        return partition_statuses(state.placement, self._conditions(state.placement), self._tolerance)
+
+    def _tell_lost_partitions(self, state: ControlState) -> None:
+        """Log partitions that can no longer be served, and those that can again."""
+        if state.placement is None:
+            return
+        living = living_ids(self._conditions(state.placement))
+        lost = {
+            entry.partition: entry
+            for entry in state.placement.partitions
+            if is_lost(entry, living, self._tolerance)
+        }
+        for number in sorted(lost.keys() - self._told_lost):
+            missing = [replica for replica in lost[number].replicas if replica not in living]
+            self._log("partition_lost", partition=number, epoch=lost[number].epoch, missing=missing)
+        for number in sorted(self._told_lost - lost.keys()):
+            self._log("partition_back", partition=number)
+        self._told_lost = set(lost)
+
+    async def _recover_partition(self, order: RecoverPartition) -> OperatorAnswer:
+        """Go on with what is left of a partition, as the operator has ordered it."""
+        state = self._controller.state
+        if state is None or state.placement is None or not self._controller.is_head:
+            return OperatorAnswer(503)
+        answers: list[OperatorAnswer] = []
+
+        def update(newest: ControlState) -> ControlState | None:
+            assert newest.placement is not None
+            found = recovered_placement(
+                newest.placement,
+                self._conditions(newest.placement),
+                self._tolerance,
+                order.partition,
+                order.accept_loss_of,
+            )
+            if isinstance(found, RecoveryRefused):
+                answers.append(OperatorAnswer(found.status, orjson.dumps({"error": found.reason})))
+                return None
+            answers.append(OperatorAnswer(200, orjson.dumps({"state": "recovered"})))
+            return evolve(newest, placement=found)
+
+        if not await self._controller.change(update) or not answers:
+            return OperatorAnswer(503)
+        if answers[0].status == 200:
+            self._log("partition_recovered", partition=order.partition, given_up=order.accept_loss_of)
+        return answers[0]
+
+    # ---- emptying machines
+
+    def _progress(self, state: ControlState, planned: Placement) -> dict[str, str]:
+        """The machines being emptied, those completed that no placement has named for a while."""
+        now = self._clock()
+        retiring = dict(state.retiring)
+        for name, progress in state.retiring.items():
+            named = planned is not state.placement or is_named(planned, name)
+            if progress != RUNNING or named:
+                self._unnamed_since.pop(name, None)
+            elif now - self._unnamed_since.setdefault(name, now) >= EMPTIED_S:
+                retiring[name] = COMPLETED
+        return retiring
+
+    async def _retire(self, order: Retire) -> OperatorAnswer:
+        state = self._controller.state
+        if state is None or not self._controller.is_head:
+            return OperatorAnswer(503)
+        if order.duration_s is None or order.name in state.retiring:
+            return _progress_answer(state, order.name)
+        refusal = self._refusal(state, order.name)
+        if refusal is not None:
+            return refusal
+
+        def update(newest: ControlState) -> ControlState | None:
+            if order.name in newest.retiring or self._refusal(newest, order.name) is not None:
+                return None
+            return evolve(newest, retiring={**newest.retiring, order.name: RUNNING})
+
+        await self._controller.change(update)
+        newest = self._controller.state
+        if newest is not None and order.name in newest.retiring:
+            return _progress_answer(newest, order.name)
+        return OperatorAnswer(503)
+
+    def _refusal(self, state: ControlState, name: str) -> OperatorAnswer | None:
+        conditions = self._directory.stores((), self._clock())
+        if name not in conditions:
+            return OperatorAnswer(404, b'{"error":"no storage machine has this name"}')
+        if not enough_would_remain(name, conditions, state.retiring, self._tolerance):
+            return OperatorAnswer(409, b'{"error":"too few storage machines would remain"}')
+        return None
+
+
+def _is_emptying(state: ControlState) -> bool:
+    return RUNNING in state.retiring.values()
+
+
+def _progress_answer(state: ControlState, name: str) -> OperatorAnswer:
+    progress = state.retiring.get(name)
+    if progress is None:
+        return OperatorAnswer(404, b'{"error":"no order to empty this machine"}')
+    return OperatorAnswer(200, orjson.dumps({"state": progress}))
--- a/hollowusher/messages/comparing.py
+++ b/hollowusher/messages/comparing.py
@@ -14,7 +14,7 @@
 ANSWER_TIMEOUT_S = 1.5
 BUCKETS_AT_ONCE = 8
 CHUNK_BYTES = 256 * 1024
-PACED_BYTES_PER_S = 4 * 1024 * 1024
+PACED_BYTES_PER_S = 3 * 1024 * 1024  # of one partition with one peer
 
 
 class StaleEpoch(Exception):
--- a/hollowusher/messages/hosting.py
+++ b/hollowusher/messages/hosting.py
@@ -33,12 +33,13 @@
         self.placement: PartitionPlacement | None = None
         self.former_replicas: list[str] = []  # of the placement before: they may hold committed records
         self.epoch = 0  # for which this store is the primary, 0 where it is not
+        self.last_led = 0  # the newest epoch that this life has led: none is led twice
         self.promised = False  # this store's own promise for that epoch is on its disk
         self.primary: PartitionPrimary | None = None
         self.links: dict[str, PeerLink] = {}
         self.outstanding: dict[Proposal, None] = {}  # in the order they were made
         self.drop_at = 0.0  # when the table is to be dropped, 0: not at all
-        self.required: dict[str, float] = {}  # learners reported ready, and when: each commit needs them
+        self.required: set[str] = set()  # learners reported ready in this epoch: each commit needs them
         self._leads_since = 0.0
         self.commit_quorum = 1  # how many replicas, this one among them, must have a record
 
@@ -56,14 +57,14 @@
     def lead(self, epoch: int, now: float) -> None:
         """Start to be the primary for an epoch: all others have to be compared with first."""
         self.resign()
-        self.epoch = epoch
+        self.epoch = self.last_led = epoch
         self._leads_since = now
         self.promised = False
         self.refresh_links()
 
     def lead_on(self, epoch: int) -> None:
         """Stay the primary through a change of the placement."""
-        self.epoch = epoch
+        self.epoch = self.last_led = epoch
         if self.primary is not None:
             self.primary.epoch = epoch
         self.refresh_links()
@@ -73,7 +74,7 @@
         self.epoch = 0
         self.primary = None
         self.links = {}
-        self.required = {}
+        self.required = set()
         abandoned, self.outstanding = self.outstanding, {}
         for proposal in abandoned:
             proposal.answer(False)
@@ -85,14 +86,21 @@
         if self.primary is None:
             wanted += self.former_replicas
         self.links = {peer: self.links.get(peer) or PeerLink() for peer in wanted if peer != self.me}
-        learners = self.placement.learners
-        self.required = {peer: told_at for peer, told_at in self.required.items() if peer in learners}
+        self.required &= set(self.placement.learners)
 
     @property
     def is_placed_here(self) -> bool:
         """Whether the placement makes this store the primary."""
         return self.placement is not None and self.placement.primary == self.me
 
+    @property
+    def is_needed_here(self) -> bool:
+        """Whether a store that stops has to wait: it is the primary, or a replica whose successor is still
+        catching up."""
+        if self.placement is None:
+            return False
+        return self.is_placed_here or (self.me in self.placement.replicas and bool(self.placement.learners))
+
     @property
     def replicas(self) -> list[str]:
         """The replicas that count."""
--- a/hollowusher/messages/recovery.py
+++ b/hollowusher/messages/recovery.py
@@ -5,7 +5,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Callable, Iterator
 from contextlib import suppress
 
 from hollowusher.messages.comparing import Comparison, StaleEpoch
@@ -13,14 +14,16 @@
 from hollowusher.messages.records import Key
 from hollowusher.messages.replication import Outgoing
 from hollowusher.messages.replicator import Replicator
-from hollowusher.protocol.control import LearnerReady
+from hollowusher.protocol.control import LearnerLost, LearnerReady
 from hollowusher.protocol.store import Records, Replicate, Replicated
 from hollowusher.storage.interface import StorageError
 from hollowusher.transport.interface import PeerError
 
 PROBE_TIMEOUT_S = 1.0
 TELL_AGAIN_S = 2.0
-LEARNER_PATIENCE_S = 3.0  # a lost learner that was reported ready still holds commits back for so long
+LEARNER_PATIENCE_S = 1.0  # a learner that was reported ready and is lost so long is to be let go by the head
+PARTITIONS_AT_ONCE = 4  # compared at one time with one peer
+_LearnerKey = tuple[int, int, str]  # partition, epoch, the learner's store id
 
 
 class Recovery:
@@ -29,8 +32,9 @@
     def __init__(self, replicator: Replicator, chance: Callable[[], float]) -> None:
         self._replicator = replicator
         self._chance = chance
+        self._lost_since: dict[_LearnerKey, float] = {}  # of learners that were reported: when noticed
         self._recovering: set[str] = set()
-        self._told_at: dict[tuple[int, str], float] = {}
+        self._told_at: dict[_LearnerKey, float] = {}
 
     def recover_all(self) -> None:
         """Start on each peer that lacks records and is not being worked on."""
@@ -49,18 +53,24 @@
         try:
             address = self._replicator.address_of(peer)
             if address is not None and await self._probe(peer, address):
-                for host in list(self._replicator.hosts.values()):
-                    link = host.links.get(peer)
-                    while link is not None and host.links.get(peer) is link and not link.complete:
-                        if not (host.promised and await self._catch_up(host, peer, link, address)):
-                            break
-        except PeerError:
+                hosts = iter(list(self._replicator.hosts.values()))
+                async with asyncio.TaskGroup() as tasks:
+                    for _ in range(PARTITIONS_AT_ONCE):
+                        tasks.create_task(self._catch_up_each(hosts, peer, address))
+        except* PeerError:
             self._replicator.lost(peer)
-        except StorageError as error:
-            self._replicator.storage_error = error
+        except* StorageError as errors:
+            self._replicator.storage_error = _first_storage_error(errors)
         finally:
             self._recovering.discard(peer)
 
+    async def _catch_up_each(self, hosts: Iterator[PartitionHost], peer: str, address: str) -> None:
+        for host in hosts:
+            link = host.links.get(peer)
+            while link is not None and host.links.get(peer) is link and not link.complete:
+                if not (host.promised and await self._catch_up(host, peer, link, address)):
+                    break
+
     async def _probe(self, peer: str, address: str) -> bool:
         """Ask with empty batches whether the peer is there; it learns the epochs by that."""
         replicator = self._replicator
@@ -106,14 +116,18 @@
             replicator.wall_ms,
             paced,
         )
+        failure: BaseException | None = None
         try:
             await comparison.run()
-        except StaleEpoch as stale:
-            replicator.refused(peer, stale.partition, stale.epoch)
+        except (StaleEpoch, PeerError, StorageError, asyncio.CancelledError) as error:
+            failure = error  # what was learnt before counts all the same
+        if comparison.changed:
+            self._adopt(host, peer, comparison.changed)
+        if isinstance(failure, StaleEpoch):
+            replicator.refused(peer, failure.partition, failure.epoch)
             return False
-        finally:
-            if comparison.changed:
-                self._adopt(host, peer, comparison.changed)
+        if failure is not None:
+            raise failure
         return host.epoch == epoch
 
     def _adopt(self, host: PartitionHost, source: str, changed: list[Key]) -> None:
@@ -148,41 +162,64 @@
     # Learners
 
     def look_after_learners(self, now: float) -> None:
-        """Report learners that have caught up; let go of those that were lost since."""
+        """Report to the head which learners have caught up, and which of those have been lost since.  Commits
+        wait for a reported learner until a newer placement is in force: its report may count until then."""
+        lost_since: dict[_LearnerKey, float] = {}
         for host in self._replicator.serving():
             assert host.placement is not None
             for peer in host.placement.learners:
                 link = host.links.get(peer)
                 if link is not None and link.complete:
-                    if now - self._told_at.get((host.partition, peer), -1e9) >= TELL_AGAIN_S:
-                        self._told_at[host.partition, peer] = now
+                    if self._is_due(host, peer, now):
                         self._replicator.run(self._report(host, peer))
-                elif peer in host.required and now - link_lost_at(link) > LEARNER_PATIENCE_S:
-                    del host.required[peer]
-                    self._replicator.settle(host)
+                elif peer in host.required:
+                    key = (host.partition, host.epoch, peer)
+                    lost_since[key] = self._lost_since.get(key, now)
+                    if now - lost_since[key] >= LEARNER_PATIENCE_S and self._is_due(host, peer, now):
+                        self._replicator.run(self._tell_head(LearnerLost(host.partition, host.epoch, peer)))
+        self._lost_since = lost_since
+
+    def _is_due(self, host: PartitionHost, peer: str, now: float) -> bool:
+        """Whether the head is to be told again about a learner."""
+        key = (host.partition, host.epoch, peer)
+        if now - self._told_at.get(key, -TELL_AGAIN_S) < TELL_AGAIN_S:
+            return False
+        self._told_at = {told: at for told, at in self._told_at.items() if now - at < TELL_AGAIN_S}
+        self._told_at[key] = now
+        return True
 
     async def _report(self, host: PartitionHost, peer: str) -> None:
         """From now on each commit needs this learner, too; what was committed before is compared once more,
         so that the head may count on it."""
         replicator = self._replicator
         placement, address = host.placement, replicator.address_of(peer)
-        view = replicator.state.view
-        if placement is None or address is None or view is None or host.primary is None:
-            return
-        head = next((voter.address for voter in view.voters if voter.name == view.head), None)
-        if head is None:
+        if placement is None or address is None or host.primary is None:
             return
+        epoch = host.epoch
         try:
             if peer not in host.required:
-                host.required[peer] = replicator.now()
+                host.required.add(peer)
                 if not await self._compare(host, peer, address, paced=True):
+                    self._told_at.pop((host.partition, epoch, peer), None)
                     return
-            ready = LearnerReady(host.partition, placement.epoch, peer)
-            await replicator.transport.call(head, ready, PROBE_TIMEOUT_S)
         except (PeerError, StorageError):
             return
+        if host.epoch == epoch and peer in host.required:
+            await self._tell_head(LearnerReady(host.partition, epoch, peer))
 
-
-def link_lost_at(link: PeerLink | None) -> float:
-    """When a peer stopped answering; long ago for one that is not known."""
-    return link.lost_at if link is not None else 0.0
+    async def _tell_head(self, report: LearnerReady | LearnerLost) -> None:
+        replicator = self._replicator
+        view = replicator.state.view
+        voters = view.voters if view is not None else []
+        head = next((voter.address for voter in voters if view and voter.name == view.head), None)
+        if head is not None:
+            with suppress(PeerError):
+                await replicator.transport.call(head, report, PROBE_TIMEOUT_S)
+
+
+def _first_storage_error(errors: ExceptionGroup[StorageError]) -> StorageError:
+    first: BaseException = errors
+    while isinstance(first, BaseExceptionGroup):
+        first = first.exceptions[0]
+    assert isinstance(first, StorageError)
+    return first
--- a/hollowusher/messages/replicator.py
+++ b/hollowusher/messages/replicator.py
@@ -39,6 +39,7 @@
         tolerated: int,
         status_ms: int,
         wall_ms: Callable[[], int],
+        incarnation: int = 0,
     ) -> None:
         self.store_id = store_id
         self.transport = transport
@@ -51,6 +52,7 @@
         self.recover: Callable[[], None] = lambda: None
         self.clock: Callable[[], float] = lambda: asyncio.get_running_loop().time()
         self.wall_ms = wall_ms
+        self._incarnation = incarnation
         self._tolerated = tolerated
         self._status_ms = status_ms
         self._cache = RecordCache(CACHE_BYTES)
@@ -286,7 +288,7 @@
         unbroken = known is not None and host.epoch == known.epoch and entry.epoch <= known.epoch + 1
         host.place(entry, self._tolerated)
         host.drop_at = 0.0 if involved else host.drop_at or self.now() + DROP_AFTER_S
-        if entry.primary != self.store_id:
+        if not self._is_primary_of(entry):
             if host.epoch < entry.epoch:
                 host.resign()
         elif entry.epoch < host.table.promised_epoch:
@@ -295,10 +297,17 @@
             host.lead_on(entry.epoch)
             host.table.promise(entry.epoch)
             self.settle(host)
-        elif host.epoch != entry.epoch:
+        elif host.epoch != entry.epoch and host.last_led < entry.epoch:
             host.lead(entry.epoch, self.now())
             self.run(self._take_over(host, entry.epoch))
 
+    def _is_primary_of(self, entry: PartitionPlacement) -> bool:
+        """Whether this life is to lead the entry's epoch.  An epoch given to an earlier life is over: what
+        that life proposed last may stand elsewhere under versions that this one would use again."""
+        if entry.primary != self.store_id:
+            return False
+        return entry.primary_incarnation == 0 or entry.primary_incarnation >= self._incarnation
+
     async def _take_over(self, host: PartitionHost, epoch: int) -> None:
         """Promise the new epoch durably here before any other replica is asked."""
         host.table.promise(epoch)
--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -89,7 +89,14 @@
         self._log_reserve = min(LOG_RESERVE_BYTES, log.free_bytes() // 8)
         status_ms = int(settings.bounds.status_s * 1000)
         self._replicator = Replicator(
-            store_id, transport, log, state, settings.fault_tolerance.machines, status_ms, wall_ms
+            store_id,
+            transport,
+            log,
+            state,
+            settings.fault_tolerance.machines,
+            status_ms,
+            wall_ms,
+            me.incarnation,
         )
         self._recovery = Recovery(self._replicator, chance)
         self._replicator.stepped = self._after
@@ -137,9 +144,10 @@
         return await self._handlers[type(message)](message)
 
     async def stop(self) -> None:
-        """Planned end: serve until the placement has moved all partitions away, at most a few seconds."""
+        """Planned end: serve until the placement has moved all primaries away, and every replica that another
+        store is copying; at most a few seconds."""
         deadline = self._now() + STOP_TIMEOUT_S
-        while self._now() < deadline and any(host.is_placed_here for host in self._hosts.values()):
+        while self._now() < deadline and any(host.is_needed_here for host in self._hosts.values()):
             await asyncio.sleep(STOP_POLL_S)
         with suppress(StorageError, TimeoutError):
             async with asyncio.timeout(max(0.2, deadline - self._now())):
--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -405,6 +405,17 @@
     store_id: str
 
 
+@message(104)
+class LearnerLost:
+    """From a partition's primary to the head: this learner, which it had reported ready, does not answer any
+    more.  Commits wait for the learner until a placement without it is in force, whose greater epoch makes
+    all earlier reports void.  Sent again until then."""
+
+    partition: int
+    epoch: int
+    store_id: str
+
+
 @message(46)
 class Repair:
     """One-way, from a reader to the controller it pulls from: items that the controller lacks, because the
--- a/hollowusher/roles/control.py
+++ b/hollowusher/roles/control.py
@@ -13,6 +13,7 @@
 from hollowusher.coordination.updates import Feed
 from hollowusher.protocol.control import ControlState, Member, View
 from hollowusher.roles.change_log import ChangeLog
+from hollowusher.roles.logs import log
 from hollowusher.roles.process import Process
 from hollowusher.storage.slots import SlotFile
 
@@ -49,6 +50,7 @@
             self.reader,
             process.transport,
             clock,
+            log,
         )
         ChangeLog(process.state, "", lambda: self.controller.is_head)
 
--- a/tests/message_store.py
+++ b/tests/message_store.py
@@ -16,6 +16,7 @@
 from hollowusher.protocol.control import (
     Done,
     Item,
+    LearnerLost,
     LearnerReady,
     Member,
     PartitionPlacement,
@@ -139,6 +140,7 @@
         self.items: dict[str, Item] = {}
         self.announced: list[JobsWaiting] = []
         self.learners_ready: list[LearnerReady] = []
+        self.learners_lost: list[LearnerLost] = []
         self._version = 0
         self._edge = SimulatedProcess("edge-1")
         self.network.power_on(host_of(EDGE_ADDRESS))
@@ -192,6 +194,8 @@
             return None
         if isinstance(heard, LearnerReady):
             self.learners_ready.append(heard)
+        if isinstance(heard, LearnerLost):
+            self.learners_lost.append(heard)
         return Done()
 
     # Calls of the edge process
