Send and save document and history only where they have changed

Every write of the control chain carried and saved the whole state: document, 4,096 orders, placement. With a document of 8 MB a member that came back timed out on each hop and never caught up while the placement changed, and each change of the placement cost the whole document on every link and disk.

Document and history are now one record that is known by its digest. A `ChainWrite` leaves out a record that the next member holds; a record up to 256 KB travels inside it, a larger one is fetched by the member that lacks it, in chunks of 256 KB, checked over the whole and on disk before a state names it. On disk a record over 16 KB has a slot of its own, of two in turn, written before the state that names it and never over the one that the durable state names; smaller ones stay inside the state, in the format of before. Time limits follow from the bytes (1 MB/s). A write is answered truthfully and counted where it is of another cluster, disk or epoch or not from the member before. A state that is on disk already is not written again. A head whose disk remembers a later epoch than its view writes nothing. While one member fetches for over a second and nobody else is out, the others go on without it.

--- a/hollowusher/coordination/chain.py
+++ b/hollowusher/coordination/chain.py
@@ -7,6 +7,7 @@
 
 A member holds every committed state ("complete") when it has saved one in an epoch since which it has been
 in every chain: each commit of those epochs needed its save.  Only a complete member may become the head.
+A member whose saved state has come to harm holds nothing until it has saved one of the present epoch.
 """
 
 from __future__ import annotations
@@ -29,9 +30,16 @@
         self.state_epoch = 0
         self.committed: ControlState | None = None  # the newest state known to be committed
         self.committed_epoch = 0  # the epoch of the chain whose tail had it
+        self._harmed = False  # what it once saved is not whole any more
         if saved is not None:
             self.state_epoch, self.state = decode(saved)
 
+    def restore(self, epoch: int, state: ControlState, whole: bool = True) -> None:
+        """Take what was found on disk; not `whole`: a part of it is missing, so it counts for nothing."""
+        if whole:
+            self.state_epoch, self.state = epoch, state
+        self._harmed = not whole
+
     @property
     def epoch(self) -> int:
         """The epoch of the view in use, 0 for none."""
@@ -56,11 +64,17 @@
     @property
     def complete(self) -> bool:
         """Whether it holds every state committed up to its view."""
-        if self.view is None or not self.in_chain:
+        if self.view is None or not self.in_chain or self._harmed:
             return False
         since = self.view.since.get(self.name, self.view.epoch)
         return since == FIRST_EPOCH or self.state_epoch >= since
 
+    @property
+    def may_write(self) -> bool:
+        """Whether it is a head that holds all committed states, and its view is not older than its state:
+        the disk may remember a state of a view whose own save has failed."""
+        return self.is_head and self.complete and self.state_epoch <= self.epoch
+
     @property
     def in_force(self) -> bool:
         """Whether it knows of a state committed in its view's own epoch."""
@@ -83,6 +97,13 @@
         position = self.view.chain.index(self.name) + 1
         return self.view.chain[position] if position < len(self.view.chain) else None
 
+    def previous_name(self) -> str | None:
+        """The member before this one, None for the head."""
+        if self.view is None or not self.in_chain:
+            return None
+        position = self.view.chain.index(self.name)
+        return self.view.chain[position - 1] if position > 0 else None
+
     def install(self, view: View) -> bool:
         """Use a decided view; False for an older one."""
         if view.epoch <= self.epoch:
@@ -101,17 +122,23 @@
 
     def begin(self, state: ControlState | None = None) -> ChainWrite:
         """Head: a new state, or the present one in this epoch, to be saved, kept and passed on."""
-        if not (self.is_head and self.complete):
+        if not self.may_write:
             raise ValueError(f"{self.name} is not a head that holds all committed states")
         if state is None:
             return ChainWrite(self.epoch, self.state)
         return ChainWrite(self.epoch, evolve(state, sequence=self.state.sequence + 1))
 
+    def holds(self, write: ChainWrite) -> bool:
+        """Whether this very state of this epoch has been saved here."""
+        same_version = self._version(write) == self._held_version()
+        return same_version and not self._harmed and self.state == write.state
+
     def keep(self, write: ChainWrite) -> None:
         """A state has been saved."""
-        if self._version(write) > self._held_version():
+        if self._harmed or self._version(write) > self._held_version():
             self.state = write.state
             self.state_epoch = write.epoch
+            self._harmed = False
 
     def commit(self, write: ChainWrite) -> ControlState | None:
         """The tail has this state: it is committed.  The state, where that is news."""
--- a/hollowusher/coordination/chain_owner.py
+++ b/hollowusher/coordination/chain_owner.py
@@ -7,10 +7,12 @@
 
 from hollowusher.coordination.chain import ChainMember
 from hollowusher.coordination.replicator import Replicator
+from hollowusher.coordination.view import shortest_chain
 from hollowusher.protocol.control import ControlState
 
 CHANGE_DEADLINE_S = 2.5
 CHANGE_RETRY_S = 0.1
+LACKING_PATIENCE_S = 1.0  # a member that fetches a large document for longer does so outside the chain
 
 Update = Callable[[ControlState], ControlState | None]
 
@@ -32,6 +34,8 @@
         self._on_unreachable = on_unreachable
         self._lock = asyncio.Lock()
         self._flushing = False
+        self._lacking = ""  # the member that holds up the present state, because it fetches its document
+        self._lacking_since = 0.0
 
     @property
     def needs_flush(self) -> bool:
@@ -63,11 +67,13 @@
     async def _change(self, update: Update, deadline: float) -> bool:
         if not self._leads() or not await self._settle(deadline):
             return False
+        if asyncio.get_running_loop().time() >= deadline:
+            return False  # this process has stood still: whoever asked has gone on since
         wanted = update(self._member.state)
         if wanted is None:
             return True
         before = self._member.state
-        await self._push(wanted)
+        await self._push(wanted, before)
         written = self._member.state
         if written is before:
             return False  # the own disk has not taken it: what is in force is the state before
@@ -83,8 +89,21 @@
                 await asyncio.sleep(CHANGE_RETRY_S)
         return True
 
-    async def _push(self, state: ControlState | None) -> bool:
-        answer = await self._replicator.push(state)
+    async def _push(self, state: ControlState | None, base: ControlState | None = None) -> bool:
+        answer = await self._replicator.push(state, base)
         if answer.unreachable:
             self._on_unreachable(answer.unreachable)
+        self._note_lacking(answer.lacking)
         return answer.ok
+
+    def _note_lacking(self, name: str) -> None:
+        """Go on without a member that takes long to fetch the document, as long as nobody else is out."""
+        now = asyncio.get_running_loop().time()
+        if name != self._lacking:
+            self._lacking = name
+            self._lacking_since = now
+        view = self._member.view
+        if not name or view is None or now - self._lacking_since < LACKING_PATIENCE_S:
+            return
+        if len(view.chain) == len(view.voters) > shortest_chain(view):
+            self._on_unreachable(name)
--- a/hollowusher/coordination/controller.py
+++ b/hollowusher/coordination/controller.py
@@ -19,6 +19,7 @@
 from hollowusher.coordination.chain_owner import ChainOwner, Update
 from hollowusher.coordination.replicator import Replicator
 from hollowusher.coordination.state_service import StateService
+from hollowusher.coordination.state_store import StateStore
 from hollowusher.coordination.view import is_voter
 from hollowusher.coordination.view_seeker import ViewSeeker
 from hollowusher.coordination.voter_group import VoterGroup
@@ -36,6 +37,7 @@
     Prepare,
     ProposeFirst,
     ReadConfiguration,
+    ReadRecord,
     ReadState,
     ReadView,
     View,
@@ -64,6 +66,7 @@
         Prepare,
         ProposeFirst,
         ReadConfiguration,
+        ReadRecord,
         ReadState,
         ReadView,
     )
@@ -74,7 +77,7 @@
         transport: Transport,
         settings: BootSettings,
         view_slot: Slot,
-        state_slot: Slot,
+        state_store: StateStore,
         chance: random.Random,
         on_view: Callable[[View], None],
         on_state: Callable[[ControlState], None],
@@ -87,8 +90,11 @@
         self._tasks: set[asyncio.Task[Any]] = set()
         self._seed = SeedService(settings, transport)
         self._agreement = Agreement(voter, transport, view_slot, chance, self._install)
-        self._member = ChainMember(me.name, me.disk_id, state_slot.load())
-        self._replicator = Replicator(self._member, transport, state_slot, on_state)
+        self._member = ChainMember(me.name, me.disk_id)
+        saved = state_store.load()
+        if saved is not None:
+            self._member.restore(saved.epoch, saved.state, saved.whole)
+        self._replicator = Replicator(self._member, transport, state_store, on_state, self._spawn)
         self._group = VoterGroup(
             voter, transport, self._agreement, self._member, chance, self._spawn, self._replicator.stalled
         )
@@ -220,6 +226,8 @@
         """Answer messages about the control state."""
         if isinstance(message, ChainWrite):
             return await self._receive(message)
+        if isinstance(message, ReadRecord):
+            return self._replicator.read_record(message)
         if isinstance(message, ChangeConfiguration):
             return await self._states.change_configuration(message)
         if isinstance(message, ReadConfiguration):
--- /dev/null
+++ b/hollowusher/coordination/record_fetch.py
@@ -0,0 +1,159 @@
+"""Fetches the document and history that a member of the control chain lacks, chunk by chunk.
+
+A record is known by the digest over the whole of it, so it does not matter from whom which part comes, and
+what is there already is not asked for again.  A record counts only once all of it is there, its digest is
+right and it is on disk.  It is a record alone: no state names it before a `ChainWrite` of the present epoch
+does, so an old one undoes nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from hollowusher.coordination.state_record import (
+    CHUNK_BYTES,
+    MOST_RECORD_BYTES,
+    StateRecord,
+    read_record,
+)
+from hollowusher.coordination.state_store import StateStore
+from hollowusher.protocol.codec import DecodeError
+from hollowusher.protocol.control import ReadRecord, RecordChunk
+from hollowusher.storage.interface import StorageError
+from hollowusher.transport.interface import PeerError, Transport
+
+SLOWEST_BYTES_PER_S = 1_000_000  # slowest link and disk that a large state is to get through in its time
+CHUNK_TIMEOUT_S = 0.4 + CHUNK_BYTES / SLOWEST_BYTES_PER_S
+SAVE_RETRY_S = 1.0
+MOST_FAILURES = 3  # in a row; then the fetch ends until it is wanted again
+
+Spawn = Callable[[Coroutine[Any, Any, None]], None]
+
+
+class RecordBuffer:
+    """The parts of one record that have come so far.  No I/O, no clock."""
+
+    def __init__(self, digest: bytes) -> None:
+        self.digest = digest
+        self._size: int | None = None
+        self._data = bytearray()
+
+    @property
+    def offset(self) -> int:
+        """Where the next chunk begins."""
+        return len(self._data)
+
+    @property
+    def full(self) -> bool:
+        """Whether as many bytes are there as the record has."""
+        return self._size is not None and len(self._data) == self._size
+
+    def take(self, chunk: RecordChunk) -> str:
+        """Add the next chunk; the reason why it is not taken, empty where it is."""
+        if chunk.digest != self.digest:
+            return "not held"
+        if not 0 < chunk.size <= MOST_RECORD_BYTES or self._size not in (None, chunk.size):
+            return "wrong size"
+        if chunk.offset != self.offset or not 0 < len(chunk.data) <= chunk.size - self.offset:
+            return "cut short"
+        self._size = chunk.size
+        self._data += chunk.data
+        return ""
+
+    def finish(self) -> StateRecord | None:
+        """The whole record, None where it is not what its digest says: then all of it is dropped."""
+        encoded = bytes(self._data)
+        try:
+            record = read_record(encoded)
+        except (DecodeError, TypeError, ValueError):
+            record = None
+        if record is None or record.digest != self.digest:
+            self._size = None
+            self._data = bytearray()
+            return None
+        return record
+
+
+class RecordFetch:
+    """Brings one record at a time to this controller's disk.  `counts` tells what was refused, and why."""
+
+    def __init__(self, transport: Transport, store: StateStore, spawn: Spawn, counts: Counter[str]) -> None:
+        self._transport = transport
+        self._store = store
+        self._spawn = spawn
+        self._counts = counts
+        self._buffer: RecordBuffer | None = None
+        self._source = ""
+        self._cluster = ""
+        self._running = False
+        self._save_failed_at: float | None = None
+
+    def want(self, digest: bytes, source: str, cluster: str) -> None:
+        """Fetch this record from the controller at `source`, in place of any other one."""
+        if self._buffer is None or self._buffer.digest != digest:
+            self._buffer = RecordBuffer(digest)
+        self._source = source
+        self._cluster = cluster
+        if not self._running and not self._just_failed():
+            self._running = True
+            self._spawn(self._run())
+
+    def _just_failed(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return self._save_failed_at is not None and now - self._save_failed_at < SAVE_RETRY_S
+
+    async def _run(self) -> None:
+        try:
+            failures = 0
+            while self._buffer is not None and failures < MOST_FAILURES:
+                buffer = self._buffer
+                if buffer.full:
+                    if not await self._finish(buffer):
+                        return
+                else:
+                    failures = 0 if await self._get_chunk(buffer) else failures + 1
+        finally:
+            self._running = False
+
+    async def _get_chunk(self, buffer: RecordBuffer) -> bool:
+        """Ask for the next chunk; whether it came."""
+        question = ReadRecord(buffer.digest, buffer.offset, self._cluster)
+        try:
+            answer = await self._transport.call(self._source, question, CHUNK_TIMEOUT_S)
+        except PeerError:
+            return self._refuse("no answer")
+        if not isinstance(answer, RecordChunk):
+            return self._refuse("no chunk")
+        refused = buffer.take(answer)
+        return self._refuse(refused) if refused else True
+
+    async def _finish(self, buffer: RecordBuffer) -> bool:
+        """Check and save the whole record; whether that is done."""
+        record = buffer.finish()
+        if record is None:
+            return self._refuse("wrong digest")
+        try:
+            await self._store.save_record(record)
+        except StorageError:
+            self._save_failed_at = asyncio.get_running_loop().time()
+            return self._refuse("not saved")
+        self._save_failed_at = None
+        if self._buffer is buffer:
+            self._buffer = None
+        return True
+
+    def _refuse(self, reason: str) -> bool:
+        self._counts[f"record: {reason}"] += 1
+        return False
+
+
+def read_chunk(record: StateRecord | None, offset: int) -> RecordChunk:
+    """The answer to `ReadRecord`."""
+    if record is None or not 0 <= offset < len(record.encoded):
+        return RecordChunk(b"", 0, offset, b"")
+    return RecordChunk(
+        record.digest, len(record.encoded), offset, record.encoded[offset : offset + CHUNK_BYTES]
+    )
--- a/hollowusher/coordination/replicator.py
+++ b/hollowusher/coordination/replicator.py
@@ -1,33 +1,59 @@
-"""Runs the control chain over the network: saves each state, then passes it on to the next member."""
+"""Runs the control chain over the network: saves each state, then passes it on to the next member.
+
+A document and history that the next member holds are not sent again.  Where they are small they travel inside
+the `ChainWrite`; otherwise the next member fetches them (`RecordFetch`) and the head sends the write again.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
-from hollowusher.coordination.chain import ChainMember, dump_write
+from hollowusher.coordination.chain import ChainMember
+from hollowusher.coordination.record_fetch import SLOWEST_BYTES_PER_S, RecordFetch, Spawn, read_chunk
+from hollowusher.coordination.state_record import INLINE_BYTES, without_record
+from hollowusher.coordination.state_store import StateStore
 from hollowusher.coordination.view import find_voter
-from hollowusher.protocol.control import ChainWrite, ChainWritten, ControlState, View
-from hollowusher.storage.interface import Slot, StorageError
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import (
+    ChainWrite,
+    ChainWritten,
+    ControlState,
+    ReadRecord,
+    RecordChunk,
+    View,
+    Voter,
+)
+from hollowusher.storage.interface import StorageError
 from hollowusher.transport.interface import PeerError, Transport
 
 HOP_TIMEOUT_S = 0.4
 STALLED_AFTER_S = 0.8
 FAILED_COUNTS_S = 2.0  # after a save that failed, the others do without this member for so long
-BYTES_PER_S = 4_000_000  # slowest link and disk that a large state is to get through
 
 
 class Replicator:
-    """One controller's place in the chain.  `on_state` is called with each newly committed state."""
+    """One controller's place in the chain.  `on_state` is called with each newly committed state; `spawn`
+    runs a coroutine for as long as the controller lives; `refused` counts messages by why they were not
+    taken."""
 
     def __init__(
-        self, member: ChainMember, transport: Transport, slot: Slot, on_state: Callable[[ControlState], None]
+        self,
+        member: ChainMember,
+        transport: Transport,
+        store: StateStore,
+        on_state: Callable[[ControlState], None],
+        spawn: Spawn,
     ) -> None:
         self.member = member
+        self.refused: Counter[str] = Counter()
         self._transport = transport
-        self._slot = slot
+        self._store = store
         self._on_state = on_state
         self._lock = asyncio.Lock()
+        self._fetch = RecordFetch(transport, store, spawn, self.refused)
+        self._held_by: dict[str, bytes] = {}  # member after this one -> digest of the record it has saved
         self._saving_since: float | None = None
         self._failed_at: float | None = None
 
@@ -35,14 +61,19 @@
         """Use a decided view from now on."""
         known = self.member.committed
         self.member.install(view)
+        self._held_by.clear()
         committed = self.member.committed
         if committed is not None and committed is not known:
             self._on_state(committed)
 
-    async def push(self, state: ControlState | None = None) -> ChainWritten:
-        """Head: keep a new state, or the present one, and have the whole chain keep it."""
+    # -- states ----------------------------------------------------------------------------------------
+
+    async def push(self, state: ControlState | None = None, base: ControlState | None = None) -> ChainWritten:
+        """Head: keep a new state, or the present one, and have the whole chain keep it.  A new state is
+        refused where `base`, which it was made from, is not the newest one any more."""
         async with self._lock:
-            if not (self.member.is_head and self.member.complete):
+            outdated = base is not None and base is not self.member.state
+            if outdated or not self.member.may_write:
                 return ChainWritten(False, self.member.epoch)
             write = self.member.begin(state)
             if not await self._save(write):
@@ -52,11 +83,42 @@
     async def receive(self, write: ChainWrite) -> ChainWritten:
         """Take a state from the member before."""
         async with self._lock:
-            if not self.member.accepts(write):
+            reason = self._reason_to_refuse(write)
+            if reason:
+                self.refused[reason] += 1
                 return ChainWritten(False, self.member.epoch)
-            if not await self._save(write):
+            whole = self._whole(write)
+            if whole is None:
+                return ChainWritten(False, self.member.epoch, lacking=self.member.name)
+            if not await self._save(whole):
                 return ChainWritten(False, self.member.epoch, self.member.name)
-        return await self._pass_on(write)
+        return await self._pass_on(whole)
+
+    def _reason_to_refuse(self, write: ChainWrite) -> str:
+        """Why a write is not to be taken, empty where it is."""
+        view = self.member.view
+        if view is None or _differ(write.cluster, view.cluster):
+            return "write: another cluster"
+        if _differ(write.receiver_disk, self.member.disk_id):
+            return "write: another disk"
+        if write.epoch != self.member.epoch:
+            return "write: another epoch"
+        before = self.member.previous_name()
+        if before is None or _differ(write.sender, before):
+            return "write: not from the member before"
+        return "" if self.member.accepts(write) else "write: older than the state held"
+
+    def _whole(self, write: ChainWrite) -> ChainWrite | None:
+        """The write with document and history; None where they are not held: then they are fetched."""
+        if not write.record:
+            return write
+        record = self._store.record(write.record)
+        if record is not None:
+            return evolve(write, state=record.fill(write.state), record=b"")
+        before = self._voter(self.member.previous_name())
+        if before is not None and self.member.view is not None:
+            self._fetch.want(write.record, before.address, self.member.view.cluster)
+        return None
 
     async def _pass_on(self, write: ChainWrite) -> ChainWritten:
         if self.member.epoch != write.epoch:
@@ -72,28 +134,65 @@
         return ChainWritten(True, write.epoch)
 
     async def _call(self, name: str, write: ChainWrite) -> ChainWritten:
-        view = self.member.view
-        voter = find_voter(view, name) if view is not None else None
+        """Have the next member take a write."""
+        view, voter = self.member.view, self._voter(name)
         if view is None or voter is None:
             return ChainWritten(False, self.member.epoch)
+        message, digest = self._for_member(write, voter, view)
+        sent_bytes = len(message.state.document)
         hops = len(view.chain) - view.chain.index(name)
-        timeout = hops * (HOP_TIMEOUT_S + len(write.state.document) / BYTES_PER_S)
+        timeout = hops * (HOP_TIMEOUT_S + sent_bytes / SLOWEST_BYTES_PER_S)
+        self._held_by.pop(name, None)
         try:
-            answer = await self._transport.call(voter.address, write, timeout)
+            answer = await self._transport.call(voter.address, message, timeout)
         except PeerError:
             return ChainWritten(False, self.member.epoch, name)
-        return answer if isinstance(answer, ChainWritten) else ChainWritten(False, self.member.epoch)
+        if not isinstance(answer, ChainWritten):
+            return ChainWritten(False, self.member.epoch)
+        if answer.ok and self.member.epoch == write.epoch:
+            self._held_by[name] = digest
+        return answer
+
+    def _for_member(self, write: ChainWrite, voter: Voter, view: View) -> tuple[ChainWrite, bytes]:
+        """The message to the next member, and the digest of the record that the state has."""
+        record = self._store.record_of(write.state)
+        addressed = evolve(write, cluster=view.cluster, sender=self.member.name, receiver_disk=voter.disk_id)
+        if len(record.encoded) <= INLINE_BYTES and self._held_by.get(voter.name) != record.digest:
+            return addressed, record.digest
+        return evolve(addressed, state=without_record(write.state), record=record.digest), record.digest
+
+    def _voter(self, name: str | None) -> Voter | None:
+        view = self.member.view
+        return find_voter(view, name) if view is not None and name is not None else None
+
+    # -- records ---------------------------------------------------------------------------------------
+
+    def read_record(self, message: ReadRecord) -> RecordChunk:
+        """A part of a document and history that are held here."""
+        view = self.member.view
+        if view is None or _differ(message.cluster, view.cluster):
+            self.refused["record: another cluster"] += 1
+            return read_chunk(None, message.offset)
+        if message.digest:
+            return read_chunk(self._store.record(message.digest), message.offset)
+        return read_chunk(self._store.record_of(self.member.state), message.offset)
+
+    # -- the own disk ----------------------------------------------------------------------------------
 
     def stalled(self, now: float) -> bool:
         """Whether the disk has been busy with one state for too long, or has just failed to take one."""
         if self._failed_at is not None and now - self._failed_at < FAILED_COUNTS_S:
             return True
-        return self._saving_since is not None and now - self._saving_since > STALLED_AFTER_S
+        allowed = STALLED_AFTER_S + self._store.busy_bytes / SLOWEST_BYTES_PER_S
+        return self._saving_since is not None and now - self._saving_since > allowed
 
     async def _save(self, write: ChainWrite) -> bool:
+        """Have a whole state on disk; it is not written again if it stands there already."""
+        if self.member.holds(write):
+            return True
         self._saving_since = asyncio.get_running_loop().time()
         try:
-            await self._slot.save(dump_write(write))
+            await self._store.save(write.epoch, write.state)
         except StorageError:
             self._failed_at = asyncio.get_running_loop().time()
             return False
@@ -101,3 +200,8 @@
             self._saving_since = None
         self.member.keep(write)
         return True
+
+
+def _differ(said: str, known: str) -> bool:
+    """Whether two marks contradict each other; an empty one says nothing."""
+    return bool(said) and bool(known) and said != known
--- /dev/null
+++ b/hollowusher/coordination/state_store.py
@@ -0,0 +1,136 @@
+"""The control state on disk: the state in one slot, a large record of document and history in another.
+
+Two slots take the records in turn.  A record is durable before the state that names it, and it is never
+written over the one that the durable state names: a crash in between leaves the old state whole.  A small
+record is saved inside the state, in the format that was used for every state before.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+import attrs
+
+from hollowusher.coordination.chain import EMPTY_STATE
+from hollowusher.coordination.state_record import (
+    EMBEDDED_BYTES,
+    StateRecord,
+    make_record,
+    read_record,
+    without_record,
+)
+from hollowusher.protocol.codec import decode, encode
+from hollowusher.protocol.control import ControlState
+from hollowusher.storage.interface import Slot
+
+
+@attrs.frozen
+class SavedState:
+    """What was found on disk.  `whole` is False where the record that the state names is missing: then this
+    disk must not be taken to hold what it once acknowledged."""
+
+    epoch: int
+    state: ControlState
+    whole: bool = True
+
+
+class StateStore:
+    """The newest control state of one controller, and the records that it holds durably."""
+
+    def __init__(self, state_slot: Slot, record_slots: Sequence[Slot]) -> None:
+        self._state_slot = state_slot
+        self._record_slots = list(record_slots)
+        self._records: list[StateRecord | None] = [None] * len(self._record_slots)  # durable, by slot
+        self._current: StateRecord | None = None  # of the durable state, where it is held in memory
+        self._state_bytes: bytes | None = None  # the durable state, as it was saved
+        self._named: bytes = b""  # the digest that the durable state names
+        self._unsure = False  # a save of the state has failed: either state may be found after a crash
+        self._lock = asyncio.Lock()
+        self.busy_bytes = 0  # of the save under way
+
+    def load(self) -> SavedState | None:
+        """The state saved last, None where there is none."""
+        for place, slot in enumerate(self._record_slots):
+            encoded = slot.load()
+            self._records[place] = read_record(encoded) if encoded is not None else None
+        self._state_bytes = self._state_slot.load()
+        if self._state_bytes is None:
+            return None
+        epoch, state, *named = decode(self._state_bytes)
+        if not named:
+            return SavedState(epoch, state)
+        self._named = named[0]
+        record = self.record(self._named)
+        if record is None:
+            return SavedState(epoch, state, whole=False)
+        self._current = record
+        return SavedState(epoch, record.fill(state))
+
+    def record(self, digest: bytes) -> StateRecord | None:
+        """A record that is held: durably in a slot of its own, or as part of the newest state."""
+        for record in (self._current, *self._records):
+            if record is not None and record.digest == digest:
+                return record
+        return None
+
+    def record_of(self, state: ControlState) -> StateRecord:
+        """The record of a state."""
+        for record in (self._current, *self._records):
+            if record is not None and record.of(state):
+                return record
+        return make_record(state)
+
+    def is_durable(self, digest: bytes) -> bool:
+        """Whether a record stands in a slot of its own."""
+        return any(record is not None and record.digest == digest for record in self._records)
+
+    async def save(self, epoch: int, state: ControlState) -> None:
+        """Replace the state durably; its record first, where that is large and not durable yet."""
+        async with self._lock:
+            record = self.record_of(state)
+            if len(record.encoded) <= EMBEDDED_BYTES:
+                named = b""
+                saved = encode([epoch, state])
+            else:
+                await self._save_record(record)
+                named = record.digest
+                saved = encode([epoch, without_record(state), named])
+            await self._save_state(saved)
+            self._current = record
+            self._named = named
+
+    async def save_record(self, record: StateRecord) -> None:
+        """Hold a record durably that no saved state names yet."""
+        async with self._lock:
+            await self._save_record(record)
+
+    async def _save_record(self, record: StateRecord) -> None:
+        if self.is_durable(record.digest):
+            return
+        if self._unsure:  # save the known state again: then no state names the other record
+            await self._save_state(self._state_bytes or encode([0, EMPTY_STATE]))
+        place = self._free_place()
+        self._records[place] = None
+        await self._save(self._record_slots[place], record.encoded)
+        self._records[place] = record
+
+    def _free_place(self) -> int:
+        """The slot whose record the durable state does not name."""
+        for place, record in enumerate(self._records):
+            if record is None or not self._named or record.digest != self._named:
+                return place
+        raise AssertionError("both slots hold the record of the durable state")
+
+    async def _save_state(self, saved: bytes) -> None:
+        self._unsure = True
+        await self._save(self._state_slot, saved)
+        self._unsure = False
+        self._state_bytes = saved
+
+    async def _save(self, slot: Slot, value: bytes) -> None:
+        self.busy_bytes = len(value)
+        try:
+            await slot.save(value)
+        finally:
+            self.busy_bytes = 0
--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -213,10 +213,17 @@
 
 @message(23)
 class ChainWrite:
-    """From the head towards the tail: keep this state durably, pass it on, then answer."""
+    """From the head towards the tail: keep this state durably, pass it on, then answer.
+
+    A document and history that the receiver holds, or that are too large for one message, are left out of
+    `state` and named by `record`; a receiver that lacks them asks for them (`ReadRecord`)."""
 
     epoch: int
     state: ControlState
+    record: bytes = b""  # digest of the document and history that `state` lacks; empty: it is whole
+    cluster: str = ""
+    sender: str = ""  # the chain member before the receiver
+    receiver_disk: str = ""
 
 
 @message(24)
@@ -226,6 +233,7 @@
     ok: bool
     epoch: int = 0
     unreachable: str = ""  # the chain member that gave no answer
+    lacking: str = ""  # the chain member that is still fetching the document and history
 
 
 @message(25)
@@ -424,6 +432,25 @@
     items: list[Item]
 
 
+@message(108)
+class ReadRecord:
+    """Asks a controller for a part of the document and history that a state names by their digest."""
+
+    digest: bytes  # empty: those of the newest state that the controller holds
+    offset: int
+    cluster: str = ""
+
+
+@message(109)
+class RecordChunk:
+    """Answer to `ReadRecord`; an empty `digest` where the controller does not hold it."""
+
+    digest: bytes
+    size: int  # of the whole
+    offset: int
+    data: bytes
+
+
 @message(116)
 class Hello:
     """The first frame on a connection, and again when the caller has learnt more: who calls, and whom it
--- a/hollowusher/roles/control.py
+++ b/hollowusher/roles/control.py
@@ -11,6 +11,7 @@
 from hollowusher.coordination.duties import HeadDuties
 from hollowusher.coordination.platform_list import PlatformReader
 from hollowusher.coordination.updates import Feed
+from hollowusher.coordination.state_store import StateStore
 from hollowusher.protocol.control import ControlState, Member, View
 from hollowusher.roles.change_log import ChangeLog
 from hollowusher.roles.logs import log
@@ -19,6 +20,7 @@
 
 VIEW_SLOT = "view"
 STATE_SLOT = "control-state"
+RECORD_SLOTS = ("control-record-a", "control-record-b")
 MESSAGES = (*HeadDuties.MESSAGES, *Controller.MESSAGES)
 
 
@@ -35,7 +37,7 @@
             process.transport,
             settings,
             SlotFile(folder / VIEW_SLOT),
-            SlotFile(folder / STATE_SLOT),
+            StateStore(SlotFile(folder / STATE_SLOT), [SlotFile(folder / name) for name in RECORD_SLOTS]),
             process.chance,
             self._publish_view,
             self._publish_state,
--- /dev/null
+++ b/tests/control/test_snapshots_store.py
@@ -0,0 +1,169 @@
+"""The control state on disk: after a crash or a failed save at any point a whole state is found."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from hollowusher.coordination.chain import EMPTY_STATE, ChainMember, dump_write
+from hollowusher.coordination.state_record import EMBEDDED_BYTES, make_record, read_record, without_record
+from hollowusher.coordination.state_store import StateStore
+from hollowusher.coordination.view import first_view
+from hollowusher.protocol.codec import encode, evolve
+from hollowusher.protocol.control import ChainWrite, ControlState, View, Voter
+from hollowusher.storage.interface import StorageError
+
+SEEDS = 300
+STEPS = 30
+
+
+class Crash(BaseException):
+    """The machine has lost power."""
+
+
+class RiskyDisk:
+    """Values of slots; each save may fail or be the last one, and then the old or the new value stands."""
+
+    def __init__(self, chance: random.Random, failing: float = 0.0, crashing: float = 0.0) -> None:
+        self.chance = chance
+        self.failing = failing
+        self.crashing = crashing
+        self.values: dict[str, bytes] = {}
+
+    def store(self) -> StateStore:
+        slots = [RiskySlot(self, name) for name in ("state", "record-a", "record-b")]
+        return StateStore(slots[0], slots[1:])
+
+
+class RiskySlot:
+    """One slot of such a disk."""
+
+    def __init__(self, disk: RiskyDisk, name: str) -> None:
+        self._disk = disk
+        self._name = name
+
+    def load(self) -> bytes | None:
+        return self._disk.values.get(self._name)
+
+    async def save(self, value: bytes) -> None:
+        disk = self._disk
+        await asyncio.sleep(0)
+        fate = disk.chance.random()
+        troubled = fate < disk.failing + disk.crashing
+        if not troubled or disk.chance.random() < 0.5:
+            disk.values[self._name] = value
+        if fate < disk.failing:
+            raise StorageError("save", self._name, "no space left")
+        if troubled:
+            raise Crash
+
+
+def state_of(sequence: int, size: int) -> ControlState:
+    text = f"{sequence} ".encode()
+    return ControlState(sequence, sequence, text + b"x" * size, [[sequence, b"digest"]])
+
+
+def loaded(disk: RiskyDisk) -> ControlState:
+    saved = disk.store().load()
+    if saved is None:
+        return EMPTY_STATE
+    assert saved.whole
+    return saved.state
+
+
+@pytest.mark.parametrize("failing", [0.0, 0.3])
+def test_a_crash_at_any_point_leaves_the_old_state_or_the_new_one_whole(failing: float) -> None:
+    for seed in range(SEEDS):
+        chance = random.Random(f"{failing} {seed}")
+        asyncio.run(_save_until_the_end(RiskyDisk(chance, failing, 0.05), chance))
+
+
+async def _save_until_the_end(disk: RiskyDisk, chance: random.Random) -> None:
+    store = disk.store()
+    store.load()
+    possible = [EMPTY_STATE]  # the newest acknowledged one, and those tried since
+    for sequence in range(1, STEPS):
+        size = chance.choice((10, 10, EMBEDDED_BYTES, 3 * EMBEDDED_BYTES))
+        state = state_of(sequence, size)
+        if chance.random() < 0.3:  # the placement alone has changed
+            state = evolve(possible[0], sequence=sequence)
+        try:
+            if chance.random() < 0.3:
+                await store.save_record(make_record(state_of(100 + sequence, 2 * EMBEDDED_BYTES)))
+            possible.append(state)
+            await store.save(1, state)
+            possible = [state]
+        except StorageError:
+            continue
+        except Crash:
+            found = loaded(disk)
+            assert found in possible
+            store = disk.store()
+            store.load()
+            possible = [found]
+    assert loaded(disk) in possible
+
+
+def test_a_state_saved_by_an_earlier_version_is_read() -> None:
+    large = state_of(7, 5 * EMBEDDED_BYTES)
+    disk = RiskyDisk(random.Random(0))
+    disk.values["state"] = dump_write(ChainWrite(3, large))
+    saved = disk.store().load()
+    assert saved is not None and (saved.epoch, saved.state, saved.whole) == (3, large, True)
+
+
+def test_a_small_state_is_saved_as_before_in_one_write() -> None:
+    disk = RiskyDisk(random.Random(0))
+    small = state_of(7, 100)
+    asyncio.run(disk.store().save(3, small))
+    assert disk.values == {"state": dump_write(ChainWrite(3, small))}
+    assert ChainMember("a", "disk-a", disk.values["state"]).state == small
+
+
+def test_a_large_document_is_written_once() -> None:
+    disk = RiskyDisk(random.Random(0))
+    store = disk.store()
+    large = state_of(7, 5 * EMBEDDED_BYTES)
+    asyncio.run(store.save(3, large))
+    before = dict(disk.values)
+    asyncio.run(store.save(3, evolve(large, sequence=8)))
+    changed = {name for name, value in disk.values.items() if before.get(name) != value}
+    assert changed == {"state"} and len(disk.values["state"]) < 1_000
+
+
+def test_a_member_whose_document_is_missing_holds_nothing() -> None:
+    large = state_of(7, 5 * EMBEDDED_BYTES)
+    disk = RiskyDisk(random.Random(0))
+    disk.values["state"] = encode([3, without_record(large), make_record(large).digest])
+    saved = disk.store().load()
+    assert saved is not None and not saved.whole
+    view = first_view([Voter(name, f"disk-{name}", name) for name in "abc"])
+    member = ChainMember("a", "disk-a")
+    member.restore(saved.epoch, saved.state, saved.whole)
+    member.install(view)
+    assert member.is_head and not member.complete and not member.may_write
+    member.install(View(2, view.voters, ["b", "a"], {"a": 1, "b": 1}))
+    write = ChainWrite(2, evolve(large, sequence=9))
+    assert member.accepts(write) and not member.holds(write)
+    member.keep(write)
+    assert member.complete and member.state == write.state
+
+
+def test_the_record_is_the_same_after_its_way_over_the_wire() -> None:
+    record = make_record(state_of(7, 100))
+    again = read_record(record.encoded)
+    assert (again.digest, again.document, again.history) == (record.digest, record.document, record.history)
+
+
+def test_a_head_whose_disk_remembers_a_later_epoch_than_its_view_writes_nothing() -> None:
+    """The save of a view may fail while that of a state succeeds: after a restart the state is the newer."""
+    view = first_view([Voter(name, f"disk-{name}", name) for name in "abc"])
+    member = ChainMember("a", "disk-a", dump_write(ChainWrite(2, state_of(7, 10))))
+    member.install(view)
+    assert member.is_head and not member.may_write
+    with pytest.raises(ValueError, match="not a head"):
+        member.begin()
+    member.install(View(3, view.voters, ["a", "b"], {"a": 1, "b": 1}))
+    assert member.may_write
--- a/tests/controller_cluster.py
+++ b/tests/controller_cluster.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import selectors
+from collections import Counter
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
@@ -13,6 +14,7 @@
 from hollowusher.configuration.boot import Bind, BootSettings
 from hollowusher.coordination.bootstrap import SeedService
 from hollowusher.coordination.controller import Controller
+from hollowusher.coordination.state_store import StateStore
 from hollowusher.protocol.codec import decode, encode
 from hollowusher.protocol.control import (
     ChangeConfiguration,
@@ -68,6 +70,11 @@
 
     def __init__(self, seed: int) -> None:
         self.slowest_s = 0.0  # messages and syncs may take this much longer than usual, each by chance
+        self.bytes_per_s = 0.0  # what a link carries; 0: any number of bytes takes no time
+        self.disk_bytes_per_s = 0.0  # what a disk writes; 0: any number of bytes takes no time
+        self.disk_slowness: dict[str, float] = {}  # machine -> how many times as long its disk takes
+        self.sent_bytes: Counter[str] = Counter()  # type of message -> bytes of calls and answers
+        self.saved_bytes: Counter[str] = Counter()  # machine -> bytes
         self._chance = random.Random(f"network {seed}")
         self.listening: dict[str, VirtualTransport] = {}
         self.cuts: set[frozenset[str]] = set()
@@ -82,6 +89,17 @@
         """Wait as long as a message or a sync takes."""
         await asyncio.sleep(usual_s + self._chance.uniform(0.0, self.slowest_s))
 
+    async def carry(self, step: str, data: bytes) -> None:
+        """Wait as long as a message of this many bytes takes."""
+        self.sent_bytes[step] += len(data)
+        await self.wait(LINK_DELAY_S + (len(data) / self.bytes_per_s if self.bytes_per_s else 0.0))
+
+    async def write(self, machine: str, value: bytes) -> None:
+        """Wait as long as a synced write of this many bytes takes."""
+        self.saved_bytes[machine] += len(value)
+        usual = SYNC_S + (len(value) / self.disk_bytes_per_s if self.disk_bytes_per_s else 0.0)
+        await self.wait(usual * self.disk_slowness.get(machine, 1.0))
+
     def passes(self, one: str, other: str) -> bool:
         return frozenset((one, other)) not in self.cuts
 
@@ -109,7 +127,7 @@
         step = type(message).__name__
         data = encode(message)
         deadline = asyncio.get_running_loop().time() + timeout
-        await self.network.wait(LINK_DELAY_S)
+        await self.network.carry(step, data)
         if not self.network.passes(self.address, address):
             await self._silence(deadline)
             raise PeerError(step, address, "no answer in time")
@@ -123,15 +141,22 @@
         if not task.done() or not self.network.passes(self.address, address):
             await self._silence(deadline)
             raise PeerError(step, address, "no answer in time")
-        return decode(encode(task.result()))
+        if task.exception() is not None:
+            raise PeerError(step, address, f"peer failed: {task.exception()}")
+        answer = encode(task.result())
+        if self.network.bytes_per_s:
+            await self.network.carry(step, answer)
+        if asyncio.get_running_loop().time() > deadline:
+            raise PeerError(step, address, "no answer in time")
+        return decode(answer)
 
     def send(self, address: str, message: Any) -> None:
-        task = asyncio.get_running_loop().create_task(self._send(address, encode(message)))
+        task = asyncio.get_running_loop().create_task(self._send(address, message, encode(message)))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _send(self, address: str, data: bytes) -> None:
-        await self.network.wait(LINK_DELAY_S)
+    async def _send(self, address: str, message: Any, data: bytes) -> None:
+        await self.network.carry(type(message).__name__, data)
         peer = self.network.listening.get(address)
         if peer is not None and self.network.passes(self.address, address):
             peer.take(data)
@@ -156,16 +181,17 @@
 class VirtualSlot:
     """A `Slot` on a virtual disk."""
 
-    def __init__(self, network: Network, files: dict[str, bytes], name: str) -> None:
+    def __init__(self, network: Network, files: dict[str, bytes], name: str, machine: str = "") -> None:
         self._network = network
         self._files = files
         self._name = name
+        self._machine = machine
 
     def load(self) -> bytes | None:
         return self._files.get(self._name)
 
     async def save(self, value: bytes) -> None:
-        await self._network.wait(SYNC_S)
+        await self._network.write(self._machine, value)
         while self._files.get(STUCK):
             await asyncio.sleep(SYNC_S)
         if self._files.get(FULL):
@@ -201,11 +227,17 @@
         network = self.cluster.network
         self.controller = Controller(
             member, self.transport, settings, VirtualSlot(network, self.files, "view"),
-            VirtualSlot(network, self.files, "state"), random.Random(f"{self.cluster.seed} {self.name}"),
+            self.state_store(), random.Random(f"{self.cluster.seed} {self.name}"),
             self.views.append, self.states.append)
         await self.transport.start(self.controller.handle)
         await self.controller.start()
 
+    def state_store(self) -> StateStore:
+        """The control state on this machine's disk."""
+        slots = [VirtualSlot(self.cluster.network, self.files, name, self.name)
+                 for name in ("state", "record-a", "record-b")]
+        return StateStore(slots[0], slots[1:])
+
     async def kill(self) -> None:
         """End the process at once, as SIGKILL does."""
         if self.controller is None or self.transport is None:
@@ -251,6 +283,7 @@
         self.seed = seed
         self.network = Network(seed)
         self.nodes: dict[str, Node] = {}
+        self.calls: set[asyncio.Future[Any]] = set()  # of operators who no longer wait for the answer
         for name in names:
             self.add(name)
         self.seeds = seeds if seeds is not None else [f"{node.ip}:8064" for node in self.nodes.values()][:3]
