Have the head's probe of a member ask for the very life that is doubted

The head called a member that its monitors disagree on with ReadView, which any process at that address answers: a later life, or another machine at a reused address, kept a member alive that was gone.

The probe is ProbeLife now: only the life that is asked for answers with Done, and another process refuses it by name. The test of the probes looks for that message in place of ReadView, with the same bounds. The virtual cluster of controllers checks whom a call is for as the real transport does.

--- a/hollowusher/coordination/client.py
+++ b/hollowusher/coordination/client.py
@@ -36,6 +36,7 @@
     Item,
     Leaving,
     Member,
+    ProbeLife,
     PullUpdates,
     ReadState,
     ReadView,
@@ -86,7 +87,7 @@
 class ClusterClient:
     """One process's access to the cluster.  `me` is its present registration."""
 
-    MESSAGES: tuple[type, ...] = (Heartbeat, ReadView, PullUpdates, Repair)
+    MESSAGES: tuple[type, ...] = (Heartbeat, ReadView, ProbeLife, PullUpdates, Repair)
 
     def __init__(
         self,
@@ -195,6 +196,8 @@
             return await self._long_poll.answer(message)
         elif isinstance(message, Repair):
             self._take_repair(message)
+        elif isinstance(message, ProbeLife) and message.incarnation == self.me.incarnation:
+            return Done()
         return None
 
     # ---- finding the controllers
--- a/hollowusher/coordination/duties.py
+++ b/hollowusher/coordination/duties.py
@@ -27,7 +27,7 @@
     Item,
     Leaving,
     Member,
-    ReadView,
+    ProbeLife,
     Register,
     Registered,
     Suspicion,
@@ -147,7 +147,10 @@
 
     async def _probe(self, member: Member) -> None:
         try:
-            await self._transport.call(member.address, ReadView(), PROBE_TIMEOUT_S)
+            probe = ProbeLife(member.name, member.incarnation)
+            answer = await self._transport.call(member.address, probe, PROBE_TIMEOUT_S)
+            if not isinstance(answer, Done):
+                raise PeerError("ProbeLife", member.address, "another life is there")
             self._directory.reached(member)
         except PeerError:
             dead = self._directory.unreachable(member, self._clock())
--- a/tests/controller_cluster.py
+++ b/tests/controller_cluster.py
@@ -6,7 +6,7 @@
 import random
 import selectors
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 import orjson
@@ -19,13 +19,16 @@
 from hollowusher.protocol.control import (
     ChangeConfiguration,
     ControlState,
+    Hello,
     Member,
     OperatorAnswer,
     ReadConfiguration,
     View,
 )
+from hollowusher.protocol.identity import Identity
 from hollowusher.storage.interface import StorageError
-from hollowusher.transport.interface import Handler, PeerError
+from hollowusher.transport.interface import Handler, PeerError, WrongPeer
+from hollowusher.transport.peers import PeerDirectory
 
 T = TypeVar("T")
 LINK_DELAY_S = 0.001
@@ -111,6 +114,8 @@
         self.network = network
         self.address = address
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.peers = PeerDirectory()
+        self.view_of: Callable[[], View | None] = lambda: None  # the newest view of the process
         self._handler: Handler | None = None
 
     async def start(self, handler: Handler) -> None:
@@ -134,6 +139,8 @@
         peer = self.network.listening.get(address)
         if peer is None:
             raise PeerError(step, address, "no connection: refused", sent=False)
+        if peer.refuses(self.greeting(address, message), message):
+            raise WrongPeer(step, address, peer.peers.own)
         task = peer.take(data)
         await asyncio.wait({task}, timeout=deadline - asyncio.get_running_loop().time())
         if task.cancelled():
@@ -161,6 +168,20 @@
         if peer is not None and self.network.passes(self.address, address):
             peer.take(data)
 
+    def greeting(self, address: str, message: Any) -> Hello:
+        """Who calls, and whom it means to reach."""
+        view = self.view_of()
+        if view is not None:
+            self.peers.learn_view(view)
+        return Hello(self.peers.own, self.peers.meant(address, message))
+
+    def refuses(self, hello: Hello, message: Any) -> bool:
+        """Whether a message that has arrived is meant for another process."""
+        reason = self.peers.refusal(hello, message)
+        if reason:
+            self.peers.refuse(hello, reason)
+        return bool(reason)
+
     def take(self, data: bytes) -> asyncio.Task[Any]:
         """Handle a message that has arrived."""
         assert self._handler is not None
@@ -224,6 +245,8 @@
                                 seed_nodes=self.cluster.seeds, bootstrap=bootstrap, bind=Bind())
         member = Member(self.name, "edge", self.address, "z", "r", 1, self.disk_id, True, True)
         self.transport = VirtualTransport(self.cluster.network, self.address)
+        self.transport.peers.identify(Identity("", self.name, 1, self.disk_id))
+        self.transport.view_of = lambda: None if self.controller is None else self.controller.view
         network = self.cluster.network
         self.controller = Controller(
             member, self.transport, settings, VirtualSlot(network, self.files, "view"),
--- a/tests/test_cluster_client.py
+++ b/tests/test_cluster_client.py
@@ -31,6 +31,7 @@
     Member,
     OperatorAnswer,
     Placement,
+    ProbeLife,
     PullUpdates,
     ReadState,
     ReadView,
@@ -654,7 +655,7 @@
         probes: list[str] = []
 
         def watch(source: str, target: str, message: Any) -> None:
-            if isinstance(message, ReadView) and target == cluster.nodes["store1"].address:
+            if isinstance(message, ProbeLife) and target == cluster.nodes["store1"].address:
                 probes.append(source)
 
         cluster.network.watch = watch
