Grant no push lease to a dispatcher that is judged dead

Cause: a store released the push leases of a dispatcher judged dead at each change of any member, yet granted it new ones: a dispatcher that was cut off from the controllers, not from the store, ran jobs that were taken from it and run elsewhere at the same time.

Change: its lease requests are answered with nothing, 0.3 s later, until it is known to live again; a long poll that was waiting brings nothing either. Pull leases outlive their dispatcher and are granted as before.

tests/test_store_service.py: the dispatcher judged dead leased its own job again; now it gets none and another dispatcher gets it.

--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -49,6 +49,7 @@
 FORGET_EVERY_S = 5.0
 SCRUB_EVERY_S = 20.0
 CONFIRMED_WITHIN_S = 0.5  # a lease is extended, a state told, only if a quorum has followed within so long
+REFUSED_PAUSE_S = 0.3  # a dispatcher that may lease nothing is answered so much later
 STOP_TIMEOUT_S = 4.0
 STOP_POLL_S = 0.05
 LOG_RESERVE_BYTES = 4 * 1024 * 1024  # new messages are refused before states lack room
@@ -278,13 +279,24 @@
             now = self._now()
             token_at = self._next_token_time(service, now)
             if jobs or now >= deadline or not self._started:
-                return Leased(jobs, 0 if token_at is None else max(1, round((token_at - now) * 1000)))
+                next_ms = 0 if token_at is None else max(1, round((token_at - now) * 1000))
+                return Leased(jobs, next_ms)
+            if not self._may_lease(request):
+                await asyncio.sleep(min(REFUSED_PAUSE_S, deadline - now))
+                return Leased([])
             await self._waiters.wait(service, deadline if token_at is None else min(deadline, token_at))
 
+    def _may_lease(self, request: LeaseRequest) -> bool:
+        """Whether a dispatcher gets leases: those of one that is judged dead would be dealt out again at the
+        next change of any member.  Pull leases outlive their dispatcher."""
+        return request.pull or self._may_live(request.dispatcher, request.incarnation)
+
     def _take(self, request: LeaseRequest) -> list[LeasedHere]:
         """Lease ready jobs from the partitions served here."""
         now, wall_ms = self._now(), self._wall_ms()
         taken: list[LeasedHere] = []
+        if not self._may_lease(request):
+            return taken
         for host in self._replicator.serving():
             primary = host.primary
             if primary is None or len(taken) >= request.most or primary.queue.first(request.service) is None:
--- a/tests/control/test_fencing_stores.py
+++ b/tests/control/test_fencing_stores.py
@@ -7,8 +7,9 @@
 import pytest
 
 from hollowusher.coordination.pause_detector import PauseDetector
+from hollowusher.protocol.control import Member
 from hollowusher.protocol.store import Extend, StatusRequest
-from tests.message_store import StoreCluster, message, play
+from tests.message_store import EDGE_ADDRESS, StoreCluster, message, play
 
 RECEIVER = "callback:10.9.0.1:8080"
 CALLBACK_URL = "http://10.9.0.1:8080/done"
@@ -182,3 +183,29 @@
             assert await cluster.finish(told.lease, "success") == "taken"
 
         play(work)
+
+    def test_a_dispatcher_that_is_judged_dead_gets_no_lease_until_it_is_back(self) -> None:
+        async def work(cluster: StoreCluster) -> None:
+            await cluster.start()
+            await cluster.stored(message("m0"))
+            edge = Member("edge-1", "edge", EDGE_ADDRESS, "z", "r", 1)
+            cluster.announce(Member("edge-1", "edge", EDGE_ADDRESS, "z", "r", 1, status=1))
+            await asyncio.sleep(0.1)
+            assert await cluster.lease(wait_ms=300) == []
+            cluster.announce(Member(edge.name, edge.role, edge.address, "z", "r", 1, status=2))
+            await asyncio.sleep(0.1)
+            assert len(await cluster.lease()) == 1
+
+        play(work)
+
+    def test_a_long_poll_of_a_dispatcher_that_is_judged_dead_meanwhile_brings_nothing(self) -> None:
+        async def work(cluster: StoreCluster) -> None:
+            await cluster.start()
+            polling = asyncio.create_task(cluster.lease(wait_ms=1_000))
+            await asyncio.sleep(0.1)
+            cluster.announce(Member("edge-1", "edge", EDGE_ADDRESS, "z", "r", 1, status=1))
+            await asyncio.sleep(0.1)
+            await cluster.stored(message("m0"))
+            assert await polling == []
+
+        play(work)
--- a/tests/test_store_service.py
+++ b/tests/test_store_service.py
@@ -369,7 +369,9 @@
             cluster.announce(Member("edge-1", "edge", EDGE_ADDRESS, "z", "r", 1, status=1, leaving=True))
             assert await cluster.lease(wait_ms=200) == []
             cluster.announce(Member("edge-1", "edge", EDGE_ADDRESS, "z", "r", 1, status=3))
-            assert len(await cluster.lease(wait_ms=200)) == 1
+            assert await cluster.lease(wait_ms=200) == []
+            other = await cluster.call(0, LeaseRequest("edge-2", 1, "s", 1, 200))
+            assert len(other.jobs) == 1
 
         play(work)
 
