Begin and hand out nothing on a lease that may be old

Cause: an edge process that stood still for a second went on with jobs leased before. An answer read up to 1.8 s after its request was taken however long ago its jobs had been leased; a delivery whose first step or whose connection came after the freeze was sent; a spare job of a pull service, or one given to a worker's call just before, was handed out; leased call-backs were posted after 20 s.

Change: `Leased` tells how long after the request the jobs were leased, so that their age is bounded by two steady clocks, none of them compared with the other; over 0.8 s they are given back. A delivery begins by its time or reports not run; nothing is sent on a connection that stood only after it. Jobs for pull workers carry the time until which they may go out (0.15 s), and their lease is 0.7 s longer, so that visibilityMs counts from the latest hand-over. Call-backs are begun within 5 s of their lease (12 s).

tests/dispatch_support.py: its stand-in of a store tells how long it waited, as stores do now.

--- a/hollowusher/delivery/callbacks.py
+++ b/hollowusher/delivery/callbacks.py
@@ -25,6 +25,7 @@
 PAUSE_S = 0.1  # after a failure the receiver rests, doubled with each further one
 LONGEST_PAUSE_S = 1.0
 RECHECK_S = 0.25
+BEGIN_WITHIN_S = 5.0  # a leased call-back is begun by then, well before its lease runs out, or given back
 
 
 class CallbackClient(Protocol):
@@ -72,13 +73,21 @@
     return head.encode("utf-8", "surrogateescape") + body
 
 
+@attrs.frozen
+class _WaitingCallback:
+    """A leased call-back that has not been begun; `begin_by` in the loop's time."""
+
+    job: Job
+    begin_by: float
+
+
 @attrs.define(eq=False)
 class _Receiver:
     """One receiver: its lease requests, the jobs in hand and the posts under way."""
 
     leases: LeaseGroup
     client: CallbackClient
-    queue: deque[Job] = attrs.Factory(deque)
+    queue: deque[_WaitingCallback] = attrs.Factory(deque)
     posts: set[asyncio.Task[None]] = attrs.Factory(set)
     failures: int = 0
     rest_until: float = 0.0
@@ -117,7 +126,7 @@
         for receiver in self._receivers.values():
             waiting += receiver.leases.stop()
             waiting += receiver.posts
-            self._give_back(list(receiver.queue))
+            self._give_back([waiting.job for waiting in receiver.queue])
             receiver.queue.clear()
         return waiting
 
@@ -160,13 +169,18 @@
         if receiver is None:
             self._give_back(jobs)
             return
-        receiver.queue.extend(jobs)
+        begin_by = asyncio.get_running_loop().time() + BEGIN_WITHIN_S
+        receiver.queue.extend(_WaitingCallback(job, begin_by) for job in jobs)
         self._pump(receiver)
 
     def _pump(self, receiver: _Receiver) -> None:
         loop = asyncio.get_running_loop()
         while receiver.queue and len(receiver.posts) < MOST_CONNECTIONS and not self._stopping:
-            task = loop.create_task(self._post(receiver, receiver.queue.popleft()))
+            waiting = receiver.queue.popleft()
+            if waiting.begin_by < loop.time():
+                self._give_back([waiting.job])
+                continue
+            task = loop.create_task(self._post(receiver, waiting))
             receiver.posts.add(task)
             task.add_done_callback(lambda done: self._posted(receiver, done))
 
@@ -175,8 +189,12 @@
         self._pump(receiver)
         receiver.leases.wake()
 
-    async def _post(self, receiver: _Receiver, job: Job) -> None:
+    async def _post(self, receiver: _Receiver, waiting: _WaitingCallback) -> None:
         figures: DeliveryFigures = self._network.figures
+        job = waiting.job
+        if waiting.begin_by < asyncio.get_running_loop().time():  # this process stood still meanwhile
+            self._give_back([job])
+            return
         result = await receiver.client.post(job)
         if result == "success":
             figures.callbacks_accepted += 1
--- a/hollowusher/delivery/leasing.py
+++ b/hollowusher/delivery/leasing.py
@@ -22,7 +22,7 @@
 LONGEST_PAUSE_S = 0.5
 AT_ONCE_S = 0.1  # an answer without jobs that came sooner was no long poll: pause, as after a failure
 PACE_S = 0.01  # at least between two requests to a store, so that a few jobs come with each answer
-STALE_S = 0.8  # an answer so much later than the poll allows was read after a freeze: its jobs are old
+STALE_S = 0.8  # jobs leased longer ago than this have lain somewhere that stood still: they are given back
 
 Homes = Callable[[str, Iterable[int]], list[int]]  # a service's partitions, in the order of preference
 
@@ -152,7 +152,7 @@
             took = loop.time() - asked
             if leased is not None and leased.jobs:
                 last_jobs = loop.time()
-                self._receive(leased.jobs, took)
+                self._receive(leased.jobs, took - leased.leased_after_ms / 1000)
             elif leased is None or took < AT_ONCE_S:
                 await asyncio.sleep(pause)
                 pause = min(LONGEST_PAUSE_S, 2 * pause)
@@ -161,9 +161,11 @@
             if took < PACE_S:
                 await asyncio.sleep(PACE_S - took)
 
-    def _receive(self, jobs: list[Job], took: float) -> None:
+    def _receive(self, jobs: list[Job], age_s: float) -> None:
+        """Take jobs whose leases are `age_s` old at most: the time since the request less the time that the
+        store waited before it leased them, each by the steady clock of the one who measured it."""
         self._network.figures.leased += len(jobs)
-        if self._stopping or took > POLL_S + STALE_S:
+        if self._stopping or age_s > STALE_S:
             self._demand.give_back(jobs)
         else:
             self._demand.take(jobs)
--- a/hollowusher/delivery/pool.py
+++ b/hollowusher/delivery/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from hollowusher.delivery.connection import Accepts, Answer, Connection, ExchangeError
 from hollowusher.transport.tcp import split_address
@@ -38,14 +39,23 @@
         return self.open_count > len(self._idle)
 
     async def exchange(
-        self, request: bytes, accepts: Accepts, deadline: float, may_repeat: bool = False
+        self,
+        request: bytes,
+        accepts: Accepts,
+        deadline: float,
+        may_repeat: bool = False,
+        begin_by: float = math.inf,
     ) -> Answer:
-        """The answer to one request; `ExchangeError` where none came.
+        """The answer to one request; `ExchangeError` where none came.  Nothing is sent after `begin_by`: a
+        process that stood still while a connection was opened has no right to the request any more.
 
         `may_repeat`: the request may run twice.  Then it is sent once more, on a new connection, when a kept
         connection ended without a byte of an answer: most likely its end and the request crossed."""
         self.last_used = asyncio.get_running_loop().time()
         connection = self._take_idle() or await self._connect(deadline)
+        if asyncio.get_running_loop().time() > begin_by:
+            self._put_back(connection)
+            raise ExchangeError("send", self.address, "too late to begin", sent=False)
         try:
             return await self._exchange_on(connection, request, accepts, deadline)
         except ExchangeError as error:
@@ -70,11 +80,14 @@
         self, connection: Connection, request: bytes, accepts: Accepts, deadline: float
     ) -> Answer:
         answer = await connection.exchange(request, accepts, deadline)
+        self._put_back(connection)
+        return answer
+
+    def _put_back(self, connection: Connection) -> None:
         if connection.usable and not self.retired:
             self._idle.append(connection)
         else:
             connection.close()
-        return answer
 
     def _take_idle(self) -> Connection | None:
         while self._idle:
--- a/hollowusher/delivery/pull.py
+++ b/hollowusher/delivery/pull.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 
 import attrs
@@ -21,6 +22,7 @@
     """A leased job that no call waits for."""
 
     job: Job
+    until: float
     timer: asyncio.TimerHandle
 
 
@@ -41,6 +43,7 @@
         self._reporter = reporter
         self._visibility_ms = visibility_ms
         self._desks: dict[str, _ServiceDesk] = {}
+        self._given: dict[str, float] = {}  # lease of a job given to a call -> until when it may go out
         self._stopping = False
         network.state.listen(self._changed)
 
@@ -58,7 +61,7 @@
         timer = loop.call_later(wait_s, _end_without_job, call)
         desk.leases.refresh()
         try:
-            return await call
+            return self._accept(await call)
         except asyncio.CancelledError:
             self._return_job(desk, call)
             raise
@@ -67,6 +70,17 @@
             if call in desk.calls:
                 desk.calls.remove(call)
 
+    def _accept(self, job: Job | None) -> Job | None:
+        """The job that a call was given, unless this process stood still meanwhile: then its lease is old."""
+        if job is None:
+            return None
+        until = self._given.pop(job.lease, math.inf)
+        if asyncio.get_running_loop().time() <= until:
+            return job
+        self._network.figures.pulled -= 1
+        self._give_back([job])
+        return None
+
     def handle(self, waiting: JobsWaiting) -> None:
         """A store says that jobs of a service wait there; only calls of this process can use them."""
         desk = self._desks.get(waiting.service)
@@ -111,20 +125,24 @@
 
     def _offer(self, desk: _ServiceDesk, job: Job) -> None:
         """Give a job to the call that has waited longest; with none, keep it for a moment."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + SPARE_KEPT_S
         while desk.calls:
             call = desk.calls.popleft()
             if not call.done():
                 call.set_result(job)
+                self._given[job.lease] = until
                 self._network.figures.pulled += 1
                 return
         if self._stopping:
             self._give_back([job])
             return
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(SPARE_KEPT_S, self._spare_lapsed, desk)
-        desk.spare.append(_Spare(job, timer))
+        timer = loop.call_at(until, self._spare_lapsed, desk)
+        desk.spare.append(_Spare(job, until, timer))
 
     def _take_spare(self, desk: _ServiceDesk) -> Job | None:
+        while desk.spare and desk.spare[0].until < asyncio.get_running_loop().time():
+            self._spare_lapsed(desk)
         if not desk.spare:
             return None
         spare = desk.spare.popleft()
@@ -137,6 +155,7 @@
         if call.done() and not call.cancelled():
             job = call.result()
             if job is not None:
+                self._given.pop(job.lease, None)
                 self._network.figures.pulled -= 1
                 self._offer(desk, job)
 
--- a/hollowusher/delivery/worker_client.py
+++ b/hollowusher/delivery/worker_client.py
@@ -95,6 +95,7 @@
                 lambda answer: belongs(answer, identifier),
                 began + timeout_s + LATE_ANSWER_S,
                 endpoint.idempotent,
+                begin_by=began + job.start_within_ms / 1000,
             )
         except ExchangeError as error:
             took = loop.time() - began
--- a/hollowusher/dispatch/service_dispatch.py
+++ b/hollowusher/dispatch/service_dispatch.py
@@ -221,7 +221,10 @@
         context.figures.in_flight += 1
         outcome = DeliveryOutcome("unknown", Ending.LOST)  # where the delivery is broken off
         try:
-            outcome = await context.client.deliver(worker.endpoint, job, timeout_s)
+            if self._loop.time() > waiting.begin_by:  # this process stood still since the job was handed over
+                outcome = DeliveryOutcome("not_run", Ending.NEUTRAL)
+            else:
+                outcome = await context.client.deliver(worker.endpoint, job, timeout_s)
         finally:
             context.figures.in_flight -= 1
             context.figures.count(outcome.result)
--- a/hollowusher/messages/leases.py
+++ b/hollowusher/messages/leases.py
@@ -29,6 +29,7 @@
 from hollowusher.storage.interface import StorageError
 
 PULL_GRACE_S = 0.3
+PULL_HAND_OUT_S = 0.7  # beyond it: a job may reach its worker up to a second after it was leased
 PUSH_GRACE_S = 4.0 + START_WITHIN_MS / 1000
 FAILED_FIRST_S, FAILED_MOST_S = 0.1, 2.0
 NOT_RUN_FIRST_S, NOT_RUN_MOST_S = 0.05, 1.0
@@ -110,7 +111,8 @@
     def lease_seconds(self, active: ActiveMessage, state: State) -> float:
         """How long a lease lasts."""
         if state.pull:
-            return (state.visibility_ms or self._visibility_ms) / 1000 + PULL_GRACE_S
+            visible_s = (state.visibility_ms or self._visibility_ms) / 1000
+            return visible_s + PULL_GRACE_S + PULL_HAND_OUT_S
         return active.timeout_ms / 1000 + PUSH_GRACE_S
 
     # Words of their holders
--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -272,15 +272,17 @@
 
     async def _lease(self, request: LeaseRequest) -> Leased:
         service = request.service
-        deadline = self._now() + request.wait_ms / 1000
+        asked_at = self._now()
+        deadline = asked_at + request.wait_ms / 1000
         while True:
             self._waiters.asked(service)
+            leased_after_ms = round((self._now() - asked_at) * 1000)
             jobs = await self._confirmed_jobs(self._take(request))
             now = self._now()
             token_at = self._next_token_time(service, now)
             if jobs or now >= deadline or not self._started:
                 next_ms = 0 if token_at is None else max(1, round((token_at - now) * 1000))
-                return Leased(jobs, next_ms)
+                return Leased(jobs, next_ms, leased_after_ms)
             if not self._may_lease(request):
                 await asyncio.sleep(min(REFUSED_PAUSE_S, deadline - now))
                 return Leased([])
--- a/hollowusher/protocol/store.py
+++ b/hollowusher/protocol/store.py
@@ -88,10 +88,13 @@
 
 @message(55)
 class Leased:
-    """Answer to `LeaseRequest`.  `next_ms`: when a ceiling or delay lets more jobs go, 0: unknown."""
+    """Answer to `LeaseRequest`.  `next_ms`: when a ceiling or delay lets more jobs go, 0: unknown.
+    `leased_after_ms`: how long after the request had come the jobs were leased; so the asker knows how old
+    the leases are at most, whoever stood still meanwhile."""
 
     jobs: list[Job]
     next_ms: int = 0
+    leased_after_ms: int = 0
 
 
 @message(56)
--- /dev/null
+++ b/tests/control/test_fencing_dispatch.py
@@ -0,0 +1,252 @@
+"""An edge process that was frozen begins nothing, hands out nothing and tells nothing on old leases."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from hollowusher.configuration.model import Service
+from hollowusher.coordination.placement import homes
+from hollowusher.delivery.callbacks import MOST_CONNECTIONS, CallbackDelivery
+from hollowusher.delivery.connection import Answer
+from hollowusher.delivery.figures import DeliveryFigures
+from hollowusher.delivery.leasing import LeaseNetwork
+from hollowusher.delivery.outcome import Ending
+from hollowusher.delivery.pool import ConnectionPool
+from hollowusher.delivery.pull import LeasingPullDesk
+from hollowusher.delivery.reports import EndReporter
+from hollowusher.delivery.worker_client import Endpoint, HttpWorkerClient
+from hollowusher.dispatch.dispatcher import Dispatcher
+from hollowusher.dispatch.worker_control import WorkerControl
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.store import Job, JobsWaiting
+from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
+from tests.dispatch_support import (
+    STORE_1,
+    STORE_2,
+    Cluster,
+    LeasingStores,
+    ModelWorkers,
+    dispatcher,
+    edge,
+    job,
+    listed,
+    play,
+    route,
+)
+
+RECEIVER = "callback:10.20.0.4:8080"
+
+
+def pushing() -> tuple[Cluster, LeasingStores, ModelWorkers]:
+    cluster = Cluster([edge("e1")], [Service("svc")], [route()], [listed(1)])
+    return cluster, LeasingStores(), ModelWorkers({"10.2.0.1:8080": 4})
+
+
+async def start(
+    process: SimulatedProcess, cluster: Cluster, stores: LeasingStores, workers: ModelWorkers
+) -> Dispatcher:
+    async def begin() -> Dispatcher:
+        subject = dispatcher(cluster, stores, workers)
+        subject.start()
+        return subject
+
+    return await process.run(begin())
+
+
+async def freeze_for(loop: VirtualLoop, process: SimulatedProcess, seconds: float) -> None:
+    loop.freeze(process)
+    await asyncio.sleep(seconds)
+    loop.thaw(process)
+
+
+class TestLeases:
+    @pytest.mark.parametrize("frozen_s", [0.9, 1.5, 5.0, 20.0])
+    def test_jobs_of_an_answer_that_was_read_late_are_given_back(self, frozen_s: float) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores, workers = pushing()
+            process = SimulatedProcess("e1")
+            await start(process, cluster, stores, workers)
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(0.001)  # the request is on its way
+            assert stores.requests and not workers.begun
+            await freeze_for(loop, process, frozen_s)
+            await asyncio.sleep(1.0)
+            assert workers.begun == []
+            assert stores.results() in ({}, {"not_run": 1})  # lost with its call, or given back
+
+        play(work)
+
+    def test_jobs_that_were_leased_late_in_a_long_poll_are_begun(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores, workers = pushing()
+            await start(SimulatedProcess("e1"), cluster, stores, workers)
+            await asyncio.sleep(0.95)
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(0.1)
+            assert [message for _, _, message in workers.begun] == ["m1"]
+
+        play(work)
+
+    def test_a_job_whose_hand_over_was_frozen_is_not_begun(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """The process stands still after it has chosen the worker and before the delivery's first step."""
+
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores, workers = pushing()
+            process = SimulatedProcess("e1")
+            real = WorkerControl.handed
+
+            def handed(control: WorkerControl, *arguments: Any) -> None:
+                real(control, *arguments)
+                loop.freeze(process)
+
+            await start(process, cluster, stores, workers)
+            stores.add(STORE_1, [job(1)])
+            monkeypatch.setattr(WorkerControl, "handed", handed)
+            await asyncio.sleep(0.6)
+            assert process.frozen
+            monkeypatch.undo()
+            loop.thaw(process)
+            await asyncio.sleep(0.2)
+            assert workers.begun == []
+            assert stores.results() == {"not_run": 1}
+
+        play(work)
+
+
+class _SilentConnection:
+    """A connection that was opened while its process stood still."""
+
+    usable = True
+
+    def __init__(self) -> None:
+        self.requests: list[bytes] = []
+
+    async def exchange(self, request: bytes, accepts: Any, deadline: float) -> Answer:
+        self.requests.append(request)
+        raise AssertionError("sent on an old lease")
+
+
+class TestWorkerClient:
+    def test_nothing_is_sent_on_a_connection_that_stood_only_after_a_freeze(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            opened = _SilentConnection()
+
+            async def connect(pool: ConnectionPool, deadline: float, may_have_run: bool = False) -> Any:
+                await asyncio.sleep(0.7)
+                return opened
+
+            monkeypatch.setattr(ConnectionPool, "_connect", connect)
+            client = HttpWorkerClient()
+            outcome = await client.deliver(Endpoint("10.2.0.1:8080", "i-1"), job(1), 5.0)
+            assert (outcome.result, outcome.ending) == ("not_run", Ending.UNREACHABLE)
+            assert opened.requests == []
+
+        play(work)
+
+
+class TestPullWorkers:
+    @pytest.mark.parametrize("frozen_s", [0.5, 5.0, 20.0])
+    def test_a_spare_job_is_not_handed_out_after_a_freeze(self, frozen_s: float) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster = Cluster([edge("e1")], [Service("svc", pull=True)], [route()], [])
+            stores, process = LeasingStores(), SimulatedProcess("e1")
+            subject = await start(process, cluster, stores, ModelWorkers({}))
+            desk = subject.pull_desk
+            gone = process.run(desk.pull("svc", "i-1", 1.0))
+            await asyncio.sleep(0.01)
+            gone.cancel()
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(0.05)
+            loop.freeze(process)
+            call = process.run(desk.pull("svc", "i-2", 0.0))  # lies in the socket, read first after the wake
+            await asyncio.sleep(frozen_s)
+            loop.thaw(process)
+            assert await call is None
+            await asyncio.sleep(0.1)
+            assert stores.results() == {"not_run": 1}
+
+        play(work)
+
+    @pytest.mark.parametrize("frozen_s", [0.5, 5.0, 20.0])
+    def test_a_job_that_was_given_to_a_call_before_a_freeze_is_given_back(
+        self, frozen_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster = Cluster([edge("e1")], [Service("svc", pull=True)], [route()], [])
+            stores, process = LeasingStores(), SimulatedProcess("e1")
+            subject = await start(process, cluster, stores, ModelWorkers({}))
+            real = LeasingPullDesk._offer
+
+            def offer(desk: LeasingPullDesk, *arguments: Any) -> None:
+                real(desk, *arguments)
+                loop.freeze(process)
+
+            monkeypatch.setattr(LeasingPullDesk, "_offer", offer)
+            call = process.run(subject.pull_desk.pull("svc", "i-1", 30.0))
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(frozen_s)
+            assert process.frozen
+            loop.thaw(process)
+            assert await call is None
+            await asyncio.sleep(0.1)
+            assert stores.results() == {"not_run": 1}
+
+        play(work)
+
+
+def owed(number: int) -> Job:
+    return evolve(
+        job(number, service=RECEIVER, callback_url="http://10.20.0.4:8080/done"),
+        state="completed",
+        signature="sig",
+    )
+
+
+class _SlowReceiver:
+    """A receiver of call-backs that takes a second for each."""
+
+    def __init__(self) -> None:
+        self.heard: list[str] = []
+
+    async def post(self, told: Job) -> str:
+        self.heard.append(told.message.id)
+        await asyncio.sleep(1.0)
+        return "success"
+
+    def close(self) -> None:
+        """Nothing to close."""
+
+
+class TestCallBacks:
+    def test_call_backs_leased_before_a_long_freeze_are_given_back(self) -> None:
+        async def work(loop: VirtualLoop) -> None:
+            cluster, stores, figures = Cluster([edge("e1")], [], [], []), LeasingStores(), DeliveryFigures()
+            network = LeaseNetwork(cluster.state.members["e1"], stores, cluster.state, homes, figures)
+            receiver, process = _SlowReceiver(), SimulatedProcess("e1")
+            stores.add(STORE_1, [owed(n) for n in range(4)])
+            stores.add(STORE_2, [owed(n) for n in range(4, 8)])
+
+            async def begin() -> CallbackDelivery:
+                subject = CallbackDelivery(
+                    network, EndReporter(stores, figures), lambda service: True, lambda address: receiver
+                )
+                subject.handle(JobsWaiting(RECEIVER, STORE_1))
+                subject.handle(JobsWaiting(RECEIVER, STORE_2))
+                return subject
+
+            await process.run(begin())
+            await asyncio.sleep(0.5)
+            begun = list(receiver.heard)
+            assert len(begun) == MOST_CONNECTIONS
+            waiting = 8 - sum(len(queue) for queue in stores.queues.values()) - len(begun)
+            assert waiting > 0
+            await freeze_for(loop, process, 20.0)
+            await asyncio.sleep(0.5)
+            assert stores.results()["not_run"] == waiting
+
+        play(work)
--- a/tests/control/test_fencing_stores.py
+++ b/tests/control/test_fencing_stores.py
@@ -8,7 +8,7 @@
 
 from hollowusher.coordination.pause_detector import PauseDetector
 from hollowusher.protocol.control import Member
-from hollowusher.protocol.store import Extend, StatusRequest
+from hollowusher.protocol.store import Extend, Leased, LeaseRequest, StatusRequest
 from tests.message_store import EDGE_ADDRESS, StoreCluster, message, play
 
 RECEIVER = "callback:10.9.0.1:8080"
@@ -209,3 +209,33 @@
             assert await polling == []
 
         play(work)
+
+    def test_a_pull_job_stays_leased_for_its_time_from_the_latest_moment_of_its_hand_over(self) -> None:
+        """Its process gives a job back that is older than 0.8 s, and offers it for 0.15 s at most."""
+
+        async def work(cluster: StoreCluster) -> None:
+            await cluster.start()
+            await cluster.stored(message("m0"))
+            await cluster.lease(pull=True, visibility_ms=3_000)
+            handed_over_at = cluster.loop.time() + 0.95
+            assert len(await cluster.lease(pull=True, wait_ms=9_000, visibility_ms=3_000)) == 1
+            assert cluster.loop.time() - handed_over_at >= 3.0
+
+        play(work)
+
+    def test_an_answer_tells_how_long_after_its_request_the_jobs_were_leased(self) -> None:
+        async def work(cluster: StoreCluster) -> None:
+            await cluster.start()
+            asking = asyncio.create_task(cluster.call(0, LeaseRequest("edge-1", 1, "s", 1, 2_000)))
+            await asyncio.sleep(0.7)
+            await cluster.stored(message("m0"))
+            await asyncio.sleep(0.1)
+            cluster.stores[0].freeze()
+            await asyncio.sleep(1.0)
+            cluster.stores[0].thaw()
+            answer = await asking
+            assert isinstance(answer, Leased)
+            assert len(answer.jobs) == 1
+            assert 690 <= answer.leased_after_ms <= 740
+
+        play(work)
--- a/tests/dispatch_support.py
+++ b/tests/dispatch_support.py
@@ -132,7 +132,8 @@
 
     async def _lease(self, key: tuple[str, str], request: LeaseRequest) -> Leased:
         loop = asyncio.get_running_loop()
-        until = loop.time() + request.wait_ms / 1000
+        asked = loop.time()
+        until = asked + request.wait_ms / 1000
         while not self.queues.get(key):
             try:
                 async with asyncio.timeout_at(until):
@@ -140,7 +141,8 @@
             except TimeoutError:
                 return Leased([])
         queue = self.queues[key]
-        return Leased([queue.popleft() for _ in range(min(request.most, len(queue)))])
+        jobs = [queue.popleft() for _ in range(min(request.most, len(queue)))]
+        return Leased(jobs, leased_after_ms=round((loop.time() - asked) * 1000))
 
     def send(self, address: str, message: Any) -> None:
         raise AssertionError("nothing is sent one-way")
