Say 503, not 404, where contact with a majority is too old to know what is absent

Cause: an edge process answered 404 for a route or pull service that its own configuration lacked however long it had heard nothing. What it took for its contact was too young: a controller that had lost the others called itself connected for 2.5 s more and its readers counted from its answer; an answer that lay unread over a freeze counted from the wake.

Change: a controller tells with each answer how long ago it had word from most of the others, and its readers count from there; what lay unread while a process stood still counts from its question. 404 is said only while that age is under 0.95 of configApplyMs, 503 otherwise. Messages on known routes are taken as before: the store that keeps them has a quorum, and its configuration decides.

In calm times the age stays under 2.3 s (measured by a test over 20 s), so nothing changes there.

--- a/hollowusher/coordination/client.py
+++ b/hollowusher/coordination/client.py
@@ -27,6 +27,7 @@
 from hollowusher.coordination.controller_choice import ControllerChoice
 from hollowusher.coordination.directory import version_of
 from hollowusher.coordination.monitor import Monitor
+from hollowusher.coordination.pause_detector import PauseDetector
 from hollowusher.coordination.updates import Feed, LongPoll
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control import (
@@ -57,6 +58,7 @@
 LEAVE_TIMEOUT_S = 0.5
 LEAVE_S = 1.0
 BEAT_S = 0.1  # how often the failure detector runs
+LONGEST_STEP_S = BEAT_S + 0.3  # a longer one: this process did not run
 FIRST_PAUSE_S = 0.1
 START_PAUSE_S = 0.03  # of a process that starts: all wait for the same controllers
 MOST_PAUSE_S = 0.5
@@ -115,7 +117,8 @@
         self._peers: dict[str, asyncio.Task[None]] = {}
         self._peer_have: dict[str, dict[str, int]] = {}
         self._view_changed = asyncio.Event()
-        self._long_poll = LongPoll(feed, self._is_connected) if feed is not None else None
+        self._pauses = PauseDetector(LONGEST_STEP_S)
+        self._long_poll = LongPoll(feed, self._is_connected, self._age_s) if feed is not None else None
         state.listen(self._on_change)
         if feed is not None:
             feed.listen(lambda item: self._apply([item]))
@@ -139,8 +142,10 @@
             if self.state.view is None:
                 await self._find_view()
             for voter in self._readers():
+                asked_at = self._now()
                 answer = await self._try_call(voter.address, ReadState(), STATE_TIMEOUT_S)
                 if isinstance(answer, StateAnswer) and answer.state is not None:
+                    self._connected_at = max(asked_at, self._connected_at)
                     self._apply_state(answer.state)
                     return
             await backoff.wait()
@@ -170,8 +175,9 @@
         return now - max(self._heard_at.values(), default=-math.inf)
 
     def seconds_since_majority(self, now: float) -> float:
-        """How old the newest values known here may be: how long ago a controller in touch with most of the
-        others answered; for a controller, how long ago most of them, itself counted, answered."""
+        """How old the newest values known here may be: how long ago most controllers had word of each other
+        and one of them then answered here; for a controller, how long ago most of them, itself counted,
+        answered.  What lay unread while this process stood still counts from when it was asked for."""
         if self._feed is None:
             return now - self._connected_at
         voters = self._voters()
@@ -184,7 +190,10 @@
         return now if voter.address == self.me.address else self._heard_at.get(voter.address, -math.inf)
 
     def _is_connected(self) -> bool:
-        return self.seconds_since_majority(self._now()) <= CONNECTED_S
+        return self._age_s() <= CONNECTED_S
+
+    def _age_s(self) -> float:
+        return self.seconds_since_majority(self._now())
 
     async def handle(self, message: Any) -> Any:
         """Answer one of `MESSAGES`."""
@@ -294,10 +303,12 @@
             raise PeerError("PullUpdates", address, "no updates there")
         changed = take(answer)
         now = self._now()
-        self._heard_at[address] = now
+        self._pauses.step(now)
+        heard_at = started if self._pauses.paused_since(started) else now  # it may have lain unread since
+        self._heard_at[address] = max(heard_at, self._heard_at.get(address, -math.inf))
         self._choice.health(address).answered(now, answer.connected)
         if answer.connected:
-            self._connected_at = now
+            self._connected_at = max(heard_at - answer.age_ms / 1000, self._connected_at)
         if not changed and now - started < IDLE_PAUSE_S:
             await asyncio.sleep(IDLE_PAUSE_S)
         return answer.connected
@@ -416,6 +427,7 @@
     async def _beat(self) -> None:
         while True:
             now = self._now()
+            self._pauses.step(now)
             if self._members_changed:
                 self._members_changed = False
                 self._monitor.update(self.state.alive(), now)
--- a/hollowusher/coordination/updates.py
+++ b/hollowusher/coordination/updates.py
@@ -11,11 +11,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 from typing import Any
 
 from hollowusher.protocol.control import Item, PullUpdates, Updates
 
+LONGEST_AGE_S = 1e6  # told for "never" and for all that is older
 BATCH_S = 0.02  # a waiting pull is answered this long after the first news, so that news travel together
 Listener = Callable[[Item], None]  # called with each item that replaced an older value
 
@@ -70,11 +72,11 @@
         self._tell(newer)
         return [item.key for item in newer]
 
-    def answer(self, request: PullUpdates, connected: bool = True) -> Updates:
+    def answer(self, request: PullUpdates, connected: bool = True, age_s: float = 0.0) -> Updates:
         """The items beyond the reader's vector, and the vector it has after taking them."""
         items = [item for item in self._items.values() if item.counter > request.have.get(item.origin, 0)]
         items.sort(key=lambda item: (item.origin, item.counter))
-        return Updates(items, self.have, connected)
+        return Updates(items, self.have, connected, math.ceil(1000 * min(age_s, LONGEST_AGE_S)))
 
     def _take(self, item: Item) -> bool:
         """Keep an item if it is newer; True if its version is greater than the known one.
@@ -105,11 +107,17 @@
 
 class LongPoll:
     """Answers pulls from a feed, and lets them wait for news.  `connected` says whether this controller
-    hears enough of the others for its answers to be new."""
-
-    def __init__(self, feed: Feed, connected: Callable[[], bool] = lambda: True) -> None:
+    hears enough of the others for its answers to be new, `age_s` how long ago it had word from them."""
+
+    def __init__(
+        self,
+        feed: Feed,
+        connected: Callable[[], bool] = lambda: True,
+        age_s: Callable[[], float] = lambda: 0.0,
+    ) -> None:
         self._feed = feed
         self._connected = connected
+        self._age_s = age_s
         self._news = asyncio.Event()
         feed.listen(self._wake)
 
@@ -124,7 +132,7 @@
         deadline = loop.time() + request.wait_ms / 1000
         while True:
             news = self._news
-            updates = self._feed.answer(request, self._connected())
+            updates = self._feed.answer(request, self._connected(), self._age_s())
             left = deadline - loop.time()
             if updates.items or left <= 0:
                 return updates
--- a/hollowusher/intake/intake.py
+++ b/hollowusher/intake/intake.py
@@ -105,7 +105,8 @@
 
 
 class Intake:
-    """The clients' side of one process.  `clock` is the event loop's time."""
+    """The clients' side of one process.  `clock` is the event loop's time; `is_current` tells whether the
+    configuration known here is so young that what it lacks is not there."""
 
     def __init__(
         self,
@@ -115,8 +116,10 @@
         homes: Homes,
         clock: Callable[[], float],
         limits: IntakeLimits | None = None,
+        is_current: Callable[[], bool] = lambda: True,
     ) -> None:
         limits = limits or IntakeLimits()
+        self._is_current = is_current
         self.figures = IntakeFigures()
         self.gate = LoadGate(limits.most_puts, limits.most_bytes)
         self._limits = limits
@@ -149,6 +152,15 @@
         refusal = admit_head(request, index, declared_length)
         return None if refusal is None else self._refused(refusal)
 
+    def _absent(self, text: str) -> IntakeAnswer:
+        """The answer where the configuration known here has no such route or service: one who has lost the
+        controllers, or stood still, cannot know that there is none."""
+        if not self._is_current():
+            self.figures.refused_unready += 1
+            return UNAVAILABLE
+        self.figures.no_route += 1
+        return IntakeAnswer(404, text.encode())
+
     async def accept(self, request: IntakeRequest, gone: Callable[[], bool] = _present) -> IntakeAnswer:
         """The answer to a whole request.  `gone` tells whether the caller's connection has ended."""
         target = request.target
@@ -212,8 +224,8 @@
     def _refused(self, refusal: Refusal) -> IntakeAnswer:
         figures = self.figures
         if refusal.reason is Reason.NO_ROUTE:
-            figures.no_route += 1
-        elif refusal.reason is Reason.TOO_LARGE:
+            return self._absent(refusal.text)
+        if refusal.reason is Reason.TOO_LARGE:
             figures.too_large += 1
         elif refusal.reason is Reason.UNREADY:
             figures.refused_unready += 1
@@ -294,8 +306,7 @@
     ) -> IntakeAnswer:
         service = index.services.get(name)
         if service is None or not service.pull:
-            self.figures.no_route += 1
-            return NOT_FOUND
+            return self._absent("no such service")
         instance = request.headers.get(INSTANCE_ID, "")
         wait_ms = milliseconds(request.headers.get(WAIT, "0"))
         if not instance or wait_ms is None:
--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -307,11 +307,12 @@
 @message(33)
 class Updates:
     """Answer to `PullUpdates`.  `connected` is False where the controller has lost most of the others, so
-    that what it gives may be old."""
+    that what it gives may be old; `age_ms`: how long ago it had word from most of them."""
 
     items: list[Item]
     have: dict[str, int]
     connected: bool = True
+    age_ms: int = 0
 
 
 @message(34)
--- a/hollowusher/roles/edge.py
+++ b/hollowusher/roles/edge.py
@@ -35,6 +35,7 @@
     from hollowusher.roles.control import ControlPart
 
 CONTROL_PLANE = "control_plane"
+CURRENT_SHARE = 0.95  # of configApplyMs: a configuration confirmed so lately is the one that is to be applied
 NOT_READY_BEFORE_STOP_S = 2.3  # after SIGTERM the platform still sends connections until it has asked twice
 STOP_MARGIN_S = 0.8  # kept of the grace for the end of the process itself
 OPERATOR_WAITS_S = 1.0  # the operator's address is served after the clients', but not much later than this
@@ -63,7 +64,15 @@
         self.dispatcher = Dispatcher(
             me, transport, state, self.store_client, settings, HttpWorkerClient(), process.chance, homes=homes
         )
-        self.intake = Intake(state, self.store_client, self.dispatcher.pull_desk, homes, loop.time)
+        apply_s = settings.bounds.config_apply_ms / 1000
+        self.intake = Intake(
+            state,
+            self.store_client,
+            self.dispatcher.pull_desk,
+            homes,
+            loop.time,
+            is_current=lambda: self.client.seconds_since_majority(loop.time()) <= CURRENT_SHARE * apply_s,
+        )
         self.frontend = EdgeFrontend(
             self.intake, settings.bind.frontend, settings.bind.readiness, self.ready, self._report
         )
--- /dev/null
+++ b/tests/control/test_contact.py
@@ -0,0 +1,204 @@
+"""Contact with a majority of the controllers: how old what a process knows may be, and what it says then."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import pytest
+
+from hollowusher.coordination.client import CONNECTED_S, PULL_WAIT_MS
+from hollowusher.coordination.updates import Feed, LongPoll
+from hollowusher.intake.intake import Intake
+from hollowusher.protocol.codec import decode, encode, evolve
+from hollowusher.protocol.control import PullUpdates, ReadState, Updates
+from tests.test_cluster_client import DOCUMENT, Cluster, play
+from tests.test_intake import World, request
+from tests.test_intake import play as play_intake
+
+CORES = ("10.0.0.1", "10.1.0.1", "10.2.0.1")
+SLACK_S = 0.05  # for the way of an answer
+CALM_AGE_S = 2.3  # two long polls of a second each, one after the other
+
+
+def publish(cluster: Cluster, generation: int, *cores: str) -> None:
+    """A configuration is committed; these controllers hear of it."""
+    cluster.chain.state = evolve(cluster.chain.state, generation=generation, document=DOCUMENT % generation)
+    for name in cores:
+        duties = cluster.nodes[name].duties
+        assert duties is not None
+        duties.publish_state(cluster.chain.state)
+
+
+def cut_one_way_in(cluster: Cluster) -> None:
+    for other in (CORES[0], CORES[2]):
+        cluster.network.cut(other, CORES[1], both=False)
+
+
+def cut_one_way_out(cluster: Cluster) -> None:
+    for other in (CORES[0], CORES[2]):
+        cluster.network.cut(CORES[1], other, both=False)
+
+
+def cut_all(cluster: Cluster) -> None:
+    for other in (CORES[0], CORES[2]):
+        cluster.network.cut(CORES[1], other)
+
+
+class TestAge:
+    def test_an_answer_tells_how_long_ago_its_controller_had_word_from_most(self) -> None:
+        async def ask(age_s: float) -> Updates:
+            poll = LongPoll(Feed("a/1"), lambda: True, lambda: age_s)
+            answer = await poll.answer(PullUpdates("reader", {}, 0))
+            told = decode(encode(answer))
+            assert isinstance(told, Updates)
+            return told
+
+        assert asyncio.run(ask(1.25)).age_ms == 1250
+        assert asyncio.run(ask(float("inf"))).age_ms == 1_000_000_000
+
+    @pytest.mark.parametrize(
+        "cut, last_word_s", [(cut_all, 0.0), (cut_one_way_in, 0.0), (cut_one_way_out, PULL_WAIT_MS / 1000)]
+    )
+    def test_a_reader_is_no_younger_than_its_cut_off_controller(
+        self, cut: Callable[[Cluster], None], last_word_s: float
+    ) -> None:
+        """Reader and controller of zone 1 are cut off together; the controller says that it is connected for
+        2.5 s more.  With the way out cut, the others still answer the long polls that have reached them."""
+
+        async def work(cluster: Cluster) -> None:
+            await cluster.calm()
+            await asyncio.sleep(1.5)
+            cut(cluster)
+            for other in (CORES[0], CORES[2]):
+                cluster.network.cut("10.1.0.2", other)
+            cut_at = cluster.loop.time()
+            client = cluster.nodes["edge1"].client
+            while (now := cluster.loop.time()) < cut_at + 20.0:
+                assert client.seconds_since_majority(now) >= now - cut_at - last_word_s - SLACK_S
+                await asyncio.sleep(0.05)
+            cluster.network.join_all()
+            await cluster.until(lambda: client.seconds_since_majority(cluster.loop.time()) < 1.0, 6.0)
+
+        play(work)
+
+    def test_in_calm_times_everyone_is_current(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            await cluster.calm()
+            await asyncio.sleep(1.5)
+            until = cluster.loop.time() + 20.0
+            while (now := cluster.loop.time()) < until:
+                ages = [node.client.seconds_since_majority(now) for node in cluster.living()]
+                assert max(ages) < CALM_AGE_S
+                await asyncio.sleep(0.05)
+
+        play(work)
+
+    @pytest.mark.parametrize("frozen_s", [0.5, 1.0, 1.5, 3.0, 20.0])
+    @pytest.mark.parametrize("name", ["edge1", "core1"])
+    def test_an_answer_that_lay_unread_over_a_freeze_counts_from_its_question(
+        self, name: str, frozen_s: float
+    ) -> None:
+        async def work(cluster: Cluster) -> None:
+            await cluster.calm()
+            await asyncio.sleep(2.0)
+            node = cluster.nodes[name]
+            cluster.loop.freeze(node.process)
+            frozen_at = cluster.loop.time()
+            await asyncio.sleep(0.01)
+            publish(cluster, 5, "core0", "core2")  # answers the long polls; the answers lie unread
+            await asyncio.sleep(0.1)
+            for other in CORES:
+                if other != node.host:
+                    cluster.network.cut(node.host, other)
+            await asyncio.sleep(frozen_s)
+            publish(cluster, 6, "core0", "core2")
+            cluster.loop.thaw(node.process)
+            for _ in range(50):
+                now = cluster.loop.time()
+                assert node.client.seconds_since_majority(now) >= now - frozen_at - SLACK_S
+                await asyncio.sleep(0.01)
+
+        play(work)
+
+    def test_a_confirmed_start_is_current_from_its_question_on(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            await cluster.calm()
+            publish(cluster, 5, "core0", "core1", "core2")
+            node = cluster.add("edge9", "edge", "10.1.0.9", "z1", 1, False, "")
+            await asyncio.sleep(0.001)
+            await node.process.run(node.client.confirmed_start())
+            assert node.client.seconds_since_majority(cluster.loop.time()) < 0.5
+            assert node.state.configuration is not None and node.state.configuration.generation == 5
+
+        play(work)
+
+
+class TestStart:
+    def test_a_process_that_reaches_a_cut_off_controller_only_does_not_begin(self) -> None:
+        async def work(cluster: Cluster) -> None:
+            await cluster.calm()
+            cut_all(cluster)
+            publish(cluster, 5, "core0", "core2")
+            node = cluster.add("edge9", "edge", "10.1.0.9", "z1", 1, False, "")
+            for other in (CORES[0], CORES[2]):
+                cluster.network.cut("10.1.0.9", other)
+            asked: list[str] = []
+
+            def watch(source: str, target: str, message: object) -> None:
+                if isinstance(message, ReadState):
+                    asked.append(target)
+
+            cluster.network.watch = watch
+            cluster.chain.confirms = False  # as the controller that lacks a majority answers
+            await asyncio.sleep(0.001)
+            starting = node.process.run(node.client.confirmed_start())
+            await asyncio.sleep(20.0)
+            assert not starting.done() and asked
+            cluster.network.join_all()
+            cluster.chain.confirms = True
+            await asyncio.wait_for(starting, 6.0)
+            assert node.state.configuration is not None and node.state.configuration.generation == 5
+
+        play(work)
+
+
+class TestIntake:
+    """404 only if it is certain that there is no such route or service."""
+
+    def intake(self, world: World, current: bool) -> Intake:
+        return Intake(
+            world.state, world.store, world.desk, world.homes, world.loop.time, is_current=lambda: current
+        )
+
+    @pytest.mark.parametrize("current, status", [(True, 404), (False, 503)])
+    @pytest.mark.parametrize("path", ["/none/", "/pull/nobody"])
+    def test_what_is_not_known_is_not_denied_without_contact(
+        self, path: str, current: bool, status: int
+    ) -> None:
+        async def work(world: World) -> None:
+            answer = await self.intake(world, current).accept(request(path))
+            assert answer.status == status
+            assert ("Retry-After" in dict(answer.headers)) == (status == 503)
+
+        play_intake(work)
+
+    def test_a_body_that_is_still_to_come_does_not_change_that(self) -> None:
+        async def work(world: World) -> None:
+            early = self.intake(world, False).refuse_head(request("/none/"), 100_000)
+            assert early is not None and early.status == 503
+
+        play_intake(work)
+
+    def test_messages_on_known_routes_are_taken_without_contact(self) -> None:
+        """The store that keeps one has a quorum, and its own configuration decides what becomes of it."""
+
+        async def work(world: World) -> None:
+            assert (await self.intake(world, False).accept(request("/a/"))).status == 202
+
+        play_intake(work)
+
+
+def test_the_bounds_fit_each_other() -> None:
+    assert CALM_AGE_S < 0.95 * 3.0
+    assert CONNECTED_S < 0.95 * 3.0
