Hand a message's ordering key to its worker on any route, ordered or not

The key was dropped on a route that is not ordered, as one is after a change of the configuration that its senders do not know of yet. It is kept now as a further header of the message, which deliveries and pull answers repeat; it orders nothing there, as before.

--- a/hollowusher/delivery/worker_client.py
+++ b/hollowusher/delivery/worker_client.py
@@ -27,7 +27,6 @@
         "transfer-encoding",
         "connection",
         "x-attempt-id",
-        "x-ordering-key",
         "x-deadline-ms",
         "x-target-instance",
     )
--- a/hollowusher/intake/admission.py
+++ b/hollowusher/intake/admission.py
@@ -149,7 +149,7 @@
     delay_ms = 0.0 if delay is None else milliseconds(delay)
     if delay_ms is None:
         return _malformed(DELAY)
-    ordering_key = headers.get(ORDERING_KEY, "") if route.ordered else ""
+    ordering_key = headers.get(ORDERING_KEY, "")
     if len(ordering_key) > LONGEST_ORDERING_KEY or not _is_text(ordering_key):
         return _malformed(ORDERING_KEY)
     callback_url = headers.get(CALLBACK_URL, "") if route.callback_url else ""
@@ -167,7 +167,7 @@
         host=host,
         body=request.body,
         content_type=content_type,
-        ordering_key=ordering_key,
+        ordering_key=ordering_key if route.ordered else "",
         delay_ms=math.ceil(delay_ms),
         callback_url=callback_url,
         max_attempts=route.max_attempts,
@@ -175,6 +175,7 @@
         timeout_ms=route.timeout_ms,
         priority=route.priority,
         target_start_ms=route.target_start_ms,
+        headers=[[ORDERING_KEY, ordering_key]] if ordering_key and not route.ordered else [],
         generation=index.generation,
     )
     return Admission(message, service.name in index.home_only, wait_s)
--- a/hollowusher/intake/intake.py
+++ b/hollowusher/intake/intake.py
@@ -391,4 +391,5 @@
     ]
     if message.ordering_key:
         headers.append((ORDERING_KEY, message.ordering_key))
+    headers += [(name, value) for name, value in message.headers if name == ORDERING_KEY]
     return IntakeAnswer(200, message.body, message.content_type or BYTES, tuple(headers))
--- /dev/null
+++ b/tests/control/test_wire_rules_keys.py
@@ -0,0 +1,51 @@
+"""UNASKED: the ordering key goes to the worker as the sender wrote it."""
+
+from __future__ import annotations
+
+import pytest
+
+from hollowusher.delivery.worker_client import Endpoint, request_bytes
+from hollowusher.intake.admission import Reason, Refusal, admit
+from hollowusher.intake.intake import _job_answer
+from hollowusher.messages import records
+from hollowusher.messages.records import Put
+from hollowusher.protocol.store import Job, NewMessage
+from tests.test_intake import INDEX, admitted, request
+
+
+def delivered_key(kept: NewMessage) -> str | None:
+    """The ordering key that a pushed worker reads."""
+    head = request_bytes(kept, Endpoint("10.0.0.1:80"), 1.0).partition(b"\r\n\r\n")[0].decode()
+    values = [line.partition(": ")[2] for line in head.split("\r\n") if line.startswith("X-Ordering-Key: ")]
+    assert len(values) <= 1
+    return values[0] if values else None
+
+
+def pulled_key(kept: NewMessage) -> str | None:
+    """The ordering key that a pull worker reads."""
+    headers = _job_answer(Job("0-1-1-2", kept, 0, 500)).headers
+    values = [value for name, value in headers if name == "X-Ordering-Key"]
+    assert len(values) <= 1
+    return values[0] if values else None
+
+
+@pytest.mark.parametrize("target", ["/o/1", "/a/1"], ids=["ordered route", "route that is ordered no more"])
+@pytest.mark.parametrize("key", ["k-1", "kéy", "a b"])
+def test_the_ordering_key_of_any_route_reaches_the_worker_unchanged(target: str, key: str) -> None:
+    kept = admitted(request(target, X_Ordering_Key=key)).message
+    assert kept.ordering_key == (key if target == "/o/1" else "")
+    stored = records.unpack_put(records.pack_put(0, (1, 1), Put(0, 0, 1, kept))).message
+    assert delivered_key(stored) == key
+    assert pulled_key(stored) == key
+
+
+@pytest.mark.parametrize("target", ["/o/1", "/a/1"])
+def test_a_message_without_an_ordering_key_is_run_without_one(target: str) -> None:
+    kept = admitted(request(target)).message
+    assert delivered_key(kept) is None and pulled_key(kept) is None
+
+
+@pytest.mark.parametrize("target", ["/o/1", "/a/1"])
+def test_an_ordering_key_that_cannot_be_sent_on_is_refused(target: str) -> None:
+    refusal = admit(request(target, X_Ordering_Key="\udcff"), INDEX)
+    assert isinstance(refusal, Refusal) and (refusal.status, refusal.reason) == (400, Reason.MALFORMED)
