Take a repeated end of a job again after the next lease has ended

A pull worker whose end was taken, but whose answer was lost, repeats it and wants the same answer. The store remembered the lease that ended last: once the message had been run again, the repeat got 409. A message's state now also holds the last four ends before, for as long as the state is kept; only the very result that was taken is taken again, and it changes nothing. Records of messages that ended once are as long as before.

--- a/hollowusher/messages/active.py
+++ b/hollowusher/messages/active.py
@@ -17,6 +17,7 @@
 TAKEN = LeaseAnswer("taken")
 GONE = LeaseAnswer("gone")
 RESULT_WEIGHT = {"not_run": 0, "unknown": 0, "failed": 1, "refused": 2, "success": 2}
+MOST_EARLIER_ENDS = 4  # kept of each message: the holder of a lease repeats its end for a while only
 STATE_NAMES = {
     Status.QUEUED: "queued",
     Status.LEASED: "queued",
@@ -78,12 +79,15 @@
     def is_repeat(self, state: State) -> bool:
         """Whether the message's state holds this end already, or one of the same lease that says more."""
         if state.last_lease != self.lease:
-            return False
+            return [self.lease, self.result] in state.earlier_ends
         says_less = not state.status.ended and RESULT_WEIGHT[self.result] < RESULT_WEIGHT[state.last_result]
         return state.last_result == self.result or says_less
 
     def enter(self, state: State) -> None:
         """Write the end into the message's state."""
+        if state.last_lease and state.last_lease != self.lease:
+            ends = [*state.earlier_ends, [state.last_lease, state.last_result]]
+            state.earlier_ends = ends[-MOST_EARLIER_ENDS:]
         state.last_lease = self.lease
         state.last_result = self.result
         state.attempts += self.result == "failed"
--- a/hollowusher/messages/records.py
+++ b/hollowusher/messages/records.py
@@ -89,6 +89,9 @@
     ended_ms: int = 0  # wall clock
     id: str = ""
     callback_url: str = ""
+    earlier_ends: list[list[Any]] = attrs.Factory(
+        list
+    )  # [lease, result] of those before the last, newest last
 
 
 def header_of(record: bytes) -> Header:
@@ -115,7 +118,7 @@
 
 def pack_state(partition: int, key: Key, state: State) -> bytes:
     """A STATE record of the message `key`."""
-    values = [
+    values: list[Any] = [
         state.status.value,
         state.attempts,
         state.lease,
@@ -131,6 +134,8 @@
         state.id,
         state.callback_url,
     ]
+    if state.earlier_ends:
+        values.append(state.earlier_ends)
     return _HEADER.pack(Kind.STATE, partition, *state.version) + ormsgpack.packb([*key, *values])
 
 
