Count a delay after a takeover from when the message came to that machine

A new primary let a delayed message go by its own time of day against the due time that the old primary had written: early by as much as its clock was ahead. A replica now notes when a message came to it, by its own clock, and its delay counts from then: never early, and late by the time on the way. A message read back from the disk is known by the other machine's clock only and waits 200 ms longer; one without a delay never waits for clocks.

--- a/hollowusher/messages/adoption.py
+++ b/hollowusher/messages/adoption.py
@@ -10,6 +10,7 @@
 from hollowusher.messages.records import Key, Put, Status
 from hollowusher.messages.table import Entry, PartitionTable
 
+SKEW_MARGIN_MS = 200  # how much sooner another machine's wall clock may say that a delay is over
 RETENTION_MARGIN_S = 5.0  # wall clocks of machines differ: never too early after a takeover
 
 
@@ -50,7 +51,7 @@
             self._leases.adopt(active, entry, now)
         elif active.stage in (Stage.HELD, Stage.LEASED) and not active.ending:
             self._lifecycle.clear_lease(active)
-            ready_at = now + max(0, active.due_ms - wall_ms) / 1000
+            ready_at = now + self._delay_left_s(entry, wall_ms)
             self._lifecycle.release(active, ready_at, now, wall_ms)
 
     def adopt_ended(self, entry: Entry, now: float) -> None:
@@ -65,6 +66,18 @@
         if state.callback_owed and (active is None or not active.ending):
             self._callbacks.add(entry.key, state, now)
 
+    def _delay_left_s(self, entry: Entry, wall_ms: int) -> float:
+        """How much longer a message is to wait.  Wall clocks differ between machines: where the message came
+        to this one while it ran, its delay counts from then, which is never too early."""
+        put = self._table.put(entry)
+        if put is None or put.due_ms <= put.accepted_ms:
+            return 0.0
+        if entry.arrived_ms is None:
+            due_ms = put.due_ms + SKEW_MARGIN_MS
+        else:
+            due_ms = entry.arrived_ms + put.due_ms - put.accepted_ms
+        return max(0, due_ms - wall_ms) / 1000
+
     def _is_duplicate(self, key: Key, message_id: str, now: float, wall_ms: int) -> bool:
         """Whether the message was also put under a later key: then nobody was ever told of this one."""
         known = self._lifecycle.keys_by_id.get(message_id)
--- a/hollowusher/messages/table.py
+++ b/hollowusher/messages/table.py
@@ -37,6 +37,7 @@
     key: Key
     put_position: Position | None = None
     put_record: bytes | None = None  # cached
+    arrived_ms: int | None = None  # when the message came here, by this machine's wall clock; None: replayed
     state: State | None = None
     state_position: Position | None = None
 
@@ -79,7 +80,7 @@
         """Merge a record and append it to the log if it is news; the message that changed."""
         header = records.header_of(record)
         if header.kind == Kind.PUT:
-            return self._merge_put(record, header.version, None)
+            return self._merge_put(record, header.version, wall_ms, None)
         if header.kind == Kind.STATE:
             return self._merge_state(record, header.version, wall_ms, None)
         if header.kind == Kind.EPOCH:
@@ -90,7 +91,7 @@
         """Take a record that was read back from the log at the start."""
         taken = False
         if header.kind == Kind.PUT:
-            taken = self._merge_put(record, header.version, position) is not None
+            taken = self._merge_put(record, header.version, wall_ms, position) is not None
         elif header.kind == Kind.STATE:
             taken = self._merge_state(record, header.version, wall_ms, position) is not None
         elif header.kind == Kind.EPOCH:
@@ -131,15 +132,17 @@
         elif entry.state_position == position:
             entry.state_position = self._log.append(record)
 
-    def _merge_put(self, record: bytes, key: Key, position: Position | None) -> Key | None:
+    def _merge_put(self, record: bytes, key: Key, wall_ms: int, position: Position | None) -> Key | None:
         entry = self.entries.get(key)
         if entry is not None and (entry.put_position is not None or entry.status is Status.COMPLETED):
             return None
+        arrived_ms = wall_ms if position is None else None
         if position is None:
             position = self._log.append(record)
         if entry is None:
             entry = self.entries[key] = Entry(key)
         entry.put_position = position
+        entry.arrived_ms = arrived_ms
         self.greatest_sequence = max(self.greatest_sequence, key[1])
         if not entry.status.ended:
             self._cache_record(entry, record)
--- /dev/null
+++ b/tests/control/test_wire_rules_delays.py
@@ -0,0 +1,68 @@
+"""ORDER: a message's delay is never cut short, whichever machine's clock it goes by."""
+
+from __future__ import annotations
+
+import pytest
+
+from hollowusher.messages import records
+from hollowusher.messages.adoption import SKEW_MARGIN_MS
+from hollowusher.messages.records import Put, Status
+from hollowusher.messages.table import PartitionTable
+from tests.message_store import EPOCH_MS, message
+from tests.test_partition import Partition, new_table
+
+
+class Replica(Partition):
+    """A primary whose wall clock differs from that of the machine that took the message."""
+
+    def __init__(self, table: PartitionTable, now: float, ahead_ms: int) -> None:
+        self.ahead_ms = ahead_ms
+        super().__init__(table, 2, now)
+
+    @property
+    def wall_ms(self) -> int:
+        return EPOCH_MS + int(self.now * 1000) + self.ahead_ms
+
+
+def put_record(delay_ms: int, accepted_ms: int) -> bytes:
+    kept = message("m", delay_ms=delay_ms)
+    return records.pack_put(0, (1, 7), Put(accepted_ms, accepted_ms + delay_ms, 1, kept))
+
+
+@pytest.mark.parametrize("ahead_ms", [-2_000, -300, 0, 300, 2_000])
+def test_after_a_takeover_a_delay_goes_on_by_the_clock_of_the_machine_that_heard_it(ahead_ms: int) -> None:
+    accepted_s = 100.0
+    table = new_table()
+    accepted_ms = EPOCH_MS + int(accepted_s * 1000)
+    table.apply(put_record(1_500, accepted_ms), accepted_ms + 2 + ahead_ms)  # 2 ms on the way
+    replica = Replica(table, accepted_s + 0.6, ahead_ms)
+    replica.sleep(0.899)
+    assert replica.lease() == []
+    replica.sleep(0.010)
+    assert len(replica.lease()) == 1
+
+
+def test_a_delay_read_back_from_the_disk_gets_a_margin_for_the_other_machines_clock() -> None:
+    accepted_s = 100.0
+    accepted_ms = EPOCH_MS + int(accepted_s * 1000)
+    first = new_table()
+    record = put_record(1_500, accepted_ms)
+    first.apply(record, accepted_ms)
+    position = first.entries[(1, 7)].put_position
+    assert position is not None
+    table = PartitionTable(0, first._log, first._cache, 60_000)
+    table.replayed(record, records.header_of(record), position, accepted_ms + 400)
+    replica = Replica(table, accepted_s + 0.6, ahead_ms=SKEW_MARGIN_MS)
+    replica.sleep(0.899)
+    assert replica.lease() == []
+    replica.sleep(0.010)
+    assert len(replica.lease()) == 1
+
+
+def test_a_message_without_a_delay_does_not_wait_for_clocks() -> None:
+    accepted_ms = EPOCH_MS + 100_000
+    table = new_table()
+    table.apply(put_record(0, accepted_ms), accepted_ms)
+    replica = Replica(table, 100.1, ahead_ms=-2_000)
+    assert len(replica.lease()) == 1
+    assert replica.table.entries[(1, 7)].status is Status.LEASED
