Forget an order only once nobody sends it again

The history of orders was cut to the newest 4,096 at each order, whatever their age: an order sent again after a lost answer could be refused when many had been taken in between. Nor did anything bound the configuration that a row of PATCHes makes.

An order beyond the newest 4,096 is now dropped only once the head has known it as committed for 60 s of its own steady clock. The caller first sent it before the commit, and that clock starts at or after the commit; a new head or a restart counts anew, which only keeps orders for longer. At 16,384 orders in the history no further one is taken (503). A configuration over 8 MB is refused with 413.

tests/control/test_orders.py: the rule, the count from the commit, and 100 random runs with new heads.

--- a/hollowusher/configuration/orders.py
+++ b/hollowusher/configuration/orders.py
@@ -1,7 +1,7 @@
 """The operator's orders: reading PUT and PATCH, and what they make of the control state.  No I/O, no clock.
 
 An order is known by a digest over its method, its `If-Match` and its content.  The digests of the orders
-taken stay in the control state, so that an order sent again is acknowledged again.
+taken stay in the control state (`order_history`), so that an order sent again is acknowledged again.
 """
 
 from __future__ import annotations
@@ -20,16 +20,21 @@
     check_generation,
     check_items,
 )
+from hollowusher.configuration.order_history import LARGEST_HISTORY, pruned
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control import ControlState, OperatorAnswer
 
 PUT = "PUT"
 PATCH = "PATCH"
 MOST_BODY_BYTES = 8 * 1024 * 1024
-MOST_HISTORY = 4_096
+MOST_HISTORY = 4_096  # older orders are forgotten once nobody sends them again
+MOST_DOCUMENT_BYTES = MOST_BODY_BYTES  # also for what many PATCHes make of it
 DIGEST_BYTES = 16
 
 
+TOO_MANY_ORDERS = OperatorAnswer(503, b'{"error":"too many orders in the last minute"}')
+
+
 @attrs.frozen
 class Order:
     """A well-formed order."""
@@ -88,18 +93,25 @@
     return hashlib.blake2b(head + canonical, digest_size=DIGEST_BYTES).digest()
 
 
-def apply_order(state: ControlState, order: Order) -> OrderOutcome:
-    """What an order does to this state."""
+def apply_order(state: ControlState, order: Order, forgettable: int | None = None) -> OrderOutcome:
+    """What an order does to this state.  Orders up to the generation `forgettable` may leave the history
+    (None: all that were taken)."""
     taken = _generation_taken(state, order.digest)
     if taken is not None:
         return OrderOutcome(_acknowledgement(taken))
     changed = _changed_document(state, order)
     if changed.is_error():
         return OrderOutcome(changed.error.answer())
-    document = changed.ok
-    generation: int = document["generation"]
-    history = [*state.history, [generation, order.digest]][-MOST_HISTORY:]
-    new = evolve(state, generation=generation, document=orjson.dumps(document), history=history)
+    generation: int = changed.ok["generation"]
+    document = orjson.dumps(changed.ok)
+    if len(document) > MOST_DOCUMENT_BYTES:
+        refusal = Refusal(413, "configuration", f"would be longer than {MOST_DOCUMENT_BYTES} bytes")
+        return OrderOutcome(refusal.answer())
+    last = state.generation if forgettable is None else forgettable
+    history = pruned([*state.history, [generation, order.digest]], MOST_HISTORY, last)
+    if len(history) > LARGEST_HISTORY:
+        return OrderOutcome(TOO_MANY_ORDERS)
+    new = evolve(state, generation=generation, document=document, history=history)
     return OrderOutcome(_acknowledgement(generation), new)
 
 
--- a/hollowusher/coordination/state_service.py
+++ b/hollowusher/coordination/state_service.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
+from hollowusher.configuration.order_history import CommittedAges
 from hollowusher.configuration.orders import Order, OrderOutcome, apply_order, read_order
 from hollowusher.coordination.agreement import Agreement
 from hollowusher.coordination.chain import ChainMember
 from hollowusher.coordination.chain_owner import ChainOwner
+from hollowusher.coordination.record_fetch import SLOWEST_BYTES_PER_S
 from hollowusher.coordination.view import find_voter, is_voter
 from hollowusher.coordination.voter_group import VoterGroup
 from hollowusher.protocol.codec import evolve
@@ -47,6 +50,7 @@
         self._member = member
         self._owner = owner
         self._group = group
+        self._ages = CommittedAges()
 
     async def change_configuration(self, message: ChangeConfiguration) -> OperatorAnswer:
         """An order of the operator; the head decides."""
@@ -55,7 +59,8 @@
             return read.error.answer()
         if not self._member.is_head:
             head = self._agreement.view.head if self._agreement.view is not None else ""
-            answer = await self._forward(head, message, FORWARD_CHANGE_TIMEOUT_S)
+            timeout = FORWARD_CHANGE_TIMEOUT_S + len(message.body) / SLOWEST_BYTES_PER_S
+            answer = await self._forward(head, message, timeout)
             return answer if isinstance(answer, OperatorAnswer) else UNAVAILABLE
         return await self._take_order(read.ok)
 
@@ -64,7 +69,7 @@
         outcomes: list[OrderOutcome] = []
 
         def update(state: ControlState) -> ControlState | None:
-            outcome = apply_order(state, order)
+            outcome = apply_order(state, order, self._forgettable())
             outcomes.append(outcome)
             return outcome.state
 
@@ -76,6 +81,13 @@
             return UNAVAILABLE  # a deposed head must not refuse what builds on a newer version
         return answer
 
+    def _forgettable(self) -> int:
+        """The newest generation whose order nobody sends again."""
+        now = asyncio.get_running_loop().time()
+        if self._member.committed is not None:
+            self._ages.note(self._member.committed.generation, now)
+        return self._ages.no_longer_repeated(now)
+
     async def read_configuration(self, message: ReadConfiguration) -> OperatorAnswer:
         """The newest configuration; the tail knows it."""
         if not self._member.is_tail:
--- /dev/null
+++ b/tests/control/test_orders.py
@@ -0,0 +1,109 @@
+"""The history of orders: which may be forgotten, and when no further order is taken."""
+
+from __future__ import annotations
+
+import random
+
+import orjson
+import pytest
+
+from hollowusher.configuration import order_history, orders
+from hollowusher.configuration.order_history import REPEATED_FOR_S, CommittedAges, pruned
+from hollowusher.configuration.orders import MOST_HISTORY, OrderOutcome, apply_order, read_order
+from hollowusher.coordination.chain import EMPTY_STATE
+from hollowusher.protocol.control import ControlState
+from tests.controller_cluster import document
+
+
+def send(state: ControlState, generation: int, if_match: int, forgettable: int | None = None) -> OrderOutcome:
+    read = read_order("PUT", if_match, orjson.dumps(document(generation)))
+    return apply_order(state, read.ok, forgettable)
+
+
+def take(state: ControlState, generation: int, if_match: int, forgettable: int | None = None) -> ControlState:
+    outcome = send(state, generation, if_match, forgettable)
+    assert outcome.answer.status == 200 and outcome.state is not None
+    return outcome.state
+
+
+def test_an_order_that_may_come_again_stays_whatever_the_count() -> None:
+    history = [[generation, b"digest"] for generation in range(1, 11)]
+    assert pruned(history, 4, 0) == history
+    assert pruned(history, 4, 3) == history[3:]
+    assert pruned(history, 4, 10) == history[6:]
+    assert pruned(history, 10, 10) == history
+
+
+def test_an_order_sent_again_is_acknowledged_after_more_orders_than_are_kept(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(orders, "MOST_HISTORY", 5)
+    state = EMPTY_STATE
+    for generation in range(1, 30):
+        state = take(state, generation, generation - 1, forgettable=0)
+    for generation in range(1, 30):
+        assert send(state, generation, generation - 1).answer.status == 200
+    state = take(state, 30, 29, forgettable=20)
+    assert [generation for generation, _ in state.history] == list(range(21, 31))
+
+
+def test_no_order_is_taken_once_the_history_is_full_of_orders_that_may_come_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(orders, "MOST_HISTORY", 3)
+    monkeypatch.setattr(orders, "LARGEST_HISTORY", 6)
+    state = EMPTY_STATE
+    for generation in range(1, 7):
+        state = take(state, generation, generation - 1, forgettable=0)
+    outcome = send(state, 7, 6, forgettable=0)
+    assert outcome.answer.status == 503 and outcome.state is None
+    assert send(state, 1, 0, forgettable=0).answer.status == 200
+    assert send(state, 7, 6, forgettable=3).answer.status == 200
+
+
+def test_the_age_of_an_order_counts_from_when_it_was_known_as_committed() -> None:
+    ages = CommittedAges()
+    ages.note(0, 0.0)
+    ages.note(5, 10.0)
+    ages.note(5, 20.0)
+    ages.note(7, 30.0)
+    assert ages.no_longer_repeated(10.0 + REPEATED_FOR_S - 0.1) == 0
+    assert ages.no_longer_repeated(10.0 + REPEATED_FOR_S) == 5
+    ages.note(7, 95.0)
+    assert ages.no_longer_repeated(30.0 + REPEATED_FOR_S) == 7
+    ages.note(7, 200.0)
+    assert ages.no_longer_repeated(900.0) == 7
+
+
+def test_nothing_is_forgotten_within_its_time_in_random_runs(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(orders, "MOST_HISTORY", 10)
+    for seed in range(100):
+        chance = random.Random(seed)
+        state, ages, now = EMPTY_STATE, CommittedAges(), 0.0
+        taken_at: dict[int, float] = {}
+        for generation in range(1, 200):
+            now += chance.choice((0.01, 0.5, 20.0))
+            if chance.random() < 0.05:
+                ages = CommittedAges()  # another head, or a restart
+            ages.note(state.generation, now)
+            state = take(state, generation, generation - 1, ages.no_longer_repeated(now))
+            taken_at[generation] = now
+            kept = {each for each, _ in state.history}
+            assert all(each in kept for each, at in taken_at.items() if now - at < REPEATED_FOR_S)
+            assert len(kept) >= min(generation, 10)
+
+
+def test_the_bounds_of_the_history() -> None:
+    assert MOST_HISTORY == 4_096
+    assert order_history.LARGEST_HISTORY == 16_384 and REPEATED_FOR_S == 60.0
+
+
+def test_patches_do_not_make_a_configuration_longer_than_a_body_may_be(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(orders, "MOST_DOCUMENT_BYTES", 1_000)
+    state = take(EMPTY_STATE, 1, 0)
+    route = document(1)["routes"][0] | {"name": "r2", "pathPrefix": "/b/", "comment": "x" * 800}
+    body = orjson.dumps({"generation": 2, "upsert": {"routes": [route]}})
+    outcome = apply_order(state, read_order("PATCH", 1, body).ok)
+    assert outcome.answer.status == 413 and outcome.state is None
