Compare what operators are told with a plain list of the orders taken

Three operators read, send PUT and PATCH, copies at once and old orders again, to any controller, while machines are killed, wiped, cut off, slowed, or have a stuck or full disk, and all are killed together. At the end the history has to be a list of orders each of which builds on the one before, make the document in force, hold every acknowledged order and none that was refused; no read is older than an acknowledgement before it.

--- /dev/null
+++ b/tests/control/order_model.py
@@ -0,0 +1,211 @@
+"""A plain, slow model of the orders, and operators whose dealings with a cluster are compared with it.
+
+The model is a list of the orders taken, one after the other.  What the cluster holds at the end has to be
+such a list, and each answer and each read that an operator got has to fit it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+import attrs
+import orjson
+
+from hollowusher.configuration.orders import read_order
+from hollowusher.coordination.controller import Controller
+from hollowusher.protocol.control import ChangeConfiguration, ControlState, OperatorAnswer, ReadConfiguration
+from tests.controller_cluster import Cluster, document
+
+CALL_TIMEOUT_S = 1.0
+GIVE_UP_S = 12.0
+PAUSE_S = 0.1
+
+
+@attrs.define(eq=False)
+class SentOrder:
+    """One order, and what its callers were told."""
+
+    method: str
+    if_match: int
+    body: bytes
+    acknowledged_at: float | None = None
+    refused: list[OperatorAnswer] = attrs.Factory(list)
+
+    @property
+    def digest(self) -> bytes:
+        """What the order is known by in the history."""
+        return read_order(self.method, self.if_match, self.body).ok.digest
+
+    @property
+    def content(self) -> dict[str, Any]:
+        """What it asks for."""
+        content: dict[str, Any] = orjson.loads(self.body)
+        return content
+
+    @property
+    def generation(self) -> int:
+        """The number that it gives to its version."""
+        return int(self.content["generation"])
+
+
+@attrs.frozen
+class Read:
+    """One answer to `GET /config`."""
+
+    started_at: float
+    generation: int
+
+
+class PlainOrders:
+    """The orders taken, as a list; the document is made anew from all of them."""
+
+    def __init__(self) -> None:
+        self.taken: list[SentOrder] = []
+
+    @property
+    def generation(self) -> int:
+        """The version in force."""
+        return self.taken[-1].generation if self.taken else 0
+
+    def take(self, order: SentOrder) -> None:
+        """The order has been taken: it must build on the version in force."""
+        assert order.if_match == self.generation, (order, self.generation)
+        assert order.generation > self.generation
+        self.taken.append(order)
+
+    def document(self) -> dict[str, Any]:
+        """The configuration in force."""
+        made: dict[str, Any] = {}
+        for order in self.taken:
+            if order.method == "PUT":
+                made = order.content
+                continue
+            altered = {route["name"]: route for route in order.content["upsert"]["routes"]}
+            routes = [altered.pop(route["name"], route) for route in made["routes"]]
+            made = {**made, "generation": order.generation, "routes": [*routes, *altered.values()]}
+        return made
+
+
+class Operators:
+    """Several operators at work on one cluster."""
+
+    def __init__(self, cluster: Cluster, chance: random.Random) -> None:
+        self.cluster = cluster
+        self.chance = chance
+        self.orders: list[SentOrder] = []
+        self.reads: list[Read] = []
+        self.going = True
+        self._numbers = 0
+
+    # -- single calls ----------------------------------------------------------------------------------
+
+    def controllers(self) -> list[Controller]:
+        """Those that run now."""
+        return [node.controller for node in self.cluster.nodes.values() if node.controller is not None]
+
+    async def call(self, message: Any) -> OperatorAnswer | None:
+        """Ask any controller; None where no answer came in time.  The call goes on all the same."""
+        running = self.controllers()
+        if not running:
+            return None
+        task = asyncio.ensure_future(self.chance.choice(running).handle(message))
+        self.cluster.calls.add(task)
+        task.add_done_callback(self.cluster.calls.discard)
+        await asyncio.wait({task}, timeout=CALL_TIMEOUT_S * self.chance.choice((0.05, 1.0, 3.0)))
+        if not task.done() or task.cancelled():
+            return None
+        answer = task.result()
+        assert isinstance(answer, OperatorAnswer)
+        return answer
+
+    async def send(self, order: SentOrder) -> bool:
+        """Send an order once; whether the answer was clear."""
+        message = ChangeConfiguration(order.method, order.if_match, order.body)
+        answer = await self.call(message)
+        if answer is None or answer.status == 503:
+            return False
+        if answer.status == 200:
+            assert orjson.loads(answer.body)["generation"] == order.generation
+            if order.acknowledged_at is None:
+                order.acknowledged_at = asyncio.get_running_loop().time()
+        else:
+            order.refused.append(answer)
+        return True
+
+    async def read(self) -> int | None:
+        """The version in force, None where nobody could say."""
+        started_at = asyncio.get_running_loop().time()
+        answer = await self.call(ReadConfiguration())
+        if answer is None or answer.status not in (200, 404):
+            return None
+        generation = orjson.loads(answer.body)["generation"] if answer.status == 200 else 0
+        self.reads.append(Read(started_at, generation))
+        return int(generation)
+
+    # -- an operator -----------------------------------------------------------------------------------
+
+    async def work(self) -> None:
+        """Read the version in force, send a change of it until the answer is clear, and so on."""
+        while self.going:
+            base = await self.read()
+            if base is not None:
+                await self._send_until_clear(self._new_order(base))
+                await self._send_an_old_one_again()
+            await asyncio.sleep(self.chance.uniform(0.0, PAUSE_S))
+
+    def _new_order(self, base: int) -> SentOrder:
+        self._numbers += 1
+        generation = base + self.chance.choice((1, 1, 2))
+        content = document(generation)
+        content["routes"][0]["comment"] = self._numbers
+        method = "PUT"
+        if base and self.chance.random() < 0.4:
+            method = "PATCH"
+            route = {**content["routes"][0], "name": f"r{self._numbers}", "pathPrefix": f"/{self._numbers}/"}
+            content = {"generation": generation, "upsert": {"routes": [route]}}
+        order = SentOrder(method, base, orjson.dumps(content))
+        self.orders.append(order)
+        return order
+
+    async def _send_until_clear(self, order: SentOrder) -> None:
+        started = asyncio.get_running_loop().time()
+        while asyncio.get_running_loop().time() - started < GIVE_UP_S:
+            copies = self.chance.choice((1, 1, 2, 3))  # the same order at once, at several controllers
+            if any(await asyncio.gather(*(self.send(order) for _ in range(copies)))):
+                return
+            await asyncio.sleep(self.chance.uniform(0.0, PAUSE_S))
+
+    async def _send_an_old_one_again(self) -> None:
+        """Send an order again that was acknowledged at some time, or that nobody knows more about."""
+        if self.orders and self.chance.random() < 0.3:
+            await self.send(self.chance.choice(self.orders[-30:]))
+
+    # -- the comparison --------------------------------------------------------------------------------
+
+    def check(self, state: ControlState) -> PlainOrders:
+        """Compare all that was answered with the state at the end."""
+        by_digest = {order.digest: order for order in self.orders}
+        plain = PlainOrders()
+        for generation, digest in state.history:
+            assert by_digest[digest].generation == generation
+            plain.take(by_digest[digest])
+        assert plain.document() == (orjson.loads(state.document) if state.document else {})
+        in_force = set(map(id, plain.taken))
+        for order in self.orders:
+            if order.acknowledged_at is not None:
+                assert id(order) in in_force, f"acknowledged and not in force: {order}"
+            if order.refused:
+                assert id(order) not in in_force, f"refused and in force: {order}"
+        self._check_reads(plain)
+        return plain
+
+    def _check_reads(self, plain: PlainOrders) -> None:
+        """No read is older than what had been acknowledged before it began."""
+        known = {order.generation for order in plain.taken} | {0}
+        for read in self.reads:
+            assert read.generation in known, f"read and not in force at any time: {read}"
+            for order in plain.taken:
+                if order.acknowledged_at is not None and order.acknowledged_at < read.started_at:
+                    assert read.generation >= order.generation, f"{read} after {order}"
--- /dev/null
+++ b/tests/control/test_orders_random.py
@@ -0,0 +1,102 @@
+"""Operators at work while controllers come to harm, compared with a plain list of the orders taken."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from tests.control.order_model import Operators, SentOrder
+from tests.controller_cluster import FULL, STUCK, Cluster, Node, run_virtual
+
+SEEDS = 12
+TROUBLE_S = 2.5
+CALM_S = 4.0
+SETTLE_S = 8.0
+
+
+class Troubles:
+    """One trouble after the other, each within what the deployment has to bear."""
+
+    def __init__(self, cluster: Cluster, chance: random.Random) -> None:
+        self.cluster = cluster
+        self.chance = chance
+
+    async def play(self, count: int) -> None:
+        kinds = (self.kill, self.wipe, self.cut, self.stick, self.fill, self.kill_all, self.slow)
+        for _ in range(count):
+            await self.chance.choice(kinds)(self.cluster[self.chance.choice(sorted(self.cluster.nodes))])
+            await asyncio.sleep(CALM_S)
+
+    async def pause(self) -> None:
+        await asyncio.sleep(self.chance.uniform(0.05, TROUBLE_S))
+
+    async def kill(self, node: Node) -> None:
+        await node.kill()
+        await self.pause()
+        await node.start()
+
+    async def wipe(self, node: Node) -> None:
+        await node.kill()
+        node.wipe()
+        await self.pause()
+        await node.start()
+
+    async def cut(self, node: Node) -> None:
+        self.cluster.cut_off(node.name)
+        await self.pause()
+        self.cluster.join_all()
+
+    async def stick(self, node: Node) -> None:
+        node.files[STUCK] = b"yes"
+        await self.pause()
+        del node.files[STUCK]
+
+    async def fill(self, node: Node) -> None:
+        node.files[FULL] = b"yes"
+        await self.pause()
+        del node.files[FULL]
+
+    async def kill_all(self, node: Node) -> None:
+        for each in self.cluster.nodes.values():
+            await each.kill()
+        await asyncio.sleep(0.2)
+        for each in self.cluster.nodes.values():
+            await asyncio.sleep(self.chance.uniform(0.0, 0.3))
+            await each.start()
+
+    async def slow(self, node: Node) -> None:
+        self.cluster.network.disk_slowness[node.name] = 30.0
+        await self.pause()
+        self.cluster.network.disk_slowness.clear()
+
+
+async def play(seed: int, names: str, jitter: float, troubles: int = 5) -> Operators:
+    """One run; the operators with all that they were told, compared with the state at the end."""
+    chance = random.Random(f"orders {seed}")
+    cluster = Cluster(names, seed)
+    await cluster.first_start()
+    cluster.network.slowest_s = jitter
+    operators = Operators(cluster, chance)
+    tasks = [asyncio.ensure_future(operators.work()) for _ in range(3)]
+    await Troubles(cluster, chance).play(troubles)
+    operators.going = False
+    await asyncio.gather(*tasks)
+    await asyncio.sleep(SETTLE_S)
+    last = SentOrder("PUT", 0, b"")
+    while last.acknowledged_at is None:  # one more order brings to its end what was under way
+        base = await operators.read()
+        if base is not None:
+            last = operators._new_order(base)
+            await operators._send_until_clear(last)
+    state = next(each.state for each in operators.controllers() if each.is_head)
+    assert state is not None
+    operators.check(state)
+    return operators
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_what_operators_are_told_fits_a_plain_list_of_orders(seed: int) -> None:
+    operators = run_virtual(play(seed, "abc" if seed % 3 else "abcd", (0.0, 0.02, 0.1, 0.3)[seed % 4]))
+    assert sum(order.acknowledged_at is not None for order in operators.orders) > 5
