Count messages of the control chain that are refused, by reason, and test each

Controller.refused_writes tells how many messages of the chain were not taken: of another cluster, disk or epoch, not from the member before, older than the state held; parts of a record not held, cut short, of a wrong size, with a wrong digest, or not saved. Each has a test that nothing was changed.

--- a/hollowusher/coordination/controller.py
+++ b/hollowusher/coordination/controller.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from typing import Any
@@ -119,6 +120,11 @@
         """Whether this is the chain's head, has brought its epoch into force and hears a majority."""
         return self._leads() and self._member.in_force
 
+    @property
+    def refused_writes(self) -> Counter[str]:
+        """How many messages of the chain were not taken, by reason."""
+        return self._replicator.refused
+
     async def change(self, update: Update) -> bool:
         """Head: commit what `update` makes of the newest state (None: leave it).  True once the result is
         committed; False where that is not known in time, or this is not the head."""
--- /dev/null
+++ b/tests/control/test_snapshots_bad_input.py
@@ -0,0 +1,210 @@
+"""Messages of the control chain that do not belong here: refused, counted, and nothing is changed."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+
+import pytest
+
+from hollowusher.coordination.record_fetch import RecordBuffer, RecordFetch, read_chunk
+from hollowusher.coordination.state_record import (
+    CHUNK_BYTES,
+    MOST_RECORD_BYTES,
+    StateRecord,
+    make_record,
+    without_record,
+)
+from hollowusher.coordination.state_store import StateStore
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import (
+    ChainWrite,
+    ChainWritten,
+    ControlState,
+    ReadRecord,
+    RecordChunk,
+)
+from hollowusher.storage.memory import MemorySlot
+from tests.control.test_snapshots import large_body, member, send_until_taken, sized_cluster, virtual
+from tests.controller_cluster import Cluster
+
+LARGE = 3 * CHUNK_BYTES + 100
+
+
+def record_of(size: int, mark: str = "x") -> StateRecord:
+    return make_record(ControlState(1, 1, mark.encode() * size, [[1, b"digest"]]))
+
+
+def store() -> StateStore:
+    return StateStore(MemorySlot(), [MemorySlot(), MemorySlot()])
+
+
+# -- writes ------------------------------------------------------------------------------------------------
+
+
+def next_write(cluster: Cluster) -> ChainWrite:
+    """A write that the second member would take from the head."""
+    head = member(cluster["a"])
+    state = evolve(head.state, sequence=head.state.sequence + 1)
+    return ChainWrite(head.epoch, state, cluster=head.view.cluster, sender="a", receiver_disk="disk-b")
+
+
+@pytest.mark.parametrize(
+    ("fields", "reason"),
+    [
+        ({"cluster": "another"}, "write: another cluster"),
+        ({"receiver_disk": "another"}, "write: another disk"),
+        ({"epoch": 7}, "write: another epoch"),
+        ({"epoch": 0}, "write: another epoch"),
+        ({"sender": "c"}, "write: not from the member before"),
+        ({"sender": "stranger"}, "write: not from the member before"),
+    ],
+)
+@virtual
+async def test_a_write_that_does_not_belong_here_is_refused_and_counted(
+    fields: dict[str, Any], reason: str
+) -> None:
+    cluster = Cluster("abc")
+    await cluster.first_start()
+    await cluster.put_somewhere(1, 0)
+    named = evolve(member(cluster["b"]).view, cluster="this one")
+    member(cluster["b"]).view = named  # views name their system once it has been drawn
+    files, state = dict(cluster["b"].files), member(cluster["b"]).state
+    write = evolve(next_write(cluster), **{"cluster": "this one", **fields})
+    answer = await cluster["b"].running.handle(write)
+    assert isinstance(answer, ChainWritten) and not answer.ok and answer.epoch == 1
+    assert cluster["b"].running.refused_writes[reason] == 1
+    assert cluster["b"].files == files and member(cluster["b"]).state is state
+    assert member(cluster["c"]).state == member(cluster["a"]).state
+
+
+@virtual
+async def test_a_delayed_duplicate_of_an_earlier_write_changes_nothing() -> None:
+    cluster = Cluster("abc")
+    await cluster.first_start()
+    await cluster.put_somewhere(1, 0)
+    early = evolve(next_write(cluster), state=member(cluster["a"]).state)
+    await cluster.put_somewhere(2, 1)
+    files = dict(cluster["b"].files)
+    answer = await cluster["b"].running.handle(early)
+    assert not answer.ok and cluster["b"].files == files
+    assert cluster["b"].running.refused_writes["write: older than the state held"] == 1
+    again = evolve(early, state=member(cluster["a"]).state)
+    assert (await cluster["b"].running.handle(again)).ok  # the newest again: acknowledged, not saved again
+    assert cluster["b"].files == files
+
+
+@virtual
+async def test_a_write_whose_document_is_not_held_says_so_and_changes_nothing() -> None:
+    cluster = Cluster("abc")
+    await cluster.first_start()
+    await cluster.put_somewhere(1, 0)
+    write = next_write(cluster)
+    files = dict(cluster["b"].files)
+    unknown = evolve(write, state=without_record(write.state), record=b"0" * 16)
+    for _ in range(3):
+        answer = await cluster["b"].running.handle(unknown)
+        assert not answer.ok and answer.lacking == "b"
+    await cluster.until(lambda: cluster["b"].running.refused_writes["record: not held"] > 0, 5.0)
+    assert cluster["b"].files == files
+    await cluster.put_somewhere(2, 1)
+
+
+# -- records -----------------------------------------------------------------------------------------------
+
+
+def chunks(record: StateRecord) -> list[RecordChunk]:
+    return [read_chunk(record, offset) for offset in range(0, len(record.encoded), CHUNK_BYTES)]
+
+
+def test_a_record_is_whole_after_its_chunks_in_order() -> None:
+    record = record_of(LARGE)
+    buffer = RecordBuffer(record.digest)
+    for chunk in chunks(record):
+        assert not buffer.full
+        assert buffer.take(chunk) == ""
+    assert buffer.full
+    found = buffer.finish()
+    assert found is not None and found.encoded == record.encoded
+
+
+def test_chunks_that_do_not_fit_are_not_taken() -> None:
+    record, other = record_of(LARGE), record_of(LARGE, "y")
+    first, second, *_ = chunks(record)
+    buffer = RecordBuffer(record.digest)
+    assert buffer.take(RecordChunk(b"", 0, 0, b"")) == "not held"
+    assert buffer.take(chunks(other)[0]) == "not held"
+    assert buffer.take(second) == "cut short"
+    assert buffer.take(evolve(first, data=b"")) == "cut short"
+    assert buffer.take(evolve(first, size=0)) == "wrong size"
+    assert buffer.take(evolve(first, size=MOST_RECORD_BYTES + 1)) == "wrong size"
+    assert buffer.take(evolve(first, size=10)) == "cut short"
+    assert buffer.offset == 0
+    assert buffer.take(first) == ""
+    assert buffer.take(first) == "cut short"  # the same one again
+    assert buffer.take(evolve(second, size=second.size + 1)) == "wrong size"
+    assert buffer.take(second) == "" and buffer.offset == 2 * CHUNK_BYTES
+
+
+def test_a_record_with_another_digest_is_dropped_and_begun_anew() -> None:
+    record = record_of(LARGE)
+    spoilt = [evolve(chunk, data=bytes([chunk.data[0] ^ 1]) + chunk.data[1:]) for chunk in chunks(record)]
+    buffer = RecordBuffer(record.digest)
+    for chunk in [*spoilt[:1], *chunks(record)[1:]]:
+        assert buffer.take(chunk) == ""
+    assert buffer.full and buffer.finish() is None
+    assert buffer.offset == 0 and not buffer.full
+    for chunk in chunks(record):
+        assert buffer.take(chunk) == ""
+    assert buffer.finish() is not None
+
+
+def test_questions_beyond_a_record_or_for_one_not_held_are_answered_truthfully() -> None:
+    record = record_of(100)
+    for offset in (-1, len(record.encoded), 10**9):
+        assert read_chunk(record, offset) == RecordChunk(b"", 0, offset, b"")
+    assert read_chunk(None, 0) == RecordChunk(b"", 0, 0, b"")
+
+
+@virtual
+async def test_a_record_of_another_cluster_is_not_handed_out() -> None:
+    cluster = Cluster("abc")
+    await cluster.first_start()
+    await cluster.put_somewhere(1, 0)
+    held = member(cluster["b"])
+    held.view = evolve(held.view, cluster="this one")
+    answer = await cluster["b"].running.handle(ReadRecord(b"", 0, "another"))
+    assert answer == RecordChunk(b"", 0, 0, b"")
+    assert cluster["b"].running.refused_writes["record: another cluster"] == 1
+    answer = await cluster["b"].running.handle(ReadRecord(b"", 0, "this one"))
+    assert answer.digest == make_record(held.state).digest
+
+
+@virtual
+async def test_a_record_cut_short_is_fetched_from_where_it_broke_off() -> None:
+    cluster = await sized_cluster()
+    await cluster["c"].kill()
+    await send_until_taken(cluster, large_body(1), 0)
+    source = cluster["a"]
+    record = make_record(member(source).state)
+    disk = store()
+    asked: list[int] = []
+
+    class Breaking:
+        """A network that breaks off in the middle."""
+
+        async def call(self, address: str, message: ReadRecord, timeout: float) -> Any:
+            asked.append(message.offset)
+            if len(asked) == 5:
+                return evolve(await source.running.handle(message), data=b"")
+            return await source.running.handle(message)
+
+    counts: Counter[str] = Counter()
+    work: list[Any] = []
+    fetch = RecordFetch(Breaking(), disk, work.append, counts)  # type: ignore[arg-type]
+    fetch.want(record.digest, source.address, "")
+    assert not disk.is_durable(record.digest)
+    await work.pop()
+    assert disk.is_durable(record.digest) and counts == {"record: cut short": 1}
+    assert asked == [0, *(CHUNK_BYTES * n for n in (1, 2, 3, 4, 4)), *asked[6:]]
+    assert sorted(set(asked)) == list(range(0, len(record.encoded), CHUNK_BYTES))
