--- a/hollowusher/simulation/__main__.py
+++ b/hollowusher/simulation/__main__.py
@@ -15,10 +15,11 @@
     from hollowusher.simulation.day import DayPlan
 
 HASH_SEED = "PYTHONHASHSEED"
+USUAL_SEEDS = "1-5"
 
 
 @click.command()
-@click.option("--seeds", default="1-5", help="First and last seed, A-B, or one seed.")
+@click.option("--seeds", default="", help="First and last seed, A-B, or one seed; 1-5 or the script's.")
 @click.option("--minutes", default=0.0, help="Stop after so many minutes of real time; 0: no limit.")
 @click.option("--traffic", "traffic_s", default=30.0, help="Seconds of traffic a day.")
 @click.option("--calm", "calm_s", default=20.0, help="Seconds of calm at the end of a day.")
@@ -53,12 +54,12 @@
         worker_troubles=not quiet_days,
         kinds=tuple(kinds.split(",")) if kinds else None,
     )
-    first, _, last = seeds.partition("-")
+    first, _, last = (seeds or USUAL_SEEDS).partition("-")
     numbers = range(int(first), int(last or first) + 1)
     if planted_names:
         sys.exit(0 if find_planted(planted_names, numbers, plan) else 1)
     if script_file:
-        sys.exit(0 if play_script(script_file, rate, go_on, verbose) else 1)
+        sys.exit(0 if play_script(script_file, numbers if seeds else (), rate, go_on, verbose) else 1)
     until = time.monotonic() + 60 * minutes if minutes else float("inf")
     sys.exit(0 if play_seeds(numbers, plan, until, go_on, verbose) else 1)
 
@@ -84,13 +85,13 @@
     return kept
 
 
-def play_script(file: str, rate: float, go_on: bool, verbose: bool) -> bool:
-    """Whether the days of a script kept all rules."""
+def play_script(file: str, seeds: Sequence[int], rate: float, go_on: bool, verbose: bool) -> bool:
+    """Whether the days of a script kept all rules, with the given seeds or its own."""
     from hollowusher.simulation.day import scripted
     from hollowusher.simulation.troubles.script import read_script
 
     script = read_script(Path(file))
-    return play_seeds(script.seeds, scripted(script, rate), float("inf"), go_on, verbose)
+    return play_seeds(seeds or script.seeds, scripted(script, rate), float("inf"), go_on, verbose)
 
 
 def find_planted(names: str, numbers: range, plan: DayPlan) -> bool:
@@ -113,10 +114,15 @@
         with planting(name):
             result = play_day(seed, fault.plan(plan), build_program)
         hits = [broken for broken in result.broken if broken.rule in fault.rules]
-        if hits:
-            first = min(hits, key=lambda broken: (fault.rules.index(broken.rule), broken.at))
-            click.echo(f"{name}: found at seed {seed}: {first}")
-            return True
+        if not hits:
+            continue
+        without = play_day(seed, fault.plan(plan), build_program)
+        if any(broken.rule in fault.rules for broken in without.broken):
+            click.echo(f"{name}: seed {seed} breaks without the fault, too: {without.first}")
+            continue
+        first = min(hits, key=lambda broken: (fault.rules.index(broken.rule), broken.at))
+        click.echo(f"{name}: found at seed {seed}: {first}")
+        return True
     other = result.first or "nothing broken"
     click.echo(f"{name}: NOT FOUND in seeds {numbers.start}-{numbers.stop - 1} (last: {other})")
     return False
--- a/hollowusher/simulation/day.py
+++ b/hollowusher/simulation/day.py
@@ -100,7 +100,7 @@
         outside = Outside(world.http, self.seen, Stamps(), world.random("outside"))
         self.fleet = Fleet(world, outside, self.entry.pull_address)
         operators = self.changes if plan.changes else None
-        self.troublemaker = Troublemaker(world, world.random("troubles"), plan.kinds, operators)
+        self.troublemaker = Troublemaker(world, world.random("troubles"), plan.kinds, operators, self.fleet)
         self._clients = Clients(
             world.http,
             self.seen,
--- a/hollowusher/simulation/fleet.py
+++ b/hollowusher/simulation/fleet.py
@@ -105,6 +105,11 @@
             else:
                 await self._release(chance.choice(listed), chance)
 
+    async def all_down(self, seconds: float) -> None:
+        """All listed workers crash, and others come after so long."""
+        chance = self.world.random("workers down")
+        await asyncio.gather(*(self._crash(worker, chance, seconds) for worker in self._listed()))
+
     async def trouble_endpoint(self, until: float) -> None:
         """The fixed endpoint is down or slow for a while."""
         chance = self.world.random("endpoint troubles")
--- /dev/null
+++ b/hollowusher/simulation/planted/__init__.py
@@ -0,0 +1,8 @@
+"""Planted faults: small changes of the real parts.  Each breaks a promise, which the checks must notice."""
+
+from hollowusher.simulation.planted import calls, control, membership, partitions, queues
+from hollowusher.simulation.planted.registry import PLANTED, Planted, planting
+
+__all__ = ["MODULES", "PLANTED", "Planted", "planting"]
+
+MODULES = (partitions, queues, control, membership, calls)  # they register their faults
--- /dev/null
+++ b/hollowusher/simulation/planted/calls.py
@@ -0,0 +1,133 @@
+"""Planted faults of calls: answers that are not one's own, messages at used addresses, refusals, drains."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from hollowusher.configuration import orders
+from hollowusher.coordination.agreement import Agreement
+from hollowusher.coordination.voter_group import VoterGroup
+from hollowusher.messages.active import GONE, LeaseEnd
+from hollowusher.messages.leases import MessageLeases
+from hollowusher.messages.primary import PartitionPrimary
+from hollowusher.messages.records import Status
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.store import LeaseAnswer
+from hollowusher.roles import edge
+from hollowusher.simulation import stand_ins
+from hollowusher.simulation.http import HttpRequest
+from hollowusher.simulation.planted.registry import NEVER_S, Patches, attack, planted
+from hollowusher.simulation.stand_ins import SimulatedFrontend
+
+
+def _on_requests(patches: Patches, *dropped: str) -> None:
+    """Have requests to workers go out without some of their headers."""
+    real = stand_ins.parse_request
+
+    def parse(sent: bytes) -> HttpRequest:
+        request = real(sent)
+        kept = {name: value for name, value in request.headers.items() if name.lower() not in dropped}
+        return HttpRequest(request.method, request.target, kept, request.body)
+
+    patches.set(stand_ins, "parse_request", parse)
+
+
+@planted("ROUTE")
+def _message_to_a_used_address(patches: Patches) -> None:
+    _on_requests(patches, "x-target-instance")
+
+
+@planted("UNASKED")
+def _ordering_key_dropped(patches: Patches) -> None:
+    _on_requests(patches, "x-ordering-key")
+
+
+@planted("MIXED", "TWICE", "LOST")
+def _answer_of_another_message_taken(patches: Patches) -> None:
+    patches.set(stand_ins, "belongs", lambda answer, identifier: True)
+
+
+@planted("MIXED")
+def _repeated_end_refused(patches: Patches) -> None:
+    patches.set(LeaseEnd, "is_repeat", lambda end, state: False)
+
+
+@planted("LOST")
+def _end_forgotten(patches: Patches) -> None:
+    real = PartitionPrimary.status
+
+    def status(primary: PartitionPrimary, key: Any, want_body: bool) -> Any:
+        answer = real(primary, key, want_body)
+        entry = primary.table.entries.get(key)
+        ended = entry is not None and entry.status is Status.COMPLETED
+        return evolve(answer, state="unknown") if ended else answer
+
+    patches.set(PartitionPrimary, "status", status)
+
+
+@planted("BUDGET", "STALE")
+def _failures_without_end(patches: Patches) -> None:
+    real = MessageLeases.finish
+
+    def finish(leases: MessageLeases, lease: Any, request: Any, now: float, wall_ms: int) -> Any:
+        failed = request.result in ("failed", "refused")
+        return real(leases, lease, evolve(request, result="unknown") if failed else request, now, wall_ms)
+
+    patches.set(MessageLeases, "finish", finish)
+
+
+@planted("DRAIN", kinds=("stop", "roll"))
+def _ready_after_sigterm(patches: Patches) -> None:
+    def drain(frontend: SimulatedFrontend) -> None:
+        frontend._intake.drain()
+
+    async def stop(frontend: SimulatedFrontend, grace_s: float) -> None:
+        await frontend.frontend.stop(NEVER_S)
+
+    patches.set(edge, "NOT_READY_BEFORE_STOP_S", 5.0)
+    patches.set(SimulatedFrontend, "drain", drain)
+    patches.set(SimulatedFrontend, "stop", stop)
+
+
+@planted(
+    "CONFIG",
+    script=(attack(2, "cut_core", "edge-1", for_s=12.0), attack(16, "cut_core", "edge-2", for_s=12.0)),
+)
+def _refusal_without_a_majority(patches: Patches) -> None:
+    async def confirms(agreement: Agreement, epoch: int) -> bool:
+        return True
+
+    patches.set(Agreement, "majority_confirms", confirms)
+    patches.set(VoterGroup, "hears_majority", lambda group, view: True)
+
+
+@planted("CONFIG", kinds=("ack_lost", "flood", "race"))
+def _order_history_cut_short(patches: Patches) -> None:
+    patches.set(orders, "pruned", lambda history, *bounds: history[-1:])
+
+
+@planted("CONFIG", kinds=("ack_lost", "flood", "race"))
+def _same_order_taken_twice(patches: Patches) -> None:
+    real = orders.apply_order
+
+    def apply(state: Any, order: Any) -> Any:
+        matching = attrs.evolve(order, if_match=state.generation)
+        return real(state, matching if order.if_match else order)
+
+    from hollowusher.coordination import state_service
+
+    patches.set(state_service, "apply_order", apply)
+
+
+@planted("TWICE", "MIXED")
+def _end_of_a_lost_lease_taken(patches: Patches) -> None:
+    real = MessageLeases.finish
+    patches.set(MessageLeases, "lease_seconds", lambda leases, active, state: 0.05)
+
+    def finish(leases: MessageLeases, lease: Any, request: Any, now: float, wall_ms: int) -> Any:
+        answer = real(leases, lease, request, now, wall_ms)
+        return LeaseAnswer("taken") if answer is GONE else answer
+
+    patches.set(MessageLeases, "finish", finish)
--- /dev/null
+++ b/hollowusher/simulation/planted/membership.py
@@ -0,0 +1,237 @@
+"""Planted faults of membership: voters, views, placements, machines that come and go."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from hollowusher.coordination import agreement, placement, placement_duty, reconfiguration, view, voter_group
+from hollowusher.coordination.agreement import Agreement
+from hollowusher.coordination.bootstrap import SeedService
+from hollowusher.coordination.chain import ChainMember
+from hollowusher.coordination.client import ClusterClient
+from hollowusher.coordination.replicator import Replicator
+from hollowusher.coordination.view import Acceptor
+from hollowusher.messages.hosting import PartitionHost
+from hollowusher.messages.service import StoreService
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import ChainWrite, ReadView, ViewAnswer
+from hollowusher.simulation.planted.registry import NEVER_S, Patches, attack, planted
+from hollowusher.simulation.world import Size
+
+DARK_WITH_PLAIN_SEEDS = (attack(3, "seed_turnover", how="plain"), attack(4, "dark"))
+TWO_REPLACED = (
+    attack(3, "replace", "edge-3", for_s=1.0),
+    attack(4, "replace", "edge-2", for_s=1.0),
+    attack(5, "replace", "edge-1", for_s=1.0),
+)
+
+
+# ---- votes and views
+
+
+@planted("LIVENESS", "CONFIG", "LOST", kinds=("herd_kill", "herd_power", "dark"))
+def _votes_never_saved(patches: Patches) -> None:
+    real = Acceptor.dump
+    patches.set(Acceptor, "dump", lambda acceptor: real(Acceptor(acceptor.name, acceptor.disk_id)))
+
+
+@planted("CONFIG", "LOST", "LIVENESS", kinds=("cut_core", "cut_both", "race"))
+def _majority_of_one(patches: Patches) -> None:
+    for module in (view, agreement, reconfiguration):
+        if "majority" in module.__dict__:
+            patches.set(module, "majority", lambda base: 1)
+        if "shortest_chain" in module.__dict__:
+            patches.set(module, "shortest_chain", lambda base: 1)
+
+
+@planted("LIVENESS", script=TWO_REPLACED)
+def _voter_never_removed(patches: Patches) -> None:
+    real = voter_group.__dict__["choose_candidate"]
+
+    def choose(*arguments: Any) -> Any:
+        chosen = real(*arguments)
+        return None if chosen is None else (chosen[0], None)
+
+    patches.set(voter_group, "choose_candidate", choose)
+
+
+@planted("LIVENESS", script=TWO_REPLACED)
+def _newcomers_never_vote(patches: Patches) -> None:
+    patches.set(voter_group, "choose_candidate", lambda *arguments: None)
+
+
+@planted("LIVENESS", "LOST", script=DARK_WITH_PLAIN_SEEDS, size=Size(plain_edges=3))
+def _seed_forgets_the_view(patches: Patches) -> None:
+    real_seed, real_client = SeedService.handle, ClusterClient.handle
+
+    async def handle(seed: SeedService, message: Any) -> Any:
+        answer = await real_seed(seed, message)
+        return ViewAnswer(None) if isinstance(answer, ViewAnswer) else answer
+
+    async def ask(client: ClusterClient, message: Any) -> Any:
+        return ViewAnswer(None) if isinstance(message, ReadView) else await real_client(client, message)
+
+    patches.set(SeedService, "handle", handle)
+    patches.set(ClusterClient, "handle", ask)
+
+
+@planted("LIVENESS", "CONFIG", kinds=("cut_core", "power", "freeze"))
+def _decided_views_not_learned(patches: Patches) -> None:
+    real = Agreement.learn
+
+    async def learn(group: Agreement, decided: Any) -> bool:
+        if group.view is not None and decided.epoch > 1:
+            return False
+        return await real(group, decided)
+
+    patches.set(Agreement, "learn", learn)
+
+
+# ---- the chain's state as a whole
+
+
+def _passed_on(patches: Patches, **lost: Any) -> None:
+    """Have members keep states without some of their parts."""
+    real = Replicator._whole
+
+    def whole(replicator: Replicator, write: ChainWrite) -> ChainWrite | None:
+        kept = real(replicator, write)
+        return None if kept is None else evolve(kept, state=evolve(kept.state, **lost))
+
+    patches.set(Replicator, "_whole", whole)
+
+
+@planted(
+    "CONFIG",
+    script=(
+        attack(2, "ack_lost", how="all", for_s=3.0),
+        attack(3, "kill", "edge-1", for_s=1.0, beside=True),
+        attack(12, "ack_lost", how="all", for_s=3.0),
+        attack(13, "kill", "edge-2", for_s=1.0, beside=True),
+    ),
+)
+def _history_not_passed_on(patches: Patches) -> None:
+    _passed_on(patches, history=[])
+
+
+@planted("LOST", "MIXED", "TWICE", "UNSERVED", script=(attack(3, "power", "edge-1", for_s=4.0),))
+def _placement_not_passed_on(patches: Patches) -> None:
+    _passed_on(patches, placement=None)
+
+
+@planted(
+    "RETIRE",
+    script=(
+        attack(3, "retire", "store-1", how="plain"),
+        attack(4.5, "power", "edge-1", for_s=4.0, beside=True),
+    ),
+    size=Size(3, 1, 4),
+)
+def _retiring_not_passed_on(patches: Patches) -> None:
+    _passed_on(patches, retiring={})
+
+
+@planted(
+    "CONFIG",
+    "LOST",
+    script=(
+        attack(2, "flood"),
+        attack(3, "freeze", "edge-1", for_s=4.0, beside=True),
+        attack(10, "freeze", "edge-1", for_s=3.0),
+        attack(15, "flood"),
+        attack(15.5, "freeze", "edge-2", for_s=4.0, beside=True),
+    ),
+)
+def _state_of_an_older_epoch_installed(patches: Patches) -> None:
+    def keep(member: ChainMember, write: ChainWrite) -> None:
+        member.state, member.state_epoch = write.state, member.epoch
+
+    patches.set(ChainMember, "accepts", lambda member, write: member.in_chain)
+    patches.set(ChainMember, "keep", keep)
+
+
+@planted(
+    "CONFIG",
+    "LOST",
+    script=(
+        attack(2, "cut_core", "edge-1", for_s=3.0, how="refuse"),
+        attack(9, "cut_core", "edge-2", for_s=3.0, how="refuse"),
+        attack(16, "cut_core", "edge-3", for_s=3.0, how="refuse"),
+        attack(23, "cut_core", "edge-1", for_s=3.0, how="refuse"),
+    ),
+)
+def _chain_skips_a_silent_member(patches: Patches) -> None:
+    real = Replicator._pass_on
+
+    async def pass_on(replicator: Replicator, write: ChainWrite) -> Any:
+        answer = await real(replicator, write)
+        if answer.ok or not answer.unreachable:
+            return answer
+        committed = replicator.member.commit(write)
+        if committed is not None:
+            replicator._on_state(committed)
+        return evolve(answer, ok=True, unreachable="")
+
+    patches.set(Replicator, "_pass_on", pass_on)
+
+
+# ---- placements
+
+
+@planted("LIVENESS", script=(attack(3, "disk", "store-1", for_s=1.0),))
+def _lost_disk_not_replaced(patches: Patches) -> None:
+    real = placement._Planner._needs_copy
+
+    def needs(planner: Any, replica: str) -> bool:
+        return real(planner, replica) and not planner._states.disk_lost(replica)
+
+    patches.set(placement._Planner, "_needs_copy", needs)
+
+
+@planted("LIVENESS", script=(attack(3, "replace", "store-1", for_s=1.0, how="lost"),))
+def _gone_store_not_replaced(patches: Patches) -> None:
+    patches.set(placement._Planner, "_needs_copy", lambda planner, replica: False)
+
+
+@planted("LOST", "UNSERVED", "LIVENESS", kinds=("disk", "replace"))
+def _learner_promoted_early(patches: Patches) -> None:
+    real = placement._Planner.promote_learners
+
+    def promote(planner: Any, number: int, caught_up: Any) -> None:
+        entry = planner.entries[number]
+        real(planner, number, [(number, entry.epoch, learner) for learner in entry.learners])
+
+    patches.set(placement._Planner, "promote_learners", promote)
+
+
+@planted("LOST", "LIVENESS", "UNSERVED", kinds=("retire",), size=Size(3, 1, 4))
+def _emptied_too_early(patches: Patches) -> None:
+    patches.set(placement_duty, "is_named", lambda planned, name: False)
+    patches.set(placement_duty, "EMPTIED_S", 0.0)
+
+
+@planted("LIVENESS", "RETIRE", kinds=("retire",), size=Size(3, 1, 4))
+def _emptied_never(patches: Patches) -> None:
+    patches.set(placement_duty, "EMPTIED_S", NEVER_S)
+
+
+@planted(
+    "TWICE", "MIXED", "ORDER", "LOST", "CEILING", "UNSERVED", kinds=("replace", "retire", "stop", "split")
+)
+def _moved_primary_serves_on(patches: Patches) -> None:
+    real = PartitionHost.place
+
+    def place(host: PartitionHost, placed: Any, tolerated: int) -> None:
+        if host.primary is None or placed.primary == host.me:
+            real(host, placed, tolerated)
+
+    patches.set(PartitionHost, "place", place)
+
+
+@planted("TWICE", "MIXED", "ORDER", "LOST", "CEILING", kinds=("freeze", "split", "cut_core"))
+def _lease_given_without_followers(patches: Patches) -> None:
+    async def committed(service: StoreService, host: Any, grant: Any) -> bool:
+        return True
+
+    patches.set(StoreService, "_is_committed", committed)
+    patches.set(PartitionHost, "confirmed_since", lambda host, now, within_s: True)
--- /dev/null
+++ b/hollowusher/simulation/planted/partitions.py
@@ -0,0 +1,178 @@
+"""Planted faults of stores: what is on disk, replicas, takeovers, answers to edge processes."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+
+from hollowusher.coordination import replicator as chain_replicator
+from hollowusher.intake import store_client
+from hollowusher.messages import records
+from hollowusher.messages.hosting import PartitionHost
+from hollowusher.messages.primary import PartitionPrimary
+from hollowusher.messages.service import StoreService
+from hollowusher.messages.table import PartitionTable
+from hollowusher.protocol.store import LeaseAnswer, PutAnswer
+from hollowusher.simulation.planted.registry import HERDS, MOVES, Patches, planted
+from hollowusher.storage.memory import MemoryLog, MemorySlot
+from hollowusher.transport.interface import PeerError
+
+
+# ---- storage
+
+
+@planted("LOST", "MIXED", "UNSERVED", kinds=HERDS)
+def _no_sync_before_202(patches: Patches) -> None:
+    async def sync(log: MemoryLog) -> None:
+        await asyncio.sleep(0)
+
+    patches.set(MemoryLog, "sync", sync)
+
+
+@planted("LOST", "CONFIG", kinds=HERDS)
+def _control_state_not_saved(patches: Patches) -> None:
+    async def save(replicator: Any) -> bool:
+        return True
+
+    patches.set(chain_replicator.Replicator, "_save", save)
+
+
+@planted("LOST", "CONFIG", kinds=HERDS)
+def _slots_saved_later(patches: Patches) -> None:
+    real = MemorySlot.save
+
+    async def save(slot: MemorySlot, value: bytes) -> None:
+        asyncio.get_running_loop().create_task(_later(real(slot, value)))
+
+    async def _later(work: Any) -> None:
+        await asyncio.sleep(0.5)
+        await work
+
+    patches.set(MemorySlot, "save", save)
+
+
+# ---- replication
+
+
+@planted("LOST", "MIXED", "UNSERVED", kinds=("store_alone",))
+def _one_replica_commits(patches: Patches) -> None:
+    real = PartitionHost.place
+
+    def place(host: PartitionHost, placement: Any, tolerated: int) -> None:
+        real(host, placement, tolerated)
+        host.commit_quorum = 1
+
+    patches.set(PartitionHost, "place", place)
+
+
+@planted("LOST", "MIXED", "TWICE", "ORDER", "UNSERVED", kinds=("split",))
+def _fence_not_checked(patches: Patches) -> None:
+    patches.set(PartitionTable, "promise", lambda table, epoch: None)
+
+
+@planted("LOST", "MIXED", "TWICE", "ORDER", "CEILING", "REFUSED", kinds=("split", *MOVES))
+def _old_primary_serves_on(patches: Patches) -> None:
+    patches.set(PartitionHost, "resign", lambda host: None)
+
+
+@planted("LOST", "MIXED", "TWICE", "ORDER", "UNSERVED", kinds=("lag_kill",))
+def _takeover_without_comparing(patches: Patches) -> None:
+    patches.set(PartitionHost, "may_serve", lambda host, now: True)
+
+
+@planted("MIXED", "TWICE", "ORDER", "LOST", kinds=("herd_kill", "kill"))
+def _oldest_state_wins_at_replay(patches: Patches) -> None:
+    real = PartitionTable.replayed
+
+    def replayed(table: PartitionTable, record: bytes, header: Any, position: Any, wall_ms: int) -> None:
+        if header.kind == records.Kind.STATE:
+            key, _ = records.unpack_state(record, header.version)
+            entry = table.entries.get(key)
+            if entry is not None and entry.state is not None:
+                return
+        real(table, record, header, position, wall_ms)
+
+    patches.set(PartitionTable, "replayed", replayed)
+
+
+@planted("MIXED", "LOST", "TWICE", "UNSERVED", kinds=("disk", "stop"))
+def _learned_states_ignored(patches: Patches) -> None:
+    real = PartitionTable._merge_state
+
+    def merge(table: PartitionTable, record: bytes, version: Any, wall_ms: int, position: Any) -> Any:
+        if version[0] < table.promised_epoch and position is None:
+            return None
+        return real(table, record, version, wall_ms, position)
+
+    patches.set(PartitionTable, "_merge_state", merge)
+
+
+# ---- answers to edge processes
+
+
+@planted("LOST", "MIXED", "UNSERVED", kinds=("store_alone",))
+def _put_answered_before_commit(patches: Patches) -> None:
+    async def put(service: StoreService, request: Any) -> PutAnswer:
+        primary = await service._primary(request.partition)
+        if primary is None:
+            return PutAnswer("not_primary")
+        kept = primary.put(request.message, service._now(), service._wall_ms())
+        service._after(service._hosts[request.partition])
+        if isinstance(kept, PutAnswer):
+            return kept
+        return PutAnswer("stored", records.reference_of(request.partition, kept.key))
+
+    real_init = StoreService.__init__
+
+    def init(service: StoreService, *arguments: Any) -> None:
+        real_init(service, *arguments)
+        kind = next(kind for kind in service._handlers if kind.__name__ == "Put")
+        service._handlers[kind] = lambda request: put(service, request)
+
+    patches.set(StoreService, "__init__", init)
+
+
+@planted("TWICE", "MIXED", "LOST", kinds=("store_alone",))
+def _end_not_recorded_before_answer(patches: Patches) -> None:
+    async def answer(service: StoreService, taken: Any) -> LeaseAnswer:
+        return taken if isinstance(taken, LeaseAnswer) else LeaseAnswer("taken")
+
+    patches.set(StoreService, "_lease_answer", answer)
+
+
+@planted("REFUSED", kinds=(*MOVES, "resets"))
+def _put_repeated_to_another_partition(patches: Patches) -> None:
+    real = store_client.StoreClient._call
+
+    async def call(client: Any, target: Any, request: Any, deadline: float) -> Any:
+        try:
+            return await real(client, target, request, deadline)
+        except PeerError as error:
+            raise PeerError(error.step, error.peer, error.reason, sent=False) from None
+        except store_client._PrimaryMoved:
+            raise PeerError("Put", target.address, "moved", sent=False) from None
+
+    patches.set(store_client.StoreClient, "_call", call)
+
+
+@planted("REFUSED", kinds=(*MOVES, "resets"))
+def _unknown_put_answered_503(patches: Patches) -> None:
+    real = store_client.StoreClient.put
+
+    async def put(client: Any, *arguments: Any, **named: Any) -> PutAnswer:
+        answer = await real(client, *arguments, **named)
+        return PutAnswer("unavailable") if answer.status == "unknown" else answer
+
+    patches.set(store_client.StoreClient, "put", put)
+
+
+@planted("TWICE", "MIXED", kinds=(*MOVES, "resets"))
+def _repeated_put_kept_twice(patches: Patches) -> None:
+    real = PartitionPrimary.put
+
+    def put(primary: PartitionPrimary, message: Any, now: float, wall_ms: int) -> Any:
+        primary._lifecycle.keys_by_id.pop(message.id, None)
+        return real(primary, message, now, wall_ms)
+
+    patches.set(PartitionPrimary, "put", put)
--- /dev/null
+++ b/hollowusher/simulation/planted/queues.py
@@ -0,0 +1,197 @@
+"""Planted faults of a partition's primary: the queue, leases and ends."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from hollowusher.messages.adoption import Adoption
+from hollowusher.messages.leases import MessageLeases
+from hollowusher.messages.lifecycle import MessageLifecycle
+from hollowusher.messages.primary import ActiveMessage, PartitionPrimary
+from hollowusher.messages.queue import MessageQueue, Stage, TokenBucket
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.store import Finish, LeaseAnswer
+from hollowusher.simulation.planted.registry import MOVES, NEVER_S, Patches, attack, planted
+from hollowusher.simulation.stand_ins import SimulatedCallbackClient
+
+
+# ---- the queue
+
+
+@planted("ORDER")
+def _ordering_key_ignored(patches: Patches) -> None:
+    patches.set(MessageQueue, "_is_first", lambda queue, message: True)
+
+
+@planted("ORDER")
+def _next_of_key_leaves_with_the_lease(patches: Patches) -> None:
+    real = MessageQueue.take
+
+    def take(queue: MessageQueue, service: str) -> Any:
+        message = real(queue, service)
+        if message is not None and message.ordering_key:
+            lane = queue._lanes[message.service, message.ordering_key]
+            if lane[0] is message and len(lane) > 1:
+                lane.append(lane.pop(0))
+                if lane[0].stage is Stage.WAITING:
+                    queue._schedule(lane[0], queue._now)
+        return message
+
+    patches.set(MessageQueue, "take", take)
+
+
+@planted("CEILING")
+def _ceiling_by_each_alone(patches: Patches) -> None:
+    patches.set(TokenBucket, "RATE_SHARE", 4.0)
+
+
+@planted("CEILING", kinds=MOVES)
+def _ceiling_saved_up(patches: Patches) -> None:
+    patches.set(TokenBucket, "BURST_S", 10.0)
+
+
+@planted("EARLY")
+def _delay_forgotten(patches: Patches) -> None:
+    real = PartitionPrimary.put
+
+    def put(primary: PartitionPrimary, message: Any, now: float, wall_ms: int) -> Any:
+        return real(primary, evolve(message, delay_ms=0), now, wall_ms)
+
+    patches.set(PartitionPrimary, "put", put)
+
+
+@planted("EARLY", kinds=MOVES)
+def _delay_lost_at_takeover(patches: Patches) -> None:
+    real = MessageLifecycle.activate
+
+    def activate(lifecycle: MessageLifecycle, *arguments: Any) -> ActiveMessage:
+        active = real(lifecycle, *arguments)
+        active.due_ms = 0
+        return active
+
+    patches.set(MessageLifecycle, "activate", activate)
+
+
+# ---- leases and ends
+
+
+@planted("TWICE")
+def _lease_lapses_early(patches: Patches) -> None:
+    patches.set(MessageLeases, "lease_seconds", lambda leases, active, state: 0.05)
+
+
+@planted("UNSERVED")
+def _lease_never_lapses(patches: Patches) -> None:
+    patches.set(MessageLeases, "lease_seconds", lambda leases, active, state: NEVER_S)
+
+
+def _on_finish(patches: Patches, change: Callable[[Finish], Finish]) -> None:
+    real = PartitionPrimary.finish
+
+    def finish(primary: PartitionPrimary, lease: Any, request: Finish, now: float, wall_ms: int) -> Any:
+        return real(primary, lease, request if lease.callback else change(request), now, wall_ms)
+
+    patches.set(PartitionPrimary, "finish", finish)
+
+
+@planted("TWICE")
+def _every_end_taken(patches: Patches) -> None:
+    real = PartitionPrimary.finish
+    patches.set(MessageLeases, "lease_seconds", lambda leases, active, state: 0.05)
+
+    def finish(primary: PartitionPrimary, lease: Any, request: Finish, now: float, wall_ms: int) -> Any:
+        answer = real(primary, lease, request, now, wall_ms)
+        gone = isinstance(answer, LeaseAnswer) and answer.status == "gone"
+        return LeaseAnswer("taken") if gone else answer
+
+    patches.set(PartitionPrimary, "finish", finish)
+
+
+@planted("MIXED", "LOST")
+def _lost_answer_counts_as_attempt(patches: Patches) -> None:
+    _on_finish(patches, lambda end: evolve(end, result="failed") if end.result == "unknown" else end)
+
+
+@planted("MIXED", "LOST")
+def _refusal_counts_as_attempt(patches: Patches) -> None:
+    _on_finish(patches, lambda end: evolve(end, result="failed") if end.result == "not_run" else end)
+
+
+@planted("MIXED", "LOST")
+def _lost_answer_taken_for_success(patches: Patches) -> None:
+    _on_finish(
+        patches, lambda end: evolve(end, result="success", signature="") if end.result == "unknown" else end
+    )
+
+
+@planted("STALE")
+def _failed_attempts_not_counted(patches: Patches) -> None:
+    _on_finish(patches, lambda end: evolve(end, result="unknown") if end.result == "failed" else end)
+
+
+@planted("MIXED", "LOST")
+def _one_attempt_too_few(patches: Patches) -> None:
+    real = MessageLifecycle.activate
+
+    def activate(lifecycle: MessageLifecycle, *arguments: Any) -> ActiveMessage:
+        active = real(lifecycle, *arguments)
+        active.max_attempts = max(1, active.max_attempts - 1)
+        return active
+
+    patches.set(MessageLifecycle, "activate", activate)
+
+
+@planted("MIXED", "LOST")
+def _retention_too_short(patches: Patches) -> None:
+    real = MessageLifecycle.activate
+
+    def activate(lifecycle: MessageLifecycle, key: Any, put: Any, retained_until: float) -> ActiveMessage:
+        short = evolve(put.message, retention_ms=min(put.message.retention_ms, 2_000))
+        return real(
+            lifecycle,
+            key,
+            put._replace(message=short) if hasattr(put, "_replace") else attrs.evolve(put, message=short),
+            min(retained_until, retained_until - 6.0),
+        )
+
+    patches.set(MessageLifecycle, "activate", activate)
+
+
+@planted("EXPIRED", "STALE", script=(attack(2, "workers_down", for_s=14.0),))
+def _retention_ignored(patches: Patches) -> None:
+    real = MessageLifecycle.activate
+
+    def activate(lifecycle: MessageLifecycle, key: Any, put: Any, retained_until: float) -> ActiveMessage:
+        return real(lifecycle, key, put, NEVER_S)
+
+    patches.set(MessageLifecycle, "activate", activate)
+
+
+@planted("MIXED")
+def _wrong_stamp_after_repeat(patches: Patches) -> None:
+    real = PartitionPrimary.status
+
+    def status(primary: PartitionPrimary, key: Any, want_body: bool) -> Any:
+        answer = real(primary, key, want_body)
+        return evolve(answer, signature=answer.signature[::-1])
+
+    patches.set(PartitionPrimary, "status", status)
+
+
+@planted("UNTOLD")
+def _failed_callback_counts_as_told(patches: Patches) -> None:
+    real = SimulatedCallbackClient.post
+
+    async def post(client: SimulatedCallbackClient, job: Any) -> str:
+        await real(client, job)
+        return "success"
+
+    patches.set(SimulatedCallbackClient, "post", post)
+
+
+@planted("UNTOLD", kinds=MOVES)
+def _callback_forgotten_at_takeover(patches: Patches) -> None:
+    patches.set(Adoption, "adopt_ended", lambda adoption, entry, now: None)
--- a/hollowusher/simulation/troubles/orders.py
+++ b/hollowusher/simulation/troubles/orders.py
@@ -7,6 +7,8 @@
 from hollowusher.simulation.troubles import disks, processes
 from hollowusher.simulation.troubles.stage import Stage, Wanted, trouble
 
+LOST_SHARE, USUAL_LOST_SHARE = 0.7, 0.1
+
 
 @trouble("race", 1)
 async def race(stage: Stage, wanted: Wanted) -> None:
@@ -21,18 +23,20 @@
 
 @trouble("ack_lost", 1)
 async def ack_lost(stage: Stage, wanted: Wanted) -> None:
-    """Most answers to the operator are lost; it sends the same again, to other machines first."""
+    """Most answers to the operator are lost (all: every one); it sends the same again, to other machines
+    first."""
     if stage.operator is None:
         return
     noted = stage.begin("ack_lost", "operator", planned=True)
     stage.end(noted)
-    stage.operator.lose_answers(0.7)
-    if stage.chance.random() < 0.5:
-        await asyncio.gather(stage.operator.change(), processes.kill(stage, Wanted("kill")))
-    else:
-        await stage.operator.race()
+    stage.operator.lose_answers(1.0 if wanted.how == "all" else LOST_SHARE)
+    single = wanted.how == "all" or stage.chance.random() < 0.5
+    ordering = asyncio.ensure_future(stage.operator.change() if single else stage.operator.race())
+    if single and not wanted.how:
+        await processes.kill(stage, Wanted("kill"))
     await stage.wait(wanted, 2.0)
-    stage.operator.lose_answers(0.1)
+    stage.operator.lose_answers(USUAL_LOST_SHARE)
+    await ordering
 
 
 @trouble("flood", 0.7)
--- a/hollowusher/simulation/troubles/script.py
+++ b/hollowusher/simulation/troubles/script.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 from typing import Any
 
-from hollowusher.simulation.troubles.stage import Wanted
+from hollowusher.simulation.troubles.stage import KINDS, Wanted
 from hollowusher.simulation.world import Size
 
 
@@ -72,4 +72,7 @@
 def _entry(entry: dict[str, Any]) -> ScriptedTrouble:
     words = dict(entry)
     at, beside = float(words.pop("at")), bool(words.pop("beside", False))
-    return ScriptedTrouble(at, Wanted(**words), beside)
+    wanted = Wanted(**words)
+    if wanted.kind not in KINDS:
+        raise KeyError(f"no trouble is called {wanted.kind}")
+    return ScriptedTrouble(at, wanted, beside)
--- a/hollowusher/simulation/troubles/stage.py
+++ b/hollowusher/simulation/troubles/stage.py
@@ -37,6 +37,13 @@
         """Have pull workers and status questions come to this machine first; empty: to any."""
 
 
+class WorkerActions(Protocol):
+    """What troubles do to workers."""
+
+    async def all_down(self, seconds: float) -> None:
+        """All listed workers crash, and others come after so long."""
+
+
 @dataclass(frozen=True)
 class Wanted:
     """What a trouble is to do; what is left out is drawn by lot."""
@@ -55,6 +62,7 @@
     world: World
     chance: random.Random
     operator: OperatorActions | None = None
+    workers: WorkerActions | None = None
     played: list[str] = field(default_factory=list)
 
     def __post_init__(self) -> None:
--- a/hollowusher/simulation/troubles/troublemaker.py
+++ b/hollowusher/simulation/troubles/troublemaker.py
@@ -10,12 +10,19 @@
 import random
 from collections.abc import Sequence
 
-from hollowusher.simulation.troubles import disks, links, machines, orders, power, processes
+from hollowusher.simulation.troubles import disks, links, machines, orders, power, processes, workers
 from hollowusher.simulation.troubles.script import ScriptedTrouble
-from hollowusher.simulation.troubles.stage import KINDS, Kind, OperatorActions, Stage, Wanted
+from hollowusher.simulation.troubles.stage import (
+    KINDS,
+    Kind,
+    OperatorActions,
+    Stage,
+    Wanted,
+    WorkerActions,
+)
 from hollowusher.simulation.world import Machine, World
 
-MODULES = (processes, power, disks, links, machines, orders)  # they register their kinds
+MODULES = (processes, power, disks, links, machines, orders, workers)  # they register their kinds
 AT_THE_EDGE_SHARE = 0.5  # so often the next loss comes at the first moment allowed
 
 
@@ -28,10 +35,11 @@
         chance: random.Random,
         kinds: tuple[str, ...] | None = None,
         operator: OperatorActions | None = None,
+        workers: WorkerActions | None = None,
     ) -> None:
         self.world = world
         self.chance = chance
-        self.stage = Stage(world, chance, operator)
+        self.stage = Stage(world, chance, operator, workers)
         self.kinds = self._chosen(kinds)
 
     @staticmethod
