Send a failed message again to a worker on another connection; doubt a refused repeat

A worker in trouble may answer a message a second time, with the right id. When the message had failed and was sent again on the same connection, that second 500 was taken for the answer to the next run: two attempts counted for one, and the answer of the run itself was thrown away. A connection now remembers the messages that failed on it, and they go out on another one.

A request to an idempotent endpoint that met the end of a kept connection is sent once more; where the repeat was refused as not run, the first may have run all the same, so the outcome is unknown. The time until which a delivery may begin is looked at before the repeat too.

--- a/hollowusher/delivery/connection.py
+++ b/hollowusher/delivery/connection.py
@@ -55,6 +55,7 @@
 
     status: int
     headers: Mapping[str, str]
+    sent_before: bool = False  # the request had been sent once already, and that was not answered
 
 
 Accepts = Callable[[Answer], bool]  # whether an answer belongs to the request that waits
@@ -66,6 +67,7 @@
     def __init__(self, address: str, on_lost: Callable[[Connection], None]) -> None:
         self.address = address
         self.requests = 0
+        self.failed_ids: set[str] = set()  # messages answered with a failure here: it may be answered again
         self.idle_until: float | None = None  # None: no end was announced
         self._keep_alive: str | None = None  # the header's value in the last answer, and what it allows
         self._idle_s: float | None = None
--- a/hollowusher/delivery/pool.py
+++ b/hollowusher/delivery/pool.py
@@ -5,10 +5,13 @@
 import asyncio
 import math
 
+import attrs
+
 from hollowusher.delivery.connection import Accepts, Answer, Connection, ExchangeError
 from hollowusher.transport.tcp import split_address
 
 CONNECT_TIMEOUT_S = 1.0
+FAILED_STATUS = 500
 
 
 class NoFreeConnection(ExchangeError):
@@ -45,25 +48,30 @@
         deadline: float,
         may_repeat: bool = False,
         begin_by: float = math.inf,
+        message_id: str = "",
     ) -> Answer:
         """The answer to one request; `ExchangeError` where none came.  Nothing is sent after `begin_by`: a
         process that stood still while a connection was opened has no right to the request any more.
 
         `may_repeat`: the request may run twice.  Then it is sent once more, on a new connection, when a kept
-        connection ended without a byte of an answer: most likely its end and the request crossed."""
+        connection ended without a byte of an answer: most likely its end and the request crossed.
+
+        `message_id`: answers repeat it.  A message that failed is not sent again on the same connection,
+        where a second answer to the first time would be taken for one to the next."""
         self.last_used = asyncio.get_running_loop().time()
-        connection = self._take_idle() or await self._connect(deadline)
-        if asyncio.get_running_loop().time() > begin_by:
-            self._put_back(connection)
-            raise ExchangeError("send", self.address, "too late to begin", sent=False)
+        connection = self._take_idle(message_id) or await self._connect(deadline)
+        self._check_time(connection, begin_by)
         try:
-            return await self._exchange_on(connection, request, accepts, deadline)
+            return await self._exchange_on(connection, request, accepts, deadline, message_id)
         except ExchangeError as error:
             crossed = error.reused and not error.answered and error.reason.startswith("connection lost")
             if error.sent and not (crossed and may_repeat):
                 raise
-        connection = await self._connect(deadline, may_have_run=may_repeat)
-        return await self._exchange_on(connection, request, accepts, deadline)
+            sent_before = error.sent
+        connection = await self._connect(deadline, may_have_run=sent_before)
+        self._check_time(connection, begin_by, may_have_run=sent_before)
+        answer = await self._exchange_on(connection, request, accepts, deadline, message_id)
+        return attrs.evolve(answer, sent_before=sent_before)
 
     def close(self) -> None:
         """End all connections."""
@@ -76,10 +84,17 @@
         for connection in list(self._idle):
             connection.close()
 
+    def _check_time(self, connection: Connection, begin_by: float, may_have_run: bool = False) -> None:
+        if asyncio.get_running_loop().time() > begin_by:
+            self._put_back(connection)
+            raise ExchangeError("send", self.address, "too late to begin", sent=may_have_run)
+
     async def _exchange_on(
-        self, connection: Connection, request: bytes, accepts: Accepts, deadline: float
+        self, connection: Connection, request: bytes, accepts: Accepts, deadline: float, message_id: str
     ) -> Answer:
         answer = await connection.exchange(request, accepts, deadline)
+        if answer.status == FAILED_STATUS and message_id:
+            connection.failed_ids.add(message_id)
         self._put_back(connection)
         return answer
 
@@ -89,15 +104,23 @@
         else:
             connection.close()
 
-    def _take_idle(self) -> Connection | None:
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.usable:
+    def _take_idle(self, message_id: str) -> Connection | None:
+        """The usable connection used last on which this message has not failed."""
+        for place in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[place]
+            if not connection.usable:
+                del self._idle[place]
+                connection.close()
+            elif message_id not in connection.failed_ids:
+                del self._idle[place]
                 return connection
-            connection.close()
         return None
 
     async def _connect(self, deadline: float, may_have_run: bool = False) -> Connection:
+        if self.open_count >= self.limit and self._idle:  # those that are left are not for this message
+            spare = self._idle[0]
+            self._lost(spare)
+            spare.close()
         if self.open_count >= self.limit:
             raise NoFreeConnection("connect", self.address, "no free connection", sent=may_have_run)
         loop = asyncio.get_running_loop()
--- a/hollowusher/delivery/worker_client.py
+++ b/hollowusher/delivery/worker_client.py
@@ -95,6 +95,7 @@
                 began + timeout_s + LATE_ANSWER_S,
                 endpoint.idempotent,
                 begin_by=began + job.start_within_ms / 1000,
+                message_id=identifier,
             )
         except ExchangeError as error:
             took = loop.time() - began
@@ -103,8 +104,9 @@
             ending = Ending.NEUTRAL if isinstance(error, NoFreeConnection) else Ending.UNREACHABLE
             return DeliveryOutcome("not_run", ending, retry_ms=FULL_RETRY_MS, took=took, reason=str(error))
         verdict = judge(answer)
+        unclear = answer.sent_before and verdict.result == "not_run"  # this time: the first may have run
         return DeliveryOutcome(
-            verdict.result,
+            "unknown" if unclear else verdict.result,
             verdict.ending,
             verdict.signature,
             verdict.retry_ms,
