--- a/hollowusher/protocol/call_rules.py
+++ b/hollowusher/protocol/call_rules.py
@@ -60,6 +60,7 @@
     control.Decided: CallRule(Addressee.VOTER, Repeat.BY_VERSION),
     control.Ping: CallRule(Addressee.VOTER, Repeat.READ),
     control.ChainWrite: CallRule(Addressee.VOTER_DISK, Repeat.BY_VERSION),
+    control.ReadRecord: CallRule(Addressee.VOTER, Repeat.READ),
     # members and distributed values
     control.Register: CallRule(Addressee.VOTER, Repeat.BY_VERSION),
     control.Leaving: CallRule(Addressee.VOTER, Repeat.BY_VERSION),
@@ -86,6 +87,7 @@
     store.Replicate: CallRule(Addressee.STORE, Repeat.BY_VERSION),
     store.Summary: CallRule(Addressee.STORE, Repeat.BY_VERSION),
     control.LearnerReady: CallRule(Addressee.VOTER, Repeat.LATEST),
+    control.LearnerLost: CallRule(Addressee.VOTER, Repeat.LATEST),
 }
 STRICTEST = CallRule(Addressee.MEMBER, Repeat.NEVER)  # of a message that has no rule
 
