--- /dev/null
+++ b/tests/control/test_wire_rules_pull.py
@@ -0,0 +1,159 @@
+"""Calls of pull workers at any edge: a taken end is taken again; 409 only where the lease is gone."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from multidict import CIMultiDict
+
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.intake.admission import IntakeRequest
+from hollowusher.intake.intake import Intake
+from hollowusher.intake.store_client import StoreClient
+from hollowusher.intake.worker_calls import worker_lease_id
+from hollowusher.protocol.store import Job
+from hollowusher.simulation.loop import SimulatedProcess
+from hollowusher.simulation.network import host_of
+from tests.message_store import StoreCluster, message, play
+
+RESULTS = ["200", "500", "422", "503", "429", "400", "504"]
+SIGNATURE = "3e1b.07"
+
+
+class Edge:
+    """One edge process, as pull workers see it."""
+
+    def __init__(self, cluster: StoreCluster, number: int) -> None:
+        address = f"10.1.0.{number}:7780"
+        cluster.network.power_on(host_of(address))
+        self.state = ClusterState()
+        self.cluster = cluster
+        transport = cluster.network.transport(SimulatedProcess(f"edge-{number}"), address)
+        store = StoreClient(transport, self.state, cluster.loop.time)
+        self.intake = Intake(self.state, store, None, lambda service, partitions: [0], cluster.loop.time)
+
+    async def call(self, path: str, job: Job, result: str = "") -> int:
+        """A worker's word about a job; the status of the answer."""
+        self.cluster.tell(self.state)
+        headers = {"Host": "10.0.0.1", "X-Lease-Id": worker_lease_id(job.lease, job.message.id)}
+        if result:
+            headers["X-Job-Result"] = result
+        if result == "200":
+            headers["X-Server-Signature"] = SIGNATURE
+        target = f"/{path}/{job.message.id}"
+        answer = await self.intake.accept(IntakeRequest("POST", target, CIMultiDict(headers), b""))
+        return answer.status
+
+    async def end(self, job: Job, result: str) -> int:
+        return await self.call("job-end", job, result)
+
+    async def extend(self, job: Job) -> int:
+        return await self.call("job-extend", job)
+
+
+async def pulled(cluster: StoreCluster) -> tuple[Edge, Edge, Job]:
+    """Two edges, and a job that a pull worker holds."""
+    await cluster.start()
+    edges = Edge(cluster, 11), Edge(cluster, 12)
+    await cluster.stored(message("m", ordering_key="k"))
+    (job,) = await cluster.lease(pull=True, visibility_ms=3_000)
+    return *edges, job
+
+
+@pytest.mark.parametrize("result", RESULTS)
+def test_an_end_is_taken_again_at_another_edge(result: str) -> None:
+    async def work(cluster: StoreCluster) -> None:
+        one, other, job = await pulled(cluster)
+        assert await one.end(job, result) == 200
+        assert await other.end(job, result) == 200
+        assert await one.end(job, result) == 200
+
+    play(work)
+
+
+@pytest.mark.parametrize("result", RESULTS)
+def test_an_end_is_taken_again_after_the_primary_was_lost(result: str) -> None:
+    async def work(cluster: StoreCluster) -> None:
+        one, other, job = await pulled(cluster)
+        assert await one.end(job, result) == 200
+        cluster.stores[0].kill()
+        cluster.place([cluster.entry(0, 2, 1)])
+        assert await other.end(job, result) == 200
+
+    play(work)
+
+
+@pytest.mark.parametrize("result", RESULTS)
+def test_an_end_is_taken_again_after_the_primary_was_restarted(result: str) -> None:
+    async def work(cluster: StoreCluster) -> None:
+        one, other, job = await pulled(cluster)
+        assert await one.end(job, result) == 200
+        cluster.stores[0].kill(power=False)
+        await cluster.stores[0].start()
+        cluster.announce(cluster.stores[0].member())
+        cluster.place([cluster.entry(0, 2, 0)])
+        assert await other.end(job, result) == 200
+
+    play(work)
+
+
+@pytest.mark.parametrize("result", RESULTS)
+def test_an_end_whose_answer_was_lost_with_the_primary_is_taken(result: str) -> None:
+    """The worker repeats its end at another edge; whether the first was taken is not known there."""
+
+    async def work(cluster: StoreCluster) -> None:
+        one, other, job = await pulled(cluster)
+        first = asyncio.ensure_future(one.end(job, result))
+        await asyncio.sleep(0.004)
+        cluster.stores[0].kill()
+        cluster.place([cluster.entry(0, 2, 1)])
+        assert await other.end(job, result) == 200
+        assert await first in (200, 503)
+
+    play(work)
+
+
+def test_without_a_primary_an_edge_says_503_and_not_that_the_lease_is_gone() -> None:
+    async def work(cluster: StoreCluster) -> None:
+        one, other, job = await pulled(cluster)
+        for store in cluster.stores:
+            store.kill()
+        assert await one.end(job, "200") == 503
+        assert await other.extend(job) == 503
+
+    play(work)
+
+
+def test_a_lease_is_extended_at_any_edge_and_after_a_takeover() -> None:
+    async def work(cluster: StoreCluster) -> None:
+        one, other, job = await pulled(cluster)
+        for edge in (one, other, one, other):
+            await asyncio.sleep(2.0)
+            assert await edge.extend(job) == 200
+        cluster.stores[0].kill()
+        cluster.place([cluster.entry(0, 2, 1)])
+        for edge in (one, other):
+            await asyncio.sleep(2.0)
+            assert await edge.extend(job) == 200
+        assert await one.end(job, "200") == 200
+        assert await other.extend(job) == 409
+
+    play(work)
+
+
+def test_a_job_is_not_handed_out_again_before_the_visibility_after_the_last_word() -> None:
+    async def work(cluster: StoreCluster) -> None:
+        one, _, job = await pulled(cluster)
+        await asyncio.sleep(2.0)
+        assert await one.extend(job) == 200
+        last_word = cluster.loop.time()
+        cluster.stores[0].kill()
+        cluster.place([cluster.entry(0, 2, 1)])
+        (again,) = await cluster.lease(store=1, wait_ms=8_000, pull=True, visibility_ms=3_000)
+        assert cluster.loop.time() - last_word >= 3.0
+        assert again.message.ordering_key == "k"
+        assert await one.end(job, "200") == 409
+        assert await one.end(again, "200") == 200
+
+    play(work)
