Take an answer that was read in the moment in which its time-out was due

A process that stood still finds answers and time-outs together when it goes on. The answer was read first, then the time-out threw it away: jobs leased to this process stayed leased until their leases ran out, and the peer was held for silent. The call now gives the answer that it has.

Test: tests/control/test_calls_late.py with a clock that leaps; its first case fails without the change.

--- a/hollowusher/simulation/network.py
+++ b/hollowusher/simulation/network.py
@@ -390,6 +390,8 @@
             async with asyncio.timeout_at(deadline):
                 return await future
         except TimeoutError:
+            if future.done() and not future.cancelled() and future.exception() is None:
+                return future.result()  # it was read in the moment in which the time ran out
             if connection.bytes_received == received and not connection.closed:
                 connection.reset()
             raise PeerError(step, address, f"no answer in {timeout:.3g} s") from None
--- /dev/null
+++ b/tests/control/test_calls_late.py
@@ -0,0 +1,72 @@
+"""An answer that has been read is not thrown away because its time-out was due in the same moment."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from hollowusher.protocol.control import Done, ReadView
+from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
+from hollowusher.simulation.network import Network
+from hollowusher.transport.tcp import TcpTransport
+from tests.standins import free_port
+
+TIMEOUT_S = 5.0
+FROZEN_S = 8.0
+
+
+class LeapingLoop(asyncio.SelectorEventLoop):
+    """A loop whose clock can leap, as it does for a process that stood still."""
+
+    leapt_s = 0.0
+
+    def time(self) -> float:
+        return super().time() + self.leapt_s
+
+
+def test_an_answer_read_after_a_standstill_is_taken() -> None:
+    loop = LeapingLoop()
+
+    async def scene() -> None:
+        server = TcpTransport(f"127.0.0.1:{free_port()}")
+        client = TcpTransport(f"127.0.0.1:{free_port()}")
+
+        async def handler(asked: Any) -> Any:
+            loop.leapt_s = FROZEN_S  # the answer is written in this turn; the time-out is due in the next one
+            return Done()
+
+        await server.start(handler)
+        assert await client.call(server.address, ReadView(), TIMEOUT_S) == Done()
+        await client.close()
+        await server.close()
+
+    try:
+        loop.run_until_complete(scene())
+    finally:
+        loop.close()
+
+
+def test_an_answer_that_came_to_a_frozen_process_is_taken_when_it_goes_on() -> None:
+    loop = VirtualLoop()
+
+    async def scene() -> None:
+        network = Network(loop, random.Random(3))
+        caller = SimulatedProcess("edge-1")
+        client = network.transport(caller, "10.0.0.1:7780")
+        server = network.transport(SimulatedProcess("store-1"), "10.0.0.2:7780")
+        for host in ("10.0.0.1", "10.0.0.2"):
+            network.power_on(host)
+
+        async def handler(asked: Any) -> Any:
+            loop.freeze(caller)
+            loop.call_outside(FROZEN_S, loop.thaw, caller)
+            return Done()
+
+        await server.start(handler)
+        assert await caller.run(client.call(server.address, ReadView(), TIMEOUT_S)) == Done()
+
+    try:
+        loop.play(scene())
+    finally:
+        loop.shut()
--- /dev/null
+++ b/tests/control/test_wire_rules_drain.py
@@ -0,0 +1,54 @@
+"""DRAIN: a machine is unready at once when SIGTERM comes, and stays so until its end."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hollowusher.simulation.day import Day, DayPlan
+from hollowusher.simulation.deployment import CLIENT_HOST
+from hollowusher.simulation.http import HttpFailure, HttpRequest
+from hollowusher.simulation.loop import VirtualLoop
+from hollowusher.simulation.programs import build_program
+from hollowusher.simulation.world import READINESS_PORT, Machine
+
+GRACE_S = 6.0
+AT_ONCE_S = 0.1
+STEP_S = 0.05
+
+
+async def is_ready(day: Day, machine: Machine) -> bool:
+    """What the platform would be told now."""
+    address = f"{machine.ip}:{READINESS_PORT}"
+    try:
+        answer = await day.world.http.exchange(CLIENT_HOST, address, HttpRequest("GET", "/readyz"), 0.04)
+    except HttpFailure:
+        return False
+    return answer.status == 200
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_all_edges_told_to_stop_at_once_are_unready_at_once_and_for_good(seed: int) -> None:
+    loop = VirtualLoop()
+    day = Day(loop, seed, DayPlan(troubles=False, worker_troubles=False, changes=False), build_program)
+
+    async def scene() -> None:
+        watch = asyncio.get_running_loop().create_task(day.entry.watch_readiness())
+        await day._begin()
+        edges = day.world.of("edge")
+        assert all([await is_ready(day, machine) for machine in edges])
+        stops = [asyncio.ensure_future(day.world.terminate(machine, GRACE_S)) for machine in edges]
+        await asyncio.sleep(AT_ONCE_S)
+        until = loop.time() + GRACE_S - 1.0
+        while loop.time() < until:
+            assert not any([await is_ready(day, machine) for machine in edges])
+            await asyncio.sleep(STEP_S)
+        for stop in stops:
+            stop.cancel()
+        watch.cancel()
+
+    try:
+        loop.play(scene())
+    finally:
+        loop.shut()
