Have a head that stood still ask a majority before it leads, judges or lists again

Cause: a head that was frozen for 1.3 to 20 s found the answers to its old pings on waking, took them for signs of the present, and was the head again until it had read of the newer view: for up to 0.1 s after the wake, 18.8 s after its successor had begun. In that time it named its list of workers with the newer epoch, which it had heard of but not put into use, so that it could outrank the successor's for the rest of that epoch. A list asked for before the freeze was published after it, and suspicions that lay unread, or a probe that ran out while the head itself stood still, could condemn a healthy process.

Change: after a step of the steady clock over 0.4 s a controller leads only once a majority has confirmed its epoch, and never with a view older than the newest it knows; a list whose reading saw a pause is dropped; suspicions from before a pause, or read within 0.1 s after it, do not count (monitors repeat them).

New: tests/control/core.py, controllers with all their parts over links that are cut one way, processes that freeze.

--- a/hollowusher/coordination/controller.py
+++ b/hollowusher/coordination/controller.py
@@ -18,6 +18,7 @@
 from hollowusher.coordination.bootstrap import SeedService, read_view
 from hollowusher.coordination.chain import ChainMember
 from hollowusher.coordination.chain_owner import ChainOwner, Update
+from hollowusher.coordination.pause_detector import PauseDetector
 from hollowusher.coordination.replicator import Replicator
 from hollowusher.coordination.state_service import StateService
 from hollowusher.coordination.state_store import StateStore
@@ -49,6 +50,7 @@
 from hollowusher.transport.interface import Transport
 
 TICK_S = 0.1
+LONGEST_STEP_S = TICK_S + 0.3  # a longer one: this process did not run
 STOP_TIMEOUT_S = 1.5
 
 
@@ -88,6 +90,8 @@
         self._transport = transport
         self._on_view = on_view
         self._running = False
+        self._pauses = PauseDetector(LONGEST_STEP_S)
+        self._asking_after_pause = False
         self._tasks: set[asyncio.Task[Any]] = set()
         self._seed = SeedService(settings, transport)
         self._agreement = Agreement(voter, transport, view_slot, chance, self._install)
@@ -164,6 +168,7 @@
 
     async def _run(self) -> None:
         while self._running:
+            self._notice_pause()
             await self._step()
             await asyncio.sleep(TICK_S)
 
@@ -186,16 +191,32 @@
         self._flush()
 
     def _leads(self) -> bool:
-        """Whether this is the head and the others can be reached."""
-        view = self._member.view
+        """Whether this is the head of the newest view known and the others can be reached.  After a pause it
+        leads only once a majority has said that there is no newer view: what it heard before is old, and so
+        are the answers that it finds unread."""
+        self._notice_pause()
+        view, newest = self._member.view, self.view
         return (
             self._running
+            and not self._asking_after_pause
             and view is not None
+            and newest is not None
+            and view.epoch == newest.epoch
             and self._member.is_head
             and self._member.complete
             and self._group.hears_majority(view)
         )
 
+    def _notice_pause(self) -> None:
+        if self._pauses.step(asyncio.get_running_loop().time()) and not self._asking_after_pause:
+            self._asking_after_pause = True
+            self._spawn(self._ask_after_pause())
+
+    async def _ask_after_pause(self) -> None:
+        while not await self._agreement.majority_confirms(self._member.epoch):
+            await asyncio.sleep(TICK_S)
+        self._asking_after_pause = False
+
     def _flush(self) -> None:
         if self._owner.needs_flush and self._leads():
             self._spawn(self._owner.flush())
--- a/hollowusher/coordination/directory.py
+++ b/hollowusher/coordination/directory.py
@@ -97,6 +97,10 @@
             held = self._suspicions[suspicion.name] = _Suspicions(suspicion.incarnation, now)
         held.reporters[suspicion.reporter] = now
 
+    def forget_suspicions(self) -> None:
+        """What the monitors said is old: they say it again while it stands."""
+        self._suspicions.clear()
+
     def condemned(self, now: float) -> list[Member]:
         """The states to publish for the members that most of their monitors suspect."""
         verdicts = []
--- a/hollowusher/coordination/duties.py
+++ b/hollowusher/coordination/duties.py
@@ -16,6 +16,7 @@
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.cluster_state import CONFIGURATION, MEMBER_PREFIX, PLACEMENT, VIEW, WORKERS
 from hollowusher.coordination.directory import Directory, version_of
+from hollowusher.coordination.pause_detector import PauseDetector
 from hollowusher.coordination.placement_duty import ControlChain, LogLine, PlacementDuty, no_log
 from hollowusher.coordination.placement_duty import Update as Update
 from hollowusher.coordination.platform_list import PlatformError
@@ -41,6 +42,8 @@
 READ_S = 1.0
 FIRST_READ_S = 0.15
 PROBE_TIMEOUT_S = 0.6
+LONGEST_STEP_S = TICK_S + 0.3  # a longer one: this process did not run
+UNREAD_S = 0.1  # for so long after a pause what comes may have lain unread
 
 
 class ListReader(Protocol):
@@ -78,6 +81,7 @@
             controller, directory, settings.fault_tolerance.machines, clock, log_line
         )
         self._probing: set[str] = set()
+        self._pauses = PauseDetector(LONGEST_STEP_S)
         feed.listen(self._on_item)
 
     # ---- publishing
@@ -114,12 +118,23 @@
                 self._publish_member(dead)
             return Done()
         if isinstance(message, Suspicion):
-            self._directory.suspect(message, self._clock())
+            self._take_suspicion(message)
             return None
         if isinstance(message, PlacementDuty.MESSAGES):
             return await self._placement.handle(message)
         return None
 
+    def _take_suspicion(self, suspicion: Suspicion) -> None:
+        """Note a suspicion, unless it may have lain unread over a pause: it is repeated while it stands."""
+        now = self._clock()
+        self._notice_pause(now)
+        if not self._pauses.paused_since(now - UNREAD_S):
+            self._directory.suspect(suspicion, now)
+
+    def _notice_pause(self, now: float) -> None:
+        if self._pauses.step(now):
+            self._directory.forget_suspicions()
+
     # ---- the loops
 
     async def run(self) -> None:
@@ -131,6 +146,7 @@
 
     async def _run_judgement(self, tasks: asyncio.TaskGroup) -> None:
         while True:
+            self._notice_pause(self._clock())
             if self._controller.is_head:
                 self._judge(tasks)
             await asyncio.sleep(TICK_S)
@@ -153,6 +169,7 @@
                 raise PeerError("ProbeLife", member.address, "another life is there")
             self._directory.reached(member)
         except PeerError:
+            self._notice_pause(self._clock())
             dead = self._directory.unreachable(member, self._clock())
             if dead is not None and self._controller.is_head:
                 self._publish_member(dead)
@@ -176,10 +193,16 @@
             was_head = is_head
 
     async def _read_list(self) -> None:
+        """Read the list and distribute it, unless another may be the head since, or this process stood still
+        while it was read: then it is as old as the pause."""
+        asked_at = self._clock()
         with suppress(PlatformError):
             listed = await self._reader.read()
+            self._notice_pause(self._clock())
+            if listed is None or self._pauses.paused_since(asked_at):
+                return
             view = self._controller.view
-            if listed is not None and view is not None and self._controller.is_head:
+            if view is not None and self._controller.is_head:
                 self._publish_workers(listed, view)
 
     def _publish_workers(self, listed: WorkerList, view: View) -> None:
--- /dev/null
+++ b/tests/control/core.py
@@ -0,0 +1,292 @@
+"""Controllers with all their parts in virtual time, over links that are cut one way or both, for the tests.
+
+Unlike `tests.controller_cluster` a process can be frozen here, and a link cut in one direction.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import attrs
+import orjson
+
+from hollowusher.configuration.boot import Bind, BootSettings
+from hollowusher.coordination.client import ClusterClient
+from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.coordination.controller import Controller
+from hollowusher.coordination.directory import Directory
+from hollowusher.coordination.duties import HeadDuties
+from hollowusher.coordination.state_store import StateStore
+from hollowusher.coordination.updates import Feed
+from hollowusher.protocol.control import (
+    ChangeConfiguration,
+    Item,
+    Member,
+    OperatorAnswer,
+    ReadConfiguration,
+    Worker,
+    WorkerList,
+)
+from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
+from hollowusher.simulation.network import Network
+from hollowusher.storage.memory import MemorySlot
+
+SYNC_S = 0.005
+READ_S = 0.02  # of the platform's list
+
+
+@attrs.frozen
+class Reign:
+    """A moment at which a controller took itself for the head."""
+
+    name: str
+    epoch: int
+    at: float
+
+
+class Platform:
+    """The platform's list: a worker for each reading, so that each list says something new."""
+
+    def __init__(self) -> None:
+        self.readings = 0
+        self.answers_after_s = READ_S
+
+    async def read(self) -> WorkerList | None:
+        self.readings += 1
+        number = self.readings
+        await asyncio.sleep(self.answers_after_s)
+        return WorkerList([Worker(f"i-{number}", "s", f"10.9.0.1:{1000 + number}", "z", 1, "ready", 0)])
+
+
+class CoreNode:
+    """One controller's process."""
+
+    def __init__(self, core: Core, name: str, number: int) -> None:
+        self.core = core
+        self.name = name
+        self.host = f"10.0.0.{number}"
+        self.address = f"{self.host}:7780"
+        self.process = SimulatedProcess(name, 1)
+        self.me = Member(name, "edge", self.address, f"z{number}", "r", 1, f"disk-{name}", True, True)
+        self.platform = Platform()
+        self.state = ClusterState()
+        self.feed = Feed(f"{name}/1")
+        self.published: list[Item] = []
+        self.controller: Controller
+        self.duties: HeadDuties
+        self.client: ClusterClient
+
+    async def run(self) -> None:
+        """The process from its start on."""
+        core, loop = self.core, self.core.loop
+        settings = BootSettings(
+            node_name=self.name,
+            machine_class="edge",
+            ip=self.host,
+            internal_ports=[7780, 7795],
+            seed_nodes=core.seeds,
+            bootstrap=True,
+            bind=Bind(),
+        )
+        transport = core.network.transport(self.process, self.address)
+        self.feed.listen(self._note)
+        self.controller = Controller(
+            self.me,
+            transport,
+            settings,
+            MemorySlot(save_s=SYNC_S),
+            StateStore(MemorySlot(save_s=SYNC_S), [MemorySlot(save_s=SYNC_S), MemorySlot(save_s=SYNC_S)]),
+            random.Random(f"{core.seed} {self.name}"),
+            lambda view: self.duties.publish_view(view),
+            lambda state: self.duties.publish_state(state),
+        )
+        self.duties = HeadDuties(
+            self.me,
+            self.controller,
+            self.feed,
+            Directory(loop.time()),
+            settings,
+            self.platform,
+            transport,
+            loop.time,
+        )
+        self.client = ClusterClient(
+            self.me, transport, settings, self.state, self.feed, random.Random(f"client {self.name}")
+        )
+        await transport.start(self._handle)
+        await self.controller.start()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self.client.run())
+            tasks.create_task(self.duties.run())
+
+    def _note(self, item: Item) -> None:
+        if item.origin == self.feed.origin:
+            self.published.append(item)
+
+    async def _handle(self, message: Any) -> Any:
+        if isinstance(message, HeadDuties.MESSAGES):
+            return await self.duties.handle(message)
+        if isinstance(message, Controller.MESSAGES):
+            return await self.controller.handle(message)
+        return await self.client.handle(message)
+
+    # What an operator does here; his own link to each controller is never cut
+
+    async def put(self, generation: int, if_match: int) -> int:
+        """Send a whole configuration to this machine; the status."""
+        answer = await self._ask(ChangeConfiguration("PUT", if_match, orjson.dumps(document(generation))))
+        return answer.status
+
+    async def read(self) -> tuple[int, int]:
+        """Read the configuration here: the status, and its generation."""
+        answer = await self._ask(ReadConfiguration())
+        return answer.status, orjson.loads(answer.body)["generation"] if answer.status == 200 else 0
+
+    async def _ask(self, message: Any) -> OperatorAnswer:
+        answer = await self.process.run(self.controller.handle(message))
+        assert isinstance(answer, OperatorAnswer)
+        return answer
+
+
+class Core:
+    """All controllers, and what they took themselves for."""
+
+    def __init__(self, loop: VirtualLoop, names: str, seed: int = 1) -> None:
+        self.loop = loop
+        self.seed = seed
+        self.network = Network(loop, random.Random(seed))
+        self.nodes = {name: CoreNode(self, name, number) for number, name in enumerate(names, start=1)}
+        self.seeds = [f"{node.host}:8064" for node in self.nodes.values()][:3]
+        self.reigns: list[Reign] = []
+        self.acknowledged = 0
+        self.generation = 1
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def __getitem__(self, name: str) -> CoreNode:
+        return self.nodes[name]
+
+    async def start(self) -> None:
+        """Start all, and wait for the first head."""
+        for node in self.nodes.values():
+            self.network.power_on(node.host)
+            self._tasks.append(node.process.run(node.run()))
+        await self.until(lambda: self.head() is not None, 6.0)
+        self._tasks.append(asyncio.get_running_loop().create_task(self._watch()))
+
+    def head(self) -> CoreNode | None:
+        """The controller that is the head, as long as only one says so."""
+        heads = [node for node in self.nodes.values() if hasattr(node, "client") and node.controller.is_head]
+        return heads[0] if len(heads) == 1 else None
+
+    def leader(self) -> CoreNode:
+        """The head, which must be there."""
+        head = self.head()
+        assert head is not None
+        return head
+
+    async def until(self, true: Callable[[], bool], seconds: float) -> None:
+        """Wait for something."""
+        deadline = self.loop.time() + seconds
+        while not true():
+            assert self.loop.time() < deadline, f"not so within {seconds} s"
+            await asyncio.sleep(0.01)
+
+    async def _watch(self) -> None:
+        while True:
+            for node in self.nodes.values():
+                if not node.process.frozen and node.process.context.run(self._is_head, node):
+                    self.reigns.append(Reign(node.name, node.controller._member.epoch, self.loop.time()))
+            await asyncio.sleep(0.005)
+
+    @staticmethod
+    def _is_head(node: CoreNode) -> bool:
+        return node.controller.is_head
+
+    def cut(self, victim: str, shape: str) -> None:
+        """Cut a controller off: `all`, `in` (it hears nobody), `out` (nobody hears it), or `one` (from one
+        other controller only)."""
+        others = [node for node in self.nodes.values() if node.name != victim]
+        for other in others[:1] if shape == "one" else others:
+            if shape in ("all", "one", "in"):
+                self.network.cut(other.host, self[victim].host, both=False)
+            if shape in ("all", "one", "out"):
+                self.network.cut(self[victim].host, other.host, both=False)
+
+    def overlap_s(self) -> float:
+        """How long, at most, one took itself for the head after a later epoch's head had begun."""
+        began: dict[int, float] = {}
+        for reign in self.reigns:
+            began.setdefault(reign.epoch, reign.at)
+        longest = 0.0
+        for reign in self.reigns:
+            later = [at for epoch, at in began.items() if epoch > reign.epoch and at <= reign.at]
+            if later:
+                longest = max(longest, reign.at - min(later))
+        return longest
+
+    # Operators
+
+    async def change_all_the_time(self) -> None:
+        """Send change after change, each to one controller after the other until it is acknowledged."""
+        names = list(self.nodes)
+        turn = 0
+        while True:
+            self.generation += 1
+            wanted, on_top_of = self.generation, self.acknowledged
+            while True:
+                turn += 1
+                status = await self._within_a_second(self[names[turn % len(names)]].put(wanted, on_top_of))
+                if status == 200:
+                    self.acknowledged = wanted
+                    break
+                assert status in (None, 503), f"order {wanted} on top of {on_top_of}: {status}"
+                await asyncio.sleep(0.05)
+            await asyncio.sleep(0.05)
+
+    async def read_all_the_time(self, name: str) -> None:
+        """Read at one controller: never less than what was acknowledged before the question."""
+        while True:
+            known = self.acknowledged
+            found = await self._within_a_second(self[name].read())
+            if found is not None and found[0] != 503:
+                status, generation = found
+                assert (status, generation >= known) in ((200, True), (404, known == 0)), (
+                    f"{name} told {found} after {known} had been acknowledged"
+                )
+            await asyncio.sleep(0.03)
+
+    @staticmethod
+    async def _within_a_second(question: Coroutine[Any, Any, Any]) -> Any:
+        try:
+            return await asyncio.wait_for(question, 1.0)
+        except TimeoutError:
+            return None
+
+
+def document(generation: int) -> dict[str, Any]:
+    """A small valid configuration."""
+    route = {
+        "name": "r",
+        "hostname": "h.example",
+        "pathPrefix": "/a/",
+        "type": "async",
+        "timeoutMs": 100 + generation,
+        "upstream": "s",
+    }
+    return {"generation": generation, "routes": [route], "upstreams": [{"name": "s"}], "limits": {}}
+
+
+def play(work: Callable[[Core], Coroutine[Any, Any, None]], names: str = "abc", seed: int = 1) -> Core:
+    """Run a scenario; errors that nobody caught fail it."""
+    loop = VirtualLoop()
+    core = Core(loop, names, seed)
+    try:
+        loop.play(work(core))
+        assert loop.failures == []
+        assert core.network.handler_failures == []
+    finally:
+        loop.shut()
+    return core
--- /dev/null
+++ b/tests/control/test_fencing_duties.py
@@ -0,0 +1,154 @@
+"""What a head that stood still makes of words that lay unread: nothing before they are said again."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from hollowusher.configuration.boot import BootSettings
+from hollowusher.coordination.directory import Directory
+from hollowusher.coordination.duties import HeadDuties
+from hollowusher.coordination.updates import Feed
+from hollowusher.protocol.control import ControlState, Item, Member, Suspicion, View, WorkerList
+from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
+from hollowusher.transport.interface import PeerError
+
+NAMES = ("a", "b", "c", "d")
+
+
+class _Chain:
+    """A chain that this process is the head of, whatever happens."""
+
+    is_head = True
+    view: View | None = None
+    state: ControlState | None = None
+
+    async def change(self, update: Any) -> bool:
+        return False
+
+
+class _Reader:
+    async def read(self) -> WorkerList | None:
+        return None
+
+
+class _Transport:
+    """Nobody answers in time."""
+
+    address = "10.0.0.a:7780"
+
+    async def call(self, address: str, message: Any, timeout: float) -> Any:
+        await asyncio.sleep(timeout)
+        raise PeerError(type(message).__name__, address, "no answer in time")
+
+    def send(self, address: str, message: Any) -> None:
+        return None
+
+    async def start(self, handler: Any) -> None:
+        return None
+
+    async def close(self) -> None:
+        return None
+
+
+class _Head:
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.loop = loop
+        self.process = SimulatedProcess("a")
+        self.feed = Feed("a/1")
+        self.deaths: list[str] = []
+        members = [Member(name, "edge", f"10.0.0.{name}:7780", "z", "r", 1) for name in NAMES]
+        self.duties = HeadDuties(
+            members[0],
+            _Chain(),
+            self.feed,
+            Directory(loop.time()),
+            BootSettings(node_name="a", machine_class="edge", ip="10.0.0.1"),
+            _Reader(),
+            _Transport(),
+            loop.time,
+        )
+        self.feed.listen(self._note)
+        for member in members:
+            self.feed.publish(f"member/{member.name}", [1, 0], member)
+
+    def _note(self, item: Item) -> None:
+        if isinstance(item.value, Member) and not item.value.alive:
+            self.deaths.append(item.value.name)
+
+    def hear(self, reporter: str) -> None:
+        """A suspicion of b arrives; a frozen process reads it when it wakes."""
+        self.process.run(self.duties.handle(Suspicion("b", 1, reporter)))
+
+    async def freeze_for(self, seconds: float) -> None:
+        self.loop.freeze(self.process)
+        await asyncio.sleep(seconds)
+        self.loop.thaw(self.process)
+
+
+def play(work: Any) -> None:
+    loop = VirtualLoop()
+
+    async def main() -> None:
+        head = _Head(loop)
+        head.process.run(head.duties.run())
+        await asyncio.sleep(1.0)
+        await work(head)
+
+    try:
+        loop.play(main())
+        assert loop.failures == []
+    finally:
+        loop.shut()
+
+
+def test_suspicions_that_stand_are_believed() -> None:
+    async def work(head: _Head) -> None:
+        for reporter in ("a", "c", "d"):
+            head.hear(reporter)
+        await asyncio.sleep(0.2)
+        assert head.deaths == ["b"]
+
+    play(work)
+
+
+def test_suspicions_that_lay_unread_over_a_freeze_condemn_nobody() -> None:
+    async def work(head: _Head) -> None:
+        freezing = asyncio.create_task(head.freeze_for(1.0))
+        await asyncio.sleep(0.1)
+        for reporter in ("a", "c", "d"):
+            head.hear(reporter)
+        await freezing
+        await asyncio.sleep(1.5)
+        assert head.deaths == []
+        for reporter in ("c", "d"):  # they stand: the monitors say it again
+            head.hear(reporter)
+        await asyncio.sleep(0.2)
+        assert head.deaths == ["b"]
+
+    play(work)
+
+
+def test_suspicions_from_before_a_freeze_condemn_nobody() -> None:
+    async def work(head: _Head) -> None:
+        head.hear("c")
+        await head.freeze_for(1.0)
+        await asyncio.sleep(0.2)
+        head.hear("d")
+        await asyncio.sleep(0.2)
+        assert head.deaths == []
+
+    play(work)
+
+
+def test_a_member_whose_probe_ran_out_over_a_freeze_is_not_called_dead() -> None:
+    async def work(head: _Head) -> None:
+        for _ in range(4):
+            head.hear("c")
+            await asyncio.sleep(0.3)
+        assert head.duties._probing == {"b"}
+        await head.freeze_for(1.0)
+        await asyncio.sleep(0.5)
+        assert head.deaths == []
+
+    play(work)
