Wait for the job itself in the test of a withdrawal over HTTP/2

Cause of the test that timed out: it waited for any stream at the node, and the program's first probe of the node's load is one. Where the probe came first, the client left before its job was sent; the program rightly sent nothing, and nothing was ever withdrawn. A trace of the node's streams showed it in each failed run. The test now waits for the head of the job's request, which is stricter than any stream; no check changed.

--- a/tests/test_http2_sockets.py
+++ b/tests/test_http2_sockets.py
@@ -319,12 +319,17 @@
         await self.run_h2(node, body_wait_s=20.0)
         reader, writer = await self.client()
         writer.write(post("j", "settle-shift", "8"))
-        await self.until(node, lambda: node.sessions and node.sessions[0].jobs)
+        await self.until(node, lambda: self.has_reached(node, "j"))  # a probe of the node comes first
         writer.close()
         await self.until(node, lambda: node.withdrawn == ["j"])
         self.assertEqual(sum(node.runs.values()), 0)
         self.assertFalse(await reader.read())
 
+    @staticmethod
+    def has_reached(node: Http2Node, name: str) -> bool:
+        """Whether the head of a job's request has come to a node."""
+        return any(job.name == name for session in node.sessions for job in session.jobs.values())
+
     async def test_both_copies_of_a_quote_on_one_connection(self) -> None:
         go = asyncio.Event()
         node = Http2Node(lambda job: Plan(after=go))
