Lose no accepted connection when a scheduler stops beside another

When a stop and a connection came in one turn of the loop, the connection was accepted, and the cancelled accept dropped it: the client saw a reset or an end. Nothing new is accepted now before the accepting task is cancelled, and what has been accepted is handed on first.

This is code of the scheduler in service (fronts/platform/clients.py).

--- a/hollowusher/fronts/platform/clients.py
+++ b/hollowusher/fronts/platform/clients.py
@@ -353,6 +353,7 @@
         self._listener, self._most, self.ids, self._ring = listener, most, ids, ring
         self.classes, self.post, self.log = classes, post, log
         self.copied: Callable[[Job], bool] = lambda job: False  # whether others hold it as well
+        self.accepts = True  # whether `accept` goes on
         self.closing = False  # whether connections end after the answer that is due on them
         self.last_answer_ns: int | None = None  # once a stop is asked for: by when what is taken is answered
         self.drain_times, self.linger_s = DrainTimes.of(classes.values()), LINGER_S
@@ -379,9 +380,9 @@
         self._listener.listen(BACKLOG)
 
     async def accept(self) -> None:
-        """Accept until cancelled."""
+        """Accept until cancelled, or as long as `accepts` holds."""
         loop = asyncio.get_running_loop()
-        while True:
+        while self.accepts:
             try:
                 sock, _ = await loop.sock_accept(self._listener)
             except OSError as wrong:  # out of descriptors: those in use will come free
@@ -391,7 +392,14 @@
                 continue
             self._admit(sock)
 
-    def _stop_listening(self, accepting: asyncio.Task[None]) -> None:
+    async def _stop_listening(self, accepting: asyncio.Task[None]) -> None:
+        """Accept what the kernel has for us and close the listener.
+
+        A cancelled `sock_accept` would drop a connection that it has accepted in the same turn of the loop:
+        so nothing new is accepted first, and what has been is handed on within one turn."""
+        self.accepts = False
+        asyncio.get_running_loop().remove_reader(self._listener)
+        await asyncio.sleep(0)
         accepting.cancel()
         with contextlib.suppress(BlockingIOError):
             while True:  # those that the kernel has accepted for us are ours
@@ -447,7 +455,7 @@
             async with asyncio.timeout(times.serve_s):
                 await self.replaced.wait()
         self.closing, self.linger_s = True, times.linger_s
-        self._stop_listening(accepting)
+        await self._stop_listening(accepting)
         # What is written on the last of them is read first.
         await asyncio.sleep(max(DRAIN_LAST_S, serves_until - loop.time()))
         for session in self._sessions:
