Wait for no former replica that is known to be lost; test emptying and recovery of partitions

A new primary waited a second for the replicas of the placement before, also where their machine had come with another disk: each move for balance after a replacement cost a second without service. Who is known not to be there is no longer waited for.

--- a/hollowusher/messages/replicator.py
+++ b/hollowusher/messages/replicator.py
@@ -323,5 +323,12 @@
 
     def serve_if_complete(self, host: PartitionHost) -> None:
         """Begin to serve once enough replicas have been compared."""
-        if host.primary is None and host.epoch and host.may_serve(self.now()):
-            self.took_over(host)
+        if host.primary is None and host.epoch:
+            host.former_replicas = [replica for replica in host.former_replicas if self._lives(replica)]
+            if host.may_serve(self.now()):
+                self.took_over(host)
+
+    def _lives(self, store_id: str) -> bool:
+        """Whether a store is there with this disk, as far as is known here."""
+        member = self.state.members.get(store_id.partition("/")[0])
+        return member is not None and member.alive and member.store_id == store_id
--- a/tests/control/store_world.py
+++ b/tests/control/store_world.py
@@ -23,6 +23,7 @@
 START_S = 1.0  # from the start of a process to its registration
 CATCH_UP_S = 4.2  # `catchUpS`: so long after a start the next loss has to be borne
 RETENTION_MS = 600_000
+LIVES_APART = 1_000
 
 
 class LargeDisk(Disk):
@@ -84,6 +85,7 @@
     def add_store(self, name: str, ip: str, zone: str) -> Machine:
         """An empty machine, not yet started."""
         machine = Machine(name, "store", ip, zone, self._disk(name, ip), started_once=True)
+        machine.life = len(self.world.machines) * LIVES_APART  # a life of its own: another disk id
         self.world.machines[name] = machine
         return machine
 
@@ -194,15 +196,21 @@
     async def retire(self, name: str, duration_s: float | None) -> OperatorAnswer:
         return await self.head_call(Retire(name, duration_s))
 
-    def borne(self) -> Counter[int]:
-        """How many replicas of each partition stand on machines that run: partitions by that number."""
-        ids = {
-            f"{member.name}/{member.disk_id}": member
+    def living_ids(self) -> set[str]:
+        """The store ids of the processes that run and are known to."""
+        return {
+            member.store_id
             for member in self.state.members.values()
-            if member.alive and self.world.machines[member.name].running
+            if member.alive
+            and member.name in self.world.machines
+            and self.world.machines[member.name].running
         }
+
+    def borne(self) -> Counter[int]:
+        """How many replicas of each partition stand on machines that run: partitions by that number."""
+        living = self.living_ids()
         return Counter(
-            sum(replica in ids for replica in entry.replicas) for entry in self.placement.partitions
+            sum(replica in living for replica in entry.replicas) for entry in self.placement.partitions
         )
 
 
--- /dev/null
+++ b/tests/control/test_partition_recovery.py
@@ -0,0 +1,117 @@
+"""A partition that has lost its majority: it is shown, and goes on by an operator's explicit order alone."""
+
+from __future__ import annotations
+
+import asyncio
+
+import orjson
+import pytest
+
+from hollowusher.coordination.directory import StoreCondition
+from hollowusher.coordination.partition_recovery import (
+    RecoveryRefused,
+    partition_statuses,
+    recovered_placement,
+    store_losses_borne,
+)
+from hollowusher.protocol.control import Member, PartitionPlacement, Placement
+from hollowusher.protocol.status import RecoverPartition
+from tests.control.store_world import StoreWorld, play
+
+PLACEMENT = Placement(
+    7,
+    [
+        PartitionPlacement(0, 4, "s0/d", ["s0/d", "s1/d", "s2/d"], ["s3/d"], 1),
+        PartitionPlacement(1, 2, "s3/d", ["s0/d", "s2/d", "s3/d"], [], 1),
+    ],
+)
+
+
+def conditions(dead: set[int], new_disks: set[int] = frozenset()) -> dict[str, StoreCondition]:  # type: ignore[assignment]
+    return {
+        f"s{n}": StoreCondition(
+            Member(
+                f"s{n}",
+                "store",
+                f"s{n}:1",
+                "z",
+                "r",
+                5,
+                "new" if n in new_disks else "d",
+                status=int(n in dead),
+            ),
+            9.0,
+        )
+        for n in range(4)
+    }
+
+
+def test_the_head_shows_which_partitions_are_lost_and_how_many_losses_are_borne() -> None:
+    def shown(dead: set[int]) -> tuple[list[bool], int]:
+        statuses = partition_statuses(PLACEMENT, conditions(dead), 1)
+        return [status.lost for status in statuses], store_losses_borne(statuses, 1)
+
+    assert shown(set()) == ([False, False], 1)
+    assert shown({0}) == ([False, False], 0)
+    assert shown({0, 1}) == ([True, False], -1)
+    assert shown({0, 2}) == ([True, True], -1)
+
+
+@pytest.mark.parametrize(
+    ("dead", "named", "partition", "status"),
+    [
+        ({0}, ["s0/d"], 0, 409),  # it is not lost
+        ({0, 1}, ["s0/d"], 0, 409),  # s1 does not live and is not named
+        ({0, 1}, ["s0/d", "s1/d", "s2/d"], 0, 409),  # s2 lives
+        ({0, 1}, ["s0/d", "s1/d", "s3/d"], 0, 409),  # s3 is no replica
+        ({0, 1, 2}, ["s0/d", "s1/d", "s2/d"], 0, 409),  # nothing is left
+        ({0, 1}, ["s0/d", "s1/d"], 9, 404),
+    ],
+)
+def test_a_recovery_that_is_not_to_be_is_refused(
+    dead: set[int], named: list[str], partition: int, status: int
+) -> None:
+    found = recovered_placement(PLACEMENT, conditions(dead), 1, partition, named)
+    assert isinstance(found, RecoveryRefused) and found.status == status
+
+
+@pytest.mark.parametrize(("dead", "new_disks"), [({0, 1}, set()), ({0}, {1}), (set(), {0, 1})])
+def test_what_is_left_goes_on_in_the_next_epoch(dead: set[int], new_disks: set[int]) -> None:
+    """A machine that has come back with another disk counts as lost, too."""
+    found = recovered_placement(PLACEMENT, conditions(dead, new_disks), 1, 0, ["s1/d", "s0/d"])
+    assert isinstance(found, Placement) and found.version == 8
+    assert found.partitions == [
+        PartitionPlacement(0, 5, "s2/d", ["s2/d"], [], 5),
+        PLACEMENT.partitions[1],
+    ]
+
+
+def test_a_partition_without_majority_stands_still_until_the_order_and_is_whole_again_after_it() -> None:
+    async def work(system: StoreWorld) -> None:
+        await system.put_many(64)
+        await asyncio.sleep(1.0)
+        lost = [system.lose_for_good(name) for name in ("store-1", "store-2")]
+        await asyncio.sleep(1.0)
+        for number, machine in enumerate(lost):
+            await system.start_slowly(system.add_store(machine.name, f"10.0.1.{number + 1}", machine.zone))
+        await asyncio.sleep(10.0)
+        alone = [
+            entry
+            for entry in system.placement.partitions
+            if sum(replica in system.living_ids() for replica in entry.replicas) == 1
+        ]
+        assert alone  # those whose primary was lost; a primary that lives fills new replicas by itself
+        for entry in alone:
+            given_up = [replica for replica in entry.replicas if not replica.startswith("store-3/")]
+            refused = await system.head_call(RecoverPartition(entry.partition, given_up[:1]))
+            assert refused.status == 409 and b"not named" in refused.body
+            answer = await system.head_call(RecoverPartition(entry.partition, given_up))
+            assert answer.status == 200, answer.body
+            assert orjson.loads(answer.body) == {"state": "recovered"}
+            again = await system.head_call(RecoverPartition(entry.partition, given_up))
+            assert again.status == 409
+        await system.until(lambda: set(system.borne()) == {3}, 10.0)
+        assert await system.put()
+        assert await system.lost() == []  # each was on all three replicas before
+
+    play(work)
--- /dev/null
+++ b/tests/control/test_store_retire.py
@@ -0,0 +1,93 @@
+"""A storage machine is emptied by the operator's order, while other stores lose their disks."""
+
+from __future__ import annotations
+
+import asyncio
+
+import orjson
+import pytest
+
+from hollowusher.coordination.placement import is_named
+from tests.control.store_world import StoreWorld, play
+
+DURATION_S = 10.0
+
+
+async def finish(system: StoreWorld, name: str, within_s: float) -> float:
+    """Seconds until the machine is emptied."""
+    started = system.loop.time()
+    while True:
+        answer = await system.retire(name, None)
+        assert answer.status == 200
+        if orjson.loads(answer.body)["state"] == "completed":
+            return system.loop.time() - started
+        assert system.loop.time() - started < within_s, "the machine is not emptied in time"
+        await asyncio.sleep(0.1)
+
+
+async def check_emptied(system: StoreWorld, name: str) -> None:
+    """Nothing names it, it is switched off for good, and every message is found."""
+    await system.until(lambda: not is_named(system.placement, name), 1.0)
+    system.lose_for_good(name)
+    assert await system.lost() == []
+    assert await system.put()
+    await system.until(lambda: set(system.borne()) == {3}, 6.0)
+
+
+@pytest.mark.parametrize("victim", ["store-2", "store-3", "store-4"])
+@pytest.mark.parametrize("delay_s", [0.0, 0.3, 1.0, 2.0])
+def test_a_machine_is_emptied_though_another_loses_its_disk(victim: str, delay_s: float) -> None:
+    async def work(system: StoreWorld) -> None:
+        for _ in range(4):
+            await system.put_many(160, size=12_500)
+        answer = await system.retire("store-1", DURATION_S)
+        assert answer.status == 200
+        await asyncio.sleep(delay_s)
+        disturbed = asyncio.ensure_future(system.lose_disk_and_return(victim))
+        await finish(system, "store-1", DURATION_S)
+        await disturbed
+        await check_emptied(system, "store-1")
+
+    play(work, stores=4)
+
+
+def test_two_disks_are_lost_one_after_the_other_while_a_machine_is_emptied() -> None:
+    """The second one is lost as soon as the first machine has caught up."""
+
+    async def work(system: StoreWorld) -> None:
+        await system.put_many(160, size=2_500)
+        assert (await system.retire("store-1", DURATION_S)).status == 200
+        await system.lose_disk_and_return("store-2", 0.5)
+        await asyncio.sleep(4.2)
+        await system.lose_disk_and_return("store-3", 0.5)
+        await finish(system, "store-1", DURATION_S)
+        await check_emptied(system, "store-1")
+
+    play(work, stores=4)
+
+
+def test_a_machine_that_is_emptied_goes_on_as_a_source() -> None:
+    """The only other copy of what is committed is lost: the machine to be emptied has the last one."""
+
+    async def work(system: StoreWorld) -> None:
+        await system.put_many(64)
+        assert (await system.retire("store-1", DURATION_S)).status == 200
+        await asyncio.sleep(0.1)
+        assert any(entry.learners for entry in system.placement.partitions)
+        await system.lose_disk_and_return("store-2", 0.3)
+        await finish(system, "store-1", DURATION_S)
+        assert await system.lost() == []
+
+    play(work, stores=4)
+
+
+def test_orders_that_cannot_be_taken_are_refused_truthfully_and_change_nothing() -> None:
+    async def work(system: StoreWorld) -> None:
+        before = system.placement
+        assert (await system.retire("store-9", DURATION_S)).status == 404
+        assert (await system.retire("edge-1", DURATION_S)).status == 404
+        assert (await system.retire("store-1", DURATION_S)).status == 409  # three stores are needed
+        await asyncio.sleep(1.0)
+        assert system.placement == before
+
+    play(work)
