Put the rule by which a replica follows a placement into its pure part

The model check of one partition is to run the rule itself: whether a store stays, becomes or ceases to be the primary was decided in the replicator, between its I/O.

--- a/hollowusher/messages/hosting.py
+++ b/hollowusher/messages/hosting.py
@@ -45,6 +45,37 @@
 
     # Placement
 
+    def is_news(self, placement: PartitionPlacement) -> bool:
+        """Whether a placement is no older than the known one."""
+        return self.placement is None or placement.epoch >= self.placement.epoch
+
+    def follow(self, placement: PartitionPlacement, tolerated: int, incarnation: int, now: float) -> bool:
+        """Take up a placement: stay, become or cease to be the primary.  True where a takeover begins: the
+        promise of its epoch has to be on this store's disk before any other replica is asked."""
+        known = self.placement
+        unbroken = known is not None and self.epoch == known.epoch and placement.epoch <= known.epoch + 1
+        self.place(placement, tolerated)
+        if not self._is_led_by(incarnation):
+            if self.epoch < placement.epoch:
+                self.resign()
+        elif placement.epoch < self.table.promised_epoch:
+            self.resign()
+        elif self.primary is not None and unbroken:
+            self.lead_on(placement.epoch)
+            self.table.promise(placement.epoch)
+        elif self.epoch != placement.epoch and self.last_led < placement.epoch:
+            self.lead(placement.epoch, now)
+            return True
+        return False
+
+    def _is_led_by(self, incarnation: int) -> bool:
+        """Whether this life is to lead the placement's epoch.  An epoch given to an earlier life is over:
+        what that life proposed last may stand elsewhere under versions that this one would use again."""
+        assert self.placement is not None
+        if self.placement.primary != self.me:
+            return False
+        return self.placement.primary_incarnation == 0 or self.placement.primary_incarnation >= incarnation
+
     def place(self, placement: PartitionPlacement, tolerated: int) -> None:
         """Take a newer placement."""
         if self.placement is not None and set(self.placement.replicas) != set(placement.replicas):
--- a/hollowusher/messages/replicator.py
+++ b/hollowusher/messages/replicator.py
@@ -282,31 +282,13 @@
         self.recover()
 
     def _place(self, host: PartitionHost, entry: PartitionPlacement, involved: bool) -> None:
-        known = host.placement
-        if known is not None and entry.epoch < known.epoch:
+        if not host.is_news(entry):
             return
-        unbroken = known is not None and host.epoch == known.epoch and entry.epoch <= known.epoch + 1
-        host.place(entry, self._tolerated)
         host.drop_at = 0.0 if involved else host.drop_at or self.now() + DROP_AFTER_S
-        if not self._is_primary_of(entry):
-            if host.epoch < entry.epoch:
-                host.resign()
-        elif entry.epoch < host.table.promised_epoch:
-            host.resign()
-        elif host.primary is not None and unbroken:
-            host.lead_on(entry.epoch)
-            host.table.promise(entry.epoch)
-            self.settle(host)
-        elif host.epoch != entry.epoch and host.last_led < entry.epoch:
-            host.lead(entry.epoch, self.now())
+        if host.follow(entry, self._tolerated, self._incarnation, self.now()):
             self.run(self._take_over(host, entry.epoch))
-
-    def _is_primary_of(self, entry: PartitionPlacement) -> bool:
-        """Whether this life is to lead the entry's epoch.  An epoch given to an earlier life is over: what
-        that life proposed last may stand elsewhere under versions that this one would use again."""
-        if entry.primary != self.store_id:
-            return False
-        return entry.primary_incarnation == 0 or entry.primary_incarnation >= self._incarnation
+        elif host.primary is not None:
+            self.settle(host)
 
     async def _take_over(self, host: PartitionHost, epoch: int) -> None:
         """Promise the new epoch durably here before any other replica is asked."""
