Leave no failure of a call unread whose process ends in the same moment

A failed call now counts as read: whoever waits for it gets the failure all the same.

Test: the new one in tests/control/test_calls_late.py fails without the change.

--- a/hollowusher/simulation/network.py
+++ b/hollowusher/simulation/network.py
@@ -19,7 +19,7 @@
 from hollowusher.protocol.control import Hello
 from hollowusher.protocol.identity import Identity
 from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
-from hollowusher.transport.interface import Handler, PeerError, WrongPeer
+from hollowusher.transport.interface import Handler, PeerError, WrongPeer, fail_call
 from hollowusher.transport.peers import PeerDirectory
 
 CONNECT_TIMEOUT_S = 1.0
@@ -278,15 +278,15 @@
         if kind == ANSWER:
             future.set_result(answer)
         else:
-            future.set_exception(PeerError("call", self.server.address, f"peer failed: {answer}"))
+            fail_call(future, PeerError("call", self.server.address, f"peer failed: {answer}"))
 
     def _refused(self, number: int, found: Identity) -> None:
         """Another process is there; calls it has taken before may still be answered."""
         self.client.peers.figures.misdirected += 1
         self.misdirected = True
         future = self.waiting.pop(number, None)
-        if future is not None and not future.done():
-            future.set_exception(WrongPeer("call", self.server.address, found))
+        if future is not None:
+            fail_call(future, WrongPeer("call", self.server.address, found))
         if not self.waiting:
             self.abort()
 
@@ -318,8 +318,7 @@
         """All calls that wait for an answer fail."""
         waiting, self.waiting = self.waiting, {}
         for future in waiting.values():
-            if not future.done():
-                future.set_exception(PeerError("call", self.server.address, reason))
+            fail_call(future, PeerError("call", self.server.address, reason))
 
     def host_lost_power(self, host: str) -> None:
         """Whatever that host had on the way or to be sent is gone; the other end hears nothing."""
--- a/hollowusher/transport/interface.py
+++ b/hollowusher/transport/interface.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any, Protocol
 
@@ -31,6 +32,14 @@
         self.found = found
 
 
+def fail_call(waiting: asyncio.Future[Any], error: PeerError) -> None:
+    """End a call that waits for its answer.  Its caller may be ending in the same moment: nobody then reads
+    the failure, which is no fault."""
+    if not waiting.done():
+        waiting.set_exception(error)
+        waiting.exception()
+
+
 class Transport(Protocol):
     """One process's access to the others, by internal address "ip:port"."""
 
--- a/hollowusher/transport/tcp.py
+++ b/hollowusher/transport/tcp.py
@@ -23,7 +23,7 @@
 from hollowusher.protocol.codec import MOST_TAG, DecodeError, decode, encode, tag_of
 from hollowusher.protocol.control import Hello
 from hollowusher.protocol.identity import Identity
-from hollowusher.transport.interface import Handler, PeerError, WrongPeer
+from hollowusher.transport.interface import Handler, PeerError, WrongPeer, fail_call
 from hollowusher.transport.peers import PeerDirectory, names_exactly
 
 ONE_WAY, REQUEST, ANSWER, FAILURE, HELLO, REFUSED = range(6)
@@ -190,8 +190,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = None
         for future in self.waiting.values():
-            if not future.done():
-                future.set_exception(PeerError("call", self.peer, "connection lost"))
+            fail_call(future, PeerError("call", self.peer, "connection lost"))
         self.waiting.clear()
 
     def frame_received(self, number: int, kind: int, message: Any) -> None:
@@ -204,15 +203,15 @@
         elif kind == ANSWER:
             future.set_result(message)
         else:
-            future.set_exception(PeerError("call", self.peer, f"peer failed: {message}"))
+            fail_call(future, PeerError("call", self.peer, f"peer failed: {message}"))
 
     def _refused(self, number: int, found: Identity) -> None:
         """Another process is there; calls it has taken before may still be answered."""
         self._directory.figures.misdirected += 1
         self.misdirected = True
         future = self.waiting.pop(number, None)
-        if future is not None and not future.done():
-            future.set_exception(WrongPeer("call", self.peer, found))
+        if future is not None:
+            fail_call(future, WrongPeer("call", self.peer, found))
         if not self.waiting:
             self._drop()
 
--- a/tests/control/test_calls_late.py
+++ b/tests/control/test_calls_late.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import random
 from typing import Any
 
 from hollowusher.protocol.control import Done, ReadView
 from hollowusher.simulation.loop import SimulatedProcess, VirtualLoop
 from hollowusher.simulation.network import Network
+from hollowusher.transport.interface import PeerError, fail_call
 from hollowusher.transport.tcp import TcpTransport
 from tests.standins import free_port
 
@@ -70,3 +72,24 @@
         loop.play(scene())
     finally:
         loop.shut()
+
+
+def test_a_failed_call_that_nobody_waits_for_any_more_is_no_fault() -> None:
+    """Its process may have been ended in the moment in which it failed."""
+    loop = VirtualLoop()
+
+    async def scene() -> None:
+        future: asyncio.Future[Any] = loop.create_future()
+        fail_call(future, PeerError("call", "10.0.0.2:7780", "connection reset"))
+        fail_call(future, PeerError("call", "10.0.0.2:7780", "again"))
+        assert "connection reset" in str(future.exception())
+        dropped: asyncio.Future[Any] = loop.create_future()
+        fail_call(dropped, PeerError("call", "10.0.0.2:7780", "connection reset"))
+        del dropped
+        gc.collect()
+
+    try:
+        loop.play(scene())
+        assert loop.failures == []
+    finally:
+        loop.shut()
