Tell how control stands: voters, majority, spares, margins, who is catching up

An operator could not see how many further losses a system bears. A controller now answers ReadControlStatus from the view, what it hears of the voters, the placement and the directory (coordination/control_status, without I/O); GET /control of any edge process asks the head, or else the controller that knows most. The head logs margin_none, margin_broken and margin_back for controllers and stores when the margin changes (roles/margin_log). The status also tells how long ago the head last read the platform's list. POST /recover-partition/N takes the operator's order to go on without named replicas.

--- a/hollowusher/console/status_api.py
+++ b/hollowusher/console/status_api.py
@@ -1,25 +1,35 @@
-"""`GET /status` and `GET /messages/REFERENCE` on an edge process's admin address.
+"""`GET /status`, `GET /control` and `GET /messages/REFERENCE` on an edge process's admin address.
 
-Answers come from what the process knows, without a call to another one (a message's state is asked of its
-partition's primary).  The report's module is loaded at the first question, so that a start need not.
+Answers come from what the process knows; a message's state is asked of its partition's primary, and how
+control stands of the chain's head.  The report's module is loaded at the first question, so that a start
+need not.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Protocol
 
 import orjson
 from aiohttp import web
 
 from hollowusher.coordination.cluster_state import WORKERS, ClusterState
+from hollowusher.protocol.codec import as_document
 from hollowusher.protocol.control import Member
+from hollowusher.protocol.status import ControlStatus
 from hollowusher.protocol.store import StatusAnswer
 
 STATUS_PATH = "/status"
 MESSAGE_PATH = "/messages/{reference}"
+CONTROL_PATH = "/control"
 MESSAGE_TIMEOUT_S = 1.8
 Figures = Callable[[], Mapping[str, Mapping[str, int]]]
+ControlQuestion = Callable[[], Awaitable[ControlStatus | None]]
+
+
+async def _no_control() -> ControlStatus | None:
+    """Where no controller can be asked."""
+    return None
 
 
 class MessageStates(Protocol):
@@ -40,6 +50,7 @@
         ready: Callable[[], bool],
         figures: Figures,
         clock: Callable[[], float],
+        control: ControlQuestion = _no_control,
     ) -> None:
         self._me = me
         self._state = state
@@ -47,6 +58,7 @@
         self._ready = ready
         self._figures = figures
         self._clock = clock
+        self._ask_control = control
         self._started = self._workers_changed = clock()
         state.listen(self._on_change)
 
@@ -54,6 +66,7 @@
         """Serve the paths from an application."""
         application.router.add_get(STATUS_PATH, self._status)
         application.router.add_get(MESSAGE_PATH, self._message)
+        application.router.add_get(CONTROL_PATH, self._control)
 
     def _on_change(self, key: str) -> None:
         if key == WORKERS:
@@ -75,6 +88,12 @@
         report = status_report(process, self._state, round(now - self._workers_changed, 1), self._figures())
         return _json(200, report)
 
+    async def _control(self, request: web.Request) -> web.Response:
+        status = await self._ask_control()
+        if status is None:
+            return _json(503, {"error": "no controller answers"})
+        return _json(200, as_document(status))
+
     async def _message(self, request: web.Request) -> web.Response:
         reference = request.match_info["reference"]
         answer = await self._messages.status(reference, False, self._clock() + MESSAGE_TIMEOUT_S)
--- a/hollowusher/coordination/controller.py
+++ b/hollowusher/coordination/controller.py
@@ -9,7 +9,7 @@
 import asyncio
 import random
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Sequence
 from contextlib import suppress
 from typing import Any
 
@@ -18,6 +18,7 @@
 from hollowusher.coordination.bootstrap import SeedService, read_view
 from hollowusher.coordination.chain import ChainMember
 from hollowusher.coordination.chain_owner import ChainOwner, Update
+from hollowusher.coordination.control_status import ControlStanding
 from hollowusher.coordination.pause_detector import PauseDetector
 from hollowusher.coordination.replicator import Replicator
 from hollowusher.coordination.state_service import StateService
@@ -129,6 +130,12 @@
         """How many messages of the chain were not taken, by reason."""
         return self._replicator.refused
 
+    def standing(self, controllers: Sequence[str]) -> ControlStanding:
+        """What this controller knows of the agreement and the chain; `controllers` are all that are there."""
+        view = self.view
+        signs = {} if view is None else self._group.signs(view)
+        return ControlStanding(self._me.name, view, self.state, self.is_head, signs, controllers)
+
     async def change(self, update: Update) -> bool:
         """Head: commit what `update` makes of the newest state (None: leave it).  True once the result is
         committed; False where that is not known in time, or this is not the head."""
--- a/hollowusher/coordination/duties.py
+++ b/hollowusher/coordination/duties.py
@@ -15,7 +15,7 @@
 
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.cluster_state import CONFIGURATION, MEMBER_PREFIX, PLACEMENT, VIEW, WORKERS
-from hollowusher.coordination.directory import Directory, version_of
+from hollowusher.coordination.directory import EDGE, Directory, version_of
 from hollowusher.coordination.pause_detector import PauseDetector
 from hollowusher.coordination.placement_duty import ControlChain, LogLine, PlacementDuty, no_log
 from hollowusher.coordination.placement_duty import Update as Update
@@ -36,12 +36,14 @@
     Worker,
     WorkerList,
 )
+from hollowusher.protocol.status import PartitionStatus
 from hollowusher.transport.interface import PeerError, Transport
 
 TICK_S = 0.1
 READ_S = 1.0
 FIRST_READ_S = 0.15
 PROBE_TIMEOUT_S = 0.6
+NEVER_READ = -1.0
 LONGEST_STEP_S = TICK_S + 0.3  # a longer one: this process did not run
 UNREAD_S = 0.1  # for so long after a pause what comes may have lain unread
 
@@ -81,6 +83,7 @@
             controller, directory, settings.fault_tolerance.machines, clock, log_line
         )
         self._probing: set[str] = set()
+        self._list_read_at: float | None = None  # by this process as head
         self._pauses = PauseDetector(LONGEST_STEP_S)
         feed.listen(self._on_item)
 
@@ -104,6 +107,22 @@
         if item.key.startswith(MEMBER_PREFIX):
             self._directory.take(item.value, self._clock())
 
+    # ---- what an operator is told
+
+    def partition_statuses(self) -> list[PartitionStatus]:
+        """How each partition stands, as this controller knows it."""
+        return self._placement.partition_statuses()
+
+    def controllers(self) -> list[str]:
+        """The living controllers, voters or not."""
+        return [member.name for member in self._directory.alive(EDGE) if member.controller]
+
+    def seconds_since_list(self) -> float:
+        """How long ago this process last read the platform's whole list, -1 where it is not its reader."""
+        if self._list_read_at is None or not self._controller.is_head:
+            return NEVER_READ
+        return self._clock() - self._list_read_at
+
     # ---- messages
 
     async def handle(self, message: Any) -> Any:
@@ -201,6 +220,7 @@
             self._notice_pause(self._clock())
             if listed is None or self._pauses.paused_since(asked_at):
                 return
+            self._list_read_at = self._clock()
             view = self._controller.view
             if view is not None and self._controller.is_head:
                 self._publish_workers(listed, view)
--- a/hollowusher/coordination/operator_api.py
+++ b/hollowusher/coordination/operator_api.py
@@ -1,4 +1,5 @@
-"""The operator's HTTP interface: configuration orders and the emptying of store machines.
+"""The operator's HTTP interface: configuration orders, the emptying of store machines, and the recovery of
+partitions.
 
 Each request becomes one message that `forward` brings to whoever decides on it.  Callers move on after a
 second of silence, so a question gets 503 before that; a change may take longer, for its answer is then true.
@@ -15,6 +16,7 @@
 
 from hollowusher.configuration.orders import MOST_BODY_BYTES, Refusal
 from hollowusher.protocol.control import ChangeConfiguration, OperatorAnswer, ReadConfiguration, Retire
+from hollowusher.protocol.status import RecoverPartition
 from hollowusher.transport.interface import PeerError
 
 QUESTION_TIMEOUT_S = 0.9
@@ -39,6 +41,7 @@
         application.router.add_get("/config", self._read)
         application.router.add_post("/retire/{node}", self._retire)
         application.router.add_get("/retire/{node}", self._retirement)
+        application.router.add_post("/recover-partition/{partition}", self._recover_partition)
 
     async def _change(self, request: web.Request) -> web.Response:
         if_match = _read_if_match(request.headers.get("If-Match"))
@@ -64,6 +67,15 @@
     async def _retirement(self, request: web.Request) -> web.Response:
         return await self._ask(Retire(request.match_info["node"], None), QUESTION_TIMEOUT_S)
 
+    async def _recover_partition(self, request: web.Request) -> web.Response:
+        body = await _read_body(request)
+        if isinstance(body, Refusal):
+            return _response(body.answer())
+        order = _read_recovery(request.match_info["partition"], body)
+        if isinstance(order, Refusal):
+            return _response(order.answer())
+        return await self._ask(order, CHANGE_TIMEOUT_S)
+
     async def _ask(self, message: Any, timeout: float) -> web.Response:
         """The answer to a message.  A change goes on when its caller is told 503: it may yet be taken."""
         task = asyncio.ensure_future(self._forward(message))
@@ -113,6 +125,20 @@
     return float(duration)
 
 
+def _read_recovery(partition: str, body: bytes) -> RecoverPartition | Refusal:
+    """The order to go on with what is left of a partition; every replica given up is named."""
+    if not (partition.isascii() and partition.isdigit() and len(partition) < 10):
+        return Refusal(400, "partition", "is not a number")
+    try:
+        content = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        return Refusal(400, "body", f"is not JSON: {error}")
+    named = content.get("acceptLossOf") if isinstance(content, dict) else None
+    if not isinstance(named, list) or not named or not all(isinstance(each, str) for each in named):
+        return Refusal(400, "acceptLossOf", "is missing or not a list of store ids")
+    return RecoverPartition(int(partition), named)
+
+
 def _response(answer: OperatorAnswer) -> web.Response:
     if answer.status == 503:
         return _unavailable("", answer.body)
--- a/hollowusher/coordination/voter_group.py
+++ b/hollowusher/coordination/voter_group.py
@@ -10,6 +10,7 @@
 from hollowusher.coordination.agreement import Agreement
 from hollowusher.coordination.bootstrap import call_all, read_view
 from hollowusher.coordination.chain import ChainMember
+from hollowusher.coordination.control_status import UNHEARD, VoterSigns
 from hollowusher.coordination.reconfiguration import (
     PROPOSAL_STAGGER_S,
     Presence,
@@ -86,6 +87,21 @@
         """Whether enough voters to decide have answered lately."""
         return self._health.hears_majority(view, _now())
 
+    def signs(self, view: View) -> dict[str, VoterSigns]:
+        """What has lately been heard of each voter, this controller included."""
+        return {voter.name: self._sign(voter, view) for voter in view.voters}
+
+    def _sign(self, voter: Voter, view: View) -> VoterSigns:
+        if voter.name == self._me.name:
+            member = self._member
+            return VoterSigns(True, member.complete, [member.state_epoch, member.state.sequence])
+        pong = self._health.pong(voter.name)
+        if pong is None:
+            return UNHEARD
+        heard = self._health.hears(voter.name, _now())
+        complete = heard and pong.complete and pong.epoch == view.epoch
+        return VoterSigns(heard, complete, pong.state_version)
+
     def avoid(self, name: str) -> None:
         """A chain member cannot be reached by its neighbour."""
         self._health.avoid(name, _now() + AVOID_S)
--- a/hollowusher/protocol/codec.py
+++ b/hollowusher/protocol/codec.py
@@ -54,6 +54,11 @@
     return dict(_types)
 
 
+def as_document(value: Any) -> dict[str, Any]:
+    """A message and those in it as maps by field name, for JSON."""
+    return attrs.asdict(value)
+
+
 def evolve(value: Value, **changes: Any) -> Value:
     """The same message with some fields changed."""
     changed: Value = attrs.evolve(value, **changes)  # type: ignore[misc]  # any message is an attrs class
--- a/hollowusher/protocol/status.py
+++ b/hollowusher/protocol/status.py
@@ -56,6 +56,7 @@
     controller_losses_borne: int  # how many further losses leave a majority and a complete chain member
     store_losses_borne: int  # the same for the worst partition; -1: a partition cannot serve now
     partitions: list[PartitionStatus] = attrs.Factory(list)
+    worker_list_age_s: float = -1.0  # since the head last read the platform's whole list; -1: not the head
 
 
 @message(84)
--- a/hollowusher/roles/control.py
+++ b/hollowusher/roles/control.py
@@ -6,22 +6,27 @@
 from pathlib import Path
 from typing import Any
 
+from hollowusher.coordination.control_status import control_status
 from hollowusher.coordination.controller import Controller
 from hollowusher.coordination.directory import Directory
 from hollowusher.coordination.duties import HeadDuties
 from hollowusher.coordination.platform_list import PlatformReader
 from hollowusher.coordination.updates import Feed
 from hollowusher.coordination.state_store import StateStore
+from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control import ControlState, Member, View
+from hollowusher.protocol.status import ControlStatus, ReadControlStatus
 from hollowusher.roles.change_log import ChangeLog
 from hollowusher.roles.logs import log
+from hollowusher.roles.margin_log import MarginLog
 from hollowusher.roles.process import Process
 from hollowusher.storage.slots import SlotFile
 
 VIEW_SLOT = "view"
 STATE_SLOT = "control-state"
 RECORD_SLOTS = ("control-record-a", "control-record-b")
-MESSAGES = (*HeadDuties.MESSAGES, *Controller.MESSAGES)
+MESSAGES = (ReadControlStatus, *HeadDuties.MESSAGES, *Controller.MESSAGES)
+MARGIN_LOOK_S = 0.5  # between two looks at how many further losses are borne
 
 
 class ControlPart:
@@ -54,12 +59,15 @@
             clock,
             log,
         )
+        self._tolerance = settings.fault_tolerance.machines
+        self._margin = MarginLog(log)
         ChangeLog(process.state, "", lambda: self.controller.is_head)
 
     async def start(self) -> None:
         """Take part in views and chain, and be ready for the head's duties."""
         await self.controller.start()
         self._process.spawn(self.duties.run())
+        self._process.spawn(self._watch_margin())
 
     async def stop(self) -> None:
         """Leave the chain in order."""
@@ -76,10 +84,23 @@
 
     async def handle(self, message: Any) -> Any:
         """Answer such a message."""
+        if isinstance(message, ReadControlStatus):
+            return self.status()
         if isinstance(message, HeadDuties.MESSAGES):
             return await self.duties.handle(message)
         return await self.controller.handle(message)
 
+    def status(self) -> ControlStatus:
+        """How control and placement stand, as this controller knows it."""
+        standing = self.controller.standing(self.duties.controllers())
+        status = control_status(standing, self.duties.partition_statuses(), self._tolerance)
+        return evolve(status, worker_list_age_s=self.duties.seconds_since_list())
+
+    async def _watch_margin(self) -> None:
+        while True:
+            self._margin.take(self.status())
+            await asyncio.sleep(MARGIN_LOOK_S)
+
     def _publish_view(self, view: View) -> None:
         self.duties.publish_view(view)
 
--- a/hollowusher/roles/edge.py
+++ b/hollowusher/roles/edge.py
@@ -147,13 +147,21 @@
             async with asyncio.timeout(OPERATOR_WAITS_S):
                 await self.serving.wait()
         from hollowusher.console.status_api import StatusApi
+        from hollowusher.roles.control_question import ControlQuestion
         from hollowusher.roles.operator_site import OperatorForward, serve_operator
 
         process = self.process
         forward = OperatorForward(self.me.name, process.state, process.transport, self.handle)
         clock = asyncio.get_running_loop().time
+        control = ControlQuestion(self.me.name, process.state, process.transport, self.handle)
         status = StatusApi(
-            lambda: self.client.me, process.state, self.store_client, self.ready, self._figures, clock
+            lambda: self.client.me,
+            process.state,
+            self.store_client,
+            self.ready,
+            self._figures,
+            clock,
+            control,
         )
         self._operator_site = await serve_operator(process.settings.bind.admin, forward, status)
 
--- /dev/null
+++ b/tests/control/test_control_status.py
@@ -0,0 +1,116 @@
+"""What an operator is told of voters, margins and partitions, and the log lines about margins."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from hollowusher.coordination.control_status import (
+    ControlStanding,
+    VoterSigns,
+    control_status,
+    controller_losses_borne,
+)
+from hollowusher.coordination.view import first_view
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import ControlState, View, Voter
+from hollowusher.protocol.status import ControlStatus, PartitionStatus
+from hollowusher.roles.margin_log import MarginLog
+
+WELL = VoterSigns(True, True, [1, 7])
+CATCHING_UP = VoterSigns(True, False, [1, 3])
+SILENT = VoterSigns(False, False)
+
+
+def view_of(*names: str) -> View:
+    return first_view([Voter(name, f"disk-{name}", f"{name}:7780") for name in names])
+
+
+def signs(view: View, **changed: VoterSigns) -> dict[str, VoterSigns]:
+    return {voter.name: changed.get(voter.name, WELL) for voter in view.voters}
+
+
+def partition(number: int, living: int, replicas: int = 3, **more: Any) -> PartitionStatus:
+    return PartitionStatus(number, 1, "s1/d1", living, replicas, **more)
+
+
+def status(view: View | None, partitions: list[PartitionStatus], **changed: VoterSigns) -> ControlStatus:
+    heard = {} if view is None else signs(view, **changed)
+    state = ControlState(sequence=7, generation=2, document=b"", history=[])
+    standing = ControlStanding("a", view, state, view is not None, heard, ["a", "x"])
+    return control_status(standing, partitions, 1)
+
+
+@pytest.mark.parametrize(
+    ("names", "changed", "borne"),
+    [
+        ("abc", {}, 1),
+        ("abcd", {}, 1),
+        ("abcde", {}, 2),
+        ("abc", {"b": SILENT}, 0),
+        ("abcd", {"b": SILENT}, 0),  # 3 of 4 decide: a fourth voter that is gone bears nothing
+        ("abcde", {"b": SILENT}, 1),
+        ("abc", {"b": SILENT, "c": SILENT}, -1),
+        ("abc", {"b": CATCHING_UP, "c": CATCHING_UP}, 0),  # only one holds the whole state
+        ("abc", {"b": CATCHING_UP}, 1),
+        ("a", {}, 0),
+    ],
+)
+def test_the_controllers_margin(names: str, changed: dict[str, VoterSigns], borne: int) -> None:
+    view = view_of(*names)
+    assert controller_losses_borne(view, signs(view, **changed)) == borne
+
+
+def test_a_status_tells_voters_majority_spares_and_how_far_each_has_caught_up() -> None:
+    view = evolve(view_of("a", "b", "c"), epoch=4, chain=["b", "a"])
+    told = status(view, [partition(0, 3), partition(1, 2, learners=["s4/d4"])], c=CATCHING_UP)
+    assert (told.epoch, told.head, told.tail, told.majority) == (4, "b", "a", 2)
+    assert told.spare_controllers == ["x"]
+    [voter] = [voter for voter in told.voters if voter.name == "c"]
+    assert (voter.in_chain, voter.complete, voter.state_version) == (False, False, [1, 3])
+    assert (told.sequence, told.generation, told.store_losses_borne) == (7, 2, 0)
+
+
+def test_without_a_view_nothing_is_borne() -> None:
+    told = status(None, [])
+    assert (told.epoch, told.controller_losses_borne, told.voters) == (0, -1, [])
+
+
+class Lines:
+    """The log lines written, as (event, what, margin)."""
+
+    def __init__(self) -> None:
+        self.told: list[tuple[str, str, int]] = []
+
+    def __call__(self, event: str, *, of: str, losses_borne: int, **_: Any) -> None:
+        self.told.append((event, of, losses_borne))
+
+
+def test_a_line_tells_when_the_margin_falls_to_none_and_when_it_is_back() -> None:
+    lines = Lines()
+    log = MarginLog(lines)
+    view = view_of("a", "b", "c")
+    whole = [partition(0, 3), partition(1, 3)]
+    log.take(status(view, whole))
+    assert lines.told == []
+    log.take(status(view, whole, b=SILENT))
+    log.take(status(view, whole, b=SILENT))
+    assert lines.told == [("margin_none", "controllers", 0)]
+    log.take(status(view, [partition(0, 2), partition(1, 3)]))
+    assert lines.told[1:] == [("margin_back", "controllers", 1), ("margin_none", "stores", 0)]
+    log.take(status(view, [partition(0, 1, lost=True), partition(1, 3)]))
+    log.take(status(view, whole))
+    assert lines.told[3:] == [("margin_broken", "stores", -1), ("margin_back", "stores", 1)]
+
+
+def test_a_new_head_tells_what_it_finds_and_others_are_silent() -> None:
+    lines = Lines()
+    log = MarginLog(lines)
+    lacking = status(view_of("a", "b", "c"), [partition(0, 3)], b=SILENT)
+    log.take(evolve(lacking, leads=False))
+    assert lines.told == []
+    log.take(lacking)
+    log.take(evolve(lacking, leads=False))
+    log.take(lacking)
+    assert lines.told == [("margin_none", "controllers", 0)] * 2
