Carry a store's time of day on by its steady clock, so that a step changes no message

Change: the time of day is asked for once in the life of the process and carried on by the steady clock; records keep their form. A clock that is wrong at the start stays so for that life, as far as the margins allow (15 s for forgetting, 5 s for retention).

--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -21,6 +21,7 @@
 from hollowusher.messages.proposal import Proposal
 from hollowusher.messages.recovery import Recovery
 from hollowusher.messages.replicator import Replicator
+from hollowusher.messages.time_of_day import TimeOfDay
 from hollowusher.messages.waiting import JobWaiters
 from hollowusher.protocol.control import Member
 from hollowusher.protocol.store import (
@@ -86,7 +87,7 @@
         self._state = state
         self._visibility_ms = settings.bounds.visibility_ms
         self._chance = chance
-        self._wall_ms = wall_ms
+        self._wall_ms = time_of_day = TimeOfDay(wall_ms, self._now)
         self._log_reserve = min(LOG_RESERVE_BYTES, log.free_bytes() // 8)
         status_ms = int(settings.bounds.status_s * 1000)
         self._replicator = Replicator(
@@ -96,7 +97,7 @@
             state,
             settings.fault_tolerance.machines,
             status_ms,
-            wall_ms,
+            time_of_day,
             me.incarnation,
         )
         self._recovery = Recovery(self._replicator, chance)
--- a/tests/control/test_fencing_stores.py
+++ b/tests/control/test_fencing_stores.py
@@ -155,6 +155,50 @@
         play(work)
 
 
+class TestClockOfTheDay:
+    """A step of the clock neither ends nor forgets a message, whatever is done while it lasts."""
+
+    @pytest.mark.parametrize("step_s", [-3_600, -30, 30, 100, 3_600])
+    def test_a_step_forgets_nothing(self, step_s: int, monkeypatch: pytest.MonkeyPatch) -> None:
+        async def work(cluster: StoreCluster) -> None:
+            begun_at, right = cluster.loop.time(), cluster.wall_ms
+            monkeypatch.setattr(
+                cluster, "wall_ms", lambda: right() + (cluster.loop.time() > begun_at + 10.0) * step_s * 1000
+            )
+            await cluster.start()
+            reference = await cluster.stored(message("m0"))
+            [job] = await cluster.lease()
+            assert await cluster.finish(job.lease, "success", signature="s") == "taken"
+            await asyncio.sleep(50.0)  # status_s is 60
+            assert (await cluster.status(reference)).state == "completed"
+            cluster.place([cluster.entry(0, 2, primary=1)])
+            await asyncio.sleep(1.0)
+            assert (await cluster.status(reference, store=1)).state == "completed"
+
+        play(work)
+
+    @pytest.mark.parametrize("step_s", [-3_600, 30, 100, 3_600])
+    def test_a_step_before_a_takeover_ends_nothing(
+        self, step_s: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def work(cluster: StoreCluster) -> None:
+            begun_at, right = cluster.loop.time(), cluster.wall_ms
+            monkeypatch.setattr(
+                cluster, "wall_ms", lambda: right() + (cluster.loop.time() > begun_at + 2.0) * step_s * 1000
+            )
+            await cluster.start()
+            reference = await cluster.stored(message("m0", delay_ms=8_000))
+            sent_at = cluster.loop.time()
+            await asyncio.sleep(3.0)
+            cluster.place([cluster.entry(0, 2, primary=1)])
+            await asyncio.sleep(1.0)
+            assert (await cluster.status(reference, store=1)).state == "queued"
+            assert len(await cluster.lease(store=1, wait_ms=6_000)) == 1
+            assert cluster.loop.time() - sent_at == pytest.approx(8.0, abs=0.1)
+
+        play(work)
+
+
 class TestGrants:
     def test_a_deposed_primary_hands_out_no_call_back(self) -> None:
         async def work(cluster: StoreCluster) -> None:
