Show control, margins and stores in system status; order the recovery of a partition

system status shows who told it and whether it leads, the state's version, voters (heard, duty, whole state, how far behind), majority, spares, how many further losses are borne, partitions that are lost or being copied, how long ago the head read the platform's list, and one line a store.

--- a/hollowusher/configuration/boot.py
+++ b/hollowusher/configuration/boot.py
@@ -111,6 +111,13 @@
         """Where this process listens for the others: the first internal port of its machine."""
         return f"{self.ip}:{self.internal_ports[0]}"
 
+    @property
+    def status_address(self) -> str:
+        """Where a process without an operator's address tells how it stands: the last internal port of its
+        machine, none where that is the first one too."""
+        first, last = self.internal_ports
+        return f"{self.ip}:{last}" if last != first else ""
+
     def seed_addresses(self) -> list[str]:
         """The internal addresses of the seeds: ports are alike on all machines."""
         return [f"{seed.rpartition(':')[0]}:{self.internal_ports[0]}" for seed in self.seed_nodes]
--- a/hollowusher/console/client.py
+++ b/hollowusher/console/client.py
@@ -25,6 +25,7 @@
     step: str
     peer: str
     reason: str
+    sent: bool = True  # False where it is certain that the peer never saw the call
 
     def __str__(self) -> str:
         return f"{self.step} at {self.peer}: {self.reason}"
@@ -90,6 +91,17 @@
             await asyncio.sleep(pause)
             pause = min(LONGEST_PAUSE_S, 2 * pause)
 
+    async def order_once(
+        self, method: str, path: str, body: bytes, within_s: float
+    ) -> Result[Answer, CallError]:
+        """The answer to an order that must not come twice: the next address is tried only where the one
+        before cannot have seen it."""
+        for address in self._addresses:
+            result = await self._call(f"{method} {path}", address, body, None, within_s)
+            if result.is_ok() or result.error.sent:
+                return result
+        return result
+
     async def ask_one(self, address: str, path: str, timeout_s: float) -> Result[Answer, CallError]:
         """One process's answer to one GET."""
         return await self._call(f"GET {path}", address, None, None, timeout_s)
@@ -108,7 +120,8 @@
         except TimeoutError:
             return Error(CallError(step, address, "no answer in time"))
         except aiohttp.ClientConnectorError as error:
-            return Error(CallError(step, address, f"no connection: {os.strerror(error.errno or 0)}"))
+            reason = f"no connection: {os.strerror(error.errno or 0)}"
+            return Error(CallError(step, address, reason, sent=False))
         except (aiohttp.ClientError, OSError, ValueError) as error:
             return Error(CallError(step, address, str(error) or type(error).__name__))
         if answer.status >= 500 or answer.status in RETRIED:
--- a/hollowusher/console/local/layout.py
+++ b/hollowusher/console/local/layout.py
@@ -13,7 +13,7 @@
 
 EDGE = "edge"
 STORE = "store"
-PORTS = ("frontend", "readiness", "admin", "internal")
+PORTS = ("frontend", "readiness", "admin", "internal", "status")
 LOWEST_PORT, HIGHEST_PORT = 20_000, 30_000  # below the range that the kernel gives to outgoing connections
 TRIES = 50
 GRACE_S = 4
@@ -106,7 +106,7 @@
     machine_class = "edge" if machine.role == EDGE else "storage"
     sides = ("frontend", "readiness", "admin") if machine.role == EDGE else ()
     bind = "\n".join(f'{side} = "{machine.address(side)}"' for side in sides)
-    internal = machine.ports["internal"]
+    internal, status = machine.ports["internal"], machine.ports["status"]
     return f"""\
 nodeName = "{machine.name}"
 role = "{machine.role}"
@@ -115,7 +115,7 @@
 ip = "{machine.ip}"
 zone = "{machine.zone}"
 region = "local"
-internalPorts = [{internal}, {internal}]
+internalPorts = [{internal}, {status}]
 seedNodes = {_list(seeds)}
 bootstrap = true
 countsForQuorum = true
--- a/hollowusher/console/status_api.py
+++ b/hollowusher/console/status_api.py
@@ -27,11 +27,6 @@
 ControlQuestion = Callable[[], Awaitable[ControlStatus | None]]
 
 
-async def _no_control() -> ControlStatus | None:
-    """Where no controller can be asked."""
-    return None
-
-
 class MessageStates(Protocol):
     """What is needed of the stores' client."""
 
@@ -50,7 +45,7 @@
         ready: Callable[[], bool],
         figures: Figures,
         clock: Callable[[], float],
-        control: ControlQuestion = _no_control,
+        control: ControlQuestion | None = None,
     ) -> None:
         self._me = me
         self._state = state
@@ -66,7 +61,8 @@
         """Serve the paths from an application."""
         application.router.add_get(STATUS_PATH, self._status)
         application.router.add_get(MESSAGE_PATH, self._message)
-        application.router.add_get(CONTROL_PATH, self._control)
+        if self._ask_control is not None:
+            application.router.add_get(CONTROL_PATH, self._control)
 
     def _on_change(self, key: str) -> None:
         if key == WORKERS:
@@ -89,6 +85,7 @@
         return _json(200, report)
 
     async def _control(self, request: web.Request) -> web.Response:
+        assert self._ask_control is not None
         status = await self._ask_control()
         if status is None:
             return _json(503, {"error": "no controller answers"})
--- a/hollowusher/console/system.py
+++ b/hollowusher/console/system.py
@@ -205,6 +205,45 @@
     _show(answer.document() if as_json else f"{node}: {_progress(answer)}")
 
 
+@system.command("recover-partition")
+@click.argument("partition", type=click.IntRange(0))
+@click.option(
+    "--accept-loss",
+    "given_up",
+    multiple=True,
+    required=True,
+    metavar="STORE_ID",
+    help="A replica that is given up for good; every one that does not live has to be named.",
+)
+@click.option("--yes", "confirmed", is_flag=True, help="Do not ask whether this is meant.")
+@_at
+@_as_json
+def recover_partition(
+    partition: int, given_up: tuple[str, ...], confirmed: bool, addresses: list[str], as_json: bool
+) -> None:
+    """Go on with what is left of a PARTITION that has lost its majority.
+
+    What only the replicas given up held is lost with them.  `status` shows which partitions are lost."""
+    if not confirmed:
+        told = f"Messages that only {', '.join(given_up)} held will be lost.  Recover partition {partition}?"
+        click.confirm(told, abort=True, err=True)
+    path = f"/recover-partition/{partition}"
+    body = orjson.dumps({"acceptLossOf": list(given_up)})
+    result = _run(addresses, lambda client: client.order_once("POST", path, body, CHANGE_WITHIN_S))
+    if result.is_error():
+        _fail(NO_ANSWER, f"{result.error}; {_whether_done(result.error)}")
+    if not result.ok.taken:
+        _refuse(result.ok)
+    _show(result.ok.document() if as_json else f"partition {partition}: goes on with what is left")
+
+
+def _whether_done(error: CallError) -> str:
+    """What is known of an order that got no clear answer."""
+    if not error.sent:
+        return "nothing was changed"
+    return "it may have been done: look at `system status` before it is ordered again"
+
+
 def _progress(answer: Answer) -> str:
     document = answer.document()
     return str(document.get("state")) if isinstance(document, dict) else ""
--- a/hollowusher/console/views.py
+++ b/hollowusher/console/views.py
@@ -9,6 +9,12 @@
 import attrs
 
 from hollowusher.console.client import CallError
+from hollowusher.console.control_report import (
+    control_lacks,
+    control_lines,
+    partitions_table,
+    voters_table,
+)
 from hollowusher.console.report import (
     PRESENT,
     MemberReport,
@@ -17,8 +23,11 @@
     ProcessReport,
     StatusReport,
 )
+from hollowusher.console.store_view import store_lacks, stores_table
 from hollowusher.console.survey import Survey
 from hollowusher.console.tables import Cell, table
+from hollowusher.protocol.codec import as_document
+from hollowusher.protocol.status import ControlStatus
 
 NONE = "-"
 NO_ANSWER = "no answer"
@@ -46,7 +55,11 @@
             found.append(f"{name} is not ready")
         elif process.generation < newest:
             found.append(f"{name} serves generation {process.generation}, others {newest}")
-    return found
+    if isinstance(survey.control, CallError):
+        found.append(f"how control stands is not known: {survey.control}")
+    elif survey.control is not None:
+        found += control_lacks(survey.control)
+    return found + store_lacks(survey.stores)
 
 
 def _placement_lacks(placement: PlacementReport | None) -> list[str]:
@@ -63,7 +76,12 @@
 def status_tables(survey: Survey) -> str:
     """The whole status."""
     report = survey.report
-    parts = [_overview(report), _processes_table(survey)]
+    parts = [_overview(survey), _processes_table(survey)]
+    if isinstance(survey.control, ControlStatus):
+        parts.append(voters_table(survey.control))
+        parts.append(partitions_table(survey.control))
+    if survey.stores:
+        parts.append(stores_table(survey.stores))
     if survey.not_asked:
         parts.append(f"{survey.not_asked} more edge processes were not asked (--all asks them).")
     lacking = [entry for entry in _partitions(report) if entry.lacking or entry.learners]
@@ -74,10 +92,11 @@
     parts.append(_figures_table(report))
     found = lacks(survey)
     parts.append("\n".join(["Lacking:", *(f"  {line}" for line in found)]) if found else "Nothing lacks.")
-    return "\n\n".join(parts)
+    return "\n\n".join(part for part in parts if part)
 
 
-def _overview(report: StatusReport) -> str:
+def _overview(survey: Survey) -> str:
+    report = survey.report
     view, placement, workers, members = report.view, report.placement, report.workers, report.members
     lines = [("asked", f"{report.process.name}, up {report.process.up_s:.0f} s")]
     if view is None:
@@ -106,6 +125,8 @@
             else f"{workers.total} listed, last change {workers.age_s:.0f} s ago",
         )
     )
+    if isinstance(survey.control, ControlStatus):
+        lines += control_lines(survey.control)
     width = max(len(name) for name, _ in lines)
     return "\n".join(f"{name.ljust(width)}  {text}" for name, text in lines)
 
@@ -285,17 +306,25 @@
 
 def survey_document(survey: Survey) -> dict[str, Any]:
     """A survey as JSON's values."""
-    processes = {
-        name: attrs.asdict(process) if isinstance(process, CallError) else process
-        for name, process in survey.processes.items()
-    }
+    processes = {name: _told(process) for name, process in survey.processes.items()}
     return {
         "report": survey.report,
         "processes": processes,
+        "control": _control_document(survey.control),
+        "stores": {name: _told(each) for name, each in survey.stores.items()},
         "not_asked": survey.not_asked,
         "lacks": lacks(survey),
     }
 
 
+def _told(answer: object) -> object:
+    """A report as it is, a failure as a map."""
+    return attrs.asdict(answer) if isinstance(answer, CallError) else answer
+
+
+def _control_document(control: ControlStatus | CallError | None) -> object:
+    return as_document(control) if isinstance(control, ControlStatus) else _told(control)
+
+
 def _yes(value: bool) -> str:
     return "yes" if value else "no"
--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -160,6 +160,10 @@
             self._timer.cancel()
         self._replicator.close()
 
+    def hosts(self) -> list[PartitionHost]:
+        """The partitions kept here, by number."""
+        return [host for _, host in sorted(self._hosts.items())]
+
     @property
     def storage_error(self) -> StorageError | None:
         """Why the disk has failed, None while it works."""
--- a/hollowusher/protocol/codec.py
+++ b/hollowusher/protocol/codec.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, TypeVar, dataclass_transform
 
 import attrs
@@ -59,6 +59,11 @@
     return attrs.asdict(value)
 
 
+def from_document(kind: type[Value], values: Mapping[str, Any]) -> Value:
+    """A message by `as_document`'s map; keys that are no fields of it are left out."""
+    return kind(**{name: value for name, value in values.items() if name in _fields[kind]})
+
+
 def evolve(value: Value, **changes: Any) -> Value:
     """The same message with some fields changed."""
     changed: Value = attrs.evolve(value, **changes)  # type: ignore[misc]  # any message is an attrs class
--- a/hollowusher/roles/process.py
+++ b/hollowusher/roles/process.py
@@ -20,6 +20,7 @@
 from hollowusher.transport.tcp import TcpTransport
 
 LIFE_SLOT = "life"
+STORE = "store"
 
 
 def wall_ms() -> int:
@@ -63,7 +64,7 @@
             disk_id,
             settings.counts_for_quorum,
             controller,
-            settings.bind.admin,
+            settings.bind.admin or (settings.status_address if self.role == STORE else ""),
         )
 
     def spawn(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
--- a/hollowusher/roles/store.py
+++ b/hollowusher/roles/store.py
@@ -5,19 +5,52 @@
 import asyncio
 from typing import Any
 
+import attrs
+
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.client import ClusterClient
 from hollowusher.coordination.peer_names import present
 from hollowusher.messages.service import StoreService
+from hollowusher.protocol.control import Member
 from hollowusher.roles.change_log import ChangeLog
 from hollowusher.roles.logs import log
-from hollowusher.roles.process import Process, wall_ms
+from hollowusher.roles.process import Process, describe, wall_ms
 from hollowusher.storage.ring_log import RingLog, ring_size
 
 RING_FOLDER = "ring"
+STATUS_AFTER_S = 2.0  # the status is served so long after the start
 STOP_MARGIN_S = 1.0  # kept of the grace for the end of the process itself
 
 
+async def _tell_status(process: Process, me: Member, service: StoreService, ring_log: RingLog) -> None:
+    """Serve the store's status a while after its start; without it, the store goes on all the same."""
+    started = asyncio.get_running_loop().time()
+    await asyncio.sleep(STATUS_AFTER_S)
+    if not me.admin:
+        return
+    from hollowusher.roles.store_site import StoreStatus, serve_status
+
+    transport = process.transport
+
+    def figures() -> dict[str, int]:
+        return {
+            "connections_accepted": len(transport.accepted),
+            "failed_handlers": transport.failed_handlers,
+            **attrs.asdict(transport.peers.figures),
+        }
+
+    status = StoreStatus(me, service, ring_log, process.state, figures, started)
+    try:
+        site = await serve_status(me.admin, status)
+    except OSError as error:
+        log("status_not_served", address=me.admin, error=describe(error))
+        return
+    try:
+        await asyncio.Event().wait()
+    finally:
+        await site.stop()
+
+
 async def serve_store(settings: BootSettings, path: str) -> int:
     """Run a store until it is stopped; the exit code."""
     process = Process(settings, path, "store")
@@ -45,8 +78,10 @@
     process.listen_for_signals()
     process.spawn(client.run())
     log("started", incarnation=me.incarnation, disk=me.disk_id)
+    telling = process.spawn(_tell_status(process, me, service, ring_log))
     await process.stopping.wait()
     log("stopping")
+    telling.cancel()
     try:
         async with asyncio.timeout(max(1.0, settings.bounds.grace_s - STOP_MARGIN_S)):
             await client.leave()
--- /dev/null
+++ b/tests/control/test_operator_commands.py
@@ -0,0 +1,201 @@
+"""The commands about control under losses: what `system status` adds, and `system recover-partition`."""
+
+from __future__ import annotations
+
+import asyncio
+import threading
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import orjson
+import pytest
+from aiohttp import web
+from click.testing import CliRunner, Result
+
+from hollowusher.console.client import Answer, CallError
+from hollowusher.console.commands import cli
+from hollowusher.console.control_report import control_lacks, control_lines, read_control, voters_table
+from hollowusher.console.report import ProcessReport, StatusReport
+from hollowusher.console.store_report import DiskReport, KeptPartition, StoreReport
+from hollowusher.console.store_view import store_lacks
+from hollowusher.console.survey import Survey, read_store
+from hollowusher.console.views import lacks, status_tables, survey_document
+from hollowusher.protocol.codec import as_document, evolve
+from hollowusher.protocol.status import ControlStatus, PartitionStatus, VoterStatus
+
+VOTERS = [
+    VoterStatus("edge-1", "d1", True, True, True, [4, 12]),
+    VoterStatus("edge-2", "d2", True, True, False, [4, 9]),
+    VoterStatus("edge-3", "d3", False, False, False, [3, 7]),
+]
+PARTITIONS = [
+    PartitionStatus(0, 2, "store-1/d1", 3, 3),
+    PartitionStatus(1, 5, "store-2/d2", 2, 3, ["store-4/d4"]),
+    PartitionStatus(2, 3, "store-3/d3", 1, 3, [], True),
+]
+STATUS = ControlStatus(
+    "edge-1", 4, 12, 7, "edge-1", "edge-2", True, 2, VOTERS, ["edge-4"], 0, -1, PARTITIONS, 0.4
+)
+WHOLE = evolve(
+    STATUS,
+    voters=[evolve(voter, heard=True, complete=True, state_version=[4, 12]) for voter in VOTERS],
+    controller_losses_borne=1,
+    store_losses_borne=1,
+    partitions=PARTITIONS[:1],
+)
+DISK = DiskReport("d1", 40 * 1024 * 1024, 120, 0, 3, 0, False)
+STORE = StoreReport("store-1", "zone-a", 17, 7, 33.0, DISK, [KeptPartition(0, 2, "primary", 5, [])], {})
+
+
+def test_a_status_is_read_back_as_it_was_written() -> None:
+    body = orjson.dumps(as_document(STATUS) | {"of_a_newer_process": 1})
+    assert read_control(Answer("edge-1:8064", 200, body)).ok == STATUS
+    assert read_control(Answer("edge-1:8064", 200, b'{"voters": 1}')).is_error()
+    assert read_store(Answer("store-1:7795", 200, orjson.dumps(STORE))).ok == STORE
+    assert read_store(Answer("store-1:7795", 200, b"{}")).is_error()
+
+
+def test_voters_are_shown_with_duty_and_distance() -> None:
+    lines = [line.split() for line in voters_table(STATUS).splitlines()]
+    assert lines[1:] == [
+        ["edge-1", "d1", "yes", "head", "yes", "4/12", "0"],
+        ["edge-2", "d2", "yes", "tail", "no", "4/9", "3"],
+        ["edge-3", "d3", "no", "voter", "no", "3/7", "epoch", "3", "of", "4"],
+    ]
+    told = dict(control_lines(STATUS))
+    assert told["voters"] == "3, 2 heard, 2 are a majority"
+    assert told["bears"] == "controllers: no further loss; stores: too many are lost already"
+    assert told["spares"] == "edge-4"
+
+
+def test_what_lacks_is_named() -> None:
+    assert control_lacks(WHOLE) == []
+    first, second = control_lacks(STATUS)
+    assert "not heard: edge-3" in first and "without the whole state: edge-2" in first
+    assert second.startswith("partition 2 is lost: 1 of 3 replicas live")
+    assert "no head answers" in control_lacks(evolve(WHOLE, leads=False))[0]
+    stalled = StoreReport(
+        "store-1",
+        "z",
+        1,
+        7,
+        1.0,
+        DiskReport("d", 0, 0, 0, 0, 0, True),
+        [KeptPartition(0, 1, "primary", 1, ["s"])],
+        {},
+    )
+    silent = CallError("GET /status", "store-2:7795", "no answer in time")
+    assert [line.split(" ")[0] for line in store_lacks({"store-1": stalled, "store-2": silent})] == [
+        "the",
+        "store-1",
+        "store-2",
+    ]
+
+
+def test_the_whole_status_holds_control_and_stores() -> None:
+    report = StatusReport(ProcessReport("edge-1", "z", 1, True, True, 7, 1.0))
+    survey = Survey(report, {"edge-1": report.process}, 0, STATUS, {"store-1": STORE})
+    text = status_tables(survey)
+    for part in ("2 are a majority", "epoch 3 of 4", "LOST", "catching up".upper(), "in order"):
+        assert part in text, text
+    assert any("partition 2 is lost" in line for line in lacks(survey))
+    document = orjson.loads(orjson.dumps(survey_document(survey)))
+    assert document["control"]["controller_losses_borne"] == 0
+    assert document["stores"]["store-1"]["disk"]["syncs"] == 120
+
+
+# ---- the order
+
+
+class Edge:
+    """An edge process's admin address that answers orders to recover a partition."""
+
+    def __init__(self) -> None:
+        self.orders: list[tuple[str, Any]] = []
+        self.answer = (200, b'{"state":"recovered"}')
+        self.address = ""
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+
+    async def _order(self, request: web.Request) -> web.Response:
+        self.orders.append((request.path, orjson.loads(await request.read())))
+        status, body = self.answer
+        return web.Response(status=status, body=body, content_type="application/json")
+
+    async def _serve(self) -> web.AppRunner:
+        application = web.Application()
+        application.router.add_post("/recover-partition/{partition}", self._order)
+        runner = web.AppRunner(application, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, "127.0.0.1", 0).start()
+        return runner
+
+    def start(self) -> None:
+        self._thread.start()
+        self._runner = asyncio.run_coroutine_threadsafe(self._serve(), self._loop).result(10)
+        host, port = self._runner.addresses[0][:2]
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        asyncio.run_coroutine_threadsafe(self._runner.cleanup(), self._loop).result(10)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(10)
+        self._loop.close()
+
+
+@pytest.fixture
+def edge() -> Iterator[Edge]:
+    served = Edge()
+    served.start()
+    yield served
+    served.stop()
+
+
+@pytest.fixture
+def recover(edge: Edge) -> Callable[..., Result]:
+    def invoke(*words: str, at: str = "", typed: str = "") -> Result:
+        order = ["system", "recover-partition", "2", *words]
+        return CliRunner().invoke(cli, order, env={"HOLLOWUSHER_AT": at or edge.address}, input=typed)
+
+    return invoke
+
+
+def test_an_order_names_what_is_given_up(edge: Edge, recover: Callable[..., Result]) -> None:
+    done = recover("--accept-loss", "store-1/d1", "--accept-loss", "store-2/d2", "--yes")
+    assert (done.exit_code, done.output) == (0, "partition 2: goes on with what is left\n")
+    assert edge.orders == [("/recover-partition/2", {"acceptLossOf": ["store-1/d1", "store-2/d2"]})]
+
+
+def test_it_asks_first_and_changes_nothing_without_a_yes(edge: Edge, recover: Callable[..., Result]) -> None:
+    refused = recover("--accept-loss", "store-1/d1", typed="n\n")
+    assert refused.exit_code == 1 and "will be lost" in refused.output
+    assert edge.orders == []
+    assert recover("--accept-loss", "store-1/d1", typed="y\n").exit_code == 0
+    assert len(edge.orders) == 1
+
+
+def test_nothing_given_up_is_wrong_usage(edge: Edge, recover: Callable[..., Result]) -> None:
+    assert recover("--yes").exit_code == 2
+    assert edge.orders == []
+
+
+def test_a_refusal_is_told(edge: Edge, recover: Callable[..., Result]) -> None:
+    edge.answer = (409, b'{"error":"store-1/d1 lives"}')
+    refused = recover("--accept-loss", "store-1/d1", "--yes")
+    assert refused.exit_code == 1 and "store-1/d1 lives" in refused.output
+
+
+def test_an_order_without_a_clear_answer_is_not_sent_again(
+    edge: Edge, recover: Callable[..., Result]
+) -> None:
+    edge.answer = (503, b"")
+    unknown = recover("--accept-loss", "store-1/d1", "--yes", at=f"{edge.address},{edge.address}")
+    assert unknown.exit_code == 3 and "may have been done" in unknown.output
+    assert len(edge.orders) == 1
+
+
+def test_an_address_where_nothing_listens_has_not_seen_it(edge: Edge, recover: Callable[..., Result]) -> None:
+    done = recover("--accept-loss", "store-1/d1", "--yes", at=f"127.0.0.1:1,{edge.address}")
+    assert done.exit_code == 0
+    nobody = recover("--accept-loss", "store-1/d1", "--yes", at="127.0.0.1:1")
+    assert nobody.exit_code == 3 and "nothing was changed" in nobody.output
