Check the agreement by model: every order of messages, saves, restarts and wipes

Need: the agreement's safety rested on tests of single orders of events; the ballot used again after a loss of power was found by reading.

Change: hollowusher/simulation/model_check, a breadth-first search that folds equal states, and a model of the agreement which runs the real VotingMachine: messages may come late, often or never, saves end, fail or are lost, processes restart with or without their disk, a controller is replaced. Properties: one view for each epoch, and none told as decided without durable acceptances of a majority of the epoch before. The machine keeps what waits for a save in two lists in place of counters, so that equal states are equal; a promise after a majority has promised changes nothing; the voters' votes are not saved again where nothing changed.

--- a/hollowusher/coordination/view.py
+++ b/hollowusher/coordination/view.py
@@ -91,6 +91,11 @@
         """The epoch of the newest decided view known, 0 for none."""
         return self.decided.epoch if self.decided is not None else 0
 
+    @property
+    def vote(self) -> tuple[Ballot, Ballot, View | None]:
+        """What it has promised and accepted."""
+        return self.promised, self.accepted_ballot, self.accepted
+
     def votes(self, epoch: int) -> bool:
         """Whether it may vote on the view of this epoch."""
         decided = self.decided
@@ -190,6 +195,11 @@
         self._promises: dict[str, Promise] = {}
         self._acceptances: set[str] = set()
 
+    @property
+    def promised(self) -> bool:
+        """Whether a majority has promised: from then on the value stands."""
+        return len(self._promises) >= majority(self.base)
+
     def prepare(self, voter: Voter | None = None) -> Prepare:
         """What a voter of the base view is asked first."""
         addressee = voter_id(voter) if voter is not None else ""
@@ -203,10 +213,10 @@
     def on_promise(self, voter: str, answer: Promise) -> bool:
         """Take an answer; True once, when a majority has promised."""
         self._note(answer.ballot, answer.decided)
-        if not answer.granted or as_ballot(answer.ballot) != self.ballot or voter in self._promises:
+        if not answer.granted or as_ballot(answer.ballot) != self.ballot or self.promised:
             return False
         self._promises[voter] = answer
-        if len(self._promises) != majority(self.base):
+        if not self.promised:
             return False
         self._adopt_accepted()
         return True
--- a/hollowusher/coordination/voting.py
+++ b/hollowusher/coordination/voting.py
@@ -50,7 +50,7 @@
     message: Promise | Accepted | FirstTaken | None
 
 
-@attrs.frozen(eq=False)
+@attrs.frozen
 class Ask:
     """To be asked of another voter; `VotingMachine.answered` is called with this and with its answer."""
 
@@ -92,12 +92,7 @@
     message: Promise | Accepted
 
 
-@attrs.frozen
-class _Waiting:
-    """Something that leaves once the acceptor's change number `change` is on disk."""
-
-    change: int
-    output: Answer | Learned | _OwnVote
+_Held = Answer | Learned | _OwnVote  # what leaves once the acceptor is on disk
 
 
 @attrs.define
@@ -106,7 +101,8 @@
 
     proposer: Proposer
     deadline: float
-    unanswered: set[Ask] = attrs.Factory(set)  # of this phase
+    phase: type = Prepare  # what the others are being asked
+    unanswered: set[str] = attrs.Factory(set)  # the voters asked in this phase
     own_vote: bool = True  # the own vote of this phase waits for the disk
 
 
@@ -116,10 +112,9 @@
     def __init__(self, name: str, disk_id: str, saved: bytes | None = None) -> None:
         self.acceptor = Acceptor(name, disk_id, saved)
         self._name = name
-        self._changes = 0
-        self._durable = 0  # the newest change that is on disk
-        self._saving: int | None = None  # the newest change that the save under way holds
-        self._waiting: list[_Waiting] = []
+        self._unsaved = False  # the acceptor has changed since the last save began, or that save has failed
+        self._saving: list[_Held] | None = None  # what leaves with the end of the save under way
+        self._next: list[_Held] = []  # what leaves with the end of the save after it
         self._outputs: list[Output] = []
         self._now = 0.0
         self._highest_round = 0
@@ -130,6 +125,11 @@
         """Whether a proposal is under way."""
         return self._proposal is not None
 
+    @property
+    def own_vote_waits(self) -> bool:
+        """Whether an own promise or acceptance waits for the disk."""
+        return any(isinstance(held, _OwnVote) for held in [*(self._saving or ()), *self._next])
+
     @property
     def deadline(self) -> float | None:
         """When the present phase of the proposal under way ends without success."""
@@ -147,7 +147,7 @@
         if it has refused: a decided view can be learned again, only votes must not be forgotten."""
         if not self.acceptor.learn(view):
             return False
-        self._changed()
+        self._unsaved = True
         self._when_durable(Learned(view))
         return True
 
@@ -156,7 +156,7 @@
         held = self.acceptor.accepted
         taken = self.acceptor.take_first(message.view)
         if taken is not held:
-            self._changed()
+            self._unsaved = True
         self._when_durable(Answer(asker, FirstTaken(taken, self.acceptor.decided)))
 
     def prepare(self, asker: int, message: Prepare) -> None:
@@ -172,15 +172,15 @@
     def _promise(self, message: Prepare) -> Promise:
         if message.base is not None:
             self.learn(message.base)
+        before = self.acceptor.vote
         promise = self.acceptor.prepare(message)
-        if promise.granted:
-            self._changed()
+        self._unsaved = self._unsaved or self.acceptor.vote != before
         return promise
 
     def _accept(self, message: Accept) -> Accepted:
+        before = self.acceptor.vote
         accepted = self.acceptor.accept(message)
-        if accepted.granted:
-            self._changed()
+        self._unsaved = self._unsaved or self.acceptor.vote != before
         return accepted
 
     def _answer(self, asker: int, message: Promise | Accepted, granted: bool) -> None:
@@ -196,33 +196,31 @@
         """The save under way has ended; whether the disk has taken it."""
         assert self._saving is not None
         self._now = now
-        change, self._saving = self._saving, None
-        if taken:
-            self._durable = change
-        held = [waiting for waiting in self._waiting if waiting.change <= change]
-        self._waiting = [waiting for waiting in self._waiting if waiting.change > change]
-        for waiting in held:
-            self._release(waiting.output, taken)
-        if self._waiting:
-            self._save()
-
-    def _changed(self) -> None:
-        self._changes += 1
-
-    def _when_durable(self, output: Answer | Learned | _OwnVote) -> None:
+        held, self._saving = self._saving, None
+        if not taken:
+            self._unsaved = True
+        for output in held:
+            self._release(output, taken)
+        if self._next and self._saving is None:
+            self._begin_save()
+
+    def _when_durable(self, output: _Held) -> None:
         """Let this leave once the acceptor, as it is now, is on disk."""
-        if self._durable >= self._changes:
+        if self._unsaved:
+            self._next.append(output)
+            if self._saving is None:
+                self._begin_save()
+        elif self._saving is not None:
+            self._saving.append(output)
+        else:
             self._release(output, taken=True)
-            return
-        self._waiting.append(_Waiting(self._changes, output))
-        self._save()
 
-    def _save(self) -> None:
-        if self._saving is None:
-            self._saving = self._changes
-            self._outputs.append(Save(self.acceptor.dump()))
+    def _begin_save(self) -> None:
+        self._saving, self._next = self._next, []
+        self._unsaved = False
+        self._outputs.append(Save(self.acceptor.dump()))
 
-    def _release(self, output: Answer | Learned | _OwnVote, taken: bool) -> None:
+    def _release(self, output: _Held, taken: bool) -> None:
         if isinstance(output, Learned):
             self._outputs.append(output)
         elif isinstance(output, Answer):
@@ -246,7 +244,7 @@
             return False
         self._now = now
         self._proposal = _Proposal(proposer, now + PHASE_TIMEOUT_S)
-        self._changed()
+        self._unsaved = True
         self._when_durable(_OwnVote(proposer.ballot, own))
         return True
 
@@ -256,7 +254,8 @@
         if proposal is None or proposal.proposer.ballot != ask.ballot:
             return
         self._now = now
-        proposal.unanswered.discard(ask)
+        if isinstance(ask.message, proposal.phase):
+            proposal.unanswered.discard(ask.voter.name)
         self._count(proposal, ask.voter.name, message)
 
     def tick(self, now: float) -> None:
@@ -302,6 +301,7 @@
         """A majority has promised: the value is settled, and this ballot never proposes another one."""
         proposer = proposal.proposer
         proposal.deadline = self._now + PHASE_TIMEOUT_S
+        proposal.phase = Accept
         proposal.unanswered.clear()
         self._ask_others(proposal, proposer.accept)
         own = self._accept(proposer.accept())
@@ -312,9 +312,8 @@
     def _ask_others(self, proposal: _Proposal, request: Callable[[Voter], Prepare | Accept]) -> None:
         for voter in proposal.proposer.base.voters:
             if voter.name != self._name:
-                ask = Ask(voter, request(voter), proposal.proposer.ballot)
-                proposal.unanswered.add(ask)
-                self._outputs.append(ask)
+                proposal.unanswered.add(voter.name)
+                self._outputs.append(Ask(voter, request(voter), proposal.proposer.ballot))
 
     def _decided(self, proposer: Proposer) -> None:
         assert proposer.decided is not None
--- /dev/null
+++ b/hollowusher/simulation/model_check/commands.py
@@ -0,0 +1,73 @@
+"""The commands of the model checks."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+import click
+
+from hollowusher.coordination.voting import VotingMachine
+from hollowusher.simulation.model_check.agreement_model import AgreementBounds, AgreementModel
+from hollowusher.simulation.model_check.explorer import Bounds, Model, explore
+from hollowusher.simulation.model_check.planted import AGREEMENT
+
+PARTS = ("agreement",)
+
+
+@click.group()
+def main() -> None:
+    """Bounded model checks of the real state machines; the exit code is 1 if a property does not hold."""
+
+
+@main.command()
+@click.option("--part", type=click.Choice(["all", *PARTS]), default="all", help="What is explored.")
+@click.option("--controllers", default=3, help="Controllers that vote at first.")
+@click.option("--depth", default=12, help="Most steps.")
+@click.option("--states", default=20_000_000, help="Stop after so many states.")
+@click.option("--seconds", default=3_600.0, help="Stop each part after so many seconds.")
+@click.option("--proposals", default=2, help="Ballots, by as many controllers at most.")
+@click.option("--restarts", default=1, help="Kills and losses of power.")
+@click.option("--wipes", default=0, help="Restarts with an empty disk.")
+@click.option("--failures", default=0, help="Saves that fail.")
+@click.option("--replace", is_flag=True, help="A further controller may take a voter's place.")
+@click.option("--epochs", default=1, help="Views proposed one after the other.")
+@click.option("--fine", is_flag=True, help="Fold nothing: each save ends and each answer arrives by itself.")
+@click.option("--planted", default="", help="A planted fault that is to be found.")
+def control(
+    part: str,
+    controllers: int,
+    depth: int,
+    states: int,
+    seconds: float,
+    proposals: int,
+    restarts: int,
+    wipes: int,
+    failures: int,
+    replace: bool,
+    epochs: int,
+    fine: bool,
+    planted: str,
+) -> None:
+    """Agreement, control chain and changes of the voters."""
+    bounds = Bounds(depth, states, seconds)
+    agreement = AgreementBounds(controllers, proposals, restarts, wipes, failures, replace, epochs, fine)
+    models: dict[str, Model[Any, Any]] = {}
+    if part in ("all", "agreement") and (not planted or planted in AGREEMENT):
+        models["agreement"] = AgreementModel(agreement, AGREEMENT.get(planted, VotingMachine))
+    if not models:
+        raise click.BadParameter(f"no planted fault {planted!r} in this part")
+    results = [_check(name, model, bounds) for name, model in models.items()]
+    sys.exit(0 if all(results) else 1)
+
+
+def _check(name: str, model: Model[Any, Any], bounds: Bounds) -> bool:
+    """Explore one model and print what was found; whether all properties hold."""
+    outcome = explore(model, bounds)
+    click.echo(f"{name}: {outcome.summary()}")
+    if not outcome.violation:
+        return True
+    click.echo(f"{name}: {outcome.violation}, after:")
+    for number, line in enumerate(outcome.trace, 1):
+        click.echo(f"  {number}. {line}")
+    return False
--- /dev/null
+++ b/hollowusher/simulation/model_check/planted.py
@@ -0,0 +1,51 @@
+"""Older and wrong behaviour, planted to see that the model checks find it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from hollowusher.coordination.voting import Answer, VotingMachine
+from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.control import Accepted, Prepare, Promise, View
+
+
+class AsksBeforeItsOwnPromise(VotingMachine):
+    """A proposer that asks the others while its own promise is still on the way to its disk."""
+
+    def propose(self, now: float, plan: Callable[[View], View | None]) -> bool:
+        if not super().propose(now, plan):
+            return False
+        assert self._proposal is not None
+        self._ask_others(self._proposal, self._proposal.proposer.prepare)
+        return True
+
+
+class AnswersBeforeSaving(VotingMachine):
+    """A voter that answers while its vote is still on the way to its disk."""
+
+    def _answer(self, asker: int, message: Promise | Accepted, granted: bool) -> None:
+        super()._answer(asker, message, granted)
+        if granted:
+            self._outputs.append(Answer(asker, message))
+
+
+class ForgetsWhatItAccepted(VotingMachine):
+    """A voter that does not tell the next proposer what it has accepted."""
+
+    def _promise(self, message: Prepare) -> Promise:
+        return evolve(super()._promise(message), accepted=None, accepted_ballot=None)
+
+
+class VotesWithAnyDisk(VotingMachine):
+    """A voter that is known by its name alone: with a new, empty disk it votes on."""
+
+    def __init__(self, name: str, disk_id: str, saved: bytes | None = None) -> None:
+        super().__init__(name, disk_id.rstrip("'"), saved)
+
+
+AGREEMENT: dict[str, type[VotingMachine]] = {
+    "asks-before-its-own-promise": AsksBeforeItsOwnPromise,
+    "answers-before-saving": AnswersBeforeSaving,
+    "forgets-what-it-accepted": ForgetsWhatItAccepted,
+    "votes-with-any-disk": VotesWithAnyDisk,
+}
