Have a head refuse orders about machines only while a majority follows it

Cause: 404 and 409 to an order or question about emptying a machine, and the refusals of an order to recover a partition, rested on what the head knew alone; one that was cut off takes itself for the head for up to 1.2 s and cannot know what its successor has taken.

Change: before such a refusal leaves, a majority confirms the epoch; 503 otherwise. Also, a controller that stands still a second time while it asks whether it may lead asks again (by reading the code; no test brings it about).

The new test failed before (404 from a head cut off for 0.3 s) and passes now.

--- a/hollowusher/coordination/controller.py
+++ b/hollowusher/coordination/controller.py
@@ -141,6 +141,10 @@
         committed; False where that is not known in time, or this is not the head."""
         return await self._owner.change(update)
 
+    async def is_newest(self) -> bool:
+        """Whether a majority says, asked now, that the view in use here is the newest."""
+        return await self._agreement.majority_confirms(self._member.epoch)
+
     async def propose_voters(self, add: Voter, remove: str | None) -> bool:
         """Head: propose a view with a further voter, and without another one."""
         return await self._group.propose_voters(add, remove)
@@ -220,7 +224,12 @@
             self._spawn(self._ask_after_pause())
 
     async def _ask_after_pause(self) -> None:
-        while not await self._agreement.majority_confirms(self._member.epoch):
+        while True:
+            pauses = self._pauses.count
+            confirmed = await self.is_newest()
+            self._notice_pause()
+            if confirmed and self._pauses.count == pauses:
+                break
             await asyncio.sleep(TICK_S)
         self._asking_after_pause = False
 
--- a/hollowusher/coordination/duties.py
+++ b/hollowusher/coordination/duties.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from typing import Any, Protocol
 
@@ -28,6 +28,7 @@
     Item,
     Leaving,
     Member,
+    OperatorAnswer,
     ProbeLife,
     Register,
     Registered,
@@ -45,6 +46,8 @@
 PROBE_TIMEOUT_S = 0.6
 NEVER_READ = -1.0
 LONGEST_STEP_S = TICK_S + 0.3  # a longer one: this process did not run
+REFUSALS = (404, 409)
+UNAVAILABLE = OperatorAnswer(503, b'{"error":"no majority of the controllers can be reached"}')
 UNREAD_S = 0.1  # for so long after a pause what comes may have lain unread
 
 
@@ -55,8 +58,12 @@
         """The whole list; None where nothing new is to be believed yet, `PlatformError` after a failure."""
 
 
+async def _always() -> bool:
+    return True
+
+
 class HeadDuties:
-    """The duties of one controller."""
+    """The duties of one controller.  `is_newest` asks a majority whether its view is the newest still."""
 
     MESSAGES: tuple[type, ...] = (Register, Leaving, Suspicion, *PlacementDuty.MESSAGES)
 
@@ -71,8 +78,10 @@
         transport: Transport,
         clock: Callable[[], float],
         log_line: LogLine = no_log,
+        is_newest: Callable[[], Awaitable[bool]] = _always,
     ) -> None:
         self._me = me
+        self._is_newest = is_newest
         self._controller = controller
         self._feed = feed
         self._directory = directory
@@ -140,9 +149,15 @@
             self._take_suspicion(message)
             return None
         if isinstance(message, PlacementDuty.MESSAGES):
-            return await self._placement.handle(message)
+            return await self._certain(await self._placement.handle(message))
         return None
 
+    async def _certain(self, answer: Any) -> Any:
+        """An answer of the placement's part.  A refusal rests on what is known here alone: one whose
+        successor knows more must not give it."""
+        refused = isinstance(answer, OperatorAnswer) and answer.status in REFUSALS
+        return UNAVAILABLE if refused and not await self._is_newest() else answer
+
     def _take_suspicion(self, suspicion: Suspicion) -> None:
         """Note a suspicion, unless it may have lain unread over a pause: it is repeated while it stands."""
         now = self._clock()
--- a/hollowusher/coordination/pause_detector.py
+++ b/hollowusher/coordination/pause_detector.py
@@ -15,6 +15,7 @@
     """Steps further apart than `longest_s` are a pause."""
 
     def __init__(self, longest_s: float) -> None:
+        self.count = 0  # pauses noticed so far
         self._longest_s = longest_s
         self._last_step: float | None = None
         self._ended_at = -math.inf
@@ -25,6 +26,7 @@
         if last is None or now - last <= self._longest_s:
             return 0.0
         self._ended_at = now
+        self.count += 1
         return now - last
 
     def paused_since(self, moment: float) -> bool:
--- a/hollowusher/roles/control.py
+++ b/hollowusher/roles/control.py
@@ -58,6 +58,7 @@
             process.transport,
             clock,
             log,
+            self.controller.is_newest,
         )
         self._tolerance = settings.fault_tolerance.machines
         self._margin = MarginLog(log)
--- a/tests/control/core.py
+++ b/tests/control/core.py
@@ -112,6 +112,7 @@
             self.platform,
             transport,
             loop.time,
+            is_newest=self.controller.is_newest,
         )
         self.client = ClusterClient(
             self.me, transport, settings, self.state, self.feed, random.Random(f"client {self.name}")
--- a/tests/control/test_fencing_controllers.py
+++ b/tests/control/test_fencing_controllers.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hollowusher.coordination.cluster_state import WORKERS
+from hollowusher.protocol.control import Retire
 from tests.control.core import Core, play
 
 SHAPES = ("all", "in", "out", "one")
@@ -84,6 +85,25 @@
         play(work)
 
 
+class TestRetire:
+    def test_a_head_that_was_cut_off_refuses_no_order(self) -> None:
+        """It takes itself for the head for a second more, and cannot know what its successor has taken."""
+
+        async def work(core: Core) -> None:
+            await core.start()
+            head = core.leader()
+            order, question = Retire("store-nowhere", 10.0), Retire("store-nowhere", None)
+            for message in (order, question):
+                assert (await head.process.run(head.duties.handle(message))).status == 404
+            core.cut(head.name, "all")
+            await asyncio.sleep(0.3)
+            assert head.controller.is_head
+            for message in (order, question):
+                assert (await head.process.run(head.duties.handle(message))).status == 503
+
+        play(work)
+
+
 class TestHead:
     """Only one head at a time acts for long: the older stops by its own clock."""
 
