Split the ring log: segments, a batch of writes, those who wait for a sync

No behaviour changed; tests/test_ring_log.py and test_replication.py pass unchanged. Cleaning and replay are still in the class.

--- a/hollowusher/storage/ring_log.py
+++ b/hollowusher/storage/ring_log.py
@@ -21,15 +21,23 @@
 
 import asyncio
 from collections.abc import Iterator
-from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from random import Random, SystemRandom
-from typing import NamedTuple
 
 from hollowusher.storage.disk_thread import DiskWorker, shared_disk_thread
 from hollowusher.storage.files import NO_SPACE, Files, SystemFiles
 from hollowusher.storage.interface import MoveRecord, Position, StorageError
+from hollowusher.storage.ring_batch import Failure, Outcome, Write, perform
+from hollowusher.storage.ring_segments import (
+    EXTRA_FILES,
+    LEAST_SEGMENTS,
+    MEBIBYTE,
+    Part,
+    RingSize,
+    Segment,
+    ring_size,
+)
 from hollowusher.storage.segment_files import SegmentFile, SegmentFiles
 from hollowusher.storage.segment_format import (
     FRAME_BYTES,
@@ -40,9 +48,10 @@
     decode_record,
     encode_frame,
 )
+from hollowusher.storage.sync_waiters import SyncWaiters
+
+__all__ = ["MOVED_PER_BATCH", "RingLog", "RingSize", "ring_size"]
 
-LEAST_SEGMENTS = 6
-EXTRA_FILES = 3  # beyond the ring: for moved records and for parts after a failed sync
 CLEAN_BELOW = 3  # segments left free when live records of the oldest one begin to move
 LIVE_SHARE = 0.75  # of the ring may be live: the rest keeps the cost of moving bounded
 MOVED_PER_APPENDED = 4  # bytes moved for each byte appended while segments are short
@@ -50,77 +59,6 @@
 MOVED_PER_BATCH = 256 * 1024
 MOST_UNSYNCED_BYTES = 8 * 1024 * 1024
 TRIES_PER_SYNC = 2
-MEBIBYTE = 1024 * 1024
-LEAST_SEGMENT_BYTES = MEBIBYTE // 2
-
-
-class RingSize(NamedTuple):
-    """Dimensions of a ring."""
-
-    segment_bytes: int
-    segments: int
-
-
-def ring_size(disk_mb: int, share: float = 0.6) -> RingSize:
-    """A ring that takes `share` of a disk, its extra files included."""
-    total = int(disk_mb * MEBIBYTE * share)
-    segment_bytes = min(16 * MEBIBYTE, max(LEAST_SEGMENT_BYTES, total // 24))
-    return RingSize(segment_bytes, max(LEAST_SEGMENTS, total // segment_bytes - EXTRA_FILES))
-
-
-@dataclass(slots=True)
-class _Part:
-    """A stretch of a segment in one file, from the segment's offset `base` on."""
-
-    number: int
-    base: int
-    nonce: int
-    file: SegmentFile | None = None  # taken when its first write is planned
-
-
-@dataclass(slots=True)
-class _Segment:
-    sequence: int
-    capacity: int
-    previous_end: int
-    parts: list[_Part]
-    end: int = 0  # offset where the next record goes
-    synced: int = 0  # offset up to which all is durable
-    live: dict[int, int] = field(default_factory=dict)  # offset -> length of the record
-    part_failed: bool = False  # the last part must not be written any more
-
-    def part_at(self, offset: int) -> _Part:
-        """The part that holds the record at `offset`."""
-        for part in reversed(self.parts):
-            if part.base <= offset:
-                return part
-        raise StorageError("read", f"segment {self.sequence}", f"no part holds offset {offset}")
-
-
-@dataclass(slots=True)
-class _Write:
-    """One write of a batch: consecutive records in one file."""
-
-    segment: _Segment
-    part: _Part
-    file: SegmentFile
-    offset: int  # the segment's offset of the first record
-    end: int
-    positions: list[Position]
-    chunks: list[bytes]
-
-
-class _Failure(NamedTuple):
-    step: str
-    file: str
-    error: Exception
-
-
-class _Outcome(NamedTuple):
-    """What the writing thread achieved: the first `written` writes are durable."""
-
-    written: int
-    failure: _Failure | None
 
 
 class RingLog:
@@ -160,8 +98,8 @@
         self._live_bytes = 0
         # Files and segments
         self._files = SegmentFiles(folder, segment_bytes, self._io, self._worker)
-        self._segments: dict[int, _Segment] = {}  # by sequence, oldest first
-        self._active: _Segment | None = None
+        self._segments: dict[int, Segment] = {}  # by sequence, oldest first
+        self._active: Segment | None = None
         self._last_sequence = 0
         self._last_end = UNKNOWN_END
         # Records that are not durable yet
@@ -170,10 +108,10 @@
         self._unsynced_bytes = 0
         self._appended = 0
         self._synced = 0
-        self._waiters: list[tuple[int, asyncio.Future[None]]] = []
+        self._waiters = SyncWaiters()
         self._batch_running = False
         self._batch_started = 0.0
-        self._batch_writes: list[_Write] = []
+        self._batch_writes: list[Write] = []
         self._tries = 0
         self._replay_begun = False
         self._replayed = False
@@ -209,12 +147,12 @@
         """Register a file of an earlier life of the process."""
         segment = self._segments.get(header.sequence)
         if segment is None:
-            segment = _Segment(header.sequence, 0, header.previous_end, [])
+            segment = Segment(header.sequence, 0, header.previous_end, [])
             self._segments[header.sequence] = segment
-        segment.parts.append(_Part(header.part, header.base, header.nonce, file))
+        segment.parts.append(Part(header.part, header.base, header.nonce, file))
         self._last_sequence = header.sequence
 
-    def _replay_segment(self, segment: _Segment) -> Iterator[tuple[Position, bytes]]:
+    def _replay_segment(self, segment: Segment) -> Iterator[tuple[Position, bytes]]:
         following = self._segments.get(segment.sequence + 1)
         known_end = following.previous_end if following is not None else UNKNOWN_END
         for index, part in enumerate(segment.parts):
@@ -223,7 +161,7 @@
             yield from self._replay_part(segment, part, part.file, None if end == UNKNOWN_END else end)
 
     def _replay_part(
-        self, segment: _Segment, part: _Part, file: SegmentFile, end: int | None
+        self, segment: Segment, part: Part, file: SegmentFile, end: int | None
     ) -> Iterator[tuple[Position, bytes]]:
         data = self._io.read(file.descriptor, file.size, 0)
         header = SegmentHeader(segment.sequence, part.number, part.base, part.nonce, segment.previous_end)
@@ -278,7 +216,7 @@
         if self._unsynced_bytes + size > MOST_UNSYNCED_BYTES:
             raise self._error("append", "too much waits for the disk")
 
-    def _roll(self, size: int) -> _Segment:
+    def _roll(self, size: int) -> Segment:
         """Begin a new segment."""
         if not self._replayed:
             raise RuntimeError("replay() must be used up before the first append")
@@ -292,9 +230,9 @@
         if self._active is not None:
             self._last_end = self._active.end
         self._last_sequence += 1
-        part = _Part(0, 0, self._new_nonce())
+        part = Part(0, 0, self._new_nonce())
         self._files.wanted += 1
-        segment = _Segment(self._last_sequence, capacity, self._last_end, [part])
+        segment = Segment(self._last_sequence, capacity, self._last_end, [part])
         self._segments[segment.sequence] = segment
         self._active = segment
         self._retire_empty()
@@ -312,8 +250,7 @@
             return
         if self._closed:
             raise self._error("sync", "the log is closed")
-        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiters.append((self._appended, done))
+        done = self._waiters.add(self._appended)
         if not self._batch_running:
             self._tries = 0
             self._start_batch()
@@ -331,15 +268,15 @@
             self._plan_writes()
         except StorageError as error:
             self._return_files(self._batch_writes)
-            self._fail_waiters(error)
+            self._waiters.fail(self._synced + len(self._writing), error)
             return
         self._batch_started = asyncio.get_running_loop().time()
         self._batch_running = True
-        self._worker.submit(partial(self._perform, self._batch_writes), self._finish_batch)
+        self._worker.submit(partial(perform, self._batch_writes, self._files, self._io), self._finish_batch)
 
     def _plan_writes(self) -> None:
         self._batch_writes = []
-        write: _Write | None = None
+        write: Write | None = None
         for position, record in self._writing.items():
             if write is None or write.segment.sequence != position.segment:
                 write = self._plan_write(self._segments[position.segment], position.offset)
@@ -349,7 +286,7 @@
             write.positions.append(position)
             write.end = position.offset + FRAME_BYTES + position.length
 
-    def _plan_write(self, segment: _Segment, offset: int) -> _Write:
+    def _plan_write(self, segment: Segment, offset: int) -> Write:
         if segment.part_failed:
             self._replace_part(segment)
         part = segment.parts[-1]
@@ -358,23 +295,23 @@
             if part.file is None:
                 raise self._error("sync", "no segment is free for what a failed sync left unwritten")
             self._files.wanted -= 1
-        write = _Write(segment, part, part.file, offset, offset, [], [])
+        write = Write(segment, part, part.file, offset, offset, [], [])
         if offset == part.base:
             header = SegmentHeader(segment.sequence, part.number, part.base, part.nonce, segment.previous_end)
             write.chunks.append(header.encode())
         return write
 
-    def _replace_part(self, segment: _Segment) -> None:
+    def _replace_part(self, segment: Segment) -> None:
         """Go on in another part after a failed sync, from the last durable offset."""
         last = segment.parts[-1]
         if last.base == segment.synced:
             segment.parts.pop()  # nothing durable in it; its file was returned
         else:
             self._files.wanted += 1
-        segment.parts.append(_Part(last.number + 1, segment.synced, self._new_nonce()))
+        segment.parts.append(Part(last.number + 1, segment.synced, self._new_nonce()))
         segment.part_failed = False
 
-    def _return_files(self, unwritten: list[_Write]) -> None:
+    def _return_files(self, unwritten: list[Write]) -> None:
         """Give back the files of parts in which nothing is durable; the next batch takes them again, in the
         same order."""
         for write in reversed(unwritten):
@@ -383,24 +320,7 @@
                 write.part.file = None
                 self._files.wanted += 1
 
-    def _perform(self, writes: list[_Write]) -> _Outcome:
-        """In the writing thread: write and sync, one file after the other."""
-        for index, write in enumerate(writes):
-            step = "open"
-            file = write.file
-            try:
-                self._files.make_ready(file)
-                step = "write"
-                start = write.offset - write.part.base
-                start += HEADER_BYTES if start else 0  # the first write of a part begins with the header
-                self._io.write(file.descriptor, b"".join(write.chunks), start)
-                step = "sync"
-                self._io.sync(file.descriptor)
-            except Exception as error:  # whatever it was: nothing may be taken for written
-                return _Outcome(index, _Failure(step, str(file.path), error))
-        return _Outcome(len(writes), None)
-
-    def _finish_batch(self, outcome: _Outcome) -> None:
+    def _finish_batch(self, outcome: Outcome) -> None:
         """Take the writing thread's result, answer those who wait, and go on."""
         self._batch_running = False
         if self._closed:
@@ -410,7 +330,7 @@
             self._take_written(write)
         self._batch_writes, failed = [], self._batch_writes[outcome.written :]
         self._files.free_retired(self._synced)
-        self._answer_waiters()
+        self._waiters.answer(self._synced)
         if outcome.failure is None:
             self.syncs += 1
             self._tries = 0
@@ -425,7 +345,7 @@
         else:
             self._prepare_file()
 
-    def _take_written(self, write: _Write) -> None:
+    def _take_written(self, write: Write) -> None:
         write.segment.synced = write.end
         for position in write.positions:
             del self._writing[position]
@@ -433,7 +353,7 @@
         self._unsynced_bytes -= write.end - write.offset
         self._retire_empty()
 
-    def _take_failure(self, failure: _Failure, write: _Write) -> None:
+    def _take_failure(self, failure: Failure, write: Write) -> None:
         """The failed write counts as unwritten.  A sync that failed is tried again at once, in another file;
         where the disk is full, those who wait are told."""
         self.failed_batches += 1
@@ -443,27 +363,9 @@
             write.segment.part_failed = True
         if full or self._tries >= TRIES_PER_SYNC:
             self._tries = 0
-            self._fail_waiters(_storage_error(failure.step, failure.file, failure.error))
-
-    def _answer_waiters(self) -> None:
-        waiting: list[tuple[int, asyncio.Future[None]]] = []
-        for target, done in self._waiters:
-            if target > self._synced:
-                waiting.append((target, done))
-            elif not done.done():
-                done.set_result(None)
-        self._waiters = waiting
-
-    def _fail_waiters(self, error: StorageError) -> None:
-        """Tell those whose records were in the failed batch; the others wait for the next one."""
-        in_batch = self._synced + len(self._writing)
-        waiting: list[tuple[int, asyncio.Future[None]]] = []
-        for target, done in self._waiters:
-            if target > in_batch:
-                waiting.append((target, done))
-            elif not done.done():
-                done.set_exception(StorageError(error.step, error.file, error.reason))
-        self._waiters = waiting
+            self._waiters.fail(
+                self._synced + len(self._writing), _storage_error(failure.step, failure.file, failure.error)
+            )
 
     def _prepare_file(self) -> None:
         """Make the next file ready ahead of its use."""
@@ -585,16 +487,10 @@
         if self._closed:
             return
         self._closed = True
-        self._fail_all_waiters()
+        self._waiters.fail_all(self._error("sync", "the log was closed"))
         if not self._batch_running:
             self._files.close()
 
-    def _fail_all_waiters(self) -> None:
-        for _, done in self._waiters:
-            if not done.done():
-                done.set_exception(self._error("sync", "the log was closed"))
-        self._waiters = []
-
 
 def _storage_error(step: str, file: str, error: Exception) -> StorageError:
     reason = error.strerror if isinstance(error, OSError) else None
