Give back at once what a lost answer to a lease request had granted

A reset that met the answer to a lease request left its jobs leased to a dispatcher that never heard of them: they, and ordered messages behind them, waited until the lease ran out (the route's time-out and 4.5 s).

Lease requests are numbered. A dispatcher that had no answer says so before it asks for more; the store gives the jobs of just that answer back unrun and answers a late copy of the request with none. What an earlier answer granted is left alone, for it may be running: a lost request need not have reached the store. Waiting requests that were declared lost leave, and pass on what woke them.

--- a/hollowusher/delivery/leasing.py
+++ b/hollowusher/delivery/leasing.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+import itertools
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import suppress
 
 import attrs
@@ -17,6 +18,7 @@
 
 POLL_S = 1.0  # how long a store may wait for jobs to come
 ANSWER_S = 1.0  # beyond it, until the call is given up
+LOST_TIMEOUT_S = 0.5  # of the word that an answer never came
 MOST_PER_REQUEST = 64
 FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.5
@@ -36,6 +38,7 @@
     state: ClusterState
     homes: Homes
     figures: DeliveryFigures
+    numbers: Iterator[int] = attrs.Factory(lambda: itertools.count(1))  # of lease requests
 
     def home_store(self, service: str) -> str | None:
         """The store that is the primary of the service's home partition."""
@@ -140,16 +143,24 @@
         loop = asyncio.get_running_loop()
         last_jobs = loop.time()
         pause = FIRST_PAUSE_S
+        lost = 0  # the number of a request whose answer never came
         while not self._stopping:
             if store != self._home and loop.time() - last_jobs > self._keep_empty_s:
                 return
-            wanted = min(MOST_PER_REQUEST, self._demand.wanted())
-            if wanted <= 0:
+            wanted = 0 if lost else min(MOST_PER_REQUEST, self._demand.wanted())
+            if wanted <= 0 and not lost:
                 await self._wait_for_demand()
                 continue
             asked = loop.time()
-            leased = await self._request(store, wanted)
+            request = self._request(wanted, lost)
+            leased, is_unclear = await self._ask(store, request)
             took = loop.time() - asked
+            if lost:  # first the store is told that nothing of that answer was begun
+                lost = lost if leased is None else 0
+                if leased is not None:
+                    continue
+            elif is_unclear:
+                lost = request.number
             if leased is not None and leased.jobs:
                 last_jobs = loop.time()
                 self._receive(leased.jobs, took - leased.leased_after_ms / 1000)
@@ -176,23 +187,30 @@
             async with asyncio.timeout(self._demand.recheck_s()):
                 await self._woken.wait()
 
-    async def _request(self, store: str, most: int) -> Leased | None:
-        address = self._network.address(store)
-        if address is None:
-            return None
+    def _request(self, most: int, lost: int) -> LeaseRequest:
+        """A request for jobs; with `lost` only the word that the answer to an earlier one never came."""
         me = self._network.me
-        request = LeaseRequest(
+        return LeaseRequest(
             me.name,
             me.incarnation,
             self.service,
             most,
-            round(POLL_S * 1000),
+            0 if lost else round(POLL_S * 1000),
             pull=self._visibility_ms > 0,
             visibility_ms=self._visibility_ms,
+            number=next(self._network.numbers),
+            lost=lost,
         )
+
+    async def _ask(self, store: str, request: LeaseRequest) -> tuple[Leased | None, bool]:
+        """The answer of a store, None where there is none; and whether it may have granted something."""
+        address = self._network.address(store)
+        if address is None:
+            return None, False
+        timeout_s = LOST_TIMEOUT_S if request.lost else POLL_S + ANSWER_S
         try:
-            answer = await self._network.transport.call(address, request, POLL_S + ANSWER_S)
-        except PeerError:
+            answer = await self._network.transport.call(address, request, timeout_s)
+        except PeerError as error:
             self._network.figures.lease_failures += 1
-            return None
-        return answer if isinstance(answer, Leased) else None
+            return None, error.sent
+        return (answer, False) if isinstance(answer, Leased) else (None, True)
--- a/hollowusher/messages/service.py
+++ b/hollowusher/messages/service.py
@@ -17,6 +17,7 @@
 from hollowusher.coordination.pause_detector import PauseDetector
 from hollowusher.messages import records
 from hollowusher.messages.hosting import PartitionHost
+from hollowusher.messages.open_grants import OpenGrants
 from hollowusher.messages.primary import Grant, PartitionPrimary
 from hollowusher.messages.proposal import Proposal
 from hollowusher.messages.recovery import Recovery
@@ -104,6 +105,7 @@
         self._replicator.stepped = self._after
         self._replicator.took_over = self._begin
         self._replicator.recover = self._recovery.recover_all
+        self._grants = OpenGrants()
         self._waiters = JobWaiters(store_id, transport, state, self._has_ready)
         self._serving_changed = asyncio.Event()
         self._timer: asyncio.TimerHandle | None = None
@@ -279,19 +281,43 @@
         service = request.service
         asked_at = self._now()
         deadline = asked_at + request.wait_ms / 1000
-        while True:
+        if request.lost:
+            self._give_back_lost(request)
+        while request.most > 0 and not self._grants.is_lost(request):
             self._waiters.asked(service)
             leased_after_ms = round((self._now() - asked_at) * 1000)
             jobs = await self._confirmed_jobs(self._take(request))
+            if self._grants.is_lost(request):
+                self._give_back_unrun([job.lease for job in jobs])
+                break
             now = self._now()
             token_at = self._next_token_time(service, now)
             if jobs or now >= deadline or not self._started:
                 next_ms = 0 if token_at is None else max(1, round((token_at - now) * 1000))
+                self._grants.note(request, jobs)
                 return Leased(jobs, next_ms, leased_after_ms)
             if not self._may_lease(request):
                 await asyncio.sleep(min(REFUSED_PAUSE_S, deadline - now))
                 return Leased([])
             await self._waiters.wait(service, deadline if token_at is None else min(deadline, token_at))
+        self._waiters.wake(service)  # what woke this one may be for another
+        return Leased([])
+
+    def _give_back_lost(self, request: LeaseRequest) -> None:
+        """The answer to an earlier request never came to its dispatcher, which begins nothing of it."""
+        self._give_back_unrun(self._grants.lost(request))
+        self._waiters.wake_all(request.service)
+
+    def _give_back_unrun(self, leases: list[str]) -> None:
+        now, wall_ms = self._now(), self._wall_ms()
+        for name in leases:
+            lease = records.parse_lease_id(name)
+            host = None if lease is None else self._hosts.get(lease.partition)
+            if lease is None or host is None or host.primary is None:
+                continue
+            with suppress(StorageError):  # then the lease runs out
+                host.primary.finish(lease, Finish(name, "not_run"), now, wall_ms)
+            self._after(host)
 
     def _may_lease(self, request: LeaseRequest) -> bool:
         """Whether a dispatcher gets leases: those of one that is judged dead would be dealt out again at the
--- a/hollowusher/messages/waiting.py
+++ b/hollowusher/messages/waiting.py
@@ -62,15 +62,19 @@
                 return
         self._notify_later(service, NOTIFY_AFTER_S)
 
+    def wake_all(self, service: str) -> None:
+        """Let all look again: one of them may have nothing to wait for any more."""
+        for waiter in self._waiting.get(service, ()):
+            if not waiter.done():
+                waiter.set_result(None)
+
     def close(self) -> None:
         """Answer all who wait."""
         self._closed = True
         for timer in self._notifying.values():
             timer.cancel()
-        for queue in self._waiting.values():
-            for waiter in queue:
-                if not waiter.done():
-                    waiter.set_result(None)
+        for service in self._waiting:
+            self.wake_all(service)
 
     def _notify_later(self, service: str, delay_s: float) -> None:
         if service not in self._notifying and not self._closed:
--- a/hollowusher/protocol/call_rules.py
+++ b/hollowusher/protocol/call_rules.py
@@ -31,7 +31,7 @@
     BY_ID = "an id in it: the second arrival finds the first one's result"
     BY_VERSION = "a version, epoch or ballot in it: an older or equal one changes nothing"
     LATEST = "it tells how things stand now: the second says the same, or is replaced by the next"
-    LEASED_TWICE = "what the lost answer granted runs out, or is taken back, by itself"
+    LEASED_TWICE = "it asks for more: what a lost answer granted goes back, told so or run out"
     NEVER = "a second arrival may have another effect than the first: it is sent once"
 
 
--- a/hollowusher/protocol/store.py
+++ b/hollowusher/protocol/store.py
@@ -72,6 +72,8 @@
     wait_ms: int
     pull: bool = False
     visibility_ms: int = 0
+    number: int = 0  # grows with each request of the dispatcher; 0: it declares none lost
+    lost: int = 0  # the request whose answer never came: what it granted is not begun and goes back
 
 
 @message(54)
