End an earlier put of a message whose later one has ended, whichever is learnt first

Cause: a put that reached a primary cut off from its replicas was repeated at the successor; both records stood under keys of their own. Ruled out: a lost end (the state told was the later one's), a lease taken again. Change: adopting an end with an id ends the same message under an earlier key, silently, as adopting a put did already.

--- a/hollowusher/messages/adoption.py
+++ b/hollowusher/messages/adoption.py
@@ -37,7 +37,7 @@
         if entry is None:
             return
         if entry.status.ended:
-            self.adopt_ended(entry, now)
+            self.adopt_ended(entry, now, wall_ms)
             return
         put = self._table.put(entry) if key not in self._lifecycle.active else None
         if put is not None:
@@ -54,11 +54,12 @@
             ready_at = now + self._delay_left_s(entry, wall_ms)
             self._lifecycle.release(active, ready_at, now, wall_ms)
 
-    def adopt_ended(self, entry: Entry, now: float) -> None:
+    def adopt_ended(self, entry: Entry, now: float, wall_ms: int) -> None:
         """Take up a message that has ended: its id is known, and its call-back may be owed."""
         state = entry.state
         assert state is not None
         if state.id:
+            self._end_earlier_put(entry.key, state.id, now, wall_ms)
             self._lifecycle.keys_by_id.setdefault(state.id, entry.key)
         active = self._lifecycle.active.get(entry.key)
         if active is not None and not active.ending:
@@ -83,19 +84,25 @@
         known = self._lifecycle.keys_by_id.get(message_id)
         if known is None or known == key:
             return False
-        older = min(known, key)
-        if older == key:
+        if key < known:
             state = self._writer.changed_state(key)
             state.status, state.ended_ms = Status.COMPLETED, wall_ms
             self._writer.propose_state(key, state, True, now, wall_ms)
             return True
-        active = self._lifecycle.active.get(older)
-        if active is not None and not active.ending:
-            active.callback_url = ""
-            active.id = ""
-            self._lifecycle.end(active, Status.COMPLETED, now, wall_ms)
+        self._end_earlier_put(key, message_id, now, wall_ms)
         return False
 
+    def _end_earlier_put(self, key: Key, message_id: str, now: float, wall_ms: int) -> None:
+        """End the same message under an earlier key, of which nobody was ever told: `key` stands for it."""
+        known = self._lifecycle.keys_by_id.get(message_id)
+        active = self._lifecycle.active.get(known) if known is not None and known < key else None
+        if active is None or active.ending:
+            return
+        active.callback_url = ""
+        active.id = ""
+        self._lifecycle.end(active, Status.COMPLETED, now, wall_ms)
+        self._lifecycle.keys_by_id[message_id] = key
+
 
 def _retention_left_s(put: Put, wall_ms: int) -> float:
     return (put.accepted_ms + put.message.retention_ms - wall_ms) / 1000 + RETENTION_MARGIN_S
--- a/hollowusher/simulation/planted/queues.py
+++ b/hollowusher/simulation/planted/queues.py
@@ -194,4 +194,4 @@
 
 @planted("UNTOLD", kinds=MOVES)
 def _callback_forgotten_at_takeover(patches: Patches) -> None:
-    patches.set(Adoption, "adopt_ended", lambda adoption, entry, now: None)
+    patches.set(Adoption, "adopt_ended", lambda adoption, entry, now, wall_ms: None)
--- /dev/null
+++ b/tests/control/test_duplicate_puts.py
@@ -0,0 +1,64 @@
+"""A put whose outcome was uncertain and that was repeated at the next primary: the message runs once."""
+
+from __future__ import annotations
+
+from hollowusher.messages.records import Key, pack_put, reference_of
+from tests.message_store import message
+from tests.test_partition import Partition, new_table
+
+
+def put_at_the_deposed_primary() -> tuple[Key, bytes]:
+    """The record of a put that no quorum of the first epoch has: only a store that was cut off holds it."""
+    deposed = Partition(epoch=1)
+    deposed.hold = True
+    key = deposed.put(message("m0"))
+    put = deposed.table.put(deposed.table.entries[key])
+    assert put is not None
+    return key, pack_put(0, key, put)
+
+
+def test_a_takeover_runs_nothing_again_whose_earlier_put_turns_up() -> None:
+    earlier, record = put_at_the_deposed_primary()
+    successor = Partition(new_table(), epoch=2, now=101.0)
+    later = successor.put(message("m0"))
+    [grant] = successor.lease()
+    assert successor.finish(grant, "success", "stamp") == "taken"
+    successor.table.apply(record, successor.wall_ms)
+
+    third = Partition(successor.table, epoch=3, now=110.0)
+    assert earlier < later
+    assert third.lease() == []
+    third.sleep(30.0)
+    assert third.lease() == []
+    assert third.status(later).state == "completed" and third.status(later).signature == "stamp"
+
+
+def test_a_primary_runs_nothing_again_when_the_later_end_is_learnt_last() -> None:
+    """The new primary knew only the earlier put when it began, and learns of the later one and its end."""
+    _, record = put_at_the_deposed_primary()
+    successor = Partition(new_table(), epoch=2, now=101.0)
+    later = successor.put(message("m0"))
+    [grant] = successor.lease()
+    assert successor.finish(grant, "success", "stamp") == "taken"
+
+    table = new_table()
+    table.apply(record, successor.wall_ms)
+    third = Partition(table, epoch=3, now=110.0)
+    for known in successor.table.records_for([reference_of(0, later)], []):
+        third.table.apply(known, third.wall_ms)
+    third.primary.adopt(later, third.now, third.wall_ms)
+    third.commit()
+    assert third.lease() == []
+    assert third.status(later).state == "completed"
+
+
+def test_the_later_put_runs_once_where_neither_has_run() -> None:
+    _, record = put_at_the_deposed_primary()
+    successor = Partition(new_table(), epoch=2, now=101.0)
+    later = successor.put(message("m0"))
+    successor.table.apply(record, successor.wall_ms)
+    third = Partition(successor.table, epoch=3, now=110.0)
+    third.commit()
+    [grant] = third.lease(most=5)
+    assert third.finish(grant, "success", "stamp") == "taken"
+    assert third.lease() == [] and third.status(later).state == "completed"
