Give votes and hops of the control chain a second and 0.8 s on slow links

With up to 0.4 s for every message and every sync a vote took up to 0.8 s and was given up after 0.5 s, a hop of the chain after 0.4 s: views were proposed again and again, members taken for unreachable. An answer that comes is used at once, so nothing waits longer where all is well; a machine that is gone is known by pings, not by these.

--- a/hollowusher/coordination/agreement.py
+++ b/hollowusher/coordination/agreement.py
@@ -28,7 +28,7 @@
 from hollowusher.storage.interface import Slot, StorageError
 from hollowusher.transport.interface import PeerError, Transport
 
-VOTE_TIMEOUT_S = 0.5
+VOTE_TIMEOUT_S = 1.0
 CONFIRM_TIMEOUT_S = 0.4
 MOST_BACKOFF_S = 0.2
 
--- a/hollowusher/coordination/replicator.py
+++ b/hollowusher/coordination/replicator.py
@@ -28,7 +28,7 @@
 from hollowusher.storage.interface import StorageError
 from hollowusher.transport.interface import PeerError, Transport
 
-HOP_TIMEOUT_S = 0.4
+HOP_TIMEOUT_S = 0.8
 STALLED_AFTER_S = 0.8
 FAILED_COUNTS_S = 2.0  # after a save that failed, the others do without this member for so long
 
--- a/hollowusher/coordination/voting.py
+++ b/hollowusher/coordination/voting.py
@@ -30,7 +30,7 @@
     Voter,
 )
 
-PHASE_TIMEOUT_S = 0.55  # for each of: the own promise on disk, a majority's promises, its acceptances
+PHASE_TIMEOUT_S = 1.1  # for each of: the own promise on disk, a majority's promises, its acceptances
 
 PlanView = Callable[[View], View | None]
 
