Bring the view to the seeds, keep it on the stores' disks, and name each system

Seeds need no disk.

Every process that holds a view over a loss of power, controller or store, calls each seed of its present settings until it answers with a view as new as the own one, with growing pauses (0.2 to 2 s), at once again when the view or the seeds change, and every 2 s (a store: 10 s) in between, for a seed that starts anew has forgotten. What a seed is told reaches its own client. Stores keep the newest view in a slot, start from it and offer it; a process that looks for one asks stores too. The first view draws the name of the system from its voters' disks; a view or announcement of another one is counted and changes nothing.

The finding of views moves out of coordination/client.py (view_finder, view_bearer, view_keeper, backoff). Test changed: the set of messages for anybody now has OfferView too.

--- a/hollowusher/coordination/bootstrap.py
+++ b/hollowusher/coordination/bootstrap.py
@@ -8,19 +8,21 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import attrs
 
 from hollowusher.configuration.boot import BootSettings
-from hollowusher.coordination.view import first_view, majority
+from hollowusher.coordination.view import first_view, majority, same_cluster, voter_id
 from hollowusher.coordination.voter_plan import choose_voters, voters_wanted
 from hollowusher.protocol.control import (
     Announce,
     Decided,
     FirstTaken,
+    OfferView,
     ProposeFirst,
     ReadView,
     View,
@@ -35,6 +37,7 @@
 SEED_STAGGER_S = 1.0
 ASK_TIMEOUT_S = 0.4
 RETRY_S = 0.3
+CLUSTER_NAME_BYTES = 8
 
 
 @attrs.frozen
@@ -84,13 +87,27 @@
     return ordered[0] if ordered else None
 
 
+def cluster_name(voters: Iterable[Voter]) -> str:
+    """The name of the system that begins with these voters: their disks were drawn by chance, so no other
+    system has it, and every seed that proposes the same voters proposes the same name."""
+    disks = "\n".join(sorted(voter_id(voter) for voter in voters))
+    return hashlib.blake2b(disks.encode(), digest_size=CLUSTER_NAME_BYTES).hexdigest()
+
+
 class SeedService:
     """An edge process as a seed: it tells the newest view it knows, and makes the first one."""
 
-    MESSAGES: tuple[type, ...] = (Announce, Decided, ReadView)
+    MESSAGES: tuple[type, ...] = (Announce, Decided, OfferView, ReadView)
 
-    def __init__(self, settings: BootSettings, transport: Transport) -> None:
+    def __init__(
+        self,
+        settings: BootSettings,
+        transport: Transport,
+        on_view: Callable[[View], None] = lambda view: None,
+    ) -> None:
         self._settings = settings
+        self._on_view = on_view  # called with each newer view that others brought
+        self.foreign = 0  # views and announcements of another cluster: not taken
         self._transport = transport
         self._announced: dict[str, Voter] = {}
         self._task: asyncio.Task[None] | None = None
@@ -109,14 +126,20 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     def learn(self, view: View) -> None:
-        """Take a decided view that became known in another way."""
-        if self.view is None or view.epoch > self.view.epoch:
+        """Take a decided view; one of another cluster never replaces the known one, nor does an older one."""
+        if self.view is not None and not same_cluster(self.view.cluster, view.cluster):
+            self.foreign += 1
+        elif self.view is None or view.epoch > self.view.epoch:
             self.view = view
+            self._on_view(view)
 
     async def handle(self, message: Any) -> ViewAnswer | None:
-        """Answer `Announce` and `ReadView`, and take `Decided`; None for the rest."""
+        """Answer `Announce`, `OfferView` and `ReadView`, and take `Decided`; None for the rest."""
         if isinstance(message, Decided):
             self.learn(message.view)
+        elif isinstance(message, OfferView):
+            self.learn(message.view)
+            return ViewAnswer(self.view)
         elif isinstance(message, Announce):
             if message.bootstrap:
                 self._announced[message.voter.name] = message.voter
@@ -144,7 +167,8 @@
     def _first_view(self) -> View:
         """View 1 of as many of those announced as vote; the rest are spares."""
         wanted = voters_wanted(self._settings.fault_tolerance.machines)
-        return first_view(choose_voters(self._announced.values(), wanted))
+        voters = choose_voters(self._announced.values(), wanted)
+        return first_view(voters, cluster_name(voters))
 
     async def _gather(self) -> None:
         loop = asyncio.get_running_loop()
--- a/hollowusher/coordination/client.py
+++ b/hollowusher/coordination/client.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from hollowusher.configuration.boot import BootSettings
+from hollowusher.coordination.backoff import Backoff
 from hollowusher.coordination.cluster_state import (
     CONFIGURATION,
     MEMBER_PREFIX,
@@ -29,6 +30,8 @@
 from hollowusher.coordination.monitor import Monitor
 from hollowusher.coordination.pause_detector import PauseDetector
 from hollowusher.coordination.updates import Feed, LongPoll
+from hollowusher.coordination.view_bearer import ViewBearer
+from hollowusher.coordination.view_finder import SOLICITED, START_PAUSE_S, ViewFinder
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control import (
     ControlState,
@@ -37,6 +40,7 @@
     Item,
     Leaving,
     Member,
+    OfferView,
     ProbeLife,
     PullUpdates,
     ReadState,
@@ -46,6 +50,7 @@
     Repair,
     StateAnswer,
     Updates,
+    View,
     ViewAnswer,
     Voter,
 )
@@ -57,39 +62,18 @@
 STATE_TIMEOUT_S = 1.0  # the chain's tail asks a majority before it answers
 LEAVE_TIMEOUT_S = 0.5
 LEAVE_S = 1.0
+MEMBER_REFRESH_S = 10.0  # how often a process that is no controller tells a seed the view again
 BEAT_S = 0.1  # how often the failure detector runs
 LONGEST_STEP_S = BEAT_S + 0.3  # a longer one: this process did not run
-FIRST_PAUSE_S = 0.1
-START_PAUSE_S = 0.03  # of a process that starts: all wait for the same controllers
-MOST_PAUSE_S = 0.5
 IDLE_PAUSE_S = 0.1  # after an answer that came at once and brought nothing
 CONNECTED_S = 2.5  # a controller that has not heard most of the others for this long says so
-MOST_HELPERS = 3  # living members asked for the view besides the seeds and the voters
-SOLICITED = ""  # the origin of items that were read from the control chain and not pulled
-
-
-class Backoff:
-    """Growing pauses between tries, with some chance so that processes do not try in step."""
-
-    def __init__(self, chance: random.Random, first_s: float = FIRST_PAUSE_S) -> None:
-        self._chance = chance
-        self._first_s = first_s
-        self._pause = 0.0
-
-    def reset(self) -> None:
-        """A try has succeeded."""
-        self._pause = 0.0
-
-    async def wait(self) -> None:
-        """Pause after a failed try."""
-        self._pause = min(MOST_PAUSE_S, max(self._first_s, 1.5 * self._pause))
-        await asyncio.sleep(self._pause * self._chance.uniform(0.7, 1.0))
 
 
 class ClusterClient:
-    """One process's access to the cluster.  `me` is its present registration."""
+    """One process's access to the cluster.  `me` is its present registration, `seeds` tells the seeds that
+    the settings name at present."""
 
-    MESSAGES: tuple[type, ...] = (Heartbeat, ReadView, ProbeLife, PullUpdates, Repair)
+    MESSAGES: tuple[type, ...] = (Heartbeat, OfferView, ReadView, ProbeLife, PullUpdates, Repair)
 
     def __init__(
         self,
@@ -99,11 +83,11 @@
         state: ClusterState,
         feed: Feed | None,
         chance: random.Random,
+        seeds: Callable[[], list[str]] | None = None,
     ) -> None:
         self.me = me
         self.state = state
         self._transport = transport
-        self._seeds = [address for address in settings.seed_addresses() if address != me.address]
         self._feed = feed
         self._chance = chance
         self._monitor = Monitor(me.name)
@@ -112,6 +96,11 @@
         self._registration_seen = False  # the cluster has this life of this process
         self._leaving = False
         self._choice = ControllerChoice(me.name, me.zone)
+        present_seeds = settings.seed_addresses if seeds is None else seeds
+        self._finder = ViewFinder(transport, state, present_seeds, self._choice, chance)
+        self._bearer = ViewBearer(
+            transport, present_seeds, lambda: state.view, self._take_view, chance, MEMBER_REFRESH_S
+        )
         self._heard_at: dict[str, float] = {}  # address -> last answer to a pull
         self._connected_at = -math.inf  # last answer of a controller that hears most of the others
         self._peers: dict[str, asyncio.Task[None]] = {}
@@ -140,7 +129,7 @@
         backoff = Backoff(self._chance, START_PAUSE_S)
         while True:
             if self.state.view is None:
-                await self._find_view()
+                await self._finder.find()
             for voter in self._readers():
                 asked_at = self._now()
                 answer = await self._try_call(voter.address, ReadState(), STATE_TIMEOUT_S)
@@ -149,7 +138,23 @@
                     self._apply_state(answer.state)
                     return
             await backoff.wait()
-            await self._find_view()
+            await self._finder.find()
+
+    async def bear_view(self) -> None:
+        """Bring the view known here to the seeds; runs until cancelled."""
+        await self._bearer.run()
+
+    @property
+    def foreign_views(self) -> int:
+        """How many views of another cluster were brought here; none was taken."""
+        return self._finder.foreign
+
+    def take_view(self, view: View) -> None:
+        """Use a decided view that became known in another way."""
+        self._finder.take(view)
+
+    async def _take_view(self, view: View) -> None:
+        self.take_view(view)
 
     async def leave(self) -> None:
         """Tell a controller that this process is about to stop; gives up after `LEAVE_S`."""
@@ -201,6 +206,9 @@
             self._monitor.heard(message, self._now())
         elif isinstance(message, ReadView):
             return ViewAnswer(self.state.view)
+        elif isinstance(message, OfferView):
+            self.take_view(message.view)
+            return ViewAnswer(self.state.view)
         elif isinstance(message, PullUpdates) and self._long_poll is not None:
             return await self._long_poll.answer(message)
         elif isinstance(message, Repair):
@@ -209,32 +217,7 @@
             return Done()
         return None
 
-    # ---- finding the controllers
-
-    async def _find_view(self) -> None:
-        """Ask for a newer view than the known one; without any, go on until there is one."""
-        backoff = Backoff(self._chance, START_PAUSE_S)
-        while True:
-            await self._ask_for_view()
-            if self.state.view is not None:
-                return
-            await backoff.wait()
-
-    async def _ask_for_view(self) -> None:
-        sources = self._view_sources()
-        answers = await asyncio.gather(*(self._try_call(address, ReadView()) for address in sources))
-        for address, answer in zip(sources, answers, strict=True):
-            if not isinstance(answer, ViewAnswer):
-                continue
-            self._choice.health(address).reached()
-            if answer.view is not None:
-                self._apply([Item(VIEW, [answer.view.epoch], SOLICITED, 0, answer.view)])
-
-    def _view_sources(self) -> list[str]:
-        sources = [*self._seeds, *(voter.address for voter in self._other_voters())]
-        edges = [member.address for member in self.state.alive("edge")]
-        sources += self._chance.sample(edges, min(MOST_HELPERS, len(edges)))
-        return [address for address in dict.fromkeys(sources) if address != self.me.address]
+    # ---- the controllers
 
     def _voters(self) -> list[Voter]:
         view = self.state.view
@@ -262,7 +245,7 @@
         while True:
             voters = self._voters_by_preference()
             if not voters:
-                await self._find_view()
+                await self._finder.find()
                 continue
             address = voters[0].address
             last_choice = len(voters) == 1 or self._choice.health(address).avoided(self._now())
@@ -277,7 +260,7 @@
                 await backoff.wait()
                 connected = False
             if not connected:
-                await self._ask_for_view()
+                await self._finder.ask()
 
     def _failed(self, address: str) -> None:
         self._registered_at.discard(address)
@@ -326,7 +309,7 @@
         self._publish(self.me)
         while True:
             if self.state.view is None:
-                await self._find_view()
+                await self._finder.find()
             wanted = {voter.address for voter in self._other_voters()}
             for address in [address for address in self._peers if address not in wanted]:
                 self._peers.pop(address).cancel()
@@ -351,7 +334,7 @@
                 await backoff.wait()
                 now = self._now()
                 if all(self._choice.health(voter.address).avoided(now) for voter in self._other_voters()):
-                    await self._ask_for_view()
+                    await self._finder.ask()
 
     def _have_of(self, address: str) -> dict[str, int]:
         """What this feed has, and what that peer has already given: origins that one side has pruned are
--- a/hollowusher/coordination/controller.py
+++ b/hollowusher/coordination/controller.py
@@ -23,7 +23,8 @@
 from hollowusher.coordination.replicator import Replicator
 from hollowusher.coordination.state_service import StateService
 from hollowusher.coordination.state_store import StateStore
-from hollowusher.coordination.view import is_voter
+from hollowusher.coordination.view import is_voter, same_cluster
+from hollowusher.coordination.view_bearer import ViewBearer
 from hollowusher.coordination.view_seeker import ViewSeeker
 from hollowusher.coordination.voter_group import VoterGroup
 from hollowusher.coordination.voter_plan import voters_wanted
@@ -38,6 +39,7 @@
     ControlState,
     Decided,
     Member,
+    OfferView,
     Ping,
     Prepare,
     ProposeFirst,
@@ -59,7 +61,8 @@
 
 class Controller:
     """The whole controller of one process.  `on_view` is called with each newer decided view, `on_state`
-    with each state that becomes known to be committed."""
+    with each state that becomes known to be committed.  `seeds` tells the seeds that
+    the settings name at present."""
 
     MESSAGES: tuple[type, ...] = (
         Accept,
@@ -68,6 +71,7 @@
         ChangeConfiguration,
         ConfirmEpoch,
         Decided,
+        OfferView,
         Ping,
         Prepare,
         ProposeFirst,
@@ -87,6 +91,7 @@
         chance: random.Random,
         on_view: Callable[[View], None],
         on_state: Callable[[ControlState], None],
+        seeds: Callable[[], list[str]] | None = None,
     ) -> None:
         voter = Voter(me.name, me.disk_id, me.address, me.zone)
         self._me = voter
@@ -115,7 +120,11 @@
             voters_wanted(settings.fault_tolerance.machines),
         )
         self._owner = ChainOwner(self._member, self._replicator, self._leads, self._group.avoid)
-        self._seeker = ViewSeeker(voter, settings, transport, self._agreement, self._seed)
+        present_seeds = settings.seed_addresses if seeds is None else seeds
+        self._seeker = ViewSeeker(
+            voter, settings.bootstrap, present_seeds, transport, self._agreement, self._seed
+        )
+        self._bearer = ViewBearer(transport, present_seeds, lambda: self.view, self._agreement.learn, chance)
         self._states = StateService(voter, transport, self._agreement, self._member, self._owner, self._group)
 
     # -- what the process asks -------------------------------------------------------------------------
@@ -125,6 +134,11 @@
         """The newest decided view known."""
         return self._agreement.view
 
+    @property
+    def foreign(self) -> int:
+        """How many messages of another cluster came to the agreement or as announcements; none was taken."""
+        return self._agreement.acceptor.foreign + self._seed.foreign
+
     @property
     def state(self) -> ControlState | None:
         """The newest state known to be committed."""
@@ -170,6 +184,7 @@
             self._install(stored)
         await self._seed.start()
         self._spawn(self._run())
+        self._spawn(self._bearer.run())
 
     async def stop(self) -> None:
         """Leave the chain by a view without this controller, if the others can do without it; then end."""
@@ -267,6 +282,9 @@
         if isinstance(message, Decided):
             await self._agreement.learn(message.view)
             return None
+        if isinstance(message, OfferView):
+            await self._agreement.learn(message.view)
+            return ViewAnswer(self.view)
         if isinstance(message, Ping):
             return self._group.answer_ping(message)
         if isinstance(message, Announce):
@@ -300,7 +318,10 @@
         return await self._replicator.receive(write)
 
     async def _take_announcement(self, message: Announce) -> ViewAnswer:
-        if not message.bootstrap:
+        known = self.view
+        if known is not None and not same_cluster(known.cluster, message.cluster):
+            self._seed.foreign += 1  # it is told of this cluster, and is nobody here
+        elif not message.bootstrap:
             self._group.note_candidate(message.voter)
         await self._seed.handle(message)
         return ViewAnswer(self.view)
--- /dev/null
+++ b/hollowusher/coordination/view_finder.py
@@ -0,0 +1,79 @@
+"""How any process comes to the newest view: it asks the seeds, the voters that it knows, and some members."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from hollowusher.coordination.backoff import Backoff
+from hollowusher.coordination.cluster_state import VIEW, ClusterState
+from hollowusher.coordination.controller_choice import ControllerChoice
+from hollowusher.coordination.view import same_cluster
+from hollowusher.protocol.control import Item, ReadView, View, ViewAnswer
+from hollowusher.transport.interface import PeerError, Transport
+
+ASK_TIMEOUT_S = 0.6
+START_PAUSE_S = 0.03  # of a process that starts: all wait for the same controllers
+MOST_HELPERS = 3  # living members of each role asked for the view besides the seeds and the voters
+SOLICITED = ""  # the origin of items that were asked for and not pulled
+ROLES = ("edge", "store")
+
+
+class ViewFinder:
+    """One process's search for views.  `seeds` tells the seeds that the settings name at present."""
+
+    def __init__(
+        self,
+        transport: Transport,
+        state: ClusterState,
+        seeds: Callable[[], list[str]],
+        choice: ControllerChoice,
+        chance: random.Random,
+    ) -> None:
+        self.foreign = 0  # views of another cluster: not taken
+        self._transport = transport
+        self._state = state
+        self._seeds = seeds
+        self._choice = choice
+        self._chance = chance
+
+    async def find(self) -> None:
+        """Ask for a newer view than the known one; without any, go on until there is one."""
+        backoff = Backoff(self._chance, START_PAUSE_S)
+        while True:
+            await self.ask()
+            if self._state.view is not None:
+                return
+            await backoff.wait()
+
+    async def ask(self) -> None:
+        """Ask once for a newer view."""
+        await asyncio.gather(*(self._ask_one(address) for address in self._sources()))
+
+    def take(self, view: View) -> None:
+        """Use a decided view, unless a newer one is known or it is of another cluster."""
+        known = self._state.view
+        if known is not None and not same_cluster(known.cluster, view.cluster):
+            self.foreign += 1
+            return
+        self._state.apply([Item(VIEW, [view.epoch], SOLICITED, 0, view)], {})
+
+    async def _ask_one(self, address: str) -> None:
+        try:
+            answer = await self._transport.call(address, ReadView(), ASK_TIMEOUT_S)
+        except PeerError:
+            return
+        if not isinstance(answer, ViewAnswer):
+            return
+        self._choice.health(address).reached()
+        if answer.view is not None:
+            self.take(answer.view)
+
+    def _sources(self) -> list[str]:
+        view = self._state.view
+        sources = [*self._seeds(), *(voter.address for voter in view.voters)] if view else self._seeds()
+        for role in ROLES:
+            members = [member.address for member in self._state.alive(role)]
+            sources += self._chance.sample(members, min(MOST_HELPERS, len(members)))
+        return [address for address in dict.fromkeys(sources) if address != self._transport.address]
--- /dev/null
+++ b/hollowusher/coordination/view_keeper.py
@@ -0,0 +1,48 @@
+"""The newest view on the disk of a process that is no controller: it finds the voters though no seed
+answers."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import suppress
+
+from hollowusher.coordination.cluster_state import VIEW, ClusterState
+from hollowusher.coordination.view_finder import SOLICITED
+from hollowusher.protocol.codec import DecodeError, decode, encode
+from hollowusher.protocol.control import Item, View
+from hollowusher.storage.interface import Slot, StorageError
+
+SPREAD_S = 0.1  # views that follow each other at once are saved as one
+
+
+class ViewKeeper:
+    """Loads the view that was kept, and keeps each newer one.  A view may be lost again: it only tells where
+    to ask."""
+
+    def __init__(self, slot: Slot, state: ClusterState) -> None:
+        self._slot = slot
+        self._state = state
+        self._newer = asyncio.Event()
+
+    def load(self) -> None:
+        """Begin with the kept view, if there is one that can be read."""
+        view = None
+        with suppress(StorageError, DecodeError):
+            saved = self._slot.load()
+            view = decode(saved) if saved is not None else None
+        if isinstance(view, View):
+            self._state.apply([Item(VIEW, [view.epoch], SOLICITED, 0, view)], {})
+        self._state.listen(self._on_change)
+
+    async def run(self) -> None:
+        """Save each newer view; runs until cancelled."""
+        while True:
+            await self._newer.wait()
+            await asyncio.sleep(SPREAD_S)
+            self._newer.clear()
+            with suppress(StorageError):
+                await self._slot.save(encode(self._state.view))
+
+    def _on_change(self, key: str) -> None:
+        if key == VIEW:
+            self._newer.set()
--- a/hollowusher/coordination/view_seeker.py
+++ b/hollowusher/coordination/view_seeker.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any
 
-from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.agreement import Agreement
 from hollowusher.coordination.bootstrap import SeedService, call_all, propose_first
 from hollowusher.protocol.control import Announce, ReadView, View, ViewAnswer, Voter
@@ -22,10 +21,17 @@
     """Asks the seeds and the known voters, on the first start with the wish to be in the first view."""
 
     def __init__(
-        self, me: Voter, settings: BootSettings, transport: Transport, agreement: Agreement, seed: SeedService
+        self,
+        me: Voter,
+        bootstrap: bool,
+        seeds: Callable[[], list[str]],
+        transport: Transport,
+        agreement: Agreement,
+        seed: SeedService,
     ) -> None:
         self._me = me
-        self._settings = settings
+        self._bootstrap = bootstrap
+        self._seeds = seeds
         self._transport = transport
         self._agreement = agreement
         self._seed = seed
@@ -40,7 +46,7 @@
         if held is not None and await self._complete(held):
             return
         message: Any = ReadView()
-        if self._settings.bootstrap:
+        if self._bootstrap:
             message = Announce(self._me, bootstrap=True)
             await self._seed.handle(message)
         await self._ask(message, held.voters if held is not None else ())
@@ -48,7 +54,7 @@
     async def ask_to_vote(self, view: View) -> None:
         """This controller, or its new disk, is no voter: ask the voters to make it one."""
         if self._due(ANNOUNCE_INTERVAL_S):
-            await self._ask(Announce(self._me), view.voters)
+            await self._ask(Announce(self._me, cluster=view.cluster), view.voters)
 
     async def _complete(self, held: View) -> bool:
         """Bring a first view to its end whose proposer has gone silent; whether it is decided."""
@@ -64,7 +70,7 @@
         return True
 
     async def _ask(self, message: Any, voters: Iterable[Voter]) -> None:
-        addresses = {voter.address for voter in voters} | set(self._settings.seed_addresses())
+        addresses = {voter.address for voter in voters} | set(self._seeds())
         addresses.discard(self._me.address)
         for answer in await call_all(self._transport, sorted(addresses), message, CALL_TIMEOUT_S):
             if isinstance(answer, ViewAnswer) and answer.view is not None:
--- a/hollowusher/protocol/call_rules.py
+++ b/hollowusher/protocol/call_rules.py
@@ -52,6 +52,7 @@
     # finding the system
     control.ReadView: CallRule(Addressee.ANYBODY, Repeat.READ),
     control.Announce: CallRule(Addressee.ANYBODY, Repeat.LATEST),
+    control.OfferView: CallRule(Addressee.ANYBODY, Repeat.BY_VERSION),
     # agreement and chain
     control.ProposeFirst: CallRule(Addressee.VOTER, Repeat.BY_VERSION),
     control.Prepare: CallRule(Addressee.VOTER_DISK, Repeat.BY_VERSION),
--- a/hollowusher/protocol/control.py
+++ b/hollowusher/protocol/control.py
@@ -343,6 +343,7 @@
 
     voter: Voter
     bootstrap: bool = False
+    cluster: str = ""  # empty while the sender has not learnt it
 
 
 @message(37)
@@ -452,6 +453,14 @@
     data: bytes
 
 
+@message(100)
+class OfferView:
+    """To a seed, from a process that holds a decided view.  The answer is a `ViewAnswer` with the newest view
+    that the seed knows now."""
+
+    view: View
+
+
 @message(116)
 class Hello:
     """The first frame on a connection, and again when the caller has learnt more: who calls, and whom it
--- a/hollowusher/roles/control.py
+++ b/hollowusher/roles/control.py
@@ -46,6 +46,7 @@
             process.chance,
             self._publish_view,
             self._publish_state,
+            lambda: process.settings.seed_addresses(),
         )
         self.reader = PlatformReader(settings.cloud_api.address, settings.cloud_api.rate_per_s)
         self.duties = HeadDuties(
--- a/hollowusher/roles/edge.py
+++ b/hollowusher/roles/edge.py
@@ -56,9 +56,11 @@
 
             self.control = ControlPart(process, me, process.folder)
         else:
-            self.seed = SeedService(settings, transport)
+            self.seed = SeedService(settings, transport, lambda view: self.client.take_view(view))
         feed = None if self.control is None else self.control.feed
-        self.client = ClusterClient(me, transport, settings, state, feed, process.chance)
+        self.client = ClusterClient(
+            me, transport, settings, state, feed, process.chance, lambda: process.settings.seed_addresses()
+        )
         self.store_client = StoreClient(transport, state, loop.time)
         homes = ZoneHomes(state, settings.zone)
         self.dispatcher = Dispatcher(
--- a/hollowusher/roles/store.py
+++ b/hollowusher/roles/store.py
@@ -10,14 +10,17 @@
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.client import ClusterClient
 from hollowusher.coordination.peer_names import present
+from hollowusher.coordination.view_keeper import ViewKeeper
 from hollowusher.messages.service import StoreService
 from hollowusher.protocol.control import Member
 from hollowusher.roles.change_log import ChangeLog
 from hollowusher.roles.logs import log
 from hollowusher.roles.process import Process, describe, wall_ms
 from hollowusher.storage.ring_log import RingLog, ring_size
+from hollowusher.storage.slots import SlotFile
 
 RING_FOLDER = "ring"
+VIEW_SLOT = "view"
 STATUS_AFTER_S = 2.0  # the status is served so long after the start
 STOP_MARGIN_S = 1.0  # kept of the grace for the end of the process itself
 
@@ -61,7 +64,17 @@
     present(process.transport.peers, me, process.state)
     ring = ring_size(settings.limits.disk_mb)
     ring_log = RingLog(process.folder / RING_FOLDER, ring.segment_bytes, ring.segments)
-    client = ClusterClient(me, process.transport, settings, process.state, None, process.chance)
+    client = ClusterClient(
+        me,
+        process.transport,
+        settings,
+        process.state,
+        None,
+        process.chance,
+        lambda: process.settings.seed_addresses(),
+    )
+    keeper = ViewKeeper(SlotFile(process.folder / VIEW_SLOT), process.state)
+    keeper.load()
     service = StoreService(
         me, me.store_id, process.transport, ring_log, process.state, settings, process.chance.random, wall_ms
     )
@@ -77,6 +90,8 @@
     await process.transport.start(handle)
     process.listen_for_signals()
     process.spawn(client.run())
+    process.spawn(client.bear_view())
+    process.spawn(keeper.run())
     log("started", incarnation=me.incarnation, disk=me.disk_id)
     telling = process.spawn(_tell_status(process, me, service, ring_log))
     await process.stopping.wait()
--- a/hollowusher/simulation/programs.py
+++ b/hollowusher/simulation/programs.py
@@ -89,6 +89,7 @@
 def _join_store() -> None:
     _instead(store_module, "Process", lambda seams, settings, path, role: ProcessParts(seams, settings, role))
     _instead(store_module, "RingLog", lambda seams, folder, segment_bytes, segments: seams.disk.log())
+    _instead(store_module, "SlotFile", lambda seams, path: seams.disk.slot(path.name))
     _instead(store_module, "wall_ms", lambda seams: seams.wall_ms())
 
 
--- a/tests/control/test_calls_rules.py
+++ b/tests/control/test_calls_rules.py
@@ -67,7 +67,7 @@
 
 def test_only_those_that_look_for_the_system_mean_whoever_is_there() -> None:
     anybody = {kind for kind, rule in CALL_RULES.items() if rule.addressee is Addressee.ANYBODY}
-    assert anybody == {control.ReadView, control.Announce}
+    assert anybody == {control.ReadView, control.Announce, control.OfferView}
 
 
 def test_a_message_without_a_rule_is_held_to_the_strictest() -> None:
--- a/tests/control/voter_hunt.py
+++ b/tests/control/voter_hunt.py
@@ -23,7 +23,7 @@
 CATCH_UP_S = (
     4.2  # `catchUpS`: from its return on, or from the start of a successor, a lost machine counts so long
 )
-SLOW_CATCH_UP_S = 8.0  # the same where each message and each sync may take more than `EDGE_JITTER_S`
+SLOW_CATCH_UP_S = 6.0  # the same where each message and each sync may take more than `EDGE_JITTER_S`
 EDGE_JITTER_S = 0.2
 CALM_S = 8.0
 JITTERS_S = (0.0, 0.1, 0.2, 0.4)
--- a/tests/controller_cluster.py
+++ b/tests/controller_cluster.py
@@ -232,6 +232,7 @@
         self.seed = f"{self.ip}:8064"
         self.disk_id = f"disk-{name}"
         self.files: dict[str, bytes] = {}
+        self.seeds: list[str] = []
         self.controller: Controller | None = None
         self.transport: VirtualTransport | None = None
         self.views: list[View] = []
@@ -243,6 +244,7 @@
         return self.controller
 
     async def start(self, bootstrap: bool = False) -> None:
+        self.seeds = self.cluster.seeds
         settings = BootSettings(node_name=self.name, machine_class="edge", ip=self.ip,
                                 seed_nodes=self.cluster.seeds, bootstrap=bootstrap, bind=Bind(),
                                 fault_tolerance=FaultTolerance(self.cluster.tolerated))
@@ -254,7 +256,7 @@
         self.controller = Controller(
             member, self.transport, settings, VirtualSlot(network, self.files, "view"),
             self.state_store(), random.Random(f"{self.cluster.seed} {self.name}"),
-            self.views.append, self.states.append)
+            self.views.append, self.states.append, lambda: [f"{seed[:-4]}7780" for seed in self.seeds])
         await self.transport.start(self.controller.handle)
         await self.controller.start()
 
@@ -264,6 +266,10 @@
                  for name in ("state", "record-a", "record-b")]
         return StateStore(slots[0], slots[1:])
 
+    def use_seeds(self, seeds: list[str]) -> None:
+        """The settings file of this machine's process names other seeds from now on."""
+        self.seeds = seeds
+
     async def kill(self) -> None:
         """End the process at once, as SIGKILL does."""
         if self.controller is None or self.transport is None:
