Have a controller that stops stay until the others do without it

A controller that was told to stop proposed a chain without itself and went; nobody knew whether the state of the new epoch had reached the others, its place among the voters stayed empty though a spare was there, and the only other copy went at once where no chain without it was possible.

It now says in its pongs that it leaves: the head swaps it for a spare in one view (a head leaves the chain first, and the next one swaps it).

--- a/hollowusher/coordination/controller.py
+++ b/hollowusher/coordination/controller.py
@@ -56,7 +56,6 @@
 
 TICK_S = 0.1
 LONGEST_STEP_S = TICK_S + 0.3  # a longer one: this process did not run
-STOP_TIMEOUT_S = 1.5
 
 
 class Controller:
@@ -187,10 +186,10 @@
         self._spawn(self._bearer.run())
 
     async def stop(self) -> None:
-        """Leave the chain by a view without this controller, if the others can do without it; then end."""
+        """Stay until the others hold what this one holds and do without it, or time is up; then end."""
         with suppress(TimeoutError):
-            async with asyncio.timeout(STOP_TIMEOUT_S):
-                while not await self._group.leave_chain():
+            async with asyncio.timeout(self._group.departure.begin()):
+                while not await self._group.departure.step():
                     await asyncio.sleep(TICK_S)
         self._running = False
         await self._seed.stop()
@@ -209,7 +208,8 @@
         if view is None:
             await self._seeker.seek()
         elif not is_voter(view, self._me.name, self._me.disk_id):
-            await self._seeker.ask_to_vote(view)
+            if not self._group.departure.begun:
+                await self._seeker.ask_to_vote(view)
         else:
             self._flush()
             await self._group.step(view)
--- a/hollowusher/coordination/voter_group.py
+++ b/hollowusher/coordination/voter_group.py
@@ -8,9 +8,10 @@
 from typing import Any
 
 from hollowusher.coordination.agreement import Agreement
-from hollowusher.coordination.bootstrap import call_all, read_view
+from hollowusher.coordination.bootstrap import read_view
 from hollowusher.coordination.chain import ChainMember
 from hollowusher.coordination.control_status import UNHEARD, VoterSigns
+from hollowusher.coordination.departure import Departure
 from hollowusher.coordination.reconfiguration import (
     PROPOSAL_STAGGER_S,
     Presence,
@@ -32,7 +33,6 @@
 REJOIN_INTERVAL_S = 1.0  # least time between a view and the next one that only lets voters join
 FINISH_AFTER_S = 0.5  # an accepted view that is not decided by then is proposed again
 AVOID_S = 3.0  # a chain member that its neighbour cannot reach stays out for this long
-HAND_OVER_TIMEOUT_S = 0.3
 NO_CONNECTION_IN_TIME = "in time"  # in a `PeerError`: the peer was silent, it did not refuse
 
 Spawn = Callable[[Coroutine[Any, Any, Any]], None]
@@ -69,7 +69,7 @@
         self._view_since = 0.0
         self._loss_since: float | None = None
         self._accepted_since: float | None = None
-        self._leaving = False
+        self.departure = Departure(me, transport, agreement, member, self._spares, self._presence)
 
     def start(self) -> None:
         """Nothing has been heard yet."""
@@ -122,7 +122,7 @@
         from using that view, for what it holds is judged by the view in use."""
         self._ping_voters(view)
         in_use = self._member.epoch == view.epoch
-        if self._leaving or not in_use or not self.hears_majority(view):
+        if self.departure.begun or not in_use or not self.hears_majority(view):
             return
         if await self._finish_accepted():
             return
@@ -147,7 +147,7 @@
             self._member.epoch,  # of the view in use, which `complete` refers to
             self._member.complete,
             self._health.heard(_now()),
-            self._leaving,
+            self.departure.begun,
             self._is_stalled(_now()),
             [self._member.state_epoch, self._member.state.sequence],
         )
@@ -258,30 +258,6 @@
             lambda base: plan_voters(base, step.add, step.remove) if base == view else None
         )
 
-    async def leave_chain(self) -> bool:
-        """Propose a view whose chain is without this controller; True once it is so, or cannot be."""
-        self._leaving = True
-        view = self._agreement.view
-        if view is None or not self._member.in_chain or self._plan_without_me(view) is None:
-            return True
-        await self._agreement.propose(self._plan_without_me)
-        if self._member.in_chain:
-            return False
-        await self._hand_over()
-        return True
-
-    def _plan_without_me(self, base: View) -> View | None:
-        if self._member.epoch != base.epoch:
-            return None
-        return plan_chain(base, self._presence(base), leave=self._me.name)
-
-    async def _hand_over(self) -> None:
-        """Be sure, before this process ends, that the others know the view without it."""
-        view = self._agreement.view
-        if view is not None:
-            others = [voter.address for voter in view.voters if voter.name != self._me.name]
-            await call_all(self._transport, others, Decided(view), HAND_OVER_TIMEOUT_S)
-
 
 def _now() -> float:
     return asyncio.get_running_loop().time()
