Ping while a proposal is under way; leave out no member that holds one of two last copies

A member that is avoided or leaves is left out only while enough others (voters - majority + 1) hold every committed state; a member leaves under the same rule.

--- a/hollowusher/coordination/controller.py
+++ b/hollowusher/coordination/controller.py
@@ -182,6 +182,7 @@
         if stored is not None:
             self._install(stored)
         await self._seed.start()
+        self._spawn(self._beat())
         self._spawn(self._run())
         self._spawn(self._bearer.run())
 
@@ -199,10 +200,18 @@
 
     async def _run(self) -> None:
         while self._running:
-            self._notice_pause()
             await self._step()
             await asyncio.sleep(TICK_S)
 
+    async def _beat(self) -> None:
+        """Ping the voters and notice pauses, also while a proposal is under way, which may take a second."""
+        while self._running:
+            self._notice_pause()
+            view = self.view
+            if view is not None and is_voter(view, self._me.name, self._me.disk_id):
+                self._group.ping_voters(view)
+            await asyncio.sleep(TICK_S)
+
     async def _step(self) -> None:
         view = self.view
         if view is None:
--- a/hollowusher/coordination/reconfiguration.py
+++ b/hollowusher/coordination/reconfiguration.py
@@ -141,6 +141,7 @@
     alive: frozenset[str]
     complete: frozenset[str]  # chain members that hold every committed state
     heard: Mapping[str, frozenset[str]]  # whom each of them hears
+    spared: frozenset[str] = frozenset()  # there too, but to be left out if the others are enough
 
     def linked(self, one: str, other: str) -> bool:
         """Whether two of them hear each other."""
@@ -152,29 +153,49 @@
     alive = {health.name}
     complete = {health.name} if self_complete else set()
     heard = {health.name: frozenset(health.heard(now))}
+    spared: set[str] = set()
     for voter in view.voters:
         pong = health.pong(voter.name)
-        if pong is None or not health.hears(voter.name, now) or pong.leaving:
+        if pong is None or not health.hears(voter.name, now):
             continue
-        if health.avoided(voter.name, now):
-            continue
-        alive.add(voter.name)
+        leave_out = pong.leaving or health.avoided(voter.name, now)
+        (spared if leave_out else alive).add(voter.name)
         if pong.complete and pong.epoch == view.epoch:
             complete.add(voter.name)
         heard[voter.name] = frozenset(pong.heard)
-    return Presence(frozenset(alive), frozenset(complete), heard)
+    return Presence(frozenset(alive), frozenset(complete), heard, frozenset(spared))
 
 
 def plan_chain(view: View, present: Presence, leave: str = "") -> View | None:
     """The next view with the same voters whose chain is of those that are there: first the members that hold
     every committed state, in their order, last those that join.  None where that is the present chain, or
-    where no chain would be safe."""
-    kept = [name for name in view.chain if name in present.alive and name != leave]
+    where no chain would be safe.
+
+    A member that is there is left out, because it leaves or its neighbour does not reach it, only while
+    enough of the others hold every committed state: else the next loss might take the last copy, though the
+    member that was left out still has one."""
+    planned = _arrange(view, present, present.alive - {leave})
+    if planned is not None and _copies(planned, present) >= shortest_chain(view):
+        return planned
+    if leave:
+        return None
+    spared = present.spared & set(view.chain)
+    return _arrange(view, present, present.alive | spared) if spared else planned
+
+
+def _copies(view: View, present: Presence) -> int:
+    """How many members of a chain hold every committed state."""
+    return sum(name in present.complete for name in view.chain)
+
+
+def _arrange(view: View, present: Presence, members: Collection[str]) -> View | None:
+    """The next view with the chain of these voters."""
+    kept = [name for name in view.chain if name in members]
     chain = [name for name in kept if name in present.complete]
     chain += [name for name in kept if name not in present.complete]
     joiners = []
     for voter in view.voters:
-        may_join = voter.name in present.alive and voter.name not in view.chain and voter.name != leave
+        may_join = voter.name in members and voter.name not in view.chain
         if may_join and chain and present.linked(chain[-1], voter.name):
             joiners.append(voter.name)
             chain.append(voter.name)
--- a/hollowusher/coordination/voter_group.py
+++ b/hollowusher/coordination/voter_group.py
@@ -120,7 +120,6 @@
     async def step(self, view: View) -> None:
         """Do what is due in the newest view; nothing is proposed while this controller's own disk keeps it
         from using that view, for what it holds is judged by the view in use."""
-        self._ping_voters(view)
         in_use = self._member.epoch == view.epoch
         if self.departure.begun or not in_use or not self.hears_majority(view):
             return
@@ -152,7 +151,8 @@
             [self._member.state_epoch, self._member.state.sequence],
         )
 
-    def _ping_voters(self, view: View) -> None:
+    def ping_voters(self, view: View) -> None:
+        """Ask the other voters whether they are there, if it is time."""
         if _now() < self._next_ping:
             return
         self._next_ping = _now() + PING_INTERVAL_S
--- a/hollowusher/coordination/voter_plan.py
+++ b/hollowusher/coordination/voter_plan.py
@@ -77,11 +77,16 @@
     been without a sign for long.  The head, which judges, is not among them."""
     names = [voter.name for voter in view.voters if voter.name not in (view.head, health.name)]
     lost = [name for name in names if health.disk_lost(name)]
-    leaving = [name for name in names if health.leaving(name)]
+    leaving = [name for name in names if health.leaving(name) and _can_be_spared(view, name)]
     silent = [name for name in names if health.unwell_for(name, now) > REPLACE_AFTER_S]
     return list(dict.fromkeys([*lost, *leaving, *silent]))
 
 
+def _can_be_spared(view: View, name: str) -> bool:
+    """Whether enough members of the chain, which all hold the state, stay without this one."""
+    return len([member for member in view.chain if member != name]) >= shortest_chain(view)
+
+
 def _own_place(view: View, spares: Collection[Voter], gone: Collection[str]) -> VoterStep | None:
     """A spare that bears the name of a voter takes that voter's place: its machine has another disk now."""
     for spare in sorted(spares, key=lambda voter: voter.name):
--- a/tests/control/order_traffic.py
+++ b/tests/control/order_traffic.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import random
-from typing import Any
 
-from tests.controller_cluster import Cluster
+import orjson
+
+from hollowusher.protocol.codec import encode
+from hollowusher.protocol.control import ChangeConfiguration, OperatorAnswer, ReadConfiguration
+from tests.controller_cluster import Cluster, document
 
 PATIENCE_S = 1.0
 TRIES = 4
@@ -45,31 +48,34 @@
 
     async def _change_newest(self) -> bool:
         """Read, and send one change a few times; whether it was acknowledged."""
-        answer = await self._ask("read")
-        if answer is None or answer[0] not in (200, 404):
+        answer = await self._ask(ReadConfiguration())
+        if answer is None or answer.status not in (200, 404):
             return False
-        current = answer[1]
+        current = orjson.loads(answer.body)["generation"] if answer.status == 200 else 0
         assert current >= max(self.acknowledged, default=0), "a read went back"
         generation, self._next_generation = self._next_generation, self._next_generation + 1
+        order = ChangeConfiguration("PUT", current, orjson.dumps(document(generation)))
         for _ in range(TRIES):
-            status = await self._ask("put", generation, current)
-            if status == 200:
+            answer = await self._ask(order)
+            if answer is not None and answer.status == 200:
                 built_on = [version for known, version in self.acknowledged.items() if known != generation]
                 assert current not in built_on, "two changes on one version"
                 self.acknowledged[generation] = current
                 return True
-            if status is not None and status != 503:
+            if answer is not None and answer.status != 503:
                 return False
         return False
 
-    async def _ask(self, method: str, *arguments: int) -> Any:
-        """The answer of some controller, None where it gives none in time."""
-        up = [node for node in self.cluster.nodes.values() if node.controller is not None]
-        if not up:
+    async def _ask(self, message: ReadConfiguration | ChangeConfiguration) -> OperatorAnswer | None:
+        """The answer of some controller, None where it gives none in time; it ends with its process."""
+        up = [node.transport for node in self.cluster.nodes.values() if node.controller is not None]
+        transport = self._chance.choice(up) if up else None
+        if transport is None:
             return None
-        work = asyncio.ensure_future(getattr(self._chance.choice(up), method)(*arguments))
+        work = transport.take(encode(message))
         done, _ = await asyncio.wait({work}, timeout=PATIENCE_S)
-        if not done or work.cancelled():  # cancelled: the machine was killed meanwhile
-            work.cancel()
+        if not done or work.cancelled():
             return None
-        return work.result()
+        answer = work.result()
+        assert isinstance(answer, OperatorAnswer)
+        return answer
--- a/tests/control/test_voter_plan.py
+++ b/tests/control/test_voter_plan.py
@@ -4,10 +4,10 @@
 
 import itertools
 
-from hollowusher.coordination.reconfiguration import VoterHealth, plan_voters
+from hollowusher.coordination.reconfiguration import Presence, VoterHealth, plan_chain, plan_voters
 from hollowusher.coordination.view import first_view
 from hollowusher.coordination.voter_plan import VoterStep, choose_voters, next_step, voters_wanted
-from hollowusher.protocol.control import Pong, Voter
+from hollowusher.protocol.control import Pong, View, Voter
 
 NOW = 100.0
 
@@ -102,3 +102,34 @@
     assert shrunk is not None and shrunk.chain == ["a", "c", "n"] and len(shrunk.voters) == 3
     assert plan_voters(view, None, "a") is None and plan_voters(view, voter("n"), "a") is None  # the head
     assert plan_voters(view, None, None) is None and plan_voters(view, None, "x") is None
+
+
+def test_the_last_but_one_copy_is_not_left_out_of_the_chain_while_it_is_there() -> None:
+    """A member that joins holds nothing yet: with the one that is avoided left out, a single copy would be
+    in the chain, and the loss of that one would end it all."""
+    view = View(5, [voter("a"), voter("b"), voter("c")], ["a", "c", "b"], {"a": 1, "c": 1, "b": 5})
+    heard = dict.fromkeys("abc", frozenset("abc"))
+    joining = Presence(frozenset("ab"), frozenset("ac"), heard, spared=frozenset("c"))
+    assert plan_chain(view, joining) is None
+    joined = Presence(frozenset("ab"), frozenset("abc"), heard, spared=frozenset("c"))
+    planned = plan_chain(view, joined)
+    assert planned is not None and planned.chain == ["a", "b"]
+    dead = Presence(frozenset("ab"), frozenset("a"), heard)
+    planned = plan_chain(view, dead)  # what is dead cannot be waited for
+    assert planned is not None and planned.chain == ["a", "b"]
+    head_lost = Presence(frozenset("b"), frozenset("c"), heard, spared=frozenset("c"))
+    planned = plan_chain(view, head_lost)
+    assert planned is not None and planned.chain == ["c", "b"]
+
+
+def test_nobody_leaves_while_too_few_of_the_others_hold_the_state() -> None:
+    view = View(5, [voter("a"), voter("b"), voter("c")], ["a", "c", "b"], {"a": 1, "c": 1, "b": 5})
+    heard = dict.fromkeys("abc", frozenset("abc"))
+    joining = Presence(frozenset("abc"), frozenset("ac"), heard)
+    assert plan_chain(view, joining, leave="a") is None
+    joined = Presence(frozenset("abc"), frozenset("abc"), heard)
+    planned = plan_chain(view, joined, leave="a")
+    assert planned is not None and planned.chain == ["c", "b"]
+    short = View(5, view.voters, ["a", "c"], {"a": 1, "c": 1})
+    assert next_step(short, [voter("n")], health_of("abc", leaving="c"), 3, NOW) is None
+    assert next_step(view, [voter("n")], health_of("abc", leaving="c"), 3, NOW) == VoterStep(voter("n"), "c")
