--- a/hollowusher/coordination/voter_plan.py
+++ b/hollowusher/coordination/voter_plan.py
@@ -20,7 +20,7 @@
 from hollowusher.coordination.view import find_voter, shortest_chain
 from hollowusher.protocol.control import View, Voter
 
-REPLACE_AFTER_S = 2.0  # a voter that gives no sign for this long is replaced if a spare is there
+REPLACE_AFTER_S = 1.6  # a voter that gives no sign for this long is replaced if a spare is there
 
 
 @attrs.frozen
