--- /dev/null
+++ b/tests/control/voter_times.py
@@ -0,0 +1,122 @@
+"""How long the voters take to be whole again after a loss, in virtual time: the table of
+docs/control-safety/membership.md.
+
+    python -m tests.control.voter_times
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+import click
+
+from tests.controller_cluster import STUCK, Cluster, Node, run_virtual
+
+ABSENCES_S = (0.1, 1.0, 3.0, 6.0)
+JITTERS_S = (0.0, 0.2)
+GIVEN_UP_S = 15.0
+SUCCESSOR = "n"
+
+Loss = Callable[[Cluster, Node, float], Coroutine[None, None, str]]
+
+
+async def kill(cluster: Cluster, node: Node, absence_s: float) -> str:
+    """The process is killed and starts again."""
+    await node.kill()
+    await asyncio.sleep(absence_s)
+    await node.start()
+    return node.name
+
+
+async def wipe(cluster: Cluster, node: Node, absence_s: float) -> str:
+    """The disk is lost with it."""
+    await node.kill()
+    node.wipe()
+    await asyncio.sleep(absence_s)
+    await node.start()
+    return node.name
+
+
+async def cut(cluster: Cluster, node: Node, absence_s: float) -> str:
+    """The machine is cut off from the others."""
+    cluster.cut_off(node.name)
+    await asyncio.sleep(absence_s)
+    cluster.join_all()
+    return node.name
+
+
+async def stick(cluster: Cluster, node: Node, absence_s: float) -> str:
+    """Its disk answers nothing."""
+    node.files[STUCK] = b"yes"
+    order = asyncio.get_running_loop().create_task(cluster.put_somewhere(2, 1, GIVEN_UP_S))
+    await asyncio.sleep(absence_s)
+    del node.files[STUCK]
+    order.cancel()
+    await asyncio.gather(order, return_exceptions=True)
+    return node.name
+
+
+async def replace(cluster: Cluster, node: Node, absence_s: float) -> str:
+    """It is gone for good; an empty one starts later."""
+    await node.kill()
+    cluster.remove(node.name)
+    await asyncio.sleep(absence_s)
+    await cluster.add(SUCCESSOR).start()
+    return SUCCESSOR
+
+
+async def replace_by_one_there_before(cluster: Cluster, node: Node, absence_s: float) -> str:
+    """An empty one starts; then it is gone for good."""
+    await cluster.add(SUCCESSOR).start()
+    await asyncio.sleep(absence_s)
+    await node.kill()
+    cluster.remove(node.name)
+    return SUCCESSOR
+
+
+def is_whole(cluster: Cluster, name: str) -> bool:
+    """Whether the chain has three members that are there, among them the one that came with the state."""
+    views = [node.running.view for node in cluster.nodes.values()]
+    newest = max((view for view in views if view is not None), key=lambda view: view.epoch)
+    came = cluster[name].running
+    member = came._member
+    return (
+        came.view == newest
+        and len(newest.chain) == 3
+        and name in newest.chain
+        and set(newest.chain) <= cluster.nodes.keys()
+        and member.epoch == newest.epoch == member.state_epoch
+        and any(node.running.is_head for node in cluster.nodes.values())
+    )
+
+
+async def measure(loss: Loss, victim: str, absence_s: float, jitter_s: float) -> float:
+    """Seconds from the end of the loss on."""
+    cluster = Cluster("abc")
+    await cluster.first_start()
+    await cluster.put_somewhere(1, 0)
+    cluster.network.slowest_s = jitter_s
+    came = await loss(cluster, cluster[victim], absence_s)
+    ended = asyncio.get_running_loop().time()
+    await asyncio.sleep(0.05)
+    await cluster.until(lambda: is_whole(cluster, came), GIVEN_UP_S)
+    return asyncio.get_running_loop().time() - ended
+
+
+@click.command()
+def main() -> None:
+    """Print the longest and the mean time for each loss."""
+    for jitter_s in JITTERS_S:
+        for loss in (kill, wipe, cut, stick, replace, replace_by_one_there_before):
+            times = [
+                run_virtual(measure(loss, victim, absence_s, jitter_s))
+                for victim in "abc"
+                for absence_s in ABSENCES_S
+            ]
+            mean_s = sum(times) / len(times)
+            click.echo(f"{jitter_s} s  {loss.__name__:28} most {max(times):.2f}  mean {mean_s:.2f}")
+
+
+if __name__ == "__main__":
+    main()
