--- a/hollowusher/coordination/view_bearer.py
+++ b/hollowusher/coordination/view_bearer.py
@@ -91,22 +91,24 @@
         self._learn = learn
         self._chance = chance
         self._contacts = SeedContacts(refresh_s)
+        self._calls: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Call the seeds when it is due; runs until cancelled."""
-        async with asyncio.TaskGroup() as calls:
-            while True:
-                view = self._view()
-                if view is not None:
-                    self._call_due(view, calls)
-                await asyncio.sleep(TICK_S * self._chance.uniform(0.7, 1.3))
-
-    def _call_due(self, view: View, calls: asyncio.TaskGroup) -> None:
+        while True:
+            view = self._view()
+            if view is not None:
+                self._call_due(view)
+            await asyncio.sleep(TICK_S * self._chance.uniform(0.7, 1.3))
+
+    def _call_due(self, view: View) -> None:
         now = _now()
         seeds = [address for address in self._seeds() if address != self._transport.address]
         for address in self._contacts.due(seeds, view.epoch, now):
             self._contacts.called(address, now)
-            calls.create_task(self._offer(address, view))
+            call = asyncio.get_running_loop().create_task(self._offer(address, view))
+            self._calls.add(call)  # each ends by itself within its time-out
+            call.add_done_callback(self._calls.discard)
 
     async def _offer(self, address: str, view: View) -> None:
         try:
