Check a model of one partition: losses, restarts, learners, an emptied machine

The real planner, the real rules of replicas and quorums and the real table are played in single steps, in fixed orders with a bounded number of delays, with losses between any two steps; the second disk is lost no sooner than catchUpS after the start of what takes the first one's place. Properties: a kept message is on a disk and known to whoever serves, one life commits in an epoch, a promoted learner holds all that is kept, after the calm the partition serves and bears the next loss.

--- a/hollowusher/simulation/model_check/commands.py
+++ b/hollowusher/simulation/model_check/commands.py
@@ -10,6 +10,7 @@
 from hollowusher.coordination.voting import VotingMachine
 from hollowusher.simulation.model_check.agreement_model import AgreementBounds, AgreementModel
 from hollowusher.simulation.model_check.explorer import Bounds, Model, explore
+from hollowusher.simulation.model_check.partition_command import partition
 from hollowusher.simulation.model_check.planted import AGREEMENT
 
 PARTS = ("agreement",)
@@ -20,6 +21,9 @@
     """Bounded model checks of the real state machines; the exit code is 1 if a property does not hold."""
 
 
+main.add_command(partition)
+
+
 @main.command()
 @click.option("--part", type=click.Choice(["all", *PARTS]), default="all", help="What is explored.")
 @click.option("--controllers", default=3, help="Controllers that vote at first.")
--- /dev/null
+++ b/hollowusher/simulation/model_check/partition_planted.py
@@ -0,0 +1,85 @@
+"""Older and wrong rules, planted to see that the model check of a partition finds them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
+
+from hollowusher.coordination import placement, store_states
+from hollowusher.messages.hosting import PartitionHost
+from hollowusher.simulation.model_check import partition_head
+
+OLD_GONE_S = 8.0
+
+
+def _old_planner() -> dict[tuple[Any, str], Any]:
+    """A store that is away is copied and replaced after 8 s, whatever else is known (issue 40, C)."""
+    return {
+        (store_states, "MISSING_S"): OLD_GONE_S,
+        (store_states, "MISSING_LEAVING_S"): OLD_GONE_S,
+        (store_states, "GONE_S"): OLD_GONE_S,
+        (store_states, "FRESH_SHARE"): -1.0,
+        (store_states.StoreStates, "_has_left"): lambda self, store_id: False,
+    }
+
+
+def _early_promotion() -> dict[tuple[Any, str], Any]:
+    """A learner takes a replica's place before it is reported."""
+    promote = placement._Planner.promote_learners
+
+    def promote_at_once(self: Any, number: int, caught_up: Any) -> None:
+        entry = self.entries[number]
+        promote(self, number, {(number, entry.epoch, learner) for learner in entry.learners})
+
+    return {(placement._Planner, "promote_learners"): promote_at_once}
+
+
+def _commit_without_learner() -> dict[tuple[Any, str], Any]:
+    """Commits do not wait for a learner that was reported."""
+    settle = PartitionHost._settle
+
+    def settle_without(self: PartitionHost, proposal: Any) -> bool:
+        self.required = set()
+        return settle(self, proposal)
+
+    return {(PartitionHost, "_settle"): settle_without}
+
+
+def _epoch_led_again() -> dict[tuple[Any, str], Any]:
+    """A restarted primary leads the epoch of its earlier life."""
+
+    def is_led_by(self: PartitionHost, incarnation: int) -> bool:
+        return self.placement is not None and self.placement.primary == self.me
+
+    return {(PartitionHost, "_is_led_by"): is_led_by}
+
+
+def _small_takeover() -> dict[tuple[Any, str], Any]:
+    """A new primary serves without asking any other replica."""
+    return {(PartitionHost, "takeover_quorum"): property(lambda self: 1)}
+
+
+PLANTED = {
+    "old-planner": _old_planner,
+    "early-promotion": _early_promotion,
+    "commit-without-learner": _commit_without_learner,
+    "epoch-led-again": _epoch_led_again,
+    "small-takeover": _small_takeover,
+}
+
+
+@contextmanager
+def planting(name: str) -> Iterator[None]:
+    """Have a wrong rule in force; an empty name plants nothing."""
+    changes = PLANTED[name]() if name else {}
+    before = {(owner, attribute): owner.__dict__[attribute] for owner, attribute in changes}
+    partition_head._PLANNED.clear()
+    try:
+        for (owner, attribute), value in changes.items():
+            setattr(owner, attribute, value)
+        yield
+    finally:
+        for (owner, attribute), value in before.items():
+            setattr(owner, attribute, value)
+        partition_head._PLANNED.clear()
