--- a/hollowusher/simulation/__main__.py
+++ b/hollowusher/simulation/__main__.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
 import os
 import sys
 import time
@@ -13,6 +15,7 @@
 
 if TYPE_CHECKING:
     from hollowusher.simulation.day import DayPlan
+    from hollowusher.simulation.planted import Planted
 
 HASH_SEED = "PYTHONHASHSEED"
 USUAL_SEEDS = "1-5"
@@ -110,6 +113,8 @@
     from hollowusher.simulation.programs import build_program
 
     fault = PLANTED[name]
+    if fault.test:
+        return _tests_find(fault)
     for seed in numbers:
         with planting(name):
             result = play_day(seed, fault.plan(plan), build_program)
@@ -128,6 +133,21 @@
     return False
 
 
+def _tests_find(fault: Planted) -> bool:
+    """Whether the tests named by a fault that the simulation cannot reach fail with it."""
+    import pytest
+
+    from hollowusher.simulation.planted import planting
+
+    told = io.StringIO()
+    with planting(fault.name), contextlib.redirect_stdout(told):
+        code = pytest.main(["-q", "-x", "-n", "0", "-p", "no:cacheprovider", fault.test])
+    failed = next((line for line in told.getvalue().splitlines() if line.startswith("FAILED")), "")
+    found = code == pytest.ExitCode.TESTS_FAILED
+    click.echo(f"{fault.name}: {'found by' if found else 'NOT FOUND by'} {fault.test}: {failed}")
+    return bool(found)
+
+
 if __name__ == "__main__":
     if os.environ.get(HASH_SEED) != "0":
         # Sets of names are to be walked in the same order each time a seed is played.
--- a/hollowusher/simulation/invariants.py
+++ b/hollowusher/simulation/invariants.py
@@ -418,7 +418,7 @@
             other
             for other in seen.orders
             if other is not order
-            and other.valid
+            and model.may_be_in_force(other)
             and other.generation > order.if_match
             and 0 < other.first_sent_at < order.refused_at
         ]
--- a/hollowusher/simulation/planted/calls.py
+++ b/hollowusher/simulation/planted/calls.py
@@ -7,8 +7,7 @@
 import attrs
 
 from hollowusher.configuration import orders
-from hollowusher.coordination.agreement import Agreement
-from hollowusher.coordination.voter_group import VoterGroup
+from hollowusher.coordination.state_service import StateService
 from hollowusher.messages.active import GONE, LeaseEnd
 from hollowusher.messages.leases import MessageLeases
 from hollowusher.messages.primary import PartitionPrimary
@@ -93,17 +92,32 @@
 
 @planted(
     "CONFIG",
-    script=(attack(2, "cut_core", "edge-1", for_s=12.0), attack(16, "cut_core", "edge-2", for_s=12.0)),
+    script=(
+        attack(2, "cut_core", "edge-1", for_s=8.0, how="near"),
+        attack(6, "flood", how="calm", beside=True),
+        attack(15, "cut_core", "edge-2", for_s=8.0, how="near"),
+        attack(19, "flood", how="calm", beside=True),
+    ),
 )
 def _refusal_without_a_majority(patches: Patches) -> None:
-    async def confirms(agreement: Agreement, epoch: int) -> bool:
-        return True
+    real = StateService._take_order
 
-    patches.set(Agreement, "majority_confirms", confirms)
-    patches.set(VoterGroup, "hears_majority", lambda group, view: True)
+    async def take(service: StateService, order: Any) -> Any:
+        outcome = orders.apply_order(service._member.state, order)
+        return outcome.answer if outcome.answer.status != 200 else await real(service, order)
 
+    patches.set(StateService, "_take_order", take)
 
-@planted("CONFIG", kinds=("ack_lost", "flood", "race"))
+
+@planted(
+    "CONFIG",
+    script=(
+        attack(1, "ack_lost", for_s=25.0),
+        attack(2, "flood", beside=True),
+        attack(2.5, "flood", beside=True),
+        attack(9, "race", beside=True),
+    ),
+)
 def _order_history_cut_short(patches: Patches) -> None:
     patches.set(orders, "pruned", lambda history, *bounds: history[-1:])
 
--- a/hollowusher/simulation/planted/partitions.py
+++ b/hollowusher/simulation/planted/partitions.py
@@ -14,7 +14,7 @@
 from hollowusher.messages.service import StoreService
 from hollowusher.messages.table import PartitionTable
 from hollowusher.protocol.store import LeaseAnswer, PutAnswer
-from hollowusher.simulation.planted.registry import HERDS, MOVES, Patches, planted
+from hollowusher.simulation.planted.registry import attack, HERDS, MOVES, Patches, planted
 from hollowusher.storage.memory import MemoryLog, MemorySlot
 from hollowusher.transport.interface import PeerError
 
@@ -66,12 +66,12 @@
     patches.set(PartitionHost, "place", place)
 
 
-@planted("LOST", "MIXED", "TWICE", "ORDER", "UNSERVED", kinds=("split",))
+@planted(test="tests/test_replication.py")
 def _fence_not_checked(patches: Patches) -> None:
     patches.set(PartitionTable, "promise", lambda table, epoch: None)
 
 
-@planted("LOST", "MIXED", "TWICE", "ORDER", "CEILING", "REFUSED", kinds=("split", *MOVES))
+@planted(test="tests/test_replication.py")
 def _old_primary_serves_on(patches: Patches) -> None:
     patches.set(PartitionHost, "resign", lambda host: None)
 
@@ -156,7 +156,15 @@
     patches.set(store_client.StoreClient, "_call", call)
 
 
-@planted("REFUSED", kinds=(*MOVES, "resets"))
+@planted(
+    "REFUSED",
+    script=(
+        attack(1, "resets", for_s=5.0),
+        attack(9, "resets", for_s=5.0),
+        attack(17, "kill", "store-1", for_s=1.0),
+        attack(18, "resets", for_s=5.0, beside=True),
+    ),
+)
 def _unknown_put_answered_503(patches: Patches) -> None:
     real = store_client.StoreClient.put
 
--- a/hollowusher/simulation/planted/registry.py
+++ b/hollowusher/simulation/planted/registry.py
@@ -26,10 +26,11 @@
     *,
     for_s: float | None = None,
     how: str = "",
+    count: int | None = None,
     beside: bool = False,
 ) -> ScriptedTrouble:
     """A trouble at a time of a planted fault's day."""
-    return ScriptedTrouble(at, Wanted(kind, machine, for_s, how), beside)
+    return ScriptedTrouble(at, Wanted(kind, machine, for_s, how, count), beside)
 
 
 class Patches:
@@ -65,6 +66,7 @@
     kinds: tuple[str, ...] | None = None
     script: tuple[ScriptedTrouble, ...] | None = None
     size: Size | None = None
+    test: str = ""  # the tests that find it where the simulation cannot reach it
 
     def plan(self, base: DayPlan) -> DayPlan:
         """The day that is played with it."""
@@ -80,12 +82,13 @@
     kinds: tuple[str, ...] | None = None,
     script: tuple[ScriptedTrouble, ...] | None = None,
     size: Size | None = None,
+    test: str = "",
 ) -> Callable[[Plant], Plant]:
     """Register a planted fault by its function's name."""
 
     def register(plant: Plant) -> Plant:
         name = plant.__name__.strip("_").replace("_", "-")
-        PLANTED[name] = Planted(name, plant, rules, kinds, script, size)
+        PLANTED[name] = Planted(name, plant, rules, kinds, script, size, test)
         return plant
 
     return register
--- a/hollowusher/simulation/troubles/orders.py
+++ b/hollowusher/simulation/troubles/orders.py
@@ -41,12 +41,15 @@
 
 @trouble("flood", 0.7)
 async def flood(stage: Stage, wanted: Wanted) -> None:
-    """Many changes, and a machine that is lost, or loses its disk, in their midst."""
+    """Many changes, and (unless calm) a machine that is lost, or loses its disk, in their midst."""
     if stage.operator is None:
         return
     noted = stage.begin("flood", "operator", planned=True)
     stage.end(noted)
     changing = asyncio.ensure_future(stage.operator.change_often(wanted.count or 60))
+    if wanted.how == "calm":
+        await changing
+        return
     await asyncio.sleep(stage.chance.uniform(0.1, 2.0))
     lost = stage.chance.choice((disks.lose, processes.kill, processes.freeze))
     controller = stage.chance.choice(stage.counting("edge"))
