--- a/hollowusher/storage/sync_waiters.py
+++ b/hollowusher/storage/sync_waiters.py
@@ -46,5 +46,5 @@
         """Tell everyone."""
         for _, done in self._waiters:
             if not done.done():
-                done.set_exception(error)
+                done.set_exception(StorageError(error.step, error.file, error.reason))
         self._waiters = []
