Count every save of the control state as a busy disk; pass orders on to the newest head

The save of a record that a member fetches did not count as a busy or failed disk: a member with a stuck disk stayed in the chain and lacked a document over 256 KB for good, and no order was taken within 30 s. The store now keeps the time of every save, and how long one may take follows from its bytes. A head whose disk is stuck learns the next view before its disk has taken it; from then on it passes orders on instead of holding them.

--- a/hollowusher/coordination/record_fetch.py
+++ b/hollowusher/coordination/record_fetch.py
@@ -19,13 +19,12 @@
     StateRecord,
     read_record,
 )
-from hollowusher.coordination.state_store import StateStore
+from hollowusher.coordination.state_store import SLOWEST_BYTES_PER_S, StateStore
 from hollowusher.protocol.codec import DecodeError
 from hollowusher.protocol.control import ReadRecord, RecordChunk
 from hollowusher.storage.interface import StorageError
 from hollowusher.transport.interface import PeerError, Transport
 
-SLOWEST_BYTES_PER_S = 1_000_000  # slowest link and disk that a large state is to get through in its time
 CHUNK_TIMEOUT_S = 0.4 + CHUNK_BYTES / SLOWEST_BYTES_PER_S
 SAVE_RETRY_S = 1.0
 MOST_FAILURES = 3  # in a row; then the fetch ends until it is wanted again
--- a/hollowusher/coordination/replicator.py
+++ b/hollowusher/coordination/replicator.py
@@ -11,9 +11,9 @@
 from collections.abc import Callable
 
 from hollowusher.coordination.chain import ChainMember
-from hollowusher.coordination.record_fetch import SLOWEST_BYTES_PER_S, RecordFetch, Spawn, read_chunk
+from hollowusher.coordination.record_fetch import RecordFetch, Spawn, read_chunk
 from hollowusher.coordination.state_record import INLINE_BYTES, without_record
-from hollowusher.coordination.state_store import StateStore
+from hollowusher.coordination.state_store import SLOWEST_BYTES_PER_S, StateStore
 from hollowusher.coordination.view import find_voter
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control import (
@@ -29,8 +29,6 @@
 from hollowusher.transport.interface import PeerError, Transport
 
 HOP_TIMEOUT_S = 0.8
-STALLED_AFTER_S = 0.8
-FAILED_COUNTS_S = 2.0  # after a save that failed, the others do without this member for so long
 
 
 class Replicator:
@@ -54,8 +52,6 @@
         self._lock = asyncio.Lock()
         self._fetch = RecordFetch(transport, store, spawn, self.refused)
         self._held_by: dict[str, bytes] = {}  # member after this one -> digest of the record it has saved
-        self._saving_since: float | None = None
-        self._failed_at: float | None = None
 
     def install(self, view: View) -> None:
         """Use a decided view from now on."""
@@ -181,23 +177,16 @@
 
     def stalled(self, now: float) -> bool:
         """Whether the disk has been busy with one state for too long, or has just failed to take one."""
-        if self._failed_at is not None and now - self._failed_at < FAILED_COUNTS_S:
-            return True
-        allowed = STALLED_AFTER_S + self._store.busy_bytes / SLOWEST_BYTES_PER_S
-        return self._saving_since is not None and now - self._saving_since > allowed
+        return self._store.stalled(now)
 
     async def _save(self, write: ChainWrite) -> bool:
         """Have a whole state on disk; it is not written again if it stands there already."""
         if self.member.holds(write):
             return True
-        self._saving_since = asyncio.get_running_loop().time()
         try:
             await self._store.save(write.epoch, write.state)
         except StorageError:
-            self._failed_at = asyncio.get_running_loop().time()
             return False
-        finally:
-            self._saving_since = None
         self.member.keep(write)
         return True
 
--- a/hollowusher/coordination/state_service.py
+++ b/hollowusher/coordination/state_service.py
@@ -10,7 +10,7 @@
 from hollowusher.coordination.agreement import Agreement
 from hollowusher.coordination.chain import ChainMember
 from hollowusher.coordination.chain_owner import ChainOwner
-from hollowusher.coordination.record_fetch import SLOWEST_BYTES_PER_S
+from hollowusher.coordination.state_store import SLOWEST_BYTES_PER_S
 from hollowusher.coordination.view import find_voter, is_voter
 from hollowusher.coordination.voter_group import VoterGroup
 from hollowusher.protocol.codec import evolve
@@ -57,8 +57,10 @@
         read = read_order(message.method, message.if_match, message.body)
         if read.is_error():
             return read.error.answer()
-        if not self._member.is_head:
-            head = self._agreement.view.head if self._agreement.view is not None else ""
+        newest = self._agreement.view
+        deposed = newest is not None and newest.epoch > self._member.epoch  # the own disk is yet to take it
+        if deposed or not self._member.is_head:
+            head = newest.head if newest is not None else ""
             timeout = FORWARD_CHANGE_TIMEOUT_S + len(message.body) / SLOWEST_BYTES_PER_S
             answer = await self._forward(head, message, timeout)
             return answer if isinstance(answer, OperatorAnswer) else UNAVAILABLE
--- a/hollowusher/coordination/state_store.py
+++ b/hollowusher/coordination/state_store.py
@@ -22,7 +22,11 @@
 )
 from hollowusher.protocol.codec import decode, encode
 from hollowusher.protocol.control import ControlState
-from hollowusher.storage.interface import Slot
+from hollowusher.storage.interface import Slot, StorageError
+
+SLOWEST_BYTES_PER_S = 1_000_000  # slowest link and disk that a large state is to get through in its time
+STALLED_AFTER_S = 0.8
+FAILED_COUNTS_S = 2.0  # after a save that failed, the others do without this member for so long
 
 
 @attrs.frozen
@@ -47,7 +51,9 @@
         self._named: bytes = b""  # the digest that the durable state names
         self._unsure = False  # a save of the state has failed: either state may be found after a crash
         self._lock = asyncio.Lock()
-        self.busy_bytes = 0  # of the save under way
+        self._busy_since: float | None = None  # the save under way
+        self._busy_bytes = 0
+        self._failed_at: float | None = None
 
     def load(self) -> SavedState | None:
         """The state saved last, None where there is none."""
@@ -59,6 +65,7 @@
             return None
         epoch, state, *named = decode(self._state_bytes)
         if not named:
+            self._current = make_record(state)
             return SavedState(epoch, state)
         self._named = named[0]
         record = self.record(self._named)
@@ -129,8 +136,19 @@
         self._state_bytes = saved
 
     async def _save(self, slot: Slot, value: bytes) -> None:
-        self.busy_bytes = len(value)
+        self._busy_since = asyncio.get_running_loop().time()
+        self._busy_bytes = len(value)
         try:
             await slot.save(value)
+        except StorageError:
+            self._failed_at = asyncio.get_running_loop().time()
+            raise
         finally:
-            self.busy_bytes = 0
+            self._busy_since = None
+
+    def stalled(self, now: float) -> bool:
+        """Whether the disk has been busy with one save for too long, or has just failed to take one."""
+        if self._failed_at is not None and now - self._failed_at < FAILED_COUNTS_S:
+            return True
+        allowed = STALLED_AFTER_S + self._busy_bytes / SLOWEST_BYTES_PER_S
+        return self._busy_since is not None and now - self._busy_since > allowed
