Check the control chain by model across changes of the view, losses and a newcomer

Need: that a committed state is never lost and a confirmed read never old rested on runs with drawn troubles.

Change: simulation/model_check/chain_model.py runs the real VotingMachine, ChainMember and planning functions: every order of writes, saves, answers, decided views, ballots of any majority, restarts, a lost disk, a newcomer. Properties: one view for each epoch, one committed history, nothing committed lost, no confirmed read older than an acknowledged order, and after one loss within the tolerance what is left can go on.

--- /dev/null
+++ b/hollowusher/simulation/model_check/chain_model.py
@@ -0,0 +1,563 @@
+"""The control chain across changes of the view: states, saves, losses, replacements and reads in any order.
+
+Real are `VotingMachine`, `ChainMember` and the planning functions of `coordination.reconfiguration`; the
+order in which a member saves, passes on and answers is that of `coordination.replicator`.  One ballot is one
+step: any majority promises, any of them are reached by the acceptances, and the proposer learns of it.
+What ballots do to each other message by message is the matter of `agreement_model`.
+
+The network only grows, as there.  A disk may be lost while no other voter's disk is lost and the newest view
+is in force on its whole chain: the tolerance of one machine, up to the moment at which it counts again.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Hashable, Iterable, Iterator
+from functools import cache, partial
+from itertools import combinations
+from typing import Any, NamedTuple
+
+import attrs
+
+from hollowusher.coordination import voting
+from hollowusher.coordination.chain import ChainMember, dump_write
+from hollowusher.coordination.reconfiguration import Presence, plan_chain, plan_voters, proposal_rank
+from hollowusher.coordination.view import Acceptor, find_voter, first_view, is_voter, majority, voter_id
+from hollowusher.coordination.voting import VotingMachine
+from hollowusher.protocol.codec import decode, encode, evolve
+from hollowusher.protocol.control import (
+    Accept,
+    ChainWrite,
+    ConfirmEpoch,
+    ControlState,
+    Prepare,
+    View,
+    Voter,
+)
+from hollowusher.simulation.model_check.interning import Interner, clone, fingerprint
+
+MakeMember = Callable[[str, str, bytes | None], ChainMember]
+NAMES = "abcdefgh"
+NOW = 0.0
+
+
+@attrs.frozen
+class ChainBounds:
+    """How much may happen."""
+
+    controllers: int = 3
+    views: int = 2  # ballots
+    orders: int = 1
+    restarts: int = 0
+    wipes: int = 0
+    newcomers: int = 0  # further controllers that may become voters
+
+
+class Write(NamedTuple):
+    """A state on its way to the next member of the chain."""
+
+    receiver: str
+    sender: str
+    life: int
+    encoded: bytes
+
+
+class Written(NamedTuple):
+    """The answer to a write: the tail has it."""
+
+    receiver: str
+    life: int
+    encoded: bytes
+
+
+class Notice(NamedTuple):
+    """A decided view; to nobody: a note for the properties."""
+
+    receiver: str
+    encoded: bytes
+
+
+class Committed(NamedTuple):
+    """Note: the tail has saved this state."""
+
+    epoch: int
+    encoded: bytes
+    receiver: str = ""
+
+
+class Acknowledged(NamedTuple):
+    """Note: an operator was told that this order is taken."""
+
+    generation: int
+    receiver: str = ""
+
+
+class Claim(NamedTuple):
+    """Note: this voter has said that it holds every committed state in this epoch."""
+
+    voter: str
+    epoch: int
+    receiver: str = ""
+
+
+Message = Write | Written | Notice | Committed | Acknowledged | Claim
+
+
+@attrs.define
+class Node:
+    """One controller: its process and its disk."""
+
+    voter: Voter
+    machine: VotingMachine
+    member: ChainMember
+    vote_disk: bytes | None
+    state_disk: bytes | None
+    life: int = 1
+    saving: ChainWrite | None = None
+    askers: frozenset[Write] = frozenset()  # writes taken in this life that are not answered yet
+    passed_on: bytes = b""  # the newest write sent on in this life
+    pending: int = 0  # the order that is being brought into force
+
+
+class Read(NamedTuple):
+    """A read of an old state that waits for a majority to confirm the epoch."""
+
+    place: int
+    life: int
+    view: bytes  # in which it was begun
+    confirmed: frozenset[str] = frozenset()
+    done: bool = False
+
+
+class State(NamedTuple):
+    """Numbers of the processes' states, the messages ever sent (one bit each), and what has happened."""
+
+    nodes: tuple[int, ...]
+    network: int
+    views: int = 0
+    orders: int = 0
+    restarts: int = 0
+    wipes: int = 0
+    read: Read | None = None
+
+
+class ChainModel:
+    """See `explorer.Model`."""
+
+    def __init__(self, bounds: ChainBounds, make_member: MakeMember = ChainMember) -> None:
+        self._bounds = bounds
+        self._make_member = make_member
+        names = NAMES[: bounds.controllers + bounds.newcomers]
+        self._controllers = [Voter(name, f"disk-{name}", f"{name}:1") for name in names]
+        self._base = first_view(self._controllers[: bounds.controllers], "cluster")
+        self._places = {voter.name: place for place, voter in enumerate(self._controllers)}
+        self._nodes: Interner[Node] = Interner(fingerprint)
+        self._messages: Interner[Message] = Interner(_message_key)
+        self._known: dict[tuple[int, str, int], tuple[int, int]] = {}
+        self._judge = cache(self._judged)
+        self._noted = 0
+        self._sent = 0  # by the step under way
+
+    def initial(self) -> State:
+        self._sent = 0
+        nodes = [self._first(voter) for voter in self._controllers]
+        for node in nodes:
+            self._after(node)
+        self._note(Notice("", encode(self._base)))
+        return State(tuple(self._nodes.number(node) for node in nodes), self._sent)
+
+    def _first(self, voter: Voter) -> Node:
+        acceptor = Acceptor(voter.name, voter.disk_id)
+        acceptor.learn(self._base)
+        disk = acceptor.dump()
+        node = Node(
+            voter,
+            VotingMachine(voter.name, voter.disk_id, disk),
+            self._make_member(voter.name, voter.disk_id, None),
+            disk,
+            None,
+        )
+        node.member.install(self._base)
+        return node
+
+    # -- what can happen -----------------------------------------------------------------------------------
+
+    def steps(self, state: State) -> Iterator[tuple[str, State]]:
+        if state.read is not None:
+            yield from self._read_steps(state, state.read)
+        for number in _bits(state.network & ~self._noted):
+            message = self._messages[number]
+            place = self._places[message.receiver]
+            label = f"{message.receiver} takes {_told(message)}"
+            yield from self._step(state, place, label, partial(self._take, message), number)
+        for place, number in enumerate(state.nodes):
+            yield from self._own_steps(state, place, self._nodes[number])
+
+    def _own_steps(self, state: State, place: int, node: Node) -> Iterator[tuple[str, State]]:
+        name, member = node.voter.name, node.member
+        if node.saving is not None:
+            yield from self._step(state, place, f"{name}: state saved", self._state_saved)
+        elif member.may_write:
+            if not member.settled:
+                yield from self._step(state, place, f"{name} brings its state into force", self._flush)
+            elif state.orders < self._bounds.orders:
+                counted = state._replace(orders=state.orders + 1)
+                label = f"{name} takes order {counted.orders}"
+                yield from self._step(counted, place, label, partial(self._order, counted.orders))
+        if state.restarts < self._bounds.restarts:
+            counted = state._replace(restarts=state.restarts + 1)
+            for kept in (True, False) if node.saving is not None else (False,):
+                label = f"{name} restarts, the state under way {'kept' if kept else 'lost'}"
+                yield from self._step(counted, place, label, partial(self._restart, kept))
+        if state.wipes < self._bounds.wipes and self._may_lose(state, place):
+            counted = state._replace(wipes=state.wipes + 1)
+            yield from self._step(counted, place, f"{name} loses its disk", self._wipe)
+        if state.views < self._bounds.views and not node.machine.proposing:
+            yield from self._ballots(state, place, node)
+        if state.read is None and member.readable and self._old(state, node):
+            yield (
+                f"{name} begins a read of an old state",
+                state._replace(read=Read(place, node.life, encode(member.view))),
+            )
+
+    def _step(
+        self, state: State, place: int, label: str, change: Callable[[Node], object], message: int = -1
+    ) -> Iterator[tuple[str, State]]:
+        before = state.nodes[place]
+        known = self._known.get((before, label, message))
+        if known is None:
+            node = clone(self._nodes[before])
+            self._sent = 0
+            change(node)
+            self._after(node)
+            known = self._known[before, label, message] = (self._nodes.number(node), self._sent)
+        after, sent = known
+        if after != before or state.network | sent != state.network:
+            nodes = (*state.nodes[:place], after, *state.nodes[place + 1 :])
+            yield label, state._replace(nodes=nodes, network=state.network | sent)
+
+    def _take(self, message: Message, node: Node) -> None:
+        if isinstance(message, Notice):
+            node.machine.learn(_decoded(message.encoded))
+        elif isinstance(message, Write) and node.saving is None:
+            write: ChainWrite = _decoded(message.encoded)
+            if node.member.accepts(write):
+                node.askers |= {message}
+                node.saving = write
+        elif isinstance(message, Written) and message.life == node.life:
+            self._have_committed(node, _decoded(message.encoded))
+
+    def _state_saved(self, node: Node) -> None:
+        write = node.saving
+        assert write is not None
+        node.state_disk = dump_write(write)
+        node.saving = None
+        node.member.keep(write)
+        if node.member.epoch != write.epoch:
+            return
+        node.passed_on = encode(write)
+        following = node.member.next_name()
+        if following is not None:
+            self._send(Write(following, node.voter.name, node.life, encode(write)))
+        else:
+            self._note(Committed(write.epoch, encode(write.state)))
+            self._have_committed(node, write)
+
+    def _have_committed(self, node: Node, write: ChainWrite) -> None:
+        node.member.commit(write)
+        for asker in node.askers:
+            if asker.encoded == encode(write):
+                self._send(Written(asker.sender, asker.life, asker.encoded))
+
+    def _flush(self, node: Node) -> None:
+        write = node.member.begin()
+        if encode(write) != node.passed_on:  # else it is under way, and may arrive at any time
+            node.saving = write
+
+    def _order(self, generation: int, node: Node) -> None:
+        state = node.member.state
+        wanted = evolve(state, generation=generation, history=[*state.history, [generation, ""]])
+        node.saving = node.member.begin(wanted)
+        node.pending = generation
+
+    def _restart(self, kept: bool, node: Node) -> None:
+        if kept:
+            assert node.saving is not None
+            node.state_disk = dump_write(node.saving)
+        node.saving = None
+        node.askers = frozenset()
+        node.passed_on = b""
+        node.pending = 0
+        node.life += 1
+        name, disk = node.voter.name, node.voter.disk_id
+        node.machine = VotingMachine(name, disk, node.vote_disk)
+        node.member = self._make_member(name, disk, node.state_disk)
+        view = node.machine.acceptor.decided
+        if view is not None:
+            node.member.install(view)
+
+    def _wipe(self, node: Node) -> None:
+        node.voter = evolve(node.voter, disk_id=node.voter.disk_id + "'")
+        node.vote_disk = node.state_disk = None
+        self._restart(False, node)
+
+    def _after(self, node: Node) -> None:
+        """Carry out what the voting machine says, and note what the step has brought."""
+        self._perform(node)
+        node.machine.acceptor.foreign = 0
+        member = node.member
+        if node.pending and member.settled and member.state.generation == node.pending:
+            self._note(Acknowledged(node.pending))
+            node.pending = 0
+        if member.complete:
+            self._note(Claim(voter_id(node.voter), member.epoch))
+
+    def _perform(self, node: Node) -> list[voting.Output]:
+        """Save and learn; the outputs for others."""
+        others: list[voting.Output] = []
+        while outputs := node.machine.take_outputs():
+            for output in outputs:
+                if isinstance(output, voting.Save):
+                    node.vote_disk = output.value
+                    node.machine.saved(True, NOW)
+                elif isinstance(output, voting.Learned):
+                    node.member.install(output.view)
+                elif isinstance(output, voting.Announce):
+                    self._note(Notice("", encode(output.view)))
+                    for controller in self._controllers:
+                        self._send(Notice(controller.name, encode(output.view)))
+                else:
+                    others.append(output)
+        return others
+
+    # -- ballots -------------------------------------------------------------------------------------------
+
+    def _ballots(self, state: State, place: int, node: Node) -> Iterator[tuple[str, State]]:
+        base = node.machine.acceptor.decided
+        if base is None or not is_voter(base, node.voter.name, node.voter.disk_id):
+            return
+        names = [voter.name for voter in base.voters if voter.name != node.voter.name]
+        for planned in self._plans(state, node, base):
+            for quorum in combinations(names, majority(base) - 1):
+                for count in range(len(quorum) + 1):
+                    for reached in combinations(quorum, count):
+                        yield from self._ballot(state, place, planned, quorum, reached)
+
+    def _plans(self, state: State, node: Node, base: View) -> list[View]:
+        """The views that this controller may propose, whatever it has heard from the others."""
+        claims = {
+            message.voter
+            for message in map(self._messages.__getitem__, _bits(state.network & self._noted))
+            if isinstance(message, Claim) and message.epoch == base.epoch
+        }
+        names = [voter.name for voter in base.voters]
+        complete = {voter.name for voter in base.voters if voter_id(voter) in claims}
+        plans = [
+            plan_chain(base, present)
+            for present in _presences(names, complete, node.voter.name)
+            if proposal_rank(base, present, node.voter.name) is not None
+        ]
+        if node.member.is_head and node.member.in_force:
+            controllers = [self._nodes[number].voter for number in state.nodes]
+            spares = [one for one in controllers if not is_voter(base, one.name, one.disk_id)]
+            for spare in spares:
+                leaving = [None, *(name for name in names if name != base.head)]
+                plans += [plan_voters(base, spare, name) for name in leaving]
+        unique = {encode(plan): plan for plan in plans if plan is not None}
+        return list(unique.values())
+
+    def _ballot(
+        self, state: State, place: int, planned: View, quorum: Iterable[str], reached: tuple[str, ...]
+    ) -> Iterator[tuple[str, State]]:
+        """One ballot: promises of the quorum, acceptances of those reached."""
+        nodes = [clone(self._nodes[number]) for number in state.nodes]
+        self._sent = 0
+        proposer = nodes[place]
+        if not proposer.machine.propose(NOW, lambda base: planned):
+            return
+        asks = self._asks(proposer)
+        for name in quorum:
+            asks += self._ask(proposer, nodes[self._places[name]], asks, Prepare)
+        for name in reached:
+            self._ask(proposer, nodes[self._places[name]], asks, Accept)
+        proposer.machine.abandon()
+        for node in nodes:
+            self._after(node)
+        numbers = tuple(self._nodes.number(node) for node in nodes)
+        label = (
+            f"{proposer.voter.name} proposes view {planned.epoch}: voters "
+            f"{_names(voter.name for voter in planned.voters)}, chain {_names(planned.chain)}; "
+            f"promised by {_names(quorum)}, accepted by {_names(reached)}"
+        )
+        yield label, state._replace(nodes=numbers, network=state.network | self._sent, views=state.views + 1)
+
+    def _asks(self, proposer: Node) -> list[voting.Ask]:
+        return [output for output in self._perform(proposer) if isinstance(output, voting.Ask)]
+
+    def _ask(self, proposer: Node, voter: Node, asks: list[voting.Ask], kind: type) -> list[voting.Ask]:
+        """Have one voter answer the request of this kind; what the proposer asks then."""
+        for ask in asks:
+            if ask.voter.name != voter.voter.name or not isinstance(ask.message, kind):
+                continue
+            if isinstance(ask.message, Prepare):
+                voter.machine.prepare(0, ask.message)
+            else:
+                voter.machine.accept(0, ask.message)
+            for output in self._perform(voter):
+                if isinstance(output, voting.Answer):
+                    proposer.machine.answered(ask, output.message, NOW)
+            return self._asks(proposer)
+        return []
+
+    # -- reads ---------------------------------------------------------------------------------------------
+
+    def _old(self, state: State, node: Node) -> bool:
+        """Whether an order was acknowledged that the tail's committed state does not hold."""
+        held = node.member.committed
+        kept = {generation for generation, _ in held.history} if held is not None else set()
+        return bool(self._acknowledged(state) - kept)
+
+    def _acknowledged(self, state: State) -> set[int]:
+        messages = map(self._messages.__getitem__, _bits(state.network & self._noted))
+        return {message.generation for message in messages if isinstance(message, Acknowledged)}
+
+    def _read_steps(self, state: State, read: Read) -> Iterator[tuple[str, State]]:
+        reader = self._nodes[state.nodes[read.place]]
+        view: View = _decoded(read.view)
+        if reader.life != read.life or read.done:
+            return
+        for voter in view.voters:
+            node = self._nodes[state.nodes[self._places[voter.name]]]
+            question = ConfirmEpoch(view.epoch, view.cluster, voter_id(voter))
+            if voter.name not in read.confirmed and clone(node.machine.acceptor).confirm(question):
+                confirmed = read.confirmed | {voter.name}
+                done = len(confirmed) >= majority(view)
+                after = read._replace(confirmed=confirmed, done=done)
+                yield f"{voter.name} confirms the epoch", state._replace(read=after)
+
+    # -- losses --------------------------------------------------------------------------------------------
+
+    def _newest(self, state: State) -> View:
+        messages = map(self._messages.__getitem__, _bits(state.network & self._noted))
+        views: list[View] = [_decoded(one.encoded) for one in messages if isinstance(one, Notice)]
+        return max(views, key=lambda view: view.epoch)
+
+    def _intact(self, state: State, view: View) -> list[Node]:
+        nodes = [self._nodes[number] for number in state.nodes]
+        return [node for node in nodes if is_voter(view, node.voter.name, node.voter.disk_id)]
+
+    def _may_lose(self, state: State, place: int) -> bool:
+        view = self._newest(state)
+        intact = self._intact(state, view)
+        in_force = all(
+            node.member.epoch == view.epoch and (node.member.state_epoch == view.epoch or view.epoch == 1)
+            for node in intact
+            if node.voter.name in view.chain
+        )
+        voter = self._nodes[state.nodes[place]].voter
+        return len(intact) == len(view.voters) and in_force and find_voter(view, voter.name) is not None
+
+    def _can_go_on(self, state: State) -> bool:
+        """Whether the disks that are left can decide the next view and hold every committed state."""
+        view = self._newest(state)
+        intact = self._intact(state, view)
+        if len(intact) < majority(view):
+            return False
+        alive = [node.voter.name for node in intact]
+        complete = {node.voter.name for node in intact if _holds_all(node, view)}
+        present = _present(alive, complete)
+        whole = set(view.chain) <= set(alive) and view.head in complete
+        return whole or plan_chain(view, present) is not None
+
+    # -- properties ----------------------------------------------------------------------------------------
+
+    def violation(self, state: State) -> str:
+        if state.read is not None and state.read.done:
+            return "a confirmed read gave a state older than an acknowledged one"
+        reason = self._judge(state.network & self._noted)
+        if reason or not state.wipes or self._can_go_on(state):
+            return reason
+        return "what is left after one loss cannot go on"
+
+    def _judged(self, notes: int) -> str:
+        messages = [self._messages[number] for number in _bits(notes)]
+        epochs = [_decoded(one.encoded).epoch for one in messages if isinstance(one, Notice)]
+        if len(epochs) != len(set(epochs)):
+            return "two views were decided for one epoch"
+        return _history_broken([one for one in messages if isinstance(one, Committed)])
+
+    def tell(self, label: str) -> str:
+        return label
+
+    def _send(self, message: Message) -> None:
+        self._sent |= 1 << self._messages.number(message)
+
+    def _note(self, message: Message) -> None:
+        bit = 1 << self._messages.number(message)
+        self._sent |= bit
+        self._noted |= bit
+
+
+def _history_broken(committed: list[Committed]) -> str:
+    """Each committed state holds what was committed in earlier epochs, and one order follows the other."""
+    states: list[tuple[int, ControlState]] = [(one.epoch, _decoded(one.encoded)) for one in committed]
+    for epoch, state in states:
+        for later, other in states:
+            shorter = len(state.history) <= len(other.history)
+            if shorter and other.history[: len(state.history)] != state.history:
+                return "two histories were committed"
+            if epoch < later and not shorter:
+                return f"a state committed in epoch {epoch} was lost in epoch {later}"
+            if state.sequence == other.sequence and state.history != other.history:
+                return f"two states were committed as number {state.sequence}"
+    return ""
+
+
+def _holds_all(node: Node, view: View) -> bool:
+    """Whether this member may become head after `view`, once it has learnt it."""
+    since = view.since.get(node.voter.name)
+    return since is not None and (since == 1 or node.member.state_epoch >= since)
+
+
+def _present(alive: Iterable[str], complete: Iterable[str]) -> Presence:
+    names = frozenset(alive)
+    return Presence(names, frozenset(complete) & names, dict.fromkeys(names, names))
+
+
+def _presences(names: list[str], complete: set[str], own: str) -> Iterator[Presence]:
+    """Whom the proposer may take for alive, itself included."""
+    others = [name for name in names if name != own]
+    for count in range(len(others) + 1):
+        for alive in combinations(others, count):
+            yield _present([own, *alive], complete)
+
+
+def _message_key(message: Message) -> Hashable:
+    return type(message), message
+
+
+@cache
+def _decoded(encoded: bytes) -> Any:
+    """A message; equal ones are one object."""
+    return decode(encoded)
+
+
+def _names(names: Iterable[str]) -> str:
+    return "".join(names) or "nobody"
+
+
+def _told(message: Message) -> str:
+    if isinstance(message, Notice):
+        return f"view {_decoded(message.encoded).epoch}"
+    if isinstance(message, Write | Written):
+        write: ChainWrite = _decoded(message.encoded)
+        kind = type(message).__name__.lower()
+        return f"{kind} of epoch {write.epoch}, state {write.state.sequence}"
+    return "a note"
+
+
+def _bits(network: int) -> Iterator[int]:
+    """The numbers of the bits that are set."""
+    while network:
+        low = network & -network
+        yield low.bit_length() - 1
+        network ^= low
--- a/hollowusher/simulation/model_check/commands.py
+++ b/hollowusher/simulation/model_check/commands.py
@@ -7,13 +7,15 @@
 
 import click
 
+from hollowusher.coordination.chain import ChainMember
 from hollowusher.coordination.voting import VotingMachine
 from hollowusher.simulation.model_check.agreement_model import AgreementBounds, AgreementModel
+from hollowusher.simulation.model_check.chain_model import ChainBounds, ChainModel
 from hollowusher.simulation.model_check.explorer import Bounds, Model, explore
 from hollowusher.simulation.model_check.partition_command import partition
-from hollowusher.simulation.model_check.planted import AGREEMENT
+from hollowusher.simulation.model_check.planted import AGREEMENT, MEMBERS
 
-PARTS = ("agreement",)
+PARTS = ("agreement", "chain")
 
 
 @click.group()
@@ -35,6 +37,7 @@
 @click.option("--wipes", default=0, help="Restarts with an empty disk.")
 @click.option("--failures", default=0, help="Saves that fail.")
 @click.option("--replace", is_flag=True, help="A further controller may take a voter's place.")
+@click.option("--orders", default=1, help="Orders of operators.")
 @click.option("--epochs", default=1, help="Views proposed one after the other.")
 @click.option("--fine", is_flag=True, help="Fold nothing: each save ends and each answer arrives by itself.")
 @click.option("--planted", default="", help="A planted fault that is to be found.")
@@ -49,6 +52,7 @@
     wipes: int,
     failures: int,
     replace: bool,
+    orders: int,
     epochs: int,
     fine: bool,
     planted: str,
@@ -59,6 +63,9 @@
     models: dict[str, Model[Any, Any]] = {}
     if part in ("all", "agreement") and (not planted or planted in AGREEMENT):
         models["agreement"] = AgreementModel(agreement, AGREEMENT.get(planted, VotingMachine))
+    if part in ("all", "chain") and (not planted or planted in MEMBERS):
+        chain = ChainBounds(controllers, proposals, orders, restarts, wipes, int(replace))
+        models["chain"] = ChainModel(chain, MEMBERS.get(planted, ChainMember))
     if not models:
         raise click.BadParameter(f"no planted fault {planted!r} in this part")
     results = [_check(name, model, bounds) for name, model in models.items()]
--- a/hollowusher/simulation/model_check/planted.py
+++ b/hollowusher/simulation/model_check/planted.py
@@ -4,9 +4,10 @@
 
 from collections.abc import Callable
 
+from hollowusher.coordination.chain import ChainMember
 from hollowusher.coordination.voting import Answer, VotingMachine
 from hollowusher.protocol.codec import evolve
-from hollowusher.protocol.control import Accepted, Prepare, Promise, View
+from hollowusher.protocol.control import Accepted, ChainWrite, Prepare, Promise, View
 
 
 class AsksBeforeItsOwnPromise(VotingMachine):
@@ -43,6 +44,26 @@
         super().__init__(name, disk_id.rstrip("'"), saved)
 
 
+class LeadsWithoutEverything(ChainMember):
+    """A chain member that takes itself for complete from the moment it joins."""
+
+    @property
+    def complete(self) -> bool:
+        return self.in_chain
+
+
+class TakesAnyEpoch(ChainMember):
+    """A chain member that takes writes of every epoch."""
+
+    def accepts(self, write: ChainWrite) -> bool:
+        return self.in_chain and not self.is_head
+
+
+MEMBERS: dict[str, type[ChainMember]] = {
+    "leads-without-everything": LeadsWithoutEverything,
+    "takes-any-epoch": TakesAnyEpoch,
+}
+
 AGREEMENT: dict[str, type[VotingMachine]] = {
     "asks-before-its-own-promise": AsksBeforeItsOwnPromise,
     "answers-before-saving": AnswersBeforeSaving,
