Fold ballots in the model check of the chain; show that it finds lost states

Change: what a ballot makes of its proposer and quorum is computed once; the search begins with the first view in force. The two planted faults (a head that commits alone, a member that starts empty) are each found as a committed state that is lost.

--- a/hollowusher/simulation/model_check/chain_model.py
+++ b/hollowusher/simulation/model_check/chain_model.py
@@ -50,6 +50,7 @@
     restarts: int = 0
     wipes: int = 0
     newcomers: int = 0  # further controllers that may become voters
+    settled: bool = True  # begin with the first view in force
 
 
 class Write(NamedTuple):
@@ -153,6 +154,8 @@
         self._nodes: Interner[Node] = Interner(fingerprint)
         self._messages: Interner[Message] = Interner(_message_key)
         self._known: dict[tuple[int, str, int], tuple[int, int]] = {}
+        self._played: dict[Hashable, tuple[tuple[int, ...], int] | None] = {}
+        self._going_on: dict[tuple[tuple[int, ...], int], bool] = {}
         self._judge = cache(self._judged)
         self._noted = 0
         self._sent = 0  # by the step under way
@@ -163,7 +166,19 @@
         for node in nodes:
             self._after(node)
         self._note(Notice("", encode(self._base)))
-        return State(tuple(self._nodes.number(node) for node in nodes), self._sent)
+        state = State(tuple(self._nodes.number(node) for node in nodes), self._sent)
+        return self._in_force(state) if self._bounds.settled else state
+
+    def _in_force(self, state: State) -> State:
+        """The state once the first view is in force on the whole chain."""
+        bounds, self._bounds = (
+            self._bounds,
+            attrs.evolve(self._bounds, views=0, orders=0, restarts=0, wipes=0),
+        )
+        while not self._nodes[state.nodes[0]].member.settled:
+            *_, (_, state) = self.steps(state)
+        self._bounds = bounds
+        return state
 
     def _first(self, voter: Voter) -> Node:
         acceptor = Acceptor(voter.name, voter.disk_id)
@@ -369,26 +384,43 @@
         self, state: State, place: int, planned: View, quorum: Iterable[str], reached: tuple[str, ...]
     ) -> Iterator[tuple[str, State]]:
         """One ballot: promises of the quorum, acceptances of those reached."""
-        nodes = [clone(self._nodes[number]) for number in state.nodes]
-        self._sent = 0
-        proposer = nodes[place]
-        if not proposer.machine.propose(NOW, lambda base: planned):
+        places = [place, *(self._places[name] for name in quorum)]
+        before = tuple(state.nodes[one] for one in places)
+        key = (before, encode(planned), tuple(reached))
+        if key not in self._played:
+            self._played[key] = self._play(before, planned, reached)
+        played = self._played[key]
+        if played is None:
             return
-        asks = self._asks(proposer)
-        for name in quorum:
-            asks += self._ask(proposer, nodes[self._places[name]], asks, Prepare)
-        for name in reached:
-            self._ask(proposer, nodes[self._places[name]], asks, Accept)
-        proposer.machine.abandon()
-        for node in nodes:
-            self._after(node)
-        numbers = tuple(self._nodes.number(node) for node in nodes)
+        nodes = list(state.nodes)
+        for one, number in zip(places, played[0], strict=True):
+            nodes[one] = number
         label = (
-            f"{proposer.voter.name} proposes view {planned.epoch}: voters "
+            f"{self._controllers[place].name} proposes view {planned.epoch}: voters "
             f"{_names(voter.name for voter in planned.voters)}, chain {_names(planned.chain)}; "
             f"promised by {_names(quorum)}, accepted by {_names(reached)}"
         )
-        yield label, state._replace(nodes=numbers, network=state.network | self._sent, views=state.views + 1)
+        network = state.network | played[1]
+        yield label, state._replace(nodes=tuple(nodes), network=network, views=state.views + 1)
+
+    def _play(
+        self, numbers: tuple[int, ...], planned: View, reached: Iterable[str]
+    ) -> tuple[tuple[int, ...], int] | None:
+        """What a ballot makes of the proposer, which comes first, and its quorum; None where none begins."""
+        proposer, *others = (clone(self._nodes[number]) for number in numbers)
+        self._sent = 0
+        if not proposer.machine.propose(NOW, lambda base: planned):
+            return None
+        asks = self._asks(proposer)
+        for voter in others:
+            asks += self._ask(proposer, voter, asks, Prepare)
+        for voter in others:
+            if voter.voter.name in reached:
+                self._ask(proposer, voter, asks, Accept)
+        proposer.machine.abandon()
+        for node in (proposer, *others):
+            self._after(node)
+        return tuple(self._nodes.number(node) for node in (proposer, *others)), self._sent
 
     def _asks(self, proposer: Node) -> list[voting.Ask]:
         return [output for output in self._perform(proposer) if isinstance(output, voting.Ask)]
@@ -459,6 +491,12 @@
     def _can_go_on(self, state: State) -> bool:
         """Whether the disks that are left can decide the next view and hold every committed state."""
         view = self._newest(state)
+        known = self._going_on.get((state.nodes, view.epoch))
+        if known is None:
+            known = self._going_on[state.nodes, view.epoch] = self._survives(state, view)
+        return known
+
+    def _survives(self, state: State, view: View) -> bool:
         intact = self._intact(state, view)
         if len(intact) < majority(view):
             return False
--- a/hollowusher/simulation/model_check/commands.py
+++ b/hollowusher/simulation/model_check/commands.py
@@ -37,6 +37,7 @@
 @click.option("--wipes", default=0, help="Restarts with an empty disk.")
 @click.option("--failures", default=0, help="Saves that fail.")
 @click.option("--replace", is_flag=True, help="A further controller may take a voter's place.")
+@click.option("--views", default=1, help="Ballots in the part `chain`.")
 @click.option("--orders", default=1, help="Orders of operators.")
 @click.option("--epochs", default=1, help="Views proposed one after the other.")
 @click.option("--fine", is_flag=True, help="Fold nothing: each save ends and each answer arrives by itself.")
@@ -52,6 +53,7 @@
     wipes: int,
     failures: int,
     replace: bool,
+    views: int,
     orders: int,
     epochs: int,
     fine: bool,
@@ -64,7 +66,7 @@
     if part in ("all", "agreement") and (not planted or planted in AGREEMENT):
         models["agreement"] = AgreementModel(agreement, AGREEMENT.get(planted, VotingMachine))
     if part in ("all", "chain") and (not planted or planted in MEMBERS):
-        chain = ChainBounds(controllers, proposals, orders, restarts, wipes, int(replace))
+        chain = ChainBounds(controllers, views, orders, restarts, wipes, int(replace))
         models["chain"] = ChainModel(chain, MEMBERS.get(planted, ChainMember))
     if not models:
         raise click.BadParameter(f"no planted fault {planted!r} in this part")
--- a/hollowusher/simulation/model_check/planted.py
+++ b/hollowusher/simulation/model_check/planted.py
@@ -7,7 +7,7 @@
 from hollowusher.coordination.chain import ChainMember
 from hollowusher.coordination.voting import Answer, VotingMachine
 from hollowusher.protocol.codec import evolve
-from hollowusher.protocol.control import Accepted, ChainWrite, Prepare, Promise, View
+from hollowusher.protocol.control import Accepted, Prepare, Promise, View
 
 
 class AsksBeforeItsOwnPromise(VotingMachine):
@@ -44,24 +44,23 @@
         super().__init__(name, disk_id.rstrip("'"), saved)
 
 
-class LeadsWithoutEverything(ChainMember):
-    """A chain member that takes itself for complete from the moment it joins."""
+class CommitsAlone(ChainMember):
+    """A head that takes a state for committed which it alone has saved."""
 
-    @property
-    def complete(self) -> bool:
-        return self.in_chain
+    def next_name(self) -> str | None:
+        return None
 
 
-class TakesAnyEpoch(ChainMember):
-    """A chain member that takes writes of every epoch."""
+class StartsEmpty(ChainMember):
+    """A chain member that forgets its saved state at a restart, and is taken for one that holds it."""
 
-    def accepts(self, write: ChainWrite) -> bool:
-        return self.in_chain and not self.is_head
+    def __init__(self, name: str, disk_id: str, saved: bytes | None = None) -> None:
+        super().__init__(name, disk_id)
 
 
 MEMBERS: dict[str, type[ChainMember]] = {
-    "leads-without-everything": LeadsWithoutEverything,
-    "takes-any-epoch": TakesAnyEpoch,
+    "commits-alone": CommitsAlone,
+    "starts-empty": StartsEmpty,
 }
 
 AGREEMENT: dict[str, type[VotingMachine]] = {
--- a/tests/control/test_control_model_chain.py
+++ b/tests/control/test_control_model_chain.py
@@ -6,9 +6,12 @@
 
 from hollowusher.simulation.model_check.chain_model import ChainBounds, ChainModel
 from hollowusher.simulation.model_check.explorer import Bounds, explore
+from hollowusher.simulation.model_check.planted import MEMBERS
 
 SOUND = {
     "one change of the view": (ChainBounds(3, views=1, orders=1), 60, True),
+    "from the first start": (ChainBounds(3, views=1, orders=1, settled=False), 60, True),
+    "a wiped disk": (ChainBounds(3, views=1, orders=1, wipes=1), 60, True),
     "two changes, a wiped disk and a newcomer": (ChainBounds(3, 2, 1, wipes=1, newcomers=1), 4, False),
     "four controllers": (ChainBounds(4, views=1, orders=1, wipes=1, newcomers=1), 4, False),
 }
@@ -20,3 +23,13 @@
     outcome = explore(ChainModel(bounds), Bounds(depth))
     assert outcome.violation == "", outcome.trace
     assert outcome.complete and outcome.exhausted == everything
+
+
+PLANTED = {"commits-alone": ChainBounds(3, 1, 1), "starts-empty": ChainBounds(3, 1, 1, restarts=1)}
+
+
+@pytest.mark.parametrize("name", PLANTED)
+def test_a_planted_fault_is_found(name: str) -> None:
+    outcome = explore(ChainModel(PLANTED[name], MEMBERS[name]), Bounds(20))
+    assert outcome.violation == "a state committed in epoch 1 was lost in epoch 2"
+    assert outcome.trace
