Have large states, troubles and changes that never rest run together in the tests

Random runs with documents up to 2 MB, links and disks that take time by bytes, operators and changes of the placement that go on, and the wait until every voter has caught up after each trouble.

--- /dev/null
+++ b/tests/control/test_snapshots_disks.py
@@ -0,0 +1,35 @@
+"""Orders go on, and members come back, while one disk is stuck or full, with small and large documents."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.control.test_snapshots import caught_up, large_body, send_until_taken, sized_cluster, virtual
+from tests.controller_cluster import FULL, STUCK
+
+TROUBLE_S = 10.0
+SLOWEST_ORDER_S = 3.5  # the first machine asked may be the stuck head, which answers after 3 s
+BACK_S = 4.0
+
+
+@pytest.mark.parametrize("size", [100, 300_000, 1_000_000])
+@pytest.mark.parametrize("victim", ["a", "b", "c"])
+@pytest.mark.parametrize("kind", [STUCK, FULL])
+@virtual
+async def test_orders_go_on_beside_a_disk_in_trouble(kind: str, victim: str, size: int) -> None:
+    cluster = await sized_cluster()
+    await send_until_taken(cluster, large_body(1, size), 0)
+    loop = asyncio.get_running_loop()
+    cluster[victim].files[kind] = b"yes"
+    ends_at = loop.time() + TROUBLE_S
+    generation, slowest = 1, 0.0
+    while loop.time() < ends_at:
+        took = await send_until_taken(cluster, large_body(generation + 1, size), generation)
+        slowest = max(slowest, took)
+        generation += 1
+        await asyncio.sleep(0.05)
+    del cluster[victim].files[kind]
+    assert slowest < SLOWEST_ORDER_S
+    await cluster.until(lambda: all(caught_up(cluster, name) for name in "abc"), BACK_S)
--- /dev/null
+++ b/tests/control/test_snapshots_random.py
@@ -0,0 +1,77 @@
+"""Large documents, links and disks that take time, troubles, and changes that never rest."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from tests.control.order_model import Operators
+from tests.control.test_orders_random import Troubles, finish
+from tests.control.test_snapshots import (
+    DISK_BYTES_PER_S,
+    LINK_BYTES_PER_S,
+    caught_up,
+    change_placement,
+)
+from tests.controller_cluster import Cluster, run_virtual
+
+SEEDS = 6
+SIZES = (0, 0, 20_000, 300_000, 2_000_000)
+JITTERS_S = (0.0, 0.005, 0.02, 0.05)
+CAUGHT_UP_S = 15.0
+
+
+class SizedTroubles(Troubles):
+    """Each trouble is followed by the time in which every member has to catch up while changes go on."""
+
+    def __init__(self, cluster: Cluster, chance: random.Random) -> None:
+        super().__init__(cluster, chance)
+        self.slowest_s = 0.0
+
+    async def calm(self) -> None:
+        """Wait until every member holds what the head holds; then a second more."""
+        took = await self.cluster.until(self._all_caught_up, CAUGHT_UP_S)
+        self.slowest_s = max(self.slowest_s, took)
+        await asyncio.sleep(1.0)
+
+    def _all_caught_up(self) -> bool:
+        heads = [each for each in self.cluster.nodes.values() if each.controller and each.controller.is_head]
+        view = heads[0].running.view if heads else None
+        return view is not None and all(caught_up(self.cluster, voter.name) for voter in view.voters)
+
+
+async def play(seed: int, names: str, count: int = 5) -> tuple[Operators, float]:
+    """One run; the operators, and the longest time from a trouble's end until all members had caught up."""
+    chance = random.Random(f"snapshots {seed}")
+    cluster = Cluster(names, seed)
+    cluster.network.bytes_per_s = LINK_BYTES_PER_S
+    cluster.network.disk_bytes_per_s = DISK_BYTES_PER_S
+    await cluster.first_start()
+    cluster.network.slowest_s = JITTERS_S[seed % len(JITTERS_S)]
+    operators = Operators(cluster, chance, SIZES)
+    working = [asyncio.ensure_future(operators.work()) for _ in range(2)]
+    placing = asyncio.ensure_future(place_on(cluster))
+    troubles = SizedTroubles(cluster, chance)
+    await troubles.play(count)
+    operators.going = False
+    await asyncio.gather(*working)
+    placing.cancel()
+    await finish(operators)
+    return operators, troubles.slowest_s
+
+
+async def place_on(cluster: Cluster) -> None:
+    """Change the placement again and again."""
+    version = 0
+    while True:
+        version += 1
+        await change_placement(cluster, version)
+        await asyncio.sleep(0.1)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_every_member_catches_up_while_changes_go_on(seed: int) -> None:
+    operators, _ = run_virtual(play(seed, "abc" if seed % 3 else "abcd"))
+    assert sum(order.acknowledged_at is not None for order in operators.orders) > 5
