--- /dev/null
+++ b/tests/control/test_planted_faults.py
@@ -0,0 +1,32 @@
+"""Planted faults that short days of the simulation do not reach: the tests of the part find them."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+REPOSITORY = Path(__file__).parent.parent.parent
+FOUND_BY = {
+    "delay-lost-at-takeover": "tests/test_partition.py::test_agrees_with_a_plain_partition_while_all_is_calm",
+    "emptied-too-early": "tests/control/test_store_retire.py",
+    "learner-promoted-early": "tests/test_placement.py",
+    "moved-primary-serves-on": "tests/test_replication.py::test_random_troubles_lose_nothing",
+    "seed-forgets-the-view": "tests/test_cluster_client.py",
+    "unknown-put-answered-503": "tests/test_store_client.py",
+}
+RUN_WITH_FAULT = """
+import sys, pytest
+from hollowusher.simulation.planted import planting
+with planting(sys.argv[1]):
+    sys.exit(pytest.main(["-q", "-x", "-n", "0", "-p", "no:cacheprovider", sys.argv[2]]))
+"""
+
+
+@pytest.mark.parametrize("fault", sorted(FOUND_BY))
+def test_the_tests_of_the_part_find_it(fault: str) -> None:
+    command = [sys.executable, "-c", RUN_WITH_FAULT, fault, FOUND_BY[fault]]
+    done = subprocess.run(command, capture_output=True, text=True, cwd=REPOSITORY, timeout=120)
+    assert done.returncode == pytest.ExitCode.TESTS_FAILED, done.stdout + done.stderr
