Close work that a simulation never began when it ends

A task whose first step had not come when a play ended was reported as a coroutine never awaited, in whichever test the collector ran next. tests/test_replication.py and test_store_service.py pass with these warnings made errors, twice; before, test_a_stream_takes_back_no_acknowledgement_of_another_life failed so.

--- a/hollowusher/simulation/loop.py
+++ b/hollowusher/simulation/loop.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextvars
 import heapq
+import inspect
 import itertools
 import traceback
 import weakref
@@ -225,6 +226,9 @@
         """Forget everything that is still to run, and close."""
         for task in list(self._every_task):
             task._log_destroy_pending = False  # type: ignore[attr-defined]
+            work = task.get_coro()
+            if inspect.iscoroutine(work) and inspect.getcoroutinestate(work) == inspect.CORO_CREATED:
+                work.close()  # it was never begun, and is not to be reported as never awaited
         self._runnable.clear()
         self._due.clear()
         self.close()
