--- a/tests/control/test_operator_commands.py
+++ b/tests/control/test_operator_commands.py
@@ -2,14 +2,10 @@
 
 from __future__ import annotations
 
-import asyncio
-import threading
 from collections.abc import Callable, Iterator
-from typing import Any
 
 import orjson
 import pytest
-from aiohttp import web
 from click.testing import CliRunner, Result
 
 from hollowusher.console.client import Answer, CallError
@@ -22,6 +18,9 @@
 from hollowusher.console.views import lacks, status_tables, survey_document
 from hollowusher.protocol.codec import as_document, evolve
 from hollowusher.protocol.status import ControlStatus, PartitionStatus, VoterStatus
+from tests.test_console import Admin
+
+PATH = "/recover-partition/2"
 
 VOTERS = [
     VoterStatus("edge-1", "d1", True, True, True, [4, 12]),
@@ -108,47 +107,29 @@
 
 
 class Edge:
-    """An edge process's admin address that answers orders to recover a partition."""
-
-    def __init__(self) -> None:
-        self.orders: list[tuple[str, Any]] = []
-        self.answer = (200, b'{"state":"recovered"}')
-        self.address = ""
-        self._loop = asyncio.new_event_loop()
-        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
-
-    async def _order(self, request: web.Request) -> web.Response:
-        self.orders.append((request.path, orjson.loads(await request.read())))
-        status, body = self.answer
-        return web.Response(status=status, body=body, content_type="application/json")
-
-    async def _serve(self) -> web.AppRunner:
-        application = web.Application()
-        application.router.add_post("/recover-partition/{partition}", self._order)
-        runner = web.AppRunner(application, access_log=None)
-        await runner.setup()
-        await web.TCPSite(runner, "127.0.0.1", 0).start()
-        return runner
-
-    def start(self) -> None:
-        self._thread.start()
-        self._runner = asyncio.run_coroutine_threadsafe(self._serve(), self._loop).result(10)
-        host, port = self._runner.addresses[0][:2]
-        self.address = f"{host}:{port}"
-
-    def stop(self) -> None:
-        asyncio.run_coroutine_threadsafe(self._runner.cleanup(), self._loop).result(10)
-        self._loop.call_soon_threadsafe(self._loop.stop)
-        self._thread.join(10)
-        self._loop.close()
+    """An edge process's admin address that answers orders to recover partition 2."""
+
+    def __init__(self, admin: Admin) -> None:
+        self.address = admin.address
+        self._admin = admin
+        self.answers(200, b'{"state":"recovered"}')
+
+    def answers(self, status: int, body: bytes) -> None:
+        """Answer like this from now on."""
+        self._admin.answers["POST", PATH] = [(status, body)]
+
+    @property
+    def orders(self) -> list[object]:
+        """The bodies of the orders that came."""
+        return [orjson.loads(body) for method, path, _, body in self._admin.orders if path == PATH]
 
 
 @pytest.fixture
 def edge() -> Iterator[Edge]:
-    served = Edge()
-    served.start()
-    yield served
-    served.stop()
+    admin = Admin()
+    admin.start()
+    yield Edge(admin)
+    admin.stop()
 
 
 @pytest.fixture
@@ -163,7 +144,7 @@
 def test_an_order_names_what_is_given_up(edge: Edge, recover: Callable[..., Result]) -> None:
     done = recover("--accept-loss", "store-1/d1", "--accept-loss", "store-2/d2", "--yes")
     assert (done.exit_code, done.output) == (0, "partition 2: goes on with what is left\n")
-    assert edge.orders == [("/recover-partition/2", {"acceptLossOf": ["store-1/d1", "store-2/d2"]})]
+    assert edge.orders == [{"acceptLossOf": ["store-1/d1", "store-2/d2"]}]
 
 
 def test_it_asks_first_and_changes_nothing_without_a_yes(edge: Edge, recover: Callable[..., Result]) -> None:
@@ -180,7 +161,7 @@
 
 
 def test_a_refusal_is_told(edge: Edge, recover: Callable[..., Result]) -> None:
-    edge.answer = (409, b'{"error":"store-1/d1 lives"}')
+    edge.answers(409, b'{"error":"store-1/d1 lives"}')
     refused = recover("--accept-loss", "store-1/d1", "--yes")
     assert refused.exit_code == 1 and "store-1/d1 lives" in refused.output
 
@@ -188,7 +169,7 @@
 def test_an_order_without_a_clear_answer_is_not_sent_again(
     edge: Edge, recover: Callable[..., Result]
 ) -> None:
-    edge.answer = (503, b"")
+    edge.answers(503, b"")
     unknown = recover("--accept-loss", "store-1/d1", "--yes", at=f"{edge.address},{edge.address}")
     assert unknown.exit_code == 3 and "may have been done" in unknown.output
     assert len(edge.orders) == 1
