Reach a spare controller that has the address of a voter that is gone

Change: where another process is known to live at a voter's address, messages to voters mean that process; votes are checked by name and disk all the same.

--- a/hollowusher/transport/peers.py
+++ b/hollowusher/transport/peers.py
@@ -61,10 +61,16 @@
         voter = self._voters.get(address)
         if voter is None or voter is member:  # by far the most calls
             return member or self._anybody
-        if member is None or rule_of(message).addressee in OF_VOTERS:
+        if member is None or (rule_of(message).addressee in OF_VOTERS and not self._reused(address, voter)):
             return voter
         return member
 
+    def _reused(self, address: str, voter: Identity) -> bool:
+        """Whether another process lives at a voter's address by now.  What it is sent as that voter's
+        successor is harmless: votes count by name and disk."""
+        registered = self._registered.get(address)
+        return registered is not None and registered.alive and registered.name != voter.name
+
     def learn_member(self, member: Member) -> None:
         """A registration: of two processes at one address the living one counts, then the later one."""
         known = self._registered.get(member.address)
