Restore the full measure of the random runs of orders: 12 seeds of 5 troubles, 4.2 s apart

Need: while membership was not mended the runs had been eased (8 seeds, 3 troubles, 6 s of rest, no lost disk beyond 0.1 s of jitter), since a second loss came before the first was replaced.

--- a/tests/control/test_orders_random.py
+++ b/tests/control/test_orders_random.py
@@ -10,10 +10,9 @@
 from tests.control.order_model import Operators, SentOrder
 from tests.controller_cluster import FULL, STUCK, Cluster, Node, run_virtual
 
-SEEDS = 8
+SEEDS = 12
 TROUBLE_S = 2.5
-CALM_S = 6.0
-MOST_JITTER_WITH_WIPES_S = 0.1  # beyond it a lost disk is not always replaced before the next one is lost
+CALM_S = 4.2  # `catchUpS`: the next loss may come right then
 SETTLE_S = 8.0
 TAKEN_WITHIN_S = 15.0
 
@@ -24,9 +23,7 @@
     def __init__(self, cluster: Cluster, chance: random.Random) -> None:
         self.cluster = cluster
         self.chance = chance
-        self.kinds = [self.kill, self.cut, self.stick, self.fill, self.kill_all, self.slow]
-        if cluster.network.slowest_s <= MOST_JITTER_WITH_WIPES_S:
-            self.kinds.append(self.wipe)
+        self.kinds = (self.kill, self.wipe, self.cut, self.stick, self.fill, self.kill_all, self.slow)
 
     async def play(self, count: int) -> None:
         for _ in range(count):
@@ -80,7 +77,7 @@
         self.cluster.network.disk_slowness.clear()
 
 
-async def play(seed: int, names: str, jitter: float, troubles: int = 3) -> Operators:
+async def play(seed: int, names: str, jitter: float, troubles: int = 5) -> Operators:
     """One run; the operators with all that they were told, compared with the state at the end."""
     chance = random.Random(f"orders {seed}")
     cluster = Cluster(names, seed)
