Have a controller take itself for a voter by its name, not by its address

A controller that is no voter registers with the voters; it judged by its address whether it is one. The successor of a controller that is gone may have its address: it took itself for the voter, never registered, so no voter knew that it lives there, and the voter that was gone kept its place.

The name decides now. Without the mend the new test fails (LIVENESS edge-2 is gone and votes in view 2).

--- a/hollowusher/coordination/client.py
+++ b/hollowusher/coordination/client.py
@@ -227,7 +227,7 @@
         return [voter for voter in self._voters() if voter.address != self.me.address]
 
     def _is_voter(self) -> bool:
-        return any(voter.address == self.me.address for voter in self._voters())
+        return any(voter.name == self.me.name for voter in self._voters())
 
     def _readers(self) -> list[Voter]:
         """The voters that may know the committed state, the chain's tail first."""
--- a/tests/control/test_simulated_days.py
+++ b/tests/control/test_simulated_days.py
@@ -63,6 +63,11 @@
         done = run_simulation("--script", str(day), "--seeds", "1", "--rate", "6")
         assert "all rules kept" in done.stdout and done.returncode == 0, done.stdout + done.stderr
 
+    def test_a_successor_at_the_address_of_a_voter_that_is_gone_votes(self) -> None:
+        day = next(day for day in DAYS if day.stem == "5-wrong-caller")
+        done = run_simulation("--script", str(day), "--seeds", "2", "--rate", "12")
+        assert "all rules kept" in done.stdout and done.returncode == 0, done.stdout + done.stderr
+
 
 class TestPlantedFaults:
     """The register of planted faults; all of them are looked for by `--planted all`."""
