--- a/hollowusher/log_events.py
+++ b/hollowusher/log_events.py
@@ -145,6 +145,16 @@
     reason: str
 
 
+class MetricsListenFailed(LogEvent, written_by=EDGE_OR_STORE):
+    """A process could not listen on `address` for `GET /metrics`; it serves everything else.
+
+    Action: free the port and restart the process when it suits.
+    """
+
+    address: str
+    reason: str
+
+
 # ---- changes of the cluster
 
 
@@ -200,6 +210,23 @@
     version: int
 
 
+class TakeoverCompleted(LogEvent, written_by=STORE):
+    """A store serves `partition` in a new epoch; messages of its queue by stage, if there are any.
+
+    Action: none; if `longest_wait_s` is beyond the longest delay or `without_put` is not 0, messages are held
+    up: look at `GET /status` of the partition's stores.
+    """
+
+    partition: int
+    epoch: int
+    waiting: int
+    ready: int
+    leased: int
+    suspended: int
+    longest_wait_s: float
+    without_put: int
+
+
 # ---- fault tolerance
 
 
--- a/hollowusher/messages/partition/partition_primary.py
+++ b/hollowusher/messages/partition/partition_primary.py
@@ -33,6 +33,7 @@
 from hollowusher.messages.partition.partition_context import PartitionContext
 from hollowusher.messages.partition.partition_table import PartitionTable
 from hollowusher.messages.partition.proposal import Proposal
+from hollowusher.messages.partition.queue_summary import QueueSummary, summarize_queue
 from hollowusher.messages.partition.record_writer import RecordWriter
 from hollowusher.messages.partition.service_routing import ServiceRouting
 from hollowusher.messages.records import AcceptedMessage, LeaseId, MessageKey, MessageStatus
@@ -227,6 +228,15 @@
 
     # Reading
 
+    def queue_summary(self, now: float) -> QueueSummary:
+        """Return how many messages have not ended, by stage."""
+        active = self._lifecycle.active
+        without_put = sum(
+            entry.put_position is None and not entry.status.has_ended and key not in active
+            for key, entry in self.table.entries.items()
+        )
+        return summarize_queue(active.values(), without_put, now)
+
     def status(self, key: MessageKey, *, want_body: bool) -> MessageStatusResponse:
         """Return the state of a message, with its body if wanted and not completed."""
         entry = self.table.entries.get(key)
--- a/hollowusher/messages/replication/partition_replicator.py
+++ b/hollowusher/messages/replication/partition_replicator.py
@@ -46,8 +46,8 @@
     incarnation: int = 0
 
 
-def _ignore_replica(_replica: PartitionReplica) -> None:
-    pass
+def ignore_replica(_replica: PartitionReplica) -> None:
+    """Do nothing: the handler of an event until its owner sets one."""
 
 
 class PartitionReplicator(StreamOwner):
@@ -66,8 +66,8 @@
         self.wall_ms = dependencies.wall_ms
         self.replicas: dict[int, PartitionReplica] = {}
         self.storage_error: StorageError | None = None  # set once the disk has failed
-        self.on_primary_changed: Callable[[PartitionReplica], None] = _ignore_replica
-        self.on_takeover_ready: Callable[[PartitionReplica], None] = _ignore_replica
+        self.on_primary_changed: Callable[[PartitionReplica], None] = ignore_replica
+        self.on_takeover_ready: Callable[[PartitionReplica], None] = ignore_replica
         self.on_peers_behind: Callable[[], None] = lambda: None
         self.clock: Callable[[], float] = lambda: asyncio.get_running_loop().time()
         self._options = options
--- a/hollowusher/messages/store_service.py
+++ b/hollowusher/messages/store_service.py
@@ -27,8 +27,13 @@
 from hollowusher.messages.partition.message_leases import LeaseOptions
 from hollowusher.messages.partition.partition_primary import PartitionPrimary, PrimaryOptions
 from hollowusher.messages.partition.proposal import Proposal
+from hollowusher.messages.partition.queue_summary import QueueSummary
 from hollowusher.messages.replication.partition_replica import PartitionReplica
-from hollowusher.messages.replication.partition_replicator import PartitionReplicator, ReplicationOptions
+from hollowusher.messages.replication.partition_replicator import (
+    PartitionReplicator,
+    ReplicationOptions,
+    ignore_replica,
+)
 from hollowusher.messages.replication.replica_recovery import ReplicaRecovery
 from hollowusher.messages.steady_wall_clock import SteadyWallClock
 from hollowusher.messages.store_dependencies import StoreDependencies
@@ -102,6 +107,7 @@
         self._replicator.on_primary_changed = self._process_effects
         self._replicator.on_takeover_ready = self._start_serving
         self._replicator.on_peers_behind = self._recovery.recover_all
+        self.on_takeover_completed: Callable[[PartitionReplica], None] = ignore_replica
         self._grants = UnacknowledgedGrants()
         self._waiters = JobWaiters(self.store_id, dependencies.transport, state, self._has_ready)
         self._serving_changed = asyncio.Event()
@@ -167,6 +173,14 @@
         """Return the replicas of this store by partition number."""
         return [replica for _, replica in sorted(self._replicas.items())]
 
+    def queue_summary(self) -> QueueSummary:
+        """Return how many messages of the partitions served here have not ended, by stage."""
+        now, total = self._now(), QueueSummary()
+        for replica in self._replicator.serving_replicas():
+            if replica.primary is not None:
+                total += replica.primary.queue_summary(now)
+        return total
+
     @property
     def storage_error(self) -> StorageError | None:
         """The error of the disk, None while it works."""
@@ -439,6 +453,7 @@
         replica.primary = PartitionPrimary(replica.table, replica.epoch, options, now, wall_ms)
         replica.primary.release_dispatchers(self._may_be_alive, now, wall_ms)
         self._process_effects(replica)
+        self.on_takeover_completed(replica)
         self._serving_changed.set()
         self._serving_changed = asyncio.Event()
 
--- a/hollowusher/roles/edge.py
+++ b/hollowusher/roles/edge.py
@@ -110,6 +110,7 @@
             await self.seed.start()
         process.state.add_listener(self._learn_view)
         process.spawn(self.client.run())
+        process.spawn(process.serve_metrics(self._figures))
         await self.frontend.readiness.start()
         start_tasks = [process.spawn(self._start_serving()), process.spawn(self._start_operator_server())]
         await process.stopping.wait()
--- a/hollowusher/roles/process.py
+++ b/hollowusher/roles/process.py
@@ -7,11 +7,11 @@
 import time
 from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.cluster_state import ClusterState
-from hollowusher.log_events import HandlerFailed, MessageRejected, TaskFailed
+from hollowusher.log_events import HandlerFailed, MessageRejected, MetricsListenFailed, TaskFailed
 from hollowusher.protocol.identity import Identity
 from hollowusher.protocol.membership import Member
 from hollowusher.roles.logs import describe_error, log, set_process_fields
@@ -20,8 +20,12 @@
 from hollowusher.storage.slots import SlotFile
 from hollowusher.transport.tcp import TcpTransport
 
+if TYPE_CHECKING:
+    from hollowusher.roles.metrics import Figures
+
 INCARNATION_SLOT = "life"
 STORE = "store"
+METRICS_DELAY_S = 2.0  # the figures are served so long after the start
 
 
 def wall_ms() -> int:
@@ -82,6 +86,23 @@
         install_signal_handlers(self.stopping.set, self.settings_watcher.reload)
         self.spawn(self.settings_watcher.run())
 
+    async def serve_metrics(self, read_figures: Callable[[], Figures]) -> None:
+        """Serve this process's figures a while after its start; it goes on without them all the same."""
+        await asyncio.sleep(METRICS_DELAY_S)
+        from hollowusher.roles.metrics import format_metrics, metrics_address, metrics_server
+
+        address = metrics_address(self.settings.ip)
+        server = metrics_server(address, lambda: format_metrics(read_figures()))
+        try:
+            await server.start()
+        except OSError as error:
+            log(MetricsListenFailed(address=address, reason=describe_error(error)))
+            return
+        try:
+            await asyncio.Event().wait()
+        finally:
+            await server.stop()
+
     async def close(self) -> None:
         """End what still runs."""
         for task in list(self._tasks):
--- a/hollowusher/roles/status_server.py
+++ b/hollowusher/roles/status_server.py
@@ -1,4 +1,4 @@
-"""A small HTTP server that answers `GET /status` of a process, for those that serve no operator's address.
+"""A small HTTP server that answers one path: `GET /status` of stores, `GET /metrics` of every process.
 
 It takes a few callers at a time and answers one request a connection: it is for people and tools that look
 now and then, and costs the process neither a library nor memory.
@@ -12,7 +12,9 @@
 
 from hollowusher.transport.tcp import split_address
 
-STATUS_PATH = b"/status"
+STATUS_PATH = "/status"
+JSON = "application/json"
+HTTP_OK = 200
 MAX_CONNECTIONS = 8
 MAX_REQUEST_BYTES = 8192
 REQUEST_TIMEOUT_S = 2.0
@@ -28,11 +30,15 @@
 
 
 class StatusServer:
-    """The server; `body` makes the JSON that is told."""
+    """The server of one path; `body` makes the answer to each request."""
 
-    def __init__(self, address: str, body: ReadStatus) -> None:
+    def __init__(
+        self, address: str, body: ReadStatus, path: str = STATUS_PATH, content_type: str = JSON
+    ) -> None:
         self._address = address
         self._read_status = body
+        self._path = path
+        self._content_type = content_type
         self._connections = 0
         self._server: asyncio.Server | None = None
 
@@ -53,7 +59,7 @@
             with suppress(OSError, TimeoutError):
                 async with asyncio.timeout(REQUEST_TIMEOUT_S):
                     status, body = await self._respond(reader)
-                    writer.write(_response_head(status, len(body)) + body)
+                    writer.write(self._response_head(status, len(body)) + body)
                     await writer.drain()
         finally:
             self._connections -= 1
@@ -70,15 +76,16 @@
         if len(words) != 3:
             return 400, b'{"error":"no request line"}'
         method, target, _ = words
-        if target.split(b"?", 1)[0] != STATUS_PATH:
-            return 404, b'{"error":"GET /status is all there is"}'
+        only_path = f'{{"error":"GET {self._path} is all there is"}}'.encode()
+        if target.split(b"?", 1)[0] != self._path.encode():
+            return 404, only_path
         if method != b"GET":
-            return 405, b'{"error":"GET /status is all there is"}'
+            return 405, only_path
         return 200, self._read_status()
 
-
-def _response_head(status: int, length: int) -> bytes:
-    return (
-        f"HTTP/1.1 {status} {REASONS[status]}\r\n"
-        f"Content-Type: application/json\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n"
-    ).encode()
+    def _response_head(self, status: int, length: int) -> bytes:
+        content_type = self._content_type if status == HTTP_OK else JSON
+        return (
+            f"HTTP/1.1 {status} {REASONS[status]}\r\n"
+            f"Content-Type: {content_type}\r\nContent-Length: {length}\r\nConnection: close\r\n\r\n"
+        ).encode()
--- a/hollowusher/roles/store.py
+++ b/hollowusher/roles/store.py
@@ -18,7 +18,9 @@
     ShutdownTimedOut,
     StatusListenFailed,
     StoreStarted,
+    TakeoverCompleted,
 )
+from hollowusher.messages.replication.partition_replica import PartitionReplica
 from hollowusher.messages.store_dependencies import StoreDependencies
 from hollowusher.messages.store_service import StoreService
 from hollowusher.protocol.membership import Member
@@ -34,6 +36,39 @@
 STOP_MARGIN_S = 1.0  # kept of the grace for the end of the process itself
 
 
+def _transport_figures(process: Process) -> dict[str, int]:
+    transport = process.transport
+    return {
+        "connections_accepted": len(transport.accepted),
+        "failed_handlers": transport.failed_handlers,
+        **attrs.asdict(transport.peers.figures),
+    }
+
+
+def _figures(process: Process, service: StoreService, ring_log: RingLog) -> dict[str, dict[str, float]]:
+    """What the parts of this process count."""
+    replicas = service.replicas()
+    return {
+        "queue": attrs.asdict(service.queue_summary()),
+        "partitions": {
+            "kept": len(replicas),
+            "led": sum(replica.primary is not None for replica in replicas),
+            "messages": sum(len(replica.table.entries) for replica in replicas),
+        },
+        "disk": {"free_bytes": ring_log.free_bytes(), "syncs": ring_log.syncs},
+        "transport": dict(_transport_figures(process)),
+    }
+
+
+def _log_takeover(replica: PartitionReplica) -> None:
+    """Log what a partition's queue holds at the start of an epoch here, if it holds anything."""
+    if replica.primary is None:
+        return
+    queue = replica.primary.queue_summary(asyncio.get_running_loop().time())
+    if queue.unfinished:
+        log(TakeoverCompleted(partition=replica.partition, epoch=replica.epoch, **attrs.asdict(queue)))
+
+
 async def _serve_status(process: Process, me: Member, service: StoreService, ring_log: RingLog) -> None:
     """Serve the store's status a while after its start; without it, the store goes on all the same."""
     started = asyncio.get_running_loop().time()
@@ -42,16 +77,9 @@
         return
     from hollowusher.roles.store_status import StoreStatusReporter, start_status_server
 
-    transport = process.transport
-
-    def figures() -> dict[str, int]:
-        return {
-            "connections_accepted": len(transport.accepted),
-            "failed_handlers": transport.failed_handlers,
-            **attrs.asdict(transport.peers.figures),
-        }
-
-    status = StoreStatusReporter(me, service, ring_log, process.state, figures, started)
+    status = StoreStatusReporter(
+        me, service, ring_log, process.state, lambda: _transport_figures(process), started
+    )
     try:
         site = await start_status_server(me.admin, status)
     except OSError as error:
@@ -85,6 +113,7 @@
     service = StoreService(me, dependencies, settings, process.random_source.random)
 
     ClusterChangeLog(process.state, me.store_id, lambda: False)
+    service.on_takeover_completed = _log_takeover
 
     async def handle(message: Any) -> Any:
         if service.handles(message):
@@ -97,6 +126,7 @@
     process.spawn(client.run())
     process.spawn(client.publish_view())
     process.spawn(view_cache.run())
+    process.spawn(process.serve_metrics(lambda: _figures(process, service, ring_log)))
     log(StoreStarted(incarnation=me.incarnation, disk_id=me.disk_id))
     status_task = process.spawn(_serve_status(process, me, service, ring_log))
     await process.stopping.wait()
--- a/hollowusher/simulation/stand_ins.py
+++ b/hollowusher/simulation/stand_ins.py
@@ -312,6 +312,9 @@
     def listen_for_signals(self) -> None:
         """Do nothing: the cluster sets `stopping` itself."""
 
+    async def serve_metrics(self, read_figures: Callable[[], object]) -> None:
+        """Serve no figures: nobody reads them in a simulation."""
+
     async def close(self) -> None:
         """End what still runs."""
         for task in list(self._tasks):
--- /dev/null
+++ b/tests/messages/test_queue_summary.py
@@ -0,0 +1,48 @@
+"""What a partition's primary tells of the messages that have not ended."""
+
+from __future__ import annotations
+
+from hollowusher.messages import records
+from hollowusher.messages.partition.queue_summary import QueueSummary
+from hollowusher.messages.records import MessageState, MessageStatus
+from tests.messages.test_partition import Partition
+from tests.support.message_store import message
+
+
+def test_each_message_counts_in_its_stage() -> None:
+    partition = Partition()
+    partition.put(message("delayed", delay_ms=20_000))
+    partition.put(message("more-delayed", delay_ms=30_000))
+    for name in ("a", "b", "c"):
+        partition.put(message(name))
+    partition.lease()
+    assert partition.primary.queue_summary(partition.now) == QueueSummary(2, 2, 1, 0, 30.0, 0)
+
+
+def test_a_message_that_is_not_committed_is_suspended() -> None:
+    partition = Partition()
+    partition.hold = True
+    partition.put(message("a"))
+    assert partition.primary.queue_summary(partition.now) == QueueSummary(suspended=1)
+
+
+def test_an_ended_message_does_not_count() -> None:
+    partition = Partition()
+    partition.put(message("a"))
+    [grant] = partition.lease()
+    partition.finish(grant, "success")
+    assert partition.primary.queue_summary(partition.now).unfinished == 0
+
+
+def test_a_state_without_its_put_record_is_told() -> None:
+    partition = Partition()
+    state = records.pack_state(0, (1, 7), MessageState((1, 8), MessageStatus.QUEUED))
+    partition.table.apply(state, partition.wall_ms)
+    after = partition.taken_over()
+    assert after.primary.queue_summary(after.now) == QueueSummary(without_put=1)
+
+
+def test_summaries_add_up_and_keep_the_longest_wait() -> None:
+    total = QueueSummary(1, 2, 3, 4, 5.0, 6) + QueueSummary(10, 20, 30, 40, 0.5, 60)
+    assert total == QueueSummary(11, 22, 33, 44, 5.0, 66)
+    assert total.unfinished == 11 + 22 + 33 + 44 + 66
