--- a/hollowusher/simulation/__main__.py
+++ b/hollowusher/simulation/__main__.py
@@ -26,6 +26,7 @@
 @click.option("--minutes", default=0.0, help="Stop after so many minutes of real time; 0: no limit.")
 @click.option("--traffic", "traffic_s", default=30.0, help="Seconds of traffic a day.")
 @click.option("--calm", "calm_s", default=20.0, help="Seconds of calm at the end of a day.")
+@click.option("--long-delays", "long_delay_s", default=0.0, help="The longest delays; 0: a few seconds.")
 @click.option("--rate", default=25.0, help="Messages a second.")
 @click.option("--kinds", default="", help="Only these faults, separated by commas.")
 @click.option("--quiet-days", is_flag=True, help="Days without any fault.")
@@ -38,6 +39,7 @@
     minutes: float,
     traffic_s: float,
     calm_s: float,
+    long_delay_s: float,
     rate: float,
     kinds: str,
     quiet_days: bool,
@@ -53,6 +55,7 @@
         traffic_s=traffic_s,
         calm_s=calm_s,
         rate=rate,
+        long_delay_s=long_delay_s,
         inject_faults=not quiet_days,
         inject_worker_faults=not quiet_days,
         fault_kinds=tuple(kinds.split(",")) if kinds else None,
--- a/hollowusher/simulation/checks/rules.py
+++ b/hollowusher/simulation/checks/rules.py
@@ -31,6 +31,7 @@
     routes: dict[str, model.RouteRules]
     rates: dict[str, float]  # service -> messages a second
     clock_skew_s: float = 0.0  # of each machine, either way
+    status_s: float = 120.0  # an ended message's state is told for so long
     serve_everything: bool = True  # also check that all was done by the calm end (priced, not forbidden)
 
 
--- a/hollowusher/simulation/invariants.py
+++ b/hollowusher/simulation/invariants.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from hollowusher.simulation.checks import configuration, machines, reports, runs
+from hollowusher.simulation.checks import configuration, machines, reports, runs, waiting
 from hollowusher.simulation.checks.rules import Check, DeploymentRules, RuleViolation
 from hollowusher.simulation.observations import Observations
 
@@ -23,6 +23,7 @@
     runs.check_budget,
     reports.check_unknown_accepted,
     reports.check_left_queued,
+    waiting.check_left_waiting,
     reports.check_silent_callbacks,
     reports.check_repeated_ends,
     machines.check_drain,
--- a/hollowusher/simulation/planted/partitions.py
+++ b/hollowusher/simulation/planted/partitions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable, Iterator
 from typing import Any
 
 from hollowusher.coordination.chain import chain_replicator
@@ -10,6 +11,7 @@
 from hollowusher.messages import records
 from hollowusher.messages.partition.partition_primary import PartitionPrimary
 from hollowusher.messages.partition.partition_table import PartitionTable
+from hollowusher.messages.replication import anti_entropy, partition_replicator
 from hollowusher.messages.replication.partition_replica import PartitionReplica
 from hollowusher.messages.store_service import StoreService
 from hollowusher.protocol.leases import LeaseUpdateResponse
@@ -182,3 +184,12 @@
         return real(primary, message, now, wall_ms)
 
     patches.replace(PartitionPrimary, "put", put)
+
+
+@planted_fault("LOST", "UNSERVED", fault_kinds=("replace", "disk"), long_delay_s=25.0)
+def _delay_begins_anew_at_each_repair(patches: Patches) -> None:
+    def without_ages(_table: Any, found: Iterable[bytes], _read_wall_ms: Any) -> Iterator[bytes]:
+        yield from found
+
+    patches.replace(anti_entropy, "with_ages", without_ages)
+    patches.replace(partition_replicator, "with_ages", without_ages)
--- a/hollowusher/simulation/planted/registry.py
+++ b/hollowusher/simulation/planted/registry.py
@@ -66,12 +66,16 @@
     fault_kinds: tuple[str, ...] | None = None
     script: tuple[ScriptedFault, ...] | None = None
     size: DeploymentSize | None = None
+    long_delay_s: float = 0.0
     test: str = ""  # the tests that find it where the simulation cannot reach it
 
     def plan(self, base: SimulationPlan) -> SimulationPlan:
         """The day that is played with it."""
         size = self.size or (DeploymentSize() if self.script else base.size)
-        return replace(base, fault_kinds=self.fault_kinds, script=self.script, size=size)
+        delay_s = self.long_delay_s or base.long_delay_s
+        return replace(
+            base, fault_kinds=self.fault_kinds, script=self.script, size=size, long_delay_s=delay_s
+        )
 
 
 PLANTED_FAULTS: dict[str, PlantedFault] = {}
@@ -82,13 +86,14 @@
     fault_kinds: tuple[str, ...] | None = None,
     script: tuple[ScriptedFault, ...] | None = None,
     size: DeploymentSize | None = None,
+    long_delay_s: float = 0.0,
     test: str = "",
 ) -> Callable[[PlantFunction], PlantFunction]:
     """Register a planted fault by its function's name."""
 
     def register(plant: PlantFunction) -> PlantFunction:
         name = plant.__name__.strip("_").replace("_", "-")
-        PLANTED_FAULTS[name] = PlantedFault(name, plant, rules, fault_kinds, script, size, test)
+        PLANTED_FAULTS[name] = PlantedFault(name, plant, rules, fault_kinds, script, size, long_delay_s, test)
         return plant
 
     return register
