Try again what a store's disk refused: takeovers, syncs; take messages once it works

A store also refused new messages for the rest of its life after one failed sync, and records of that sync were not counted as synced later. An epoch that a serving primary could not write ended the handling of the whole placement.

--- a/hollowusher/messages/replication/partition_replica.py
+++ b/hollowusher/messages/replication/partition_replica.py
@@ -45,6 +45,7 @@
         self.epoch = 0  # for which this store is the primary, else 0
         self.last_led_epoch = 0  # the newest epoch that this incarnation has led
         self.is_epoch_durable = False  # the minimum epoch of the table is on this store's disk
+        self.has_takeover_failed = False  # the disk refused the epoch: it is to be tried again
         self.primary: PartitionPrimary | None = None
         self.peer_progress: dict[str, PeerProgress] = {}
         self.outstanding: dict[Proposal, None] = {}  # in the order they were made
@@ -124,6 +125,7 @@
     def resign(self) -> None:
         """Cease to be the primary; waiters learn that the outcome of their proposal is unknown."""
         self.epoch = 0
+        self.has_takeover_failed = False
         self.primary = None
         self.peer_progress = {}
         self.required_learners = set()
--- a/hollowusher/messages/replication/partition_replicator.py
+++ b/hollowusher/messages/replication/partition_replicator.py
@@ -67,7 +67,7 @@
         self.state = dependencies.state
         self.wall_ms = dependencies.wall_ms
         self.replicas: dict[int, PartitionReplica] = {}
-        self.storage_error: StorageError | None = None  # set once the disk has failed
+        self.storage_error: StorageError | None = None  # set while the disk fails
         self.on_primary_changed: Callable[[PartitionReplica], None] = ignore_replica
         self.on_takeover_ready: Callable[[PartitionReplica], None] = ignore_replica
         self.on_peers_behind: Callable[[], None] = lambda: None
@@ -145,9 +145,7 @@
             self.stream(peer).enqueue(outgoing, linger=peer not in first)
         if proposal.needs_sync:
             self._unsynced.append(outgoing)
-            if not self._syncing:
-                self._syncing = True
-                self.start_task(self._sync())
+            self._start_sync()
         elif replica.acknowledge(proposal, self.store_id):
             self._commit(replica, proposal)
 
@@ -171,17 +169,35 @@
             self.on_primary_changed(replica)
 
     async def _sync(self) -> None:
+        """Sync what was proposed until nothing is left; after a failure `retry_storage` goes on."""
+        synced: list[OutgoingRecord] = []
         try:
-            while self._unsynced:
+            while self._unsynced or self.storage_error is not None:
                 await asyncio.sleep(BATCH_DELAY_S)
                 synced, self._unsynced = self._unsynced, []
                 await self.log.sync()
+                self.storage_error = None
                 self._acknowledge(self.store_id, synced)
         except StorageError as error:
+            self._unsynced = synced + self._unsynced
             self.storage_error = error
         finally:
             self._syncing = False
 
+    def _start_sync(self) -> None:
+        if not self._syncing:
+            self._syncing = True
+            self.start_task(self._sync())
+
+    def retry_storage(self) -> None:
+        """Try again what the disk refused: syncs, and the first record of takeovers."""
+        if self.storage_error is not None:
+            self._start_sync()
+        for replica in self.replicas.values():
+            if replica.has_takeover_failed and replica.epoch:
+                replica.has_takeover_failed = False
+                self.start_task(self._take_over(replica, replica.epoch))
+
     def _acknowledge(self, store_id: str, taken: Iterable[OutgoingRecord]) -> None:
         for partition, proposal in taken:
             replica = self.replicas.get(partition)
@@ -316,18 +332,28 @@
         if not replica.is_current(entry):
             return
         replica.drop_at = 0.0 if involved else replica.drop_at or self.now() + MOVED_PARTITION_RETENTION_S
-        if replica.apply_placement(entry, self._options.tolerated, self._options.incarnation, self.now()):
+        try:
+            begins = replica.apply_placement(
+                entry, self._options.tolerated, self._options.incarnation, self.now()
+            )
+        except StorageError as error:  # the epoch of a primary that was to go on is not written down
+            self.storage_error = error
+            replica.start_leading(entry.epoch, self.now())
+            replica.has_takeover_failed = True
+            return
+        if begins:
             self.start_task(self._take_over(replica, entry.epoch))
         elif replica.primary is not None:
             self.commit_replicated(replica)
 
     async def _take_over(self, replica: PartitionReplica, epoch: int) -> None:
         """Make the new epoch durable here before any other replica is asked."""
-        replica.table.fence_older_epochs(epoch)
         try:
+            replica.table.fence_older_epochs(epoch)
             await self.log.sync()
         except StorageError as error:
             self.storage_error = error
+            replica.has_takeover_failed = replica.epoch == epoch
             return
         if replica.epoch == epoch:
             replica.is_epoch_durable = True
--- a/hollowusher/messages/store_service.py
+++ b/hollowusher/messages/store_service.py
@@ -514,6 +514,7 @@
                 self._replicator.serve_if_ready(replica)
             if now >= self._next_recover:
                 self._next_recover = now + RECOVERY_INTERVAL_S
+                self._replicator.retry_storage()
                 self._recovery.recover_all()
             if now >= self._next_forget:
                 self._next_forget = now + FORGET_INTERVAL_S
--- /dev/null
+++ b/tests/messages/test_disk_recovers.py
@@ -0,0 +1,107 @@
+"""A store whose disk failed for a while: once it takes records again, everything is served as before."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.support.message_store import StoreCluster, message, play
+
+FULL = "no space is left"
+
+
+@pytest.mark.parametrize("failed_s", [0.2, 3.0])
+def test_a_takeover_that_the_disk_refused_is_tried_again(failed_s: float) -> None:
+    async def work(cluster: StoreCluster) -> None:
+        await cluster.start()
+        await cluster.stored(message("m1"))
+        cluster.stores[1].log.failing = FULL
+        cluster.place([cluster.entry(0, 2, 1)])
+        await asyncio.sleep(failed_s)
+        cluster.stores[1].log.failing = ""
+        await asyncio.sleep(2.0)
+        assert [job.message.id for job in await cluster.lease(1)] == ["m1"]
+
+    play(work)
+
+
+def test_a_takeover_whose_sync_failed_is_tried_again() -> None:
+    async def work(cluster: StoreCluster) -> None:
+        await cluster.start()
+        await cluster.stored(message("m1"))
+        cluster.place([cluster.entry(0, 2, 1)])
+        await asyncio.sleep(0.001)  # the epoch is appended, its sync is under way
+        cluster.stores[1].log.failing = FULL
+        await asyncio.sleep(1.0)
+        cluster.stores[1].log.failing = ""
+        await asyncio.sleep(2.0)
+        assert [job.message.id for job in await cluster.lease(1)] == ["m1"]
+
+    play(work)
+
+
+def test_a_takeover_is_not_tried_again_after_the_partition_has_moved_on() -> None:
+    async def work(cluster: StoreCluster) -> None:
+        await cluster.start()
+        await cluster.stored(message("m1"))
+        cluster.stores[1].log.failing = FULL
+        cluster.place([cluster.entry(0, 2, 1)])
+        await asyncio.sleep(1.0)
+        cluster.stores[1].log.failing = ""
+        cluster.place([cluster.entry(0, 3, 2)])
+        await asyncio.sleep(2.0)
+        assert (await cluster.put(message("m2"), store=1)).status == "not_primary"
+        assert [job.message.id for job in await cluster.lease(2)] == ["m1"]
+
+    play(work)
+
+
+def test_messages_are_taken_again_once_the_disk_takes_records() -> None:
+    async def work(cluster: StoreCluster) -> None:
+        await cluster.start()
+        await cluster.stored(message("m1"))
+        cluster.stores[0].log.failing = FULL
+        assert (await cluster.put(message("m2"))).status != "stored"
+        assert (await cluster.put(message("m3"))).status == "unavailable"
+        cluster.stores[0].log.failing = ""
+        await asyncio.sleep(2.0)
+        assert (await cluster.put(message("m4"))).status == "stored"
+        assert cluster.stores[0].service.storage_error is None
+
+    play(work)
+
+
+def test_a_put_whose_sync_failed_is_committed_later_and_the_next_ones_are_taken() -> None:
+    async def work(cluster: StoreCluster) -> None:
+        await cluster.start()
+        await cluster.stored(message("m1"))
+        cluster.stores[1].kill()  # a commit needs the primary's own disk from now on
+        put = asyncio.create_task(cluster.put(message("m2")))
+        await asyncio.sleep(0.004)  # m2 is appended, its sync is under way
+        cluster.stores[0].log.failing = FULL
+        assert (await put).status == "unknown"
+        assert cluster.stores[0].service.storage_error is not None
+        cluster.stores[0].log.failing = ""
+        await asyncio.sleep(3.0)
+        assert cluster.stores[0].service.storage_error is None
+        assert (await cluster.put(message("m3"))).status == "stored"
+        names = {job.message.id for job in await cluster.lease(most=5)}
+        assert names == {"m1", "m2", "m3"}
+
+    play(work)
+
+
+def test_a_primary_that_could_not_write_its_next_epoch_serves_it_later() -> None:
+    async def work(cluster: StoreCluster) -> None:
+        await cluster.start(partitions=2)
+        await cluster.stored(message("m1"))
+        cluster.stores[0].log.failing = FULL
+        cluster.place([cluster.entry(number, 2, 0) for number in range(2)])
+        await asyncio.sleep(1.0)
+        cluster.stores[0].log.failing = ""
+        await asyncio.sleep(2.0)
+        assert (await cluster.put(message("m2"), partition=1)).status == "stored"
+        assert {job.message.id for job in await cluster.lease(most=5)} == {"m1", "m2"}
+
+    play(work)
