Simulation: retention of unread messages, refused votes; plant the takeover not tried again

Change: EXPIRED counts from the thaw for those, strictly for all others; a refused vote names the disk's own reason, as other refusals do.

--- a/hollowusher/coordination/consensus/view_consensus.py
+++ b/hollowusher/coordination/consensus/view_consensus.py
@@ -71,6 +71,7 @@
         self._waiting_for_view: list[tuple[int, asyncio.Future[None]]] = []  # epoch, its caller of `learn`
         self._proposal_result: asyncio.Future[bool] | None = None
         self._tasks: set[asyncio.Task[object]] = set()
+        self._save_failure = ""  # why the disk refused the acceptor last
 
     @property
     def acceptor(self) -> Acceptor:
@@ -228,7 +229,7 @@
     def _fail_request(self, instruction: FailRequest) -> None:
         response = self._responses.pop(instruction.request_id)
         if not response.done():
-            response.set_exception(StorageError("save", "the vote", "the disk has not taken it"))
+            response.set_exception(StorageError("save", "the vote", self._save_failure))
 
     def _install(self, view: View) -> None:
         self._installed_epoch = view.epoch
@@ -247,7 +248,8 @@
         try:
             await self._slot.save(encoded)
             durable = True
-        except StorageError:
+        except StorageError as error:
+            self._save_failure = error.reason
             durable = False
         self._machine.on_saved(asyncio.get_running_loop().time(), durable=durable)
         self._execute_instructions()
--- a/hollowusher/simulation/planted/partitions.py
+++ b/hollowusher/simulation/planted/partitions.py
@@ -13,6 +13,7 @@
 from hollowusher.messages.partition.partition_table import PartitionTable
 from hollowusher.messages.replication import anti_entropy, partition_replicator
 from hollowusher.messages.replication.partition_replica import PartitionReplica
+from hollowusher.messages.replication.partition_replicator import PartitionReplicator
 from hollowusher.messages.store_service import StoreService
 from hollowusher.protocol.leases import LeaseUpdateResponse
 from hollowusher.protocol.messages import PutResponse
@@ -193,3 +194,13 @@
 
     patches.replace(anti_entropy, "with_ages", without_ages)
     patches.replace(partition_replicator, "with_ages", without_ages)
+
+
+@planted_fault(
+    "LOST",
+    "UNSERVED",
+    fault_kinds=("disk_full", "kill", "stop"),
+    test="tests/messages/test_disk_recovers.py",
+)
+def _refused_takeover_never_tried_again(patches: Patches) -> None:
+    patches.replace(PartitionReplicator, "retry_storage", lambda replicator: None)
--- a/tests/simulation/test_left_waiting.py
+++ b/tests/simulation/test_left_waiting.py
@@ -93,3 +93,18 @@
     assert made.violated_rules() == ["LOST"]
     made.observations.states[0].at = 1.4 + status_s + 0.1
     assert made.violated_rules() == []
+
+
+def test_the_retention_of_a_message_sent_to_a_frozen_edge_counts_from_the_thaw() -> None:
+    made = History()
+    made.sent("a", at=5.0, status=None)
+    retention_s = made.ROUTES["r"].retention_s
+    made.observations.ended_at = 2 * retention_s
+    made.ran("a", 5.0 + retention_s + 8.0)
+    assert made.violated_rules() == ["EXPIRED"]
+    made.observations.faults.append(InjectedFault("freeze", "edge-2", 4.0, 9.0))
+    assert made.violated_rules() == ["EXPIRED"]
+    made.observations.faults.append(InjectedFault("freeze", "edge-1", 4.0, 9.0))
+    assert made.violated_rules() == []
+    made.observations.faults[-1].begun_at = 5.5
+    assert made.violated_rules() == ["EXPIRED"]
