--- a/hollowusher/messages/partition/message_restorer.py
+++ b/hollowusher/messages/partition/message_restorer.py
@@ -4,11 +4,12 @@
 
 from hollowusher.messages.partition.callback_jobs import CallbackJobs
 from hollowusher.messages.partition.message_leases import MessageLeases
-from hollowusher.messages.partition.message_lifecycle import MessageLifecycle
+from hollowusher.messages.partition.message_lifecycle import STORAGE_RETRY_S, MessageLifecycle
 from hollowusher.messages.partition.message_queue import QueueStage
 from hollowusher.messages.partition.partition_context import PartitionContext
 from hollowusher.messages.partition.partition_table import MessageEntry
 from hollowusher.messages.records import AcceptedMessage, MessageKey, MessageStatus
+from hollowusher.storage.interface import StorageError
 
 RETENTION_MARGIN_S = 5.0  # wall clocks of machines differ: never too early after a takeover
 
@@ -28,9 +29,27 @@
         self._lifecycle = lifecycle
         self._leases = leases
         self._callbacks = callbacks
+        self._refused: set[MessageKey] = set()  # the disk refused a record that their restoring needs
+        self.retry_at: float | None = None  # monotonic clock: when those are tried again
 
     def restore(self, key: MessageKey, now: float, wall_ms: int) -> None:
-        """Bring the state of one message in memory to what its records say."""
+        """Bring the state of one message in memory to what its records say; later, if the disk fails."""
+        try:
+            self._restore(key, now, wall_ms)
+        except StorageError:
+            self._refused.add(key)
+            self.retry_at = now + STORAGE_RETRY_S
+
+    def retry_refused(self, now: float, wall_ms: int) -> None:
+        """Restore again the messages that the disk refused, once their time has come."""
+        if self.retry_at is None or self.retry_at > now:
+            return
+        refused, self._refused = self._refused, set()
+        self.retry_at = None
+        for key in sorted(refused):
+            self.restore(key, now, wall_ms)
+
+    def _restore(self, key: MessageKey, now: float, wall_ms: int) -> None:
         entry = self._table.entries.get(key)
         if entry is None:
             return
--- a/hollowusher/messages/partition/partition_primary.py
+++ b/hollowusher/messages/partition/partition_primary.py
@@ -195,7 +195,11 @@
 
     def next_event_time(self) -> float | None:
         """Return when `advance` has something to do next, None for never."""
-        times = [self._deadlines.next_event_time(), self.queue.next_event_time()]
+        times = [
+            self._deadlines.next_event_time(),
+            self.queue.next_event_time(),
+            self._restorer.retry_at,
+        ]
         return min((time for time in times if time is not None), default=None)
 
     def advance(self, now: float, wall_ms: int) -> None:
@@ -205,6 +209,7 @@
                 self._callbacks.requeue(message, 0.0, now)
             else:
                 self._leases.expire(message, now, wall_ms)
+        self._restorer.retry_refused(now, wall_ms)
         self._lifecycle.end_expired(now, wall_ms)
         self.queue.advance(now)
 
--- a/hollowusher/messages/replication/partition_replicator.py
+++ b/hollowusher/messages/replication/partition_replicator.py
@@ -52,11 +52,17 @@
     """Do nothing: the handler of an event until its owner sets one."""
 
 
+def report_to_event_loop(error: BaseException) -> None:
+    """Report the error of a task to the event loop's handler, as of one that nobody awaits."""
+    asyncio.get_running_loop().call_exception_handler({"message": "task failed", "exception": error})
+
+
 class PartitionReplicator(StreamOwner):
     """The partitions of one store and their replication.
 
     The owner sets `on_primary_changed` (called after a primary has changed), `on_takeover_ready` (a primary
-    is to be made) and `on_peers_behind` (peers lack records).
+    is to be made), `on_peers_behind` (peers lack records) and `on_task_failed` (a defect ended a task: what
+    it did is done by nobody any more).
     """
 
     def __init__(self, dependencies: StoreDependencies, options: ReplicationOptions) -> None:
@@ -71,6 +77,7 @@
         self.on_primary_changed: Callable[[PartitionReplica], None] = ignore_replica
         self.on_takeover_ready: Callable[[PartitionReplica], None] = ignore_replica
         self.on_peers_behind: Callable[[], None] = lambda: None
+        self.on_task_failed: Callable[[BaseException], None] = report_to_event_loop
         self.clock: Callable[[], float] = lambda: asyncio.get_running_loop().time()
         self._options = options
         self._cache = RecordCache(CACHE_BYTES)
@@ -105,7 +112,12 @@
         """Run a coroutine as a task that `close` cancels."""
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_task_done)
+
+    def _on_task_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.on_task_failed(error)
 
     def now(self) -> float:
         """Return the monotonic clock of the event loop, in seconds."""
--- a/hollowusher/messages/store_service.py
+++ b/hollowusher/messages/store_service.py
@@ -173,6 +173,10 @@
         """Return the replicas of this store by partition number."""
         return [replica for _, replica in sorted(self._replicas.items())]
 
+    def set_failure_handler(self, on_task_failed: Callable[[BaseException], None]) -> None:
+        """Set what is called when a defect has ended a task of this service."""
+        self._replicator.on_task_failed = on_task_failed
+
     def queue_summary(self) -> QueueSummary:
         """Return how many messages of the partitions served here have not ended, by stage."""
         now, total = self._now(), QueueSummary()
--- a/hollowusher/roles/process.py
+++ b/hollowusher/roles/process.py
@@ -116,6 +116,11 @@
             return
         error = task.exception()
         if error is not None:
+            self.fail(error)
+
+    def fail(self, error: BaseException) -> None:
+        """Log the failure of a task and end the process: nobody does any more what the task did."""
+        if not self.stopping.is_set():
             log(TaskFailed(reason=describe_error(error)))
             self.stopping.set()
 
--- a/hollowusher/roles/store.py
+++ b/hollowusher/roles/store.py
@@ -114,6 +114,7 @@
 
     ClusterChangeLog(process.state, me.store_id, lambda: False)
     service.on_takeover_completed = _log_takeover
+    service.set_failure_handler(process.fail)
 
     async def handle(message: Any) -> Any:
         if service.handles(message):
--- a/hollowusher/simulation/stand_ins.py
+++ b/hollowusher/simulation/stand_ins.py
@@ -328,5 +328,10 @@
             return
         error = task.exception()
         if error is not None:
+            self.fail(error)
+
+    def fail(self, error: BaseException) -> None:
+        """Note the failure of a task and end the process."""
+        if not self.stopping.is_set():
             self._environment.report_failure(f"a part failed: {error!r}")
             self.stopping.set()
--- a/tests/messages/test_disk_recovers.py
+++ b/tests/messages/test_disk_recovers.py
@@ -6,6 +6,10 @@
 
 import pytest
 
+from hollowusher.messages.partition.message_lifecycle import STORAGE_RETRY_S
+from hollowusher.storage.memory import MemoryLog
+from tests.messages.test_duplicate_puts import put_at_the_deposed_primary
+from tests.messages.test_partition import Partition, new_table
 from tests.support.message_store import StoreCluster, message, play
 
 FULL = "no space is left"
@@ -105,3 +109,39 @@
         assert {job.message.id for job in await cluster.lease(most=5)} == {"m1", "m2"}
 
     play(work)
+
+
+def test_a_message_that_could_not_be_restored_while_the_disk_failed_is_restored_later() -> None:
+    """A second put of a message needs a record that ends the first; without a disk nothing else waits."""
+    _, record = put_at_the_deposed_primary()
+    successor = Partition(new_table(), epoch=2, now=101.0)
+    later = successor.put(message("m0"))
+    other = successor.put(message("m1"))
+    successor.table.apply(record, successor.wall_ms)
+    log = successor.table._log
+    assert isinstance(log, MemoryLog)
+    log.failing = FULL
+    third = Partition(successor.table, epoch=3, now=110.0)
+    log.failing = ""
+    third.sleep(2 * STORAGE_RETRY_S)
+    ids = {grant.job.message.id for grant in third.lease(most=5)}
+    assert ids == {"m0", "m1"}
+    assert {later, other} <= set(third.table.entries)
+
+
+def test_a_defect_that_ends_a_task_is_reported_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    failures: list[BaseException] = []
+
+    async def work(cluster: StoreCluster) -> None:
+        await cluster.start()
+        service = cluster.stores[0].service
+        service.set_failure_handler(failures.append)
+
+        def broken(_now: float) -> None:
+            raise RuntimeError("a defect")
+
+        monkeypatch.setattr(service, "_forget", broken)
+        await asyncio.sleep(12.0)
+
+    play(work)
+    assert [str(failure) for failure in failures] == ["a defect"]
