--- a/hollowusher/simulation/simulation_run.py
+++ b/hollowusher/simulation/simulation_run.py
@@ -32,7 +32,7 @@
 CONCURRENT_QUERIES = 20
 LONG_DELAYED_ROUTES = ("push", "pull")  # have delays of any length where the plan wants them
 LONG_DELAYED_SHARE = 0.1  # at least
-LATEST_DUE_S = 5.0  # after the end of traffic no delay ends later
+NO_DELAY_ENDS_S = 10.0  # so long before the end of the calm time the last delay ends
 SIZES = (
     DeploymentSize(),
     DeploymentSize(),
@@ -151,7 +151,7 @@
             stream,
             delayed_share=max(stream.delayed_share, LONG_DELAYED_SHARE),
             long_delay_s=self.plan.long_delay_s,
-            latest_due_at=until + LATEST_DUE_S,
+            latest_due_at=until + max(0.0, self.plan.calm_s - NO_DELAY_ENDS_S),
         )
 
     async def _extra_traffic(self, until: float) -> None:
--- a/tests/simulation/test_long_days.py
+++ b/tests/simulation/test_long_days.py
@@ -8,20 +8,30 @@
 
 import pytest
 
+from hollowusher.simulation.planted import planting
 from hollowusher.simulation.programs import build_program
 from hollowusher.simulation.simulation_run import SimulationPlan, run_seed
 
-PLAN = SimulationPlan(
+LOST_DISKS = SimulationPlan(traffic_s=60.0, calm_s=30.0, rate=20.0, long_delay_s=40.0, fault_kinds=("disk",))
+MIXED = SimulationPlan(
     traffic_s=60.0,
-    calm_s=20.0,
+    calm_s=30.0,
     rate=15.0,
     long_delay_s=40.0,
     fault_kinds=("replace", "disk", "herd_disk", "stop", "kill", "disk_full"),
 )
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3])
-def test_no_message_is_lost_or_left_waiting(seed: int) -> None:
-    result = run_seed(seed, PLAN, build_program)
+@pytest.mark.parametrize(
+    ("plan", "seed"), [(LOST_DISKS, 1), (LOST_DISKS, 3), (MIXED, 2)], ids=["disks-1", "disks-3", "mixed-2"]
+)
+def test_no_message_is_lost_or_left_waiting(plan: SimulationPlan, seed: int) -> None:
+    result = run_seed(seed, plan, build_program)
     assert result.first_problem == ""
     assert result.figures["succeeded"] > 400  # the day was played
+
+
+def test_a_delay_that_begins_anew_at_each_repair_is_found() -> None:
+    with planting("delay-begins-anew-at-each-repair"):
+        result = run_seed(3, LOST_DISKS, build_program)
+    assert "LOST" in {violation.rule for violation in result.violations}
