Count only the threads that the log outlet's test itself started

It counted all threads of the test process; a run with a stray thread of another test shows the same failure. Which test's thread it was is not known. Change: threads that were there before do not count; one started meanwhile does (a planted one is found). Just as strict on the outlet, which is to start none.

--- a/tests/scheduler/test_log_outlet.py
+++ b/tests/scheduler/test_log_outlet.py
@@ -91,6 +91,7 @@
         os.close(writes)
 
     def test_what_waits_goes_out_by_the_loop_with_longer_waits_and_no_thread(self) -> None:
+        others = set(threading.enumerate())  # of tests before this one in the same process
         reads, writes = stalled_pipe()
         waits: list[float] = []
         calls: list[Callable[[], None]] = []
@@ -110,7 +111,7 @@
             calls.pop()()
         os.close(writes)
         self.assertEqual((seen + reported(reads)).lstrip(b"."), b"x" * 9_000 + b"\n")
-        self.assertEqual(threading.active_count(), 1)
+        self.assertEqual(set(threading.enumerate()) - others, set())
         os.close(reads)
 
     def test_a_descriptor_that_does_not_block_is_waited_for(self) -> None:
