Send copies beyond the commit quorum late, or not at all

Most messages end within a fraction of a second. Change: records for replicas beyond the quorum wait for up to 1 s (DeferredCopies, pure); newer records of a message replace older ones, and a completed message needs no body. After a loss the anti-entropy of the takeover brings what waited, as it did for 0.25 s before.

--- a/hollowusher/messages/partition/proposal.py
+++ b/hollowusher/messages/partition/proposal.py
@@ -24,7 +24,9 @@
     needs_sync: bool
     created_at: float  # monotonic clock, seconds
     on_commit: Callable[[float, int], None] | None = None  # called with (now, wall_ms)
+    is_put: bool = False  # the record has a message's body
     is_delayed_put: bool = False  # replicas have to know when its message was accepted
+    completes_message: bool = False  # with this record a replica needs the body no more
     is_committed: bool = False
     acknowledged_by: list[str] = attrs.Factory(list)  # store ids
     waiters: list[Callable[[bool], None]] = attrs.Factory(list)
--- a/hollowusher/messages/partition/record_writer.py
+++ b/hollowusher/messages/partition/record_writer.py
@@ -38,7 +38,9 @@
         record = records.pack_put(self._table.partition, key, put)
         self._table.apply(record, wall_ms)
         is_delayed = put.due_wall_ms > put.accepted_wall_ms
-        proposal = Proposal(key, record, needs_sync=True, created_at=now, is_delayed_put=is_delayed)
+        proposal = Proposal(
+            key, record, needs_sync=True, created_at=now, is_put=True, is_delayed_put=is_delayed
+        )
         return self._propose(proposal)
 
     def propose_state(
@@ -50,8 +52,9 @@
         on_commit: OnCommit | None = None,
     ) -> Proposal:
         """Propose a message's new state; replicas acknowledge it once they hold it in memory."""
-        record = self._apply_state(key, state, wall_ms)
-        return self._propose(Proposal(key, record, needs_sync=False, created_at=now, on_commit=on_commit))
+        proposal = self._state_proposal(key, state, now, wall_ms)
+        proposal.on_commit = on_commit
+        return self._propose(proposal)
 
     def propose_durable_state(
         self,
@@ -62,8 +65,10 @@
         on_commit: OnCommit | None = None,
     ) -> Proposal:
         """Propose a message's new state; replicas acknowledge it once it is on their disk."""
-        record = self._apply_state(key, state, wall_ms)
-        return self._propose(Proposal(key, record, needs_sync=True, created_at=now, on_commit=on_commit))
+        proposal = self._state_proposal(key, state, now, wall_ms)
+        proposal.on_commit = on_commit
+        proposal.needs_sync = True
+        return self._propose(proposal)
 
     def copy_without_lease(self, key: MessageKey) -> MessageState:
         """Return a copy of a message's state with a new version and without a lease."""
@@ -97,10 +102,12 @@
             proposal.on_commit(now, wall_ms)
         proposal.resolve_waiters(committed=True)
 
-    def _apply_state(self, key: MessageKey, state: MessageState, wall_ms: int) -> bytes:
+    def _state_proposal(self, key: MessageKey, state: MessageState, now: float, wall_ms: int) -> Proposal:
+        """Keep a message's new state in the table and return its record as a proposal."""
         record = records.pack_state(self._table.partition, key, state)
         self._table.apply(record, wall_ms)
-        return record
+        completes_message = state.status is MessageStatus.COMPLETED
+        return Proposal(key, record, needs_sync=False, created_at=now, completes_message=completes_message)
 
     def _propose(self, proposal: Proposal) -> Proposal:
         self.pending[proposal.key] = proposal
--- a/hollowusher/messages/replication/partition_replicator.py
+++ b/hollowusher/messages/replication/partition_replicator.py
@@ -17,10 +17,10 @@
 from hollowusher.messages.partition.proposal import Proposal
 from hollowusher.messages.replication.acceptance_age import with_ages
 from hollowusher.messages.replication.anti_entropy import compare_with_summary
+from hollowusher.messages.replication.outgoing_record import OutgoingRecord
 from hollowusher.messages.replication.partition_replica import PartitionReplica, PeerProgress
 from hollowusher.messages.replication.replication_stream import (
     BATCH_DELAY_S,
-    OutgoingRecord,
     ReplicationStream,
     StreamOwner,
 )
@@ -154,7 +154,10 @@
         joined = replica.streaming_peers()
         first = self._preferred_peers(replica, joined)
         for peer in joined:
-            self.stream(peer).enqueue(outgoing, linger=peer not in first)
+            if peer in first:
+                self.stream(peer).send_newest(outgoing)
+            else:
+                self.stream(peer).defer(outgoing)
         if proposal.needs_sync:
             self._unsynced.append(outgoing)
             self._start_sync()
--- a/hollowusher/messages/replication/replica_recovery.py
+++ b/hollowusher/messages/replication/replica_recovery.py
@@ -13,9 +13,9 @@
 from hollowusher.messages.errors import StaleEpochError
 from hollowusher.messages.records import MessageKey
 from hollowusher.messages.replication.anti_entropy import AntiEntropySession
+from hollowusher.messages.replication.outgoing_record import OutgoingRecord
 from hollowusher.messages.replication.partition_replica import PartitionReplica, PeerProgress
 from hollowusher.messages.replication.partition_replicator import PartitionReplicator
-from hollowusher.messages.replication.replication_stream import OutgoingRecord
 from hollowusher.protocol.placement import LearnerLost, LearnerReady
 from hollowusher.protocol.replication import RecordBatch, ReplicateRequest, ReplicateResponse
 from hollowusher.storage.interface import StorageError
@@ -106,9 +106,7 @@
         if not progress.is_streaming:
             progress.is_streaming = True
             for proposal in list(replica.outstanding):
-                self._replicator.stream(peer).enqueue(
-                    OutgoingRecord(replica.partition, proposal), linger=False
-                )
+                self._replicator.stream(peer).enqueue(OutgoingRecord(replica.partition, proposal))
         paced = peer not in replica.replica_ids or replica.primary is not None
         progress.needs_comparison = False
         if not await self._compare(replica, peer, address, paced=paced) or not progress.is_streaming:
--- a/hollowusher/messages/replication/replication_stream.py
+++ b/hollowusher/messages/replication/replication_stream.py
@@ -1,8 +1,9 @@
 """The stream of records from this store to one other replica, for all partitions whose primary is here.
 
 Records that must reach the peer's disk and records that only need its memory have separate lanes, each with
-at most two batches in flight; versions make the order between them irrelevant.  A peer that does not answer
-in time is dropped: its queue is cleared, and the owner lets it catch up by anti-entropy.
+at most two batches in flight; versions make the order between them irrelevant.  Records that the commit does
+not need this peer for wait in `DeferredCopies`.  A peer that does not answer in time is dropped: its queue is
+cleared, and the owner lets it catch up by anti-entropy.
 """
 
 from __future__ import annotations
@@ -10,11 +11,13 @@
 import asyncio
 import itertools
 from collections.abc import Callable, Iterable
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
 from hollowusher.messages.partition.proposal import Proposal
 from hollowusher.messages.records import pack_acceptance_age
 from hollowusher.messages.replication.acceptance_age import MIN_AGE_MS
+from hollowusher.messages.replication.deferred_copies import DeferredCopies
+from hollowusher.messages.replication.outgoing_record import OutgoingRecord
 from hollowusher.protocol.replication import RecordBatch, ReplicateRequest, ReplicateResponse
 from hollowusher.transport.interface import PeerError, Transport
 
@@ -24,20 +27,10 @@
 MAX_BATCH_BYTES = 1024 * 1024
 MAX_QUEUED_BYTES = 8 * 1024 * 1024
 BATCH_DELAY_S = 0.002  # delay of records that a client waits for, to form batches
-LINGER_S = {
-    True: 0.03,
-    False: 0.25,
-}  # delay of records for replicas beyond the quorum, by lane: fewer batches
+MIN_DEFERRAL_CHECK_S = 0.02  # deferred records are looked at no more often, so that they go in batches
 SLOW_PEER_S = 0.025  # with a batch in flight for longer the peer does not count as fast
 
 
-class OutgoingRecord(NamedTuple):
-    """One record to send."""
-
-    partition: int
-    proposal: Proposal
-
-
 class StreamOwner(Protocol):
     """The owner of streams: answers their questions and receives their events."""
 
@@ -65,8 +58,6 @@
         self.queue: list[OutgoingRecord] = []
         self.in_flight: dict[int, float] = {}  # batch number -> when it was sent
         self.timer: asyncio.Handle | None = None
-        self.timer_at = 0.0
-        self.lingers = False  # no client waits for the queued records
 
 
 class ReplicationStream:
@@ -82,18 +73,34 @@
         self._transport = transport
         self._run = run
         self._lanes = {durable: _StreamLane(durable=durable) for durable in (True, False)}
+        self._deferred = DeferredCopies()
+        self._deferral_timer: asyncio.TimerHandle | None = None
         self._queued_bytes = 0
         self._numbers = itertools.count()
 
-    def enqueue(self, outgoing: OutgoingRecord, *, linger: bool) -> None:
-        """Send a record with the next batch; `linger` lets it wait a little for others."""
+    def send_newest(self, outgoing: OutgoingRecord) -> None:
+        """Send the newest record of its message with the next batch."""
+        self._deferred.note_sent(outgoing)
+        self.enqueue(outgoing)
+
+    def enqueue(self, outgoing: OutgoingRecord) -> None:
+        """Send a record with the next batch, whether or not there are newer ones of its message."""
         lane = self._lanes[outgoing.proposal.needs_sync]
         lane.queue.append(outgoing)
         self._queued_bytes += len(outgoing.proposal.record)
         if self._queued_bytes > MAX_QUEUED_BYTES:
             self._drop_peer()
-        elif len(lane.in_flight) < MAX_BATCHES_IN_FLIGHT:
-            self._schedule(lane, LINGER_S[lane.durable] if linger else BATCH_DELAY_S)
+        elif len(lane.in_flight) < MAX_BATCHES_IN_FLIGHT and lane.timer is None:
+            lane.timer = asyncio.get_running_loop().call_later(BATCH_DELAY_S, self._flush, lane)
+
+    def defer(self, outgoing: OutgoingRecord) -> None:
+        """Send the newest record of its message later, unless it has become needless by then."""
+        now = asyncio.get_running_loop().time()
+        self._schedule_deferred(self._deferred.add(outgoing, now))
+
+    def close(self) -> None:
+        """Send nothing more."""
+        self._clear()
 
     def expected_latency_s(self, now: float) -> float:
         """Return the expected answer time: the smoothed latency, or more if the peer is late already."""
@@ -103,41 +110,32 @@
                 waited_s = max(waited_s, now - sent_at)
         return waited_s if waited_s > SLOW_PEER_S else self.latency_s
 
-    def close(self) -> None:
-        """Send nothing more."""
-        self._clear()
-
-    def _schedule(self, lane: _StreamLane, delay_s: float) -> None:
+    def _schedule_deferred(self, due_at: float | None) -> None:
+        if due_at is None:
+            return
         loop = asyncio.get_running_loop()
-        due = loop.time() + delay_s
-        if lane.timer is not None:
-            if lane.timer_at <= due:
+        due_at = max(due_at, loop.time() + MIN_DEFERRAL_CHECK_S)
+        if self._deferral_timer is not None:
+            if self._deferral_timer.when() <= due_at:
                 return
-            lane.timer.cancel()
-        lane.timer_at = due
-        lane.lingers = delay_s != BATCH_DELAY_S
-        lane.timer = loop.call_later(delay_s, self._flush, lane)
+            self._deferral_timer.cancel()
+        self._deferral_timer = loop.call_at(due_at, self._send_deferred)
+
+    def _send_deferred(self) -> None:
+        self._deferral_timer = None
+        for outgoing in self._deferred.take_due(asyncio.get_running_loop().time()):
+            self.enqueue(outgoing)
+        self._schedule_deferred(self._deferred.next_due_at())
 
     def _flush(self, lane: _StreamLane) -> None:
         if lane.timer is not None:
             lane.timer.cancel()
             lane.timer = None
-        if lane.durable:
-            self._merge_lingering(lane)
         while lane.queue and len(lane.in_flight) < MAX_BATCHES_IN_FLIGHT:
             number = next(self._numbers)
             lane.in_flight[number] = asyncio.get_running_loop().time()
             self._run(self._send(lane, number, self._next_batch(lane)))
 
-    def _merge_lingering(self, durable: _StreamLane) -> None:
-        """Add lingering memory records to the durable batch that is sent now."""
-        memory = self._lanes[False]
-        if memory.queue and memory.lingers and memory.timer is not None:
-            durable.queue += memory.queue
-            memory.queue = []
-            memory.timer.cancel()
-            memory.timer = None
-
     def _next_batch(self, lane: _StreamLane) -> list[OutgoingRecord]:
         size = count = 0
         for outgoing in lane.queue:
@@ -199,6 +197,10 @@
         self._owner.on_peer_lost(self.peer)
 
     def _clear(self) -> None:
+        self._deferred.clear()
+        if self._deferral_timer is not None:
+            self._deferral_timer.cancel()
+            self._deferral_timer = None
         for lane in self._lanes.values():
             lane.queue.clear()
             if lane.timer is not None:
