Keep a commit quorum in the primary's zone where no zone has to be lost

Cause: replicas were spread over all zones whatever the deployment has to tolerate, so that each commit crossed zones. Change: with faultTolerance.zones and regions 0 a partition has a home zone, its primary's, with f+1 replicas as far as it has stores; the others are spread as before. Replacements and moves keep that. The primary waits for near replicas first unless another zone's answers 20 ms sooner. With one store a zone the placement is the same as before. Given up by it: what was acknowledged in the last second may be in one zone alone; the promise is for machines.

--- a/hollowusher/coordination/controller/head_roles.py
+++ b/hollowusher/coordination/controller/head_roles.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from hollowusher.configuration.boot import FaultTolerance
 from hollowusher.coordination.cluster_state import CONFIGURATION, PLACEMENT, VIEW
 from hollowusher.coordination.controller.head_context import HeadContext
 from hollowusher.coordination.controller.membership_service import MembershipService
@@ -47,7 +48,7 @@
     def __init__(
         self,
         context: HeadContext,
-        tolerance: int,
+        tolerance: FaultTolerance,
         worker_list_source: WorkerListSource,
         log: LogFunction = no_log,
         has_newest_view: Callable[[], Awaitable[bool]] = _assume_newest,
--- a/hollowusher/coordination/placement/placement_draft.py
+++ b/hollowusher/coordination/placement/placement_draft.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 
 from hollowusher.coordination.placement.replica_states import ReplicaStates
+from hollowusher.coordination.placement.zone_policy import ZonePolicy
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.placement import PartitionPlacement, Placement
 
@@ -17,11 +18,18 @@
     incarnation or its replicas have changed, or a learner was removed; otherwise it is the same.
     """
 
-    def __init__(self, placement: Placement, states: ReplicaStates, tolerance: int) -> None:
+    def __init__(
+        self,
+        placement: Placement,
+        states: ReplicaStates,
+        tolerance: int,
+        policy: ZonePolicy = ZonePolicy.SPREAD,
+    ) -> None:
         entries = placement.partitions
         self.entries = {entry.partition: entry for entry in entries}
         self.states = states
         self.tolerance = tolerance
+        self.policy = policy
         self.primary_load = Counter(entry.primary for entry in entries)
         self.replica_load = Counter(replica for entry in entries for replica in entry.replicas)
         learner_load = Counter(learner for entry in entries for learner in entry.learners)
@@ -47,6 +55,16 @@
         """Return whether all replicas are live, so that a move costs no more than a hand-over."""
         return self.live_replica_count(entry) == len(entry.replicas)
 
+    def home_count(self, replicas: Sequence[str], primary: str) -> int:
+        """Return how many of these replicas are at home: in the zone of a primary, up to a commit quorum.
+
+        It is 0 where the replicas are to be spread.
+        """
+        if self.policy is ZonePolicy.SPREAD:
+            return 0
+        zone = self.states.zone(primary)
+        return min(self.tolerance + 1, sum(self.states.zone(replica) == zone for replica in replicas))
+
     # ---- changes
 
     def set_primary(self, entry: PartitionPlacement, primary: str) -> None:
--- a/hollowusher/coordination/placement/placement_manager.py
+++ b/hollowusher/coordination/placement/placement_manager.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from hollowusher.configuration.boot import FaultTolerance
 from hollowusher.coordination.member_role import MemberRole
 from hollowusher.coordination.membership.member_directory import MemberDirectory
 from hollowusher.coordination.placement.control_chain import ControlChain
@@ -20,6 +21,7 @@
 from hollowusher.coordination.placement.placement_context import PlacementContext
 from hollowusher.coordination.placement.planner import PlanningInput, plan_placement
 from hollowusher.coordination.placement.store_retirement import StoreRetirement, is_any_store_retiring
+from hollowusher.coordination.placement.zone_policy import zone_policy
 from hollowusher.log_events import LogFunction, no_log
 from hollowusher.protocol.acknowledgement import Acknowledgement
 from hollowusher.protocol.codec import evolve
@@ -58,15 +60,16 @@
         self,
         chain: ControlChain,
         directory: MemberDirectory,
-        tolerance: int,
+        tolerance: FaultTolerance,
         clock: Callable[[], float],
         log: LogFunction = no_log,
     ) -> None:
         self._chain = chain
         self._directory = directory
-        self._tolerance = tolerance
+        self._tolerance = tolerance.machines
         self._clock = clock
-        self._context = PlacementContext(chain, directory, tolerance, clock, log)
+        self._policy = zone_policy(tolerance.zones, tolerance.regions)
+        self._context = PlacementContext(chain, directory, tolerance.machines, clock, log)
         self._retirement = StoreRetirement(self._context)
         self._partitions = PartitionOperations(self._context)
         self._reports = LearnerReports()
@@ -155,6 +158,7 @@
             ready_learners=self._reports.ready,
             lost_learners=self._reports.lost,
             allow_moves=allow_moves,
+            policy=self._policy,
         )
         return plan_placement(placement, given)
 
@@ -164,7 +168,7 @@
         stores = self._initial_stores()
         if not stores:
             return None
-        placement = plan_initial_placement(stores, self._tolerance, PARTITION_COUNT)
+        placement = plan_initial_placement(stores, self._tolerance, PARTITION_COUNT, self._policy)
         return evolve(state, placement=placement)
 
     def _initial_stores(self) -> list[Member]:
--- a/hollowusher/coordination/placement/planner.py
+++ b/hollowusher/coordination/placement/planner.py
@@ -22,6 +22,7 @@
 from hollowusher.coordination.placement.primary_planner import PrimaryPlanner
 from hollowusher.coordination.placement.replica_planner import ReplicaPlanner
 from hollowusher.coordination.placement.replica_states import ReplicaStates
+from hollowusher.coordination.placement.zone_policy import ZonePolicy
 from hollowusher.protocol.placement import Placement
 
 
@@ -32,7 +33,7 @@
     `stores` has the condition by name of every store that is known or placed; `tolerance` is the number of
     losses that the deployment tolerates (f); `retiring` has the names of the machines being retired.  Where
     `allow_moves` is set, one primary may be moved for balance or away from a retiring machine, and one
-    replica may be moved for balance.
+    replica may be moved for balance.  `policy` says where among the zones the replicas belong.
     """
 
     stores: Mapping[str, StoreCondition]
@@ -41,12 +42,13 @@
     ready_learners: Collection[LearnerReport] = ()
     lost_learners: Collection[LearnerReport] = ()
     allow_moves: bool = False
+    policy: ZonePolicy = ZonePolicy.SPREAD
 
 
 def plan_placement(placement: Placement, given: PlanningInput) -> Placement | None:
     """Return the next placement, None where the present one is right."""
     states = ReplicaStates(given.stores, given.retiring, placement)
-    draft = PlacementDraft(placement, states, given.tolerance)
+    draft = PlacementDraft(placement, states, given.tolerance, given.policy)
     replicas = ReplicaPlanner(draft)
     primaries = PrimaryPlanner(draft)
     for partition in list(draft.entries):
--- a/hollowusher/coordination/placement/replica_planner.py
+++ b/hollowusher/coordination/placement/replica_planner.py
@@ -134,19 +134,21 @@
     ) -> str | None:
         """Return the store that is to learn a partition next, None where no store is free.
 
-        Best is a machine that has returned with another disk, then the zone with the fewest replicas, then
-        the store with the fewest copies.
+        Best is a machine that has returned with another disk, then the home zone while it lacks replicas,
+        then the zone with the fewest replicas, then the store with the fewest copies.
         """
         taken = {*entry.replicas, *learners}
         free = [store_id for store_id in self.states.usable if store_id not in {*taken, *excluded}]
         returned = {store_name(replica) for replica in copied}
-        zones = Counter(self.states.zone(store_id) for store_id in taken if store_id not in copied)
+        kept = [store_id for store_id in taken if store_id not in copied]
+        zones = Counter(self.states.zone(store_id) for store_id in kept)
         key = f"partition/{entry.partition}"
         return min(
             free,
             default=None,
             key=lambda store_id: (
                 store_name(store_id) not in returned,
+                -self.draft.home_count([*kept, store_id], entry.primary),
                 zones[self.states.zone(store_id)],
                 self.draft.copy_load[store_id],
                 -weight(key, store_id),
@@ -184,18 +186,21 @@
     def _replica_to_offload(self, entry: PartitionPlacement, learner: str) -> str | None:
         """Return the replica whose replacement by a learner brings the stores closer in load.
 
-        None where there is none that keeps the spread over zones, or where not all replicas are live.
+        None where there is none that keeps the spread over zones and the quorum at home, or where not all
+        replicas are live.
         """
         if learner in entry.replicas or not self.draft.has_all_replicas_live(entry):
             return None
         load = self.draft.replica_load
         spread = self._zone_count(entry.replicas)
+        at_home = self.draft.home_count(entry.replicas, entry.primary)
         candidates = [
             replica
             for replica in entry.replicas
             if replica != entry.primary
             and load[replica] - load[learner] >= MIN_BALANCE_GAIN
             and self._zone_count(replicas_after(entry, learner, replica)) >= spread
+            and self.draft.home_count(replicas_after(entry, learner, replica), entry.primary) >= at_home
         ]
         return max(candidates, key=lambda replica: (load[replica], replica), default=None)
 
--- a/hollowusher/messages/replication/partition_replicator.py
+++ b/hollowusher/messages/replication/partition_replicator.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from hollowusher.coordination.store_id import store_name
 from hollowusher.messages import records
 from hollowusher.messages.partition.partition_table import PartitionTable, RecordCache
 from hollowusher.messages.partition.proposal import Proposal
@@ -37,6 +38,8 @@
 
 MOVED_PARTITION_RETENTION_S = 30.0  # a partition that has moved away is kept for so long, for takeovers
 CACHE_BYTES = 48 * 1024 * 1024
+# A store of the own zone is waited for although one of another zone answers so much sooner: one slow sync.
+OTHER_ZONE_PENALTY_S = 0.02
 
 
 @attrs.frozen
@@ -165,7 +168,10 @@
             self._commit(replica, proposal)
 
     def _preferred_peers(self, replica: PartitionReplica, joined: list[str]) -> list[str]:
-        """Return the peers to wait for: the fastest ones that make a quorum, and required learners."""
+        """Return the peers to wait for: the best ones that make a quorum, and required learners.
+
+        Those are the fastest ones, where each byte between zones counts as a longer way.
+        """
         needed = replica.commit_quorum - 1
         counting = [peer for peer in joined if peer in replica.replica_ids]
         if len(counting) > needed:
@@ -173,11 +179,18 @@
             counting.sort(
                 key=lambda peer: (
                     not replica.peer_progress[peer].is_caught_up,
-                    self.stream(peer).expected_latency_s(now),
+                    self.stream(peer).expected_latency_s(now)
+                    + (0.0 if self._is_in_own_zone(peer) else OTHER_ZONE_PENALTY_S),
                 )
             )
         return [*counting[:needed], *replica.required_learners]
 
+    def _is_in_own_zone(self, peer: str) -> bool:
+        """Return whether another store is in the zone of this one, as far as is known."""
+        members = self.state.members
+        mine, other = members.get(store_name(self.store_id)), members.get(store_name(peer))
+        return mine is not None and other is not None and mine.zone == other.zone
+
     def _commit(self, replica: PartitionReplica, proposal: Proposal) -> None:
         if replica.primary is not None:
             replica.primary.commit(proposal, self.now(), self.wall_ms())
--- a/hollowusher/roles/control_plane.py
+++ b/hollowusher/roles/control_plane.py
@@ -60,7 +60,7 @@
             me, self.controller, self.feed, MemberDirectory(clock()), process.transport, clock
         )
         self.head_roles = HeadRoles(
-            context, self._tolerance, self.reader, log, self.controller.has_newest_view
+            context, settings.fault_tolerance, self.reader, log, self.controller.has_newest_view
         )
         self._fault_tolerance_log = FaultToleranceLog(log)
         ClusterChangeLog(process.state, "", lambda: self.controller.is_head)
--- a/tests/coordination/controller/test_head_roles_after_pause.py
+++ b/tests/coordination/controller/test_head_roles_after_pause.py
@@ -68,7 +68,7 @@
         )
         self.head_roles = HeadRoles(
             context,
-            BootSettings(node_name="a", machine_class="edge", ip="10.0.0.1").fault_tolerance.machines,
+            BootSettings(node_name="a", machine_class="edge", ip="10.0.0.1").fault_tolerance,
             _Reader(),
         )
         self.feed.add_listener(self._note)
--- a/tests/coordination/distribution/test_cluster_client.py
+++ b/tests/coordination/distribution/test_cluster_client.py
@@ -146,7 +146,7 @@
             self.feed = UpdateFeed(f"{self.name}/{self.me.incarnation}")
             access = ChainAccess(self.cluster.chain, self.name)
             context = HeadContext(self.me, access, self.feed, MemberDirectory(clock()), self.transport, clock)
-            self.head_roles = HeadRoles(context, settings.fault_tolerance.machines, access)
+            self.head_roles = HeadRoles(context, settings.fault_tolerance, access)
         self.client = ClusterClient(
             self.me,
             settings,
--- /dev/null
+++ b/tests/coordination/placement/test_zone_policy.py
@@ -0,0 +1,90 @@
+"""Where no zone has to be lost, a commit quorum stands in the primary's zone; else replicas are spread."""
+
+from __future__ import annotations
+
+import math
+from collections import Counter
+
+import pytest
+
+from hollowusher.coordination.membership.store_condition import StoreCondition
+from hollowusher.coordination.placement.initial_placement import plan_initial_placement
+from hollowusher.coordination.placement.learner_reports import LearnerReport
+from hollowusher.coordination.placement.planner import PlanningInput, plan_placement
+from hollowusher.coordination.placement.zone_policy import ZonePolicy, zone_policy
+from hollowusher.coordination.store_id import store_name
+from hollowusher.protocol.membership import Member
+from hollowusher.protocol.placement import PartitionPlacement, Placement
+from tests.support.placement import LONG_S, primary_counts, stores
+
+ZONES = 4
+
+
+def zone_of(store_id: str) -> int:
+    return int(store_name(store_id)[1:]) % ZONES
+
+
+def at_home(entry: PartitionPlacement) -> int:
+    """Return how many replicas are in the primary's zone."""
+    return sum(zone_of(replica) == zone_of(entry.primary) for replica in entry.replicas)
+
+
+def first_placement(count: int, tolerance: int, policy: ZonePolicy) -> Placement:
+    return plan_initial_placement(stores(count, ZONES), tolerance, policy=policy)
+
+
+def test_policy_follows_the_tolerated_losses() -> None:
+    assert zone_policy(0, 0) is ZonePolicy.QUORUM_AT_HOME
+    assert zone_policy(1, 0) is ZonePolicy.SPREAD
+    assert zone_policy(0, 1) is ZonePolicy.SPREAD
+
+
+@pytest.mark.parametrize(("count", "tolerance"), [(8, 1), (8, 2), (12, 2), (19, 2), (40, 2)])
+def test_quorum_is_at_home_as_far_as_the_zone_has_stores(count: int, tolerance: int) -> None:
+    placement = first_placement(count, tolerance, ZonePolicy.QUORUM_AT_HOME)
+    in_zone = Counter(number % ZONES for number in range(count))
+    for entry in placement.partitions:
+        wanted = min(tolerance + 1, in_zone[zone_of(entry.primary)])
+        assert at_home(entry) >= wanted
+        assert len(set(entry.replicas)) == 2 * tolerance + 1
+        assert len({zone_of(replica) for replica in entry.replicas}) > 1
+    homes = Counter(zone_of(entry.primary) for entry in placement.partitions)
+    for zone, stores_there in in_zone.items():
+        assert homes[zone] <= math.ceil(len(placement.partitions) * stores_there / count)
+    assert max(primary_counts(placement).values()) <= -(-16 // count) + 1
+
+
+@pytest.mark.parametrize("count", [1, 2, 3, 4])
+def test_with_one_store_a_zone_nothing_changes(count: int) -> None:
+    spread = first_placement(count, 1, ZonePolicy.SPREAD)
+    assert first_placement(count, 1, ZonePolicy.QUORUM_AT_HOME) == spread
+
+
+def test_replicas_that_were_lost_are_replaced_at_home() -> None:
+    members = {store.name: store for store in stores(12, ZONES)}
+    placement = first_placement(12, 1, ZonePolicy.QUORUM_AT_HOME)
+    lost = store_name(placement.partitions[0].primary)
+    settled = settle(placement, members, lost)
+    for entry in settled.partitions:
+        assert lost not in map(store_name, entry.replicas)
+        assert at_home(entry) >= 2
+
+
+def settle(placement: Placement, members: dict[str, Member], lost: str) -> Placement:
+    """Return the placement once a store is gone and all learners have caught up."""
+    conditions = {name: StoreCondition(member, LONG_S) for name, member in members.items() if name != lost}
+    conditions[lost] = StoreCondition(None, LONG_S)
+    for _ in range(200):
+        ready = {
+            LearnerReport(entry.partition, entry.epoch, learner)
+            for entry in placement.partitions
+            for learner in entry.learners
+        }
+        given = PlanningInput(
+            conditions, 1, ready_learners=ready, allow_moves=True, policy=ZonePolicy.QUORUM_AT_HOME
+        )
+        planned = plan_placement(placement, given)
+        if planned is None:
+            return placement
+        placement = planned
+    raise AssertionError("the placement never gets stable")
--- a/tests/support/simulated_controllers.py
+++ b/tests/support/simulated_controllers.py
@@ -111,7 +111,7 @@
         )
         self.head_roles = HeadRoles(
             context,
-            settings.fault_tolerance.machines,
+            settings.fault_tolerance,
             self.worker_list_source,
             has_newest_view=self.controller.has_newest_view,
         )
