Start edge processes without the result types of orders

Cause: every edge process imported `expression` (40 of 445 ms of a controller's imports, 1.4 MB) for two names that the operator's address needs, before it served anybody. Change: MOST_BODY_BYTES and Refusal stand in configuration/refusal.py; the controller loads orders with the first one. An import of one test follows.

--- a/hollowusher/configuration/orders.py
+++ b/hollowusher/configuration/orders.py
@@ -21,13 +21,13 @@
     check_items,
 )
 from hollowusher.configuration.order_history import LARGEST_HISTORY, pruned
+from hollowusher.configuration.refusal import MOST_BODY_BYTES, Refusal
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control_chain import ControlState
 from hollowusher.protocol.operator_orders import OperatorResponse
 
 PUT = "PUT"
 PATCH = "PATCH"
-MOST_BODY_BYTES = 8 * 1024 * 1024
 MOST_HISTORY = 4_096  # older orders are forgotten once nobody sends them again
 MOST_DOCUMENT_BYTES = MOST_BODY_BYTES  # also for what many PATCHes make of it
 DIGEST_BYTES = 16
@@ -46,19 +46,6 @@
     digest: bytes
 
 
-@attrs.frozen
-class Refusal:
-    """An order that is not taken: the HTTP status, and why."""
-
-    status: int
-    item: str
-    reason: str
-
-    def answer(self) -> OperatorResponse:
-        """What the operator is told."""
-        return OperatorResponse(self.status, orjson.dumps({"error": f"{self.item}: {self.reason}"}))
-
-
 @attrs.frozen
 class OrderOutcome:
     """What an order does: the new control state, None where there is nothing to change, and the answer that
--- a/hollowusher/coordination/controller/control_state_service.py
+++ b/hollowusher/coordination/controller/control_state_service.py
@@ -7,9 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 
 from hollowusher.configuration.order_history import CommittedAges
-from hollowusher.configuration.orders import Order, OrderOutcome, apply_order, read_order
 from hollowusher.coordination.chain.chain_head import ChainHead
 from hollowusher.coordination.chain.state_store import MIN_THROUGHPUT_BYTES_PER_S
 from hollowusher.coordination.consensus.paxos import find_voter, is_voter
@@ -20,6 +20,9 @@
 from hollowusher.protocol.operator_orders import ChangeConfiguration, OperatorResponse, ReadConfiguration
 from hollowusher.transport.interface import PeerError
 
+if TYPE_CHECKING:
+    from hollowusher.configuration.orders import Order, OrderOutcome
+
 FORWARD_CHANGE_TIMEOUT_S = 2.8
 FORWARD_READ_TIMEOUT_S = 0.7
 
@@ -44,6 +47,8 @@
 
     async def change_configuration(self, message: ChangeConfiguration) -> OperatorResponse:
         """Return the answer to an operator's change of the configuration; the head decides it."""
+        from hollowusher.configuration.orders import read_order  # not needed for a start, see `refusal`
+
         read = read_order(message.method, message.if_match, message.body)
         if read.is_error():
             return read.error.answer()
@@ -59,6 +64,8 @@
 
     async def _apply_order(self, order: Order) -> OperatorResponse:
         """Apply an order to the newest state and commit the result, as the head."""
+        from hollowusher.configuration.orders import apply_order
+
         outcomes: list[OrderOutcome] = []
 
         def update(state: ControlState) -> ControlState | None:
--- a/hollowusher/coordination/controller/operator_api.py
+++ b/hollowusher/coordination/controller/operator_api.py
@@ -13,7 +13,7 @@
 import orjson
 from aiohttp import web
 
-from hollowusher.configuration.orders import MOST_BODY_BYTES, Refusal
+from hollowusher.configuration.refusal import MOST_BODY_BYTES, Refusal
 from hollowusher.protocol.operator_orders import (
     ChangeConfiguration,
     OperatorResponse,
--- a/hollowusher/roles/operator_server.py
+++ b/hollowusher/roles/operator_server.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from hollowusher.configuration.orders import MOST_BODY_BYTES
+from hollowusher.configuration.refusal import MOST_BODY_BYTES
 from hollowusher.console.status_api import StatusApi
 from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.coordination.controller.operator_api import OperatorApi
--- a/tests/contract/names.py
+++ b/tests/contract/names.py
@@ -24,7 +24,7 @@
 from hollowusher.configuration.boot import BootSettings, SettingsError, parse_settings
 from hollowusher.configuration.checks import check_document
 from hollowusher.configuration.model import Configuration, read_document
-from hollowusher.configuration.orders import MOST_BODY_BYTES
+from hollowusher.configuration.refusal import MOST_BODY_BYTES
 from hollowusher.console import store_report
 from hollowusher.console.admin_client import AdminResponse
 from hollowusher.console.commands import cli as service_commands
--- a/tests/coordination/controller/test_operator_api.py
+++ b/tests/coordination/controller/test_operator_api.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from aiohttp.test_utils import TestClient, TestServer
 
-from hollowusher.configuration.orders import MOST_BODY_BYTES
+from hollowusher.configuration.refusal import MOST_BODY_BYTES
 from hollowusher.coordination.controller import operator_api
 from hollowusher.coordination.controller.operator_api import OperatorApi
 from hollowusher.protocol.operator_orders import (
