--- a/hollowusher/coordination/placement/zone_policy.py
+++ b/hollowusher/coordination/placement/zone_policy.py
@@ -10,6 +10,8 @@
 
 from enum import Enum
 
+HOME_QUORUMS = True  # a switch, to measure what home zones are worth
+
 
 class ZonePolicy(Enum):
     """How replicas are distributed over the zones."""
@@ -20,6 +22,6 @@
 
 def zone_policy(tolerated_zones: int, tolerated_regions: int) -> ZonePolicy:
     """Return the policy of a deployment that tolerates the loss of so many zones and regions."""
-    if tolerated_zones > 0 or tolerated_regions > 0:
+    if tolerated_zones > 0 or tolerated_regions > 0 or not HOME_QUORUMS:
         return ZonePolicy.SPREAD
     return ZonePolicy.QUORUM_AT_HOME
--- a/hollowusher/simulation/clients.py
+++ b/hollowusher/simulation/clients.py
@@ -10,7 +10,12 @@
 import orjson
 
 from hollowusher.simulation.http_network import HttpExchangeError, HttpNetwork, HttpRequest
-from hollowusher.simulation.observations import MessageStateResponse, Observations, SentMessage
+from hollowusher.simulation.observations import (
+    ClientRequest,
+    MessageStateResponse,
+    Observations,
+    SentMessage,
+)
 
 QUERY_TIMEOUT_S = 2.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -75,6 +80,7 @@
         self.host = host
         self._edges = edges
         self._sent = 0
+        self._requests = 0
         self._tasks: set[asyncio.Task[None]] = set()
         http.network.power_on(host)
 
@@ -105,11 +111,13 @@
         key = f"key-{self.random_source.randrange(stream.keys)}" if stream.keys else ""
         delay_s = self._draw_delay_s(stream)
         begin = self._now()
+        self._requests += 1
+        request = ClientRequest(self._requests, begin)
         for _ in range(stream.retries + 1):
             left = begin + stream.deadline_s - self._now()
             if left <= 0.05:
                 return
-            message = await self._attempt(stream, key, delay_s, left)
+            message = await self._attempt(stream, request, key, delay_s, left)
             if message.status not in NOT_RUN_STATUSES:
                 break
             await asyncio.sleep(self.random_source.uniform(0.02, 0.2))
@@ -126,7 +134,9 @@
             delay_s = self.random_source.uniform(SHORT_DELAY_MAX_S, stream.long_delay_s)
         return max(SHORT_DELAY_MIN_S, min(delay_s, stream.latest_due_at - self._now()))
 
-    async def _attempt(self, stream: MessageStream, key: str, delay_s: float, left: float) -> SentMessage:
+    async def _attempt(
+        self, stream: MessageStream, request: ClientRequest, key: str, delay_s: float, left: float
+    ) -> SentMessage:
         self._sent += 1
         number = self._sent
         identifier = f"m{number:06d}"
@@ -147,6 +157,7 @@
             edge.incarnation,
             self._now(),
             reference=identifier,
+            request=request,
         )
         self.observations.messages[identifier] = message
         await self._exchange(stream, message, edge, left)
--- a/hollowusher/simulation/cluster.py
+++ b/hollowusher/simulation/cluster.py
@@ -52,6 +52,9 @@
     faults: int = 1
     sync_s: float = 0.003
     clock_skew_s: float = 0.04  # wall clocks are off by up to this much
+    zones: int = 4  # at most 4
+    edge_start_s: float = 0.0  # from the start of a process until its program runs
+    store_start_s: float = 0.0
 
 
 class SimulatedCluster:
@@ -88,7 +91,7 @@
         kinds = [("edge", True)] * self.size.controllers + [("edge", False)] * self.size.plain_edges
         kinds += [("store", True)] * self.size.stores
         for role, with_disk in kinds:
-            zone = ZONES[self._numbers[role] % len(ZONES)]
+            zone = ZONES[self._numbers[role] % min(self.size.zones, len(ZONES))]
             self._make_machine(role, zone, random_source, with_disk=with_disk)
         self.seed_addresses = [machine.admin_address for machine in self.controllers()[:SEED_COUNT]]
 
@@ -104,6 +107,7 @@
         clock_offset_s = random_source.uniform(-1.0, 1.0) * self.size.clock_skew_s
         machine = SimulatedMachine(name, role, ip, zone, disk, clock_offset_s)
         self.machines[name] = machine
+        self.network.zones[ip] = zone
         return machine
 
     def add_machine(self, role: str, zone: str, *, with_disk: bool) -> SimulatedMachine:
@@ -242,6 +246,9 @@
         self, machine: SimulatedMachine, process: SimulatedProcess, program: Program
     ) -> None:
         try:
+            start_s = self.size.edge_start_s if machine.role == "edge" else self.size.store_start_s
+            if start_s:
+                await asyncio.sleep(start_s)
             await program.run()
         except Exception as error:  # noqa: BLE001 - the outermost edge of a program
             frame = traceback.extract_tb(error.__traceback__)[-1]
--- a/hollowusher/simulation/connection.py
+++ b/hollowusher/simulation/connection.py
@@ -42,6 +42,7 @@
     def send(self, frame: bytes) -> None:
         """Send a frame."""
         network = self.connection.network
+        network.count_bytes(self.source, self.target, len(frame))
         added = network.added_delay_s.get(self.source, 0.0) + network.added_delay_s.get(self.target, 0.0)
         arrival = max(network.loop.time() + network.delay() + added, self.last_arrival)
         self.last_arrival = arrival
--- a/hollowusher/simulation/network.py
+++ b/hollowusher/simulation/network.py
@@ -42,6 +42,8 @@
         self.listeners: dict[str, SimulatedTransport] = {}
         self.connections: list[SimulatedConnection] = []
         self.messages = 0
+        self.zones: dict[str, str] = {}  # host -> zone, of the machines
+        self.bytes_between_zones = 0
         self.handler_failures: list[str] = []
         self.observer: Callable[[str, str, object], None] | None = None  # (from, to, message) of each arrival
         self._blocked: set[tuple[str, str]] = set()
@@ -95,6 +97,11 @@
         """Whether both hosts have power and the link is open."""
         return target in self.powered and source in self.powered and not self.is_blocked(source, target)
 
+    def count_bytes(self, source: str, target: str, size: int) -> None:
+        """Count what one host sends to another, if they are in different zones."""
+        if self.zones.get(source) != self.zones.get(target):
+            self.bytes_between_zones += size
+
     def delay(self) -> float:
         """Draw a one-way delay in seconds."""
         delays = self.delays
--- a/hollowusher/simulation/observations.py
+++ b/hollowusher/simulation/observations.py
@@ -9,6 +9,14 @@
 from typing import Any
 
 
+@dataclass(frozen=True)
+class ClientRequest:
+    """What a client wants: a message that it sends in one or more tries."""
+
+    number: int
+    sent_at: float  # its first try
+
+
 @dataclass
 class SentMessage:
     """One try of a client: a message with an id of its own."""
@@ -26,6 +34,7 @@
     status: int | None = None  # None: no answer
     answered_at: float | None = None
     reference: str = ""  # X-Message-Ref, else the id
+    request: ClientRequest | None = None  # None: sent outside the day's traffic
 
     @property
     def accepted(self) -> bool:
--- a/hollowusher/simulation/simulation_run.py
+++ b/hollowusher/simulation/simulation_run.py
@@ -59,6 +59,8 @@
     fault_kinds: tuple[str, ...] | None = None  # the faults to be used
     final_fault: bool = True
     script: tuple[ScriptedFault, ...] | None = None  # in place of faults by lot
+    streams: tuple[MessageStream, ...] | None = None  # in place of the usual traffic
+    endpoint_outages: tuple[tuple[float, float], ...] = ()  # of the fixed endpoint: from, seconds
 
 
 def plan_of_script(script: FaultScript, rate: float) -> SimulationPlan:
@@ -131,6 +133,8 @@
     # ---- traffic
 
     def _streams(self, until: float) -> list[MessageStream]:
+        if self.plan.streams is not None:
+            return list(self.plan.streams)
         rate = self.plan.rate
         streams = [
             MessageStream("push", PUSH, "/push/", 0.22 * rate, callback_hosts=RECEIVERS),
@@ -186,7 +190,9 @@
 
     async def _play_traffic(self, until: float) -> None:
         work = [self._clients.play(stream, until) for stream in self._streams(until)]
-        work.append(self._extra_traffic(until))
+        if self.plan.streams is None:
+            work.append(self._extra_traffic(until))
+        work += [self.worker_fleet.stop_endpoint(*outage) for outage in self.plan.endpoint_outages]
         if self.plan.changes:
             work += [self.operator_changes.play(until - 2.0), self.operator_changes.read_often(until)]
         if self.plan.inject_worker_faults:
@@ -280,6 +286,18 @@
         }
 
 
+def play_seed(seed: int, plan: SimulationPlan, create_program: ProgramFactory) -> SimulationRun:
+    """Play one seed and return the run, for a judgement of its own."""
+    loop = VirtualTimeLoop()
+    random.seed(seed)
+    try:
+        run = SimulationRun(loop, seed, plan, create_program)
+        loop.play(run.play())
+        return run
+    finally:
+        loop.shut()
+
+
 def run_seed(seed: int, plan: SimulationPlan, create_program: ProgramFactory) -> SimulationResult:
     """Play one seed and judge it."""
     loop = VirtualTimeLoop()
--- a/hollowusher/simulation/worker_fleet.py
+++ b/hollowusher/simulation/worker_fleet.py
@@ -129,6 +129,15 @@
                 endpoint.alive = True
                 endpoint.start()
 
+    async def stop_endpoint(self, after_s: float, for_s: float) -> None:
+        """Stop the fixed endpoint for a while."""
+        endpoint = self.push_workers["fixed-1"]
+        await asyncio.sleep(after_s)
+        endpoint.crash()
+        await asyncio.sleep(for_s)
+        endpoint.alive = True
+        endpoint.start()
+
     async def _crash(
         self, worker: SimulatedPushWorker, random_source: random.Random, down_s: float = 0.0
     ) -> None:
