Read settings and checked configurations without mashumaro, which a start waits for

Change: section_reader reads maps into dataclasses by their annotations. The settings file is checked by it with the same words; the operator's configuration is checked with mashumaro, as before, by the controller that takes it. Stricter than before: a number written as text, or a truth value for a number, is refused in the settings file.

--- a/hollowusher/configuration/boot.py
+++ b/hollowusher/configuration/boot.py
@@ -1,4 +1,4 @@
-"""The settings file of one process (`HOLLOWUSHER_CONFIG`), read and checked by mashumaro.
+"""The settings file of one process (`HOLLOWUSHER_CONFIG`), read by tomllib and checked.
 
 Unknown keys are ignored; a missing or wrong one is a `SettingsError` that names the key and what is wanted.
 """
@@ -6,30 +6,19 @@
 from __future__ import annotations
 
 import tomllib
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-from mashumaro import DataClassDictMixin, field_options
-from mashumaro.config import BaseConfig
-from mashumaro.exceptions import InvalidFieldValue, MissingField
-
-
-class _Section(DataClassDictMixin):
-    class Config(BaseConfig):
-        lazy_compilation = True  # else both directions are compiled at import: 90 ms of each start
+from hollowusher.configuration.section_reader import SectionError, key, read_section
 
 
 class SettingsError(Exception):
     """A settings file that cannot be used; the text names file, key and what is wanted."""
 
 
-def _key(name: str) -> dict[str, Any]:
-    return field_options(alias=name)
-
-
 @dataclass(frozen=True, slots=True)
-class Bind(_Section):
+class Bind:
     """Addresses to listen on ("ip:port"); empty where the role does not serve that side."""
 
     frontend: str = ""
@@ -38,17 +27,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ResourceLimits(_Section):
+class ResourceLimits:
     """What the process may use."""
 
-    memory_mb: int = field(default=256, metadata=_key("memoryMb"))
-    max_fds: int = field(default=1024, metadata=_key("maxFds"))
-    disk_mb: int = field(default=0, metadata=_key("diskMb"))
-    cpu_share: float = field(default=1.0, metadata=_key("cpuShare"))
+    memory_mb: int = field(default=256, metadata=key("memoryMb"))
+    max_fds: int = field(default=1024, metadata=key("maxFds"))
+    disk_mb: int = field(default=0, metadata=key("diskMb"))
+    cpu_share: float = field(default=1.0, metadata=key("cpuShare"))
 
 
 @dataclass(frozen=True, slots=True)
-class FaultTolerance(_Section):
+class FaultTolerance:
     """What may be lost at one time with every promise kept."""
 
     machines: int = 1
@@ -57,54 +46,54 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Bounds(_Section):
+class Bounds:
     """Time bounds of the rules, in the unit of their names."""
 
-    seed_lag_s: float = field(default=3, metadata=_key("seedLagS"))
-    reuse_after_s: float = field(default=2, metadata=_key("reuseAfterS"))
-    contact_ms: int = field(default=4000, metadata=_key("contactMs"))
-    ack_ms: int = field(default=5000, metadata=_key("ackMs"))
-    catch_up_s: float = field(default=4.2, metadata=_key("catchUpS"))
-    drain_ms: int = field(default=3000, metadata=_key("drainMs"))
-    grace_s: float = field(default=6, metadata=_key("graceS"))
-    config_apply_ms: int = field(default=3000, metadata=_key("configApplyMs"))
-    status_s: float = field(default=120, metadata=_key("statusS"))
-    callback_timeout_s: float = field(default=5, metadata=_key("callbackTimeoutS"))
-    visibility_ms: int = field(default=3000, metadata=_key("visibilityMs"))
-    early_ms: int = field(default=100, metadata=_key("earlyMs"))
-    ceiling_window_s: float = field(default=5, metadata=_key("ceilingWindowS"))
-    ceiling_overshoot: float = field(default=1.1, metadata=_key("ceilingOvershoot"))
+    seed_lag_s: float = field(default=3, metadata=key("seedLagS"))
+    reuse_after_s: float = field(default=2, metadata=key("reuseAfterS"))
+    contact_ms: int = field(default=4000, metadata=key("contactMs"))
+    ack_ms: int = field(default=5000, metadata=key("ackMs"))
+    catch_up_s: float = field(default=4.2, metadata=key("catchUpS"))
+    drain_ms: int = field(default=3000, metadata=key("drainMs"))
+    grace_s: float = field(default=6, metadata=key("graceS"))
+    config_apply_ms: int = field(default=3000, metadata=key("configApplyMs"))
+    status_s: float = field(default=120, metadata=key("statusS"))
+    callback_timeout_s: float = field(default=5, metadata=key("callbackTimeoutS"))
+    visibility_ms: int = field(default=3000, metadata=key("visibilityMs"))
+    early_ms: int = field(default=100, metadata=key("earlyMs"))
+    ceiling_window_s: float = field(default=5, metadata=key("ceilingWindowS"))
+    ceiling_overshoot: float = field(default=1.1, metadata=key("ceilingOvershoot"))
 
 
 @dataclass(frozen=True, slots=True)
-class CloudApi(_Section):
+class CloudApi:
     """The platform's list of workers."""
 
     address: str = ""
-    rate_per_s: float = field(default=1.0, metadata=_key("ratePerS"))
-    max_lag_ms: int = field(default=1000, metadata=_key("maxLagMs"))
+    rate_per_s: float = field(default=1.0, metadata=key("ratePerS"))
+    max_lag_ms: int = field(default=1000, metadata=key("maxLagMs"))
 
 
 @dataclass(frozen=True, slots=True)
-class BootSettings(_Section):
+class BootSettings:
     """The whole settings file."""
 
-    node_name: str = field(metadata=_key("nodeName"))
-    machine_class: str = field(metadata=_key("machineClass"))
+    node_name: str = field(metadata=key("nodeName"))
+    machine_class: str = field(metadata=key("machineClass"))
     ip: str = ""
     zone: str = ""
     region: str = ""
     serves: list[str] = field(default_factory=list)
-    internal_ports: list[int] = field(default_factory=lambda: [7780, 7795], metadata=_key("internalPorts"))
-    seed_nodes: list[str] = field(default_factory=list, metadata=_key("seedNodes"))
+    internal_ports: list[int] = field(default_factory=lambda: [7780, 7795], metadata=key("internalPorts"))
+    seed_nodes: list[str] = field(default_factory=list, metadata=key("seedNodes"))
     bootstrap: bool = False
-    counts_for_quorum: bool = field(default=False, metadata=_key("countsForQuorum"))
-    data_dir: str = field(default="", metadata=_key("dataDir"))
+    counts_for_quorum: bool = field(default=False, metadata=key("countsForQuorum"))
+    data_dir: str = field(default="", metadata=key("dataDir"))
     bind: Bind = field(default_factory=Bind)
     limits: ResourceLimits = field(default_factory=ResourceLimits)
-    fault_tolerance: FaultTolerance = field(default_factory=FaultTolerance, metadata=_key("faultTolerance"))
+    fault_tolerance: FaultTolerance = field(default_factory=FaultTolerance, metadata=key("faultTolerance"))
     bounds: Bounds = field(default_factory=Bounds)
-    cloud_api: CloudApi = field(default_factory=CloudApi, metadata=_key("cloudApi"))
+    cloud_api: CloudApi = field(default_factory=CloudApi, metadata=key("cloudApi"))
 
     @property
     def internal_address(self) -> str:
@@ -123,7 +112,6 @@
         return [f"{seed.rpartition(':')[0]}:{self.internal_ports[0]}" for seed in self.seed_nodes]
 
 
-_FIELD_TYPES: dict[str, type[Any]] = {"str": str, "list": list}
 _SECTIONS: dict[str, type[Any]] = {
     section.__name__: section for section in (Bind, ResourceLimits, FaultTolerance, Bounds, CloudApi)
 }
@@ -135,13 +123,10 @@
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"{source}: not TOML: {error}") from None
-    wrong = _wrong_type(BootSettings, document)
-    if wrong:
-        raise SettingsError(f"{source}: {wrong}")
     try:
-        settings = BootSettings.from_dict(document)
-    except (MissingField, InvalidFieldValue) as error:
-        raise SettingsError(f"{source}: {_fault(error)}") from None
+        settings = read_section(BootSettings, document, _SECTIONS)
+    except SectionError as error:
+        raise SettingsError(f"{source}: {error}") from None
     _check(settings, source)
     return settings
 
@@ -155,44 +140,6 @@
     return parse_settings(text, path)
 
 
-def _fault(error: BaseException) -> str:
-    """The fault with the path of its key: an error inside a section is the context of the section's."""
-    path: list[str] = []
-    innermost = error
-    while isinstance(error, MissingField | InvalidFieldValue):
-        path.append(_alias(error.field_name, error.holder_class))
-        innermost = error
-        nested = error.__cause__ or error.__context__
-        if nested is None:
-            break
-        error = nested
-    key = ".".join(path)
-    if isinstance(innermost, InvalidFieldValue):
-        return f"{key}: {innermost.field_value!r} is not {innermost.field_type_name}"
-    return f"{key} is missing"
-
-
-def _wrong_type(section: type[Any], values: dict[str, Any]) -> str:
-    """The first text or list of a section that is something else: the reader would make one of it."""
-    for item in fields(section):
-        key = item.metadata.get("alias", item.name)
-        value = values.get(key)
-        kind = _FIELD_TYPES.get(str(item.type).partition("[")[0])
-        if isinstance(value, dict) and kind is None and str(item.type) in _SECTIONS:
-            nested = _wrong_type(_SECTIONS[str(item.type)], value)
-            if nested:
-                return f"{key}.{nested}"
-        elif value is not None and kind is not None and not isinstance(value, kind):
-            return f"{key}: {value!r} is not {item.type}"
-    return ""
-
-
-def _alias(name: str, holder: Any) -> str:
-    """The key in the file for a field's name."""
-    found = holder.__dataclass_fields__.get(name)
-    return str(found.metadata.get("alias", name)) if found is not None else name
-
-
 def _check(settings: BootSettings, source: str) -> None:
     ports = settings.internal_ports
     wrong = ""
--- a/hollowusher/configuration/checks.py
+++ b/hollowusher/configuration/checks.py
@@ -6,11 +6,13 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import types
 from collections.abc import Callable
 from typing import Any, Union, get_args, get_origin, get_type_hints
 
 from expression import Error, Ok, Result
+from mashumaro.codecs.basic import BasicDecoder
 from mashumaro.exceptions import InvalidFieldValue, MissingField
 
 from hollowusher.configuration.model import Configuration, RequestLimits, Route, Service
@@ -38,6 +40,11 @@
 Check = Callable[[Document], Fault | None]
 
 
+@functools.cache
+def _decoder() -> BasicDecoder[Configuration]:
+    return BasicDecoder(Configuration)
+
+
 def check_document(document: Document) -> Checked:
     """The configuration of a whole document, or the first fault found in it."""
     for check in _CHECKS:
@@ -45,7 +52,7 @@
         if fault is not None:
             return Error(fault)
     try:
-        return Ok(Configuration.from_dict(document))
+        return Ok(_decoder().decode(document))
     except MissingField as error:
         return Error(Fault("configuration", f"{error.field_name} is missing"))
     except InvalidFieldValue as error:
--- a/hollowusher/configuration/model.py
+++ b/hollowusher/configuration/model.py
@@ -1,4 +1,6 @@
-"""The operator's configuration as the program uses it, read by mashumaro from its JSON document.
+"""The operator's configuration as the program uses it, read from its JSON document.
+
+The controller that takes a document checks it with mashumaro (`checks`); all others read what was checked.
 
 The wire's names are kept as aliases; units are those of the document (milliseconds, seconds, per second).
 """
@@ -6,65 +8,59 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Any
 
 import orjson
-from mashumaro import DataClassDictMixin, field_options
-from mashumaro.config import BaseConfig
-
 
-class _Section(DataClassDictMixin):
-    class Config(BaseConfig):
-        serialize_by_alias = True
-        allow_deserialization_not_by_alias = False
-        lazy_compilation = True  # else both directions are compiled at import: 40 ms of each start
+from hollowusher.configuration.section_reader import key, read_section
 
 
 @dataclass(frozen=True, slots=True)
-class Route(_Section):
+class Route:
     """Which requests go to which service, and how."""
 
     name: str
     hostname: str
-    path_prefix: str = field(metadata=field_options(alias="pathPrefix"))
+    path_prefix: str = field(metadata=key("pathPrefix"))
     upstream: str
     type: str = "async"
-    timeout_ms: int = field(default=1000, metadata=field_options(alias="timeoutMs"))
-    target_latency_ms: int = field(default=0, metadata=field_options(alias="targetLatencyMs"))
-    target_start_ms: int = field(default=0, metadata=field_options(alias="targetStartMs"))
+    timeout_ms: int = field(default=1000, metadata=key("timeoutMs"))
+    target_latency_ms: int = field(default=0, metadata=key("targetLatencyMs"))
+    target_start_ms: int = field(default=0, metadata=key("targetStartMs"))
     priority: int = 0
-    max_attempts: int = field(default=1, metadata=field_options(alias="maxAttempts"))
+    max_attempts: int = field(default=1, metadata=key("maxAttempts"))
     ordered: bool = False
-    retention_s: float = field(default=60.0, metadata=field_options(alias="retentionS"))
-    callback_url: bool = field(default=False, metadata=field_options(alias="callbackUrl"))
+    retention_s: float = field(default=60.0, metadata=key("retentionS"))
+    callback_url: bool = field(default=False, metadata=key("callbackUrl"))
 
 
 @dataclass(frozen=True, slots=True)
-class Service(_Section):
+class Service:
     """One upstream: listed workers, a fixed endpoint, or workers that pull."""
 
     name: str
-    health_check: str = field(default="/healthz", metadata=field_options(alias="healthCheck"))
-    max_connections: int = field(default=64, metadata=field_options(alias="maxConnections"))
+    health_check: str = field(default="/healthz", metadata=key("healthCheck"))
+    max_connections: int = field(default=64, metadata=key("maxConnections"))
     protocol: str = "h1"
     tls: bool = False
-    rate_per_s: float = field(default=0.0, metadata=field_options(alias="ratePerS"))
+    rate_per_s: float = field(default=0.0, metadata=key("ratePerS"))
     idempotent: bool = False
     pull: bool = False
     fixed: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class RequestLimits(_Section):
+class RequestLimits:
     """Bounds on what a client may send."""
 
-    max_header_bytes: int = field(default=16_384, metadata=field_options(alias="maxHeaderBytes"))
-    max_body_bytes: int = field(default=262_144, metadata=field_options(alias="maxBodyBytes"))
-    header_timeout_ms: int = field(default=3_000, metadata=field_options(alias="headerTimeoutMs"))
-    idle_timeout_ms: int = field(default=15_000, metadata=field_options(alias="idleTimeoutMs"))
+    max_header_bytes: int = field(default=16_384, metadata=key("maxHeaderBytes"))
+    max_body_bytes: int = field(default=262_144, metadata=key("maxBodyBytes"))
+    header_timeout_ms: int = field(default=3_000, metadata=key("headerTimeoutMs"))
+    idle_timeout_ms: int = field(default=15_000, metadata=key("idleTimeoutMs"))
 
 
 @dataclass(frozen=True, slots=True)
-class Configuration(_Section):
+class Configuration:
     """A whole configuration."""
 
     generation: int
@@ -90,6 +86,13 @@
         return next((service for service in self.upstreams if service.name == name), None)
 
 
+_SECTIONS: dict[str, type[Any]] = {
+    "list[Route]": Route,
+    "list[Service]": Service,
+    "RequestLimits": RequestLimits,
+}
+
+
 def read_document(document: bytes) -> Configuration:
     """The configuration of a JSON document that has been checked before."""
-    return Configuration.from_dict(orjson.loads(document))
+    return read_section(Configuration, orjson.loads(document), _SECTIONS)
--- a/tests/support/dispatch.py
+++ b/tests/support/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 from collections import deque
 from collections.abc import Callable, Coroutine
@@ -12,6 +13,7 @@
 
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.configuration.model import Configuration, Route, Service
+from hollowusher.configuration.section_reader import key_of
 from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.delivery.outcome import DeliveryOutcome, WorkerFeedback
 from hollowusher.delivery.worker_client import Endpoint
@@ -116,12 +118,23 @@
 
     def configure(self, services: list[Service], routes: list[Route]) -> None:
         document = Configuration(self._version + 1, routes, services)
-        self.put("configuration", orjson.dumps(document.to_dict()))
+        self.put("configuration", orjson.dumps(document_of(document)))
 
     def list_workers(self, workers: list[PlatformWorker]) -> None:
         self.put("workers", PlatformWorkerList(workers))
 
 
+def document_of(section: Any) -> dict[str, Any]:
+    """Return a part of a configuration as it stands in the operator's document."""
+    found: dict[str, Any] = {}
+    for field in dataclasses.fields(section):
+        value = getattr(section, field.name)
+        if isinstance(value, list):
+            value = [document_of(item) for item in value]
+        found[key_of(field)] = document_of(value) if dataclasses.is_dataclass(value) else value
+    return found
+
+
 class LeasingStores:
     """The transport and the store client of a process, with stores that lease jobs from simple queues."""
 
