--- a/hollowusher/intake/store_client.py
+++ b/hollowusher/intake/store_client.py
@@ -212,15 +212,16 @@
         return None if address is None else _PrimaryTarget(partition, address)
 
     def _choose(self, candidates: Sequence[int], refused: set[int], now: float) -> _PrimaryTarget | None:
-        """The first candidate whose primary is known and not suspect."""
+        """The first candidate whose primary is known and may be given a message."""
+        is_trouble_near = any(health.is_suspect(now) for health in self._health.values())
         for partition in candidates:
             if partition in refused:
                 continue
             target = self._primary(partition)
             if target is None:
                 continue
-            health = self._health.get(target.address)
-            if health is None or not health.is_suspect(now):
+            health = self._health.setdefault(target.address, PeerHealth())
+            if not health.is_suspect(now) and (health.is_confirmed(now) or not is_trouble_near):
                 return target
             if health.is_health_check_due(now):
                 self._start_health_check(target)
@@ -295,13 +296,13 @@
             known = before.get(number)
             address = self._state.store_address(entry.primary)
             if (known is None or known.epoch != entry.epoch) and address in self._health:
-                self._health[address].reset()
+                self._health[address].reset(self._clock())
 
     def _reset_restarted_store(self, member: Member) -> None:
         known = self._incarnations.get(member.name)
         self._incarnations[member.name] = member.incarnation
         if known != member.incarnation and member.address in self._health:
-            self._health[member.address].reset()
+            self._health[member.address].reset(self._clock())
 
 
 def _with_delay_left(message: NewMessage, waited_s: float) -> NewMessage:
--- a/hollowusher/simulation/experiment/report.py
+++ b/hollowusher/simulation/experiment/report.py
@@ -10,7 +10,7 @@
 from hollowusher.simulation.experiment.runner import PlayResult
 from hollowusher.simulation.experiment.statistics import Difference, paired_difference
 
-SHOWN = ("worth", "whole_day", "worst_windows", "nines", "unanswered_s", "bytes_between_zones")
+SHOWN = ("worth", "whole_day", "worst_windows", "nines", "uncertain", "unanswered_s", "bytes_between_zones")
 
 
 def compare(results: Iterable[PlayResult], first: str, measure: str) -> dict[tuple[str, str], Difference]:
--- a/hollowusher/simulation/experiment/worth.py
+++ b/hollowusher/simulation/experiment/worth.py
@@ -18,6 +18,7 @@
 from hollowusher.simulation.observations import Observations, SentMessage, WorkerRun
 
 WINDOW_S = 2.0
+UNCERTAIN_STATUS = 504
 WORST_WINDOWS = 2
 MOST_NINES = 3.0
 DAY_WEIGHT, NINES_WEIGHT, WINDOWS_WEIGHT, CLASS_WEIGHT = 0.4, 0.35, 0.15, 0.1
@@ -33,6 +34,7 @@
     worst_class: float
     nines: float  # of the share served, 1 for three nines
     served: float  # share of the messages that were accepted and run
+    uncertain: float  # share of the requests whose last answer was 504
     unanswered_s: float  # the longest time without an accepted message
     bytes_between_zones: float  # a message
     internal_messages: float  # a message
@@ -69,6 +71,11 @@
         first = self.tries[0].request
         return first.sent_at if first is not None else self.tries[0].sent_at
 
+    @property
+    def is_uncertain(self) -> bool:
+        """Whether its client cannot know if it was taken."""
+        return self.tries[-1].status == UNCERTAIN_STATUS
+
     def accepted(self) -> SentMessage | None:
         """Return the try that was accepted."""
         return next((each for each in self.tries if each.accepted), None)
@@ -112,6 +119,7 @@
         worst_class=worst_class,
         nines=served_nines,
         served=served / count,
+        uncertain=sum(request.is_uncertain for request in requests) / count,
         unanswered_s=_longest_gap(accepted_at),
         bytes_between_zones=network["bytes_between_zones"] / count,
         internal_messages=network["messages"] / count,
