--- a/hollowusher/simulation/__main__.py
+++ b/hollowusher/simulation/__main__.py
@@ -14,6 +14,7 @@
 import click
 
 if TYPE_CHECKING:
+    from hollowusher.simulation.cluster import DeploymentSize
     from hollowusher.simulation.planted import PlantedFault
     from hollowusher.simulation.simulation_run import SimulationPlan
 
@@ -27,6 +28,7 @@
 @click.option("--traffic", "traffic_s", default=30.0, help="Seconds of traffic a day.")
 @click.option("--calm", "calm_s", default=20.0, help="Seconds of calm at the end of a day.")
 @click.option("--long-delays", "long_delay_s", default=0.0, help="The longest delays; 0: a few seconds.")
+@click.option("--size", "size_text", default="", help="CONTROLLERS,PLAIN_EDGES,STORES,FAULTS,ZONES; drawn.")
 @click.option("--rate", default=25.0, help="Messages a second.")
 @click.option("--kinds", default="", help="Only these faults, separated by commas.")
 @click.option("--quiet-days", is_flag=True, help="Days without any fault.")
@@ -40,6 +42,7 @@
     traffic_s: float,
     calm_s: float,
     long_delay_s: float,
+    size_text: str,
     rate: float,
     kinds: str,
     quiet_days: bool,
@@ -52,6 +55,7 @@
     from hollowusher.simulation.simulation_run import SimulationPlan
 
     plan = SimulationPlan(
+        size=parse_size(size_text) if size_text else None,
         traffic_s=traffic_s,
         calm_s=calm_s,
         rate=rate,
@@ -70,6 +74,14 @@
     sys.exit(0 if play_seeds(numbers, plan, until, go_on, verbose) else 1)
 
 
+def parse_size(text: str) -> DeploymentSize:
+    """Return the machines that a text like `5,2,8,2,4` names."""
+    from hollowusher.simulation.cluster import DeploymentSize
+
+    controllers, plain_edges, stores, faults, zones = (int(word) for word in text.split(","))
+    return DeploymentSize(controllers, plain_edges, stores, faults, zones=zones)
+
+
 def play_seeds(
     numbers: Sequence[int], plan: SimulationPlan, until: float, go_on: bool, verbose: bool
 ) -> bool:
