Let only present primaries count as trouble near a quiet store

Cause: a store that was removed stays suspected for good, so that each edge process would have probed quiet stores for ever. Change: suspicions count while their store is a primary of the placement. A test fails without it. Measured: tests/intake pass.

--- a/hollowusher/intake/store_client.py
+++ b/hollowusher/intake/store_client.py
@@ -213,7 +213,7 @@
 
     def _choose(self, candidates: Sequence[int], refused: set[int], now: float) -> _PrimaryTarget | None:
         """The first candidate whose primary is known and may be given a message."""
-        is_trouble_near = any(health.is_suspect(now) for health in self._health.values())
+        is_trouble_near = self._is_any_primary_suspect(now)
         for partition in candidates:
             if partition in refused:
                 continue
@@ -227,6 +227,11 @@
                 self._start_health_check(target)
         return None
 
+    def _is_any_primary_suspect(self, now: float) -> bool:
+        """Whether a store that is a primary now is suspected; one that was replaced does not count."""
+        addresses = {self._state.store_address(entry.primary) for entry in self._placed.values()}
+        return any(health.is_suspect(now) for address, health in self._health.items() if address in addresses)
+
     async def _call(self, target: _PrimaryTarget, request: Any, deadline: float) -> Any:
         """One call; `PrimaryMovedError` when the partition gets another primary meanwhile."""
         health = self._health.setdefault(target.address, PeerHealth())
--- a/tests/intake/test_store_client.py
+++ b/tests/intake/test_store_client.py
@@ -322,6 +322,18 @@
 
         play({ONE: [refused(ONE)], TWO: [SilentStore()]}, work)
 
+    def test_a_suspect_that_is_no_primary_any_more_makes_nobody_careful(self) -> None:
+        async def work(world: World) -> None:
+            await world.put([0, 1])
+            place(world.state, 2, {0: "three", 1: "two"}, epoch=2)
+            await asyncio.sleep(10 * CONFIRMED_FOR_S)
+            probes = len(world.transport.probes())
+            await world.put([1], deadline=20 * CONFIRMED_FOR_S)
+            assert len(world.transport.probes()) == probes
+
+        answers = [MessageStatusResponse("unknown"), STORED, STORED]
+        play({ONE: [refused(ONE)], TWO: answers, THREE: [STORED]}, work)
+
     def test_without_a_suspect_a_quiet_store_gets_a_message_at_once(self) -> None:
         async def work(world: World) -> None:
             await world.put([1])
