--- a/hollowusher/simulation/planted/calls.py
+++ b/hollowusher/simulation/planted/calls.py
@@ -130,9 +130,7 @@
         matching = attrs.evolve(order, if_match=state.generation)
         return real(state, matching if order.if_match else order)
 
-    from hollowusher.coordination.controller import control_state_service as state_service
-
-    patches.replace(state_service, "apply_order", apply)
+    patches.replace(orders, "apply_order", apply)
 
 
 @planted_fault("TWICE", "MIXED")
--- a/hollowusher/simulation/planted/control.py
+++ b/hollowusher/simulation/planted/control.py
@@ -80,9 +80,7 @@
         matching = attrs.evolve(order, if_match=state.generation) if attrs.has(type(order)) else order
         return real(state, matching)
 
-    from hollowusher.coordination.controller import control_state_service as state_service
-
-    patches.replace(state_service, "apply_order", apply)
+    patches.replace(orders, "apply_order", apply)
 
 
 @planted_fault("CONFIG")
--- a/tests/simulation/test_long_days.py
+++ b/tests/simulation/test_long_days.py
@@ -23,7 +23,9 @@
 
 
 @pytest.mark.parametrize(
-    ("plan", "seed"), [(LOST_DISKS, 1), (LOST_DISKS, 3), (MIXED, 2)], ids=["disks-1", "disks-3", "mixed-2"]
+    ("plan", "seed"),
+    [(LOST_DISKS, 1), (LOST_DISKS, 3), (LOST_DISKS, 5), (MIXED, 2)],
+    ids=["disks-1", "disks-3", "disks-5", "mixed-2"],
 )
 def test_no_message_is_lost_or_left_waiting(plan: SimulationPlan, seed: int) -> None:
     result = run_seed(seed, plan, build_program)
@@ -33,5 +35,5 @@
 
 def test_a_delay_that_begins_anew_at_each_repair_is_found() -> None:
     with planting("delay-begins-anew-at-each-repair"):
-        result = run_seed(3, LOST_DISKS, build_program)
+        result = run_seed(5, LOST_DISKS, build_program)
     assert "LOST" in {violation.rule for violation in result.violations}
