--- a/hollowusher/configuration/boot.py
+++ b/hollowusher/configuration/boot.py
@@ -102,13 +102,15 @@
 
     @property
     def status_address(self) -> str:
-        """Where a process without an operator's address tells how it stands: the last internal port of its
-        machine, none where that is the first one too."""
+        """Return where a process without an operator's address serves its status.
+
+        It is the last internal port of its machine; empty where that is the first one too.
+        """
         first, last = self.internal_ports
         return f"{self.ip}:{last}" if last != first else ""
 
     def seed_addresses(self) -> list[str]:
-        """The internal addresses of the seeds: ports are alike on all machines."""
+        """Return the internal addresses of the seeds: ports are alike on all machines."""
         return [f"{seed.rpartition(':')[0]}:{self.internal_ports[0]}" for seed in self.seed_nodes]
 
 
@@ -118,7 +120,7 @@
 
 
 def parse_settings(text: str, source: str) -> BootSettings:
-    """The settings of a file's text; `source` names it in errors."""
+    """Return the settings of a file's text; `source` names it in errors."""
     try:
         document = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
@@ -132,7 +134,7 @@
 
 
 def read_settings(path: str) -> BootSettings:
-    """The settings in the file at `path`."""
+    """Return the settings in the file at `path`."""
     try:
         text = Path(path).read_text()
     except OSError as error:
--- a/hollowusher/configuration/checks.py
+++ b/hollowusher/configuration/checks.py
@@ -46,7 +46,7 @@
 
 
 def check_document(document: Document) -> Checked:
-    """The configuration of a whole document, or the first fault found in it."""
+    """Return the configuration of a whole document, or the first fault found in it."""
     for check in _CHECKS:
         fault = check(document)
         if fault is not None:
--- a/hollowusher/configuration/model.py
+++ b/hollowusher/configuration/model.py
@@ -69,7 +69,7 @@
     limits: RequestLimits = field(default_factory=RequestLimits)
 
     def route_for(self, hostname: str, path: str) -> Route | None:
-        """The route of this host with the longest prefix that the path starts with."""
+        """Return the route of this host with the longest prefix that the path starts with."""
         best: Route | None = None
         for route in self.routes:
             longer = best is None or len(route.path_prefix) > len(best.path_prefix)
@@ -78,11 +78,11 @@
         return best
 
     def route(self, name: str) -> Route | None:
-        """The route of this name."""
+        """Return the route of this name."""
         return next((route for route in self.routes if route.name == name), None)
 
     def service(self, name: str) -> Service | None:
-        """The service of this name."""
+        """Return the service of this name."""
         return next((service for service in self.upstreams if service.name == name), None)
 
 
@@ -94,5 +94,5 @@
 
 
 def read_document(document: bytes) -> Configuration:
-    """The configuration of a JSON document that has been checked before."""
+    """Return the configuration of a JSON document that has been checked before."""
     return read_section(Configuration, orjson.loads(document), _SECTIONS)
--- a/hollowusher/configuration/order_history.py
+++ b/hollowusher/configuration/order_history.py
@@ -25,20 +25,22 @@
         self._settled = 0
 
     def note(self, generation: int, now: float) -> None:
-        """This generation is committed at `now`."""
+        """Record that a generation is committed at `now`."""
         if generation > (self._marks[-1][0] if self._marks else self._settled):
             self._marks.append((generation, now))
 
     def no_longer_repeated(self, now: float) -> int:
-        """The newest generation whose order nobody sends again."""
+        """Return the newest generation whose order nobody sends again."""
         while self._marks and now - self._marks[0][1] >= REPEATED_FOR_S:
             self._settled = self._marks.popleft()[0]
         return self._settled
 
 
 def pruned(history: list[Entry], most: int, forgettable: int) -> list[Entry]:
-    """The history without its oldest orders beyond the newest `most`, as far as they may be forgotten: those
-    up to the generation `forgettable`."""
+    """Return the history without its oldest orders beyond the newest `most`.
+
+    Only those up to the generation `forgettable` may be forgotten.
+    """
     surplus = max(0, len(history) - most)
     dropped = 0
     while dropped < surplus and history[dropped][0] <= forgettable:
--- a/hollowusher/configuration/orders.py
+++ b/hollowusher/configuration/orders.py
@@ -48,8 +48,11 @@
 
 @attrs.frozen
 class OrderOutcome:
-    """What an order does: the new control state, None where there is nothing to change, and the answer that
-    is true once that state is committed."""
+    """What an order does.
+
+    That is the new control state, None where there is nothing to change, and the answer that is true once
+    that state is committed.
+    """
 
     answer: OperatorResponse
     state: ControlState | None = None
@@ -75,15 +78,17 @@
 
 
 def order_digest(method: str, if_match: int | None, content: Document) -> bytes:
-    """The same for the same order, whatever the layout of its JSON."""
+    """Return a digest that is the same for the same order, whatever the layout of its JSON."""
     canonical = orjson.dumps(content, option=orjson.OPT_SORT_KEYS)
     head = f"{method} {if_match}\n".encode()
     return hashlib.blake2b(head + canonical, digest_size=DIGEST_BYTES).digest()
 
 
 def apply_order(state: ControlState, order: Order, forgettable: int | None = None) -> OrderOutcome:
-    """What an order does to this state.  Orders up to the generation `forgettable` may leave the history
-    (None: all that were taken)."""
+    """Return what an order does to this state.
+
+    Orders up to the generation `forgettable` may leave the history (None: all that were taken).
+    """
     taken = _generation_taken(state, order.digest)
     if taken is not None:
         return OrderOutcome(_acknowledgement(taken))
@@ -115,7 +120,7 @@
 
 
 def _changed_document(state: ControlState, order: Order) -> Result[Document, Refusal]:
-    """The whole configuration that an order asks for."""
+    """Return the whole configuration that an order asks for."""
     if (order.if_match or 0) != state.generation:
         return Error(Refusal(412, "If-Match", f"the current version is {state.generation}"))
     fault = _check_generation(state, order.content)
@@ -162,7 +167,7 @@
 
 
 def _merge(state: ControlState, patch: Document) -> Document:
-    """The current document with a PATCH applied: items keep their places, new ones come last."""
+    """Return the current document with a PATCH applied: items keep their places, new ones come last."""
     document: Document = orjson.loads(state.document) if state.document else {}
     document["generation"] = patch["generation"]
     for section in LISTS:
--- a/hollowusher/configuration/refusal.py
+++ b/hollowusher/configuration/refusal.py
@@ -23,5 +23,5 @@
     reason: str
 
     def answer(self) -> OperatorResponse:
-        """What the operator is told."""
+        """Return the answer to the operator."""
         return OperatorResponse(self.status, orjson.dumps({"error": f"{self.item}: {self.reason}"}))
