--- a/hollowusher/simulation/experiment/experiment.py
+++ b/hollowusher/simulation/experiment/experiment.py
@@ -14,10 +14,9 @@
     read_scenario,
     shipped_scenarios,
 )
+from hollowusher.simulation.experiment.statistics import MIN_PAIRS
 from hollowusher.simulation.experiment.variants import BASE, Variant, ablations, parse_variant
 
-MIN_SEEDS = 4  # before a standard error is believed
-
 
 class Experiment:
     """The plays of one experiment."""
@@ -53,7 +52,7 @@
         """Return the largest standard error of the worth, infinity while there are few seeds."""
         differences = compare(self.results, BASE, "worth").values()
         wanted = len(self.scenarios) * (len(self.variants) - 1)
-        if len(differences) < wanted or any(each.pairs < MIN_SEEDS for each in differences):
+        if len(differences) < wanted or any(each.pairs < MIN_PAIRS for each in differences):
             return float("inf")
         return max((each.error for each in differences), default=float("inf"))
 
--- a/hollowusher/simulation/experiment/statistics.py
+++ b/hollowusher/simulation/experiment/statistics.py
@@ -11,6 +11,7 @@
 
 RESAMPLES = 2000
 INTERVAL_SHARE = 0.95
+MIN_PAIRS = 4  # fewer are not believed, whatever their interval
 
 
 @attrs.frozen
@@ -26,7 +27,7 @@
     @property
     def is_clear(self) -> bool:
         """Whether the interval excludes no difference."""
-        return self.low > 0.0 or self.high < 0.0
+        return self.pairs >= MIN_PAIRS and (self.low > 0.0 or self.high < 0.0)
 
 
 def paired_difference(differences: Sequence[float], seed: int = 1) -> Difference:
--- a/tests/simulation/experiment/test_worth.py
+++ b/tests/simulation/experiment/test_worth.py
@@ -104,3 +104,4 @@
     assert not unclear.is_clear
     assert unclear.low < unclear.mean < unclear.high
     assert not paired_difference([0.1]).is_clear
+    assert not paired_difference([0.1, 0.11]).is_clear  # too few
