Revert the probes of quiet stores: at size they turn messages into refusals

Cause: a put waits at a store that takes a partition over and then succeeds; the probe of that store gives up after 0.3 s and the message is refused.

--- a/hollowusher/intake/peer_health.py
+++ b/hollowusher/intake/peer_health.py
@@ -3,16 +3,12 @@
 A store is suspected after a failed call until it answers again, and while a call has been waiting longer
 than `SUSPECT_AFTER_S` without any answer having come since.  A suspected store is probed, at most once in
 `HEALTH_CHECK_INTERVAL_S`.
-
-While some store is suspected the others may be lost with it: one that has not answered for
-`CONFIRMED_FOR_S` is probed too before a message is risked on it.
 """
 
 from __future__ import annotations
 
 SUSPECT_AFTER_S = 0.25
 HEALTH_CHECK_INTERVAL_S = 0.3
-CONFIRMED_FOR_S = 0.5  # an answer vouches for its store so long; about as long as a call may take
 
 
 class PeerHealth:
@@ -27,10 +23,6 @@
         self._failed = False
         self._next_health_check = float("-inf")
 
-    def is_confirmed(self, now: float) -> bool:
-        """Whether the store has answered lately."""
-        return now - self._last_answer <= CONFIRMED_FOR_S
-
     def call_started(self, now: float) -> int:
         """A call starts; its number."""
         number = self._next_number
@@ -55,11 +47,10 @@
         """The caller stopped waiting; nothing was learned."""
         self._started.pop(number, None)
 
-    def reset(self, now: float) -> None:
-        """News from elsewhere (a new placement, a restart) show that the store lives, whatever failed."""
+    def reset(self) -> None:
+        """News from elsewhere (a new placement, a restart) make earlier failures meaningless."""
         self._failed = False
         self._started.clear()
-        self._last_answer = max(self._last_answer, now)
 
     def is_suspect(self, now: float) -> bool:
         """Whether the store should be avoided at present."""
--- a/hollowusher/intake/store_client.py
+++ b/hollowusher/intake/store_client.py
@@ -212,26 +212,20 @@
         return None if address is None else _PrimaryTarget(partition, address)
 
     def _choose(self, candidates: Sequence[int], refused: set[int], now: float) -> _PrimaryTarget | None:
-        """The first candidate whose primary is known and may be given a message."""
-        is_trouble_near = self._is_any_primary_suspect(now)
+        """The first candidate whose primary is known and not suspect."""
         for partition in candidates:
             if partition in refused:
                 continue
             target = self._primary(partition)
             if target is None:
                 continue
-            health = self._health.setdefault(target.address, PeerHealth())
-            if not health.is_suspect(now) and (health.is_confirmed(now) or not is_trouble_near):
+            health = self._health.get(target.address)
+            if health is None or not health.is_suspect(now):
                 return target
             if health.is_health_check_due(now):
                 self._start_health_check(target)
         return None
 
-    def _is_any_primary_suspect(self, now: float) -> bool:
-        """Whether a store that is a primary now is suspected; one that was replaced does not count."""
-        addresses = {self._state.store_address(entry.primary) for entry in self._placed.values()}
-        return any(health.is_suspect(now) for address, health in self._health.items() if address in addresses)
-
     async def _call(self, target: _PrimaryTarget, request: Any, deadline: float) -> Any:
         """One call; `PrimaryMovedError` when the partition gets another primary meanwhile."""
         health = self._health.setdefault(target.address, PeerHealth())
@@ -301,13 +295,13 @@
             known = before.get(number)
             address = self._state.store_address(entry.primary)
             if (known is None or known.epoch != entry.epoch) and address in self._health:
-                self._health[address].reset(self._clock())
+                self._health[address].reset()
 
     def _reset_restarted_store(self, member: Member) -> None:
         known = self._incarnations.get(member.name)
         self._incarnations[member.name] = member.incarnation
         if known != member.incarnation and member.address in self._health:
-            self._health[member.address].reset(self._clock())
+            self._health[member.address].reset()
 
 
 def _with_delay_left(message: NewMessage, waited_s: float) -> NewMessage:
