--- a/hollowusher/simulation/connection.py
+++ b/hollowusher/simulation/connection.py
@@ -21,6 +21,7 @@
     from hollowusher.simulation.transport import SimulatedTransport
 
 USER_TIMEOUT_S = 3.0  # unacknowledged bytes end a connection after this, like TCP_USER_TIMEOUT
+MIN_RETRANSMISSION_S = 0.4
 ONE_WAY, REQUEST, ANSWER, FAILURE, REFUSED = range(5)  # kinds of frames
 
 
@@ -86,11 +87,17 @@
             self.connection.drop_end(self.source, "timed out")
 
     def flush(self) -> None:
-        """Send the first frame again after a while if the link is open again."""
+        """Send the first frame again after a while if the link is open again.
+
+        TCP doubles the time between its retransmissions (RFC 6298, section 5.5): after a stall the next one
+        may come as late as the stall was long.
+        """
         network = self.connection.network
         if self._stalled_since is not None and network.reaches(self.source, self.target):
+            now = network.loop.time()
+            longest_s = max(MIN_RETRANSMISSION_S, now - self._stalled_since)
             self._stalled_since = None
-            again = network.loop.time() + network.random_source.uniform(0.0, 0.4)
+            again = now + network.random_source.uniform(0.0, longest_s)
             self.frames[0] = (again, self.frames[0][1])
             self.schedule()
 
--- a/hollowusher/simulation/faults/links.py
+++ b/hollowusher/simulation/faults/links.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import combinations
 
+from hollowusher.simulation.cluster import CATCH_UP_S
+from hollowusher.simulation.faults import machines
 from hollowusher.simulation.faults.context import FaultContext, FaultRequest, fault_kind
 from hollowusher.simulation.machine import SimulatedMachine
 
 LENGTHS = (0.3, 1.5, 4.0, 7.0, 20.0)
+SOME_LENGTHS = (1.2, 1.6, 2.0, 4.0)  # about as long as a view takes, and a head's write in a cut chain
+CUT_SHARE = 0.7
+BOTH_WAYS_SHARE = 0.8
+RACES = 2
 
 
 @fault_kind("cut", 2)
@@ -147,6 +154,49 @@
     context.end(fault)
 
 
+@fault_kind("cut_some", 1.5)
+async def cut_some(context: FaultContext, request: FaultRequest) -> None:
+    """Cut any subset of the links of one machine (how = any: of all counted ones), under racing operators.
+
+    The operators send their orders to a machine of the subset and to others, and repeat them elsewhere.  With
+    `how` = replaced another machine is replaced right before.
+    """
+    random_source = context.random_source
+    if request.how == "replaced":
+        await machines.replace(context, FaultRequest("replace", how="planned", for_s=CATCH_UP_S))
+        await context.wait_until_allowed()
+    machine = context.choose_machine(request, context.counted_machines("edge"))
+    counted = context.counted_machines()
+    everywhere = request.how == "any"
+    fault = context.begin("cut_some", machine.name, counted if everywhere else [machine])
+    links = [
+        (one, other)
+        for one, other in combinations(counted, 2)
+        if (everywhere or machine in (one, other)) and random_source.random() < CUT_SHARE
+    ]
+    for one, other in links:
+        context.cluster.network.block(one.ip, other.ip, both=random_source.random() < BOTH_WAYS_SHARE)
+    orders = _race_repeatedly(context, machine)
+    await context.wait(request, *SOME_LENGTHS)
+    for one, other in links:
+        context.cluster.network.heal(one.ip, other.ip)
+    context.end(fault)
+    await orders
+
+
+def _race_repeatedly(context: FaultContext, machine: SimulatedMachine) -> asyncio.Future[object]:
+    """Have two operators race, some times, at a machine and at others."""
+    if context.operator is None:
+        return asyncio.ensure_future(asyncio.sleep(0))
+    edges = context.cluster.machines_with_role("edge")
+    others = [each for each in edges if each is not machine]
+    races = [
+        context.operator.race(machine.admin_address, context.random_source.choice(others).admin_address)
+        for _ in range(RACES)
+    ]
+    return asyncio.ensure_future(asyncio.gather(*races))
+
+
 @fault_kind("split", 1.5)
 async def split(context: FaultContext, request: FaultRequest) -> None:
     """Split the network so that one store is reached from both sides.
--- a/hollowusher/simulation/planted/control.py
+++ b/hollowusher/simulation/planted/control.py
@@ -9,6 +9,8 @@
 
 from hollowusher.configuration import orders
 from hollowusher.coordination.chain import chain_replicator
+from hollowusher.coordination.chain.chain_member import ChainMember
+from hollowusher.coordination.chain.pending_change import PendingChange
 from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.coordination.consensus.view_consensus import ViewConsensus
 from hollowusher.messages.partition.partition_primary import PartitionPrimary
@@ -39,6 +41,15 @@
     real = patches.replace(chain_replicator.ChainReplicator, "_forward_to_successor", pass_on)
 
 
+@planted_fault(test="tests/coordination/controller/test_orders_of_deposed_head.py")
+def _order_answered_for_the_state_held(patches: Patches) -> None:
+    def on_answer(change: PendingChange, member: ChainMember) -> None:
+        change.saved_state = member.state
+
+    patches.replace(PendingChange, "on_saved", lambda change, write: None)
+    patches.replace(PendingChange, "on_answer", on_answer)
+
+
 @planted_fault(
     "CONFIG", script=(fault_at(2, "cut_core", "edge-3", for_s=10.0), fault_at(15, "cut_core", for_s=10.0))
 )
--- a/tests/simulation/test_planted_faults.py
+++ b/tests/simulation/test_planted_faults.py
@@ -18,6 +18,7 @@
     "emptied-too-early": "tests/coordination/placement/test_store_retirement.py",
     "learner-promoted-early": "tests/coordination/placement/test_planner_replicas.py",
     "moved-primary-serves-on": "tests/messages/test_replication.py::test_random_faults_lose_nothing",
+    "order-answered-for-the-state-held": "tests/coordination/controller/test_orders_of_deposed_head.py",
     "seed-forgets-the-view": "tests/coordination/distribution/test_cluster_client.py",
     "unknown-put-answered-503": "tests/intake/test_store_client.py",
 }
