Double the pause after each failed proposal of an epoch, up to 3.2 s

So a replaced voter was not let go in time, and the next loss took the quorum: no order was taken any more.

Change: ProposalBackoff (pure): binary exponential backoff an epoch; a decided view ends the pause at once.

--- a/hollowusher/coordination/consensus/view_consensus.py
+++ b/hollowusher/coordination/consensus/view_consensus.py
@@ -14,6 +14,7 @@
 from typing import TypeVar, assert_never
 
 from hollowusher.coordination.consensus.paxos import Acceptor, quorum_size, voter_id
+from hollowusher.coordination.consensus.proposal_backoff import ProposalBackoff
 from hollowusher.coordination.consensus.voter_instructions import (
     BroadcastDecision,
     EndProposal,
@@ -42,7 +43,6 @@
 
 VOTE_TIMEOUT_S = 1.0
 CONFIRM_TIMEOUT_S = 0.4
-MAX_BACKOFF_S = 0.2
 
 Result = TypeVar("Result")
 Response = Promise | Accepted | FirstViewResponse
@@ -62,7 +62,7 @@
         self._me = me
         self._transport = transport
         self._slot = slot
-        self._random_source = random_source
+        self._backoff = ProposalBackoff(random_source)
         self._on_view = on_view
         self._machine = VoterStateMachine(me.name, me.disk_id, slot.load())
         self._request_ids = itertools.count()
@@ -156,9 +156,21 @@
                 self._machine.abandon()
                 self._execute_instructions()
         if not result.result():
-            await asyncio.sleep(self._random_source.uniform(0.0, MAX_BACKOFF_S))
+            epoch = self.acceptor.epoch + 1
+            await self._wait_for_view(epoch, self._backoff.next_pause_s(epoch))
         return result.result()
 
+    async def _wait_for_view(self, epoch: int, longest_s: float) -> None:
+        """Wait until a view of this epoch or a later one is in use, or the time is up."""
+        installed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        waiting = (epoch, installed)
+        self._waiting_for_view.append(waiting)
+        try:
+            await asyncio.wait({installed}, timeout=longest_s)
+        finally:
+            if waiting in self._waiting_for_view:
+                self._waiting_for_view.remove(waiting)
+
     def _seconds_left(self, now_s: float) -> float:
         deadline_s = self._machine.deadline_s
         return max(0.0, deadline_s - now_s) if deadline_s is not None else 0.0
