End the calls to the seeds and the votes under way when a controller stops

Cause: at 0.5 s of jitter the orders' search printed "Task was destroyed but it is pending" from ViewPublisher._offer: run() owned the calls and left them at its end, so a stopped controller could still learn (and save) a view from an answer; requests and saves of ViewConsensus outlasted stop() as well.

Change: the publisher cancels its calls when it ends, ViewConsensus.stop ends requests and saves; a save that is cut short leaves the slot as it was and nobody has heard of it.

--- a/hollowusher/coordination/consensus/view_consensus.py
+++ b/hollowusher/coordination/consensus/view_consensus.py
@@ -93,6 +93,15 @@
             await installed
         return is_newer
 
+    async def stop(self) -> None:
+        """End the requests and saves in progress: a stopped voter sends nothing.
+
+        A save that is cut short leaves the slot as it was, and nobody has heard of what it would have held.
+        """
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
     # -- requests of other voters --------------------------------------------------------------------------
 
     async def accept_first_view(self, message: ProposeFirstView) -> FirstViewResponse:
--- a/hollowusher/coordination/consensus/view_publisher.py
+++ b/hollowusher/coordination/consensus/view_publisher.py
@@ -102,15 +102,19 @@
         self._view = view
         self._random_source = random_source
         self._schedule = SeedSchedule(refresh_interval_s)
-        self._calls: set[asyncio.Task[None]] = set()
+        self._calls: set[asyncio.Task[None]] = set()  # `run` ends those that it leaves
 
     async def run(self) -> None:
-        """Call the seeds when they are due; runs until cancelled."""
-        while True:
-            view = self._view.current()
-            if view is not None:
-                self._call_due_seeds(view)
-            await asyncio.sleep(TICK_S * self._random_source.uniform(MIN_JITTER, MAX_JITTER))
+        """Call the seeds when they are due; runs until cancelled, and no call outlasts it."""
+        try:
+            while True:
+                view = self._view.current()
+                if view is not None:
+                    self._call_due_seeds(view)
+                await asyncio.sleep(TICK_S * self._random_source.uniform(MIN_JITTER, MAX_JITTER))
+        finally:
+            for call in self._calls:
+                call.cancel()
 
     def _call_due_seeds(self, view: View) -> None:
         now_s = _now_s()
@@ -118,7 +122,7 @@
         for address in self._schedule.due(seeds, view.epoch, now_s):
             self._schedule.on_call_started(address, now_s)
             call = asyncio.get_running_loop().create_task(self._offer(address, view))
-            self._calls.add(call)  # each ends by itself within its timeout
+            self._calls.add(call)
             call.add_done_callback(self._calls.discard)
 
     async def _offer(self, address: str, view: View) -> None:
--- a/hollowusher/coordination/controller/controller.py
+++ b/hollowusher/coordination/controller/controller.py
@@ -231,6 +231,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._consensus.stop()
 
     async def _depart(self) -> None:
         while True:
