Send nothing more under an epoch that a peer has rejected: one typed error, one wrapper a role

Stores resigned already; a head went by pongs alone, a late placement could make a store lead an epoch below one that it had been told of, and each caller had its own handling (StaleEpochError, answers, sets).

Change: protocol/fencing.py reads the token of a request and the epoch that an answer names; FencedTransport (one a role) records it, has the role step down and raises FencedError in place of sending. A head fenced leads nothing until a later view is in use, and fetches it from the peer. Epochs of another cluster are answered as 0. The simulation judges all calls (rule FENCED, 0.5 s, not even once); planted fault.

StaleEpochError is gone.

--- a/hollowusher/coordination/chain/chain_replicator.py
+++ b/hollowusher/coordination/chain/chain_replicator.py
@@ -28,9 +28,11 @@
 )
 from hollowusher.protocol.view import View, Voter
 from hollowusher.storage.interface import StorageError
+from hollowusher.transport.fenced_transport import FencedError
 from hollowusher.transport.interface import PeerError, Transport
 
 HOP_TIMEOUT_S = 0.8
+FOREIGN_CLUSTER = "write: another cluster"  # its epochs mean nothing to the sender
 
 
 @attrs.frozen(eq=False)
@@ -99,7 +101,7 @@
             reason = self._rejection_reason(write)
             if reason:
                 self.refused[reason] += 1
-                return ChainWritten(False, self.member.epoch)
+                return ChainWritten(False, 0 if reason == FOREIGN_CLUSTER else self.member.epoch)
             whole = self._fill_record(write)
             if whole is None:
                 return ChainWritten(False, self.member.epoch, lacking=self.member.name)
@@ -111,7 +113,7 @@
         """Why a write is not to be taken, empty where it is."""
         view = self.member.view
         if view is None or _conflict(write.cluster, view.cluster):
-            return "write: another cluster"
+            return FOREIGN_CLUSTER
         if _conflict(write.receiver_disk, self.member.disk_id):
             return "write: another disk"
         if write.epoch != self.member.epoch:
@@ -158,6 +160,8 @@
         self._records_at_successor.pop(name, None)
         try:
             answer = await self._transport.call(voter.address, message, timeout)
+        except FencedError as error:
+            return ChainWritten(False, error.token.epoch)
         except PeerError:
             return ChainWritten(False, self.member.epoch, name)
         if not isinstance(answer, ChainWritten):
--- a/hollowusher/coordination/consensus/view_consensus.py
+++ b/hollowusher/coordination/consensus/view_consensus.py
@@ -13,7 +13,7 @@
 from contextlib import suppress
 from typing import TypeVar, assert_never
 
-from hollowusher.coordination.consensus.paxos import Acceptor, quorum_size, voter_id
+from hollowusher.coordination.consensus.paxos import Acceptor, is_same_cluster, quorum_size, voter_id
 from hollowusher.coordination.consensus.proposal_backoff import ProposalBackoff
 from hollowusher.coordination.consensus.voter_instructions import (
     BroadcastDecision,
@@ -130,7 +130,10 @@
 
     def confirm(self, message: ConfirmEpoch) -> EpochConfirmed:
         """Answer whether this voter knows of no later view."""
-        return EpochConfirmed(self.acceptor.confirm(message), self.acceptor.epoch)
+        confirmed = self.acceptor.confirm(message)
+        own = self.view
+        is_foreign = own is not None and not is_same_cluster(own.cluster, message.cluster)
+        return EpochConfirmed(confirmed, 0 if is_foreign else self.acceptor.epoch)
 
     def _new_request(self) -> tuple[int, asyncio.Future[Response]]:
         request_id = next(self._request_ids)
--- a/hollowusher/coordination/controller/controller.py
+++ b/hollowusher/coordination/controller/controller.py
@@ -54,11 +54,13 @@
     ReadStateRecord,
     StateRecordChunk,
 )
+from hollowusher.protocol.fencing import FencingToken
 from hollowusher.protocol.handlers import HandlerTable
 from hollowusher.protocol.membership import Member
 from hollowusher.protocol.operator_orders import ChangeConfiguration, ReadConfiguration
 from hollowusher.protocol.view import AnnounceController, OfferView, ReadView, View, ViewResponse, Voter
 from hollowusher.storage.interface import Slot
+from hollowusher.transport.fenced_transport import FencedTransport
 from hollowusher.transport.interface import Transport
 
 TICK_S = 0.1
@@ -114,7 +116,8 @@
         seeds: Callable[[], list[str]] | None = None,
     ) -> None:
         voter = Voter(me.name, me.disk_id, me.address, me.zone)
-        transport, random_source = resources.transport, resources.random_source
+        transport = FencedTransport(resources.transport, self._on_fenced)
+        random_source = resources.random_source
         self._me = voter
         self._transport = transport
         self._on_view = callbacks.on_view
@@ -274,6 +277,10 @@
         self._on_view(view)
         self._repropagate_if_needed()
 
+    def _on_fenced(self, _token: FencingToken, address: str) -> None:
+        """Step down: a peer knows a later view.  Until that is in use here nothing is led or sent."""
+        self._spawn(self._voter_monitor.learn_view_from(address))
+
     def _is_disk_stalled(self, now: float) -> bool:
         """Return whether votes or states wait for the disk."""
         return self._view_slot.is_stalled(now) or self._replicator.stalled(now)
--- a/hollowusher/coordination/controller/controller_context.py
+++ b/hollowusher/coordination/controller/controller_context.py
@@ -10,7 +10,7 @@
 from hollowusher.coordination.chain.chain_member import ChainMember
 from hollowusher.coordination.consensus.view_consensus import ViewConsensus
 from hollowusher.protocol.view import Voter
-from hollowusher.transport.interface import Transport
+from hollowusher.transport.fenced_transport import FencedTransport
 
 Spawn = Callable[[Coroutine[object, object, object]], None]
 
@@ -24,7 +24,7 @@
     """
 
     me: Voter
-    transport: Transport
+    transport: FencedTransport
     consensus: ViewConsensus
     chain_member: ChainMember
     spawn: Spawn
--- a/hollowusher/coordination/controller/leadership_check.py
+++ b/hollowusher/coordination/controller/leadership_check.py
@@ -12,6 +12,8 @@
 from hollowusher.coordination.controller.controller_context import ControllerContext
 from hollowusher.coordination.controller.voter_monitor import VoterMonitor
 from hollowusher.coordination.membership.pause_detector import PauseDetector
+from hollowusher.protocol.fencing import CONTROL_CHAIN, FencingToken
+from hollowusher.protocol.view import View
 
 RETRY_S = 0.1
 MAX_STEP_S = 0.4  # a longer time between two checks: this process was paused
@@ -39,11 +41,16 @@
             and view is not None
             and newest is not None
             and view.epoch == newest.epoch
+            and not self._is_fenced(view)
             and member.is_head
             and member.complete
             and self._monitor.has_quorum(view)
         )
 
+    def _is_fenced(self, view: View) -> bool:
+        """Return whether a peer has named a later epoch than that of the view in use."""
+        return self._context.transport.fences.fence_of(FencingToken(CONTROL_CHAIN, view.epoch)) is not None
+
     async def has_newest_view(self) -> bool:
         """Return whether a quorum says, asked now, that the view in use here is the newest."""
         return await self._context.consensus.quorum_confirms(self._context.chain_member.epoch)
--- a/hollowusher/coordination/controller/voter_monitor.py
+++ b/hollowusher/coordination/controller/voter_monitor.py
@@ -95,7 +95,7 @@
         view = context.consensus.view
         sender = find_voter(view, ping.name) if view is not None else None
         if view is not None and sender is not None and ping.epoch > view.epoch:
-            context.spawn(self._learn_view_from(sender.address))
+            context.spawn(self.learn_view_from(sender.address))
         return Pong(
             name=context.me.name,
             disk_id=context.me.disk_id,
@@ -143,9 +143,10 @@
         if view is not None and pong.epoch < view.epoch:
             self._context.transport.send(voter.address, ViewDecided(view))
         elif view is None or pong.epoch > view.epoch:
-            await self._learn_view_from(voter.address)
+            await self.learn_view_from(voter.address)
 
-    async def _learn_view_from(self, address: str) -> None:
+    async def learn_view_from(self, address: str) -> None:
+        """Learn the newest view that another controller knows."""
         newest = await fetch_newest_view(self._context.transport, [address])
         if newest is not None:
             await self._context.consensus.learn(newest)
--- a/hollowusher/messages/errors.py
+++ b/hollowusher/messages/errors.py
@@ -13,12 +13,3 @@
     def __init__(self, size: int, min_size: int) -> None:
         super().__init__(f"unpack record: {size} bytes, a header has {min_size}")
         self.size = size
-
-
-class StaleEpochError(MessageStoreError):
-    """A peer rejects the epoch of this primary, because it follows a newer one."""
-
-    def __init__(self, partition: int, epoch: int) -> None:
-        super().__init__(f"partition {partition}: the peer follows the newer epoch {epoch}")
-        self.partition = partition
-        self.epoch = epoch
--- a/hollowusher/messages/replication/anti_entropy.py
+++ b/hollowusher/messages/replication/anti_entropy.py
@@ -9,11 +9,11 @@
 import asyncio
 from collections.abc import Iterable, Iterator
 
-from hollowusher.messages.errors import StaleEpochError
 from hollowusher.messages.partition.partition_table import PartitionTable
 from hollowusher.messages.records import MessageKey
 from hollowusher.messages.replication.acceptance_age import with_ages
 from hollowusher.messages.store_dependencies import StoreDependencies
+from hollowusher.protocol.fencing import STALE, FencingToken, partition_matter
 from hollowusher.protocol.replication import (
     RecordBatch,
     ReplicaDifference,
@@ -21,6 +21,7 @@
     ReplicateRequest,
     ReplicateResponse,
 )
+from hollowusher.transport.fenced_transport import FencedError
 from hollowusher.transport.interface import PeerError
 
 ANSWER_TIMEOUT_S = 1.5
@@ -52,7 +53,7 @@
         ------
         PeerError
             If the peer does not answer, or not as expected.
-        StaleEpochError
+        FencedError
             If the peer follows a newer epoch.
         """
         table = self._table
@@ -98,7 +99,7 @@
             if not isinstance(answer, ReplicateResponse):
                 raise PeerError("ReplicateRequest", self._address, f"answered {type(answer).__name__}")
             if answer.refused:
-                raise StaleEpochError(self._table.partition, max(answer.refused.values()))
+                raise self._fenced("ReplicateRequest", max(answer.refused.values()))
             if self._paced:
                 await self._pause(sum(map(len, chunk)))
 
@@ -106,10 +107,13 @@
         answer = await self._transport.call(self._address, summary, ANSWER_TIMEOUT_S)
         if not isinstance(answer, ReplicaDifference):
             raise PeerError("ReplicaSummary", self._address, f"answered {type(answer).__name__}")
-        if answer.status == "stale":
-            raise StaleEpochError(self._table.partition, answer.epoch)
+        if answer.status == STALE:
+            raise self._fenced("ReplicaSummary", answer.epoch)
         return answer
 
+    def _fenced(self, step: str, epoch: int) -> FencedError:
+        return FencedError(step, self._address, FencingToken(partition_matter(self._table.partition), epoch))
+
     @staticmethod
     async def _pause(size: int) -> None:
         await asyncio.sleep(size / PACED_BYTES_PER_S)
--- a/hollowusher/messages/replication/partition_replica.py
+++ b/hollowusher/messages/replication/partition_replica.py
@@ -44,6 +44,7 @@
         self.former_replicas: list[str] = []  # of the previous placement: they may have committed records
         self.epoch = 0  # for which this store is the primary, else 0
         self.last_led_epoch = 0  # the newest epoch that this incarnation has led
+        self.fenced_epoch = 0  # the highest epoch with which a peer has rejected this store
         self.is_epoch_durable = False  # the minimum epoch of the table is on this store's disk
         self.has_takeover_failed = False  # the disk refused the epoch: it is to be tried again
         self.primary: PartitionPrimary | None = None
@@ -77,7 +78,7 @@
         if not self._is_led_by(incarnation):
             if self.epoch < placement.epoch:
                 self.resign()
-        elif placement.epoch < self.table.minimum_epoch:
+        elif placement.epoch < max(self.table.minimum_epoch, self.fenced_epoch):
             self.resign()
         elif self.primary is not None and unbroken:
             self.continue_leading(placement.epoch)
@@ -133,6 +134,12 @@
         for proposal in abandoned:
             proposal.resolve_waiters(committed=False)
 
+    def on_fenced(self, epoch: int) -> None:
+        """Handle the rejection by a peer that follows this higher epoch: no lower one is led any more."""
+        self.fenced_epoch = max(self.fenced_epoch, epoch)
+        if 0 < self.epoch < epoch:
+            self.resign()
+
     def refresh_links(self) -> None:
         """Track the progress of each other replica, learner and former replica."""
         assert self.placement is not None
--- a/hollowusher/messages/replication/partition_replicator.py
+++ b/hollowusher/messages/replication/partition_replicator.py
@@ -27,6 +27,7 @@
 )
 from hollowusher.messages.store_dependencies import StoreDependencies
 from hollowusher.protocol.codec import evolve
+from hollowusher.protocol.fencing import STALE, FencingToken
 from hollowusher.protocol.placement import PartitionPlacement
 from hollowusher.protocol.replication import (
     ReplicaDifference,
@@ -35,6 +36,7 @@
     ReplicateResponse,
 )
 from hollowusher.storage.interface import Position, StorageError
+from hollowusher.transport.fenced_transport import FencedTransport
 
 MOVED_PARTITION_RETENTION_S = 30.0  # a partition that has moved away is kept for so long, for takeovers
 CACHE_BYTES = 48 * 1024 * 1024
@@ -69,9 +71,9 @@
     """
 
     def __init__(self, dependencies: StoreDependencies, options: ReplicationOptions) -> None:
-        self.dependencies = dependencies
+        self.transport = FencedTransport(dependencies.transport, self._on_fenced)
+        self.dependencies = attrs.evolve(dependencies, transport=self.transport)
         self.store_id = dependencies.store_id
-        self.transport = dependencies.transport
         self.log = dependencies.log
         self.state = dependencies.state
         self.wall_ms = dependencies.wall_ms
@@ -290,6 +292,12 @@
             )
             self.on_peers_behind()
 
+    def _on_fenced(self, token: FencingToken, _address: str) -> None:
+        """Step down: a peer follows a higher epoch of a partition than the one that this store led."""
+        replica = self.replicas.get(token.matter.partition)
+        if replica is not None:
+            replica.on_fenced(token.epoch)
+
     def on_peer_lost(self, store_id: str) -> None:
         """Mark a peer that did not answer: it has to catch up."""
         for replica in self.replicas.values():
@@ -330,7 +338,7 @@
             self._fence_older_epochs(replica, summary.epoch)
             await self.log.sync()
         if summary.epoch < replica.table.minimum_epoch:
-            return ReplicaDifference("stale", replica.table.minimum_epoch)
+            return ReplicaDifference(STALE, replica.table.minimum_epoch)
         difference = compare_with_summary(replica.table, summary)
         return evolve(difference, records=list(with_ages(replica.table, difference.records, self.wall_ms)))
 
--- a/hollowusher/messages/replication/replica_recovery.py
+++ b/hollowusher/messages/replication/replica_recovery.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Iterator
 from contextlib import suppress
 
-from hollowusher.messages.errors import StaleEpochError
 from hollowusher.messages.records import MessageKey
 from hollowusher.messages.replication.anti_entropy import AntiEntropySession
 from hollowusher.messages.replication.outgoing_record import OutgoingRecord
@@ -19,6 +18,7 @@
 from hollowusher.protocol.placement import LearnerLost, LearnerReady
 from hollowusher.protocol.replication import RecordBatch, ReplicateRequest, ReplicateResponse
 from hollowusher.storage.interface import StorageError
+from hollowusher.transport.fenced_transport import FencedError
 from hollowusher.transport.interface import PeerError
 
 CALL_TIMEOUT_S = 1.0
@@ -123,12 +123,12 @@
         failure: BaseException | None = None
         try:
             await comparison.run()
-        except (StaleEpochError, PeerError, StorageError, asyncio.CancelledError) as error:
+        except (PeerError, StorageError, asyncio.CancelledError) as error:
             failure = error  # what was learned before the failure still counts
         if comparison.changed_keys:
             self._restore_changed(replica, peer, comparison.changed_keys)
-        if isinstance(failure, StaleEpochError):
-            replicator.on_rejected(peer, failure.partition, failure.epoch)
+        if isinstance(failure, FencedError):
+            replicator.on_rejected(peer, replica.partition, failure.token.epoch)
             return False
         if failure is not None:
             raise failure
--- a/hollowusher/simulation/checks/machines.py
+++ b/hollowusher/simulation/checks/machines.py
@@ -26,6 +26,15 @@
             )
 
 
+def check_calls_after_fencing(observations: Observations, rules: DeploymentRules) -> Iterator[RuleViolation]:
+    """FENCED (a duty): a deposed process calls again with the epoch that was rejected."""
+    for call in observations.calls_after_fencing:
+        matter = f"{call.matter.domain.name} {call.matter.partition}"
+        waited_s = call.sent_at - call.rejected_at
+        text = f"{call.request}, epoch {call.epoch} of {matter}, {waited_s:.2f} s after its rejection"
+        yield RuleViolation("FENCED", call.caller, text, call.sent_at)
+
+
 def check_liveness(observations: Observations, rules: DeploymentRules) -> Iterator[RuleViolation]:
     """LIVENESS: some seconds after all is calm, members have caught up and an order is taken."""
     for found in observations.liveness_failures:
--- a/hollowusher/simulation/invariants.py
+++ b/hollowusher/simulation/invariants.py
@@ -28,6 +28,7 @@
     reports.check_repeated_ends,
     machines.check_drain,
     machines.check_retirements,
+    machines.check_calls_after_fencing,
     machines.check_liveness,
     configuration.check_wrong_rejections,
     configuration.check_configuration_writes,
--- a/hollowusher/simulation/network.py
+++ b/hollowusher/simulation/network.py
@@ -14,6 +14,7 @@
 
 from hollowusher.simulation.connection import SimulatedConnection
 from hollowusher.simulation.event_loop import SimulatedProcess, VirtualTimeLoop
+from hollowusher.simulation.fencing_judge import FencingJudge
 from hollowusher.simulation.transport import SimulatedTransport
 
 
@@ -46,6 +47,7 @@
         self.bytes_between_zones = 0
         self.handler_failures: list[str] = []
         self.observer: Callable[[str, str, object], None] | None = None  # (from, to, message) of each arrival
+        self.fencing_judge = FencingJudge()
         self._blocked: set[tuple[str, str]] = set()
         self._rejecting: set[tuple[str, str]] = set()  # blocked links that answer with a reset
 
--- a/hollowusher/simulation/observations.py
+++ b/hollowusher/simulation/observations.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from hollowusher.simulation.fencing_judge import CallAfterFencing
+
 
 @dataclass(frozen=True)
 class ClientRequest:
@@ -211,6 +213,7 @@
     shutdowns: list[ObservedShutdown] = field(default_factory=list)
     retirements: list[StoreRetirement] = field(default_factory=list)
     liveness_failures: list[LivenessFailure] = field(default_factory=list)
+    calls_after_fencing: list[CallAfterFencing] = field(default_factory=list)
     calm_since: float = 0.0  # no disturbance after this
     traffic_ended_at: float = 0.0
     ended_at: float = 0.0
--- a/hollowusher/simulation/planted/control.py
+++ b/hollowusher/simulation/planted/control.py
@@ -15,10 +15,12 @@
 from hollowusher.coordination.consensus.view_consensus import ViewConsensus
 from hollowusher.messages.partition.partition_primary import PartitionPrimary
 from hollowusher.messages.records import MessageStatus
+from hollowusher.messages.replication.partition_replicator import PartitionReplicator
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.control_chain import ChainWritten
 from hollowusher.simulation.planted.registry import SIMULTANEOUS_FAULTS, Patches, fault_at, planted_fault
 from hollowusher.simulation.stand_ins import SimulatedRoleProcess
+from hollowusher.transport.fenced_transport import FencedTransport
 
 # ---- the control plane
 
@@ -140,3 +142,12 @@
         return evolve(answer, state="completed") if leased else answer
 
     patches.replace(PartitionPrimary, "status", status)
+
+
+@planted_fault("FENCED", fault_kinds=("split",))
+def _deposed_primary_calls_on(patches: Patches) -> None:
+    async def call(transport: FencedTransport, address: str, message: Any, limit_s: float) -> Any:
+        return await transport._transport.call(address, message, limit_s)
+
+    patches.replace(FencedTransport, "call", call)
+    patches.replace(PartitionReplicator, "on_rejected", lambda *arguments: None)
--- a/hollowusher/simulation/simulation_run.py
+++ b/hollowusher/simulation/simulation_run.py
@@ -256,6 +256,7 @@
 
     def check_rules(self) -> list[RuleViolation]:
         """Return the violations of the rules."""
+        self.observations.calls_after_fencing = self.cluster.network.fencing_judge.found
         return find_violations(
             self.observations, DeploymentRules(self.rules, {FIXED: FIXED_RATE}, self.size.clock_skew_s)
         )
@@ -280,6 +281,7 @@
             "orders": len(self.observations.orders),
             "acknowledged": len([o for o in self.observations.orders if o.acknowledged_at is not None]),
             "internal messages": self.cluster.network.messages,
+            "calls fenced": self.cluster.network.fencing_judge.rejections,
             "exchanges": self.cluster.http.exchanges,
             "callbacks of the loop": self.loop.callbacks,
             "virtual s": self.loop.time() - 1000.0,
--- a/hollowusher/simulation/transport.py
+++ b/hollowusher/simulation/transport.py
@@ -70,10 +70,12 @@
         future: asyncio.Future[Any] = loop.create_future()
         connection.pending[number] = future
         received = connection.bytes_received
+        judge, caller = self.network.fencing_judge, repr(self.process)
+        judge.on_request(caller, message, loop.time())
         connection.send_request(number, REQUEST, message)
         try:
             async with asyncio.timeout_at(deadline):
-                return await future
+                answer = await future
         except TimeoutError:
             if future.done() and not future.cancelled() and future.exception() is None:
                 return future.result()  # it was read in the moment in which the time ran out
@@ -86,6 +88,8 @@
             raise PeerError(step, address, error.reason) from None
         finally:
             connection.pending.pop(number, None)
+        judge.on_answer(caller, message, answer, loop.time())
+        return answer
 
     def send(self, address: str, message: object) -> None:
         """Send without an answer; lost where the peer cannot be reached."""
