--- a/hollowusher/simulation/faults/injector.py
+++ b/hollowusher/simulation/faults/injector.py
@@ -11,7 +11,16 @@
 from collections.abc import Sequence
 
 from hollowusher.simulation.cluster import SimulatedCluster
-from hollowusher.simulation.faults import disks, links, machines, orders, power, processes, workers
+from hollowusher.simulation.faults import (
+    disks,
+    links,
+    machines,
+    orders,
+    power,
+    processes,
+    quota,
+    workers,
+)
 from hollowusher.simulation.faults.context import (
     FAULT_KINDS,
     FaultContext,
@@ -23,7 +32,7 @@
 from hollowusher.simulation.faults.script import ScriptedFault
 from hollowusher.simulation.machine import SimulatedMachine
 
-MODULES = (processes, power, disks, links, machines, orders, workers)  # they register their kinds
+MODULES = (processes, power, disks, links, machines, orders, quota, workers)  # they register their kinds
 AT_THE_EDGE_SHARE = 0.5  # so often the next loss comes at the first moment allowed
 
 
