Decide the first view by all voters that it names, under ballots, whatever seeds have gathered

Cause: a controller held the first view 1 that it was offered, and a quorum of a view's own voters decided it. Seeds that had gathered different controllers could decide two views (a, b for abc; c, d for bcd), or stop.

Change: FirstViewProposer (pure): Prepare and Accept of epoch 1, promises of all voters, an accepted view is left only if one of its voters never accepted it. A seed that has gathered too few proposes only after most seeds have answered it for 2 s. Messages 37 and 38 are gone; their numbers are not used again.

--- a/hollowusher/coordination/consensus/bootstrap.py
+++ b/hollowusher/coordination/consensus/bootstrap.py
@@ -1,53 +1,75 @@
-"""The first view of a new cluster: its name, and its proposal to the voters that it names.
+"""The first view of a new cluster over the network: its name, and the ballots of one proposer.
 
-Each controller accepts the first view 1 that it is offered; a view 1 is decided once a quorum of its own
-voters has accepted it.
+What a ballot decides is the matter of `first_view`.
 """
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
-from collections import Counter
-from collections.abc import Iterable
+import random
+from collections.abc import Callable, Iterable
 
-import attrs
-
-from hollowusher.coordination.consensus.paxos import quorum_size, voter_id
-from hollowusher.coordination.consensus.view_queries import QUERY_TIMEOUT_S, call_all
-from hollowusher.protocol.consensus import FirstViewResponse, ProposeFirstView
+from hollowusher.coordination.consensus.first_view import FirstViewProposer, PlanFirstView
+from hollowusher.coordination.consensus.paxos import FIRST_EPOCH, voter_id
+from hollowusher.coordination.consensus.proposal_backoff import ProposalBackoff
+from hollowusher.protocol.consensus import Accept, Accepted, Prepare, Promise
 from hollowusher.protocol.view import View, Voter
-from hollowusher.transport.interface import Transport
+from hollowusher.transport.interface import PeerError, Transport
 
 CLUSTER_NAME_BYTES = 8
+VOTE_TIMEOUT_S = 0.6
+NONCE_BITS = 64
 
 
-@attrs.frozen
-class FirstViewOutcome:
-    """What the proposed voters answered."""
-
-    decided: View | None
-    most_accepted: View | None  # the undecided view that most of them have accepted
-
-
-async def propose_first_view(transport: Transport, view: View) -> FirstViewOutcome:
-    """Propose a first view to its voters."""
-    addresses = [voter.address for voter in view.voters]
-    answers = await call_all(transport, addresses, ProposeFirstView(view), QUERY_TIMEOUT_S)
-    responses = [answer for answer in answers if isinstance(answer, FirstViewResponse)]
-    decided = [response.decided for response in responses if response.decided is not None]
-    if decided:
-        return FirstViewOutcome(max(decided, key=lambda known: known.epoch), None)
-    accepted = [response.taken for response in responses if response.taken is not None]
-    if accepted.count(view) >= quorum_size(view):
-        return FirstViewOutcome(view, None)
-    return FirstViewOutcome(None, _most_accepted(accepted))
+class FirstViewBallots:
+    """The ballots of one proposer, in one life of its process.
 
+    A proposer keeps nothing on disk: its name holds a number drawn at random, so that no other life uses the
+    same ballots.
+    """
 
-def _most_accepted(views: list[View]) -> View | None:
-    """Return the view accepted most often; among equals the one whose voters' names come first."""
-    counts = Counter(tuple(view.chain) for view in views)
-    ordered = sorted(views, key=lambda view: (-counts[tuple(view.chain)], view.chain))
-    return ordered[0] if ordered else None
+    def __init__(self, transport: Transport, random_source: random.Random) -> None:
+        self._transport = transport
+        self._name = f"{transport.address} {random_source.getrandbits(NONCE_BITS):016x}"
+        self._backoff = ProposalBackoff(random_source)
+        self._highest_round = 0
+        self._known: dict[str, Voter] = {}  # voters of accepted views that promises have told of
+
+    async def propose(self, candidates: Iterable[Voter], plan: PlanFirstView) -> View | None:
+        """Run one ballot among these controllers; return the decided view, None if none is known after it."""
+        self._highest_round += 1
+        asked = {**self._known, **{voter_id(voter): voter for voter in candidates}}
+        proposer = FirstViewProposer((self._highest_round, self._name), asked.values(), plan)
+        await self._run(proposer)
+        self._highest_round = max(self._highest_round, proposer.highest_round)
+        self._known.update({voter_id(voter): voter for voter in proposer.accepted_voters()})
+        if proposer.decided is None:
+            await asyncio.sleep(self._backoff.next_pause_s(FIRST_EPOCH))
+        return proposer.decided
+
+    async def _run(self, proposer: FirstViewProposer) -> None:
+        for voter, answer in await self._ask(proposer.candidates.values(), proposer.prepare):
+            if isinstance(answer, Promise):
+                proposer.on_promise(voter, answer)
+        if not proposer.choose_value() or proposer.value is None:
+            return
+        for voter, answer in await self._ask(proposer.value.voters, proposer.accept):
+            if isinstance(answer, Accepted):
+                proposer.on_accepted(voter, answer)
+
+    async def _ask(
+        self, voters: Iterable[Voter], make_request: Callable[[Voter], Prepare | Accept]
+    ) -> list[tuple[Voter, object]]:
+        voters = list(voters)
+        answers = await asyncio.gather(*(self._call(voter, make_request(voter)) for voter in voters))
+        return list(zip(voters, answers, strict=True))
+
+    async def _call(self, voter: Voter, request: Prepare | Accept) -> object:
+        try:
+            return await self._transport.call(voter.address, request, VOTE_TIMEOUT_S)
+        except PeerError:
+            return None
 
 
 def cluster_name(voters: Iterable[Voter]) -> str:
--- a/hollowusher/coordination/consensus/join_client.py
+++ b/hollowusher/coordination/consensus/join_client.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from hollowusher.coordination.consensus.bootstrap import propose_first_view
 from hollowusher.coordination.consensus.seed_service import SeedService
 from hollowusher.coordination.consensus.view_consensus import ViewConsensus
 from hollowusher.coordination.consensus.view_queries import call_all
@@ -65,7 +64,7 @@
             self._first_view_accepted_s = _now_s()
         if _now_s() - self._first_view_accepted_s < COMPLETE_FIRST_VIEW_AFTER_S:
             return False
-        decided = (await propose_first_view(self._transport, accepted)).decided
+        decided = await self._consensus.complete_first_view(accepted)
         if decided is None:
             return False
         await self._consensus.learn(decided)
--- a/hollowusher/coordination/consensus/paxos.py
+++ b/hollowusher/coordination/consensus/paxos.py
@@ -1,6 +1,7 @@
 """Single-decree Paxos for each epoch, among the voters of the view before.  No I/O, no clock.
 
-The view of epoch e + 1 is decided once a quorum of the voters of view e has accepted it under one ballot.
+The view of epoch e + 1 is decided once a quorum of the voters of view e has accepted it under one ballot; for
+the first view, which has none before it, see `first_view`.
 `Acceptor` owns what one voter must remember; `Proposer` owns one ballot.  `VoterStateMachine` determines what
 has to be on disk before which answer or request is sent.
 
@@ -95,11 +96,14 @@
         return self.promised, self.accepted_ballot, self.accepted
 
     def may_vote(self, epoch: int) -> bool:
-        """Return whether this voter may vote on the view of this epoch."""
+        """Return whether this voter may vote on the view of this epoch.
+
+        Before any view is decided every controller may promise for the first one, see `first_view`.
+        """
         decided = self.decided
-        return (
-            decided is not None and epoch == decided.epoch + 1 and is_voter(decided, self.name, self.disk_id)
-        )
+        if decided is None:
+            return epoch == FIRST_EPOCH
+        return epoch == decided.epoch + 1 and is_voter(decided, self.name, self.disk_id)
 
     def confirms(self, epoch: int) -> bool:
         """Return whether this voter votes in view `epoch` and has accepted no later view."""
@@ -121,14 +125,6 @@
         self.accepted = None
         return True
 
-    def accept_first_view(self, view: View) -> View | None:
-        """Accept the first proposal of view 1; return the accepted one, None if a view is decided already."""
-        if self.decided is not None:
-            return None
-        if self.accepted is None and is_voter(view, self.name, self.disk_id):
-            self.accepted = view
-        return self.accepted
-
     def prepare(self, message: Prepare) -> Promise:
         """Vote in phase 1; the base view of the message has been learned before."""
         if not self._is_addressee(message.voter) or not self._is_compatible(message.base):
@@ -150,6 +146,8 @@
             return Accepted(granted=False, ballot=list(self.promised))
         ballot = decode_ballot(message.ballot)
         is_of_epoch = message.view.epoch == message.epoch
+        if self.decided is None:
+            is_of_epoch = is_of_epoch and is_voter(message.view, self.name, self.disk_id)
         if not is_of_epoch or not self.may_vote(message.epoch) or ballot < self.promised:
             return Accepted(
                 granted=False, ballot=list(self.promised), decided=self._decided_since(message.epoch)
--- a/hollowusher/coordination/consensus/seed_service.py
+++ b/hollowusher/coordination/consensus/seed_service.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import Callable
 
+import attrs
+
 from hollowusher.configuration.boot import BootSettings
-from hollowusher.coordination.consensus.bootstrap import cluster_name, propose_first_view
+from hollowusher.coordination.consensus.bootstrap import FirstViewBallots, cluster_name
 from hollowusher.coordination.consensus.paxos import first_view, is_same_cluster
-from hollowusher.coordination.consensus.view_queries import fetch_newest_view
+from hollowusher.coordination.consensus.view_queries import QUERY_TIMEOUT_S, call_all, fetch_newest_view
 from hollowusher.coordination.consensus.voter_set import choose_voters, required_voters
 from hollowusher.protocol.consensus import ViewDecided
 from hollowusher.protocol.handlers import HandlerTable
@@ -24,12 +27,22 @@
 EXPECTED_CONTROLLERS = 3
 SEED_STAGGER_S = 1.0
 RETRY_S = 0.3
+CONTACT_S = 2.0
+ANNOUNCED_FOR_S = 3.0  # controllers announce themselves again and again until they know a view
 
 
 def _ignore_view(view: View) -> None:
     """Do nothing with a newer view."""
 
 
+@attrs.frozen
+class _Announcement:
+    """A controller that looks for a first view."""
+
+    voter: Voter
+    at_s: float
+
+
 class SeedService:
     """One process's part as a seed; `on_view` is called with each newer view that others bring.
 
@@ -42,6 +55,7 @@
         self,
         settings: BootSettings,
         transport: Transport,
+        random_source: random.Random,
         on_view: Callable[[View], None] = _ignore_view,
     ) -> None:
         self.view: View | None = None
@@ -49,7 +63,9 @@
         self._settings = settings
         self._transport = transport
         self._on_view = on_view
-        self._announced: dict[str, Voter] = {}
+        self._ballots = FirstViewBallots(transport, random_source)
+        self._announced: dict[str, _Announcement] = {}
+        self._reached_most_since_s: float | None = None
         self._task: asyncio.Task[None] | None = None
         self._handlers = HandlerTable()
         self._handlers.add(AnnounceController, self._on_announce)
@@ -92,7 +108,7 @@
 
     async def _on_announce(self, message: AnnounceController) -> ViewResponse:
         if message.bootstrap:
-            self._announced[message.voter.name] = message.voter
+            self._announced[message.voter.name] = _Announcement(message.voter, _now_s())
         return ViewResponse(self.view)
 
     async def _on_read_view(self, _message: ReadView) -> ViewResponse:
@@ -101,46 +117,79 @@
     # -- the first view ------------------------------------------------------------------------------------
 
     async def _bootstrap(self, seeds: list[str]) -> None:
-        await self._gather()
+        await self._gather(seeds)
         await asyncio.sleep(seeds.index(self._transport.address) * SEED_STAGGER_S)
-        proposed: View | None = None
         while self.view is None:
-            others = {voter.address for voter in self._announced.values()} | set(seeds)
+            others = {voter.address for voter in self._present_controllers()} | set(seeds)
             existing = await fetch_newest_view(self._transport, sorted(others - {self._transport.address}))
             if existing is not None:
                 self.learn(existing)
                 return
-            if proposed is None and self._announced:
-                proposed = self._first_view()
-            if proposed is not None:
-                proposed = await self._propose(proposed)
+            await self._propose(seeds)
             await asyncio.sleep(RETRY_S)
 
-    async def _gather(self) -> None:
-        loop = asyncio.get_running_loop()
-        started_s = loop.time()
+    async def _gather(self, seeds: list[str]) -> None:
+        started_s = _now_s()
         while self.view is None:
-            waited_s = loop.time() - started_s
-            is_enough = len(self._announced) >= EXPECTED_CONTROLLERS
+            await self._has_reached_most(seeds)
+            waited_s = _now_s() - started_s
+            is_enough = len(self._present_controllers()) >= EXPECTED_CONTROLLERS
             if waited_s >= MAX_GATHER_S or (is_enough and waited_s >= GATHER_S):
                 return
             await asyncio.sleep(GATHER_S / 10)
 
-    def _first_view(self) -> View:
-        """Return view 1 of the required number of announced controllers; the others stay spares."""
-        wanted = required_voters(self._settings.fault_tolerance.machines)
-        voters = choose_voters(self._announced.values(), wanted)
-        return first_view(voters, cluster_name(voters))
+    def _present_controllers(self) -> list[Voter]:
+        """Return the controllers that have announced themselves lately."""
+        oldest_s = _now_s() - ANNOUNCED_FOR_S
+        return [entry.voter for entry in self._announced.values() if entry.at_s >= oldest_s]
 
-    async def _propose(self, view: View) -> View:
-        """Propose a view 1; return the view to propose next."""
-        outcome = await propose_first_view(self._transport, view)
-        if outcome.decided is not None:
-            self.learn(outcome.decided)
-            self._broadcast_decision(outcome.decided)
-        return outcome.most_accepted or view
+    async def _propose(self, seeds: list[str]) -> None:
+        """Run one ballot for view 1.
+
+        A seed that has gathered fewer controllers than are wanted may have been cut off from the others, who
+        gather theirs: it proposes only after it has reached most of the seeds for a while.
+        """
+        present = self._present_controllers()
+        wanted = required_voters(self._settings.fault_tolerance.machines)
+        enough = min(wanted, len(present))
+        if not present or (enough < wanted and not await self._has_reached_most(seeds)):
+            return
+
+        def plan(promised: list[Voter]) -> View | None:
+            """Return view 1 of the required number of these; the others stay spares."""
+            if len(promised) < enough:
+                return None
+            voters = choose_voters(promised, wanted)
+            return first_view(voters, cluster_name(voters))
+
+        decided = await self._ballots.propose(present, plan)
+        if decided is not None:
+            self.learn(decided)
+            self._broadcast_decision(decided)
+
+    async def _has_reached_most(self, seeds: list[str]) -> bool:
+        """Return whether a majority of the seeds, this one counted, has answered for `CONTACT_S` by now.
+
+        In that time the controllers that they hear have announced themselves here, too.
+        """
+        others = [address for address in seeds if address != self._transport.address]
+        answers = await call_all(self._transport, others, ReadView(), QUERY_TIMEOUT_S)
+        for answer in answers:
+            if isinstance(answer, ViewResponse) and answer.view is not None:
+                self.learn(answer.view)
+        if len(answers) + 1 <= len(seeds) // 2:
+            self._reached_most_since_s = None
+            return False
+        if self._reached_most_since_s is None:
+            self._reached_most_since_s = _now_s()
+        return self.view is None and _now_s() - self._reached_most_since_s >= CONTACT_S
 
     def _broadcast_decision(self, view: View) -> None:
-        addresses = {voter.address for voter in [*view.voters, *self._announced.values()]}
+        announced = [entry.voter for entry in self._announced.values()]
+        addresses = {voter.address for voter in [*view.voters, *announced]}
         for address in sorted(addresses | set(self._settings.seed_addresses())):
             self._transport.send(address, ViewDecided(view))
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/hollowusher/coordination/consensus/voter_instructions.py
+++ b/hollowusher/coordination/consensus/voter_instructions.py
@@ -5,7 +5,7 @@
 import attrs
 
 from hollowusher.coordination.consensus.paxos import Ballot
-from hollowusher.protocol.consensus import Accept, Accepted, FirstViewResponse, Prepare, Promise
+from hollowusher.protocol.consensus import Accept, Accepted, Prepare, Promise
 from hollowusher.protocol.view import View, Voter
 
 
@@ -21,7 +21,7 @@
     """Answer the request with this number; all that the answer tells of is on disk."""
 
     request_id: int
-    message: Promise | Accepted | FirstViewResponse
+    message: Promise | Accepted
 
 
 @attrs.frozen
--- a/hollowusher/coordination/consensus/voter_state_machine.py
+++ b/hollowusher/coordination/consensus/voter_state_machine.py
@@ -36,10 +36,8 @@
 from hollowusher.protocol.consensus import (
     Accept,
     Accepted,
-    FirstViewResponse,
     Prepare,
     Promise,
-    ProposeFirstView,
 )
 from hollowusher.protocol.view import View, Voter
 
@@ -122,15 +120,6 @@
         self._run_when_durable(InstallView(view))
         return True
 
-    def accept_first_view(self, request_id: int, message: ProposeFirstView) -> None:
-        """Accept the first proposal of view 1."""
-        before = self.acceptor.accepted
-        accepted = self.acceptor.accept_first_view(message.view)
-        if accepted is not before:
-            self._is_dirty = True
-        answer = FirstViewResponse(accepted, self.acceptor.decided)
-        self._run_when_durable(SendResponse(request_id, answer))
-
     def prepare(self, request_id: int, message: Prepare) -> None:
         """Vote in phase 1."""
         self._respond(request_id, self._handle_prepare(message))
--- a/hollowusher/coordination/controller/controller.py
+++ b/hollowusher/coordination/controller/controller.py
@@ -43,7 +43,6 @@
     Ping,
     Pong,
     Prepare,
-    ProposeFirstView,
     ViewDecided,
 )
 from hollowusher.protocol.control_chain import (
@@ -100,7 +99,6 @@
         OfferView,
         Ping,
         Prepare,
-        ProposeFirstView,
         ReadConfiguration,
         ReadStateRecord,
         ReadControlState,
@@ -123,7 +121,7 @@
         self._on_view = callbacks.on_view
         self._running = False
         self._tasks: set[asyncio.Task[object]] = set()
-        self._seed_service = SeedService(settings, transport)
+        self._seed_service = SeedService(settings, transport, random_source)
         self._view_slot = MonitoredSlot(resources.view_slot)
         self._consensus = ViewConsensus(voter, transport, self._view_slot, random_source, self._install_view)
         self._chain_member = _restored_member(voter, resources.state_store)
@@ -303,7 +301,6 @@
         handlers = HandlerTable()
         handlers.add(Prepare, self._consensus.prepare)
         handlers.add(Accept, self._consensus.accept)
-        handlers.add(ProposeFirstView, self._consensus.accept_first_view)
         handlers.add(ConfirmEpoch, self._handle_confirm_epoch)
         handlers.add(ViewDecided, self._handle_view_decided)
         handlers.add(OfferView, self._handle_offer_view)
--- a/hollowusher/protocol/call_rules.py
+++ b/hollowusher/protocol/call_rules.py
@@ -11,7 +11,7 @@
 
 import attrs
 
-from hollowusher.protocol.consensus import Accept, ConfirmEpoch, Ping, Prepare, ProposeFirstView, ViewDecided
+from hollowusher.protocol.consensus import Accept, ConfirmEpoch, Ping, Prepare, ViewDecided
 from hollowusher.protocol.control_chain import ChainWrite, ReadControlState, ReadStateRecord
 from hollowusher.protocol.control_status import ReadControlStatus
 from hollowusher.protocol.distribution import PullUpdates, ReadRepair
@@ -75,7 +75,6 @@
     AnnounceController: CallRule(Addressee.ANYBODY, Idempotence.LATEST),
     OfferView: CallRule(Addressee.ANYBODY, Idempotence.BY_VERSION),
     # agreement and chain
-    ProposeFirstView: CallRule(Addressee.VOTER, Idempotence.BY_VERSION),
     Prepare: CallRule(Addressee.VOTER_DISK, Idempotence.BY_VERSION),
     Accept: CallRule(Addressee.VOTER_DISK, Idempotence.BY_VERSION),
     ConfirmEpoch: CallRule(Addressee.VOTER_DISK, Idempotence.READ),
--- a/hollowusher/protocol/consensus.py
+++ b/hollowusher/protocol/consensus.py
@@ -1,8 +1,9 @@
 """Messages by which the voters of a view decide on the next one.
 
 Each epoch is one instance of single-decree Paxos (Lamport, "Paxos Made Simple", section 2.2) among the voters
-of the view before.  Ballots are `[round, proposer name]` and compare as lists.  `granted` is false where the
-acceptor has promised a greater ballot, which `ballot` then names.
+of the view before; the first view is decided by all voters that it names.  Ballots are `[round, proposer
+name]` and compare as lists.  `granted` is false where the acceptor has promised a greater ballot, which
+`ballot` then names.  Tags 37 and 38 were messages of the first view, and are not used again.
 """
 
 from __future__ import annotations
@@ -62,21 +63,6 @@
     view: View
 
 
-@message(37)
-class ProposeFirstView:
-    """Proposal of view 1 to a controller with an empty disk."""
-
-    view: View
-
-
-@message(38)
-class FirstViewResponse:
-    """Response to `ProposeFirstView`."""
-
-    taken: View | None  # the first view that the controller holds durably
-    decided: View | None = None  # the newest view that it knows to be decided
-
-
 @message(39)
 class Ping:
     """Health check of one voter by another."""
--- a/hollowusher/roles/edge.py
+++ b/hollowusher/roles/edge.py
@@ -59,7 +59,9 @@
 
             self.control = ControlPlane(process, me, process.data_dir)
         else:
-            self.seed = SeedService(settings, transport, lambda view: self.client.learn_view(view))
+            self.seed = SeedService(
+                settings, transport, process.random_source, lambda view: self.client.learn_view(view)
+            )
         feed = None if self.control is None else self.control.feed
         self.client = ClusterClient(
             me,
--- a/hollowusher/simulation/model_check/planted_control.py
+++ b/hollowusher/simulation/model_check/planted_control.py
@@ -4,11 +4,14 @@
 
 from hollowusher.coordination.chain.chain_member import ChainMember
 from hollowusher.coordination.chain.pending_change import PendingChange
+from hollowusher.coordination.consensus.first_view import FirstViewProposer
+from hollowusher.coordination.consensus.paxos import quorum_size
 from hollowusher.coordination.consensus.voter_instructions import SendResponse
 from hollowusher.coordination.consensus.voter_state_machine import PlanView, VoterStateMachine
 from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.consensus import Accepted, Prepare, Promise
 from hollowusher.protocol.control_chain import ChainWrite
+from hollowusher.protocol.view import View, Voter
 
 
 class AsksBeforeItsOwnPromise(VoterStateMachine):
@@ -69,6 +72,31 @@
         self.saved_state = member.state
 
 
+class DecidesByAQuorumOfItsOwnVoters(FirstViewProposer):
+    """A proposer of the first view that asks nobody before, and whom a quorum of its own voters is enough."""
+
+    def choose_value(self) -> bool:
+        self.value = self._plan(list(self.candidates.values()))
+        return self.value is not None
+
+    def on_accepted(self, voter: Voter, answer: Accepted) -> None:
+        super().on_accepted(voter, answer)
+        if self.value is not None and len(self._acceptances) >= quorum_size(self.value):
+            self.decided = self.value
+
+
+class TakesTheHighestBallotAlone(FirstViewProposer):
+    """A proposer of the first view that forgets what its voters have accepted."""
+
+    def _choosable(self) -> View | None:
+        return None
+
+
+FIRST_VIEW_FAULTS: dict[str, type[FirstViewProposer]] = {
+    "first-view-by-a-quorum-of-its-own": DecidesByAQuorumOfItsOwnVoters,
+    "first-view-forgets-accepted-ones": TakesTheHighestBallotAlone,
+}
+
 CHANGE_FAULTS: dict[str, type[PendingChange]] = {
     "takes-the-state-held-for-its-own": TakesTheStateHeldForItsOwn,
 }
