Reject a view of another cluster that comes as an item, and count it

Cause: a view learnt by an answer was compared by cluster, one pulled as an item was not: an item with a higher epoch of another cluster (an address used again, a system begun anew) replaced the own view.

Change: ClusterState rejects it and counts it with the other foreign rejections.

Measured: the new test fails without the check; tests of distribution and discovery pass.

--- a/hollowusher/coordination/cluster_state.py
+++ b/hollowusher/coordination/cluster_state.py
@@ -37,6 +37,7 @@
         self.configuration: Configuration | None = None
         self.placement: Placement | None = None
         self.view: View | None = None
+        self.foreign_views = 0  # rejected items with a view of another cluster
         self.members: dict[str, Member] = {}
         self.workers: PlatformWorkerList | None = None
         self._partition_placements: dict[int, PartitionPlacement] = {}
@@ -66,6 +67,9 @@
         return changed
 
     def _apply(self, item: DistributedItem) -> bool:
+        if item.key == VIEW and self._is_foreign(item.value):
+            self.foreign_views += 1
+            return False
         known = self.versions.get(item.key)
         version = list(item.version)
         if known is not None and version < known:
@@ -77,6 +81,11 @@
         self._store_value(item)
         return True
 
+    def _is_foreign(self, view: View) -> bool:
+        """Return whether a view is of another cluster than the known one; older processes name none."""
+        known = self.view
+        return known is not None and "" not in (known.cluster, view.cluster) and known.cluster != view.cluster
+
     def _store_value(self, item: DistributedItem) -> None:
         if item.key == CONFIGURATION:
             self.configuration = read_document(item.value)
--- a/hollowusher/coordination/distribution/cluster_client.py
+++ b/hollowusher/coordination/distribution/cluster_client.py
@@ -121,7 +121,7 @@
     @property
     def foreign_views(self) -> int:
         """How many views of another cluster were offered here and rejected."""
-        return self._context.discovery.foreign_rejections
+        return self._context.discovery.foreign_rejections + self._context.state.foreign_views
 
     # -- start and stop --------------------------------------------------------------------------------
 
--- a/tests/coordination/test_cluster_state.py
+++ b/tests/coordination/test_cluster_state.py
@@ -45,6 +45,17 @@
     assert state.configuration.generation == 7
 
 
+def test_a_view_of_another_cluster_is_rejected_and_counted() -> None:
+    state = ClusterState()
+    own, foreign = View(3, [], ["n"], {}, "cluster-1"), View(9, [], ["x"], {}, "cluster-2")
+    state.apply([item("view", 3, own)], {})
+    assert state.apply([item("view", 9, foreign)], {}) == []
+    assert (state.view, state.foreign_views) == (own, 1)
+    newer = View(4, [], ["n"], {}, "cluster-1")
+    assert state.apply([item("view", 4, newer)], {}) == ["view"]
+    assert state.view == newer
+
+
 def test_listeners_are_called_after_each_change() -> None:
     state = ClusterState()
     heard: list[tuple[str, int]] = []
