--- a/hollowusher/coordination/chain/chain_head.py
+++ b/hollowusher/coordination/chain/chain_head.py
@@ -18,9 +18,15 @@
 StateTransition = Callable[[ControlState], ControlState | None]
 
 
+def _keep_state(_state: ControlState) -> None:
+    """Leave the state as it is."""
+
+
 class ChainHead:
-    """Commits changes while `leads` says that this controller is the head.  `on_unreachable` is called with
-    the name of a chain member that gives no answer."""
+    """Commits changes while `leads` says that this controller is the head.
+
+    `on_unreachable` is called with the name of a chain member that gives no answer.
+    """
 
     def __init__(
         self,
@@ -49,13 +55,16 @@
         """Bring the state held into force in this epoch."""
         self._repropagating = True
         try:
-            await self.change(lambda state: None)
+            await self.change(_keep_state)
         finally:
             self._repropagating = False
 
     async def change(self, update: StateTransition) -> bool:
-        """Commit what `update` makes of the newest state (None: leave it).  True once the result is
-        committed; False where that is not known in time, or this is not the head."""
+        """Commit what `update` makes of the newest state; None from `update` leaves it.
+
+        Return True once the result is committed; False where that is not known in time, or this is not the
+        head.
+        """
         deadline = asyncio.get_running_loop().time() + UPDATE_DEADLINE_S
         try:
             async with asyncio.timeout_at(deadline):
--- a/hollowusher/coordination/chain/chain_member.py
+++ b/hollowusher/coordination/chain/chain_member.py
@@ -35,7 +35,7 @@
         if saved is not None:
             self.state_epoch, self.state = decode(saved)
 
-    def restore(self, epoch: int, state: ControlState, whole: bool = True) -> None:
+    def restore(self, epoch: int, state: ControlState, *, whole: bool = True) -> None:
         """Take what was found on disk; not `whole`: a part of it is missing, so it counts for nothing."""
         if whole:
             self.state_epoch, self.state = epoch, state
@@ -72,8 +72,10 @@
 
     @property
     def may_write(self) -> bool:
-        """Whether it is a head that holds all committed states, and its view is not older than its state:
-        the disk may remember a state of a view whose own save has failed."""
+        """Whether it is a head that holds all committed states, and its view is not older than its state.
+
+        The disk may remember a state of a view whose own save has failed.
+        """
         return self.is_head and self.complete and self.state_epoch <= self.epoch
 
     @property
@@ -92,14 +94,14 @@
         return self.is_in_force and self.committed is self.state
 
     def successor(self) -> str | None:
-        """The member after this one, None for the tail."""
+        """Return the member after this one, None for the tail."""
         if self.view is None or not self.in_chain:
             return None
         position = self.view.chain.index(self.name) + 1
         return self.view.chain[position] if position < len(self.view.chain) else None
 
     def predecessor(self) -> str | None:
-        """The member before this one, None for the head."""
+        """Return the member before this one, None for the head."""
         if self.view is None or not self.in_chain:
             return None
         position = self.view.chain.index(self.name)
@@ -116,8 +118,10 @@
         return True
 
     def accepts(self, write: ChainWrite) -> bool:
-        """Whether a state from the member before is to be saved, kept and passed on: it is of this epoch and
-        not older than the one held."""
+        """Return whether a state from the member before is to be saved, kept and passed on.
+
+        It is if it is of this epoch and not older than the one held.
+        """
         follows = self.in_chain and not self.is_head
         return follows and write.epoch == self.epoch and self._version(write) >= self._saved_version()
 
@@ -135,14 +139,14 @@
         return same_version and not self._is_damaged and self.state == write.state
 
     def keep(self, write: ChainWrite) -> None:
-        """A state has been saved."""
+        """Record that a state has been saved."""
         if self._is_damaged or self._version(write) > self._saved_version():
             self.state = write.state
             self.state_epoch = write.epoch
             self._is_damaged = False
 
     def commit(self, write: ChainWrite) -> ControlState | None:
-        """The tail has this state: it is committed.  The state, where that is news."""
+        """Record that the tail has saved this state; return the state where that is news."""
         known = self.committed
         if known is not None and write.state.sequence < known.sequence:
             return None
@@ -161,5 +165,5 @@
 
 
 def encode_write(write: ChainWrite) -> bytes:
-    """What a member saves for a state: it is loaded by `ChainMember`."""
+    """Encode what a member saves for a state; `ChainMember` loads it."""
     return encode([write.epoch, write.state])
--- a/hollowusher/coordination/chain/chain_replicator.py
+++ b/hollowusher/coordination/chain/chain_replicator.py
@@ -45,9 +45,11 @@
 
 
 class ChainReplicator:
-    """One controller's place in the chain.  `on_state` is called with each newly committed state; `spawn`
-    runs a coroutine for as long as the controller lives; `refused` counts messages by why they were not
-    taken."""
+    """One controller's place in the chain.
+
+    `on_state` is called with each newly committed state; `spawn` runs a coroutine for as long as the
+    controller lives; `refused` counts messages by why they were not accepted.
+    """
 
     def __init__(
         self,
@@ -87,30 +89,30 @@
         async with self._lock:
             outdated = new_state is not None and new_state.base is not self.member.state
             if outdated or not self.member.may_write:
-                return ChainWritten(False, self.member.epoch)
+                return ChainWritten(ok=False, epoch=self.member.epoch)
             write = self.member.begin(new_state.state if new_state is not None else None)
             if not await self._save(write):
-                return ChainWritten(False, self.member.epoch, self.member.name)
+                return ChainWritten(ok=False, epoch=self.member.epoch, unreachable=self.member.name)
             if new_state is not None:
                 new_state.change.on_saved(write)
         return await self._forward_to_successor(write)
 
     async def receive(self, write: ChainWrite) -> ChainWritten:
-        """Take a state from the member before."""
+        """Receive a state from the member before."""
         async with self._lock:
             reason = self._rejection_reason(write)
             if reason:
                 self.refused[reason] += 1
-                return ChainWritten(False, 0 if reason == FOREIGN_CLUSTER else self.member.epoch)
+                return ChainWritten(ok=False, epoch=0 if reason == FOREIGN_CLUSTER else self.member.epoch)
             whole = self._fill_record(write)
             if whole is None:
-                return ChainWritten(False, self.member.epoch, lacking=self.member.name)
+                return ChainWritten(ok=False, epoch=self.member.epoch, lacking=self.member.name)
             if not await self._save(whole):
-                return ChainWritten(False, self.member.epoch, self.member.name)
+                return ChainWritten(ok=False, epoch=self.member.epoch, unreachable=self.member.name)
         return await self._forward_to_successor(whole)
 
     def _rejection_reason(self, write: ChainWrite) -> str:
-        """Why a write is not to be taken, empty where it is."""
+        """Return why a write is rejected, empty where it is accepted."""
         view = self.member.view
         if view is None or _conflict(write.cluster, view.cluster):
             return FOREIGN_CLUSTER
@@ -124,7 +126,7 @@
         return "" if self.member.accepts(write) else "write: older than the state held"
 
     def _fill_record(self, write: ChainWrite) -> ChainWrite | None:
-        """The write with document and history; None where they are not held: then they are fetched."""
+        """Return the write with document and history; None where they are not held: then they are fetched."""
         if not write.record:
             return write
         record = self._store.record(write.record)
@@ -137,7 +139,7 @@
 
     async def _forward_to_successor(self, write: ChainWrite) -> ChainWritten:
         if self.member.epoch != write.epoch:
-            return ChainWritten(False, self.member.epoch)
+            return ChainWritten(ok=False, epoch=self.member.epoch)
         following = self.member.successor()
         if following is not None:
             answer = await self._call(following, write)
@@ -146,13 +148,13 @@
         committed = self.member.commit(write)
         if committed is not None:
             self._on_state(committed)
-        return ChainWritten(True, write.epoch)
+        return ChainWritten(ok=True, epoch=write.epoch)
 
     async def _call(self, name: str, write: ChainWrite) -> ChainWritten:
-        """Have the next member take a write."""
+        """Have the next member save a write."""
         view, voter = self.member.view, self._voter(name)
         if view is None or voter is None:
-            return ChainWritten(False, self.member.epoch)
+            return ChainWritten(ok=False, epoch=self.member.epoch)
         message, digest = self._for_member(write, voter, view)
         sent_bytes = len(message.state.document)
         hops = len(view.chain) - view.chain.index(name)
@@ -161,17 +163,17 @@
         try:
             answer = await self._transport.call(voter.address, message, timeout)
         except FencedError as error:
-            return ChainWritten(False, error.token.epoch)
+            return ChainWritten(ok=False, epoch=error.token.epoch)
         except PeerError:
-            return ChainWritten(False, self.member.epoch, name)
+            return ChainWritten(ok=False, epoch=self.member.epoch, unreachable=name)
         if not isinstance(answer, ChainWritten):
-            return ChainWritten(False, self.member.epoch)
+            return ChainWritten(ok=False, epoch=self.member.epoch)
         if answer.ok and self.member.epoch == write.epoch:
             self._records_at_successor[name] = digest
         return answer
 
     def _for_member(self, write: ChainWrite, voter: Voter, view: View) -> tuple[ChainWrite, bytes]:
-        """The message to the next member, and the digest of the record that the state has."""
+        """Return the message to the next member, and the digest of the record that the state has."""
         record = self._store.record_of(write.state)
         addressed = evolve(write, cluster=view.cluster, sender=self.member.name, receiver_disk=voter.disk_id)
         if (
@@ -188,7 +190,7 @@
     # -- records ---------------------------------------------------------------------------------------
 
     def read_record(self, message: ReadStateRecord) -> StateRecordChunk:
-        """A part of a document and history that are held here."""
+        """Return a chunk of a document and history that are held here."""
         view = self.member.view
         if view is None or _conflict(message.cluster, view.cluster):
             self.refused["record: another cluster"] += 1
--- a/hollowusher/coordination/chain/record_fetcher.py
+++ b/hollowusher/coordination/chain/record_fetcher.py
@@ -51,7 +51,7 @@
         return self._size is not None and len(self._data) == self._size
 
     def take(self, chunk: StateRecordChunk) -> str:
-        """Add the next chunk; the reason why it is not taken, empty where it is."""
+        """Add the next chunk; return why it is rejected, empty where it is not."""
         if chunk.digest != self.digest:
             return "not held"
         if not 0 < chunk.size <= MAX_RECORD_BYTES or self._size not in (None, chunk.size):
@@ -63,7 +63,7 @@
         return ""
 
     def finish(self) -> StateRecord | None:
-        """The whole record, None where it is not what its digest says: then all of it is dropped."""
+        """Return the complete record; None, and drop all of it, where its digest is another one."""
         encoded = bytes(self._data)
         try:
             record = decode_record(encoded)
@@ -118,7 +118,7 @@
             self._running = False
 
     async def _fetch_chunk(self, buffer: RecordBuffer) -> bool:
-        """Ask for the next chunk; whether it came."""
+        """Request the next chunk; return whether it came."""
         question = ReadStateRecord(buffer.digest, buffer.offset, self._cluster)
         try:
             answer = await self._transport.call(self._source, question, CHUNK_TIMEOUT_S)
@@ -130,7 +130,7 @@
         return self._count_failure(refused) if refused else True
 
     async def _finish(self, buffer: RecordBuffer) -> bool:
-        """Check and save the whole record; whether that is done."""
+        """Check and save the complete record; return whether that is done."""
         record = buffer.finish()
         if record is None:
             return self._count_failure("wrong digest")
@@ -150,7 +150,7 @@
 
 
 def read_chunk(record: StateRecord | None, offset: int) -> StateRecordChunk:
-    """The answer to `ReadStateRecord`."""
+    """Return the answer to `ReadStateRecord`."""
     if record is None or not 0 <= offset < len(record.encoded):
         return StateRecordChunk(b"", 0, offset, b"")
     return StateRecordChunk(
--- a/hollowusher/coordination/chain/state_record.py
+++ b/hollowusher/coordination/chain/state_record.py
@@ -35,27 +35,27 @@
         return state.document is self.document and state.history is self.history
 
     def fill(self, state: ControlState) -> ControlState:
-        """The state with this document and history."""
+        """Return the state with this document and history."""
         return evolve(state, document=self.document, history=self.history)
 
 
 def make_record(state: ControlState) -> StateRecord:
-    """The record of a state."""
+    """Return the record of a state."""
     encoded = encode([state.document, state.history])
     return StateRecord(compute_digest(encoded), encoded, state.document, state.history)
 
 
 def decode_record(encoded: bytes) -> StateRecord:
-    """The record of such bytes; `DecodeError` for others."""
+    """Decode a record; `DecodeError` for other bytes."""
     document, history = decode(encoded)
     return StateRecord(compute_digest(encoded), encoded, document, history)
 
 
 def compute_digest(encoded: bytes) -> bytes:
-    """What a record is known by."""
+    """Return the digest by which a record is known."""
     return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).digest()
 
 
 def strip_record(state: ControlState) -> ControlState:
-    """The state without its document and history."""
+    """Return the state without its document and history."""
     return evolve(state, document=b"", history=[])
--- a/hollowusher/coordination/chain/state_store.py
+++ b/hollowusher/coordination/chain/state_store.py
@@ -33,8 +33,11 @@
 
 @attrs.frozen
 class SavedState:
-    """What was found on disk.  `whole` is False where the record that the state names is missing: then this
-    disk must not be taken to hold what it once acknowledged."""
+    """What was found on disk.
+
+    `whole` is False where the record that the state names is missing: then this disk must not be taken to
+    hold what it once acknowledged.
+    """
 
     epoch: int
     state: ControlState
@@ -60,7 +63,7 @@
         self._failed_at: float | None = None
 
     def load(self) -> SavedState | None:
-        """The state saved last, None where there is none."""
+        """Load the state saved last, None where there is none."""
         for place, slot in enumerate(self._record_slots):
             encoded = slot.load()
             self._records[place] = decode_record(encoded) if encoded is not None else None
@@ -79,14 +82,14 @@
         return SavedState(epoch, record.fill(state))
 
     def record(self, digest: bytes) -> StateRecord | None:
-        """A record that is held: durably in a slot of its own, or as part of the newest state."""
+        """Return a record that is held, in a slot of its own or as part of the newest state."""
         for record in (self._current, *self._records):
             if record is not None and record.digest == digest:
                 return record
         return None
 
     def record_of(self, state: ControlState) -> StateRecord:
-        """The record of a state."""
+        """Return the record of a state."""
         for record in (self._current, *self._records):
             if record is not None and record.of(state):
                 return record
@@ -127,7 +130,7 @@
         self._records[place] = record
 
     def _free_slot(self) -> int:
-        """The slot whose record the durable state does not name."""
+        """Return the slot whose record the durable state does not name."""
         for place, record in enumerate(self._records):
             if record is None or not self._referenced_digest or record.digest != self._referenced_digest:
                 return place
--- a/tests/coordination/chain/test_state_store.py
+++ b/tests/coordination/chain/test_state_store.py
@@ -152,7 +152,7 @@
     assert not saved.whole
     view = first_view([Voter(name, f"disk-{name}", name) for name in "abc"])
     member = ChainMember("a", "disk-a")
-    member.restore(saved.epoch, saved.state, saved.whole)
+    member.restore(saved.epoch, saved.state, whole=saved.whole)
     member.install(view)
     assert member.is_head
     assert not member.complete
