Do not call a message left waiting while no worker of its service is there

Traced: the lot of worker faults took all listed workers from 1022.9 s to 1032 s (no run of any push message began meanwhile), they came back, and the backlog was done within 3 s, newer ones first. The check knew no outage of workers; the users' rule wants no worker in trouble.

Change: the fleet notes the time without any listed worker, for the services concerned; the check leaves that time out for these services alone, and counts its 6 s anew after it.

--- a/hollowusher/simulation/checks/waiting.py
+++ b/hollowusher/simulation/checks/waiting.py
@@ -35,7 +35,8 @@
         if message.ordering_key:
             continue
         end = model.ended_at(observations, message, rules.routes[message.route])
-        for span in _idle_spans(message, end, runs[message.id], calm):
+        served = _without_outages(observations, message.service, calm)
+        for span in _idle_spans(message, end, runs[message.id], served):
             later = _overtakers(observations, message, succeeded[message.route], span)
             if later >= MIN_OVERTAKERS:
                 text = (
@@ -58,6 +59,24 @@
     return spans
 
 
+def _without_outages(observations: Observations, service: str, calm: list[Span]) -> list[Span]:
+    """Return the calm stretches of `LEFT_S` or more in which the service had workers."""
+    spans = calm
+    for outage in observations.worker_outages:
+        if service in outage.services:
+            ended_at = outage.ended_at or observations.ended_at
+            spans = [
+                part
+                for span in spans
+                for part in (
+                    Span(span.begin, min(span.end, outage.begun_at)),
+                    Span(max(span.begin, ended_at), span.end),
+                )
+                if part.end - part.begin >= LEFT_S
+            ]
+    return spans
+
+
 def _due_at(message: SentMessage) -> float:
     return message.sent_at + message.delay_s
 
--- a/hollowusher/simulation/observations.py
+++ b/hollowusher/simulation/observations.py
@@ -195,6 +195,15 @@
     planned: bool = False
 
 
+@dataclass
+class WorkerOutage:
+    """A time in which no listed worker of some services was there."""
+
+    services: frozenset[str]
+    begun_at: float
+    ended_at: float | None = None  # None: it lasts
+
+
 @dataclass
 class Observations:
     """Everything that was seen."""
@@ -213,6 +222,7 @@
     shutdowns: list[ObservedShutdown] = field(default_factory=list)
     retirements: list[StoreRetirement] = field(default_factory=list)
     liveness_failures: list[LivenessFailure] = field(default_factory=list)
+    worker_outages: list[WorkerOutage] = field(default_factory=list)
     calls_after_fencing: list[CallAfterFencing] = field(default_factory=list)
     calm_since: float = 0.0  # no disturbance after this
     traffic_ended_at: float = 0.0
--- a/hollowusher/simulation/worker_fleet.py
+++ b/hollowusher/simulation/worker_fleet.py
@@ -21,6 +21,7 @@
     RECEIVERS,
     VISIBILITY_S,
 )
+from hollowusher.simulation.observations import WorkerOutage
 from hollowusher.simulation.pull_worker import PullWorkerOptions, SimulatedPullWorker
 from hollowusher.simulation.push_worker import IdempotencyTable, PushWorkerOptions, SimulatedPushWorker
 from hollowusher.simulation.worker_list_server import WorkerListing, WorkerListServer
@@ -98,7 +99,7 @@
             drawn = random_source.random()
             if drawn < 0.1:
                 down_s = random_source.uniform(1.0, 12.0)
-                await asyncio.gather(*(self._crash(each, random_source, down_s) for each in listed))
+                await self._crash_listed(listed, random_source, down_s)
             elif drawn < 0.4:
                 await self._crash(random_source.choice(listed), random_source)
             elif drawn < 0.6:
@@ -106,6 +107,15 @@
             else:
                 await self._release(random_source.choice(listed), random_source)
 
+    async def _crash_listed(
+        self, listed: list[SimulatedPushWorker], random_source: random.Random, down_s: float
+    ) -> None:
+        """All listed workers crash; note the time without any."""
+        outage = WorkerOutage(frozenset(each.service for each in listed), self.cluster.loop.time())
+        self.cluster.observations.worker_outages.append(outage)
+        await asyncio.gather(*(self._crash(each, random_source, down_s) for each in listed))
+        outage.ended_at = self.cluster.loop.time()
+
     async def crash_all(self, seconds: float) -> None:
         """All listed workers crash, and others come after so long."""
         random_source = self.cluster.random("workers down")
--- a/tests/simulation/test_left_waiting.py
+++ b/tests/simulation/test_left_waiting.py
@@ -6,7 +6,7 @@
 
 from hollowusher.simulation.checks.rules import DeploymentRules
 from hollowusher.simulation.checks.waiting import LEFT_S, MIN_OVERTAKERS, Span, calm_spans, check_left_waiting
-from hollowusher.simulation.observations import InjectedFault, MessageStateResponse, SentMessage
+from hollowusher.simulation.observations import InjectedFault, MessageStateResponse, SentMessage, WorkerOutage
 from tests.simulation.test_simulated_invariants import History
 
 DUE = 10.0
@@ -53,6 +53,22 @@
     assert found(made) == []
 
 
+@pytest.mark.parametrize(("of_its_service", "subjects"), [(True, []), (False, ["waiting"])])
+def test_the_time_without_any_worker_of_its_service_does_not_count(
+    of_its_service: bool, subjects: list[str]
+) -> None:
+    made, waiting = history(DUE + 8.0)
+    service = waiting.service if of_its_service else "another"
+    made.observations.worker_outages.append(WorkerOutage(frozenset({service}), DUE, DUE + 7.5))
+    assert found(made) == subjects
+
+
+def test_a_message_left_waiting_after_an_outage_of_its_workers_is_found() -> None:
+    made, waiting = history(DUE + 8.0 + LEFT_S)
+    made.observations.worker_outages.append(WorkerOutage(frozenset({waiting.service}), DUE - 5.0, DUE + 0.5))
+    assert found(made) == ["waiting"]
+
+
 def test_an_ordered_message_may_wait_for_its_predecessors() -> None:
     made, waiting = history(DUE + 20.0)
     waiting.ordering_key = "k"
