Give sockets of tests ports that no other process has been given

Change: the tests use the emulator's free_port, which claims a port for the life of the process, below those that the kernel gives out. No test is changed beyond that.

--- a/tests/support/standins.py
+++ b/tests/support/standins.py
@@ -16,6 +16,7 @@
 from hollowusher.balancing import Discovery, Effect, Group, JobClass, Limits, Settings, Via
 from hollowusher.scheduler.app import serve
 from hollowusher.scheduler.config import SchedulerConfig, load
+from hollowusher.scheduler.emulator.outside import free_port as free_port
 from hollowusher.scheduler.fronts.stomp.settings import StompConfig, StompNode
 from hollowusher.scheduler.log import LogWriter
 from hollowusher.scheduler.net.http2.settings import Http2Config
@@ -42,13 +43,6 @@
 MEANINGS = {"x0": "free_slots"}
 
 
-def free_port() -> int:
-    """A port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 def reset(writer: asyncio.StreamWriter) -> None:
     """Break a connection as a dying process does."""
     sock = writer.get_extra_info("socket")
