Count granted, expired and reclaimed leases and late results at each store

From the metrics nobody could tell an expired lease from one that was taken back because its dispatcher was judged dead, or from a lost report. Change: LeaseMetrics, updated by MessageLeases, served as hollowusher_leases_* by each store.

--- a/hollowusher/messages/partition/message_leases.py
+++ b/hollowusher/messages/partition/message_leases.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from contextlib import suppress
 from functools import partial
 
 import attrs
@@ -25,6 +24,7 @@
     LeaseOutcome,
     last_finished_lease,
 )
+from hollowusher.messages.partition.lease_metrics import LeaseMetrics
 from hollowusher.messages.partition.message_lifecycle import STORAGE_RETRY_S, MessageLifecycle
 from hollowusher.messages.partition.message_queue import QueueStage
 from hollowusher.messages.partition.partition_context import PartitionContext
@@ -47,10 +47,11 @@
 
 @attrs.frozen
 class LeaseOptions:
-    """Default visibility timeout of pull leases, and the source of backoff jitter."""
+    """Default visibility timeout of pull leases, the source of backoff jitter, and the metrics to update."""
 
     visibility_ms: int
     random_source: Callable[[], float]  # returns uniform numbers in [0, 1)
+    metrics: LeaseMetrics = attrs.Factory(LeaseMetrics)
 
 
 class MessageLeases:
@@ -65,6 +66,7 @@
         self._lifecycle = lifecycle
         self._visibility_ms = options.visibility_ms
         self._random_source = options.random_source
+        self._metrics = options.metrics
 
     # Granting
 
@@ -88,6 +90,7 @@
                 continue
             if bucket is not None:
                 bucket.consume()
+            self._metrics.granted += 1
             grants.append(grant)
         return grants
 
@@ -132,6 +135,13 @@
         -------
         The response, or a proposal; once the proposal is committed, the response is `taken`.
         """
+        answer = self._finish(lease, finish, now, wall_ms)
+        self._metrics.late_results += answer is GONE
+        return answer
+
+    def _finish(
+        self, lease: LeaseId, finish: FinishLease, now: float, wall_ms: int
+    ) -> Proposal | LeaseUpdateResponse:
         entry = self._table.entries.get(lease.key)
         if entry is None or finish.result not in RESULT_PRECEDENCE:
             return GONE
@@ -168,6 +178,7 @@
         """Requeue a message whose lease has expired; after a disk error, try again later."""
         try:
             self._lifecycle.requeue(active, now, now, wall_ms)
+            self._metrics.expired += 1
         except StorageError:
             self._deadlines.schedule_lease_expiry(active, now + STORAGE_RETRY_S)
 
@@ -182,7 +193,7 @@
         for active in list(self._lifecycle.leased.values()):
             state = self._table.entries[active.key].state
             if state is not None and not state.pull and not alive(state.dispatcher, state.incarnation):
-                self._try_requeue(active, now, wall_ms)
+                self._metrics.reclaimed += self._try_requeue(active, now, wall_ms)
 
     # Transitions
 
@@ -275,7 +286,10 @@
         self.restore(active, entry, now)
         return proposal
 
-    def _try_requeue(self, active: ActiveMessage, now: float, wall_ms: int) -> None:
-        """Requeue a message; after a disk error the message stays leased until its lease expires."""
-        with suppress(StorageError):
+    def _try_requeue(self, active: ActiveMessage, now: float, wall_ms: int) -> bool:
+        """Requeue a message and return True; after a disk error the message stays leased until its expiry."""
+        try:
             self._lifecycle.requeue(active, now, now, wall_ms)
+        except StorageError:
+            return False
+        return True
--- a/hollowusher/messages/store_service.py
+++ b/hollowusher/messages/store_service.py
@@ -22,6 +22,7 @@
 from hollowusher.messages import records
 from hollowusher.messages.job_waiters import JobWaiters
 from hollowusher.messages.lease_service import LeaseService
+from hollowusher.messages.partition.lease_metrics import LeaseMetrics
 from hollowusher.messages.partition.message_leases import LeaseOptions
 from hollowusher.messages.partition.partition_primary import PartitionPrimary, PrimaryOptions
 from hollowusher.messages.partition.queue_summary import QueueSummary
@@ -79,7 +80,8 @@
         self.store_id = dependencies.store_id
         self._log = log = dependencies.log
         self._state = state = dependencies.state
-        self._lease_options = LeaseOptions(settings.bounds.visibility_ms, random_source)
+        self.lease_metrics = LeaseMetrics()
+        self._lease_options = LeaseOptions(settings.bounds.visibility_ms, random_source, self.lease_metrics)
         self._wall_ms = SteadyWallClock(dependencies.wall_ms, self._now)
         dependencies = attrs.evolve(dependencies, wall_ms=self._wall_ms)
         self._log_reserve = min(MAX_LOG_RESERVE_BYTES, log.free_bytes() // 8)
--- a/hollowusher/roles/store.py
+++ b/hollowusher/roles/store.py
@@ -50,6 +50,7 @@
     replicas = service.replicas()
     return {
         "queue": attrs.asdict(service.queue_summary()),
+        "leases": attrs.asdict(service.lease_metrics),
         "partitions": {
             "kept": len(replicas),
             "led": sum(replica.primary is not None for replica in replicas),
--- a/tests/messages/test_partition.py
+++ b/tests/messages/test_partition.py
@@ -12,6 +12,7 @@
 from hollowusher.messages import records
 from hollowusher.messages.partition.active_messages import LeaseGrant, callback_service_name
 from hollowusher.messages.partition.callback_jobs import CALLBACK_LEASE_S
+from hollowusher.messages.partition.lease_metrics import LeaseMetrics
 from hollowusher.messages.partition.message_leases import LeaseOptions
 from hollowusher.messages.partition.partition_primary import PartitionPrimary, PrimaryOptions
 from hollowusher.messages.partition.partition_table import CLOCK_MARGIN_MS, PartitionTable, RecordCache
@@ -39,7 +40,9 @@
         self.hold = False
         self.table = table or new_table()
         self.held: list[Proposal] = []
-        options = PrimaryOptions(read_document(configuration(1)), LeaseOptions(3_000, lambda: 0.5))
+        self.lease_metrics = LeaseMetrics()
+        leases = LeaseOptions(3_000, lambda: 0.5, self.lease_metrics)
+        options = PrimaryOptions(read_document(configuration(1)), leases)
         self.primary = PartitionPrimary(self.table, epoch, options, now, self.wall_ms)
 
     @property
