A lease covers the timeout that its delivery uses, also after a change of the route

Cause: the edge process delivered by the newest configuration, the store computed the lease from the timeout at the acceptance. Evidence: with hollowusher_leases_*, 12 of 15 leases expired, none was reclaimed, and all 12 successes came as late results; no delivery ended as unknown or not_run. Fix: the primary decides the timeout at the grant, by the newest configuration that it knows; the record of the lease keeps it over a takeover, the leased job tells it, and the edge process never delivers with a longer one. Neither the wire nor the records change: the record's field of pull leases (visibility_ms, now holder_timeout_ms, same place) is used for push leases too, and message.timeout_ms of a job was unused. The partition's reference model leased for 10,000 s by the message; it sets its route so now.

--- a/hollowusher/dispatch/service_dispatcher.py
+++ b/hollowusher/dispatch/service_dispatcher.py
@@ -17,6 +17,7 @@
 from hollowusher.delivery.worker_client import Endpoint, WorkerClient
 from hollowusher.dispatch.worker_flow_control import WorkerFlowControl
 from hollowusher.protocol.leases import FinishLease, LeasedJob
+from hollowusher.protocol.messages import NewMessage
 
 IDLE_SOURCE_TTL_S = 3.0  # polling of a store other than the home store ends this long after its last job
 FREEZE_THRESHOLD_S = 1.0  # a timer that fires this late shows that the process was frozen
@@ -235,7 +236,7 @@
             return
         pending.attempted_workers.append(worker.key)
         worker.control.record_sent(now, pending.job.lease)
-        task = self._loop.create_task(self._deliver(worker, pending, route.timeout_ms / 1000))
+        task = self._loop.create_task(self._deliver(worker, pending, delivery_timeout_s(route, message)))
         self._deliveries.add(task)
         task.add_done_callback(self._deliveries.discard)
 
@@ -332,3 +333,11 @@
         start_deadline = min(pending.start_deadline for pending in self._queue)
         self._timer_at = min([start_deadline, now + MAX_RECHECK_S, *check_times])
         self._timer = self._loop.call_at(self._timer_at, self.dispatch_pending)
+
+
+def delivery_timeout_s(route: Route, leased: NewMessage) -> float:
+    """Return the timeout of a delivery in seconds: that of the route, but no longer than the lease covers.
+
+    The store that granted the lease may have another configuration than this process."""
+    timeout_ms = min(route.timeout_ms, leased.timeout_ms or route.timeout_ms)
+    return timeout_ms / 1000
--- a/hollowusher/messages/partition/message_leases.py
+++ b/hollowusher/messages/partition/message_leases.py
@@ -31,7 +31,9 @@
 from hollowusher.messages.partition.partition_table import MessageEntry
 from hollowusher.messages.partition.proposal import Proposal
 from hollowusher.messages.records import LeaseId, MessageState, MessageStatus
+from hollowusher.protocol.codec import evolve
 from hollowusher.protocol.leases import FinishLease, LeasedJob, LeaseRequest, LeaseUpdateResponse
+from hollowusher.protocol.messages import NewMessage
 from hollowusher.storage.interface import StorageError
 
 PULL_GRACE_S = 0.3  # added to the visibility timeout: transit time of the worker's last request to the store
@@ -120,9 +122,14 @@
     def lease_duration_s(self, active: ActiveMessage, state: MessageState) -> float:
         """Return the duration of a lease in seconds."""
         if state.pull:
-            visible_s = (state.visibility_ms or self._visibility_ms) / 1000
+            visible_s = (state.holder_timeout_ms or self._visibility_ms) / 1000
             return visible_s + PULL_GRACE_S + PULL_DELIVERY_ALLOWANCE_S
-        return active.timeout_ms / 1000 + PUSH_GRACE_S
+        timeout_ms = state.holder_timeout_ms or self._longest_timeout_ms(active)
+        return timeout_ms / 1000 + PUSH_GRACE_S
+
+    def _longest_timeout_ms(self, active: ActiveMessage) -> int:
+        """Return the longest timeout by which the holder of an older version's lease may deliver."""
+        return max(active.timeout_ms, self._routing.delivery_timeout_ms(active))
 
     # Requests of lease holders
 
@@ -165,7 +172,7 @@
         if lease.is_callback or active is None or entry is None or active.is_ending:
             return GONE
         if active.lease == lease.number:
-            visibility_ms = entry.state.visibility_ms if entry.state is not None else 0
+            visibility_ms = entry.state.holder_timeout_ms if entry.state is not None else 0
             active.expires_at = now + (visibility_ms or self._visibility_ms) / 1000 + PULL_GRACE_S
             return TAKEN
         if lease.number == last_finished_lease(entry) or not self._may_update(active, entry, lease.number):
@@ -213,13 +220,19 @@
         state.status = MessageStatus.LEASED
         state.lease = state.version[1]
         state.dispatcher, state.incarnation = request.dispatcher, request.incarnation
-        state.pull, state.visibility_ms = request.pull, request.visibility_ms
+        state.pull = request.pull
+        message = accepted.message
+        if request.pull:
+            state.holder_timeout_ms = request.visibility_ms
+        else:
+            state.holder_timeout_ms = self._routing.delivery_timeout_ms(active)
+            message = with_delivery_timeout(message, state.holder_timeout_ms)
         duration_s = self.lease_duration_s(active, state)
         on_commit = partial(self._on_grant_committed, active, state.lease, duration_s)
         proposal = self._writer.propose_state(active.key, state, now, wall_ms, on_commit)
         self._lifecycle.mark_leased(active, state.lease, now + duration_s)
         lease = records.format_lease_id(self._table.partition, active.key, state.lease)
-        return LeaseGrant(LeasedJob(lease, accepted.message, state.attempts, START_WITHIN_MS), proposal)
+        return LeaseGrant(LeasedJob(lease, message, state.attempts, START_WITHIN_MS), proposal)
 
     @staticmethod
     def _on_grant_committed(
@@ -281,7 +294,7 @@
         state.status = MessageStatus.LEASED
         state.lease = number
         state.pull = True
-        state.visibility_ms = self._visibility_ms
+        state.holder_timeout_ms = self._visibility_ms
         proposal = self._writer.propose_state(active.key, state, now, wall_ms)
         self.restore(active, entry, now)
         return proposal
@@ -293,3 +306,8 @@
         except StorageError:
             return False
         return True
+
+
+def with_delivery_timeout(message: NewMessage, timeout_ms: int) -> NewMessage:
+    """Return the message with the timeout of its next delivery in place of the one at its acceptance."""
+    return message if message.timeout_ms == timeout_ms else evolve(message, timeout_ms=timeout_ms)
--- a/hollowusher/messages/partition/record_writer.py
+++ b/hollowusher/messages/partition/record_writer.py
@@ -86,7 +86,7 @@
             dispatcher="",
             incarnation=0,
             pull=False,
-            visibility_ms=0,
+            holder_timeout_ms=0,
         )
 
     def propose_confirmation(self, now: float) -> Proposal:
--- a/hollowusher/messages/partition/service_routing.py
+++ b/hollowusher/messages/partition/service_routing.py
@@ -17,6 +17,7 @@
         self._configuration: Configuration | None = None
         self._routes: frozenset[str] = frozenset()
         self._upstreams: dict[str, str] = {}  # service of each route
+        self._timeouts_ms: dict[str, int] = {}  # delivery timeout of each route
         self._services: frozenset[str] = frozenset()
         self._buckets: dict[str, TokenBucket] = {}
 
@@ -25,6 +26,7 @@
         self._configuration = configuration
         self._routes = frozenset(route.name for route in configuration.routes)
         self._upstreams = {route.name: route.upstream for route in configuration.routes}
+        self._timeouts_ms = {route.name: route.timeout_ms for route in configuration.routes}
         self._services = frozenset(service.name for service in configuration.upstreams)
         rates = {
             service.name: service.rate_per_s for service in configuration.upstreams if service.rate_per_s > 0
@@ -53,6 +55,10 @@
         """Return `service`, or the current service of the route if `service` is not configured any more."""
         return service if service in self._services else self._upstreams.get(route, service)
 
+    def delivery_timeout_ms(self, active: ActiveMessage) -> int:
+        """Return the timeout of the message's route; of an unknown route, the timeout at its acceptance."""
+        return self._timeouts_ms.get(active.route, active.timeout_ms)
+
     def has_changed_service(self, active: ActiveMessage) -> bool:
         """Return whether the message has to move to the queue of another service."""
         return self.service_for(active.route, active.service) != active.service
--- a/hollowusher/messages/records.py
+++ b/hollowusher/messages/records.py
@@ -95,7 +95,9 @@
     dispatcher: str = ""
     incarnation: int = 0
     pull: bool = False
-    visibility_ms: int = 0
+    # How long the lease holder may work: the visibility timeout of a pull lease, or the delivery timeout of a
+    # push lease.  0: there is no lease, or an older version wrote the record of a push lease.
+    holder_timeout_ms: int = 0
     last_lease: int = 0  # number of the lease that finished last; its holder may report the result again
     last_result: str = ""  # result of the lease `last_lease`
     signature: str = ""
@@ -145,7 +147,7 @@
         state.dispatcher,
         state.incarnation,
         state.pull,
-        state.visibility_ms,
+        state.holder_timeout_ms,
         state.last_lease,
         state.last_result,
         state.signature,
--- a/hollowusher/protocol/leases.py
+++ b/hollowusher/protocol/leases.py
@@ -31,7 +31,10 @@
 
 @message(54)
 class LeasedJob:
-    """A leased job; `attempt` is the count of earlier deliveries of the message."""
+    """A leased job; `attempt` is the count of earlier deliveries of the message.
+
+    In a push lease, `message.timeout_ms` is the longest timeout of the delivery that the lease covers.
+    """
 
     lease: str
     message: NewMessage
--- a/hollowusher/protocol/messages.py
+++ b/hollowusher/protocol/messages.py
@@ -29,7 +29,7 @@
     callback_url: str = ""
     max_attempts: int = 1
     retention_ms: int = 0
-    timeout_ms: int = 0
+    timeout_ms: int = 0  # of each delivery, when the message was accepted; in a `LeasedJob`: of this delivery
     priority: int = 0
     target_start_ms: int = 0
     headers: list[list[str]] = attrs.Factory(list)  # further [name, value] headers of each delivery
--- a/tests/contract/names.py
+++ b/tests/contract/names.py
@@ -671,7 +671,7 @@
     "dispatcher",
     "incarnation",
     "pull",
-    "visibility_ms",
+    "holder_timeout_ms",
     "last_lease",
     "last_result",
     "signature",
--- a/tests/dispatch/test_dispatch.py
+++ b/tests/dispatch/test_dispatch.py
@@ -617,6 +617,21 @@
 
         play(work)
 
+    @pytest.mark.parametrize(("covered_ms", "timeout_s"), [(1_000, 1.0), (20_000, 12.0), (0, 12.0)])
+    def test_no_delivery_is_longer_than_its_lease_covers(self, covered_ms: int, timeout_s: float) -> None:
+        async def work(loop: VirtualTimeLoop) -> None:
+            cluster, stores = simple_cluster(), LeasingStores()
+            workers = model(cluster)
+            subject = dispatcher(cluster, stores, workers)
+            subject.start()
+            cluster.configure([SVC], [route(timeout_ms=12_000)])
+            stores.add(STORE_1, [job(1, timeout_ms=covered_ms)])
+            await asyncio.sleep(1)
+            assert workers.timeouts == [timeout_s]
+            await subject.stop(3)
+
+        play(work)
+
     def test_a_delivery_to_a_fixed_endpoint_has_no_instance_id(self) -> None:
         async def work(loop: VirtualTimeLoop) -> None:
             address = "10.3.0.1:9000"
--- a/tests/messages/test_partition.py
+++ b/tests/messages/test_partition.py
@@ -22,7 +22,7 @@
 from hollowusher.protocol.messages import MessageStatusResponse, NewMessage, PutResponse
 from hollowusher.storage.interface import StorageError
 from hollowusher.storage.memory import MemoryLog
-from tests.support.message_store import EPOCH_MS, configuration, message
+from tests.support.message_store import EPOCH_MS, ROUTE, configuration, message
 
 URL = "http://10.9.0.1:8080/done"
 CALLBACKS = "callback:10.9.0.1:8080"
@@ -808,6 +808,7 @@
     """The primary leases the same message that a linear search of all messages selects."""
     random_source = random.Random(seed)
     partition = Partition()
+    partition.configure(configuration(2, [{**ROUTE, "timeoutMs": 10_000_000}]))  # no lease expires
     model_entries: dict[MessageKey, ModelMessage] = {}
     out: list[LeaseGrant] = []
     for number in range(800):
--- a/tests/support/message_store.py
+++ b/tests/support/message_store.py
@@ -167,10 +167,10 @@
         """Start the edge process and all stores; each store is a replica of all partitions."""
         await self.edge.start(self._handle_edge_message)
         for store in self.stores:
-            self._add(f"member/{store.name}", store.member())
-        self._add("member/edge-1", Member("edge-1", "edge", EDGE_ADDRESS, "z", "r", 1))
-        self._add(CONFIGURATION, configuration(1))
-        self._add(VIEW, View(1, [Voter("edge-1", "d", EDGE_ADDRESS)], ["edge-1"]))
+            self.publish(f"member/{store.name}", store.member())
+        self.publish("member/edge-1", Member("edge-1", "edge", EDGE_ADDRESS, "z", "r", 1))
+        self.publish(CONFIGURATION, configuration(1))
+        self.publish(VIEW, View(1, [Voter("edge-1", "d", EDGE_ADDRESS)], ["edge-1"]))
         self.place([self.entry(number, 1, primary) for number in range(partitions)])
         for store in self.stores:
             await store.start()
@@ -192,18 +192,19 @@
 
     def place(self, entries: list[PartitionPlacement]) -> None:
         """Publish a new placement of all partitions."""
-        self._add(PLACEMENT, Placement(self._version + 1, entries))
+        self.publish(PLACEMENT, Placement(self._version + 1, entries))
 
     def configure(self, document: bytes) -> None:
-        self._add(CONFIGURATION, document)
+        self.publish(CONFIGURATION, document)
 
     def announce(self, member: Member) -> None:
-        self._add(f"member/{member.name}", member)
+        self.publish(f"member/{member.name}", member)
 
     def load_state(self, state: ClusterState) -> None:
         state.apply(list(self.items.values()), {})
 
-    def _add(self, key: str, value: Any) -> None:
+    def publish(self, key: str, value: Any) -> None:
+        """Publish an item of the cluster state."""
         self._version += 1
         item = self.items[key] = DistributedItem(key, [self._version], "head/1", self._version, value)
         for store in self.stores:
