Keep the ceiling of a service over all partitions that hold its messages

Callers of a service that was given a ceiling while messages waited in three partitions got 298 in 5 s where 115 are allowed (20 a second). Cause: each partition's primary had a token bucket with the whole ceiling.

--- a/hollowusher/coordination/placement/partitioner.py
+++ b/hollowusher/coordination/placement/partitioner.py
@@ -13,16 +13,10 @@
 
 from hollowusher.configuration.model import Configuration
 from hollowusher.coordination.cluster_state import ClusterState
-from hollowusher.coordination.rendezvous import weight
+from hollowusher.coordination.rendezvous import rank_partitions, weight
 from hollowusher.coordination.store_id import store_name
 
 
-def rank_partitions(service: str, partitions: Iterable[int]) -> list[int]:
-    """Return the partitions by decreasing preference for a service; the first is its home partition."""
-    key = f"home/{service}"
-    return sorted(partitions, key=lambda partition: (weight(key, str(partition)), partition), reverse=True)
-
-
 def has_single_home(service: str, configuration: Configuration | None) -> bool:
     """Return whether all messages of a service must be stored in its home partition.
 
--- a/hollowusher/coordination/rendezvous.py
+++ b/hollowusher/coordination/rendezvous.py
@@ -23,3 +23,9 @@
 def choose(key: str, names: Iterable[str]) -> str | None:
     """Return the name with the greatest weight for `key`, None if there are no names."""
     return max(names, key=lambda name: (weight(key, name), name), default=None)
+
+
+def rank_partitions(service: str, partitions: Iterable[int]) -> list[int]:
+    """Return the partitions by decreasing preference for a service; the first is its home partition."""
+    key = f"home/{service}"
+    return sorted(partitions, key=lambda partition: (weight(key, str(partition)), partition), reverse=True)
--- a/hollowusher/dispatch/dispatcher.py
+++ b/hollowusher/dispatch/dispatcher.py
@@ -16,7 +16,7 @@
     WORKERS,
     ClusterState,
 )
-from hollowusher.coordination.placement.partitioner import rank_partitions
+from hollowusher.coordination.rendezvous import rank_partitions
 from hollowusher.delivery.callback_delivery import CallbackDelivery
 from hollowusher.delivery.lease_end_reporter import FinishClient, LeaseEndReporter
 from hollowusher.delivery.lease_poller import LeasingContext, PartitionRanking
--- a/hollowusher/messages/lease_service.py
+++ b/hollowusher/messages/lease_service.py
@@ -13,6 +13,7 @@
 from hollowusher.messages.partition.partition_primary import PartitionPrimary
 from hollowusher.messages.partition.proposal import Proposal
 from hollowusher.messages.primary_access import PrimaryAccess
+from hollowusher.messages.rate_limit_loans import RateLimitLoans
 from hollowusher.messages.replication.partition_replica import PartitionReplica
 from hollowusher.messages.replication.partition_replicator import PartitionReplicator
 from hollowusher.messages.unacknowledged_grants import UnacknowledgedGrants
@@ -51,11 +52,13 @@
         replicator: PartitionReplicator,
         access: PrimaryAccess,
         waiters: JobWaiters,
+        loans: RateLimitLoans,
         may_be_alive: Callable[[str, int], bool],
     ) -> None:
         self._replicator = replicator
         self._access = access
         self._waiters = waiters
+        self._loans = loans
         self._may_be_alive = may_be_alive
         self._wall_ms = replicator.wall_ms
         self._grants = UnacknowledgedGrants()
@@ -77,8 +80,9 @@
             self._return_lost_grants(request)
         while request.most > 0 and not self._grants.is_abandoned(request):
             self._waiters.record_request(service)
+            borrowed_tokens = await self._borrow_tokens(request, deadline)
             leased_after_ms = round((self._replicator.now() - requested_at) * 1000)
-            jobs = await self._confirmed_jobs(self._lease_from_primaries(request))
+            jobs = await self._confirmed_jobs(self._lease_from_primaries(request, borrowed_tokens))
             if self._grants.is_abandoned(request):
                 self._return_unrun([job.lease for job in jobs])
                 break
@@ -119,7 +123,13 @@
         """
         return request.pull or self._may_be_alive(request.dispatcher, request.incarnation)
 
-    def _lease_from_primaries(self, request: LeaseRequest) -> list[LocalGrant]:
+    async def _borrow_tokens(self, request: LeaseRequest, deadline: float) -> int:
+        """Return the number of jobs that may be leased although another primary enforces the rate limit."""
+        if not self._loans.are_needed(request.service) or not self._can_lease(request):
+            return 0
+        return await self._loans.borrow(request.service, request.most, deadline)
+
+    def _lease_from_primaries(self, request: LeaseRequest, borrowed_tokens: int) -> list[LocalGrant]:
         """Lease ready jobs from the primaries of this store."""
         now, wall_ms = self._replicator.now(), self._wall_ms()
         outcome: list[LocalGrant] = []
@@ -129,9 +139,11 @@
             primary = replica.primary
             if primary is None or len(outcome) >= request.most or primary.queue.peek(request.service) is None:
                 continue
+            needs_tokens = primary.needs_borrowed_tokens(request.service)
             with suppress(StorageError):
-                grants = primary.lease(request, request.most - len(outcome), now, wall_ms)
+                grants = primary.lease(request, request.most - len(outcome), now, wall_ms, borrowed_tokens)
                 outcome += [LocalGrant(replica, grant) for grant in grants]
+                borrowed_tokens -= len(grants) if needs_tokens else 0
             self._access.process_effects(replica)
         self._waiters.wake(request.service)
         return outcome
--- a/hollowusher/messages/partition/message_leases.py
+++ b/hollowusher/messages/partition/message_leases.py
@@ -72,8 +72,15 @@
 
     # Granting
 
-    def lease(self, request: LeaseRequest, max_jobs: int, now: float, wall_ms: int) -> list[LeaseGrant]:
-        """Grant leases on up to `max_jobs` ready jobs of the service, within its rate limit."""
+    def lease(
+        self, request: LeaseRequest, max_jobs: int, now: float, wall_ms: int, borrowed_tokens: int = 0
+    ) -> list[LeaseGrant]:
+        """Grant leases on up to `max_jobs` ready jobs of the service, within its rate limit.
+
+        If another primary enforces the rate limit, each lease needs one of the `borrowed_tokens`.
+        """
+        if self._routing.must_borrow_tokens(request.service):
+            max_jobs = min(max_jobs, borrowed_tokens)
         bucket = self._routing.bucket(request.service)
         if bucket is not None:
             max_jobs = min(max_jobs, bucket.available(now))
--- a/hollowusher/messages/partition/partition_primary.py
+++ b/hollowusher/messages/partition/partition_primary.py
@@ -35,7 +35,7 @@
 from hollowusher.messages.partition.proposal import Proposal
 from hollowusher.messages.partition.queue_summary import QueueSummary, summarize_queue
 from hollowusher.messages.partition.record_writer import RecordWriter
-from hollowusher.messages.partition.service_routing import ServiceRouting
+from hollowusher.messages.partition.service_routing import HomePartition, ServiceRouting
 from hollowusher.messages.records import AcceptedMessage, LeaseId, MessageKey, MessageStatus
 from hollowusher.protocol.leases import FinishLease, LeaseRequest, LeaseUpdateResponse
 from hollowusher.protocol.messages import CALLBACK_PREFIX, MessageStatusResponse, NewMessage, PutResponse
@@ -43,10 +43,14 @@
 
 @attrs.frozen
 class PrimaryOptions:
-    """Options of a new primary: the configuration, or None before this store has one, and lease settings."""
+    """Options of a new primary: the configuration, or None before this store has one, and lease settings.
+
+    `home_partition` returns the partition whose primary enforces the rate limit of a service.
+    """
 
     configuration: Configuration | None
     leases: LeaseOptions
+    home_partition: HomePartition = lambda _service: None
 
 
 class PartitionPrimary:
@@ -64,7 +68,7 @@
         numbers = itertools.count(1)
         writer = RecordWriter(table, epoch, wall_ms)
         deadlines = MessageDeadlines(numbers)
-        routing = ServiceRouting()
+        routing = ServiceRouting(table.partition, options.home_partition)
         context = PartitionContext(table, writer, self.queue, deadlines, routing)
         callbacks = CallbackJobs(context, numbers)
         lifecycle = MessageLifecycle(context, callbacks)
@@ -148,12 +152,32 @@
 
     # Leasing
 
-    def lease(self, request: LeaseRequest, max_jobs: int, now: float, wall_ms: int) -> list[LeaseGrant]:
-        """Grant leases on up to `max_jobs` ready jobs of the service."""
+    def lease(
+        self, request: LeaseRequest, max_jobs: int, now: float, wall_ms: int, borrowed_tokens: int = 0
+    ) -> list[LeaseGrant]:
+        """Grant leases on up to `max_jobs` ready jobs of the service.
+
+        `borrowed_tokens` permit that many leases where the primary of another partition enforces the rate
+        limit of the service.
+        """
         self.queue.advance(now)
         if request.service.startswith(CALLBACK_PREFIX):
             return self._callbacks.lease(request, max_jobs, now)
-        return self._leases.lease(request, max_jobs, now, wall_ms)
+        return self._leases.lease(request, max_jobs, now, wall_ms, borrowed_tokens)
+
+    def needs_borrowed_tokens(self, service: str) -> bool:
+        """Return whether ready jobs of the service wait for tokens from the primary of another partition."""
+        return self.queue.peek(service) is not None and self._routing.must_borrow_tokens(service)
+
+    def take_tokens(self, service: str, most: int, now: float) -> int:
+        """Remove up to `most` tokens from the rate limit of a service, for jobs of other partitions."""
+        bucket = self._routing.bucket(service)
+        if bucket is None:
+            return 0
+        taken = min(most, bucket.available(now))
+        for _ in range(taken):
+            bucket.consume()
+        return taken
 
     def has_ready(self, service: str, now: float) -> bool:
         """Return whether a job of the service can be leased now."""
@@ -164,8 +188,12 @@
 
     def next_token_time(self, service: str, now: float) -> float | None:
         """Return when the rate limit allows the next lease, or None if the limit delays no ready job."""
+        return None if self.queue.peek(service) is None else self.next_token_at(service, now)
+
+    def next_token_at(self, service: str, now: float) -> float | None:
+        """Return when the rate limit has the next token, or None if it has one now or there is no limit."""
         bucket = self._routing.bucket(service)
-        if bucket is None or self.queue.peek(service) is None or bucket.available(now) >= 1:
+        if bucket is None or bucket.available(now) >= 1:
             return None
         return bucket.next_token_at(now)
 
--- a/hollowusher/messages/partition/service_routing.py
+++ b/hollowusher/messages/partition/service_routing.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from hollowusher.configuration.model import Configuration
 from hollowusher.messages.partition.active_messages import ActiveMessage
 from hollowusher.messages.partition.token_bucket import TokenBucket
 
+HomePartition = Callable[[str], int | None]  # service -> its home partition; None if it is unknown
+
 
 class ServiceRouting:
-    """Routes, services and rate limits of the newest configuration.
+    """Routes, services and rate limits of the newest configuration, for the primary of one partition.
 
-    Before the first configuration no route counts as removed and no service has a rate limit.
+    Before the first configuration no route counts as removed and no service has a rate limit.  The primary of
+    a service's home partition enforces its rate limit, and lends tokens to the primaries of other partitions.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, partition: int, home_partition: HomePartition) -> None:
+        self._partition = partition
+        self._home_partition = home_partition
         self._configuration: Configuration | None = None
         self._routes: frozenset[str] = frozenset()
         self._upstreams: dict[str, str] = {}  # service of each route
@@ -39,8 +46,14 @@
         return self._configuration.generation if self._configuration else 0
 
     def bucket(self, service: str) -> TokenBucket | None:
-        """Return the token bucket of a service, or None if the service has no rate limit."""
-        return self._buckets.get(service)
+        """Return the token bucket of a service, or None if this primary does not enforce a limit for it."""
+        return None if self.must_borrow_tokens(service) else self._buckets.get(service)
+
+    def must_borrow_tokens(self, service: str) -> bool:
+        """Return whether the primary of another partition enforces the rate limit of a service."""
+        if service not in self._buckets:
+            return False
+        return self._home_partition(service) not in (None, self._partition)
 
     def is_route_removed(self, active: ActiveMessage) -> bool:
         """Return whether a configuration newer than the message's own has removed the message's route."""
--- a/hollowusher/messages/store_service.py
+++ b/hollowusher/messages/store_service.py
@@ -27,6 +27,7 @@
 from hollowusher.messages.partition.partition_primary import PartitionPrimary, PrimaryOptions
 from hollowusher.messages.partition.queue_summary import QueueSummary
 from hollowusher.messages.primary_access import PrimaryAccess
+from hollowusher.messages.rate_limit_loans import HomePartitions, RateLimitLoans
 from hollowusher.messages.replication.partition_replica import PartitionReplica
 from hollowusher.messages.replication.partition_replicator import (
     PartitionReplicator,
@@ -38,6 +39,7 @@
 from hollowusher.messages.store_dependencies import StoreDependencies
 from hollowusher.protocol.handlers import HandlerTable
 from hollowusher.protocol.leases import (
+    BorrowTokens,
     ExtendLease,
     FinishLease,
     LeaseRequest,
@@ -98,7 +100,13 @@
         self.on_takeover_completed: Callable[[PartitionReplica], None] = ignore_replica
         self._access = PrimaryAccess(self._replicator, self._process_effects)
         self._waiters = JobWaiters(self.store_id, dependencies.transport, state, self._has_ready)
-        self._leases = LeaseService(self._replicator, self._access, self._waiters, self._may_be_alive)
+        self._home_partition = HomePartitions(state)
+        self._loans = RateLimitLoans(
+            self._replicator, self._access, state, dependencies.transport, self._home_partition
+        )
+        self._leases = LeaseService(
+            self._replicator, self._access, self._waiters, self._loans, self._may_be_alive
+        )
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = 0.0
         self._started = False
@@ -109,6 +117,7 @@
         self._handlers.add(LeaseRequest, self._leases.lease)
         self._handlers.add(FinishLease, self._leases.finish)
         self._handlers.add(ExtendLease, self._leases.extend)
+        self._handlers.add(BorrowTokens, self._loans.lend)
         self._handlers.add(MessageStatusRequest, self._status)
         self._handlers.add(ReplicateRequest, self._replicator.replicate)
         self._handlers.add(ReplicaSummary, self._replicator.answer_summary)
@@ -246,7 +255,7 @@
     def _start_serving(self, replica: PartitionReplica) -> None:
         """Create the primary of a partition, after this store has compared enough replicas."""
         now, wall_ms = self._now(), self._wall_ms()
-        options = PrimaryOptions(self._state.configuration, self._lease_options)
+        options = PrimaryOptions(self._state.configuration, self._lease_options, self._home_partition)
         replica.primary = PartitionPrimary(replica.table, replica.epoch, options, now, wall_ms)
         replica.primary.release_dispatchers(self._may_be_alive, now, wall_ms)
         self._process_effects(replica)
--- a/hollowusher/protocol/call_rules.py
+++ b/hollowusher/protocol/call_rules.py
@@ -15,7 +15,7 @@
 from hollowusher.protocol.control_chain import ChainWrite, ReadControlState, ReadStateRecord
 from hollowusher.protocol.control_status import ReadControlStatus
 from hollowusher.protocol.distribution import PullUpdates, ReadRepair
-from hollowusher.protocol.leases import ExtendLease, FinishLease, JobsWaiting, LeaseRequest
+from hollowusher.protocol.leases import BorrowTokens, ExtendLease, FinishLease, JobsWaiting, LeaseRequest
 from hollowusher.protocol.membership import (
     CheckIncarnation,
     Heartbeat,
@@ -53,6 +53,7 @@
     BY_VERSION = "the message carries a version, epoch or ballot; an older or equal one changes nothing"
     LATEST = "the message reports the current state, and the next report replaces it"
     LEASED_TWICE = "a retry leases further jobs; the leases in a lost response are returned or expire"
+    TAKEN_TWICE = "a retry takes further tokens; those of a lost response permit nothing"
     NEVER = "a second arrival may have another effect than the first, so the message is sent only once"
 
 
@@ -103,6 +104,7 @@
     FinishLease: CallRule(Addressee.STORE, Idempotence.BY_ID),
     ExtendLease: CallRule(Addressee.STORE, Idempotence.BY_ID),
     MessageStatusRequest: CallRule(Addressee.STORE, Idempotence.READ),
+    BorrowTokens: CallRule(Addressee.STORE, Idempotence.TAKEN_TWICE),
     JobsWaiting: CallRule(Addressee.MEMBER, Idempotence.LATEST),
     # replicas
     ReplicateRequest: CallRule(Addressee.STORE, Idempotence.BY_VERSION),
--- a/hollowusher/protocol/leases.py
+++ b/hollowusher/protocol/leases.py
@@ -1,6 +1,7 @@
 """Messages to lease jobs from a partition's primary to dispatchers, and to finish or extend the leases.
 
 A lease id is "PARTITION-EPOCH-SEQUENCE-NUMBER": the reference of the message and the number of the lease.
+Stores pass tokens of rate limits to one another, because one primary enforces the limit of a service.
 """
 
 from __future__ import annotations
@@ -96,3 +97,23 @@
 
     service: str
     store: str
+
+
+@message(67)
+class BorrowTokens:
+    """Request of a store to the primary of a service's home partition for tokens of the service's rate limit.
+
+    A store sends it before it leases jobs of the service from another partition.  Such jobs were accepted
+    before the service had a rate limit, or for a service that the configuration does not contain any more.
+    """
+
+    service: str
+    most: int
+    wait_ms: int  # the response may take this long if there are no tokens
+
+
+@message(68)
+class BorrowedTokens:
+    """Response to `BorrowTokens`: each token permits one lease, now."""
+
+    tokens: int  # 0: there were none in time, or the receiver is not the primary of the home partition
--- a/tests/contract/names.py
+++ b/tests/contract/names.py
@@ -629,6 +629,8 @@
     59: ("reference", "want_body"),
     60: ("state", "signature", "body"),
     61: ("service", "store"),
+    67: ("service", "most", "wait_ms"),
+    68: ("tokens",),
     62: ("partition", "epoch", "records"),
     63: ("sender", "batches", "durable"),
     64: ("refused",),
--- a/tests/coordination/placement/test_partitioner.py
+++ b/tests/coordination/placement/test_partitioner.py
@@ -7,7 +7,8 @@
 from hollowusher.configuration.model import Configuration, Route, Service
 from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.coordination.placement.initial_placement import PARTITION_COUNT
-from hollowusher.coordination.placement.partitioner import ZonePartitioner, has_single_home, rank_partitions
+from hollowusher.coordination.placement.partitioner import ZonePartitioner, has_single_home
+from hollowusher.coordination.rendezvous import rank_partitions
 from hollowusher.protocol.distribution import DistributedItem
 from hollowusher.protocol.membership import Member
 from hollowusher.protocol.placement import PartitionPlacement, Placement
--- a/tests/delivery/test_callbacks.py
+++ b/tests/delivery/test_callbacks.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from hollowusher.coordination.placement.partitioner import rank_partitions
+from hollowusher.coordination.rendezvous import rank_partitions
 from hollowusher.delivery.callback_delivery import MAX_CONNECTIONS, CallbackDelivery, HttpCallbackClient
 from hollowusher.delivery.lease_end_reporter import LeaseEndReporter
 from hollowusher.delivery.lease_poller import LeasingContext
--- a/tests/dispatch/test_fencing_dispatch.py
+++ b/tests/dispatch/test_fencing_dispatch.py
@@ -11,7 +11,7 @@
 import pytest
 
 from hollowusher.configuration.model import Service
-from hollowusher.coordination.placement.partitioner import rank_partitions
+from hollowusher.coordination.rendezvous import rank_partitions
 from hollowusher.delivery.callback_delivery import MAX_CONNECTIONS, CallbackDelivery
 from hollowusher.delivery.connection_pool import ConnectionPool
 from hollowusher.delivery.http_connection import DeliveryResponse
--- a/tests/protocol/test_calls_rules.py
+++ b/tests/protocol/test_calls_rules.py
@@ -17,7 +17,7 @@
 from hollowusher.protocol.control_status import ControlStatus, PartitionStatus, VoterStatus
 from hollowusher.protocol.distribution import DistributedItem, UpdatesResponse
 from hollowusher.protocol.identity import Hello
-from hollowusher.protocol.leases import LeasedJob, LeaseResponse, LeaseUpdateResponse
+from hollowusher.protocol.leases import BorrowedTokens, LeasedJob, LeaseResponse, LeaseUpdateResponse
 from hollowusher.protocol.membership import Member, MemberRegistered
 from hollowusher.protocol.messages import MessageStatusResponse, NewMessage, PutResponse
 from hollowusher.protocol.operator_orders import (
@@ -48,6 +48,7 @@
     PutResponse,
     LeaseResponse,
     LeaseUpdateResponse,
+    BorrowedTokens,
     MessageStatusResponse,
     ReplicateResponse,
     ReplicaDifference,
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -44,7 +44,7 @@
     control_status: {80, 81, 82, 83},
     distribution: {31, 32, 33, 46},
     identity: {90, 116},
-    leases: {53, 54, 55, 56, 57, 58, 61},
+    leases: {53, 54, 55, 56, 57, 58, 61, 67, 68},
     membership: {1, 2, 3, 4, 5, 6, 117},
     messages: {50, 51, 52, 59, 60},
     operator_orders: {25, 26, 27, 28, 84},
