Release a pulled job that a call returns after a freeze, whose lease may have expired

Cause: each offer of a job renewed its term. Fix: the term belongs to the job and begins when it arrives.

--- a/hollowusher/delivery/pull_dispatcher.py
+++ b/hollowusher/delivery/pull_dispatcher.py
@@ -130,13 +130,18 @@
 
     def _accept_jobs(self, service: str, jobs: list[LeasedJob]) -> None:
         service_calls = self._services[service]
+        until = asyncio.get_running_loop().time() + UNCLAIMED_JOB_TTL_S
         for job in jobs:
-            self._offer(service_calls, job)
+            self._offer(service_calls, job, until)
 
-    def _offer(self, service_calls: _ServiceCalls, job: LeasedJob) -> None:
-        """Assign a job to the call that has waited longest; without a waiting call, keep it unclaimed."""
+    def _offer(self, service_calls: _ServiceCalls, job: LeasedJob, until: float) -> None:
+        """Assign a job to the call that has waited longest; without a waiting call, keep it unclaimed.
+
+        The worker must get the job by `until` (event loop time), well before the lease expires."""
         loop = asyncio.get_running_loop()
-        until = loop.time() + UNCLAIMED_JOB_TTL_S
+        if until < loop.time():
+            self._release_jobs([job])
+            return
         while service_calls.calls:
             call = service_calls.calls.popleft()
             if not call.done():
@@ -167,9 +172,9 @@
         if call.done() and not call.cancelled():
             job = call.result()
             if job is not None:
-                self._assigned.pop(job.lease, None)
+                until = self._assigned.pop(job.lease, math.inf)
                 self._context.metrics.pulled -= 1
-                self._offer(service_calls, job)
+                self._offer(service_calls, job, until)
 
     def _expire_unclaimed(self, service_calls: _ServiceCalls) -> None:
         """Release the oldest unclaimed job: unclaimed jobs expire in order of arrival."""
--- a/tests/dispatch/test_fencing_dispatch.py
+++ b/tests/dispatch/test_fencing_dispatch.py
@@ -201,6 +201,39 @@
 
         play(work)
 
+    # Guards against: a job whose lease has expired, passed by a cancelled call to the next one.
+    @pytest.mark.parametrize("frozen_s", [0.5, 5.0, 20.0])
+    def test_a_job_that_a_call_returns_after_a_freeze_is_released(
+        self, frozen_s: float, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def work(loop: VirtualTimeLoop) -> None:
+            cluster = Cluster([edge("e1")], [Service("svc", pull=True)], [route()], [])
+            stores, process = LeasingStores(), SimulatedProcess("e1")
+            subject = await start(process, cluster, stores, ModelWorkers({}))
+            real = LeasingPullDispatcher._offer
+
+            def offer(desk: LeasingPullDispatcher, *arguments: Any) -> None:
+                real(desk, *arguments)
+                if not process.frozen:
+                    loop.freeze(process)
+                    monkeypatch.setattr(LeasingPullDispatcher, "_offer", real)
+
+            monkeypatch.setattr(LeasingPullDispatcher, "_offer", offer)
+            first, second = (
+                process.run(subject.pull_dispatcher.pull("svc", worker, frozen_s + 30.0))
+                for worker in ("i-1", "i-2")
+            )
+            stores.add(STORE_1, [job(1)])
+            await asyncio.sleep(frozen_s)
+            assert process.frozen
+            first.cancel()  # the worker has closed its connection meanwhile
+            loop.thaw(process)
+            await asyncio.sleep(1.0)
+            assert not second.done()
+            assert stores.results() == {"not_run": 1}
+
+        play(work)
+
 
 def callback_job(number: int) -> LeasedJob:
     return evolve(
