Tell which configuration decides what of a message, and which clock outlasts which

What else is kept from the acceptance but done by the newest configuration, or the other way round, stood nowhere.

--- a/tests/messages/test_lease_outlasts_delivery.py
+++ b/tests/messages/test_lease_outlasts_delivery.py
@@ -10,13 +10,20 @@
 
 from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.delivery.callback_delivery import RESPONSE_TIMEOUT_S, START_WITHIN_S
 from hollowusher.delivery.lease_poller import MAX_LEASE_AGE_S
 from hollowusher.delivery.outcome import DeliveryOutcome, WorkerFeedback
+from hollowusher.delivery.pull_dispatcher import UNCLAIMED_JOB_TTL_S
 from hollowusher.delivery.worker_client import LATE_RESPONSE_S, Endpoint
 from hollowusher.dispatch.dispatcher import Dispatcher
 from hollowusher.messages import records
 from hollowusher.messages.partition.active_messages import START_WITHIN_MS
-from hollowusher.messages.partition.message_leases import PUSH_GRACE_S
+from hollowusher.messages.partition.callback_jobs import CALLBACK_LEASE_S
+from hollowusher.messages.partition.message_leases import (
+    PULL_DELIVERY_ALLOWANCE_S,
+    PULL_GRACE_S,
+    PUSH_GRACE_S,
+)
 from hollowusher.protocol.leases import FinishLease, LeasedJob, LeaseUpdateResponse
 from hollowusher.protocol.membership import Member
 from hollowusher.protocol.worker_list import PlatformWorker, PlatformWorkerList
@@ -51,6 +58,15 @@
     assert latest_start_s + LATE_RESPONSE_S + REPORT_ALLOWANCE_S <= PUSH_GRACE_S
 
 
+def test_pull_lease_begins_to_count_when_the_worker_has_the_job() -> None:
+    assert MAX_LEASE_AGE_S + UNCLAIMED_JOB_TTL_S < PULL_DELIVERY_ALLOWANCE_S + PULL_GRACE_S
+
+
+def test_callback_lease_covers_latest_start_response_and_report() -> None:
+    latest_start_s = MAX_LEASE_AGE_S + START_WITHIN_S
+    assert latest_start_s + RESPONSE_TIMEOUT_S + REPORT_ALLOWANCE_S <= CALLBACK_LEASE_S
+
+
 # Guards against: a job that is longer than the old timeout ran again every few seconds, without end.
 @pytest.mark.parametrize(("accepted_ms", "newest_ms"), [(SHORT_MS, LONG_MS), (LONG_MS, SHORT_MS)])
 def test_lease_covers_timeout_of_newest_configuration(accepted_ms: int, newest_ms: int) -> None:
