--- a/hollowusher/storage/ring_log.py
+++ b/hollowusher/storage/ring_log.py
@@ -30,6 +30,7 @@
 from hollowusher.storage.files import NO_SPACE, Files, SystemFiles
 from hollowusher.storage.interface import MoveRecord, Position, StorageError
 from hollowusher.storage.ring_batch import Failure, Outcome, Write, perform_batch
+from hollowusher.storage.ring_replay import RingReplay, segments_of_files
 from hollowusher.storage.ring_segments import (
     EXTRA_FILES,
     MEBIBYTE,
@@ -39,12 +40,11 @@
     Segment,
     ring_size,
 )
-from hollowusher.storage.segment_files import SegmentFile, SegmentFiles
+from hollowusher.storage.segment_files import SegmentFiles
 from hollowusher.storage.segment_format import (
     FRAME_BYTES,
     HEADER_BYTES,
     UNKNOWN_END,
-    RecordScan,
     SegmentHeader,
     decode_record,
     encode_frame,
@@ -129,11 +129,16 @@
             raise RuntimeError("replay() has already been called")
         self._replay_begun = True
         self._files.erase_free()
+        replay = RingReplay(self._segments, self._io)
         try:
-            for segment in list(self._segments.values()):
-                yield from self._replay_segment(segment)
+            for position, record in replay.records():
+                self._segments[position.segment].live[position.offset] = position.length
+                self._live_bytes += FRAME_BYTES + position.length
+                yield position, record
         except OSError as error:
             raise _storage_error("replay", str(self._folder), error) from error
+        finally:
+            self.damaged_records += replay.damaged_records
         if self._segments:
             self._last_end = next(reversed(self._segments.values())).end
         self._replayed = True
@@ -141,56 +146,11 @@
 
     def _open_folder(self) -> None:
         found = self._files.open()
-        for header, file in found:
-            self._add_found(header, file)
+        self._segments = segments_of_files(found)
+        self._last_sequence = next(reversed(self._segments), 0)
         self._max_files = max(self._max_files, len(found) + 1)  # a larger ring can be shrunk to this size
         self._replayed = not found
 
-    def _add_found(self, header: SegmentHeader, file: SegmentFile) -> None:
-        """Add the part in a file that an earlier incarnation of the process has written."""
-        segment = self._segments.get(header.sequence)
-        if segment is None:
-            segment = Segment(header.sequence, 0, header.previous_end, [])
-            self._segments[header.sequence] = segment
-        segment.parts.append(Part(header.part, header.base, header.nonce, file))
-        self._last_sequence = header.sequence
-
-    def _replay_segment(self, segment: Segment) -> Iterator[tuple[Position, bytes]]:
-        following = self._segments.get(segment.sequence + 1)
-        known_end = following.previous_end if following is not None else UNKNOWN_END
-        for index, part in enumerate(segment.parts):
-            end = min((later.base for later in segment.parts[index + 1 :]), default=known_end)
-            assert part.file is not None
-            yield from self._replay_part(segment, part, part.file, None if end == UNKNOWN_END else end)
-
-    def _replay_part(
-        self, segment: Segment, part: Part, file: SegmentFile, end: int | None
-    ) -> Iterator[tuple[Position, bytes]]:
-        data = self._io.read(file.descriptor, file.size, 0)
-        header = SegmentHeader(segment.sequence, part.number, part.base, part.nonce, segment.previous_end)
-        scan = RecordScan(memoryview(data)[HEADER_BYTES:], header, end)
-        for offset, record in scan.records():
-            position = Position(segment.sequence, offset, len(record))
-            segment.live[offset] = len(record)
-            self._live_bytes += FRAME_BYTES + len(record)
-            yield position, record
-        self.damaged_records += scan.damaged
-        segment.end = segment.synced = scan.position
-        if end is None:
-            self._write_again(file, data[: HEADER_BYTES + scan.position - part.base])
-
-    def _write_again(self, file: SegmentFile, data: bytes) -> None:
-        """Write and sync the bytes that a replay has read, which may exist only in the page cache.
-
-        A write that fails on a full disk is ignored.
-        """
-        try:
-            self._io.write(file.descriptor, data, 0)
-        except OSError as error:
-            if error.errno not in NO_SPACE:
-                raise
-        self._io.sync(file.descriptor)
-
     def append(self, record: bytes) -> Position:
         """Add a record in memory and return its position; the next `sync` makes it durable."""
         length = len(record)
