Share the frozen pull dispatcher between three tests

Need: three tests stood with the same set-up of a process that freezes after it has assigned a job. Change: start_pull_dispatcher and freeze_after_first_offer; what the tests check stays.

--- a/tests/dispatch/test_fencing_dispatch.py
+++ b/tests/dispatch/test_fencing_dispatch.py
@@ -152,14 +152,33 @@
         play(work)
 
 
+async def start_pull_dispatcher() -> tuple[LeasingStores, SimulatedProcess, LeasingPullDispatcher]:
+    """Start the dispatcher of a pull service in a process of its own."""
+    cluster = Cluster([edge("e1")], [Service("svc", pull=True)], [route()], [])
+    stores, process = LeasingStores(), SimulatedProcess("e1")
+    subject = await start(process, cluster, stores, ModelWorkers({}))
+    return stores, process, subject.pull_dispatcher
+
+
+def freeze_after_first_offer(
+    loop: VirtualTimeLoop, process: SimulatedProcess, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Freeze the process as soon as it has assigned a job to a call, and only once."""
+    real = LeasingPullDispatcher._offer
+
+    def offer(desk: LeasingPullDispatcher, *arguments: Any) -> None:
+        real(desk, *arguments)
+        monkeypatch.setattr(LeasingPullDispatcher, "_offer", real)
+        loop.freeze(process)
+
+    monkeypatch.setattr(LeasingPullDispatcher, "_offer", offer)
+
+
 class TestPullWorkers:
     @pytest.mark.parametrize("frozen_s", [0.5, 5.0, 20.0])
     def test_an_unclaimed_job_is_released_after_a_freeze(self, frozen_s: float) -> None:
         async def work(loop: VirtualTimeLoop) -> None:
-            cluster = Cluster([edge("e1")], [Service("svc", pull=True)], [route()], [])
-            stores, process = LeasingStores(), SimulatedProcess("e1")
-            subject = await start(process, cluster, stores, ModelWorkers({}))
-            desk = subject.pull_dispatcher
+            stores, process, desk = await start_pull_dispatcher()
             gone = process.run(desk.pull("svc", "i-1", 1.0))
             await asyncio.sleep(0.01)
             gone.cancel()
@@ -180,17 +199,9 @@
         self, frozen_s: float, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         async def work(loop: VirtualTimeLoop) -> None:
-            cluster = Cluster([edge("e1")], [Service("svc", pull=True)], [route()], [])
-            stores, process = LeasingStores(), SimulatedProcess("e1")
-            subject = await start(process, cluster, stores, ModelWorkers({}))
-            real = LeasingPullDispatcher._offer
-
-            def offer(desk: LeasingPullDispatcher, *arguments: Any) -> None:
-                real(desk, *arguments)
-                loop.freeze(process)
-
-            monkeypatch.setattr(LeasingPullDispatcher, "_offer", offer)
-            call = process.run(subject.pull_dispatcher.pull("svc", "i-1", 30.0))
+            stores, process, desk = await start_pull_dispatcher()
+            freeze_after_first_offer(loop, process, monkeypatch)
+            call = process.run(desk.pull("svc", "i-1", 30.0))
             stores.add(STORE_1, [job(1)])
             await asyncio.sleep(frozen_s)
             assert process.frozen
@@ -207,21 +218,10 @@
         self, frozen_s: float, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         async def work(loop: VirtualTimeLoop) -> None:
-            cluster = Cluster([edge("e1")], [Service("svc", pull=True)], [route()], [])
-            stores, process = LeasingStores(), SimulatedProcess("e1")
-            subject = await start(process, cluster, stores, ModelWorkers({}))
-            real = LeasingPullDispatcher._offer
-
-            def offer(desk: LeasingPullDispatcher, *arguments: Any) -> None:
-                real(desk, *arguments)
-                if not process.frozen:
-                    loop.freeze(process)
-                    monkeypatch.setattr(LeasingPullDispatcher, "_offer", real)
-
-            monkeypatch.setattr(LeasingPullDispatcher, "_offer", offer)
+            stores, process, desk = await start_pull_dispatcher()
+            freeze_after_first_offer(loop, process, monkeypatch)
             first, second = (
-                process.run(subject.pull_dispatcher.pull("svc", worker, frozen_s + 30.0))
-                for worker in ("i-1", "i-2")
+                process.run(desk.pull("svc", worker, frozen_s + 30.0)) for worker in ("i-1", "i-2")
             )
             stores.add(STORE_1, [job(1)])
             await asyncio.sleep(frozen_s)
