--- a/hollowusher/simulation/operator.py
+++ b/hollowusher/simulation/operator.py
@@ -150,7 +150,7 @@
 
 
 class ChangeGenerator:
-    """Random changes: extra routes come and go, time-outs alter."""
+    """Random changes: extra routes come and go, latency targets alter."""
 
     def __init__(self, random_source: random.Random, base: dict[str, Any], extra_service: str) -> None:
         self._random_source = random_source
