--- a/hollowusher/messages/rate_limit_loans.py
+++ b/hollowusher/messages/rate_limit_loans.py
@@ -52,8 +52,7 @@
 class RateLimitLoans:
     """Borrows tokens for this store's primaries, and lends those of its rate limits to other stores.
 
-    `next_token_time` takes a service and the time, and returns when its rate limit here has the next token,
-    or None if it has one now or there is no limit here.
+    `home_partition` returns the partition whose primary enforces the rate limit of a service.
     """
 
     def __init__(
