--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 HOST = "partners.example"
 PATH = "/bookings/"
 KEY = "parcel-17"
-BEFORE = 40  # messages of the key that are accepted before the change
+BEFORE = 60  # messages of the key that are accepted before the change, 10 s of work
 AFTER = 3  # messages of the key that are sent once the change has to be in force everywhere
 WORK_S = 0.16
 APPLY_S = 3.0  # configApplyMs
@@ -29,7 +29,7 @@
     bookings = route("bookings", HOST, PATH, old.name, ordered=True)
     first = {"generation": 1, "routes": [bookings], "upstreams": services, "limits": LIMITS}
     await system.configure(world.session, world.operator, first)
-    ids = [await _send(world, number) for number in range(BEFORE)]
+    ids = await _send_some(world, range(BEFORE))
     if world.has_trouble:
         moved = {"generation": 3, "upsert": {"routes": [{**bookings, "upstream": new.name}]}, "delete": {}}
         if await world.operator.order("PATCH", 1, moved) != 200:
@@ -44,6 +44,16 @@
     return _broken(world, [old, new])
 
 
+async def _send_some(world: World, numbers: range) -> list[str]:
+    """Send messages, four at a time, and return their ids."""
+
+    async def send_each(part: range) -> list[str]:
+        return [await _send(world, number) for number in part]
+
+    parts = await asyncio.gather(*(send_each(numbers[first::4]) for first in range(4)))
+    return [message_id for part in parts for message_id in part]
+
+
 async def _send(world: World, number: int) -> str:
     headers = {"X-Ordering-Key": KEY}
     message_id, _ = await world.clients.send(HOST, f"{PATH}{number}", b"booking %d" % number, headers)
