--- a/hollowusher/messages/replication/partition_replica.py
+++ b/hollowusher/messages/replication/partition_replica.py
@@ -34,7 +34,8 @@
 
     Invariants: `epoch` is nonzero only while this store is the primary or is taking over; a store leads each
     epoch at most once (`last_led_epoch`); `primary` is set only after the epoch is on this store's disk
-    (`is_epoch_durable`).
+    (`is_epoch_durable`).  While `epoch` is nonzero, `peer_progress` has all other replicas and all learners
+    of the placement: the head controller waits for this store to copy to a learner, and does not ask again.
     """
 
     def __init__(self, own_store_id: str, table: PartitionTable) -> None:
@@ -84,10 +85,12 @@
                 self.resign()
         elif placement.epoch < max(self.table.minimum_epoch, self.fenced_epoch):
             self.resign()
+        elif self.epoch == placement.epoch:
+            self.refresh_peers()
         elif self.primary is not None and can_continue:
             self.continue_leading(placement.epoch)
             self.table.fence_older_epochs(placement.epoch)
-        elif self.epoch != placement.epoch and self.last_led_epoch < placement.epoch:
+        elif self.last_led_epoch < placement.epoch:
             self.start_leading(placement.epoch, now)
             return True
         return False
--- a/hollowusher/simulation/model_check/partition_events.py
+++ b/hollowusher/simulation/model_check/partition_events.py
@@ -76,6 +76,8 @@
         found += _puts(system)
     if system.deaf < plan.deaf:
         found += [("deafen", store.name) for store in system.members_of()]
+    if plan.outage:
+        found += _outages(system)
     if plan.retire and not system.retired:
         found += [("retire", "s0"), ("retire", "s1")]
     return found
@@ -99,6 +101,8 @@
         return found
     if plan.eager_puts:
         found += _puts(system)
+    if plan.outage:
+        return found
     if system.disk_losses < plan.disk_losses and system.tick >= system.next_loss and not system.starts:
         if plan.planned and system.disk_losses == 0:
             found += [("stop", store.name) for store in system.members_of()]
@@ -109,6 +113,14 @@
     return found
 
 
+def _outages(system: PartitionSystem) -> list[Label]:
+    """The losses of power of all stores: whose disk is lost, and who returns last."""
+    if system.disk_losses == system.plan.disk_losses or system.starts:
+        return []
+    names = [store.name for store in system.members_of()]
+    return [("outage", wiped, late, keep) for wiped in names for late in names for keep in (False, True)]
+
+
 def may_serve(system: PartitionSystem, store: StoreModel) -> bool:
     """Whether a primary may begin to serve: what the real rule says, given which replicas live."""
     replica = store.running
--- a/hollowusher/simulation/model_check/partition_scenario.py
+++ b/hollowusher/simulation/model_check/partition_scenario.py
@@ -19,6 +19,7 @@
     planned: bool = False  # the first loss is announced: the successor is there, the store is asked to stop
     new_name: bool = True  # the successor has another name
     eager_puts: bool = False  # a message may begin between any two steps
+    outage: bool = False  # all stores lose power at once, one of them its disk; one returns seconds later
 
 
 SCENARIOS = (
@@ -28,5 +29,6 @@
     PartitionScenario("power", disk_losses=0, power_losses=2),
     PartitionScenario("deaf", disk_losses=1, power_losses=1, deaf=1),
     PartitionScenario("restart", puts=2, disk_losses=0, power_losses=1, eager_puts=True),
+    PartitionScenario("outage", disk_losses=1, new_name=False, outage=True),
     PartitionScenario("retire", stores=4, disk_losses=1, retire=True, new_name=False),
 )
--- a/hollowusher/simulation/model_check/partition_steps.py
+++ b/hollowusher/simulation/model_check/partition_steps.py
@@ -25,6 +25,7 @@
 SUCCESSOR_TICKS = 2  # from a loss to the start of what takes its place
 CATCH_UP_TICKS = 8  # 4 s: from that start to the next loss
 RESTART_TICKS = 1  # after a loss of power
+LATE_RESTART_TICKS = 6  # 3 s: longer than the start of an empty machine
 OUTAGE_TICKS = 4
 REPORT_REPEAT_TICKS = 4  # reports are repeated
 
@@ -41,7 +42,7 @@
     """Copy the system, with own copies of the stores that a step names; the others are shared."""
     touched = {part.partition("/")[0] for part in label[1:] if isinstance(part, str)}
     stores = {
-        name: store.copy() if name in touched or label[0] == "tick" else store
+        name: store.copy() if name in touched or label[0] in ("tick", "outage") else store
         for name, store in system.stores.items()
     }
     return attrs.evolve(
@@ -316,6 +317,19 @@
     system.starts.append((system.tick + RESTART_TICKS, name))
 
 
+def _outage(system: PartitionSystem, wiped: str, late: str, keep: bool) -> None:
+    """All stores lose power at once, one of them its disk; one returns later than the others."""
+    for name in list(system.stores):
+        if name == wiped:
+            _lose(system, name)
+        else:
+            _power(system, name, keep)
+    system.starts = [
+        (system.tick + LATE_RESTART_TICKS, name) if name == late else (tick, name)
+        for tick, name in system.starts
+    ]
+
+
 def _deafen(system: PartitionSystem, name: str) -> None:
     system.deaf += 1
     system.last_event = system.tick
@@ -362,6 +376,7 @@
     "lose": _lose,
     "stop": _stop,
     "power": _power,
+    "outage": _outage,
     "deafen": _deafen,
     "retire": _retire,
     "tick": _tick,
--- a/hollowusher/simulation/model_check/planted_partition.py
+++ b/hollowusher/simulation/model_check/planted_partition.py
@@ -10,6 +10,7 @@
 from hollowusher.coordination.placement.learner_reports import LearnerReport
 from hollowusher.coordination.placement.replica_planner import ReplicaPlanner
 from hollowusher.messages.replication.partition_replica import PartitionReplica
+from hollowusher.protocol.placement import PartitionPlacement
 from hollowusher.simulation.model_check import head_model as partition_head
 
 OLD_GONE_S = 8.0
@@ -62,12 +63,30 @@
     return {(PartitionReplica, "takeover_quorum"): property(lambda self: 1)}
 
 
+def _forgotten_learner() -> dict[tuple[Any, str], Any]:
+    """A placement that comes during a takeover, in its epoch, adds no learner to the peers (issue 82)."""
+    apply = PartitionReplica.apply_placement
+
+    def apply_without_peers(
+        self: PartitionReplica, placement: PartitionPlacement, *arguments: Any, **keywords: Any
+    ) -> bool:
+        takes_over = self.primary is None and self.epoch == placement.epoch
+        known = self.peer_progress
+        begins = apply(self, placement, *arguments, **keywords)
+        if takes_over and self.epoch:
+            self.peer_progress = known
+        return begins
+
+    return {(PartitionReplica, "apply_placement"): apply_without_peers}
+
+
 PLANTED_RULES = {
     "old-planner": _old_planner,
     "early-promotion": _early_promotion,
     "commit-without-learner": _commit_without_learner,
     "epoch-led-again": _epoch_led_again,
     "small-takeover": _small_takeover,
+    "forgotten-learner": _forgotten_learner,
 }
 
 
--- a/tests/messages/test_replication.py
+++ b/tests/messages/test_replication.py
@@ -411,6 +411,68 @@
         play(work)
 
 
+def _entry(epoch: int, learners: list[str], primary: str = "s0/d") -> PartitionPlacement:
+    return PartitionPlacement(0, epoch, primary, ["s0/d", "s1/d", "s2/d"], learners)
+
+
+class TestPlacementDuringTakeover:
+    """A learner that its primary forgot was never copied to, and the next lost disk lost the partition."""
+
+    @pytest.mark.parametrize("is_epoch_durable", [False, True])
+    @pytest.mark.parametrize("repeats", [1, 2])
+    def test_learner_placed_in_the_epoch_of_the_takeover_is_tracked(
+        self, is_epoch_durable: bool, repeats: int
+    ) -> None:
+        replica = PartitionReplica("s0/d", new_table())
+        assert replica.apply_placement(_entry(1, []), 1, 1, now=0.0)
+        replica.is_epoch_durable = is_epoch_durable
+        replica.peer_progress["s1/d"].is_streaming = True
+        for _ in range(repeats):
+            assert not replica.apply_placement(_entry(1, ["s3/d"]), 1, 1, now=1.0)
+        assert set(replica.peer_progress) == {"s1/d", "s2/d", "s3/d"}
+        assert replica.peer_progress["s1/d"].is_streaming  # what the takeover has reached is kept
+        assert (replica.epoch, replica.is_epoch_durable) == (1, is_epoch_durable)
+
+    def test_learner_removed_and_placed_again_in_the_next_epoch_is_tracked(self) -> None:
+        replica = PartitionReplica("s0/d", new_table())
+        replica.apply_placement(_entry(1, ["s3/d"]), 1, 1, now=0.0)
+        replica.peer_progress["s3/d"].is_caught_up = True
+        assert replica.apply_placement(_entry(2, []), 1, 1, now=1.0)
+        assert "s3/d" not in replica.peer_progress
+        replica.apply_placement(_entry(2, ["s3/d"]), 1, 1, now=2.0)
+        assert not replica.peer_progress["s3/d"].is_caught_up
+
+    def test_learner_placed_after_the_primary_was_fenced_is_not_tracked(self) -> None:
+        replica = PartitionReplica("s0/d", new_table())
+        replica.apply_placement(_entry(1, []), 1, 1, now=0.0)
+        replica.on_fenced(2)
+        replica.apply_placement(_entry(1, ["s3/d"]), 1, 1, now=1.0)
+        assert (replica.epoch, replica.peer_progress) == (0, {})
+
+    @pytest.mark.parametrize("pause_s", [0.0, 0.003, 0.5])  # the epoch is on disk after 0.005 s
+    def test_learner_placed_during_a_takeover_is_copied_and_reported(self, pause_s: float) -> None:
+        async def work(cluster: StoreCluster) -> None:
+            await cluster.start()
+            for epoch, replicas in ((2, [0, 1, 2, 4]), (3, [0, 1, 2])):  # store 4 is no former replica
+                cluster.place([cluster.entry(0, epoch, 0, replicas=replicas)])
+                await asyncio.sleep(0.2)
+            await cluster.stored(message("m0"))
+            for store in cluster.stores[1:3]:
+                store.kill()
+            cluster.place([cluster.entry(0, 5, 0, replicas=[0, 1, 2])])  # not the next epoch: a takeover
+            await asyncio.sleep(pause_s)
+            cluster.place([cluster.entry(0, 5, 0, replicas=[0, 1, 2], learners=[3])])
+            await asyncio.sleep(1.0)
+            assert host(cluster, 0).primary is None
+            await cluster.stores[1].start()
+            await asyncio.sleep(4.0)
+            assert content(cluster, 3) == content(cluster, 0)
+            ready = cluster.learners_ready[0]
+            assert (ready.partition, ready.epoch, ready.store_id) == (0, 5, "store-4/d1")
+
+        play(work, stores=5)
+
+
 class TestMovingReplicas:
     def test_learner_catches_up_and_is_reported(self) -> None:
         async def work(cluster: StoreCluster) -> None:
--- a/tests/simulation/model_check/test_partition_model.py
+++ b/tests/simulation/model_check/test_partition_model.py
@@ -23,6 +23,7 @@
         ("commit-without-learner", "replace", 0, "was promoted without ['m1']"),
         ("epoch-led-again", "restart", 0, "two lives commit in epoch 1"),
         ("small-takeover", "power", 0, "without kept message m1"),
+        ("forgotten-learner", "outage", 1, "the next loss is not borne"),
     ],
 )
 def test_a_planted_fault_is_found(planted: str, plan: str, order: int, found: str) -> None:
@@ -36,6 +37,12 @@
     assert (outcome.violation, outcome.exhausted) == ("", True)
 
 
+def test_after_every_loss_of_power_with_a_lost_disk_the_next_loss_is_borne() -> None:
+    """A learner placed during the takeover of its primary was never copied to (review/5)."""
+    outcome = check_plan(BY_NAME["outage"], 0, SearchBounds(10_000, 100_000, 120.0), order=1)
+    assert (outcome.violation, outcome.exhausted) == ("", True)
+
+
 @pytest.mark.parametrize("plan", BY_NAME)
 @pytest.mark.parametrize("delays", [0, 1])
 def test_a_short_search_of_each_plan_breaks_nothing(plan: str, delays: int) -> None:
