A call to a new member does not wait for an attempt to connect to its predecessor

Cause: calls to one address share the attempt to connect that is under way. The attempt of an earlier call waited for the machine without power until its time-out of 1 s, and the next call to the new process waited with it, failed with it, and was repeated half a second later.

Change: an attempt belongs to the member that was registered at the address when it began; a call to a member that has registered since begins a new attempt, in the TCP transport and in the simulated one. Callers of the former attempt use the new connection if there is one, and a second connection is closed.

--- a/hollowusher/simulation/transport.py
+++ b/hollowusher/simulation/transport.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import itertools
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from hollowusher.protocol.codec import MAX_TAG, encode, tag_of
+from hollowusher.protocol.identity import Identity
 from hollowusher.simulation.addresses import host_of
 from hollowusher.simulation.connection import ONE_WAY, REQUEST, SimulatedConnection
 from hollowusher.simulation.event_loop import SimulatedProcess
@@ -19,6 +20,13 @@
 CONNECT_TIMEOUT_S = 1.0
 
 
+class _ConnectionAttempt(NamedTuple):
+    """An attempt to connect, and the member at the address when it began."""
+
+    future: asyncio.Future[SimulatedConnection]
+    member: Identity | None
+
+
 class SimulatedTransport:
     """The `Transport` of one process."""
 
@@ -31,7 +39,7 @@
         self.closed = False
         self._numbers = itertools.count(1)
         self._connections: dict[str, SimulatedConnection] = {}
-        self._connecting: dict[str, asyncio.Future[SimulatedConnection]] = {}
+        self._connecting: dict[str, _ConnectionAttempt] = {}
 
     async def start(self, handler: Handler) -> None:
         """Listen, and pass each message that arrives to `handler`."""
@@ -111,13 +119,14 @@
         connection = self._connections.get(address)
         if connection is not None and connection.is_usable:
             return connection
-        future = self._connecting.get(address)
-        if future is None:
-            future = self.network.loop.create_future()
-            self._connecting[address] = future
-            self._begin_connect(address, future)
+        member = self.peers.member_at(address)
+        attempt = self._connecting.get(address)
+        if attempt is None or attempt.member != member:
+            attempt = _ConnectionAttempt(self.network.loop.create_future(), member)
+            self._connecting[address] = attempt
+            self._begin_connect(address, attempt.future)
         try:
-            return await asyncio.wait_for(asyncio.shield(future), min(timeout, CONNECT_TIMEOUT_S))
+            return await asyncio.wait_for(asyncio.shield(attempt.future), min(timeout, CONNECT_TIMEOUT_S))
         except TimeoutError:
             raise PeerError(step, address, "no connection in time", sent=False) from None
         except ConnectionError as error:
@@ -147,14 +156,19 @@
     ) -> None:
         if future.done() or not self.process.alive:
             return
-        self._connecting.pop(address, None)
-        connection = SimulatedConnection(self.network, self, server)
-        self._connections[address] = connection
-        future.set_result(connection)
+        self._end_attempt(address, future)
+        if not self.connected(address):
+            self._connections[address] = SimulatedConnection(self.network, self, server)
+        future.set_result(self._connections[address])
+
+    def _end_attempt(self, address: str, future: asyncio.Future[SimulatedConnection]) -> None:
+        attempt = self._connecting.get(address)
+        if attempt is not None and attempt.future is future:
+            del self._connecting[address]
 
     def _fail_connect(self, address: str, future: asyncio.Future[SimulatedConnection], reason: str) -> None:
         if future.done():
             return
-        self._connecting.pop(address, None)
+        self._end_attempt(address, future)
         future.set_exception(ConnectionError(reason))
         future.exception()  # read: nobody may be waiting any more
--- a/hollowusher/transport/peers.py
+++ b/hollowusher/transport/peers.py
@@ -58,6 +58,10 @@
         known = self._members.get(address) or self._voters.get(address)
         return "" if known is None else known.name
 
+    def member_at(self, address: str) -> Identity | None:
+        """Return the identity of the member that is registered at an address."""
+        return self._members.get(address)
+
     def intended_peer(self, address: str, message: Any) -> Identity:
         """Return the identity of the process that a message to this address is intended for."""
         member = self._members.get(address)
--- a/hollowusher/transport/tcp.py
+++ b/hollowusher/transport/tcp.py
@@ -21,7 +21,7 @@
 import socket
 import struct
 from contextlib import suppress
-from typing import Any, cast
+from typing import Any, NamedTuple, cast
 
 from hollowusher.protocol.codec import MAX_TAG, DecodeError, decode, encode, tag_of
 from hollowusher.protocol.identity import Hello, Identity
@@ -385,6 +385,13 @@
             self._drop()
 
 
+class _ConnectionAttempt(NamedTuple):
+    """An attempt to connect, and the member at the address when it began."""
+
+    task: asyncio.Task[_ClientConnection]
+    member: Identity | None
+
+
 class TcpTransport:
     """The transport of one process, which listens on `address` ("ip:port")."""
 
@@ -398,7 +405,7 @@
         self.on_failure: Any = None  # called with (message, error) when a handler fails
         self._numbers = itertools.count(1)
         self._connections: dict[str, _ClientConnection] = {}
-        self._connecting: dict[str, asyncio.Task[_ClientConnection]] = {}
+        self._connecting: dict[str, _ConnectionAttempt] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
         self._server: asyncio.Server | None = None
 
@@ -495,22 +502,40 @@
             connection.send_message(0, ONE_WAY, message)
 
     async def _connect(self, address: str, step: str, timeout: float) -> _ClientConnection:
-        task = self._connecting.get(address)
-        if task is None:
-            task = asyncio.get_running_loop().create_task(self._open(address))
-            self._connecting[address] = task
-            task.add_done_callback(lambda done: self._connected(address, done))
+        attempt = self._attempt(address)
         try:
-            return await asyncio.wait_for(asyncio.shield(task), timeout)
+            connection = await asyncio.wait_for(asyncio.shield(attempt.task), timeout)
         except TimeoutError:
             raise PeerError(step, address, "no connection in time", sent=False) from None
         except OSError as error:
             raise PeerError(step, address, f"no connection: {error}", sent=False) from None
+        return self._connections[address] if self.connected(address) else connection
+
+    def _attempt(self, address: str) -> _ConnectionAttempt:
+        """Return the attempt to connect that is under way, or begin one.
+
+        An attempt that began before the present member registered may wait for a machine without power until
+        it times out, so it is not waited for.
+        """
+        member = self.peers.member_at(address)
+        attempt = self._connecting.get(address)
+        if attempt is None or attempt.member != member:
+            task = asyncio.get_running_loop().create_task(self._open(address))
+            attempt = self._connecting[address] = _ConnectionAttempt(task, member)
+            task.add_done_callback(lambda done: self._connected(address, done))
+        return attempt
 
     def _connected(self, address: str, task: asyncio.Task[_ClientConnection]) -> None:
-        self._connecting.pop(address, None)
-        if not task.cancelled() and task.exception() is None:
-            self._connections[address] = task.result()
+        attempt = self._connecting.get(address)
+        if attempt is not None and attempt.task is task:
+            del self._connecting[address]
+        if task.cancelled() or task.exception() is not None:
+            return
+        connection = task.result()
+        if self.connected(address):
+            connection.give_up()  # a later attempt was faster
+        else:
+            self._connections[address] = connection
 
     async def _open(self, address: str) -> _ClientConnection:
         host, port = split_address(address)
