--- a/hollowusher/coordination/controller/head_context.py
+++ b/hollowusher/coordination/controller/head_context.py
@@ -7,6 +7,7 @@
 import attrs
 
 from hollowusher.coordination.cluster_state import MEMBER_PREFIX
+from hollowusher.coordination.controller.worker_list_timing import MAX_READ_INTERVAL_S
 from hollowusher.coordination.distribution.update_feed import UpdateFeed
 from hollowusher.coordination.membership.member_directory import MemberDirectory, member_version
 from hollowusher.coordination.membership.pause_detector import PauseDetector
@@ -23,7 +24,8 @@
     """The shared state and services of one controller's cluster-wide roles.
 
     `MembershipService` owns the contents of the directory; the other roles only read them.  `clock` returns
-    the time of the monotonic clock in seconds.
+    the time of the monotonic clock in seconds.  The head reads the worker list every
+    `worker_list_interval_s`.
     """
 
     member: Member
@@ -32,6 +34,7 @@
     directory: MemberDirectory
     transport: Transport
     clock: Callable[[], float]
+    worker_list_interval_s: float = MAX_READ_INTERVAL_S
     pause_detector: PauseDetector = attrs.field(factory=lambda: PauseDetector(MAX_STEP_S))
 
     def check_for_pause(self) -> None:
--- a/hollowusher/coordination/controller/worker_list_publisher.py
+++ b/hollowusher/coordination/controller/worker_list_publisher.py
@@ -14,7 +14,6 @@
 from hollowusher.protocol.view import View
 from hollowusher.protocol.worker_list import PlatformWorker, PlatformWorkerList
 
-READ_INTERVAL_S = 1.0
 FIRST_READ_DELAY_S = 0.15  # a new head waits this long because the previous head may still be reading
 WORKER_LIST_NOT_READ = -1.0
 
@@ -33,7 +32,7 @@
 
 
 class WorkerListPublisher:
-    """Reads the worker list about once a second while its process is the head, and publishes it.
+    """Reads the worker list at intervals while its process is the head, and publishes it.
 
     The version of a published list is [epoch, incarnation, counter].  It increases across changes of the head
     and across restarts of the same head.
@@ -63,9 +62,10 @@
             elif not was_head:
                 await asyncio.sleep(FIRST_READ_DELAY_S)
             else:
+                interval_s = self._context.worker_list_interval_s
                 started = self._context.clock()
                 await self._read()
-                await asyncio.sleep(max(TICK_S, started + READ_INTERVAL_S - self._context.clock()))
+                await asyncio.sleep(max(TICK_S, started + interval_s - self._context.clock()))
             was_head = is_head
 
     async def _read(self) -> None:
--- a/hollowusher/coordination/controller/worker_list_reader.py
+++ b/hollowusher/coordination/controller/worker_list_reader.py
@@ -11,9 +11,9 @@
 from hollowusher.coordination.controller.errors import MalformedPageError, WorkerListReadError
 from hollowusher.coordination.controller.worker_list_page import WorkerListPage, parse_page
 from hollowusher.coordination.controller.worker_list_reconciler import WorkerListReconciler
+from hollowusher.coordination.controller.worker_list_timing import WorkerListTiming
 from hollowusher.protocol.worker_list import PlatformWorker, PlatformWorkerList
 
-CALL_TIMEOUT_S = 1.0
 KEEPALIVE_S = 30.0
 MAX_PAGES = 10_000
 MAX_PAGE_BYTES = 1024 * 1024
@@ -32,11 +32,12 @@
         The number of pages that this reader has requested.
     """
 
-    def __init__(self, address: str, rate_per_s: float) -> None:
+    def __init__(self, address: str, timing: WorkerListTiming) -> None:
         self.address = address
         self.calls = 0
+        self._timing = timing
         self._reconciler = WorkerListReconciler()
-        self._rate_limiter = CallRateLimiter(rate_per_s)
+        self._rate_limiter = CallRateLimiter(timing.rate_per_s, timing.max_backoff_s)
         self._session: aiohttp.ClientSession | None = None
 
     async def read(self) -> PlatformWorkerList | None:
@@ -94,7 +95,7 @@
         if self._session is None:
             connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=KEEPALIVE_S)
             self._session = aiohttp.ClientSession(
-                connector=connector, timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+                connector=connector, timeout=aiohttp.ClientTimeout(total=self._timing.call_timeout_s)
             )
         query = "" if token is None else f"?pageToken={quote(token, safe='')}"
         async with self._session.get(f"http://{self.address}/instances{query}") as response:
--- a/hollowusher/roles/control_plane.py
+++ b/hollowusher/roles/control_plane.py
@@ -16,6 +16,7 @@
 from hollowusher.coordination.controller.head_context import HeadContext
 from hollowusher.coordination.controller.head_roles import HeadRoles
 from hollowusher.coordination.controller.worker_list_reader import WorkerListReader
+from hollowusher.coordination.controller.worker_list_timing import WorkerListTiming
 from hollowusher.coordination.distribution.update_feed import UpdateFeed
 from hollowusher.coordination.membership.member_directory import MemberDirectory
 from hollowusher.protocol.codec import evolve
@@ -54,13 +55,24 @@
         self.controller = Controller(
             me, settings, resources, callbacks, lambda: process.settings.seed_addresses()
         )
-        self.reader = WorkerListReader(settings.cloud_api.address, settings.cloud_api.rate_per_s)
+        timing = WorkerListTiming.from_settings(settings)
+        self.reader = WorkerListReader(settings.cloud_api.address, timing)
         self._tolerance = settings.fault_tolerance.machines
         context = HeadContext(
-            me, self.controller, self.feed, MemberDirectory(clock()), process.transport, clock
+            me,
+            self.controller,
+            self.feed,
+            MemberDirectory(clock()),
+            process.transport,
+            clock,
+            timing.read_interval_s,
         )
         self.head_roles = HeadRoles(
-            context, settings.fault_tolerance, self.reader, log, self.controller.has_newest_view
+            context,
+            settings.fault_tolerance,
+            self.reader,
+            log,
+            self.controller.has_newest_view,
         )
         self._fault_tolerance_log = FaultToleranceLog(log)
         ClusterChangeLog(process.state, "", lambda: self.controller.is_head)
--- a/hollowusher/simulation/programs.py
+++ b/hollowusher/simulation/programs.py
@@ -97,8 +97,8 @@
     _substitute(
         control_module,
         "WorkerListReader",
-        lambda environment, address, rate_per_s: SimulatedWorkerListReader(
-            environment.http, environment.host, address, rate_per_s
+        lambda environment, address, timing: SimulatedWorkerListReader(
+            environment.http, environment.host, address, timing
         ),
     )
     _substitute(operator_module, "start_operator_server", _serve_operator)
--- a/hollowusher/simulation/stand_ins.py
+++ b/hollowusher/simulation/stand_ins.py
@@ -17,6 +17,7 @@
 from hollowusher.coordination.controller.errors import WorkerListReadError
 from hollowusher.coordination.controller.operator_api import OperatorApi
 from hollowusher.coordination.controller.worker_list_reader import READ_STEP, WorkerListReader
+from hollowusher.coordination.controller.worker_list_timing import WorkerListTiming
 from hollowusher.delivery.callback_delivery import encode_callback_request
 from hollowusher.delivery.http_connection import DeliveryResponse
 from hollowusher.delivery.outcome import DeliveryOutcome, WorkerFeedback
@@ -42,7 +43,6 @@
 from hollowusher.storage.identity import claim_incarnation, next_incarnation
 
 CALLBACK_TIMEOUT_S = 3.0
-LIST_TIMEOUT_S = 1.0
 STOP_POLL_S = 0.02
 DISK_ID_SLOT = "disk-id"
 INCARNATION_SLOT = "life"
@@ -120,8 +120,8 @@
 class SimulatedWorkerListReader(WorkerListReader):
     """Reads the worker list over the simulated HTTP network."""
 
-    def __init__(self, http: HttpNetwork, host: str, address: str, rate_per_s: float) -> None:
-        super().__init__(address, rate_per_s)
+    def __init__(self, http: HttpNetwork, host: str, address: str, timing: WorkerListTiming) -> None:
+        super().__init__(address, timing)
         self._http = http
         self._host = host
 
@@ -129,7 +129,7 @@
         query = "" if token is None else f"?pageToken={token}"
         request = HttpRequest("GET", f"/instances{query}")
         try:
-            answer = await self._http.exchange(self._host, self.address, request, LIST_TIMEOUT_S)
+            answer = await self._http.exchange(self._host, self.address, request, self._timing.call_timeout_s)
         except HttpExchangeError as failure:
             raise aiohttp.ClientError(str(failure)) from None
         if answer.status != 200:
--- a/tests/coordination/controller/test_worker_list_reader.py
+++ b/tests/coordination/controller/test_worker_list_reader.py
@@ -13,6 +13,7 @@
 from hollowusher.coordination.controller.call_rate_limiter import CallRateLimiter
 from hollowusher.coordination.controller.errors import WorkerListReadError
 from hollowusher.coordination.controller.worker_list_reader import MAX_PAGE_BYTES, WorkerListReader
+from hollowusher.coordination.controller.worker_list_timing import WorkerListTiming
 from hollowusher.protocol.worker_list import PlatformWorkerList
 from tests.support.worker_list_pages import ENTRY, entry, names, page
 
@@ -28,7 +29,7 @@
         site = web.TCPSite(runner, "127.0.0.1", 0)
         await site.start()
         host, port = runner.addresses[0][:2]
-        reader = WorkerListReader(f"{host}:{port}", 20_000.0)
+        reader = WorkerListReader(f"{host}:{port}", WorkerListTiming(20_000.0))
         try:
             await work(reader)
         finally:
@@ -72,12 +73,12 @@
 
     async def work(reader: WorkerListReader) -> None:
         for _ in range(3):
-            reader._rate_limiter = CallRateLimiter(20_000.0)  # resets the backoff
+            reader._rate_limiter = CallRateLimiter(20_000.0, 1.0)  # resets the backoff
             with pytest.raises(WorkerListReadError) as caught:
                 await reader.read()
             assert caught.value.peer == reader.address
             assert caught.value.step == "read the list"
-        reader._rate_limiter = CallRateLimiter(20_000.0)
+        reader._rate_limiter = CallRateLimiter(20_000.0, 1.0)
         listed = await reader.read()
         assert listed is not None
         assert names(listed.workers) == ["i-7f3a91c2"]
@@ -87,7 +88,7 @@
 
 def test_an_unreachable_platform_raises_an_error() -> None:
     async def play() -> None:
-        reader = WorkerListReader("127.0.0.1:9", 20_000.0)
+        reader = WorkerListReader("127.0.0.1:9", WorkerListTiming(20_000.0))
         try:
             with pytest.raises(WorkerListReadError):
                 await reader.read()
@@ -107,7 +108,7 @@
         first = await reader.read()
         with pytest.raises(WorkerListReadError):
             await reader.read()
-        reader._rate_limiter = CallRateLimiter(20_000.0)
+        reader._rate_limiter = CallRateLimiter(20_000.0, 1.0)
         last = await reader.read()
         assert first is not None
         assert last is not None
@@ -125,7 +126,7 @@
     async def work(reader: WorkerListReader) -> None:
         with pytest.raises(WorkerListReadError, match="too long"):
             await reader.read()
-        reader._rate_limiter = CallRateLimiter(20_000.0)  # resets the backoff
+        reader._rate_limiter = CallRateLimiter(20_000.0, 1.0)  # resets the backoff
         assert await reader.read() is not None
 
     read_from(answer, work)
