--- a/hollowusher/configuration/checks.py
+++ b/hollowusher/configuration/checks.py
@@ -16,6 +16,7 @@
 from mashumaro.codecs.basic import BasicDecoder
 from mashumaro.exceptions import InvalidFieldValue, MissingField
 
+from hollowusher.configuration.host_names import normalized_host
 from hollowusher.configuration.model import Configuration, RequestLimits, Route, Service
 
 ROUTES = "routes"
@@ -96,7 +97,7 @@
 
 
 def _check_route(label: str, route: Document) -> Fault | None:
-    if not route["hostname"]:
+    if not normalized_host(route["hostname"]):
         return Fault(label, "hostname is empty")
     if not route["pathPrefix"].startswith("/"):
         return Fault(label, "pathPrefix does not start with /")
@@ -178,7 +179,7 @@
 def _check_prefixes(document: Document) -> Fault | None:
     names_by_prefix: dict[tuple[str, str], str] = {}
     for route in document[ROUTES]:
-        host_and_prefix = (route["hostname"].lower(), route["pathPrefix"])
+        host_and_prefix = (normalized_host(route["hostname"]), route["pathPrefix"])
         if host_and_prefix in names_by_prefix:
             return Fault(
                 f"{ROUTES} {route['name']}", f"has the host and prefix of {names_by_prefix[host_and_prefix]}"
--- a/hollowusher/configuration/model.py
+++ b/hollowusher/configuration/model.py
@@ -69,15 +69,6 @@
     upstreams: list[Service] = field(default_factory=list)
     limits: RequestLimits = field(default_factory=RequestLimits)
 
-    def route_for(self, hostname: str, path: str) -> Route | None:
-        """Return the route with this host name and the longest matching path prefix."""
-        best: Route | None = None
-        for route in self.routes:
-            longer = best is None or len(route.path_prefix) > len(best.path_prefix)
-            if route.hostname == hostname and path.startswith(route.path_prefix) and longer:
-                best = route
-        return best
-
     def route(self, name: str) -> Route | None:
         """Return the route with this name."""
         return next((route for route in self.routes if route.name == name), None)
--- a/hollowusher/intake/admission.py
+++ b/hollowusher/intake/admission.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from hollowusher.configuration.host_names import normalized_host
 from hollowusher.configuration.model import Configuration, Route, Service
 from hollowusher.coordination.placement.partitioner import has_single_home
 from hollowusher.protocol.messages import NewMessage
@@ -80,7 +81,7 @@
         self.services: dict[str, Service] = {service.name: service for service in configuration.upstreams}
         self._routes: dict[str, list[Route]] = {}
         for route in configuration.routes:
-            self._routes.setdefault(route.hostname, []).append(route)
+            self._routes.setdefault(normalized_host(route.hostname), []).append(route)
         for routes in self._routes.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
         self.generation = configuration.generation
@@ -91,18 +92,16 @@
         }
 
     def find_route(self, host: str, target: str) -> Route | None:
-        """Return the route of this host with the longest matching path prefix, or None."""
-        for route in self._routes.get(host, ()):
+        """Return the route with the longest matching path prefix, or None.
+
+        `host` is the value of a Host header.
+        """
+        for route in self._routes.get(normalized_host(host), ()):
             if target.startswith(route.path_prefix):
                 return route
         return None
 
 
-def host_name(header: str) -> str:
-    """Return the host name of a Host header, in lower case and without the port."""
-    return header.partition(":")[0].strip().lower()
-
-
 def parse_milliseconds(text: str) -> float | None:
     """Return the milliseconds that a header value gives, or None if it is invalid."""
     text = text.strip()
@@ -133,10 +132,11 @@
 def admit(request: ClientRequest, index: RouteIndex) -> Admission | Rejection:
     """Return the message that a request contains, or the reason for its rejection."""
     headers = request.headers
-    host = host_name(headers.get("Host", ""))
+    sent_host = headers.get("Host", "")
+    host = normalized_host(sent_host)
     if not host or not request.target.isascii() or not request.target.startswith("/"):
         return Rejection(400, RejectionReason.MALFORMED, "Host or path is missing or malformed")
-    route = index.find_route(host, request.target)
+    route = index.find_route(sent_host, request.target)
     if route is None:
         return Rejection(404, RejectionReason.NO_ROUTE, "no route")
     service = index.services.get(route.upstream)
--- a/hollowusher/intake/intake_service.py
+++ b/hollowusher/intake/intake_service.py
@@ -28,7 +28,6 @@
     RejectionReason,
     RouteIndex,
     admit,
-    host_name,
     parse_milliseconds,
     reject_head,
 )
@@ -325,7 +324,7 @@
         It is one if its path has a prefix of the worker calls and no route of its host matches the path."""
         if request.method != "POST" or not request.target.startswith(WORKER_PREFIXES):
             return False
-        return index.find_route(host_name(request.headers.get("Host", "")), request.target) is None
+        return index.find_route(request.headers.get("Host", ""), request.target) is None
 
     async def _worker_call(
         self, request: ClientRequest, index: RouteIndex, is_disconnected: Callable[[], bool]
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -11,6 +11,7 @@
 import pytest
 from multidict import CIMultiDict
 
+from hollowusher.configuration.host_names import normalized_host
 from hollowusher.configuration.model import read_document
 from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.intake.admission import (
@@ -20,7 +21,6 @@
     RejectionReason,
     RouteIndex,
     admit,
-    host_name,
     is_valid_callback_url,
     parse_milliseconds,
     reject_head,
@@ -234,7 +234,7 @@
             None,
             None,
         ]
-        assert host_name(" A.Example:80 ") == "a.example"
+        assert normalized_host(" A.Example:80 ") == "a.example"
 
 
 class TestPullWorkerHeaders:
