--- a/hollowusher/messages/records.py
+++ b/hollowusher/messages/records.py
@@ -21,6 +21,7 @@
 RecordVersion = tuple[int, int]  # (epoch, sequence)
 MessageKey = RecordVersion  # the version of the message's PUT record
 
+MAX_DIGITS = 19  # of a number in a reference or lease id
 _HEADER = struct.Struct("<BHIQ")
 _NEW_MESSAGE_FIELDS = tuple(field.name for field in attrs.fields(cast(Any, NewMessage)))
 
@@ -188,13 +189,22 @@
 
 
 def parse_reference(reference: str) -> tuple[int, MessageKey] | None:
-    """Return the partition and the message key of a reference, or None if the text is not a reference."""
+    """Return the partition and the message key of a reference, or None if the text is not a reference.
+
+    Only the text that `format_reference` returns is a reference, so that no message has two of them.
+    """
     parts = reference.split("-")
-    if len(parts) != 3 or not all(part.isascii() and part.isdigit() for part in parts):
+    if len(parts) != 3 or not all(map(_is_number, parts)):
         return None
     return int(parts[0]), (int(parts[1]), int(parts[2]))
 
 
+def _is_number(text: str) -> bool:
+    """Return whether a text is a number as it is formatted: digits without leading zeros, not too many."""
+    is_digits = text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
+    return is_digits and (text[0] != "0" or len(text) == 1)
+
+
 CALLBACK_LEASE_MARKER = "c"  # precedes the lease number in the id of a call-back lease
 
 
@@ -218,6 +228,6 @@
     parsed = parse_reference(reference)
     callback = number.startswith(CALLBACK_LEASE_MARKER)
     digits = number[len(CALLBACK_LEASE_MARKER) :] if callback else number
-    if parsed is None or not (digits.isascii() and digits.isdigit()):
+    if parsed is None or not _is_number(digits):
         return None
     return LeaseId(parsed[0], parsed[1], int(digits), callback)
