Names in the paths of pull workers' calls may be percent-encoded

What callers saw: a pull worker whose HTTP library percent-encodes the id in the path (a/b, 50%, 'a b') got 409 for the end of its job, and 404 for /pull/SERVICE with an encoded name or a query behind it.

Change: decoded_name is the one place that turns the last part of a call's path into a name; a name that stands in the path as it is kept is still taken first.

--- a/hollowusher/intake/intake_service.py
+++ b/hollowusher/intake/intake_service.py
@@ -42,6 +42,7 @@
     LEASE_ID,
     SIGNATURE,
     WAIT,
+    decoded_name,
     finish_result,
     store_lease_id,
     worker_lease_id,
@@ -339,7 +340,7 @@
     async def _pull(
         self, request: ClientRequest, name: str, index: RouteIndex, is_disconnected: Callable[[], bool]
     ) -> ClientResponse:
-        service = index.services.get(name)
+        service = index.services.get(name) or index.services.get(decoded_name(name))
         if service is None or not service.pull:
             return self._absence_response("no such service")
         instance = request.headers.get(INSTANCE_ID, "")
@@ -353,7 +354,7 @@
         self._pulls += 1
         try:
             longest_s = DRAINING_PULL_WAIT_S if self._draining else MAX_PULL_WAIT_S
-            job = await self._pull_dispatcher.pull(name, instance, min(wait_ms / 1000, longest_s))
+            job = await self._pull_dispatcher.pull(service.name, instance, min(wait_ms / 1000, longest_s))
         finally:
             self._pulls -= 1
         if job is None:
@@ -373,7 +374,7 @@
 
     async def _extend(self, request: ClientRequest, message_id: str) -> ClientResponse:
         metrics = self.metrics
-        lease = store_lease_id(request.headers.get(LEASE_ID, ""), message_id)
+        lease = _lease_of(request, message_id)
         answer = LeaseUpdateResponse("gone")
         if lease is not None:
             answer = await self._store.extend(ExtendLease(lease), self._clock() + LEASE_CALL_TIMEOUT_S)
@@ -391,7 +392,7 @@
         headers = request.headers
         signature = headers.get(SIGNATURE, "")
         result = finish_result(headers.get(JOB_RESULT, ""), signature)
-        lease = store_lease_id(headers.get(LEASE_ID, ""), message_id)
+        lease = _lease_of(request, message_id)
         answer = LeaseUpdateResponse("gone")
         if lease is not None:
             finish = FinishLease(lease, result, signature if result == "success" else "")
@@ -411,6 +412,13 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _lease_of(request: ClientRequest, message_id: str) -> str | None:
+    """Return the store's lease id in a worker's call, whose path may have the message id percent-encoded."""
+    worker_lease = request.headers.get(LEASE_ID, "")
+    lease = store_lease_id(worker_lease, message_id)
+    return lease or store_lease_id(worker_lease, decoded_name(message_id))
+
+
 def _retry_later(client_wait_s: float) -> ClientResponse:
     seconds = "1" if client_wait_s >= SHORT_WAIT_S else "0"
     return ClientResponse(503, b"not available", headers=(("Retry-After", seconds),))
--- a/hollowusher/intake/pull_worker_headers.py
+++ b/hollowusher/intake/pull_worker_headers.py
@@ -1,7 +1,9 @@
-"""Headers of the pull workers' calls, and the encoding of lease ids for pull workers.  No I/O."""
+"""Headers and paths of the pull workers' calls, and the encoding of lease ids for them.  No I/O."""
 
 from __future__ import annotations
 
+from urllib.parse import unquote
+
 import xxhash
 
 INSTANCE_ID = "X-Instance-Id"
@@ -15,6 +17,11 @@
 NOT_RUN_RESULTS = ("503", "429", "400")
 
 
+def decoded_name(segment: str) -> str:
+    """Return the name in the last part of a call's path, without query and percent-encoding."""
+    return unquote(segment.partition("?")[0])
+
+
 def worker_lease_id(lease: str, message_id: str) -> str:
     """Return the lease id to give to a worker: the store's lease id with a digest of the message id."""
     digest = xxhash.xxh64_hexdigest(message_id.encode(errors="replace"))
--- a/tests/intake/test_intake.py
+++ b/tests/intake/test_intake.py
@@ -597,6 +597,15 @@
 
         play(work, JOB)
 
+    @pytest.mark.parametrize("path", ["/pull/pulled?x=1", "/pull/%70ulled", "/pull/%70ulled?x"])
+    def test_the_service_in_the_path_may_be_percent_encoded(self, path: str) -> None:
+        async def work(harness: IntakeHarness) -> None:
+            answer = await harness.handle(worker_request(path, X_Instance_Id="i-1"))
+            assert answer.status == 200
+            assert harness.dispatcher.calls[0][0] == "pulled"
+
+        play(work, JOB)
+
     def test_a_pulled_job_includes_its_ordering_key(self) -> None:
         async def work(harness: IntakeHarness) -> None:
             answer = await harness.handle(worker_request("/pull/pulled", X_Instance_Id="i"))
--- a/tests/intake/test_wire_rules_pull.py
+++ b/tests/intake/test_wire_rules_pull.py
@@ -6,6 +6,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from functools import partial
+from urllib.parse import quote
 
 import pytest
 from multidict import CIMultiDict
@@ -20,6 +23,7 @@
 from hollowusher.simulation.event_loop import SimulatedProcess
 from tests.support.message_store import StoreCluster, message, play
 
+IDS = ["m", "a/b", "50%", "a b", "what?", "50%25"]
 RESULTS = ["200", "500", "422", "503", "429", "400", "504"]
 SIGNATURE = "3e1b.07"
 
@@ -32,6 +36,7 @@
         cluster.network.power_on(host_of(address))
         self.state = ClusterState()
         self.cluster = cluster
+        self.name_in_path: Callable[[str], str] = lambda name: name  # as a worker's library writes it
         transport = cluster.network.transport(SimulatedProcess(f"edge-{number}"), address)
         store = StoreClient(transport, self.state, cluster.loop.time)
         self.intake = IntakeService(
@@ -46,7 +51,7 @@
             headers["X-Job-Result"] = result
         if result == "200":
             headers["X-Server-Signature"] = SIGNATURE
-        target = f"/{path}/{job.message.id}"
+        target = f"/{path}/{self.name_in_path(job.message.id)}"
         answer = await self.intake.handle(ClientRequest("POST", target, CIMultiDict(headers), b""))
         return answer.status
 
@@ -119,6 +124,23 @@
     play(work)
 
 
+@pytest.mark.parametrize("message_id", IDS)
+@pytest.mark.parametrize("write", [str, partial(quote, safe=""), quote], ids=["plain", "quoted", "path"])
+def test_a_worker_may_percent_encode_the_id_in_the_path(message_id: str, write: Callable[[str], str]) -> None:
+    """Libraries for HTTP do so; the end of such a job got 409."""
+
+    async def work(cluster: StoreCluster) -> None:
+        await cluster.start()
+        edge = EdgeProcess(cluster, 11)
+        edge.name_in_path = write
+        await cluster.stored(message(message_id))
+        (job,) = await cluster.lease(pull=True, visibility_ms=3_000)
+        assert await edge.extend(job) == 200
+        assert await edge.end(job, "200") == 200
+
+    play(work)
+
+
 def test_without_a_primary_the_status_is_503_and_not_409() -> None:
     async def work(cluster: StoreCluster) -> None:
         one, other, job = await lease_pull_job(cluster)
