--- a/hollowusher/simulation/checks/runs.py
+++ b/hollowusher/simulation/checks/runs.py
@@ -10,6 +10,7 @@
 from hollowusher.simulation.observations import Observations, SentMessage, WorkerRun
 
 EARLY_S = 0.1
+DRAIN_S = 3.0  # `drainMs`
 RATE_WINDOW_S = 5.0
 RATE_OVERSHOOT = 1.1
 RATE_EXTRA_ARRIVALS = 5
@@ -42,6 +43,24 @@
             yield RuleViolation("ROUTE", run.id, f"of {message.route} ran at {run.service}", run.started_at)
 
 
+def check_drained_workers(observations: Observations, rules: DeploymentRules) -> Iterator[RuleViolation]:
+    """DRAIN: a message reaches a worker too long after the platform's list shows it as draining."""
+    shown_at = {drain.worker: drain.shown_at for drain in observations.drains}
+    for run in observations.runs:
+        shown = shown_at.get(run.worker, float("inf"))
+        late_s = run.arrived_at - shown - DRAIN_S
+        if late_s > 0 and not _had_fault(observations, shown - CONTACT_S, run.arrived_at):
+            text = f"reached {run.worker} {late_s:.3f} s too late after it was shown as draining"
+            yield RuleViolation("DRAIN", run.id, text, run.arrived_at)
+
+
+def _had_fault(observations: Observations, begin: float, end: float) -> bool:
+    return any(
+        not fault.planned and fault.begun_at <= end and (fault.ended_at is None or fault.ended_at >= begin)
+        for fault in observations.faults
+    )
+
+
 def check_run_after_rejection(observations: Observations, rules: DeploymentRules) -> Iterator[RuleViolation]:
     """REFUSED: a promise that it never runs was given, and it ran."""
     for message in observations.messages.values():
--- a/hollowusher/simulation/faults/context.py
+++ b/hollowusher/simulation/faults/context.py
@@ -12,6 +12,7 @@
 from hollowusher.simulation.faults.tolerance import LossTolerance
 from hollowusher.simulation.machine import SimulatedMachine
 from hollowusher.simulation.observations import InjectedFault
+from hollowusher.simulation.worker_list_server import ListFailure
 
 GRACE_S = 6.0
 
@@ -39,7 +40,10 @@
 
 
 class WorkerActions(Protocol):
-    """What faults do to workers."""
+    """What faults do to workers and to the platform's list of them."""
+
+    async def fail_list(self, failure: ListFailure, seconds: float) -> None:
+        """Have the platform's list down for a while."""
 
     async def crash_all(self, seconds: float) -> None:
         """All listed workers crash, and others come after so long."""
--- a/hollowusher/simulation/observations.py
+++ b/hollowusher/simulation/observations.py
@@ -62,6 +62,15 @@
     signature: str = ""
     read_at: float | None = None  # when the complete answer was read by the sender
     ordering_key: str | None = None  # as the worker saw it; None where it is not told
+    arrived_at: float = 0.0
+
+
+@dataclass
+class WorkerDrain:
+    """A worker that the platform's list shows as draining, from `shown_at` on."""
+
+    worker: str
+    shown_at: float
 
 
 @dataclass
@@ -210,6 +219,7 @@
 
     messages: dict[str, SentMessage] = field(default_factory=dict)
     runs: list[WorkerRun] = field(default_factory=list)
+    drains: list[WorkerDrain] = field(default_factory=list)
     arrivals: list[DeliveryArrival] = field(default_factory=list)
     lease_ends: list[AcceptedLeaseEnd] = field(default_factory=list)
     states: list[MessageStateResponse] = field(default_factory=list)
--- a/hollowusher/simulation/planted/control.py
+++ b/hollowusher/simulation/planted/control.py
@@ -8,11 +8,13 @@
 import attrs
 
 from hollowusher.configuration import orders
+from hollowusher.configuration.boot import BootSettings
 from hollowusher.coordination.chain import chain_replicator
 from hollowusher.coordination.chain.chain_member import ChainMember
 from hollowusher.coordination.chain.pending_change import PendingChange
 from hollowusher.coordination.cluster_state import ClusterState
 from hollowusher.coordination.consensus.view_consensus import ViewConsensus
+from hollowusher.coordination.controller.worker_list_timing import WorkerListTiming
 from hollowusher.messages.partition.partition_primary import PartitionPrimary
 from hollowusher.messages.records import MessageStatus
 from hollowusher.messages.replication.partition_replicator import PartitionReplicator
@@ -151,3 +153,11 @@
 
     patches.replace(FencedTransport, "call", call)
     patches.replace(PartitionReplicator, "on_rejected", lambda *arguments: None)
+
+
+@planted_fault("DRAIN", test="tests/simulation/test_list_outages.py")
+def _list_read_after_a_fixed_pause(patches: Patches) -> None:
+    def from_settings(_cls: type[WorkerListTiming], settings: BootSettings) -> WorkerListTiming:
+        return WorkerListTiming(settings.cloud_api.rate_per_s, max_backoff_s=4.0)
+
+    patches.replace(WorkerListTiming, "from_settings", classmethod(from_settings))
--- a/hollowusher/simulation/push_worker.py
+++ b/hollowusher/simulation/push_worker.py
@@ -92,7 +92,7 @@
             return self._not_run(503, identifier)
         if self._table is not None and identifier in self._table.known:
             return self._repeat(identifier)
-        return await self._work(exchange, identifier)
+        return await self._work(exchange, identifier, self.context.now())
 
     def _within_rate(self) -> bool:
         now = self.context.now()
@@ -113,7 +113,7 @@
             return self._not_run(409, identifier)
         return HttpResponse(200, {ATTEMPT: identifier, SIGNATURE: stamp})
 
-    async def _work(self, exchange: HttpExchange, identifier: str) -> HttpResponse | None:
+    async def _work(self, exchange: HttpExchange, identifier: str, arrived_at: float) -> HttpResponse | None:
         self._queued += 1
         await self._slots.acquire()
         self._queued -= 1
@@ -125,17 +125,18 @@
                 if identifier in self._table.known:
                     return self._repeat(identifier)
                 self._table.known[identifier] = ""
-            return await self._run(exchange, identifier)
+            return await self._run(exchange, identifier, arrived_at)
         finally:
             self._busy -= 1
             self._slots.release()
             if self._table is not None and self._table.known.get(identifier) == "":
                 del self._table.known[identifier]
 
-    async def _run(self, exchange: HttpExchange, identifier: str) -> HttpResponse | None:
+    async def _run(self, exchange: HttpExchange, identifier: str, arrived_at: float) -> HttpResponse | None:
         context, random_source, behaviour = self.context, self.context.random_source, self.behaviour
         run = WorkerRun(identifier, self.service, self.name, context.now(), exchange.request.body)
         run.ordering_key = exchange.request.header("X-Ordering-Key")
+        run.arrived_at = arrived_at
         context.observations.runs.append(run)
         await asyncio.sleep(random_source.uniform(*behaviour.work_s) * self.slow)
         if not self.alive or exchange.closed.is_set() or random_source.random() < behaviour.reset_share:
--- a/hollowusher/simulation/worker_fleet.py
+++ b/hollowusher/simulation/worker_fleet.py
@@ -21,12 +21,14 @@
     RECEIVERS,
     VISIBILITY_S,
 )
-from hollowusher.simulation.observations import WorkerOutage
+from hollowusher.simulation.observations import WorkerDrain, WorkerOutage
 from hollowusher.simulation.pull_worker import PullWorkerOptions, SimulatedPullWorker
 from hollowusher.simulation.push_worker import IdempotencyTable, PushWorkerOptions, SimulatedPushWorker
-from hollowusher.simulation.worker_list_server import WorkerListing, WorkerListServer
+from hollowusher.simulation.worker_list_server import ListFailure, WorkerListing, WorkerListServer
 
 FEWEST_LISTED = 3
+OUTAGE_POLL_S = 0.01
+DRAIN_S = 3.0  # `drainMs`
 FIXED_CAPACITY = 40
 PULL_SLOTS = 4
 SLOTS = {PUSH: 3, OTHER: 2}
@@ -121,6 +123,12 @@
         random_source = self.cluster.random("workers down")
         await asyncio.gather(*(self._crash(worker, random_source, seconds) for worker in self._listed()))
 
+    async def fail_list(self, failure: ListFailure, seconds: float) -> None:
+        """Have the platform's list down for a while."""
+        self._list.failure = failure
+        await asyncio.sleep(seconds)
+        self._list.failure = None
+
     async def inject_endpoint_faults(self, until: float) -> None:
         """Take the fixed endpoint down or slow it, again and again."""
         random_source = self.cluster.random("endpoint troubles")
@@ -180,7 +188,12 @@
     async def _release(self, worker: SimulatedPushWorker, random_source: random.Random) -> None:
         worker.draining = True
         self._list.drain(worker.name)
-        await asyncio.sleep(3.0 + LIST_LAG_S + random_source.uniform(0.5, 3.0))
+        await asyncio.sleep(LIST_LAG_S)
+        while self._list.failure is not None:  # noqa: ASYNC110 - a platform that is back drains on
+            await asyncio.sleep(OUTAGE_POLL_S)
+        drain = WorkerDrain(worker.name, self.cluster.loop.time())
+        self.cluster.observations.drains.append(drain)
+        await asyncio.sleep(DRAIN_S + random_source.uniform(0.5, 3.0))
         worker.crash()
         self._list.remove(worker.name)
         await asyncio.sleep(ADDRESS_REUSE_S)
--- a/hollowusher/simulation/worker_list_server.py
+++ b/hollowusher/simulation/worker_list_server.py
@@ -4,11 +4,17 @@
 
 from collections import deque
 from dataclasses import dataclass, replace
+from enum import Enum
 
 import orjson
 
 from hollowusher.simulation.addresses import host_of
-from hollowusher.simulation.http_network import HttpExchange, HttpNetwork, HttpResponse
+from hollowusher.simulation.http_network import (
+    HttpExchange,
+    HttpNetwork,
+    HttpResponse,
+    UnresponsiveServerError,
+)
 
 PAGE = 50
 
@@ -40,8 +46,19 @@
         }
 
 
+class ListFailure(Enum):
+    """What the platform does with a call while it is down."""
+
+    REFUSES = "refuses"
+    IS_SILENT = "is silent"
+    BREAKS_OFF = "breaks off"
+
+
 class WorkerListServer:
-    """`GET /instances`, as the list stood `lag_s` ago; calls beyond `rate` a second get 429."""
+    """`GET /instances`, as the list stood `lag_s` ago; calls beyond `rate` a second get 429.
+
+    While `failure` is set, the platform is down.
+    """
 
     process = None
 
@@ -52,6 +69,7 @@
         self.rate = rate
         self.calls = 0
         self.refused = 0
+        self.failure: ListFailure | None = None
         self._now: dict[str, WorkerListing] = {}
         self._past: deque[tuple[float, list[WorkerListing]]] = deque([(0.0, [])])
         self._recent: deque[float] = deque()
@@ -95,6 +113,12 @@
             self.refused += 1
             return HttpResponse(429)
         self._recent.append(now)
+        if self.failure is ListFailure.REFUSES:
+            return HttpResponse(503)
+        if self.failure is ListFailure.IS_SILENT:
+            raise UnresponsiveServerError
+        if self.failure is ListFailure.BREAKS_OFF:
+            return None
         path, _, query = exchange.request.target.partition("?")
         if path != "/instances":
             return HttpResponse(404)
