--- a/hollowusher/messages/replication/catch_up_pacing.py
+++ b/hollowusher/messages/replication/catch_up_pacing.py
@@ -8,8 +8,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
-
 import attrs
 
 from hollowusher.configuration.boot import BootSettings
@@ -26,6 +24,7 @@
 MAX_TIME_SHARE_OF_CATCH_UP = 0.4
 PROCESSED_BYTES_PER_S = 48 * MEBIBYTE  # by a store that catches up, whatever its link carries
 BYTES_PER_MESSAGE = 1024  # processing a message takes as long as so many further bytes
+ACTIVE_S = 0.5  # a peer that was to get its next chunk this long ago or earlier gets none at present
 RESTORED_SHARE = 0.9  # of the limit; below it the records are within the limit again
 
 
@@ -103,16 +102,15 @@
         self._bytes_per_s.pop(peer, None)
         self._next_at.pop(peer, None)
 
-    def wait_s(
-        self, peer: str, sent_bytes: int, missing_bytes: int, recovering: Collection[str], now: float
-    ) -> float:
+    def wait_s(self, peer: str, sent_bytes: int, missing_bytes: int, now: float) -> float:
         """Return how long to wait before the next chunk for a peer.
 
-        `sent_bytes` have just been sent to it, it may lack up to `missing_bytes`, and the peers in
-        `recovering` are catching up.  The pace for a peer never falls while it catches up: the bytes that
-        are left become fewer, and so does the time.
+        `sent_bytes` have just been sent to it, and it may lack up to `missing_bytes`.  The pace for a peer
+        never falls while it catches up: the bytes that are left become fewer, and so does the time.  The
+        peers to which chunks are being sent share the link; one that does not answer takes no part of it.
         """
-        share = self.limits.max_bytes_per_s / max(1, len(recovering))
+        others = sum(other != peer and at > now - ACTIVE_S for other, at in self._next_at.items())
+        share = self.limits.max_bytes_per_s / (1 + others)
         wanted = max(MIN_BYTES_PER_S, missing_bytes / self.limits.send_time_s, self._bytes_per_s.get(peer, 0))
         self._bytes_per_s[peer] = wanted
         scheduled = self._next_at.get(peer, now) + sent_bytes / min(share, wanted)
--- a/hollowusher/messages/replication/replica_recovery.py
+++ b/hollowusher/messages/replication/replica_recovery.py
@@ -65,7 +65,7 @@
         """Return how long to wait after `size` bytes were exchanged with a peer."""
         replicator = self._replicator
         missing = replicator.bytes_missing_at(peer)
-        return self._pacer.wait_s(peer, size, missing, self._recovering, replicator.now())
+        return self._pacer.wait_s(peer, size, missing, replicator.now())
 
     def recover_all(self) -> None:
         """Start the recovery of each peer that lacks records and is not being recovered."""
--- a/tests/messages/test_catch_up_pacing.py
+++ b/tests/messages/test_catch_up_pacing.py
@@ -20,37 +20,49 @@
 LIMITS = CatchUpLimits(link_bytes_per_s=60e6, catch_up_s=4.2)
 
 
-def send_time_s(pacer: CatchUpPacer, peer: str, total: int, recovering: list[str]) -> float:
-    """Return how long it takes to send `total` bytes in chunks to a peer, with one chunk at a time."""
-    now, left = 0.0, total
-    while left > 0:
-        chunk = min(left, MAX_CHUNK_BYTES)
-        now += pacer.wait_s(peer, chunk, left, recovering, now)
-        left -= chunk
-    return now
+def send_time_s(pacer: CatchUpPacer, total: int, peers: int = 1) -> float:
+    """Return how long it takes to send `total` bytes to each of some peers, one chunk at a time to each."""
+    next_at = {f"peer-{number}": 0.0 for number in range(peers)}
+    left = dict.fromkeys(next_at, total)
+    while any(left.values()):
+        peer = min((each for each in left if left[each]), key=lambda each: next_at[each])
+        now = next_at[peer]
+        chunk = min(left[peer], MAX_CHUNK_BYTES)
+        next_at[peer] = now + pacer.wait_s(peer, chunk, left[peer], now)
+        left[peer] -= chunk
+    return max(next_at.values())
 
 
 @pytest.mark.parametrize("total", [MEBIBYTE, 10 * MEBIBYTE, 30 * MEBIBYTE])
 def test_all_records_are_sent_in_the_time_set_aside_whatever_their_size(total: int) -> None:
     """A pace of 3 MiB/s for each partition was too slow for 30 MB in one partition (review/4)."""
-    assert send_time_s(CatchUpPacer(LIMITS), "a", total, ["a"]) == pytest.approx(
+    assert send_time_s(CatchUpPacer(LIMITS), total) == pytest.approx(
         min(LIMITS.send_time_s, total / MIN_BYTES_PER_S), rel=0.01
     )
 
 
 def test_the_pace_ends_at_the_share_of_the_link_of_all_peers_together() -> None:
-    pacer = CatchUpPacer(LIMITS)
     total = 200 * MEBIBYTE
-    alone = send_time_s(pacer, "a", total, ["a"])
+    alone = send_time_s(CatchUpPacer(LIMITS), total)
     assert alone == pytest.approx(total / LIMITS.max_bytes_per_s, rel=0.01)
-    pacer.end("a")
-    assert send_time_s(pacer, "a", total, ["a", "b"]) == pytest.approx(2 * alone, rel=0.01)
+    assert send_time_s(CatchUpPacer(LIMITS), total, peers=2) == pytest.approx(2 * alone, rel=0.02)
+
+
+def test_a_peer_that_got_nothing_for_a_while_takes_no_part_of_the_link() -> None:
+    """The lost replica is a peer until its replacement is promoted; it halved the pace of the replacement."""
+    pacer = CatchUpPacer(LIMITS)
+    pacer.wait_s("lost", MAX_CHUNK_BYTES, 0, now=0.0)
+    total = 200 * MEBIBYTE
+    wait_s = pacer.wait_s("replacement", MAX_CHUNK_BYTES, total, now=0.1)
+    assert wait_s == pytest.approx(2 * MAX_CHUNK_BYTES / LIMITS.max_bytes_per_s)
+    wait_s = pacer.wait_s("replacement", MAX_CHUNK_BYTES, total, now=2.0)
+    assert wait_s <= MAX_CHUNK_BYTES / LIMITS.max_bytes_per_s
 
 
 def test_two_sessions_with_one_peer_share_its_pace() -> None:
     pacer = CatchUpPacer(LIMITS)
-    first = pacer.wait_s("a", MEBIBYTE, 0, ["a"], now=0.0)
-    second = pacer.wait_s("a", MEBIBYTE, 0, ["a"], now=0.0)
+    first = pacer.wait_s("a", MEBIBYTE, 0, now=0.0)
+    second = pacer.wait_s("a", MEBIBYTE, 0, now=0.0)
     assert (first, second) == (MEBIBYTE / MIN_BYTES_PER_S, 2 * MEBIBYTE / MIN_BYTES_PER_S)
 
 
