The test of a peer that takes no part of the pace fails without the rule

Cause: its last assertion held whatever the share was, since the first chunk after a pause never waits; with the rule taken out (every peer counts) all tests of the pacer passed. Change: the second chunk is judged, by the exact wait. Measured: it fails with the rule taken out, and passes with it.

--- a/tests/messages/test_catch_up_pacing.py
+++ b/tests/messages/test_catch_up_pacing.py
@@ -55,8 +55,9 @@
     total = 200 * MEBIBYTE
     wait_s = pacer.wait_s("replacement", MAX_CHUNK_BYTES, total, now=0.1)
     assert wait_s == pytest.approx(2 * MAX_CHUNK_BYTES / LIMITS.max_bytes_per_s)
+    pacer.wait_s("replacement", MAX_CHUNK_BYTES, total, now=2.0)  # behind its schedule: no wait
     wait_s = pacer.wait_s("replacement", MAX_CHUNK_BYTES, total, now=2.0)
-    assert wait_s <= MAX_CHUNK_BYTES / LIMITS.max_bytes_per_s
+    assert wait_s == pytest.approx(MAX_CHUNK_BYTES / LIMITS.max_bytes_per_s)
 
 
 def test_two_sessions_with_one_peer_share_its_pace() -> None:
