STOMP: a connection that is evicted gives up its socket at once

Cause: `StompClients._free_connection` takes an evicted session out of the count at once, but the session then closed gracefully: up to 2 s for its last frames and 1 s of linger, with its socket open. On a slower machine more connections outlive NEW_CONNECTION_GRACE_S before their CONNECT frame is read, so more of them are evicted and linger beside the 200 that count. A session that was evicted while it was already lingering after an ERROR was cancelled before its close, and left it to the garbage collector.

Change: an evicted session writes nothing more and closes its socket; the graceful close is a method of its own, and the socket is closed however that ends.

The new test BadStomp::test_an_evicted_connection_frees_its_socket_at_once failed before (12 open links where 4 are allowed, in all three cases), and passes.

--- a/hollowusher/scheduler/fronts/stomp/clients.py
+++ b/hollowusher/scheduler/fronts/stomp/clients.py
@@ -78,7 +78,7 @@
         self._front, self._wire = front, wire
         self.identity = ""
         self.open_jobs = 0
-        self._paused = self._connected = False
+        self._paused = self._connected = self._evicted = False
         self._accepted_ns = time.monotonic_ns()
         self.waiting: dict[Waiter, JobTableEntry] = {}
         self._has_capacity = asyncio.Event()
@@ -90,8 +90,9 @@
 
     async def run(self) -> None:
         """Serve the connection until either side ends it."""
-        writer, lost = asyncio.create_task(self._wire.write()), False
+        writer = asyncio.create_task(self._wire.write())
         writer.add_done_callback(self._writer_broke)
+        lost = False
         try:
             async with asyncio.timeout(FIRST_REQUEST_TIMEOUT_S):
                 await self._connect()
@@ -110,14 +111,29 @@
             pass  # the writer failed, the session was evicted, or the scheduler is stopping
         finally:
             self._front.session_ended(self)
-            self._wire.finish()
             writer.remove_done_callback(self._writer_broke)
+            if not self._evicted:
+                await self._close_gracefully(writer, lost)
+            await self._close(writer)
+
+    async def _close_gracefully(self, writer: asyncio.Task[None], lost: bool) -> None:
+        """Write the last frames and close with linger; an eviction ends this early."""
+        with contextlib.suppress(asyncio.CancelledError):
+            self._wire.finish()
             await asyncio.wait({writer}, timeout=FLUSH_TIMEOUT_S)
             writer.cancel()
-            with contextlib.suppress(asyncio.CancelledError, OSError):
-                await writer
+            await asyncio.wait({writer})
             if not lost:
                 await self._wire.linger(LINGER_S)
+
+    async def _close(self, writer: asyncio.Task[None]) -> None:
+        """Stop the writer and close the socket."""
+        writer.cancel()
+        try:
+            await writer
+        except (asyncio.CancelledError, OSError):
+            pass  # the frames that the writer had left are dropped
+        finally:
             self._wire.close()
 
     async def _wait_for_capacity(self) -> None:
@@ -137,13 +153,16 @@
             self.task.cancel()
 
     def evict(self) -> bool:
-        """Close the session if it had no valid CONNECT frame in time; return whether it was closed."""
+        """Close the session if it had no valid CONNECT frame in time; return whether it was closed.
+
+        Its socket is closed without linger, so that a crowd cannot keep more sockets open than the limit."""
         if (
             self._connected
             or self.task is None
             or time.monotonic_ns() - self._accepted_ns < NEW_CONNECTION_GRACE_S * 1e9
         ):
             return False
+        self._evicted = True
         self.task.cancel()
         return True
 
--- a/tests/scheduler/test_bad_clients.py
+++ b/tests/scheduler/test_bad_clients.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 import time
 import unittest
 from unittest import mock
@@ -13,8 +14,19 @@
 from hollowusher.scheduler.fronts.platform.clients import read_job
 from hollowusher.scheduler.fronts.platform.http import BadInput, RequestReader
 from hollowusher.scheduler.fronts.stomp import clients as stomp_clients
-from tests.support.standins import CLASSES, HttpNode, SocketCase, StompNodeStandIn, post, read_http, stomp
+from hollowusher.scheduler.net.link import Link
+from tests.support.standins import (
+    CLASSES,
+    PATIENCE_S,
+    HttpNode,
+    SocketCase,
+    StompNodeStandIn,
+    post,
+    read_http,
+    stomp,
+)
 
+MOST_CLIENTS = 4  # of the STOMP front, in the tests of evicted connections
 HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\n"
 JOB = HEAD + b"X-Call-Id: j\r\nX-Call-Class: eta-quote\r\nX-Budget: 3\r\n"
 
@@ -256,3 +268,34 @@
             self.assertEqual(await session.answer(), ("pay-1", "served", b"r:pay-1"))
             for _, writer in crowd:
                 writer.close()
+
+    async def test_an_evicted_connection_frees_its_socket_at_once(self) -> None:
+        # Guards against more open sockets than `most-clients`, while evicted connections closed with linger.
+        for sent in (b"", b"CONNECT\nlogin:", b"not a frame\n\n\0"):
+            with self.subTest(sent=sent):
+                self.assertEqual(await self.most_open_links(sent, MOST_CLIENTS * 3), MOST_CLIENTS)
+
+    async def most_open_links(self, sent: bytes, connections: int) -> int:
+        """Open this many connections that send `sent`, and return how many the server keeps open."""
+        links: list[Link] = []
+
+        def open_link(sock: socket.socket) -> Link:
+            links.append(Link(sock))
+            return links[-1]
+
+        with (
+            mock.patch.object(stomp_clients, "NEW_CONNECTION_GRACE_S", 0.0),
+            mock.patch.object(stomp_clients, "LINGER_S", PATIENCE_S),
+            mock.patch.object(stomp_clients, "Link", open_link),
+        ):
+            await self.run_program(stomp_nodes=(StompNodeStandIn(),), most_clients=MOST_CLIENTS)
+            for number in range(connections):
+                _, writer = await asyncio.open_connection("127.0.0.1", self.stomp_port)
+                self.addCleanup(writer.close)
+                writer.write(sent)
+                while len(links) <= number:
+                    await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            still_open = sum(not link.closed for link in links)
+            await self.end_program()
+        return still_open
