Worker list: a test of a new head that begins to read during an outage

Change: test_worker_list_outage.py begins the head at 80 moments, 0.1 to 8 s before the platform returns, with four failures and three values of drainMs. No code of the service changes.

--- a/tests/coordination/controller/test_worker_list_outage.py
+++ b/tests/coordination/controller/test_worker_list_outage.py
@@ -84,8 +84,13 @@
         await asyncio.sleep(TICK_S)
 
 
-def play(settings: BootSettings, failure: Failure, offset_s: float) -> tuple[float, _Platform]:
-    """Let the platform fail, and return how long after its return the draining workers were published."""
+def play(
+    settings: BootSettings, failure: Failure, offset_s: float, new_head_s: float = 0.0
+) -> tuple[float, _Platform]:
+    """Let the platform fail, and return how long after its return the draining workers were published.
+
+    The head begins to read 5 s before the outage, or `new_head_s` seconds before the platform returns.
+    """
     loop = VirtualTimeLoop()
     timing = WorkerListTiming.from_settings(settings)
     platform = _Platform(timing, loop)
@@ -106,10 +111,13 @@
 
         feed.add_listener(note)
         process = SimulatedProcess("a")
+        if new_head_s:
+            platform.failure = failure
         running = [process.run(WorkerListPublisher(context, platform).run()), process.run(_tick(context))]
-        await asyncio.sleep(5.0)
-        platform.failure = failure
-        await asyncio.sleep(OUTAGE_S + offset_s)
+        if not new_head_s:
+            await asyncio.sleep(5.0)
+            platform.failure = failure
+        await asyncio.sleep(new_head_s or OUTAGE_S + offset_s)
         platform.failure, platform.state = None, "draining"
         returned_at = loop.time()
         await asyncio.sleep(8.0)
@@ -142,6 +150,22 @@
         assert platform.most_calls_in_a_second() <= RATE_PER_S / 2 + 1
 
 
+@pytest.mark.parametrize("failure", Failure)
+@pytest.mark.parametrize("drain_ms", [1_500, 3_000, 5_000])
+def test_a_new_head_that_begins_to_read_during_an_outage_is_in_time(failure: Failure, drain_ms: int) -> None:
+    settings = BootSettings(
+        "a",
+        "edge",
+        ip="10.0.0.1",
+        bounds=Bounds(drain_ms=drain_ms),
+        cloud_api=CloudApi("10.0.0.9:8065", RATE_PER_S),
+    )
+    for step in range(1, 81):
+        took_s, platform = play(settings, failure, 0.0, new_head_s=step * 0.1)
+        assert took_s <= PUBLISHED_SHARE * drain_ms / 1000, step
+        assert platform.most_calls_in_a_second() <= RATE_PER_S / 2 + 1
+
+
 @pytest.mark.parametrize("drain_ms", [500, 1_500, 3_000, 5_000, 60_000])
 def test_all_pauses_together_fit_into_the_time_that_a_worker_has(drain_ms: int) -> None:
     timing = WorkerListTiming.from_settings(BootSettings("a", "edge", bounds=Bounds(drain_ms=drain_ms)))
