Prefixes of routes and paths of requests are compared in one form

What callers saw: a route whose pathPrefix has letters beyond ASCII, a space, or escapes in small letters was accepted and acknowledged, and its messages got 404 for good; two routes of one prefix were accepted. Change: `normalized_path` (RFC 3986, sections 2.5 and 6.2.2) for both, in checks and index. An escaped slash stays no separator, case counts; the document and the target that goes to the worker stay as written.

--- a/hollowusher/configuration/checks.py
+++ b/hollowusher/configuration/checks.py
@@ -18,6 +18,7 @@
 
 from hollowusher.configuration.host_names import normalized_host
 from hollowusher.configuration.model import Configuration, RequestLimits, Route, Service
+from hollowusher.configuration.paths import normalized_path
 
 ROUTES = "routes"
 SERVICES = "upstreams"
@@ -179,7 +180,7 @@
 def _check_prefixes(document: Document) -> Fault | None:
     names_by_prefix: dict[tuple[str, str], str] = {}
     for route in document[ROUTES]:
-        host_and_prefix = (normalized_host(route["hostname"]), route["pathPrefix"])
+        host_and_prefix = (normalized_host(route["hostname"]), normalized_path(route["pathPrefix"]))
         if host_and_prefix in names_by_prefix:
             return Fault(
                 f"{ROUTES} {route['name']}", f"has the host and prefix of {names_by_prefix[host_and_prefix]}"
--- a/hollowusher/intake/admission.py
+++ b/hollowusher/intake/admission.py
@@ -14,6 +14,7 @@
 
 from hollowusher.configuration.host_names import normalized_host
 from hollowusher.configuration.model import Configuration, Route, Service
+from hollowusher.configuration.paths import normalized_path
 from hollowusher.coordination.placement.partitioner import has_single_home
 from hollowusher.protocol.messages import NewMessage
 
@@ -79,11 +80,12 @@
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
         self.services: dict[str, Service] = {service.name: service for service in configuration.upstreams}
-        self._routes: dict[str, list[Route]] = {}
+        self._routes: dict[str, list[tuple[str, Route]]] = {}  # host -> normalized prefixes, longest first
         for route in configuration.routes:
-            self._routes.setdefault(normalized_host(route.hostname), []).append(route)
-        for routes in self._routes.values():
-            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+            routes_of_host = self._routes.setdefault(normalized_host(route.hostname), [])
+            routes_of_host.append((normalized_path(route.path_prefix), route))
+        for routes_of_host in self._routes.values():
+            routes_of_host.sort(key=lambda prefix_and_route: len(prefix_and_route[0]), reverse=True)
         self.generation = configuration.generation
         self.requires_home = {
             service.name
@@ -96,8 +98,9 @@
 
         `host` is the value of a Host header.
         """
-        for route in self._routes.get(normalized_host(host), ()):
-            if target.startswith(route.path_prefix):
+        path = normalized_path(target)
+        for prefix, route in self._routes.get(normalized_host(host), ()):
+            if path.startswith(prefix):
                 return route
         return None
 
