--- a/tests/coordination/controller/test_worker_list_outage.py
+++ b/tests/coordination/controller/test_worker_list_outage.py
@@ -84,6 +84,17 @@
         await asyncio.sleep(TICK_S)
 
 
+def settings_of(drain_ms: int) -> BootSettings:
+    """Return the settings of a controller with this `drainMs`."""
+    return BootSettings(
+        "a",
+        "edge",
+        ip="10.0.0.1",
+        bounds=Bounds(drain_ms=drain_ms),
+        cloud_api=CloudApi("10.0.0.9:8065", RATE_PER_S),
+    )
+
+
 def play(
     settings: BootSettings, failure: Failure, offset_s: float, new_head_s: float = 0.0
 ) -> tuple[float, _Platform]:
@@ -137,13 +148,7 @@
 def test_a_draining_worker_is_published_in_time_whenever_the_platform_returns(
     failure: Failure, drain_ms: int
 ) -> None:
-    settings = BootSettings(
-        "a",
-        "edge",
-        ip="10.0.0.1",
-        bounds=Bounds(drain_ms=drain_ms),
-        cloud_api=CloudApi("10.0.0.9:8065", RATE_PER_S),
-    )
+    settings = settings_of(drain_ms)
     for step in range(40):
         took_s, platform = play(settings, failure, step * 0.05)
         assert took_s <= PUBLISHED_SHARE * drain_ms / 1000, step
@@ -153,13 +158,7 @@
 @pytest.mark.parametrize("failure", Failure)
 @pytest.mark.parametrize("drain_ms", [1_500, 3_000, 5_000])
 def test_a_new_head_that_begins_to_read_during_an_outage_is_in_time(failure: Failure, drain_ms: int) -> None:
-    settings = BootSettings(
-        "a",
-        "edge",
-        ip="10.0.0.1",
-        bounds=Bounds(drain_ms=drain_ms),
-        cloud_api=CloudApi("10.0.0.9:8065", RATE_PER_S),
-    )
+    settings = settings_of(drain_ms)
     for step in range(1, 81):
         took_s, platform = play(settings, failure, 0.0, new_head_s=step * 0.1)
         assert took_s <= PUBLISHED_SHARE * drain_ms / 1000, step
