All messages of an ordering key stand in one partition, in one ordering group

Cause: partition and ordering group of a message depended on its service, which a change alters.

Change: the partition follows from the key alone, and the group is the key. Nothing is handed over at a change. The ceiling stays with the primary of the service's home partition; the others borrow tokens for the jobs that they have ready, no more. A store tells the probable owners of a fixed endpoint, not all processes, that jobs wait. A message that moves to another service keeps its place in its group; an older message that is restored voids the timer of a later one.

--- a/hollowusher/configuration/model.py
+++ b/hollowusher/configuration/model.py
@@ -49,6 +49,11 @@
     pull: bool = False
     fixed: str | None = None
 
+    @property
+    def fixed_destination_key(self) -> str | None:
+        """The key by which an edge process is chosen as the owner of the fixed endpoint; None without one."""
+        return None if self.fixed is None else f"{self.name}/{self.fixed}"
+
 
 @dataclass(frozen=True, slots=True)
 class RequestLimits:
--- a/hollowusher/coordination/placement/partitioner.py
+++ b/hollowusher/coordination/placement/partitioner.py
@@ -1,10 +1,14 @@
 """The choice of the partition for the messages of a service.  The module performs no I/O and reads no clock.
 
-All messages of a service with a rate limit or with ordered routes are stored in the home partition of the
-service, because only a single primary can enforce the order and the rate limit.  The messages of other
-services may be stored in any partition.  The intake prefers a partition whose primary is in its own zone, and
-the dispatchers lease jobs from the primaries of their own zone first, so that message bodies rarely cross
-zones.  A store that holds jobs which no dispatcher leases notifies all dispatchers (`JobsWaiting`).
+Messages with an ordering key are not placed by their service: all messages of a key are stored in one
+partition (`rendezvous.ordering_partition`), because a single primary enforces their order whatever services
+their routes have.
+
+The other messages of a service with a rate limit are stored in the home partition of the service, whose
+primary enforces the limit.  Those of other services may be stored in any partition.  The intake prefers a
+partition whose primary is in its own zone, and the dispatchers lease jobs from the primaries of their own
+zone first, so that message bodies rarely cross zones.  A store that holds jobs which no dispatcher leases
+notifies the dispatchers (`JobsWaiting`).
 """
 
 from __future__ import annotations
@@ -18,14 +22,12 @@
 
 
 def has_single_home(service: str, configuration: Configuration | None) -> bool:
-    """Return whether all messages of a service must be stored in its home partition.
+    """Return whether messages of a service without an ordering key must be stored in its home partition.
 
     The result is also True if the configuration is None or does not contain the service.
     """
-    service_settings = configuration.service(service) if configuration is not None else None
-    if configuration is None or service_settings is None or service_settings.rate_per_s > 0:
-        return True
-    return any(route.ordered for route in configuration.routes if route.upstream == service)
+    settings = configuration.service(service) if configuration is not None else None
+    return settings is None or settings.rate_per_s > 0
 
 
 class ZonePartitioner:
--- a/hollowusher/coordination/rendezvous.py
+++ b/hollowusher/coordination/rendezvous.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import xxhash
 
@@ -29,3 +29,13 @@
     """Return the partitions by decreasing preference for a service; the first is its home partition."""
     key = f"home/{service}"
     return sorted(partitions, key=lambda partition: (weight(key, str(partition)), partition), reverse=True)
+
+
+def ordering_partition(ordering_key: str, partitions: Sequence[int]) -> int | None:
+    """Return the partition of all messages with an ordering key, or None if there are no partitions.
+
+    The number of partitions never changes, so a remainder serves in place of a ranking of all of them.
+    """
+    if not partitions:
+        return None
+    return partitions[xxhash.xxh64_intdigest(f"order/{ordering_key}".encode()) % len(partitions)]
--- a/hollowusher/dispatch/dispatcher.py
+++ b/hollowusher/dispatch/dispatcher.py
@@ -180,10 +180,9 @@
         owners = assign_owners(_all_destinations(pushed.values(), workers), members)
         owned: dict[str, list[OwnedDestination]] = {}
         for service in pushed.values():
-            if service.fixed is not None:
-                key = fixed_destination(service.name, service.fixed).key
-                if owners.get(key) == self._me.name:
-                    owned[service.name] = [_endpoint_spec(service, service.fixed, key)]
+            key = service.fixed_destination_key
+            if service.fixed is not None and key is not None and owners.get(key) == self._me.name:
+                owned[service.name] = [_endpoint_spec(service, service.fixed, key)]
         for worker in workers:
             key = _destination(worker).key
             if worker.state == READY_STATE and owners.get(key) == self._me.name:
@@ -212,10 +211,8 @@
 
     Draining workers are included: every process then assigns owners from the same list of destinations and
     gets the same owners."""
-    fixed = [
-        fixed_destination(service.name, service.fixed) for service in services if service.fixed is not None
-    ]
-    return fixed + [_destination(worker) for worker in workers]
+    fixed = [fixed_destination(service) for service in services]
+    return [each for each in fixed if each is not None] + [_destination(worker) for worker in workers]
 
 
 def _endpoint_spec(service: Service, address: str, key: str) -> OwnedDestination:
--- a/hollowusher/dispatch/ownership.py
+++ b/hollowusher/dispatch/ownership.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from hollowusher.configuration.model import Service
 from hollowusher.coordination.rendezvous import choose, rank
 from hollowusher.protocol.membership import Member
 
@@ -35,9 +36,10 @@
     return Destination(f"{service}/{worker_id}", zone)
 
 
-def fixed_destination(service: str, address: str) -> Destination:
-    """Return the destination for a service's fixed endpoint."""
-    return Destination(f"{service}/{address}")
+def fixed_destination(service: Service) -> Destination | None:
+    """Return the destination for a service's fixed endpoint, or None if it has none."""
+    key = service.fixed_destination_key
+    return None if key is None else Destination(key)
 
 
 def candidate_owners(destination: Destination, members: Sequence[Member]) -> list[str]:
--- a/hollowusher/intake/intake_service.py
+++ b/hollowusher/intake/intake_service.py
@@ -19,6 +19,7 @@
 
 from hollowusher.configuration.model import Configuration, RequestLimits
 from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.coordination.rendezvous import ordering_partition
 from hollowusher.intake.admission import (
     ATTEMPT_ID,
     ORDERING_KEY,
@@ -149,7 +150,8 @@
         self._draining = False
         self._index: RouteIndex | None = None
         self._candidates: dict[str, list[int]] = {}
-        # The placement and the configuration from which `_candidates` was computed.
+        self._partitions: list[int] = []
+        # The placement and the configuration from which these two were computed.
         self._candidate_inputs: tuple[Placement | None, Configuration | None] = (None, None)
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -264,10 +266,14 @@
         if self._state.placement is not placement or self._state.configuration is not configuration:
             self._candidates.clear()
             self._candidate_inputs = (self._state.placement, self._state.configuration)
-        service = admission.message.service
+            self._partitions = self._state.partition_numbers()
+        service, ordering_key = admission.message.service, admission.message.ordering_key
+        if ordering_key:
+            partition = ordering_partition(ordering_key, self._partitions)
+            return [] if partition is None else [partition]
         ranking = self._candidates.get(service)
         if ranking is None:
-            ranking = self._rank_partitions(service, self._state.partition_numbers())[:MAX_CANDIDATES]
+            ranking = self._rank_partitions(service, self._partitions)[:MAX_CANDIDATES]
             self._candidates[service] = ranking
         return ranking[:1] if admission.requires_home else ranking
 
--- a/hollowusher/messages/job_waiters.py
+++ b/hollowusher/messages/job_waiters.py
@@ -16,6 +16,8 @@
 NOTIFY_DELAY_S = 0.06
 NOTIFY_INTERVAL_S = 0.3
 NEVER_REQUESTED_AT = -1e9
+# Number of processes that get the first notification about a fixed endpoint; later ones go to all.
+PROBABLE_OWNERS = 2
 
 
 class JobWaiters:
@@ -34,11 +36,13 @@
         self._waiting: dict[str, deque[asyncio.Future[None]]] = {}
         self._requested_at: dict[str, float] = {}
         self._notifying: dict[str, asyncio.TimerHandle] = {}
+        self._unanswered: set[str] = set()  # services with a fixed endpoint, notified since its last request
         self._closed = False
 
     def record_request(self, service: str) -> None:
         """Record that a dispatcher has requested jobs of a service."""
         self._requested_at[service] = self._now()
+        self._unanswered.discard(service)
 
     async def wait(self, service: str, until: float) -> None:
         """Wait until jobs of a service may be ready, or until the event loop's clock reaches `until`."""
@@ -102,11 +106,25 @@
         self._notify_later(service, NOTIFY_INTERVAL_S)
 
     def _dispatchers(self, service: str) -> list[str]:
+        """Return the addresses of the dispatchers to notify.
+
+        The owner of a fixed endpoint is mostly the first of its ranking; the bound on the load of a process
+        may pass it on to a later one.
+        """
         edges = {member.name: member.address for member in self._state.live_members("edge")}
-        if not service.startswith(CALLBACK_PREFIX):
+        if service.startswith(CALLBACK_PREFIX):
+            owner = rendezvous.choose(service, edges)
+            return [edges[owner]] if owner is not None else []
+        destination = self._fixed_destination_key(service)
+        if destination is None or service in self._unanswered:
             return list(edges.values())
-        owner = rendezvous.choose(service, edges)
-        return [edges[owner]] if owner is not None else []
+        self._unanswered.add(service)
+        return [edges[name] for name in rendezvous.rank(destination, edges)[:PROBABLE_OWNERS]]
+
+    def _fixed_destination_key(self, service: str) -> str | None:
+        configuration = self._state.configuration
+        settings = configuration.service(service) if configuration is not None else None
+        return None if settings is None else settings.fixed_destination_key
 
     @staticmethod
     def _now() -> float:
--- a/hollowusher/messages/lease_service.py
+++ b/hollowusher/messages/lease_service.py
@@ -125,9 +125,10 @@
 
     async def _borrow_tokens(self, request: LeaseRequest, deadline: float) -> int:
         """Return the number of jobs that may be leased although another primary enforces the rate limit."""
-        if not self._loans.are_needed(request.service) or not self._can_lease(request):
+        needed = self._loans.needed_tokens(request.service)
+        if not needed or not self._can_lease(request):
             return 0
-        return await self._loans.borrow(request.service, request.most, deadline)
+        return await self._loans.borrow(request.service, min(request.most, needed), deadline)
 
     def _lease_from_primaries(self, request: LeaseRequest, borrowed_tokens: int) -> list[LocalGrant]:
         """Lease ready jobs from the primaries of this store."""
@@ -139,7 +140,7 @@
             primary = replica.primary
             if primary is None or len(outcome) >= request.most or primary.queue.peek(request.service) is None:
                 continue
-            needs_tokens = primary.needs_borrowed_tokens(request.service)
+            needs_tokens = primary.jobs_without_tokens(request.service) > 0
             with suppress(StorageError):
                 grants = primary.lease(request, request.most - len(outcome), now, wall_ms, borrowed_tokens)
                 outcome += [LocalGrant(replica, grant) for grant in grants]
--- a/hollowusher/messages/partition/message_lifecycle.py
+++ b/hollowusher/messages/partition/message_lifecycle.py
@@ -75,9 +75,8 @@
             return
         if active.retained_until <= now or self._routing.is_route_removed(active):
             self.end_or_retry(active, now, wall_ms)
-        elif self._routing.has_changed_service(active):
-            self._change_service(active, ready_at, now)
         else:
+            self._follow_route(active, now)
             self._queue.release(active, ready_at, now)
 
     def requeue(
@@ -145,16 +144,16 @@
     def apply_routing(self, now: float, wall_ms: int) -> None:
         """Apply a new configuration.
 
-        Messages of removed routes end as dead letters; messages whose service has changed move to the queue
-        of the new service.
+        Messages of removed routes end as dead letters; messages whose service was removed move to the queue
+        of their route's new service.
         """
         for active in list(self.active.values()):
             if active.stage not in (QueueStage.WAITING, QueueStage.READY):
                 continue
             if self._routing.is_route_removed(active):
                 self.end_or_retry(active, now, wall_ms)
-            elif self._routing.has_changed_service(active):
-                self._change_service(active, active.ready_at, now)
+            else:
+                self._follow_route(active, now)
 
     def mark_leased(self, active: ActiveMessage, number: int, expires_at: float) -> None:
         """Record a new lease of a message."""
@@ -189,9 +188,8 @@
         if entry is not None and entry.state is not None and entry.state.callback_pending:
             self._callbacks.add(entry.key, entry.state, now)
 
-    def _change_service(self, active: ActiveMessage, ready_at: float, now: float) -> None:
-        self._queue.remove(active, now)
-        active.service = self._routing.service_for(active.route, active.service)
-        active.stage = QueueStage.SUSPENDED
-        self._queue.add(active)
-        self._queue.release(active, ready_at, now)
+    def _follow_route(self, active: ActiveMessage, now: float) -> None:
+        """Assign a message to the service of its route if its own service was removed."""
+        service = self._routing.service_for(active.route, active.service)
+        if service != active.service:
+            self._queue.change_service(active, service, now)
--- a/hollowusher/messages/partition/message_queue.py
+++ b/hollowusher/messages/partition/message_queue.py
@@ -3,8 +3,8 @@
 Ready messages of a service are leased by priority, then by due time, then in the order of acceptance.
 Messages that can still start within their latency target are leased before those that are late.  So new
 messages are served in time right after an outage, and the backlog gets the remaining leases, but at least one
-in `LATE_LEASE_INTERVAL`.  Of the messages with the same ordering key only the oldest may be leased until it
-has ended, even while it waits for a delay or a backoff.
+in `LATE_LEASE_INTERVAL`.  Of the messages with the same ordering key, whatever their services, only the
+oldest may be leased until it has ended, even while it waits for a delay or a backoff.
 """
 
 from __future__ import annotations
@@ -19,7 +19,6 @@
 
 from hollowusher.messages.records import MessageKey
 
-OrderingGroup = tuple[str, str]  # service and ordering key
 LATE_LEASE_INTERVAL = 5  # at least one in this many leases goes to a late message, if there is one
 DISPATCH_ALLOWANCE_S = 0.1  # time from the lease to the start at the worker; subtracted from the start target
 NO_START_TARGET = float("inf")
@@ -94,6 +93,7 @@
     def __init__(self) -> None:
         self.in_time = _ReadyHeap()
         self.late = _ReadyHeap()
+        self.count = 0  # number of ready messages in both heaps
         self.leases_since_late = 0  # number of leases of messages in time since the last lease of a late one
 
     def next_heap(self, now: float) -> _ReadyHeap | None:
@@ -128,17 +128,17 @@
         self._now = 0.0  # time passed to the last call of `release` or `advance`
         self._timers: list[_ReadyTimer] = []
         self._numbers = itertools.count()
-        self._ordering_groups: dict[OrderingGroup, list[QueuedMessage]] = {}
+        self._ordering_groups: dict[str, list[QueuedMessage]] = {}  # by ordering key, oldest message first
 
     def add(self, message: QueuedMessage) -> None:
         """Add a suspended message and reserve its place in its ordering group."""
         if not message.ordering_key:
             return
-        group = self._ordering_groups.setdefault((message.service, message.ordering_key), [])
+        group = self._ordering_groups.setdefault(message.ordering_key, [])
         if group and group[-1].key > message.key:
             insort(group, message, key=lambda other: other.key)
-            if group[0] is message and group[1].stage is QueueStage.READY:
-                self._move(group[1], QueueStage.WAITING)
+            if group[0] is message and group[1].stage in (QueueStage.WAITING, QueueStage.READY):
+                self._move(group[1], QueueStage.WAITING)  # also voids its timer
         else:
             group.append(message)
 
@@ -176,6 +176,20 @@
             return None
         return heap.first()
 
+    def ready_count(self, service: str) -> int:
+        """Return the number of ready messages of a service."""
+        ready = self._ready.get(service)
+        return 0 if ready is None else ready.count
+
+    def change_service(self, message: QueuedMessage, service: str, now: float) -> None:
+        """Assign an unfinished message to another service; it keeps its place in its ordering group."""
+        was_ready = message.stage is QueueStage.READY
+        if was_ready:
+            self._move(message, QueueStage.WAITING)
+        message.service = service
+        if was_ready:
+            self._schedule(message, now)
+
     def mark_leased(self, message: QueuedMessage) -> None:
         """Mark a message as leased after its lease was restored from its record."""
         self._move(message, QueueStage.LEASED)
@@ -192,11 +206,10 @@
         self._move(message, QueueStage.REMOVED)
         if not message.ordering_key:
             return
-        name = (message.service, message.ordering_key)
-        group = self._ordering_groups[name]
+        group = self._ordering_groups[message.ordering_key]
         group.remove(message)
         if not group:
-            del self._ordering_groups[name]
+            del self._ordering_groups[message.ordering_key]
         elif was_first and group[0].stage is QueueStage.WAITING:
             self._schedule(group[0], now)
 
@@ -221,7 +234,7 @@
     def _is_first(self, message: QueuedMessage) -> bool:
         if not message.ordering_key:
             return True
-        group = self._ordering_groups.get((message.service, message.ordering_key))
+        group = self._ordering_groups.get(message.ordering_key)
         return group is not None and group[0] is message
 
     def _schedule(self, message: QueuedMessage, now: float) -> None:
@@ -233,10 +246,13 @@
 
     def _make_ready(self, message: QueuedMessage) -> None:
         self._move(message, QueueStage.READY)
-        self._ready.setdefault(message.service, _ReadyService()).in_time.push(message)
+        ready = self._ready.setdefault(message.service, _ReadyService())
+        ready.count += 1
+        ready.in_time.push(message)
         self.newly_ready_services.add(message.service)
 
-    @staticmethod
-    def _move(message: QueuedMessage, stage: QueueStage) -> None:
+    def _move(self, message: QueuedMessage, stage: QueueStage) -> None:
+        if message.stage is QueueStage.READY:
+            self._ready[message.service].count -= 1
         message.stage = stage
         message.revision += 1
--- a/hollowusher/messages/partition/partition_primary.py
+++ b/hollowusher/messages/partition/partition_primary.py
@@ -165,9 +165,9 @@
             return self._callbacks.lease(request, max_jobs, now)
         return self._leases.lease(request, max_jobs, now, wall_ms, borrowed_tokens)
 
-    def needs_borrowed_tokens(self, service: str) -> bool:
-        """Return whether ready jobs of the service wait for tokens from the primary of another partition."""
-        return self.queue.peek(service) is not None and self._routing.must_borrow_tokens(service)
+    def jobs_without_tokens(self, service: str) -> int:
+        """Return the number of ready jobs that need tokens from the primary of another partition."""
+        return self.queue.ready_count(service) if self._routing.must_borrow_tokens(service) else 0
 
     def take_tokens(self, service: str, most: int, now: float) -> int:
         """Remove up to `most` tokens from the rate limit of a service, for jobs of other partitions."""
--- a/hollowusher/messages/partition/service_routing.py
+++ b/hollowusher/messages/partition/service_routing.py
@@ -72,10 +72,6 @@
         """Return the timeout of the message's route; of an unknown route, the timeout at its acceptance."""
         return self._timeouts_ms.get(active.route, active.timeout_ms)
 
-    def has_changed_service(self, active: ActiveMessage) -> bool:
-        """Return whether the message has to move to the queue of another service."""
-        return self.service_for(active.route, active.service) != active.service
-
     def _set_rate_limits(self, rates: dict[str, float], now: float) -> None:
         for service in [name for name in self._buckets if name not in rates]:
             del self._buckets[service]
--- a/hollowusher/messages/rate_limit_loans.py
+++ b/hollowusher/messages/rate_limit_loans.py
@@ -70,11 +70,12 @@
         self._home_partition = home_partition
         self._paused_until: dict[str, float] = {}  # by address of a lender whose call failed
 
-    def are_needed(self, service: str) -> bool:
-        """Return whether a primary of this store has ready jobs that need borrowed tokens."""
-        return any(
-            replica.primary is not None and replica.primary.needs_borrowed_tokens(service)
+    def needed_tokens(self, service: str) -> int:
+        """Return the number of ready jobs of this store's primaries that need borrowed tokens."""
+        return sum(
+            replica.primary.jobs_without_tokens(service)
             for replica in self._replicator.serving_replicas()
+            if replica.primary is not None
         )
 
     async def borrow(self, service: str, most: int, deadline: float) -> int:
