A store with an older configuration leaves a message of a newer one at its own service

Cause: service_for took any service that the store's configuration lacks for a dropped one and fell back to that configuration's route; and a service that it lacks had no token bucket, so its jobs were leased without one.

Change: a configuration older than the message's own does not decide its service, and jobs of a service that is not known are not leased; a newer configuration wakes the waiting requests.

--- a/hollowusher/messages/partition/message_leases.py
+++ b/hollowusher/messages/partition/message_leases.py
@@ -77,8 +77,11 @@
     ) -> list[LeaseGrant]:
         """Grant leases on up to `max_jobs` ready jobs of the service, within its rate limit.
 
-        If another primary enforces the rate limit, each lease needs one of the `borrowed_tokens`.
+        If another primary enforces the rate limit, each lease needs one of the `borrowed_tokens`.  There are
+        no leases for a service that the configuration does not contain, because its rate limit is not known.
         """
+        if not self._routing.is_known(request.service):
+            return []
         if self._routing.must_borrow_tokens(request.service):
             max_jobs = min(max_jobs, borrowed_tokens)
         bucket = self._routing.bucket(request.service)
--- a/hollowusher/messages/partition/message_lifecycle.py
+++ b/hollowusher/messages/partition/message_lifecycle.py
@@ -44,7 +44,7 @@
         message = accepted.message
         active = ActiveMessage(
             key=key,
-            service=self._routing.service_for(message.route, message.service),
+            service=self._routing.service_for(message.route, message.service, accepted.generation),
             priority=message.priority,
             due_wall_ms=accepted.due_wall_ms,
             ordering_key=message.ordering_key,
@@ -190,6 +190,6 @@
 
     def _follow_route(self, active: ActiveMessage, now: float) -> None:
         """Assign a message to the service of its route if its own service was removed."""
-        service = self._routing.service_for(active.route, active.service)
+        service = self._routing.service_for(active.route, active.service, active.generation)
         if service != active.service:
             self._queue.change_service(active, service, now)
--- a/hollowusher/messages/partition/partition_primary.py
+++ b/hollowusher/messages/partition/partition_primary.py
@@ -181,7 +181,7 @@
 
     def has_ready(self, service: str, now: float) -> bool:
         """Return whether a job of the service can be leased now."""
-        if self.queue.peek(service) is None:
+        if self.queue.peek(service) is None or not self._may_lease(service):
             return False
         bucket = self._routing.bucket(service)
         return bucket is None or bucket.available(now) >= 1
@@ -266,6 +266,10 @@
         """Apply the rate limits, removed routes and changed services of a newer configuration."""
         self._routing.configure(configuration, now)
         self._lifecycle.apply_routing(now, wall_ms)
+        self.queue.newly_ready_services.update(self.queue.ready_services())
+
+    def _may_lease(self, service: str) -> bool:
+        return service.startswith(CALLBACK_PREFIX) or self._routing.is_known(service)
 
     # Reading
 
--- a/hollowusher/messages/partition/service_routing.py
+++ b/hollowusher/messages/partition/service_routing.py
@@ -64,9 +64,19 @@
             and active.route not in self._routes
         )
 
-    def service_for(self, route: str, service: str) -> str:
-        """Return `service`, or the current service of the route if `service` is not configured any more."""
-        return service if service in self._services else self._upstreams.get(route, service)
+    def is_known(self, service: str) -> bool:
+        """Return whether the configuration contains the service, and so whether its rate limit is known."""
+        return service in self._services
+
+    def service_for(self, route: str, service: str, generation: int) -> str:
+        """Return the service of a message that was accepted for `service` under a configuration.
+
+        That is the current service of its route if `service` is not configured any more.  A configuration that
+        is older than the message's own, of this `generation`, does not decide.
+        """
+        if service in self._services or generation > self.generation:
+            return service
+        return self._upstreams.get(route, service)
 
     def delivery_timeout_ms(self, active: ActiveMessage) -> int:
         """Return the timeout of the message's route; of an unknown route, the timeout at its acceptance."""
