--- a/hollowusher/messages/partition/service_routing.py
+++ b/hollowusher/messages/partition/service_routing.py
@@ -71,8 +71,8 @@
     def service_for(self, route: str, service: str, generation: int) -> str:
         """Return the service of a message that was accepted for `service` under a configuration.
 
-        That is the current service of its route if `service` is not configured any more.  A configuration that
-        is older than the message's own, of this `generation`, does not decide.
+        That is the current service of its route if `service` is not configured any more.  A configuration
+        older than the message's own, which has this `generation`, does not decide.
         """
         if service in self._services or generation > self.generation:
             return service
--- a/tests/messages/test_partition.py
+++ b/tests/messages/test_partition.py
@@ -26,6 +26,7 @@
 
 URL = "http://10.9.0.1:8080/done"
 CALLBACKS = "callback:10.9.0.1:8080"
+MOVED_ROUTE = {**ROUTE, "upstream": "new"}
 
 
 def new_table(cache_bytes: int = 1_000_000) -> PartitionTable:
@@ -913,27 +914,25 @@
 class TestOlderConfiguration:
     """A store whose configuration is older than the one that a message was accepted under."""
 
-    NEW_ROUTE: dict[str, object] = {**ROUTE, "upstream": "new"}
-
-    # Guards against: a message that runs at its route's former service because its store learns late of the change.
+    # Guards against: a message that runs at its route's former service because its store learns late of it.
     def test_message_of_a_newer_configuration_waits_for_its_own_service(self) -> None:
         partition = Partition()
         partition.put(message("a", service="new", generation=2))
         assert partition.lease() == []
         assert partition.lease(service="new") == []
         assert not partition.primary.has_ready("new", partition.now)
-        partition.configure(configuration(2, [self.NEW_ROUTE]))
+        partition.configure(configuration(2, [MOVED_ROUTE]))
         assert partition.primary.has_ready("new", partition.now)
         assert "new" in partition.primary.queue.newly_ready_services
         assert [grant.job.message.id for grant in partition.lease(service="new")] == ["a"]
 
-    # Guards against: jobs of a service that are leased without its rate limit, which the store does not know yet.
+    # Guards against: jobs of a service that are leased without its rate limit, which the store does not know.
     def test_service_of_a_newer_configuration_is_not_leased_before_its_rate_limit_is_known(self) -> None:
         partition = Partition()
         for number in range(50):
             partition.put(message(f"m{number}", service="new", generation=2))
         assert partition.lease(most=50, service="new") == []
-        partition.configure(configuration(2, [self.NEW_ROUTE], new=10.0))
+        partition.configure(configuration(2, [MOVED_ROUTE], new=10.0))
         assert partition.lease(most=50, service="new") == []
         partition.sleep(1.0)
         assert 1 <= len(partition.lease(most=50, service="new")) <= 10
