A store tells a fixed endpoint's probable owners at once that jobs wait

Since messages of a key stand in one partition whatever their service, more jobs of fixed endpoints lie outside the store that their dispatcher polls. A store waited 60 ms before it told two of the ranking. It now tells the process that requested last and the first three of the ranking, at once where no request came for 60 ms. Services with several dispatchers are told as before.

--- a/hollowusher/messages/job_waiters.py
+++ b/hollowusher/messages/job_waiters.py
@@ -16,8 +16,8 @@
 NOTIFY_DELAY_S = 0.06
 NOTIFY_INTERVAL_S = 0.3
 NEVER_REQUESTED_AT = -1e9
-# Number of processes that get the first notification about a fixed endpoint; later ones go to all.
-PROBABLE_OWNERS = 2
+# Number of processes, besides the last to request, that get the first notification about a fixed endpoint.
+PROBABLE_OWNERS = 3
 
 
 class JobWaiters:
@@ -35,13 +35,15 @@
         self._has_ready = has_ready
         self._waiting: dict[str, deque[asyncio.Future[None]]] = {}
         self._requested_at: dict[str, float] = {}
+        self._requested_by: dict[str, str] = {}
         self._notifying: dict[str, asyncio.TimerHandle] = {}
         self._unanswered: set[str] = set()  # services with a fixed endpoint, notified since its last request
         self._closed = False
 
-    def record_request(self, service: str) -> None:
+    def record_request(self, service: str, dispatcher: str) -> None:
         """Record that a dispatcher has requested jobs of a service."""
         self._requested_at[service] = self._now()
+        self._requested_by[service] = dispatcher
         self._unanswered.discard(service)
 
     async def wait(self, service: str, until: float) -> None:
@@ -72,7 +74,7 @@
             if not waiter.done():
                 waiter.set_result(None)
                 return
-        self._notify_later(service, NOTIFY_DELAY_S)
+        self._notify_later(service, self._notify_delay_s(service))
 
     def wake_all(self, service: str) -> None:
         """Wake all waiting requests, so that a request that its dispatcher has given up can return."""
@@ -97,7 +99,7 @@
         del self._notifying[service]
         if service in self._waiting or not self._has_ready(service):
             return
-        silent_s = self._now() - self._requested_at.get(service, NEVER_REQUESTED_AT)
+        silent_s = self._silent_s(service)
         if silent_s < NOTIFY_DELAY_S:
             self._notify_later(service, NOTIFY_DELAY_S - silent_s)
             return
@@ -108,8 +110,8 @@
     def _dispatchers(self, service: str) -> list[str]:
         """Return the addresses of the dispatchers to notify.
 
-        The owner of a fixed endpoint is mostly the first of its ranking; the bound on the load of a process
-        may pass it on to a later one.
+        The owner of a fixed endpoint is probably the process that requested its jobs last, or one of the
+        first of its ranking; the bound on the load of a process may pass it on to a later one.
         """
         edges = {member.name: member.address for member in self._state.live_members("edge")}
         if service.startswith(CALLBACK_PREFIX):
@@ -119,13 +121,27 @@
         if destination is None or service in self._unanswered:
             return list(edges.values())
         self._unanswered.add(service)
-        return [edges[name] for name in rendezvous.rank(destination, edges)[:PROBABLE_OWNERS]]
+        probable = {self._requested_by.get(service), *rendezvous.rank(destination, edges)[:PROBABLE_OWNERS]}
+        return [address for name, address in edges.items() if name in probable]
 
     def _fixed_destination_key(self, service: str) -> str | None:
         configuration = self._state.configuration
         settings = configuration.service(service) if configuration is not None else None
         return None if settings is None else settings.fixed_destination_key
 
+    def _notify_delay_s(self, service: str) -> float:
+        """Return how long to wait for a request before the dispatchers are notified.
+
+        A fixed endpoint has one dispatcher, so there is no wait if that one has not requested for a while.
+        """
+        if self._fixed_destination_key(service) is None:
+            return NOTIFY_DELAY_S
+        return max(0.0, NOTIFY_DELAY_S - self._silent_s(service))
+
+    def _silent_s(self, service: str) -> float:
+        """Return the seconds since a dispatcher last requested jobs of a service."""
+        return self._now() - self._requested_at.get(service, NEVER_REQUESTED_AT)
+
     @staticmethod
     def _now() -> float:
         return asyncio.get_running_loop().time()
--- a/hollowusher/messages/lease_service.py
+++ b/hollowusher/messages/lease_service.py
@@ -79,7 +79,7 @@
         if request.lost:
             self._return_lost_grants(request)
         while request.most > 0 and not self._grants.is_abandoned(request):
-            self._waiters.record_request(service)
+            self._waiters.record_request(service, request.dispatcher)
             borrowed_tokens = await self._borrow_tokens(request, deadline)
             leased_after_ms = round((self._replicator.now() - requested_at) * 1000)
             jobs = await self._confirmed_jobs(self._lease_from_primaries(request, borrowed_tokens))
