Messages that wait for an earlier one of their ordering key are shown to operators

A key now waits across services, so a silent destination may hold up messages of another service that share its key. Nothing told it apart from a delay or a backoff.

The queue keeps the time of the first release in place of the time of lateness, so a message takes no more memory.

--- a/hollowusher/console/store_report.py
+++ b/hollowusher/console/store_report.py
@@ -57,6 +57,8 @@
     figures: Mapping[str, int]
     catch_up_size_bytes: int = 0  # size of the records that a replacement has to receive
     catch_up_limit_bytes: int = 0  # the greatest size that is received within catchUpS; 0 if unknown
+    behind_key: int = 0  # messages that wait for the end of an earlier one of their ordering key
+    longest_behind_key_s: float = 0.0  # longest time since one of these was due
 
 
 def hosted_partitions(replicas: Iterable[PartitionReplica], store_id: str) -> list[HostedPartition]:
--- a/hollowusher/console/store_tables.py
+++ b/hollowusher/console/store_tables.py
@@ -18,13 +18,24 @@
 
 def format_stores(stores: StoreReports) -> str:
     """Format a table with one row per store."""
-    headers = ["store", "up s", "generation", "leads", "keeps", "messages", "free MiB", "syncs", "disk"]
+    headers = [
+        "store",
+        "up s",
+        "generation",
+        "leads",
+        "keeps",
+        "messages",
+        "behind key",
+        "free MiB",
+        "syncs",
+        "disk",
+    ]
     return format_table(headers, [_row(name, report) for name, report in stores.items()])
 
 
 def _row(name: str, report: StoreReport | AdminCallError) -> list[Cell]:
     if isinstance(report, AdminCallError):
-        return [name, NO_ANSWER, *[NONE] * 7]
+        return [name, NO_ANSWER, *[NONE] * 8]
     roles = Counter(partition.role for partition in report.partitions)
     return [
         name,
@@ -33,12 +44,19 @@
         str(roles[PRIMARY]),
         str(len(report.partitions)),
         str(sum(partition.messages for partition in report.partitions)),
+        _behind_key(report),
         str(report.disk.free_bytes // MEBIBYTE),
         str(report.disk.syncs),
         _disk(report),
     ]
 
 
+def _behind_key(report: StoreReport) -> str:
+    if not report.behind_key:
+        return "0"
+    return f"{report.behind_key}, {report.longest_behind_key_s:.0f} s"
+
+
 def _disk(report: StoreReport) -> str:
     if report.disk.error:
         return f"failed: {report.disk.error}"
--- a/hollowusher/log_events.py
+++ b/hollowusher/log_events.py
@@ -236,6 +236,8 @@
     suspended: int
     longest_wait_s: float
     without_put: int
+    behind_key: int
+    longest_behind_key_s: float
 
 
 class CatchUpSizeExceeded(LogEvent, written_by=STORE):
--- a/hollowusher/messages/partition/message_queue.py
+++ b/hollowusher/messages/partition/message_queue.py
@@ -43,10 +43,8 @@
     priority: int
     due_wall_ms: int  # wall clock; used for the order only
     ordering_key: str = ""
-    start_target_s: float = NO_START_TARGET  # counted from the first time the message is ready
-    late_at: float | None = (
-        None  # monotonic time from which the message is late; None before its first release
-    )
+    start_target_s: float = NO_START_TARGET  # counted from `first_ready_at`
+    first_ready_at: float | None = None  # `ready_at` of the first release; None before it
     stage: QueueStage = QueueStage.SUSPENDED
     ready_at: float = 0.0  # monotonic time
     revision: int = 0  # incremented by each change of the stage; heap items with an older revision are void
@@ -109,7 +107,9 @@
 
 
 def _is_late(message: QueuedMessage, now: float) -> bool:
-    return message.late_at is not None and now >= message.late_at
+    if message.first_ready_at is None:
+        return False
+    return now >= message.first_ready_at + max(0.0, message.start_target_s - DISPATCH_ALLOWANCE_S)
 
 
 class _ReadyTimer(NamedTuple):
@@ -149,8 +149,8 @@
         self._now = now
         self._move(message, QueueStage.WAITING)
         message.ready_at = ready_at
-        if message.late_at is None:
-            message.late_at = ready_at + max(0.0, message.start_target_s - DISPATCH_ALLOWANCE_S)
+        if message.first_ready_at is None:
+            message.first_ready_at = ready_at
         if self._is_first(message):
             self._schedule(message, now)
 
@@ -231,6 +231,10 @@
         """Return the services with ready messages."""
         return [service for service in list(self._ready) if self.peek(service) is not None]
 
+    def is_behind_key(self, message: QueuedMessage) -> bool:
+        """Return whether a message waits for the end of an earlier message of its ordering key."""
+        return message.stage is QueueStage.WAITING and not self._is_first(message)
+
     def _is_first(self, message: QueuedMessage) -> bool:
         if not message.ordering_key:
             return True
--- a/hollowusher/messages/partition/partition_primary.py
+++ b/hollowusher/messages/partition/partition_primary.py
@@ -280,7 +280,7 @@
             entry.put_position is None and not entry.status.has_ended and key not in active
             for key, entry in self.table.entries.items()
         )
-        return summarize_queue(active.values(), without_put, now)
+        return summarize_queue(self.queue, active.values(), without_put, now)
 
     def status(self, key: MessageKey, *, want_body: bool) -> MessageStatusResponse:
         """Return the state of a message; with `want_body` also the body, unless the message is completed."""
--- a/hollowusher/roles/store_status.py
+++ b/hollowusher/roles/store_status.py
@@ -43,6 +43,7 @@
         """Return the current status of the store."""
         me, configuration = self._me, self._state.configuration
         now = asyncio.get_running_loop().time()
+        queue = self._service.queue_summary()
         return StoreReport(
             me.name,
             me.zone,
@@ -54,6 +55,8 @@
             self._figures(),
             self._service.catch_up_size.size_bytes,
             self._service.catch_up_size.limit_bytes,
+            queue.behind_key,
+            queue.longest_behind_key_s,
         )
 
     def body(self) -> bytes:
--- a/tests/console/test_operator_commands.py
+++ b/tests/console/test_operator_commands.py
@@ -20,7 +20,7 @@
 from hollowusher.console.status_report import ProcessReport, StatusReport
 from hollowusher.console.status_tables import find_problems, format_system_status, system_status_document
 from hollowusher.console.store_report import DiskReport, HostedPartition, StoreReport
-from hollowusher.console.store_tables import store_problems
+from hollowusher.console.store_tables import format_stores, store_problems
 from hollowusher.console.system_status import SystemStatus, parse_store_report
 from hollowusher.protocol.codec import as_document, evolve
 from hollowusher.protocol.control_status import ControlStatus, PartitionStatus, VoterStatus
@@ -61,12 +61,18 @@
     assert parse_store_report(AdminResponse("store-1:7795", 200, b"{}")).is_error()
 
 
-def test_a_store_of_the_former_version_tells_no_catch_up_size() -> None:
+def test_a_store_of_the_former_version_tells_no_catch_up_size_and_no_messages_behind_a_key() -> None:
     document = orjson.loads(orjson.dumps(STORE))
     del document["catch_up_size_bytes"], document["catch_up_limit_bytes"]
+    del document["behind_key"], document["longest_behind_key_s"]
     assert parse_store_report(AdminResponse("store-1:7795", 200, orjson.dumps(document))).ok == STORE
 
 
+def test_messages_behind_an_ordering_key_are_shown_with_the_longest_time() -> None:
+    waiting = replace(STORE, behind_key=12, longest_behind_key_s=31.4)
+    assert "12, 31 s" in format_stores({"store-1": waiting})
+
+
 def test_voters_are_shown_with_their_role_and_lag() -> None:
     lines = [line.split() for line in format_voters(STATUS).splitlines()]
     assert lines[1:] == [
--- a/tests/messages/test_queue_summary.py
+++ b/tests/messages/test_queue_summary.py
@@ -43,6 +43,18 @@
 
 
 def test_summaries_add_up_and_keep_the_longest_wait() -> None:
-    total = QueueSummary(1, 2, 3, 4, 5.0, 6) + QueueSummary(10, 20, 30, 40, 0.5, 60)
-    assert total == QueueSummary(11, 22, 33, 44, 5.0, 66)
+    total = QueueSummary(1, 2, 3, 4, 5.0, 6, 7, 8.0) + QueueSummary(10, 20, 30, 40, 0.5, 60, 70, 9.0)
+    assert total == QueueSummary(11, 22, 33, 44, 5.0, 66, 77, 9.0)
     assert total.unfinished == 11 + 22 + 33 + 44 + 66
+
+
+def test_messages_behind_an_earlier_one_of_their_key_are_counted_with_the_longest_time() -> None:
+    partition = Partition()
+    partition.put(message("first", ordering_key="k"))
+    partition.put(message("second", ordering_key="k"))
+    partition.put(message("delayed", ordering_key="k", delay_ms=20_000))
+    partition.put(message("other", ordering_key="l"))
+    partition.lease()
+    partition.sleep(5.0)
+    summary = partition.primary.queue_summary(partition.now)
+    assert (summary.waiting, summary.behind_key, summary.longest_behind_key_s) == (2, 2, 5.0)
