Messages of an ordered route stand in the route's partition; a key orders one route's messages

Change: partition and ordering group follow from the route's name, which a change of its service does not alter either. Dispatchers poll the stores of their services' ordered routes. Where one store leads several partitions with jobs of a service, the most urgent job of all goes first; the partitions were served in the order of their numbers.

--- a/hollowusher/configuration/model.py
+++ b/hollowusher/configuration/model.py
@@ -78,6 +78,10 @@
         """Return the route with this name."""
         return next((route for route in self.routes if route.name == name), None)
 
+    def routes_to(self, service: str) -> list[Route]:
+        """Return the routes whose messages go to a service."""
+        return [route for route in self.routes if route.upstream == service]
+
     def service(self, name: str) -> Service | None:
         """Return the service with this name."""
         return next((service for service in self.upstreams if service.name == name), None)
--- a/hollowusher/coordination/placement/partitioner.py
+++ b/hollowusher/coordination/placement/partitioner.py
@@ -1,8 +1,8 @@
 """The choice of the partition for the messages of a service.  The module performs no I/O and reads no clock.
 
-Messages with an ordering key are not placed by their service: all messages of a key are stored in one
-partition (`rendezvous.ordering_partition`), because a single primary enforces their order whatever services
-their routes have.
+Messages with an ordering key are not placed by their service: those of one route are stored in one partition
+(`rendezvous.ordering_partition`), because a single primary enforces their order, whatever services the route
+has meanwhile.
 
 The other messages of a service with a rate limit are stored in the home partition of the service, whose
 primary enforces the limit.  Those of other services may be stored in any partition.  The intake prefers a
--- a/hollowusher/coordination/rendezvous.py
+++ b/hollowusher/coordination/rendezvous.py
@@ -31,11 +31,11 @@
     return sorted(partitions, key=lambda partition: (weight(key, str(partition)), partition), reverse=True)
 
 
-def ordering_partition(ordering_key: str, partitions: Sequence[int]) -> int | None:
-    """Return the partition of all messages with an ordering key, or None if there are no partitions.
+def ordering_partition(route: str, partitions: Sequence[int]) -> int | None:
+    """Return the partition of a route's messages with ordering keys, or None if there are no partitions.
 
     The number of partitions never changes, so a remainder serves in place of a ranking of all of them.
     """
     if not partitions:
         return None
-    return partitions[xxhash.xxh64_intdigest(f"order/{ordering_key}".encode()) % len(partitions)]
+    return partitions[xxhash.xxh64_intdigest(f"order/{route}".encode()) % len(partitions)]
--- a/hollowusher/delivery/lease_poller.py
+++ b/hollowusher/delivery/lease_poller.py
@@ -11,6 +11,7 @@
 
 from hollowusher.configuration.model import Configuration
 from hollowusher.coordination.cluster_state import ClusterState
+from hollowusher.coordination.rendezvous import ordering_partition
 from hollowusher.delivery.metrics import DeliveryMetrics
 from hollowusher.protocol.leases import LeasedJob, LeaseRequest, LeaseResponse
 from hollowusher.protocol.membership import Member
@@ -41,11 +42,20 @@
     metrics: DeliveryMetrics
     numbers: Iterator[int] = attrs.Factory(lambda: itertools.count(1))  # sequence numbers of lease requests
 
-    def home_store(self, service: str) -> str | None:
-        """Return the id of the primary store of the service's home partition, or None if it is unknown."""
-        ranking = self.rank_partitions(service, self.state.partition_numbers())
-        entry = self.state.partition_placement(ranking[0]) if ranking else None
-        return entry.primary if entry is not None else None
+    def home_stores(self, service: str) -> set[str]:
+        """Return the ids of the stores that usually hold the jobs of a service, as far as they are known.
+
+        These are the primaries of the ordering partitions of its ordered routes, and that of its home
+        partition if it has other routes or none.
+        """
+        partitions = self.state.partition_numbers()
+        configuration = self.state.configuration
+        routes = [] if configuration is None else configuration.routes_to(service)
+        numbers = {ordering_partition(route.name, partitions) for route in routes if route.ordered}
+        if not routes or any(not route.ordered for route in routes):
+            numbers.update(self.rank_partitions(service, partitions)[:1])
+        entries = [self.state.partition_placement(number) for number in numbers if number is not None]
+        return {entry.primary for entry in entries if entry is not None}
 
     def address(self, store: str) -> str | None:
         """Return the address of a store, given by its store id or its name, or None if it is unknown."""
@@ -66,10 +76,10 @@
 
 
 class LeasePoller:
-    """Leases one service's jobs from its home store and from the stores that reported waiting jobs.
+    """Leases one service's jobs from its home stores and from the stores that reported waiting jobs.
 
-    A store that is not the home store is polled until it has granted no jobs for `idle_source_ttl_s` seconds.
-    With `has_home` false, there is no home store.  A `visibility_ms` above 0 requests leases for pull
+    A store that is not a home store is polled until it has granted no jobs for `idle_source_ttl_s` seconds.
+    With `has_home` false, there are no home stores.  A `visibility_ms` above 0 requests leases for pull
     workers, which last this long after the worker's last call."""
 
     def __init__(
@@ -88,8 +98,8 @@
         self._idle_source_ttl_s = idle_source_ttl_s
         self._has_home = has_home
         self._visibility_ms = visibility_ms
-        self._home: str | None = None
-        # The placement and the configuration from which `_home` was computed.
+        self._homes: set[str] = set()
+        # The placement and the configuration from which `_homes` was computed.
         self._home_inputs: tuple[Placement | None, Configuration | None] = (
             None,
             None,
@@ -104,22 +114,22 @@
         return bool(self._sources)
 
     def refresh(self) -> None:
-        """Recompute the home store if the placement or the configuration changed, and poll it."""
+        """Recompute the home stores if the placement or the configuration changed, and poll them."""
         if not self._has_home or self._stopping:
             return
         state = self._context.state
         placement, configuration = self._home_inputs
         changed = state.placement is not placement or state.configuration is not configuration
-        if changed or self._home is None:
+        if changed or not self._homes:
             self._home_inputs = (state.placement, state.configuration)
-            self._home = self._context.home_store(self.service)
-        if self._home is not None:
-            self._start_polling(self._home)
+            self._homes = self._context.home_stores(self.service)
+        for store in sorted(self._homes):
+            self._start_polling(store)
         self.wake()
 
-    def drop_home(self) -> None:
-        """Treat the home store like any other store until the next `refresh`: its polling ends when idle."""
-        self._home = None
+    def drop_homes(self) -> None:
+        """Treat the home stores like any other until the next `refresh`: their polling ends when idle."""
+        self._homes = set()
 
     def add_store(self, store: str) -> None:
         """Poll a store that reported waiting jobs."""
@@ -152,7 +162,7 @@
         pause = FIRST_BACKOFF_S
         lost = 0  # number of the request whose response was lost; 0 if there is none to report
         while not self._stopping:
-            if store != self._home and loop.time() - last_jobs > self._idle_source_ttl_s:
+            if store not in self._homes and loop.time() - last_jobs > self._idle_source_ttl_s:
                 return
             wanted = 0 if lost else min(MAX_JOBS_PER_REQUEST, self._demand.wanted_jobs())
             if wanted <= 0 and not lost:
--- a/hollowusher/dispatch/service_dispatcher.py
+++ b/hollowusher/dispatch/service_dispatcher.py
@@ -123,7 +123,7 @@
             self.leases.refresh()
             self.dispatch_pending()
         else:
-            self.leases.drop_home()
+            self.leases.drop_homes()
             self._release_all()
 
     def wanted_jobs(self) -> int:
--- a/hollowusher/intake/intake_service.py
+++ b/hollowusher/intake/intake_service.py
@@ -267,10 +267,10 @@
             self._candidates.clear()
             self._candidate_inputs = (self._state.placement, self._state.configuration)
             self._partitions = self._state.partition_numbers()
-        service, ordering_key = admission.message.service, admission.message.ordering_key
-        if ordering_key:
-            partition = ordering_partition(ordering_key, self._partitions)
+        if admission.message.ordering_key:
+            partition = ordering_partition(admission.message.route, self._partitions)
             return [] if partition is None else [partition]
+        service = admission.message.service
         ranking = self._candidates.get(service)
         if ranking is None:
             ranking = self._rank_partitions(service, self._partitions)[:MAX_CANDIDATES]
--- a/hollowusher/messages/lease_service.py
+++ b/hollowusher/messages/lease_service.py
@@ -131,24 +131,36 @@
         return await self._loans.borrow(request.service, min(request.most, needed), deadline)
 
     def _lease_from_primaries(self, request: LeaseRequest, borrowed_tokens: int) -> list[LocalGrant]:
-        """Lease ready jobs from the primaries of this store."""
-        now, wall_ms = self._replicator.now(), self._wall_ms()
+        """Lease ready jobs from the primaries of this store, the most urgent job of all of them first."""
         outcome: list[LocalGrant] = []
         if not self._can_lease(request):
             return outcome
-        for replica in self._replicator.serving_replicas():
-            primary = replica.primary
-            if primary is None or len(outcome) >= request.most or primary.queue.peek(request.service) is None:
+        candidates = [replica for replica in self._replicator.serving_replicas() if replica.primary]
+        while len(outcome) < request.most:
+            replica = _most_urgent(candidates, request.service)
+            if replica is None:
+                break
+            grant = self._lease_one(replica, request, borrowed_tokens)
+            if grant is None:
+                candidates.remove(replica)
                 continue
-            needs_tokens = primary.jobs_without_tokens(request.service) > 0
-            with suppress(StorageError):
-                grants = primary.lease(request, request.most - len(outcome), now, wall_ms, borrowed_tokens)
-                outcome += [LocalGrant(replica, grant) for grant in grants]
-                borrowed_tokens -= len(grants) if needs_tokens else 0
-            self._access.process_effects(replica)
+            outcome.append(LocalGrant(replica, grant))
+            borrowed_tokens -= replica.primary is not None and replica.primary.must_borrow(request.service)
         self._waiters.wake(request.service)
         return outcome
 
+    def _lease_one(
+        self, replica: PartitionReplica, request: LeaseRequest, borrowed_tokens: int
+    ) -> LeaseGrant | None:
+        """Lease the first ready job of a primary; None if its rate limit or its disk does not permit it."""
+        grants: list[LeaseGrant] = []
+        if replica.primary is not None:
+            with suppress(StorageError):
+                now, wall_ms = self._replicator.now(), self._wall_ms()
+                grants = replica.primary.lease(request, 1, now, wall_ms, borrowed_tokens)
+            self._access.process_effects(replica)
+        return grants[0] if grants else None
+
     async def _confirmed_jobs(self, outcome: list[LocalGrant]) -> list[LeasedJob]:
         """Return the jobs whose leases are committed, and cancel the other leases."""
         jobs = []
@@ -241,3 +253,13 @@
             if replica.primary
         ]
         return min((time for time in times if time is not None), default=None)
+
+
+def _most_urgent(replicas: list[PartitionReplica], service: str) -> PartitionReplica | None:
+    """Return the replica whose primary has the most urgent ready job of a service, or None without a job."""
+    urgencies = [
+        (urgency, number)
+        for number, replica in enumerate(replicas)
+        if replica.primary is not None and (urgency := replica.primary.urgency(service)) is not None
+    ]
+    return replicas[min(urgencies)[1]] if urgencies else None
--- a/hollowusher/messages/partition/message_lifecycle.py
+++ b/hollowusher/messages/partition/message_lifecycle.py
@@ -25,6 +25,11 @@
     return message.target_start_ms / 1000 if message.target_start_ms > 0 else NO_START_TARGET
 
 
+def _ordering_group(message: NewMessage) -> str:
+    """Return the name of the messages that are ordered among each other: those of one key on one route."""
+    return f"{message.route}/{message.ordering_key}" if message.ordering_key else ""
+
+
 class MessageLifecycle:
     """The messages of one partition that have not ended."""
 
@@ -47,7 +52,7 @@
             service=self._routing.service_for(message.route, message.service, accepted.generation),
             priority=message.priority,
             due_wall_ms=accepted.due_wall_ms,
-            ordering_key=message.ordering_key,
+            ordering_group=_ordering_group(message),
             start_target_s=_start_target_s(message),
             id=message.id,
             route=message.route,
--- a/hollowusher/messages/partition/message_queue.py
+++ b/hollowusher/messages/partition/message_queue.py
@@ -3,8 +3,8 @@
 Ready messages of a service are leased by priority, then by due time, then in the order of acceptance.
 Messages that can still start within their latency target are leased before those that are late.  So new
 messages are served in time right after an outage, and the backlog gets the remaining leases, but at least one
-in `LATE_LEASE_INTERVAL`.  Of the messages with the same ordering key, whatever their services, only the
-oldest may be leased until it has ended, even while it waits for a delay or a backoff.
+in `LATE_LEASE_INTERVAL`.  Of the messages of an ordering group, whatever their services, only the oldest may
+be leased until it has ended, even while it waits for a delay or a backoff.
 """
 
 from __future__ import annotations
@@ -28,7 +28,7 @@
     """State of a message within the queue."""
 
     SUSPENDED = 1  # the put or the end of the message is not committed yet
-    WAITING = 2  # the message waits until `ready_at`, or for earlier messages of its ordering key
+    WAITING = 2  # the message waits until `ready_at`, or for earlier messages of its ordering group
     READY = 3
     LEASED = 4
     REMOVED = 5
@@ -42,7 +42,7 @@
     service: str
     priority: int
     due_wall_ms: int  # wall clock; used for the order only
-    ordering_key: str = ""
+    ordering_group: str = ""  # shared by the messages that are ordered among each other; empty: not ordered
     start_target_s: float = NO_START_TARGET  # counted from `first_ready_at`
     first_ready_at: float | None = None  # `ready_at` of the first release; None before it
     stage: QueueStage = QueueStage.SUSPENDED
@@ -55,6 +55,14 @@
         return self.priority, self.due_wall_ms, self.key
 
 
+class Urgency(NamedTuple):
+    """The order of the first ready jobs of several partitions; the least is leased first."""
+
+    is_late: bool
+    priority: int
+    due_wall_ms: int
+
+
 class _ReadyItem(NamedTuple):
     sort_key: tuple[int, int, MessageKey]
     revision: int
@@ -128,13 +136,13 @@
         self._now = 0.0  # time passed to the last call of `release` or `advance`
         self._timers: list[_ReadyTimer] = []
         self._numbers = itertools.count()
-        self._ordering_groups: dict[str, list[QueuedMessage]] = {}  # by ordering key, oldest message first
+        self._ordering_groups: dict[str, list[QueuedMessage]] = {}  # oldest message first
 
     def add(self, message: QueuedMessage) -> None:
         """Add a suspended message and reserve its place in its ordering group."""
-        if not message.ordering_key:
+        if not message.ordering_group:
             return
-        group = self._ordering_groups.setdefault(message.ordering_key, [])
+        group = self._ordering_groups.setdefault(message.ordering_group, [])
         if group and group[-1].key > message.key:
             insort(group, message, key=lambda other: other.key)
             if group[0] is message and group[1].stage in (QueueStage.WAITING, QueueStage.READY):
@@ -176,6 +184,13 @@
             return None
         return heap.first()
 
+    def urgency(self, service: str) -> Urgency | None:
+        """Return the urgency of the message that `peek` returns, or None if there is none."""
+        first = self.peek(service)
+        if first is None:
+            return None
+        return Urgency(_is_late(first, self._now), first.priority, first.due_wall_ms)
+
     def ready_count(self, service: str) -> int:
         """Return the number of ready messages of a service."""
         ready = self._ready.get(service)
@@ -199,17 +214,17 @@
         self._move(message, QueueStage.SUSPENDED)
 
     def remove(self, message: QueuedMessage, now: float) -> None:
-        """Remove a message that has ended, and release the next message of its ordering key."""
+        """Remove a message that has ended, and release the next message of its ordering group."""
         if message.stage is QueueStage.REMOVED:
             return
         was_first = self._is_first(message)
         self._move(message, QueueStage.REMOVED)
-        if not message.ordering_key:
+        if not message.ordering_group:
             return
-        group = self._ordering_groups[message.ordering_key]
+        group = self._ordering_groups[message.ordering_group]
         group.remove(message)
         if not group:
-            del self._ordering_groups[message.ordering_key]
+            del self._ordering_groups[message.ordering_group]
         elif was_first and group[0].stage is QueueStage.WAITING:
             self._schedule(group[0], now)
 
@@ -236,9 +251,9 @@
         return message.stage is QueueStage.WAITING and not self._is_first(message)
 
     def _is_first(self, message: QueuedMessage) -> bool:
-        if not message.ordering_key:
+        if not message.ordering_group:
             return True
-        group = self._ordering_groups.get(message.ordering_key)
+        group = self._ordering_groups.get(message.ordering_group)
         return group is not None and group[0] is message
 
     def _schedule(self, message: QueuedMessage, now: float) -> None:
--- a/hollowusher/messages/partition/partition_primary.py
+++ b/hollowusher/messages/partition/partition_primary.py
@@ -28,7 +28,7 @@
 from hollowusher.messages.partition.message_deadlines import MessageDeadlines
 from hollowusher.messages.partition.message_leases import LeaseOptions, MessageLeases
 from hollowusher.messages.partition.message_lifecycle import MessageLifecycle
-from hollowusher.messages.partition.message_queue import MessageQueue
+from hollowusher.messages.partition.message_queue import MessageQueue, Urgency
 from hollowusher.messages.partition.message_restorer import MessageRestorer
 from hollowusher.messages.partition.partition_context import PartitionContext
 from hollowusher.messages.partition.partition_table import PartitionTable
@@ -165,9 +165,17 @@
             return self._callbacks.lease(request, max_jobs, now)
         return self._leases.lease(request, max_jobs, now, wall_ms, borrowed_tokens)
 
+    def urgency(self, service: str) -> Urgency | None:
+        """Return the urgency of the first ready job of a service, or None if there is none."""
+        return self.queue.urgency(service)
+
+    def must_borrow(self, service: str) -> bool:
+        """Return whether leases of the service need tokens from the primary of another partition."""
+        return self._routing.must_borrow_tokens(service)
+
     def jobs_without_tokens(self, service: str) -> int:
         """Return the number of ready jobs that need tokens from the primary of another partition."""
-        return self.queue.ready_count(service) if self._routing.must_borrow_tokens(service) else 0
+        return self.queue.ready_count(service) if self.must_borrow(service) else 0
 
     def take_tokens(self, service: str, most: int, now: float) -> int:
         """Remove up to `most` tokens from the rate limit of a service, for jobs of other partitions."""
--- a/hollowusher/simulation/planted/queues.py
+++ b/hollowusher/simulation/planted/queues.py
@@ -33,8 +33,8 @@
 
     def take(queue: MessageQueue, service: str) -> Any:
         message = real(queue, service)
-        if message is not None and message.ordering_key:
-            lane = queue._ordering_groups[message.ordering_key]
+        if message is not None and message.ordering_group:
+            lane = queue._ordering_groups[message.ordering_group]
             if lane[0] is message and len(lane) > 1:
                 lane.append(lane.pop(0))
                 if lane[0].stage is QueueStage.WAITING:
--- a/tests/messages/test_store_service.py
+++ b/tests/messages/test_store_service.py
@@ -308,6 +308,19 @@
 
         play(work)
 
+    # Guards against: jobs of a store's last partitions that wait until the first ones have none.
+    def test_the_most_urgent_job_of_all_partitions_is_leased_first(self) -> None:
+        async def work(cluster: StoreCluster) -> None:
+            await cluster.start(partitions=3)
+            for number, partition in enumerate((2, 0, 1, 0, 2)):
+                await cluster.put(message(f"m{number}"), partition=partition)
+                await asyncio.sleep(0.01)
+            await cluster.put(message("urgent", priority=-1), partition=2)
+            leased = [job.message.id for _ in range(6) for job in await cluster.lease()]
+            assert leased == ["urgent", "m0", "m1", "m2", "m3", "m4"]
+
+        play(work)
+
     def test_dispatchers_are_notified_of_unrequested_jobs(self) -> None:
         async def work(cluster: StoreCluster) -> None:
             await cluster.start()
