Simulation: changes move ordered routes between services and drop those that no route uses

ROUTE goes by all configurations sent; a new check says CONFIG of a message that ran at a service which only older versions name.

--- a/hollowusher/simulation/__main__.py
+++ b/hollowusher/simulation/__main__.py
@@ -27,6 +27,7 @@
 @click.option("--minutes", default=0.0, help="Stop after so many minutes of real time; 0: no limit.")
 @click.option("--traffic", "traffic_s", default=30.0, help="Seconds of traffic a day.")
 @click.option("--calm", "calm_s", default=20.0, help="Seconds of calm at the end of a day.")
+@click.option("--route-moves", "moves_routes", is_flag=True, help="Changes move ordered routes.")
 @click.option("--long-delays", "long_delay_s", default=0.0, help="The longest delays; 0: a few seconds.")
 @click.option("--large-bodies", "large_body_share", default=0.0, help="Share of messages with large bodies.")
 @click.option("--size", "size_text", default="", help="CONTROLLERS,PLAIN_EDGES,STORES,FAULTS,ZONES; drawn.")
@@ -42,6 +43,7 @@
     minutes: float,
     traffic_s: float,
     calm_s: float,
+    moves_routes: bool,
     long_delay_s: float,
     large_body_share: float,
     size_text: str,
@@ -61,6 +63,7 @@
         traffic_s=traffic_s,
         calm_s=calm_s,
         rate=rate,
+        moves_routes=moves_routes,
         long_delay_s=long_delay_s,
         large_body_share=large_body_share,
         inject_faults=not quiet_days,
--- a/hollowusher/simulation/checks/configuration.py
+++ b/hollowusher/simulation/checks/configuration.py
@@ -5,11 +5,9 @@
 from collections.abc import Iterator
 
 from hollowusher.simulation import reference_model as model
-from hollowusher.simulation.checks.rules import CONTACT_S, DeploymentRules, RuleViolation
+from hollowusher.simulation.checks.rules import CONFIG_APPLY_S, CONTACT_S, DeploymentRules, RuleViolation
 from hollowusher.simulation.observations import ConfigurationOrder, Observations
 
-CONFIG_APPLY_S = 3.0
-
 
 def check_configuration_writes(observations: Observations, rules: DeploymentRules) -> Iterator[RuleViolation]:
     """CONFIG: two changes on one version, invalid ones, refusals of what was acknowledged."""
--- a/hollowusher/simulation/checks/rules.py
+++ b/hollowusher/simulation/checks/rules.py
@@ -8,6 +8,7 @@
 from hollowusher.simulation import reference_model as model
 from hollowusher.simulation.observations import Observations, SentMessage
 
+CONFIG_APPLY_S = 3.0  # `configApplyMs`
 CONTACT_S = 4.0  # a fault counts for so long after its end
 
 
--- a/hollowusher/simulation/deployment.py
+++ b/hollowusher/simulation/deployment.py
@@ -10,6 +10,8 @@
 
 PUSH, PULL, FIXED, OTHER = "push", "pull", "fixed", "other"
 FIXED_ADDRESS = "172.20.0.3:8066"
+SECOND_FIXED = "fixed-second"  # is configured only while a route that was moved uses it
+SECOND_FIXED_ADDRESS = "172.20.0.4:8066"
 FIXED_RATE = 12.0
 RECEIVERS = ("10.20.0.4:8080", "10.20.0.5:8080")
 CLIENT_HOST, OPERATOR_HOST = "192.168.0.1", "192.168.0.2"
@@ -78,6 +80,11 @@
     }
 
 
+def second_fixed_service() -> dict[str, Any]:
+    """Return the second service with a fixed endpoint as it stands in a configuration."""
+    return _service(SECOND_FIXED, rate=FIXED_RATE, idempotent=True, fixed=SECOND_FIXED_ADDRESS)
+
+
 def first_configuration() -> dict[str, Any]:
     """Return the configuration that the operator sends before traffic starts."""
     return {
--- a/hollowusher/simulation/invariants.py
+++ b/hollowusher/simulation/invariants.py
@@ -12,6 +12,7 @@
 CHECKS: tuple[Check, ...] = (
     runs.check_unknown_runs,
     runs.check_route,
+    runs.check_former_service,
     runs.check_drained_workers,
     runs.check_run_after_rejection,
     runs.check_order,
--- a/hollowusher/simulation/operator.py
+++ b/hollowusher/simulation/operator.py
@@ -13,8 +13,10 @@
 from hollowusher.simulation import reference_model as model
 from hollowusher.simulation.http_network import HttpExchangeError, HttpNetwork, HttpRequest, HttpResponse
 from hollowusher.simulation.observations import ConfigurationOrder, ConfigurationRead, Observations
+from hollowusher.simulation.route_moves import RouteMoves
 
 CALL_TIMEOUT_S = 1.0
+MOVE_SHARE = 0.7  # of the changes, where ordered routes are to move
 INITIAL_DELAY_S = 0.1
 MAX_DELAY_S = 1.0
 FINAL_ANSWERS = (400, 409, 412, 413, 422)
@@ -150,10 +152,17 @@
 
 
 class ChangeGenerator:
-    """Random changes: extra routes come and go, latency targets alter."""
+    """Random changes: extra routes come and go, latency targets alter, ordered routes move if wanted."""
 
-    def __init__(self, random_source: random.Random, base: dict[str, Any], extra_service: str) -> None:
+    def __init__(
+        self,
+        random_source: random.Random,
+        base: dict[str, Any],
+        extra_service: str,
+        moves: RouteMoves | None = None,
+    ) -> None:
         self._random_source = random_source
+        self._moves = moves
         self._extra_service = extra_service
         self._extra = 0
         self.base = base
@@ -161,7 +170,10 @@
 
     def next_patch(self, generation: int) -> tuple[dict[str, Any], dict[str, Any]]:
         """Draw a PATCH; return it and the complete configuration that results."""
-        patch: dict[str, Any] = {"generation": generation + self._random_source.randint(1, 3)}
+        next_generation = generation + self._random_source.randint(1, 3)
+        if self._moves is not None and self._random_source.random() < MOVE_SHARE:
+            return self._moves.next_patch(self.base, next_generation)
+        patch: dict[str, Any] = {"generation": next_generation}
         extras = [route["name"] for route in self.base["routes"] if route["name"].startswith("extra-")]
         if extras and self._random_source.random() < 0.4:
             patch["delete"] = {"routes": [self._random_source.choice(extras)]}
--- a/hollowusher/simulation/operator_changes.py
+++ b/hollowusher/simulation/operator_changes.py
@@ -12,6 +12,7 @@
 from hollowusher.simulation.observations import ConfigurationOrder
 from hollowusher.simulation.operator import ChangeGenerator, SimulatedOperator, patch_request, put_request
 from hollowusher.simulation.reference_model import RouteRules
+from hollowusher.simulation.route_moves import RouteMoves
 
 SETUP_TIMEOUT_S = 20.0
 CHANGE_TIMEOUT_S = 25.0
@@ -25,7 +26,12 @@
     """The operators with what they know of the newest configuration."""
 
     def __init__(
-        self, cluster: SimulatedCluster, edge_selector: EdgeSelector, rules: dict[str, RouteRules]
+        self,
+        cluster: SimulatedCluster,
+        edge_selector: EdgeSelector,
+        rules: dict[str, RouteRules],
+        *,
+        moves_routes: bool = False,
     ) -> None:
         self.cluster = cluster
         self.rules = rules
@@ -36,7 +42,8 @@
         self._edge_selector = edge_selector
         self._newest = 0  # the newest generation known to the operators
         self._random_source = cluster.random("changes")
-        self._plan = ChangeGenerator(self._random_source, self.document, OTHER)
+        moves = RouteMoves(cluster.random("route moves")) if moves_routes else None
+        self._plan = ChangeGenerator(self._random_source, self.document, OTHER, moves)
 
     def _now(self) -> float:
         return self.cluster.loop.time()
--- a/hollowusher/simulation/planted/queues.py
+++ b/hollowusher/simulation/planted/queues.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import attrs
 
+from hollowusher.configuration.model import Route
+from hollowusher.intake.admission import RouteIndex
+from hollowusher.messages.partition import message_lifecycle
 from hollowusher.messages.partition.active_messages import ActiveMessage
 from hollowusher.messages.partition.message_leases import MessageLeases
 from hollowusher.messages.partition.message_lifecycle import MessageLifecycle
@@ -44,6 +48,31 @@
     patches.replace(MessageQueue, "lease_next", take)
 
 
+@planted_fault("ORDER", moves_routes=True)
+def _order_within_a_service_only(patches: Patches) -> None:
+    real = ActiveMessage
+
+    def with_group_of_service(*, service: str, ordering_group: str, **fields: Any) -> ActiveMessage:
+        group = f"{service}/{ordering_group}" if ordering_group else ""
+        return real(service=service, ordering_group=group, **fields)
+
+    patches.replace(message_lifecycle, "ActiveMessage", with_group_of_service)
+
+
+@planted_fault("CONFIG", script=(), moves_routes=True)
+def _former_service_kept(patches: Patches) -> None:
+    real = RouteIndex.find_route
+    first: dict[str, str] = {}
+
+    def find_route(index: RouteIndex, host: str, target: str) -> Route | None:
+        route = real(index, host, target)
+        if route is None or first.setdefault(route.name, route.upstream) not in index.services:
+            return route
+        return replace(route, upstream=first[route.name])
+
+    patches.replace(RouteIndex, "find_route", find_route)
+
+
 @planted_fault("CEILING")
 def _ceiling_by_each_alone(patches: Patches) -> None:
     patches.replace(TokenBucket, "RATE_FRACTION", 4.0)
--- a/hollowusher/simulation/planted/registry.py
+++ b/hollowusher/simulation/planted/registry.py
@@ -67,6 +67,7 @@
     script: tuple[ScriptedFault, ...] | None = None
     size: DeploymentSize | None = None
     long_delay_s: float = 0.0
+    moves_routes: bool = False
     test: str = ""  # the tests that find it where the simulation cannot reach it
 
     def plan(self, base: SimulationPlan) -> SimulationPlan:
@@ -74,7 +75,12 @@
         size = self.size or (DeploymentSize() if self.script else base.size)
         delay_s = self.long_delay_s or base.long_delay_s
         return replace(
-            base, fault_kinds=self.fault_kinds, script=self.script, size=size, long_delay_s=delay_s
+            base,
+            fault_kinds=self.fault_kinds,
+            script=self.script,
+            size=size,
+            long_delay_s=delay_s,
+            moves_routes=self.moves_routes or base.moves_routes,
         )
 
 
@@ -87,13 +93,16 @@
     script: tuple[ScriptedFault, ...] | None = None,
     size: DeploymentSize | None = None,
     long_delay_s: float = 0.0,
+    moves_routes: bool = False,
     test: str = "",
 ) -> Callable[[PlantFunction], PlantFunction]:
     """Register a planted fault by its function's name."""
 
     def register(plant: PlantFunction) -> PlantFunction:
         name = plant.__name__.strip("_").replace("_", "-")
-        PLANTED_FAULTS[name] = PlantedFault(name, plant, rules, fault_kinds, script, size, long_delay_s, test)
+        PLANTED_FAULTS[name] = PlantedFault(
+            name, plant, rules, fault_kinds, script, size, long_delay_s, moves_routes, test
+        )
         return plant
 
     return register
--- a/hollowusher/simulation/reference_model.py
+++ b/hollowusher/simulation/reference_model.py
@@ -15,7 +15,10 @@
 
 @dataclass(frozen=True)
 class RouteRules:
-    """What the rules need to know of a route; the same in every configuration that has it."""
+    """What the rules need to know of a route; the same in every configuration that has it.
+
+    `service` is that of the first configuration with the route; changes may give it another one.
+    """
 
     name: str
     service: str
@@ -77,6 +80,20 @@
     return min(ends)
 
 
+def services_of(observations: Observations, route: RouteRules) -> set[str]:
+    """Return the services that a configuration which may have been in force gives to a route."""
+    return {route.service} | {
+        service_of_order(order, route.name)
+        for order in observations.orders
+        if may_be_in_force(order) and order.first_sent_at > 0 and route.name in route_names(order)
+    }
+
+
+def service_of_order(order: ConfigurationOrder, route: str) -> str:
+    """Return the service that the configuration which an order makes gives to a route."""
+    return next(str(each["upstream"]) for each in order.document["routes"] if each["name"] == route)
+
+
 def signatures_of(observations: Observations, message: str) -> set[str]:
     """Return the signatures of the successful runs of a message."""
     return {run.signature for run in runs_of(observations, message) if run.result == "success"}
--- a/hollowusher/simulation/simulation_run.py
+++ b/hollowusher/simulation/simulation_run.py
@@ -12,7 +12,16 @@
 from hollowusher.simulation.checks.rules import DeploymentRules, RuleViolation
 from hollowusher.simulation.clients import MessageClients, MessageStream
 from hollowusher.simulation.cluster import DeploymentSize, SimulatedCluster
-from hollowusher.simulation.deployment import CLIENT_HOST, FIXED, FIXED_RATE, OTHER, PULL, PUSH, RECEIVERS
+from hollowusher.simulation.deployment import (
+    CLIENT_HOST,
+    FIXED,
+    FIXED_RATE,
+    OTHER,
+    PULL,
+    PUSH,
+    RECEIVERS,
+    SECOND_FIXED,
+)
 from hollowusher.simulation.edge_selector import EdgeSelector
 from hollowusher.simulation.event_loop import VirtualTimeLoop
 from hollowusher.simulation.faults.disks import FULL_DISK
@@ -57,6 +66,7 @@
     inject_faults: bool = True
     inject_worker_faults: bool = True
     changes: bool = True
+    moves_routes: bool = False  # most changes give an ordered route another service
     long_delay_s: float = 0.0  # the longest delay of messages; 0: a few seconds
     large_body_share: float = 0.0  # of the messages; large bodies go over links of a finite rate
     fault_kinds: tuple[str, ...] | None = None  # the faults to be used
@@ -120,7 +130,9 @@
         self.rules: dict[str, model.RouteRules] = {}
         cluster = self.cluster
         self.edge_selector = EdgeSelector(cluster, cluster.random("edges"))
-        self.operator_changes = OperatorChanges(cluster, self.edge_selector, self.rules)
+        self.operator_changes = OperatorChanges(
+            cluster, self.edge_selector, self.rules, moves_routes=plan.moves_routes
+        )
         outside = ActorContext(cluster.http, self.observations, SignatureSource(), cluster.random("outside"))
         self.worker_fleet = WorkerFleet(cluster, outside, self.edge_selector.pull_address)
         operators = self.operator_changes if plan.changes else None
@@ -217,6 +229,8 @@
 
     async def _begin(self) -> None:
         self.worker_fleet.start()
+        if self.plan.moves_routes:
+            self.worker_fleet.start_second_endpoint()
         started_at: InjectedFault = self.cluster.record_fault("begin", "all")
         for machine in self.cluster.machines.values():
             self.loop.call_outside(self.random_source.uniform(0.0, 0.3), self.cluster.start, machine)
@@ -263,9 +277,8 @@
     def check_rules(self) -> list[RuleViolation]:
         """Return the violations of the rules."""
         self.observations.calls_after_fencing = self.cluster.network.fencing_judge.found
-        return find_violations(
-            self.observations, DeploymentRules(self.rules, {FIXED: FIXED_RATE}, self.size.clock_skew_s)
-        )
+        rates = {FIXED: FIXED_RATE, SECOND_FIXED: FIXED_RATE}
+        return find_violations(self.observations, DeploymentRules(self.rules, rates, self.size.clock_skew_s))
 
     def figures(self) -> dict[str, float]:
         """Return what happened, in numbers."""
