--- a/tests/messages/test_order_across_services.py
+++ b/tests/messages/test_order_across_services.py
@@ -250,3 +250,31 @@
             assert scenario.most_in_window(service) <= RATE_PER_S * WINDOW_S * OVERSHOOT + ALLOWANCE
 
     play(work)
+
+
+# Guards against: a ceiling that is set or lifted while messages of a key wait, and breaks their order.
+@pytest.mark.parametrize("has_limit_first", [False, True])
+def test_ceiling_that_is_set_or_lifted_leaves_the_order_alone(has_limit_first: bool) -> None:
+    async def work(cluster: StoreCluster) -> None:
+        scenario = await started(cluster)
+        route = {"name": ROUTE, "hostname": "a.example", "pathPrefix": "/x/", "upstream": FORMER}
+        routes = [{**route, "ordered": True}]
+        limited, unlimited = {FORMER: RATE_PER_S}, {FORMER: 0.0}
+        first, second = (limited, unlimited) if has_limit_first else (unlimited, limited)
+        cluster.configure(configuration(2, routes, **first))
+        for number in range(40):
+            await scenario.send(FORMER, key=f"many-{number % 8}")
+        await scenario.dispatch(0.5)
+        cluster.configure(configuration(3, routes, **second))
+        changed_at = cluster.loop.time()
+        for number in range(40):
+            await scenario.send(FORMER, key=f"many-{number % 8}")
+        await scenario.dispatch(12.0)
+        assert scenario.order_broken == []
+        assert sorted(scenario.ended) == sorted(scenario.sent)
+        times = scenario.started_at[FORMER] = [at for at in scenario.started_at[FORMER] if at >= changed_at]
+        most = scenario.most_in_window(FORMER)
+        assert times
+        assert has_limit_first or most <= RATE_PER_S * WINDOW_S * OVERSHOOT + ALLOWANCE
+
+    play(work)
